Workspace with settings, documents, peer messages and HTTP base

The repository was empty. This lays the crates that all processes share: the strict YAML reader, the document of a service, the peer messages with the check that an answer is whole, and servers and connections over hyper.

--- /dev/null
+++ b/crates/arbutusquay/src/main.rs
@@ -0,0 +1,2 @@
+//! Soon.
+fn main() {}
--- /dev/null
+++ b/crates/net/src/body.rs
@@ -0,0 +1,105 @@
+//! Bodies: empty, whole, or streamed from a task.
+
+use bytes::Bytes;
+use http_body_util::combinators::BoxBody;
+use http_body_util::{BodyExt, Full};
+use hyper::body::{Frame, SizeHint};
+use std::io;
+use std::pin::Pin;
+use std::task::{Context, Poll};
+use tokio::sync::mpsc;
+
+/// A body of a request or an answer.
+pub type Body = BoxBody<Bytes, io::Error>;
+
+/// The sending half of a streamed body. When it is dropped without
+/// [`BodySender::finish`], the body breaks off and the other side sees it.
+#[derive(Debug)]
+pub struct BodySender {
+    tx: mpsc::Sender<Piece>,
+}
+
+#[derive(Debug)]
+enum Piece {
+    Data(Bytes),
+    End,
+}
+
+/// The receiver has gone away.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Gone;
+
+impl BodySender {
+    /// Sends a piece, waiting while the receiver is behind.
+    pub async fn send(&self, data: Bytes) -> Result<(), Gone> {
+        self.tx.send(Piece::Data(data)).await.map_err(|_| Gone)
+    }
+
+    /// Ends the body as whole.
+    pub async fn finish(self) {
+        // NB: a receiver that went away no longer cares whether it was whole.
+        let _ = self.tx.send(Piece::End).await;
+    }
+
+    /// Waits until the receiver has gone away.
+    pub async fn closed(&self) {
+        self.tx.closed().await;
+    }
+}
+
+struct Streamed {
+    rx: mpsc::Receiver<Piece>,
+    done: bool,
+}
+
+impl hyper::body::Body for Streamed {
+    type Data = Bytes;
+    type Error = io::Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, io::Error>>> {
+        if self.done {
+            return Poll::Ready(None);
+        }
+        let Poll::Ready(piece) = self.rx.poll_recv(cx) else {
+            return Poll::Pending;
+        };
+        match piece {
+            Some(Piece::Data(data)) => Poll::Ready(Some(Ok(Frame::data(data)))),
+            Some(Piece::End) => {
+                self.done = true;
+                Poll::Ready(None)
+            }
+            None => {
+                self.done = true;
+                Poll::Ready(Some(Err(io::Error::other("the sender broke off"))))
+            }
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.done
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        SizeHint::default()
+    }
+}
+
+/// A body with nothing in it.
+pub fn empty() -> Body {
+    full(Bytes::new())
+}
+
+/// A body known in whole.
+pub fn full(data: impl Into<Bytes>) -> Body {
+    Full::new(data.into()).map_err(|never| match never {}).boxed()
+}
+
+/// A body that a task sends piece by piece, at most `buffer` ahead.
+pub fn stream(buffer: usize) -> (BodySender, Body) {
+    let (tx, rx) = mpsc::channel(buffer);
+    (BodySender { tx }, Streamed { rx, done: false }.boxed())
+}
--- /dev/null
+++ b/crates/net/src/lib.rs
@@ -0,0 +1,18 @@
+//! HTTP servers and connections, shared by all processes.
+//!
+//! hyper does the protocol; this crate holds what every process does with it:
+//! exclusive binding, one task for each connection, graceful stop, a kept
+//! HTTP/2 connection to each peer, and a small pool of HTTP/1 connections.
+
+pub mod body;
+pub mod client;
+pub mod error;
+pub mod h1;
+pub mod peer;
+pub mod server;
+
+pub use body::{Body, BodySender, empty, full, stream};
+pub use error::CallError;
+pub use h1::Pool;
+pub use peer::Peer;
+pub use server::{Server, Stop, bind};
--- /dev/null
+++ b/crates/net/src/peer.rs
@@ -0,0 +1,103 @@
+//! A kept HTTP/2 connection to a peer.
+
+use crate::body::{Body, full};
+use crate::client::connect;
+use crate::error::CallError;
+use bytes::Bytes;
+use http_body_util::{BodyExt, Limited};
+use hyper::body::Incoming;
+use hyper::client::conn::http2::{Builder, SendRequest};
+use hyper::{Method, Request, Response, StatusCode};
+use hyper_util::rt::{TokioExecutor, TokioTimer};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::sync::Mutex;
+
+/// Time between pings on a connection in use, and the longest wait for one's
+/// answer. A peer that is paused or cut off is given up after both.
+const PING_EVERY: Duration = Duration::from_secs(2);
+const PING_TIMEOUT: Duration = Duration::from_secs(8);
+
+/// A peer, and the connection to it while there is one.
+#[derive(Debug, Clone)]
+pub struct Peer {
+    addr: SocketAddr,
+    timeout: Duration,
+    conn: Arc<Mutex<Option<SendRequest<Body>>>>,
+}
+
+impl Peer {
+    /// A peer at an address; `timeout` bounds connecting.
+    pub fn new(addr: SocketAddr, timeout: Duration) -> Self {
+        Self { addr, timeout, conn: Arc::default() }
+    }
+
+    /// The peer's address.
+    pub fn addr(&self) -> SocketAddr {
+        self.addr
+    }
+
+    async fn open(&self) -> Result<SendRequest<Body>, CallError> {
+        // Held across the connect on purpose: the others wait for this one
+        // connection and don't each open their own. The connect is bounded.
+        let mut kept = self.conn.lock().await;
+        if let Some(conn) = kept.as_ref().filter(|c| !c.is_closed()) {
+            return Ok(conn.clone());
+        }
+        *kept = None;
+        let io = connect(self.addr, self.timeout).await?;
+        let handshake = Builder::new(TokioExecutor::new())
+            .timer(TokioTimer::new())
+            .keep_alive_interval(PING_EVERY)
+            .keep_alive_timeout(PING_TIMEOUT)
+            .initial_stream_window_size(1 << 20)
+            .initial_connection_window_size(8 << 20)
+            .handshake(io);
+        let (conn, driver) = match tokio::time::timeout(self.timeout, handshake).await {
+            Ok(done) => done.map_err(|e| CallError::NotSent(e.to_string()))?,
+            Err(_) => return Err(CallError::NotSent("handshake took too long".into())),
+        };
+        tokio::spawn(driver);
+        *kept = Some(conn.clone());
+        Ok(conn)
+    }
+
+    /// Sends a request; its answer's body is still to come.
+    pub async fn send(&self, req: Request<Body>) -> Result<Response<Incoming>, CallError> {
+        let mut conn = self.open().await?;
+        conn.ready().await.map_err(|e| CallError::NotSent(e.to_string()))?;
+        conn.send_request(req).await.map_err(|e| CallError::MaybeSent(e.to_string()))
+    }
+
+    /// Builds a request with a body for this peer.
+    pub fn request(&self, method: Method, path: &str, body: Vec<u8>) -> Request<Body> {
+        Request::builder()
+            .method(method)
+            .uri(format!("http://{}{path}", self.addr))
+            .body(full(body))
+            .expect("our own paths are valid")
+    }
+
+    /// Sends a request and reads the whole answer, both within `timeout`.
+    pub async fn call(
+        &self,
+        method: Method,
+        path: &str,
+        body: Vec<u8>,
+        limit: usize,
+        timeout: Duration,
+    ) -> Result<(StatusCode, Bytes), CallError> {
+        let whole = async {
+            let answer = self.send(self.request(method, path, body)).await?;
+            let status = answer.status();
+            let body = Limited::new(answer.into_body(), limit).collect().await;
+            let body = body.map_err(|e| CallError::MaybeSent(e.to_string()))?;
+            Ok((status, body.to_bytes()))
+        };
+        match tokio::time::timeout(timeout, whole).await {
+            Ok(result) => result,
+            Err(_) => Err(CallError::MaybeSent("no answer in time".into())),
+        }
+    }
+}
--- /dev/null
+++ b/crates/net/src/server.rs
@@ -0,0 +1,168 @@
+//! Servers: an exclusive listener, one task for each connection, a graceful stop.
+
+use crate::body::Body;
+use bytes::Bytes;
+use http_body_util::{BodyExt, LengthLimitError, Limited};
+use hyper::body::Incoming;
+use hyper::{Request, Response};
+use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
+use hyper_util::server::conn::auto::Builder;
+use std::convert::Infallible;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+
+/// Connections that may wait to be taken.
+const BACKLOG: i32 = 1024;
+/// Streams that one peer may have open on its connection.
+const MAX_STREAMS: u32 = 4096;
+/// Pause after a failed accept, such as one for want of descriptors.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
+/// Binds an address exclusively: while this process lives, paused or not, no
+/// other can bind it.
+///
+/// `SO_REUSEADDR` is set so that connections in TIME_WAIT don't block a
+/// successor; on Linux it doesn't let two sockets listen on one address.
+pub fn bind(addr: SocketAddr) -> io::Result<TcpListener> {
+    let domain = socket2::Domain::for_address(addr);
+    let socket = socket2::Socket::new(domain, socket2::Type::STREAM, None)?;
+    socket.set_reuse_address(true)?;
+    socket.set_nonblocking(true)?;
+    socket.bind(&addr.into())?;
+    socket.listen(BACKLOG)?;
+    TcpListener::from_std(socket.into())
+}
+
+/// The stop signal of a server. Clones share it.
+#[derive(Debug, Clone)]
+pub struct Stop {
+    tx: Arc<watch::Sender<bool>>,
+}
+
+impl Default for Stop {
+    fn default() -> Self {
+        Self { tx: Arc::new(watch::Sender::new(false)) }
+    }
+}
+
+impl Stop {
+    /// Gives the signal.
+    pub fn stop(&self) {
+        self.tx.send_replace(true);
+    }
+
+    /// Whether the signal was given.
+    pub fn is_stopped(&self) -> bool {
+        *self.tx.borrow()
+    }
+
+    /// Waits for the signal.
+    pub async fn stopped(&self) {
+        // The sender lives as long as `self`, so waiting can't fail.
+        let _ = self.tx.subscribe().wait_for(|s| *s).await;
+    }
+}
+
+/// How a server treats its connections.
+#[derive(Debug, Clone)]
+pub struct Server {
+    /// Longest that a peer may take to send a request's head.
+    pub head_timeout: Duration,
+    /// Largest head, in bytes.
+    pub max_head: usize,
+    /// After this signal no connection is taken, and open ones end when idle.
+    pub stop: Stop,
+}
+
+impl Server {
+    /// Serves until the stop signal, then until the last request has ended.
+    pub async fn run<H, F>(self, listener: TcpListener, handler: H)
+    where
+        H: Fn(Request<Incoming>) -> F + Clone + Send + Sync + 'static,
+        F: Future<Output = Response<Body>> + Send + 'static,
+    {
+        let (live, mut ended) = tokio::sync::mpsc::channel::<Infallible>(1);
+        loop {
+            let conn = tokio::select! {
+                conn = listener.accept() => conn,
+                () = self.stop.stopped() => break,
+            };
+            let Ok((tcp, _)) = conn else {
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+                continue;
+            };
+            let (server, handler, live) = (self.clone(), handler.clone(), live.clone());
+            tokio::spawn(async move {
+                server.connection(tcp, handler).await;
+                drop(live);
+            });
+        }
+        drop((listener, live));
+        // No message is ever sent: this waits for the last connection's task.
+        let _ = ended.recv().await;
+    }
+
+    async fn connection<H, F>(&self, tcp: TcpStream, handler: H)
+    where
+        H: Fn(Request<Incoming>) -> F + Clone + Send + Sync + 'static,
+        F: Future<Output = Response<Body>> + Send + 'static,
+    {
+        // A failure here means that the peer has gone already.
+        let _ = tcp.set_nodelay(true);
+        let mut builder = Builder::new(TokioExecutor::new());
+        builder
+            .http1()
+            .timer(TokioTimer::new())
+            .header_read_timeout(self.head_timeout)
+            .max_buf_size(self.max_head.max(8192));
+        builder
+            .http2()
+            .timer(TokioTimer::new())
+            .max_concurrent_streams(MAX_STREAMS)
+            .max_header_list_size(self.max_head as u32)
+            .initial_stream_window_size(1 << 20)
+            .initial_connection_window_size(8 << 20);
+        let service = hyper::service::service_fn(move |req| {
+            let answer = handler(req);
+            async move { Ok::<_, Infallible>(answer.await) }
+        });
+        let conn = builder.serve_connection(TokioIo::new(tcp), service);
+        tokio::pin!(conn);
+        // A connection's error is the peer's affair; its requests were dropped
+        // with it, and each notes that itself.
+        tokio::select! {
+            _ = conn.as_mut() => return,
+            () = self.stop.stopped() => conn.as_mut().graceful_shutdown(),
+        }
+        let _ = conn.await;
+    }
+}
+
+/// Why a request's body wasn't read.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum BodyFault {
+    /// Over the limit.
+    TooLarge,
+    /// Not there within the time.
+    Slow,
+    /// The connection broke.
+    Broken,
+}
+
+/// Reads a whole body within a size and a time.
+pub async fn read_body(
+    body: Incoming,
+    limit: usize,
+    timeout: Duration,
+) -> Result<Bytes, BodyFault> {
+    match tokio::time::timeout(timeout, Limited::new(body, limit).collect()).await {
+        Err(_) => Err(BodyFault::Slow),
+        Ok(Err(e)) if e.is::<LengthLimitError>() => Err(BodyFault::TooLarge),
+        Ok(Err(_)) => Err(BodyFault::Broken),
+        Ok(Ok(body)) => Ok(body.to_bytes()),
+    }
+}
--- /dev/null
+++ b/crates/wire/tests/frames.rs
@@ -0,0 +1,51 @@
+//! Frames: cutting, and refusal of every answer that isn't whole.
+
+use wire::{Frame, FrameReader, Part, RequestId, StreamCheck, StreamFault};
+
+const REQ: RequestId = RequestId(7);
+
+fn frame(index: u32, part: Part) -> Frame {
+    Frame { request: REQ, index, part }
+}
+
+#[test]
+fn frames_survive_any_cut() {
+    let sent: Vec<Frame> = (0..20).map(|i| frame(i, Part::Token(format!("t{i}")))).collect();
+    let bytes: Vec<u8> = sent.iter().flat_map(|f| f.encode().to_vec()).collect();
+    for cut in 1..17 {
+        let mut reader = FrameReader::default();
+        let mut got = Vec::new();
+        for piece in bytes.chunks(cut) {
+            reader.push(piece);
+            while let Some(f) = reader.next().unwrap() {
+                got.push(f);
+            }
+        }
+        assert_eq!(got, sent);
+    }
+}
+
+#[test]
+fn a_length_over_the_limit_is_malformed() {
+    let mut reader = FrameReader::default();
+    reader.push(&u32::MAX.to_be_bytes());
+    assert_eq!(reader.next(), Err(StreamFault::Malformed));
+}
+
+#[test]
+fn foreign_doubled_missing_and_short_answers_are_refused() {
+    let mut check = StreamCheck::new(REQ, 0);
+    let foreign = Frame { request: RequestId(8), index: 0, part: Part::Token("x".into()) };
+    assert_eq!(check.take(foreign), Err(StreamFault::Foreign));
+    check.take(frame(0, Part::Token("a".into()))).unwrap();
+    assert_eq!(check.take(frame(0, Part::Token("a".into()))), Err(StreamFault::OutOfOrder));
+    assert_eq!(check.take(frame(2, Part::Token("c".into()))), Err(StreamFault::OutOfOrder));
+    assert_eq!(check.take(frame(1, Part::End { count: 2 })), Err(StreamFault::WrongCount));
+}
+
+#[test]
+fn a_resumed_answer_counts_what_came_before() {
+    let mut check = StreamCheck::new(REQ, 3);
+    check.take(frame(0, Part::Token("d".into()))).unwrap();
+    assert!(check.take(frame(1, Part::End { count: 4 })).is_ok());
+}
