Platform clients and stand-ins

Adds the traits towards the platform with outcomes that tell a refusal, an unreachable service and an unknown write apart, the one module that speaks the platform's dialect, the book of documents in force, the engine client, and small stand-ins for table, objects, host list, engine and plain service.

--- /dev/null
+++ b/crates/engine/src/client.rs
@@ -0,0 +1,192 @@
+//! Calls to an engine.
+
+use crate::dialect::{
+    CacheEvents, Chunk, CompletionBody, EngineState, Load, Order, OrderAnswer, PATH_CANCEL,
+    PATH_COMPLETIONS, PATH_EVENTS, PATH_LOAD, PATH_ORDER, PATH_STATE,
+};
+use crate::sse::EventReader;
+use http_body_util::BodyExt;
+use hyper::{Method, Request, StatusCode};
+use net::h1::Answer;
+use net::{Body, CallError, Pool, empty, full};
+use quick_error::quick_error;
+use serde::de::DeserializeOwned;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// Largest answer to a call that isn't a completion.
+const MAX_ANSWER: usize = 4 << 20;
+/// Last event of a completion.
+const DONE: &[u8] = b"[DONE]";
+
+quick_error! {
+    /// A call to an engine that failed.
+    #[derive(Debug, Clone, PartialEq, Eq)]
+    pub enum EngineError {
+        /// The engine wasn't reached, or broke off.
+        Call(e: CallError) {
+            display("engine: {e}")
+            from()
+        }
+        /// The engine refused.
+        Refused(status: StatusCode) { display("engine answered {status}") }
+        /// The engine answered something that isn't its protocol.
+        Nonsense(why: &'static str) { display("engine answered nonsense: {why}") }
+    }
+}
+
+/// A model engine.
+#[derive(Debug, Clone)]
+pub struct Client {
+    pool: Pool,
+    timeout: Duration,
+}
+
+/// One token of a completion, or its end.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Token {
+    /// A token.
+    Text(String),
+    /// The whole completion is there: so many tokens, resumed ones included.
+    End(u32),
+}
+
+/// A completion that is under way. Dropping it cancels it: the connection
+/// closes, and the engine stops.
+#[derive(Debug)]
+pub struct Stream {
+    answer: Answer,
+    events: EventReader,
+    id: String,
+    count: u32,
+    finished: bool,
+}
+
+impl Client {
+    /// A client; `timeout` bounds connecting and each call but completions.
+    pub fn new(addr: SocketAddr, timeout: Duration) -> Self {
+        Self { pool: Pool::new(addr, timeout), timeout }
+    }
+
+    /// Starts a completion.
+    pub async fn complete(&self, body: &CompletionBody) -> Result<Stream, EngineError> {
+        let req = self.request(Method::POST, PATH_COMPLETIONS, json(body));
+        let answer = self.pool.send_fresh(req).await?;
+        let status = answer.response.status();
+        if !status.is_success() {
+            return Err(EngineError::Refused(status));
+        }
+        let events = EventReader::default();
+        let id = body.request_id.clone();
+        Ok(Stream { answer, events, id, count: body.resume_from, finished: false })
+    }
+
+    /// Reads the state.
+    pub async fn state(&self) -> Result<EngineState, EngineError> {
+        self.ask(Method::GET, PATH_STATE, empty()).await
+    }
+
+    /// Reads the load report.
+    pub async fn load(&self) -> Result<Load, EngineError> {
+        self.ask(Method::GET, PATH_LOAD, empty()).await
+    }
+
+    /// Reads cache events after a number.
+    pub async fn cache_events(&self, after: u64) -> Result<CacheEvents, EngineError> {
+        self.ask(Method::GET, &format!("{PATH_EVENTS}?{after}"), empty()).await
+    }
+
+    /// Gives an order.
+    pub async fn order(&self, order: &Order) -> Result<OrderAnswer, EngineError> {
+        self.ask(Method::POST, PATH_ORDER, json(order)).await
+    }
+
+    /// Cancels a completion by its id.
+    pub async fn cancel(&self, id: &str) -> Result<(), EngineError> {
+        let req = self.request(Method::POST, &format!("{PATH_CANCEL}?{id}"), empty());
+        let (status, _) = self.pool.call(req, MAX_ANSWER, self.timeout).await?;
+        if status.is_success() { Ok(()) } else { Err(EngineError::Refused(status)) }
+    }
+
+    async fn ask<T: DeserializeOwned>(
+        &self,
+        method: Method,
+        path: &str,
+        body: Body,
+    ) -> Result<T, EngineError> {
+        let req = self.request(method, path, body);
+        let (status, body) = self.pool.call(req, MAX_ANSWER, self.timeout).await?;
+        if !status.is_success() {
+            return Err(EngineError::Refused(status));
+        }
+        serde_json::from_slice(&body).map_err(|_| EngineError::Nonsense("not its JSON"))
+    }
+
+    fn request(&self, method: Method, path: &str, body: Body) -> Request<Body> {
+        Request::builder()
+            .method(method)
+            .uri(path)
+            .header(hyper::header::HOST, self.pool.addr().to_string())
+            .header(hyper::header::CONTENT_TYPE, "application/json")
+            .body(body)
+            .expect("paths are our own")
+    }
+}
+
+fn json<T: serde::Serialize>(value: &T) -> Body {
+    full(serde_json::to_vec(value).expect("messages have no field that can't be encoded"))
+}
+
+impl Stream {
+    /// Waits for the next token or the end.
+    pub async fn next(&mut self) -> Result<Token, EngineError> {
+        loop {
+            if let Some(token) = self.buffered()? {
+                return Ok(token);
+            }
+            let Some(frame) = self.answer.response.body_mut().frame().await else {
+                return Err(EngineError::Nonsense("stream ended before its end"));
+            };
+            let frame = frame.map_err(|e| CallError::MaybeSent(e.to_string()))?;
+            if let Some(data) = frame.data_ref() {
+                self.events.push(data);
+            }
+        }
+    }
+
+    /// Takes the next token or the end if its bytes are here already.
+    fn buffered(&mut self) -> Result<Option<Token>, EngineError> {
+        let malformed = |_| EngineError::Nonsense("not server-sent events");
+        let Some(data) = self.events.next().map_err(malformed)? else {
+            return Ok(None);
+        };
+        if data.as_ref() == DONE {
+            if self.finished {
+                return Ok(Some(Token::End(self.count)));
+            }
+            return Err(EngineError::Nonsense("end without a finish reason"));
+        }
+        if self.finished {
+            return Err(EngineError::Nonsense("chunk after the finish reason"));
+        }
+        self.chunk(&data).map(Some)
+    }
+
+    fn chunk(&mut self, data: &[u8]) -> Result<Token, EngineError> {
+        let Ok(chunk) = serde_json::from_slice::<Chunk>(data) else {
+            return Err(EngineError::Nonsense("not a chunk"));
+        };
+        if chunk.id != self.id {
+            return Err(EngineError::Nonsense("chunk of another request"));
+        }
+        self.count += 1;
+        if chunk.usage.completion_tokens != self.count {
+            return Err(EngineError::Nonsense("chunk missing or doubled"));
+        }
+        let Some(choice) = chunk.choices.into_iter().next() else {
+            return Err(EngineError::Nonsense("chunk without a choice"));
+        };
+        self.finished = choice.finish_reason.is_some();
+        Ok(Token::Text(choice.text))
+    }
+}
--- /dev/null
+++ b/crates/fakes/src/engine.rs
@@ -0,0 +1,184 @@
+//! A model engine.
+//!
+//! It batches continuously, reads prompts in pieces between decode steps,
+//! caches prompt prefixes in limited memory, honours priorities, resumes and
+//! cancels streams, exports and imports KV cache, publishes cache events late
+//! and with gaps, reports its load with a lag, and takes orders with or without
+//! looking at their fencing numbers. All rates are assumed.
+
+mod batch;
+mod cache;
+mod orders;
+
+use crate::fault::FaultGate;
+use crate::serve::{Call, Standin, json, status};
+use batch::Batch;
+use cache::PrefixCache;
+use engine::dialect::{
+    CompletionBody, KvBlob, PATH_CANCEL, PATH_COMPLETIONS, PATH_EVENTS, PATH_EXPORT, PATH_IMPORT,
+    PATH_LOAD, PATH_ORDER, PATH_STATE,
+};
+use hyper::{Response, StatusCode};
+use net::Body;
+pub use orders::{EngineHistory, OrderSeen};
+use orders::Orders;
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::Duration;
+
+/// Rates and sizes of the stand-in, all assumed.
+#[derive(Debug, Clone)]
+pub struct Rates {
+    /// Time of one decode step.
+    pub step: Duration,
+    /// Prompt tokens read in one step, over all requests.
+    pub prefill_per_step: u32,
+    /// Requests that run at once.
+    pub batch: usize,
+    /// Prefixes that the cache holds.
+    pub cache: usize,
+    /// Time that a change of role or model takes.
+    pub change: Duration,
+    /// Lag of load reports and cache events.
+    pub lag: Duration,
+    /// Whether old fencing numbers are refused.
+    pub fencing: bool,
+}
+
+impl Default for Rates {
+    fn default() -> Self {
+        Self {
+            step: Duration::from_millis(10),
+            prefill_per_step: 200,
+            batch: 32,
+            cache: 4096,
+            change: Duration::from_millis(300),
+            lag: Duration::from_millis(500),
+            fencing: true,
+        }
+    }
+}
+
+/// Bytes of a prompt that make up one token, assumed.
+pub const BYTES_PER_TOKEN: usize = 4;
+
+/// The stand-in.
+#[derive(Debug)]
+pub struct EngineStandin {
+    gate: FaultGate,
+    rates: Rates,
+    inner: Mutex<Inner>,
+    work: tokio::sync::Notify,
+}
+
+#[derive(Debug)]
+struct Inner {
+    batch: Batch,
+    cache: PrefixCache,
+    orders: Orders,
+}
+
+impl EngineStandin {
+    /// An engine with nothing loaded. Its steps run until it is dropped.
+    pub fn new(rates: Rates) -> Arc<Self> {
+        let inner = Inner {
+            batch: Batch::new(rates.batch, rates.lag),
+            cache: PrefixCache::new(rates.cache, rates.lag),
+            orders: Orders::new(rates.fencing, rates.change),
+        };
+        let this = Arc::new(Self {
+            gate: FaultGate::default(),
+            rates,
+            inner: Mutex::new(inner),
+            work: tokio::sync::Notify::new(),
+        });
+        tokio::spawn(Self::steps(Arc::downgrade(&this)));
+        this
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Inner> {
+        self.inner.lock().expect("no panic while locked")
+    }
+
+    async fn steps(this: std::sync::Weak<Self>) {
+        let Some(step) = this.upgrade().map(|e| e.rates.step) else { return };
+        let mut clock = tokio::time::interval(step);
+        clock.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        loop {
+            clock.tick().await;
+            let Some(engine) = this.upgrade() else { return };
+            engine.step();
+            if engine.lock().batch.is_idle() {
+                // A bounded wait, so that a dropped engine's task ends.
+                let _ = tokio::time::timeout(IDLE_LOOK, engine.work.notified()).await;
+            }
+        }
+    }
+
+    fn step(&self) {
+        let mut inner = self.lock();
+        let Inner { batch, cache, .. } = &mut *inner;
+        batch.step(self.rates.prefill_per_step, cache, &self.gate);
+    }
+
+    fn complete(&self, call: &Call) -> Response<Body> {
+        let Some(body) = call.json::<CompletionBody>() else {
+            return status(StatusCode::BAD_REQUEST);
+        };
+        let mut inner = self.lock();
+        if !inner.orders.serves(&body.model) {
+            return status(StatusCode::CONFLICT);
+        }
+        let Inner { batch, cache, .. } = &mut *inner;
+        let answer = batch.add(body, cache);
+        drop(inner);
+        self.work.notify_one();
+        answer
+    }
+
+    fn order(&self, call: &Call) -> Response<Body> {
+        let Some(order) = call.json() else {
+            return status(StatusCode::BAD_REQUEST);
+        };
+        let crash = self.gate.use_up(|f| &mut f.crash_in_order);
+        let mut inner = self.lock();
+        let Inner { batch, cache, orders } = &mut *inner;
+        let answer = orders.take(&order, batch, cache, crash);
+        json(&answer)
+    }
+}
+
+/// Longest that an idle engine sleeps.
+const IDLE_LOOK: Duration = Duration::from_secs(1);
+
+impl Standin for EngineStandin {
+    fn gate(&self) -> &FaultGate {
+        &self.gate
+    }
+
+    async fn answer(self: Arc<Self>, call: Call) -> Response<Body> {
+        match call.path.as_str() {
+            PATH_COMPLETIONS => self.complete(&call),
+            PATH_STATE => json(&self.lock().orders.state()),
+            PATH_LOAD => json(&self.lock().batch.report()),
+            PATH_EVENTS => json(&self.lock().cache.events(call.query.parse().unwrap_or(0))),
+            PATH_ORDER => self.order(&call),
+            PATH_CANCEL => {
+                self.lock().batch.cancel(&call.query);
+                status(StatusCode::OK)
+            }
+            PATH_EXPORT => {
+                let blob = self.lock().cache.export(&call.body);
+                json(&blob)
+            }
+            PATH_IMPORT => {
+                let Some(blob) = call.json::<KvBlob>() else {
+                    return status(StatusCode::BAD_REQUEST);
+                };
+                self.lock().cache.import(&blob);
+                status(StatusCode::OK)
+            }
+            "/history" => json(&self.lock().orders.history()),
+            _ => status(StatusCode::NOT_FOUND),
+        }
+    }
+}
--- /dev/null
+++ b/crates/fakes/src/engine/cache.rs
@@ -0,0 +1,87 @@
+//! The prefix cache of the engine stand-in.
+
+use engine::dialect::{CacheEvent, CacheEvents, KvBlob};
+use std::collections::VecDeque;
+use std::time::{Duration, Instant};
+use wire::prefix;
+
+/// Events that are kept for readers.
+const MAX_EVENTS: usize = 4096;
+/// Each event whose number is a multiple of this is never published.
+const GAP_EVERY: u64 = 17;
+
+/// Prefixes by hash, least recently used first.
+#[derive(Debug)]
+pub struct PrefixCache {
+    room: usize,
+    lag: Duration,
+    held: VecDeque<u64>,
+    last: u64,
+    events: VecDeque<(Instant, CacheEvent)>,
+}
+
+impl PrefixCache {
+    /// A cache with room for so many prefixes, whose events come `lag` late.
+    pub fn new(room: usize, lag: Duration) -> Self {
+        Self { room, lag, held: VecDeque::new(), last: 0, events: VecDeque::new() }
+    }
+
+    /// Bytes at the prompt's beginning that are cached.
+    pub fn cached(&self, hashes: &[u64]) -> usize {
+        let longest = hashes.iter().rposition(|h| self.held.contains(h));
+        longest.map_or(0, prefix::length_at)
+    }
+
+    /// Takes a prompt's prefixes in.
+    pub fn add(&mut self, hashes: &[u64]) {
+        for &h in hashes {
+            if let Some(at) = self.held.iter().position(|x| *x == h) {
+                self.held.remove(at);
+            } else {
+                self.note(h, true);
+            }
+            self.held.push_back(h);
+            if self.held.len() > self.room
+                && let Some(old) = self.held.pop_front()
+            {
+                self.note(old, false);
+            }
+        }
+    }
+
+    /// Forgets everything.
+    pub fn clear(&mut self) {
+        for h in std::mem::take(&mut self.held) {
+            self.note(h, false);
+        }
+    }
+
+    fn note(&mut self, prefix: u64, added: bool) {
+        self.last += 1;
+        let event = CacheEvent { number: self.last, prefix, added };
+        self.events.push_back((Instant::now(), event));
+        if self.events.len() > MAX_EVENTS {
+            self.events.pop_front();
+        }
+    }
+
+    /// Events after a number, as late and as incomplete as engines publish them.
+    pub fn events(&self, after: u64) -> CacheEvents {
+        let due = |(at, e): &&(Instant, CacheEvent)| at.elapsed() >= self.lag && e.number > after;
+        let due: Vec<CacheEvent> = self.events.iter().filter(due).map(|(_, e)| *e).collect();
+        let last = due.last().map_or(after, |e| e.number);
+        let events = due.into_iter().filter(|e| e.number % GAP_EVERY != 0).collect();
+        CacheEvents { last, events }
+    }
+
+    /// KV cache of a prompt, as far as it is held.
+    pub fn export(&self, prompt: &[u8]) -> KvBlob {
+        let hashes = prefix::hashes(prompt);
+        KvBlob { prefixes: hashes.into_iter().filter(|h| self.held.contains(h)).collect() }
+    }
+
+    /// Takes KV cache in.
+    pub fn import(&mut self, blob: &KvBlob) {
+        self.add(&blob.prefixes);
+    }
+}
--- /dev/null
+++ b/crates/fakes/src/fault.rs
@@ -0,0 +1,71 @@
+//! Faults that a stand-in can be told to show.
+
+use serde::{Deserialize, Serialize};
+use std::sync::Mutex;
+use std::time::Duration;
+
+/// Faults in force. A count is used up, one for each call.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Faults {
+    /// Each call waits so long before it begins, in milliseconds.
+    pub delay_ms: u64,
+    /// Calls are refused with 503 before they have an effect.
+    pub down: bool,
+    /// Calls get no answer and have no effect, as behind a cut.
+    pub hang: bool,
+    /// So many calls take effect, and their answers are lost.
+    pub lose_answers: u32,
+    /// So many calls are answered with bytes that aren't the protocol.
+    pub nonsense: u32,
+    /// So many streams end without their end.
+    pub break_streams: u32,
+    /// So many chunks carry the id of another request.
+    pub cross_chunks: u32,
+    /// So many chunks are sent twice.
+    pub double_chunks: u32,
+    /// The next order breaks the engine in the middle of the change.
+    pub crash_in_order: u32,
+}
+
+/// The faults of one stand-in.
+#[derive(Debug, Default)]
+pub struct FaultGate {
+    faults: Mutex<Faults>,
+}
+
+impl FaultGate {
+    /// Replaces the faults in force.
+    pub fn set(&self, faults: Faults) {
+        *self.faults.lock().expect("no panic while locked") = faults;
+    }
+
+    /// The faults in force.
+    pub fn get(&self) -> Faults {
+        self.faults.lock().expect("no panic while locked").clone()
+    }
+
+    /// Uses up one of a count, if any is left.
+    pub fn use_up(&self, count: fn(&mut Faults) -> &mut u32) -> bool {
+        let mut faults = self.faults.lock().expect("no panic while locked");
+        let n = count(&mut faults);
+        let used = *n > 0;
+        *n -= u32::from(used);
+        used
+    }
+
+    /// Waits as the faults say. Gives false if the call must be refused.
+    pub async fn pass(&self) -> bool {
+        let f = self.get();
+        if f.delay_ms > 0 {
+            tokio::time::sleep(Duration::from_millis(f.delay_ms)).await;
+        }
+        while self.get().hang {
+            tokio::time::sleep(HANG_LOOK).await;
+        }
+        !self.get().down
+    }
+}
+
+/// Time between looks at whether a hang is over.
+const HANG_LOOK: Duration = Duration::from_millis(20);
--- /dev/null
+++ b/crates/fakes/src/objects.rs
@@ -0,0 +1,56 @@
+//! The object store.
+
+use crate::fault::FaultGate;
+use crate::serve::{Call, Standin, json, status};
+use bytes::Bytes;
+use hyper::{Method, Response, StatusCode};
+use net::{Body, full};
+use std::collections::BTreeMap;
+use std::sync::{Arc, Mutex};
+use store::http::{PATH_LIST, PATH_OBJECT};
+
+/// The stand-in.
+#[derive(Debug, Default)]
+pub struct ObjectsStandin {
+    gate: FaultGate,
+    objects: Mutex<BTreeMap<String, Bytes>>,
+}
+
+impl ObjectsStandin {
+    fn list(&self, prefix: &str) -> Vec<String> {
+        let objects = self.objects.lock().expect("no panic while locked");
+        let from = objects.range(prefix.to_owned()..);
+        from.map(|(name, _)| name.clone()).take_while(|n| n.starts_with(prefix)).collect()
+    }
+
+    fn get(&self, name: &str) -> Option<Bytes> {
+        self.objects.lock().expect("no panic while locked").get(name).cloned()
+    }
+
+    fn put(&self, name: &str, data: Bytes) {
+        self.objects.lock().expect("no panic while locked").insert(name.to_owned(), data);
+    }
+}
+
+impl Standin for ObjectsStandin {
+    fn gate(&self) -> &FaultGate {
+        &self.gate
+    }
+
+    async fn answer(self: Arc<Self>, call: Call) -> Response<Body> {
+        if call.path == PATH_LIST {
+            return json(&self.list(&call.query));
+        }
+        let Some(name) = call.path.strip_prefix(PATH_OBJECT) else {
+            return status(StatusCode::NOT_FOUND);
+        };
+        if call.method == Method::PUT {
+            self.put(name, call.body);
+            return status(StatusCode::OK);
+        }
+        match self.get(name) {
+            Some(data) => Response::new(full(data)),
+            None => status(StatusCode::NOT_FOUND),
+        }
+    }
+}
--- /dev/null
+++ b/crates/fakes/src/plain.rs
@@ -0,0 +1,80 @@
+//! A plain service, which counts the runs of each call.
+
+use crate::answer::plain_digest;
+use crate::fault::FaultGate;
+use crate::serve::{Call, Standin, json};
+use hyper::Response;
+use net::Body;
+use serde::{Deserialize, Serialize};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+/// Most runs that the history keeps.
+const MAX_HISTORY: usize = 200_000;
+
+/// One run, as the service saw it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Run {
+    /// The caller's key, or an empty text.
+    pub key: String,
+    /// The request's id as the system gave it.
+    pub request: String,
+    /// Method and path.
+    pub call: String,
+    /// Digest of method, path and body.
+    pub digest: String,
+}
+
+/// What the service answers.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PlainAnswer {
+    /// Digest of method, path and body.
+    pub digest: String,
+}
+
+/// The stand-in.
+#[derive(Debug)]
+pub struct PlainStandin {
+    gate: FaultGate,
+    work: Duration,
+    runs: Mutex<Vec<Run>>,
+}
+
+impl PlainStandin {
+    /// A service that takes `work` for each call.
+    pub fn new(work: Duration) -> Self {
+        Self { gate: FaultGate::default(), work, runs: Mutex::default() }
+    }
+}
+
+impl Standin for PlainStandin {
+    fn gate(&self) -> &FaultGate {
+        &self.gate
+    }
+
+    async fn answer(self: Arc<Self>, call: Call) -> Response<Body> {
+        if call.path == "/history" {
+            return json(&*self.runs.lock().expect("no panic while locked"));
+        }
+        let target = if call.query.is_empty() {
+            call.path.clone()
+        } else {
+            format!("{}?{}", call.path, call.query)
+        };
+        let digest = plain_digest(call.method.as_str(), &target, &call.body);
+        let run = Run {
+            key: call.header("idempotency-key").to_owned(),
+            request: call.header("x-request-id").to_owned(),
+            call: format!("{} {target}", call.method),
+            digest: digest.clone(),
+        };
+        {
+            let mut runs = self.runs.lock().expect("no panic while locked");
+            if runs.len() < MAX_HISTORY {
+                runs.push(run);
+            }
+        }
+        tokio::time::sleep(self.work).await;
+        json(&PlainAnswer { digest })
+    }
+}
--- a/crates/net/src/body.rs
+++ b/crates/net/src/body.rs
@@ -35,12 +35,31 @@
         self.tx.send(Piece::Data(data)).await.map_err(|_| Gone)
     }
 
+    /// Sends a piece if there is room; says whether the receiver is still there.
+    pub fn try_send(&self, data: Bytes) -> Result<bool, Gone> {
+        match self.tx.try_send(Piece::Data(data)) {
+            Ok(()) => Ok(true),
+            Err(mpsc::error::TrySendError::Full(_)) => Ok(false),
+            Err(mpsc::error::TrySendError::Closed(_)) => Err(Gone),
+        }
+    }
+
+    /// Whether the receiver has gone away.
+    pub fn is_closed(&self) -> bool {
+        self.tx.is_closed()
+    }
+
     /// Ends the body as whole.
     pub async fn finish(self) {
         // NB: a receiver that went away no longer cares whether it was whole.
         let _ = self.tx.send(Piece::End).await;
     }
 
+    /// Ends the body as whole if there is room; else the body breaks off.
+    pub fn try_finish(self) {
+        let _ = self.tx.try_send(Piece::End);
+    }
+
     /// Waits until the receiver has gone away.
     pub async fn closed(&self) {
         self.tx.closed().await;
--- /dev/null
+++ b/crates/store/src/http.rs
@@ -0,0 +1,175 @@
+//! The platform's dialect: JSON over HTTP/1.
+//!
+//! This is the one module to replace for another platform. The stand-ins speak
+//! the same dialect and share the message types below.
+
+use crate::table::{
+    Conflict, Error, HostList, Hosts, Objects, Row, Table, Txn, WriteError,
+};
+use conf::Platform;
+use hyper::{Method, Request, StatusCode};
+use net::{Body, CallError, Pool, full};
+use serde::de::DeserializeOwned;
+use serde::{Deserialize, Serialize};
+use std::time::Duration;
+
+/// Path of a read of rows.
+pub const PATH_READ: &str = "/read";
+/// Path of a scan.
+pub const PATH_SCAN: &str = "/scan";
+/// Path of a transaction.
+pub const PATH_COMMIT: &str = "/commit";
+/// Beginning of an object's path.
+pub const PATH_OBJECT: &str = "/objects/";
+/// Path of a list of objects; the prefix is the query.
+pub const PATH_LIST: &str = "/list";
+/// Path of the host list; the version that the reader has is the query.
+pub const PATH_HOSTS: &str = "/hosts";
+
+/// Largest answer that is read.
+const MAX_ANSWER: usize = 64 << 20;
+
+/// Body of a scan.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct ScanBody {
+    /// How the keys begin.
+    pub prefix: String,
+    /// Only keys after this one.
+    pub after: String,
+    /// Most rows.
+    pub limit: u32,
+}
+
+/// Answer to a transaction.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum CommitBody {
+    /// Done, with the version of the rows written.
+    Done(u64),
+    /// Refused, with the checks that didn't hold.
+    Refused(Vec<Conflict>),
+}
+
+/// The platform over HTTP.
+#[derive(Debug, Clone)]
+pub struct HttpPlatform {
+    table: Pool,
+    objects: Pool,
+    hosts: Pool,
+    timeout: Duration,
+}
+
+impl HttpPlatform {
+    /// Clients for the addresses in the settings.
+    pub fn new(p: &Platform) -> Self {
+        Self {
+            table: Pool::new(p.table, p.timeout),
+            objects: Pool::new(p.objects, p.timeout),
+            hosts: Pool::new(p.hosts, p.timeout),
+            timeout: p.timeout,
+        }
+    }
+
+    async fn call(
+        &self,
+        pool: &Pool,
+        method: Method,
+        path: &str,
+        body: Vec<u8>,
+    ) -> Result<(StatusCode, bytes::Bytes), CallError> {
+        let req = request(pool, method, path, body);
+        pool.call(req, MAX_ANSWER, self.timeout).await
+    }
+
+    async fn ask<T: DeserializeOwned>(
+        &self,
+        pool: &Pool,
+        method: Method,
+        path: &str,
+        body: Vec<u8>,
+    ) -> Result<T, Error> {
+        let (status, body) = self.call(pool, method, path, body).await.map_err(unavailable)?;
+        if !status.is_success() {
+            return Err(Error::Unavailable(format!("status {status}")));
+        }
+        serde_json::from_slice(&body).map_err(|e| Error::Nonsense(e.to_string()))
+    }
+}
+
+fn request(pool: &Pool, method: Method, path: &str, body: Vec<u8>) -> Request<Body> {
+    Request::builder()
+        .method(method)
+        .uri(path)
+        .header(hyper::header::HOST, pool.addr().to_string())
+        .body(full(body))
+        .expect("paths are built from checked names")
+}
+
+fn unavailable(e: CallError) -> Error {
+    Error::Unavailable(e.to_string())
+}
+
+fn json<T: Serialize>(value: &T) -> Vec<u8> {
+    serde_json::to_vec(value).expect("messages have no field that can't be encoded")
+}
+
+impl Table for HttpPlatform {
+    async fn read(&self, keys: Vec<String>) -> Result<Vec<Row>, Error> {
+        self.ask(&self.table, Method::POST, PATH_READ, json(&keys)).await
+    }
+
+    async fn scan(&self, prefix: String, after: String, limit: u32) -> Result<Vec<Row>, Error> {
+        let body = json(&ScanBody { prefix, after, limit });
+        self.ask(&self.table, Method::POST, PATH_SCAN, body).await
+    }
+
+    async fn commit(&self, txn: &Txn) -> Result<u64, WriteError> {
+        let answer = self.call(&self.table, Method::POST, PATH_COMMIT, json(txn)).await;
+        let (status, body) = match answer {
+            Ok(answer) => answer,
+            Err(CallError::NotSent(why)) => return Err(WriteError::Unavailable(why)),
+            Err(CallError::MaybeSent(why)) => return Err(WriteError::Unknown(why)),
+        };
+        if status == StatusCode::SERVICE_UNAVAILABLE {
+            // The service says so itself, before it began.
+            return Err(WriteError::Unavailable("the table service is down".into()));
+        }
+        match serde_json::from_slice(&body) {
+            Ok(CommitBody::Done(version)) => Ok(version),
+            Ok(CommitBody::Refused(conflicts)) => Err(WriteError::Refused(conflicts)),
+            Err(e) => Err(WriteError::Unknown(format!("status {status}: {e}"))),
+        }
+    }
+}
+
+impl Objects for HttpPlatform {
+    async fn put(&self, name: &str, data: Vec<u8>) -> Result<(), Error> {
+        let path = format!("{PATH_OBJECT}{name}");
+        let (status, _) =
+            self.call(&self.objects, Method::PUT, &path, data).await.map_err(unavailable)?;
+        if status.is_success() { Ok(()) } else { Err(Error::Unavailable(format!("status {status}"))) }
+    }
+
+    async fn get(&self, name: &str) -> Result<Option<Vec<u8>>, Error> {
+        let path = format!("{PATH_OBJECT}{name}");
+        let (status, body) =
+            self.call(&self.objects, Method::GET, &path, Vec::new()).await.map_err(unavailable)?;
+        match status {
+            StatusCode::NOT_FOUND => Ok(None),
+            s if s.is_success() => Ok(Some(body.to_vec())),
+            s => Err(Error::Unavailable(format!("status {s}"))),
+        }
+    }
+
+    async fn list(&self, prefix: &str) -> Result<Vec<String>, Error> {
+        let path = format!("{PATH_LIST}?{prefix}");
+        self.ask(&self.objects, Method::GET, &path, Vec::new()).await
+    }
+}
+
+impl Hosts for HttpPlatform {
+    async fn hosts(&self, have: u64) -> Result<HostList, Error> {
+        let path = format!("{PATH_HOSTS}?{have}");
+        self.ask(&self.hosts, Method::GET, &path, Vec::new()).await
+    }
+}
--- /dev/null
+++ b/crates/store/src/rows.rs
@@ -0,0 +1,105 @@
+//! Keys and values of the rows that the system keeps.
+
+use serde::{Deserialize, Serialize};
+use serde::de::DeserializeOwned;
+use wire::{RequestId, Role};
+
+/// Key of a service's document.
+pub fn doc_key(service: &str) -> String {
+    format!("doc/{service}")
+}
+
+/// Key of a duty's lease.
+pub fn lease_key(duty: &str, service: &str) -> String {
+    format!("lease/{duty}/{service}")
+}
+
+/// Key of what is wanted of an upstream.
+pub fn want_key(service: &str, upstream: &str) -> String {
+    format!("want/{service}/{upstream}")
+}
+
+/// Key of a claim. Names hold no `/`; the caller's key may, and stands last.
+pub fn claim_key(service: &str, tenant: &str, key: &str) -> String {
+    format!("claim/{service}/{tenant}/{key}")
+}
+
+/// A lease on a duty.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Lease {
+    /// Who holds it: a process's name and incarnation.
+    pub holder: String,
+    /// Rises with each new holder.
+    pub epoch: u64,
+    /// Rises with each renewal.
+    pub renewals: u64,
+}
+
+/// What is wanted of an engine.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Want {
+    /// The role.
+    pub role: Role,
+    /// The model's name.
+    pub model: String,
+    /// The model's version.
+    pub model_version: u32,
+    /// Epoch of the lease under which it was written.
+    pub epoch: u64,
+    /// Rises with each order to this upstream; the fencing number.
+    pub order: u64,
+    /// Why, in words for operators.
+    pub why: String,
+}
+
+/// A claim on a non-idempotent call.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Claim {
+    /// The request that claimed it.
+    pub request: RequestId,
+    /// The try that claimed it.
+    pub attempt: u32,
+    /// The agent, by name and incarnation.
+    pub agent: String,
+    /// Hash of the method, path and body.
+    pub digest: u64,
+    /// How far it has come.
+    pub state: ClaimState,
+    /// When it was made, in milliseconds since 1970, for expiry only.
+    pub made_ms: u64,
+}
+
+/// How far a claim has come.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum ClaimState {
+    /// The call may have been sent to the upstream.
+    Held,
+    /// The upstream's answer.
+    Answered(KeptAnswer),
+    /// The upstream answered, with more than is kept.
+    TooLargeToKeep,
+    /// Given up before anything was sent; the key is free.
+    Released,
+}
+
+/// An answer that is kept with its claim.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct KeptAnswer {
+    /// HTTP status.
+    pub status: u16,
+    /// Content type.
+    pub content_type: Option<String>,
+    /// The body.
+    pub body: Vec<u8>,
+}
+
+/// Encodes a row's value.
+pub fn encode<T: Serialize>(value: &T) -> String {
+    serde_json::to_string(value).expect("rows have no field that can't be encoded")
+}
+
+/// Decodes a row's value; `None` for anything malformed.
+pub fn decode<T: DeserializeOwned>(text: &str) -> Option<T> {
+    serde_json::from_str(text).ok()
+}
