--- /dev/null
+++ b/crates/agent/src/frames.rs
@@ -0,0 +1,51 @@
+//! Sending the frames of one answer.
+
+use net::BodySender;
+use net::body::{Gone, Watcher};
+use wire::{Frame, Part, Refusal, RequestId};
+
+/// The way back to the entry, for one try.
+#[derive(Debug)]
+pub struct Frames {
+    tx: BodySender,
+    request: RequestId,
+    next: u32,
+}
+
+impl Frames {
+    /// Frames for a request on a body.
+    pub fn new(tx: BodySender, request: RequestId) -> Self {
+        Self { tx, request, next: 0 }
+    }
+
+    /// Sends a frame, waiting while the entry is behind.
+    pub async fn send(&mut self, part: Part) -> Result<(), Gone> {
+        let frame = Frame { request: self.request, index: self.next, part };
+        self.next += 1;
+        self.tx.send(frame.encode()).await
+    }
+
+    /// Sends a refusal and ends the answer.
+    pub async fn refuse(mut self, refusal: Refusal) {
+        // An entry that went away has no caller to tell.
+        let _ = self.send(Part::Refused(refusal)).await;
+        self.tx.finish().await;
+    }
+
+    /// Ends the answer as broken off.
+    pub async fn broken(mut self) {
+        let _ = self.send(Part::Broken).await;
+        self.tx.finish().await;
+    }
+
+    /// Ends the answer as whole.
+    pub async fn end(mut self, count: u64) {
+        let _ = self.send(Part::End { count }).await;
+        self.tx.finish().await;
+    }
+
+    /// A handle that sees the entry go away.
+    pub fn watcher(&self) -> Watcher {
+        self.tx.watcher()
+    }
+}
--- /dev/null
+++ b/crates/agent/src/orders.rs
@@ -0,0 +1,183 @@
+//! Keeping the engine as its want row says.
+//!
+//! The agent takes orders from its want row and from nowhere else, and runs one
+//! at a time: drain, look at the engine until no change is under way, give the
+//! order with its number as the fencing number, and wait until the engine is as
+//! wanted. An engine that fails this a few times is reported as broken, and
+//! stays so until there is another order or it comes right by itself.
+
+use crate::state::{Agent, UpstreamState};
+use engine::{EngineState, Order};
+use observe::{Event, emit};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+use store::retry::around;
+use store::rows::{Want, decode};
+use store::{InForce, Row};
+use tokio::sync::watch;
+use wire::Role;
+
+/// Time between looks at an upstream that is as wanted.
+const LOOK: Duration = Duration::from_millis(500);
+/// Time between looks during a change.
+const CHANGE_LOOK: Duration = Duration::from_millis(20);
+/// Longest that a change may take before it counts as failed.
+const CHANGE_BOUND: Duration = Duration::from_secs(60);
+/// Tries of one order before the engine counts as broken.
+const TRIES: u32 = 3;
+
+/// Tends the upstream until the process ends.
+pub async fn tend(agent: Arc<Agent>, mut want: watch::Receiver<Vec<Row>>) {
+    let mut tries = Tries { order: 0, made: 0 };
+    let mut changed = agent.node.book.watch();
+    let mut events = 0;
+    loop {
+        if let Some(doc) = agent.doc() {
+            let slots = agent.me(&doc.doc).map_or(0, |u| u.slots);
+            agent.admission.set_slots(slots);
+            if doc.doc.is_engine() {
+                let row = want.borrow_and_update().first().cloned();
+                tend_engine(&agent, &doc, row, &mut tries).await;
+                events = read_events(&agent, events).await;
+            } else {
+                set(&agent, true, None, None);
+            }
+        }
+        // Whichever comes first makes the next look.
+        tokio::select! {
+            () = tokio::time::sleep(around(LOOK)) => {}
+            _ = want.changed() => {}
+            _ = changed.changed() => {}
+        }
+    }
+}
+
+/// Counts the tries of one order.
+struct Tries {
+    order: u64,
+    made: u32,
+}
+
+impl Tries {
+    /// Whether another try of an order may be made.
+    fn may(&mut self, order: u64) -> bool {
+        if self.order != order {
+            *self = Self { order, made: 0 };
+        }
+        self.made < TRIES
+    }
+}
+
+async fn tend_engine(agent: &Agent, doc: &InForce, row: Option<Row>, tries: &mut Tries) {
+    let Some(want) = row.and_then(|r| decode::<Want>(&r.value)) else {
+        set(agent, false, None, Some("no order yet".into()));
+        return;
+    };
+    let state = match agent.engine.state().await {
+        Ok(state) => state,
+        Err(e) => {
+            unusable(agent, e.to_string());
+            return;
+        }
+    };
+    if is_as_wanted(&state, &want) {
+        tries.made = 0;
+        set(agent, true, Some(&state), None);
+        return;
+    }
+    if !tries.may(want.order) {
+        unusable(agent, format!("order {} failed {TRIES} times", want.order));
+        return;
+    }
+    // Nothing is cut off: what runs ends first. Past the bound the change waits
+    // for the next look, and the engine still takes nothing new.
+    set(agent, false, None, Some(format!("draining for order {}", want.order)));
+    if !drained(agent, doc.doc.drain_bound).await {
+        unusable(agent, "requests still run past the drain bound".into());
+        return;
+    }
+    tries.made += 1;
+    if let Err(why) = change(agent, &want).await {
+        unusable(agent, why);
+    } else {
+        emit(&Event::OrderDone { upstream: &agent.upstream, order: want.order });
+    }
+}
+
+/// Makes a drained engine as wanted.
+async fn change(agent: &Agent, want: &Want) -> Result<(), String> {
+    // An order of an agent before this one may still be under way.
+    let state = quiet(agent).await?;
+    if is_as_wanted(&state, want) {
+        return Ok(());
+    }
+    let order = Order {
+        fence: want.order,
+        role: want.role,
+        model: want.model.clone(),
+        model_version: want.model_version,
+    };
+    emit(&Event::OrderGiven { upstream: &agent.upstream, order: want.order });
+    agent.prefixes.clear();
+    agent.engine.order(&order).await.map_err(|e| e.to_string())?;
+    let state = quiet(agent).await?;
+    if is_as_wanted(&state, want) { Ok(()) } else { Err("engine isn't as ordered".into()) }
+}
+
+fn is_as_wanted(state: &EngineState, want: &Want) -> bool {
+    !state.changing
+        && state.role == want.role
+        && state.model.as_deref() == Some(want.model.as_str())
+        && state.model_version == want.model_version
+}
+
+async fn drained(agent: &Agent, bound: Duration) -> bool {
+    let until = Instant::now() + bound;
+    while agent.admission.counts().1 > 0 {
+        if Instant::now() >= until {
+            return false;
+        }
+        tokio::time::sleep(CHANGE_LOOK).await;
+    }
+    true
+}
+
+/// Waits until no change is under way at the engine.
+async fn quiet(agent: &Agent) -> Result<EngineState, String> {
+    let until = Instant::now() + CHANGE_BOUND;
+    loop {
+        let state = agent.engine.state().await.map_err(|e| e.to_string())?;
+        if !state.changing {
+            return Ok(state);
+        }
+        if Instant::now() >= until {
+            return Err("the change takes too long".into());
+        }
+        tokio::time::sleep(CHANGE_LOOK).await;
+    }
+}
+
+async fn read_events(agent: &Agent, after: u64) -> u64 {
+    // Without events the agent's own view of the cache stands.
+    let Ok(events) = agent.engine.cache_events(after).await else { return after };
+    agent.prefixes.apply(&events);
+    events.last
+}
+
+fn unusable(agent: &Agent, why: String) {
+    if agent.upstream_state().fault.as_ref() != Some(&why) {
+        emit(&Event::UpstreamBroken { upstream: &agent.upstream, why: why.clone() });
+    }
+    set(agent, false, None, Some(why));
+}
+
+fn set(agent: &Agent, usable: bool, state: Option<&EngineState>, fault: Option<String>) {
+    agent.set_upstream(UpstreamState {
+        usable,
+        role: state.map_or(Role::Mixed, |s| s.role),
+        model: state.and_then(|s| {
+            s.model.as_ref().map(|m| format!("{m}@{}", s.model_version))
+        }),
+        fault,
+    });
+}
--- /dev/null
+++ b/crates/agent/src/peer.rs
@@ -0,0 +1,100 @@
+//! What an agent answers to its peers.
+
+use crate::rates::Cost;
+use crate::run;
+use crate::state::Agent;
+use bytes::Bytes;
+use hyper::body::Incoming;
+use hyper::{Method, Request, Response, StatusCode};
+use net::server::read_body;
+use net::{Body, empty, full, stream};
+use std::sync::Arc;
+use wire::{
+    Call, DocText, Leg, PATH_DOC, PATH_NUDGE, PATH_PROBE, PATH_RUN, PATH_STATUS, Probe, ProbeAnswer,
+    decode, encode, encode_compact,
+};
+
+/// Frames that an entry may be behind before the upstream waits for it.
+const FRAME_SLACK: usize = 64;
+/// What a message adds to the body that it carries, at most.
+const MESSAGE_SLACK: usize = 64 << 10;
+
+/// Answers a peer.
+pub async fn serve(agent: Arc<Agent>, req: Request<Incoming>) -> Response<Body> {
+    let (head, body) = req.into_parts();
+    let limits = &agent.node.settings.limits;
+    let limit = limits.body + MESSAGE_SLACK;
+    let Ok(body) = read_body(body, limit, limits.read_timeout).await else {
+        return status(StatusCode::BAD_REQUEST);
+    };
+    match (head.method, head.uri.path()) {
+        (Method::POST, PATH_PROBE) => probe(&agent, &body),
+        (Method::POST, PATH_RUN) => begin(agent, &body),
+        (Method::POST, PATH_DOC) => take_doc(&agent, &body),
+        (Method::GET, PATH_DOC) => match agent.node.book.text(&agent.service) {
+            Some(text) => message(&text),
+            None => status(StatusCode::NOT_FOUND),
+        },
+        (Method::GET, PATH_STATUS) => message(&agent.status()),
+        (Method::POST, PATH_NUDGE) => {
+            agent.node.nudge.notify_one();
+            status(StatusCode::OK)
+        }
+        _ => status(StatusCode::NOT_FOUND),
+    }
+}
+
+fn probe(agent: &Agent, body: &[u8]) -> Response<Body> {
+    let Some(p) = decode::<Probe>(body) else {
+        return status(StatusCode::BAD_REQUEST);
+    };
+    agent.node.book.heard(&p.service, p.doc_version);
+    let answer = ProbeAnswer {
+        state: agent.state(),
+        wait_ms: expected_ms(agent, &p),
+        role: agent.upstream_state().role,
+        doc_version: agent.node.book.version(&agent.service),
+    };
+    Response::new(full(encode_compact(&answer)))
+}
+
+/// Expected time to the first byte of the answer to what the probe is about.
+fn expected_ms(agent: &Agent, p: &Probe) -> u64 {
+    let Some(doc) = agent.doc() else { return 0 };
+    let Some(id) = doc.doc.class_named(&p.class) else { return 0 };
+    let class = doc.doc.class(id);
+    let cost: Cost = if doc.doc.is_engine() {
+        let cached = agent.prefixes.cached(&p.prefixes).min(p.prompt_len as usize);
+        agent.rates.completion(p.prompt_len as usize - cached, 0)
+    } else {
+        agent.rates.plain(&class.name)
+    };
+    (agent.admission.expected_wait_ms(class) + cost.first_ms) as u64
+}
+
+fn begin(agent: Arc<Agent>, body: &[u8]) -> Response<Body> {
+    let Some((leg, call)) = decode::<(Leg, Call)>(body) else {
+        return status(StatusCode::BAD_REQUEST);
+    };
+    let (tx, answer) = stream(FRAME_SLACK);
+    tokio::spawn(run::serve(agent, leg, call, tx));
+    Response::new(answer)
+}
+
+fn take_doc(agent: &Agent, body: &[u8]) -> Response<Body> {
+    let Some(text) = decode::<DocText>(body) else {
+        return status(StatusCode::BAD_REQUEST);
+    };
+    agent.node.book.offer(&text);
+    status(StatusCode::OK)
+}
+
+fn message<T: serde::Serialize>(msg: &T) -> Response<Body> {
+    Response::new(full(Bytes::from(encode(msg))))
+}
+
+fn status(code: StatusCode) -> Response<Body> {
+    let mut answer = Response::new(empty());
+    *answer.status_mut() = code;
+    answer
+}
--- /dev/null
+++ b/crates/agent/src/run.rs
@@ -0,0 +1,203 @@
+//! One try of a request, from its receipt to its last frame.
+
+use crate::admission::{Ask, Ticket};
+use crate::complete::complete;
+use crate::frames::Frames;
+use crate::plain::call_plain;
+use crate::state::Agent;
+use conf::Class;
+use net::BodySender;
+use observe::event::now_ms;
+use observe::{Labels, Seconds};
+use records::{Record, Side};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+use store::InForce;
+use wire::{AgentState, Call, Leg, Outcome, Part, Reason, Refusal, prefix};
+
+/// Longest wait for a document that the entry has and this agent hasn't.
+const DOC_WAIT: Duration = Duration::from_millis(500);
+
+/// How a try ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum End {
+    /// The whole answer was sent: so many tokens or bytes.
+    Answered(u64),
+    /// It was refused.
+    Refused(Refusal),
+    /// The answer broke off.
+    Broken,
+    /// The entry went away.
+    Gone,
+}
+
+/// Times of a try.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Times {
+    /// In the queue.
+    pub queue: Duration,
+    /// From receipt to the first byte.
+    pub first: Option<Duration>,
+}
+
+/// A try that is being served.
+pub struct Try<'a> {
+    /// The agent.
+    pub agent: &'a Arc<Agent>,
+    /// Its leg.
+    pub leg: &'a Leg,
+    /// The document that it is served by.
+    pub doc: &'a InForce,
+    /// Its class.
+    pub class: &'a Class,
+    /// The way back.
+    pub frames: &'a mut Frames,
+    /// Its times.
+    pub times: &'a mut Times,
+    /// When it was received.
+    pub since: Instant,
+}
+
+impl Try<'_> {
+    /// Notes the first byte of the answer.
+    pub fn first_byte(&mut self) {
+        self.times.first.get_or_insert(self.since.elapsed());
+    }
+}
+
+/// Serves a try in a task of its own.
+pub async fn serve(agent: Arc<Agent>, leg: Leg, call: Call, tx: BodySender) {
+    let _running = agent.node.begin();
+    let since = Instant::now();
+    let mut frames = Frames::new(tx, leg.request);
+    let mut times = Times::default();
+    let end = match check(&agent, &leg).await {
+        Ok(doc) => match doc.doc.class_named(&leg.class) {
+            Some(id) => {
+                let class = doc.doc.class(id);
+                let (doc, frames, times) = (&doc, &mut frames, &mut times);
+                let t = Try { agent: &agent, leg: &leg, doc, class, frames, times, since };
+                admit_and_run(t, call).await
+            }
+            None => End::Refused(Refusal::not_run(Reason::UnknownClass)),
+        },
+        Err(refusal) => End::Refused(refusal),
+    };
+    // Noted before the last frame, so that who sees the answer finds the record.
+    note(&agent, &leg, end, times, since);
+    match end {
+        End::Answered(count) => frames.end(count).await,
+        End::Refused(refusal) => frames.refuse(refusal).await,
+        End::Broken => frames.broken().await,
+        End::Gone => {}
+    }
+}
+
+/// Checks that this agent may serve the leg, and by which document.
+async fn check(agent: &Agent, leg: &Leg) -> Result<InForce, Refusal> {
+    if leg.service != agent.service {
+        return Err(Refusal::not_run(Reason::UnknownService));
+    }
+    let book = &agent.node.book;
+    book.heard(&leg.service, leg.doc_version);
+    // A document that an entry goes by is in force here too, or nothing runs.
+    if !book.reach(&leg.service, leg.doc_version, DOC_WAIT).await {
+        return Err(Refusal::not_run(Reason::NotReady));
+    }
+    match agent.state() {
+        AgentState::Ready => agent.doc().ok_or(Refusal::not_run(Reason::NotReady)),
+        AgentState::Starting => Err(Refusal::not_run(Reason::NotReady)),
+        AgentState::Leaving => Err(Refusal::not_run(Reason::Leaving)),
+    }
+}
+
+async fn admit_and_run(mut t: Try<'_>, call: Call) -> End {
+    let gone = t.frames.watcher();
+    let ticket = tokio::select! {
+        ticket = admit(&t, &call) => ticket,
+        () = gone.closed() => return End::Gone,
+    };
+    let ticket = match ticket {
+        Ok(ticket) => ticket,
+        Err(refusal) => return End::Refused(refusal),
+    };
+    t.times.queue = t.since.elapsed();
+    let queue_ms = t.times.queue.as_millis() as u64;
+    if t.frames.send(Part::Started { queue_ms }).await.is_err() {
+        return End::Gone;
+    }
+    // A non-idempotent call that has begun goes on without its caller: its
+    // answer is kept for a repeat of the key.
+    let end = if t.class.idempotent {
+        tokio::select! {
+            end = run(&mut t, &call) => end,
+            () = gone.closed() => End::Gone,
+        }
+    } else {
+        run(&mut t, &call).await
+    };
+    drop(ticket);
+    end
+}
+
+async fn admit(t: &Try<'_>, call: &Call) -> Result<Ticket, Refusal> {
+    let cached = match call {
+        Call::Completion(c) => t.agent.prefixes.cached(&prefix::hashes(c.prompt.as_bytes())),
+        Call::Plain(_) => 0,
+    };
+    let ask = Ask {
+        class: t.class,
+        tenant: &t.leg.tenant,
+        limits: t.doc.doc.tenants,
+        cost: t.agent.rates.cost(t.class, call, cached),
+        deadline: t.since + Duration::from_millis(t.leg.deadline_ms),
+    };
+    t.agent.admission.admit(ask).await
+}
+
+async fn run(t: &mut Try<'_>, call: &Call) -> End {
+    match (call, &t.doc.doc.kind) {
+        (Call::Completion(c), conf::Kind::Engine(model)) => {
+            let model = model.name.clone();
+            complete(t, c, &model).await
+        }
+        (Call::Plain(p), conf::Kind::Plain) => call_plain(t, p).await,
+        _ => End::Refused(Refusal::not_run(Reason::BadRequest)),
+    }
+}
+
+fn note(agent: &Agent, leg: &Leg, end: End, times: Times, since: Instant) {
+    let total = since.elapsed();
+    let (outcome, reason, count) = match end {
+        End::Answered(count) => (Outcome::Answered, None, count),
+        End::Refused(r) => (r.outcome, Some(r.reason), 0),
+        End::Broken => (Outcome::Unknown, Some(Reason::UpstreamBroken), 0),
+        End::Gone => (Outcome::Unknown, Some(Reason::CallerGone), 0),
+    };
+    let who = Labels { service: &leg.service, class: &leg.class, tenant: &leg.tenant };
+    let metrics = &agent.node.metrics;
+    let reason_text = reason.map(|r| r.to_string()).unwrap_or_default();
+    metrics.count(who, &outcome.to_string(), &reason_text);
+    metrics.time(who, Seconds::Queue, times.queue.as_secs_f64());
+    metrics.time(who, Seconds::Total, total.as_secs_f64());
+    if let Some(first) = times.first {
+        metrics.time(who, Seconds::First, first.as_secs_f64());
+    }
+    agent.node.recorder.record(Record {
+        request: leg.request,
+        side: Side::Agent,
+        service: leg.service.clone(),
+        tenant: leg.tenant.clone(),
+        class: leg.class.clone(),
+        outcome,
+        reason,
+        upstream: Some(agent.upstream.clone()),
+        attempts: leg.attempt,
+        queue_ms: times.queue.as_millis() as u64,
+        first_ms: times.first.map(|d| d.as_millis() as u64),
+        total_ms: total.as_millis() as u64,
+        deadline_ms: leg.deadline_ms,
+        count,
+        ended_ms: now_ms(),
+    });
+}
--- /dev/null
+++ b/crates/agent/src/state.rs
@@ -0,0 +1,147 @@
+//! What an agent is and knows.
+
+use crate::admission::Admission;
+use crate::claims::Claims;
+use crate::prefixes::Prefixes;
+use crate::rates::Rates;
+use conf::settings::UpstreamSettings;
+use conf::{Doc, Upstream};
+use engine::Client;
+use net::Pool;
+use node::Node;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex};
+use store::InForce;
+use wire::{AgentState, AgentStatus, Reason, Role};
+
+/// An agent.
+#[derive(Debug)]
+pub struct Agent {
+    /// What every process has.
+    pub node: Arc<Node>,
+    /// The service.
+    pub service: String,
+    /// The upstream's name.
+    pub upstream: String,
+    /// The upstream as a model engine.
+    pub engine: Client,
+    /// The upstream as a plain service.
+    pub plain: Pool,
+    /// Who runs, waits, is refused.
+    pub admission: Arc<Admission>,
+    /// Claims of non-idempotent calls.
+    pub claims: Arc<Claims>,
+    /// Learned rates.
+    pub rates: Rates,
+    /// Prefixes that the engine has cached.
+    pub prefixes: Prefixes,
+    leaving: AtomicBool,
+    upstream_state: Mutex<UpstreamState>,
+}
+
+/// The upstream, as the agent last saw it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct UpstreamState {
+    /// Whether it may be given work.
+    pub usable: bool,
+    /// Its role.
+    pub role: Role,
+    /// What it serves.
+    pub model: Option<String>,
+    /// What it last did wrong.
+    pub fault: Option<String>,
+}
+
+impl Agent {
+    /// An agent that has yet to see its document and upstream.
+    pub fn new(node: Arc<Node>, service: String, upstream: &UpstreamSettings) -> Arc<Self> {
+        let timeout = node.settings.platform.timeout;
+        let claims = Claims::start(node.platform.clone(), node.id.clone());
+        let state = UpstreamState { usable: false, role: Role::Mixed, model: None, fault: None };
+        Arc::new(Self {
+            engine: Client::new(upstream.address, timeout),
+            plain: Pool::new(upstream.address, timeout),
+            upstream: upstream.name.clone(),
+            admission: Admission::new(),
+            claims,
+            rates: Rates::default(),
+            prefixes: Prefixes::default(),
+            leaving: AtomicBool::new(false),
+            upstream_state: Mutex::new(state),
+            service,
+            node,
+        })
+    }
+
+    /// The document in force.
+    pub fn doc(&self) -> Option<InForce> {
+        self.node.book.get(&self.service)
+    }
+
+    /// This agent's upstream in a document.
+    pub fn me<'a>(&self, doc: &'a Doc) -> Option<&'a Upstream> {
+        Some(doc.upstream(doc.upstream_named(&self.upstream)?))
+    }
+
+    /// Takes nothing new from now on, for good.
+    pub fn leave(&self) {
+        self.leaving.store(true, Ordering::SeqCst);
+        self.admission.close(Reason::Leaving);
+    }
+
+    /// Whether this process is stopping.
+    pub fn is_leaving(&self) -> bool {
+        self.leaving.load(Ordering::SeqCst)
+    }
+
+    /// The upstream as last seen.
+    pub fn upstream_state(&self) -> UpstreamState {
+        self.upstream_state.lock().expect("no panic while locked").clone()
+    }
+
+    /// Notes how the upstream stands, and opens or closes admission with it.
+    pub fn set_upstream(&self, state: UpstreamState) {
+        let usable = state.usable;
+        *self.upstream_state.lock().expect("no panic while locked") = state;
+        if usable {
+            self.admission.open();
+        } else {
+            self.admission.close(Reason::NotReady);
+        }
+        // Looked at last: `leave` may have come between, and must win.
+        if self.is_leaving() {
+            self.admission.close(Reason::Leaving);
+        }
+    }
+
+    /// Whether it takes work.
+    pub fn state(&self) -> AgentState {
+        if self.is_leaving() || self.node.leaving.contains(&self.node.settings.host) {
+            return AgentState::Leaving;
+        }
+        let in_doc = self.doc().is_some_and(|d| self.me(&d.doc).is_some());
+        let usable = self.upstream_state.lock().expect("no panic while locked").usable;
+        if in_doc && usable { AgentState::Ready } else { AgentState::Starting }
+    }
+
+    /// Whether it takes work.
+    pub fn is_ready(&self) -> bool {
+        self.state() == AgentState::Ready
+    }
+
+    /// Its status, for the operators' commands.
+    pub fn status(&self) -> AgentStatus {
+        let (waiting, running) = self.admission.counts();
+        let up = self.upstream_state();
+        AgentStatus {
+            upstream: self.upstream.clone(),
+            state: self.state(),
+            role: up.role,
+            model: up.model,
+            doc_version: self.node.book.version(&self.service),
+            waiting,
+            running,
+            fault: up.fault,
+        }
+    }
+}
--- /dev/null
+++ b/crates/arbutusquay/src/commands/apply.rs
@@ -0,0 +1,108 @@
+//! `apply`: puts a document in force, conditional on the version that was read.
+
+use super::{platform, print_faults, read};
+use crate::args::ApplyArgs;
+use crate::exit::Exit;
+use conf::Doc;
+use similar::TextDiff;
+use store::rows::doc_key;
+use store::{HttpPlatform, Row, Table, Txn, WriteError};
+
+/// Beginning of the line with the version that was read.
+pub const VERSION_LINE: &str = "# version: ";
+/// Looks at the row after a write whose outcome is unknown.
+const LOOKS: u32 = 5;
+/// Time between these looks.
+const PAUSE: std::time::Duration = std::time::Duration::from_millis(500);
+
+/// Applies a document.
+pub async fn run(args: &ApplyArgs) -> Exit {
+    match apply(args).await {
+        Ok(exit) | Err(exit) => exit,
+    }
+}
+
+async fn apply(args: &ApplyArgs) -> Result<Exit, Exit> {
+    let file = read(&args.file)?;
+    let (stated, text) = split_version(&file);
+    let doc = Doc::parse(&text).map_err(|faults| {
+        print_faults(&args.file, &faults);
+        Exit::Usage
+    })?;
+    let Some(over) = args.over.or(stated) else {
+        eprintln!(
+            "say which version this document is over: the line `{VERSION_LINE}N` that `show` \
+             writes, or --over N (0 for a service's first document)"
+        );
+        return Err(Exit::Usage);
+    };
+    let table = platform(&args.settings)?;
+    let key = doc_key(&doc.service);
+    let txn = Txn::new().check(&key, over).put(&key, text.clone());
+    match table.commit(&txn).await {
+        Ok(version) => Ok(done(&doc.service, version)),
+        Err(WriteError::Refused(conflicts)) => {
+            let row = conflicts.into_iter().next().and_then(|c| c.row);
+            Ok(conflict(&doc.service, over, row.as_ref(), &text))
+        }
+        Err(WriteError::Unavailable(why)) => {
+            eprintln!("platform unavailable, nothing was written: {why}");
+            Ok(Exit::Unreachable)
+        }
+        Err(WriteError::Unknown(why)) => Ok(settle(&table, &doc.service, &txn, over, &why).await),
+    }
+}
+
+/// Takes the version's line, which isn't part of the document, off a file. The
+/// line is left blank, so that the places of faults stay right.
+fn split_version(file: &str) -> (Option<u64>, String) {
+    let Some(line) = file.lines().find(|l| l.starts_with(VERSION_LINE)) else {
+        return (None, file.to_owned());
+    };
+    let version = line[VERSION_LINE.len()..].trim().parse().ok();
+    let text = file.replacen(line, "", 1);
+    (version, text)
+}
+
+fn done(service: &str, version: u64) -> Exit {
+    println!("{service}: version {version} is committed");
+    Exit::Done
+}
+
+fn conflict(service: &str, over: u64, row: Option<&Row>, text: &str) -> Exit {
+    let Some(row) = row else {
+        eprintln!("{service}: there is no document, so it can't be over version {over}; use 0");
+        return Exit::Refused;
+    };
+    eprintln!(
+        "{service}: version {} is there now, and this document was made over {over}; nothing \
+         was changed. The difference:",
+        row.version
+    );
+    let diff = TextDiff::from_lines(row.value.as_str(), text);
+    let theirs = format!("{service} version {}", row.version);
+    println!("{}", diff.unified_diff().header(&theirs, "this file"));
+    Exit::Refused
+}
+
+/// Settles a write whose outcome is unknown by reading the row back.
+async fn settle(table: &HttpPlatform, service: &str, txn: &Txn, over: u64, why: &str) -> Exit {
+    for _ in 0..LOOKS {
+        tokio::time::sleep(PAUSE).await;
+        let Ok(rows) = table.read(vec![doc_key(service)]).await else { continue };
+        match rows.first() {
+            Some(row) if row.token == txn.token => return done(service, row.version),
+            // Another version over the same one: ours can never come now.
+            Some(row) if row.version != over => {
+                let text = txn.puts.first().and_then(|p| p.value.as_deref()).unwrap_or("");
+                return conflict(service, over, Some(row), text);
+            }
+            _ => {}
+        }
+    }
+    eprintln!(
+        "{service}: outcome unknown ({why}); the write may yet take effect. `show {service}` \
+         tells; applying the same file again is safe"
+    );
+    Exit::Unreachable
+}
--- /dev/null
+++ b/crates/arbutusquay/src/commands/check.rs
@@ -0,0 +1,29 @@
+//! `check`: all faults of a document.
+
+use super::{print_faults, read};
+use crate::exit::Exit;
+use conf::{Doc, Kind};
+use std::path::Path;
+
+/// Checks a document.
+pub fn run(path: &Path) -> Exit {
+    let text = match read(path) {
+        Ok(text) => text,
+        Err(exit) => return exit,
+    };
+    match Doc::parse(&text) {
+        Ok(doc) => {
+            let kind = match &doc.kind {
+                Kind::Engine(m) => format!("engine, model {}@{}", m.name, m.version),
+                Kind::Plain => "plain".to_owned(),
+            };
+            let (classes, ups) = (doc.classes.len(), doc.upstreams.len());
+            println!("{}: valid ({kind}, {classes} classes, {ups} upstreams)", doc.service);
+            Exit::Done
+        }
+        Err(faults) => {
+            print_faults(path, &faults);
+            Exit::Usage
+        }
+    }
+}
--- a/crates/arbutusquay/src/main.rs
+++ b/crates/arbutusquay/src/main.rs
@@ -1,2 +1,38 @@
-//! Soon.
-fn main() {}
+//! arbutusquay: serves language-model services on a fixed fleet of engines.
+//!
+//! One binary: the processes `entry` and `agent`, and the operators' commands.
+
+mod args;
+mod commands;
+mod exit;
+
+use args::{Command, parse};
+use exit::Exit;
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    let args = match parse() {
+        Ok(args) => args,
+        Err(exit) => return exit.into(),
+    };
+    let runtime = match tokio::runtime::Builder::new_multi_thread().enable_all().build() {
+        Ok(runtime) => runtime,
+        Err(e) => {
+            eprintln!("can't start: {e}");
+            return Exit::Unreachable.into();
+        }
+    };
+    runtime.block_on(run(args.command)).into()
+}
+
+async fn run(command: Command) -> Exit {
+    match command {
+        Command::Entry(a) => commands::process::entry(&a.settings).await,
+        Command::Agent(a) => commands::process::agent(&a.settings).await,
+        Command::Check(a) => commands::check::run(&a.file),
+        Command::Apply(a) => commands::apply::run(&a).await,
+        Command::Show(a) => commands::show::run(&a).await,
+        Command::Status(a) => commands::status::run(&a).await,
+        Command::Report(a) => commands::report::run(&a).await,
+    }
+}
--- a/crates/engine/src/client.rs
+++ b/crates/engine/src/client.rs
@@ -157,7 +157,7 @@
     /// Takes the next token or the end if its bytes are here already.
     fn buffered(&mut self) -> Result<Option<Token>, EngineError> {
         let malformed = |_| EngineError::Nonsense("not server-sent events");
-        let Some(data) = self.events.next().map_err(malformed)? else {
+        let Some(data) = self.events.pop().map_err(malformed)? else {
             return Ok(None);
         };
         if data.as_ref() == DONE {
--- a/crates/engine/src/sse.rs
+++ b/crates/engine/src/sse.rs
@@ -24,7 +24,7 @@
     }
 
     /// Takes the data of the next whole event, if there is one.
-    pub fn next(&mut self) -> Result<Option<Bytes>, Malformed> {
+    pub fn pop(&mut self) -> Result<Option<Bytes>, Malformed> {
         loop {
             let Some(at) = self.buf[self.scanned..].iter().position(|b| *b == b'\n') else {
                 self.scanned = self.buf.len();
--- /dev/null
+++ b/crates/entry/src/api.rs
@@ -0,0 +1,216 @@
+//! The callers' interface.
+//!
+//! The first part of the path names the service. Of a service with engines the
+//! rest is the common completion API; of a plain service it goes upstream as it
+//! is. Headers name the tenant, the class, the deadline and the key.
+
+use crate::completion::{self, Form};
+use crate::ledger::{self, Ended};
+use crate::plain;
+use crate::refusal;
+use crate::session::{Session, Wanted};
+use crate::state::Entry;
+use conf::yaml::is_name;
+use conf::{Class, Doc};
+use hyper::body::Incoming;
+use hyper::header::{CONTENT_TYPE, HeaderValue};
+use hyper::http::request::Parts;
+use hyper::{Method, Request, Response};
+use net::Body;
+use net::server::{BodyFault, read_body};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+use wire::{Call, Outcome, PlainCall, Reason, Refusal, RequestId};
+
+/// Header with the tenant's name.
+const TENANT: &str = "x-tenant";
+/// Header with the class's name.
+const CLASS: &str = "x-class";
+/// Header with the deadline in milliseconds.
+const DEADLINE: &str = "x-deadline-ms";
+/// Header with the caller's key.
+const KEY: &str = "idempotency-key";
+/// Header of answers with the request's id.
+const REQUEST_ID: &str = "x-request-id";
+/// Tenant of a request that names none.
+const NO_TENANT: &str = "anonymous";
+/// Class in records of a request whose class isn't known.
+const NO_CLASS: &str = "-";
+/// Longest key, in bytes.
+const MAX_KEY: usize = 128;
+/// Longest deadline that a caller may ask for.
+const MAX_DEADLINE: Duration = Duration::from_secs(600);
+/// Longest wait of a request for the service's first document.
+const DOC_WAIT: Duration = Duration::from_secs(2);
+
+/// Answers a caller.
+pub async fn serve(entry: Arc<Entry>, req: Request<Incoming>) -> Response<Body> {
+    let since = Instant::now();
+    let id = RequestId(fastrand::u128(..));
+    let (head, body) = req.into_parts();
+    match prepare(&entry, &head, body, id).await {
+        Ok((want, how)) => {
+            let session = Session::new(entry, want, since);
+            match how {
+                How::Whole(form) => completion::serve_whole(form, session).await,
+                How::Stream(form) => completion::serve_stream(form, session).await,
+                How::Plain => plain::serve(session).await,
+            }
+        }
+        Err(reason) => {
+            note_refused(&entry, &head, id, reason, since);
+            refusal::answer(id, &Refusal::not_run(reason))
+        }
+    }
+}
+
+/// Notes a request that was refused before it was anywhere on its way. One that
+/// names no service of ours is in nobody's report.
+fn note_refused(entry: &Entry, head: &Parts, id: RequestId, reason: Reason, since: Instant) {
+    let Ok((service, path)) = split(head) else { return };
+    if !entry.node.book.knows(service) {
+        return;
+    }
+    let doc = entry.node.book.get(service);
+    let class = doc.as_ref().and_then(|d| class(&d.doc, head, path).ok());
+    let tenant = tenant(head).unwrap_or_else(|_| NO_TENANT.to_owned());
+    ledger::note(entry, &Ended {
+        id,
+        service,
+        tenant: &tenant,
+        class: class.map_or(NO_CLASS, |c| c.name.as_str()),
+        outcome: Outcome::NotRun,
+        reason: Some(reason),
+        upstream: None,
+        attempts: 0,
+        queue_ms: 0,
+        first: None,
+        total: since.elapsed(),
+        deadline: class.map_or(Duration::ZERO, |c| c.deadline),
+        count: 0,
+    });
+}
+
+/// How a request is answered.
+enum How {
+    Whole(Form),
+    Stream(Form),
+    Plain,
+}
+
+async fn prepare(
+    entry: &Arc<Entry>,
+    head: &Parts,
+    body: Incoming,
+    id: RequestId,
+) -> Result<(Wanted, How), Reason> {
+    let (service, path) = split(head)?;
+    let book = &entry.node.book;
+    if !book.knows(service) {
+        return Err(Reason::UnknownService);
+    }
+    // A process that just started serves only once it has a document.
+    if !book.reach(service, 1, DOC_WAIT).await {
+        return Err(Reason::NotReady);
+    }
+    let doc = book.get(service).ok_or(Reason::NotReady)?;
+    let class = class(&doc.doc, head, path)?.clone();
+    let limits = &entry.node.settings.limits;
+    let body = read_body(body, limits.body, limits.read_timeout).await.map_err(|e| match e {
+        BodyFault::TooLarge => Reason::TooLarge,
+        BodyFault::Slow => Reason::SlowRequest,
+        BodyFault::Broken => Reason::CallerGone,
+    })?;
+    let (call, how) = if doc.doc.is_engine() {
+        let form = form(head, path)?;
+        let parsed = completion::parse(form, &body).ok_or(Reason::BadRequest)?;
+        let how = if parsed.stream { How::Stream(form) } else { How::Whole(form) };
+        (Call::Completion(parsed.completion), how)
+    } else {
+        (Call::Plain(plain_call(head, path, body.to_vec())?), How::Plain)
+    };
+    let tenant = tenant(head)?;
+    let deadline = deadline(head)?.unwrap_or(class.deadline);
+    Ok((Wanted { id, tenant, doc, class, deadline, call }, how))
+}
+
+/// Splits the path into the service and what follows, with its slash.
+fn split(head: &Parts) -> Result<(&str, &str), Reason> {
+    let path = head.uri.path().strip_prefix('/').ok_or(Reason::BadRequest)?;
+    let at = path.find('/').ok_or(Reason::UnknownService)?;
+    Ok(path.split_at(at))
+}
+
+fn form(head: &Parts, path: &str) -> Result<Form, Reason> {
+    if head.method != Method::POST {
+        return Err(Reason::BadRequest);
+    }
+    match path {
+        "/v1/completions" => Ok(Form::Text),
+        "/v1/chat/completions" => Ok(Form::Chat),
+        _ => Err(Reason::BadRequest),
+    }
+}
+
+fn plain_call(head: &Parts, path: &str, body: Vec<u8>) -> Result<PlainCall, Reason> {
+    let query = head.uri.query().map(|q| format!("?{q}")).unwrap_or_default();
+    let content_type = header(head, CONTENT_TYPE.as_str())?.map(str::to_owned);
+    let key = header(head, KEY)?;
+    let fits = |k: &str| !k.is_empty() && k.len() <= MAX_KEY && k.bytes().all(|b| b.is_ascii_graphic());
+    if key.is_some_and(|k| !fits(k)) {
+        return Err(Reason::BadRequest);
+    }
+    Ok(PlainCall {
+        method: head.method.to_string(),
+        path: format!("{path}{query}"),
+        content_type,
+        body,
+        key: key.map(str::to_owned),
+    })
+}
+
+/// A header as text; an error if it isn't text.
+fn header<'a>(head: &'a Parts, name: &str) -> Result<Option<&'a str>, Reason> {
+    let Some(value) = head.headers.get(name) else { return Ok(None) };
+    value.to_str().map(Some).map_err(|_| Reason::BadRequest)
+}
+
+/// The class: the one that owns the call's route, else the one that the caller
+/// names, else the document's first. A caller can't name another class for a
+/// call that has an owner: it might make a non-idempotent call repeatable.
+fn class<'a>(doc: &'a Doc, head: &Parts, path: &str) -> Result<&'a Class, Reason> {
+    let named = match header(head, CLASS)? {
+        Some(name) => Some(doc.class_named(name).ok_or(Reason::UnknownClass)?),
+        None => None,
+    };
+    let routed = doc.class_routed(head.method.as_str(), path);
+    match (routed, named) {
+        (Some(routed), Some(named)) if routed != named => Err(Reason::UnknownClass),
+        (Some(id), _) | (None, Some(id)) => Ok(doc.class(id)),
+        (None, None) => doc.classes.first().ok_or(Reason::UnknownClass),
+    }
+}
+
+fn tenant(head: &Parts) -> Result<String, Reason> {
+    match header(head, TENANT)? {
+        None => Ok(NO_TENANT.to_owned()),
+        Some(name) if is_name(name) => Ok(name.to_owned()),
+        Some(_) => Err(Reason::BadRequest),
+    }
+}
+
+fn deadline(head: &Parts) -> Result<Option<Duration>, Reason> {
+    let Some(text) = header(head, DEADLINE)? else { return Ok(None) };
+    let ms = text.parse().map_err(|_| Reason::BadRequest)?;
+    let deadline = Duration::from_millis(ms);
+    if deadline.is_zero() || deadline > MAX_DEADLINE {
+        return Err(Reason::BadRequest);
+    }
+    Ok(Some(deadline))
+}
+
+/// Puts a request's id into its answer.
+pub fn set_request_id(res: &mut Response<Body>, id: RequestId) {
+    let value = HeaderValue::try_from(id.to_string()).expect("hex digits are valid in a header");
+    res.headers_mut().insert(REQUEST_ID, value);
+}
--- /dev/null
+++ b/crates/entry/src/completion.rs
@@ -0,0 +1,282 @@
+//! The common completion API: completions and chat, streamed and not.
+
+use crate::api::set_request_id;
+use crate::refusal;
+use crate::session::Session;
+use bytes::Bytes;
+use hyper::Response;
+use hyper::header::{CACHE_CONTROL, CONTENT_TYPE, HeaderValue};
+use net::{Body, BodySender, full, stream};
+use serde::{Deserialize, Serialize};
+use wire::{Completion, Part, RequestId};
+
+/// Tokens if the caller doesn't say.
+const DEFAULT_TOKENS: u32 = 256;
+/// Most tokens that a caller may ask for.
+const MAX_TOKENS: u32 = 32_768;
+/// Chunks that a caller may be behind before the engine waits for it.
+const CALLER_SLACK: usize = 64;
+
+/// Which form of the API a request uses.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Form {
+    /// `/v1/completions`.
+    Text,
+    /// `/v1/chat/completions`.
+    Chat,
+}
+
+/// A parsed request.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Parsed {
+    /// What to run.
+    pub completion: Completion,
+    /// Whether the answer is streamed.
+    pub stream: bool,
+}
+
+#[derive(Debug, Deserialize)]
+struct TextBody {
+    prompt: Prompt,
+    #[serde(flatten)]
+    options: Options,
+}
+
+#[derive(Debug, Deserialize)]
+struct ChatBody {
+    messages: Vec<Message>,
+    #[serde(flatten)]
+    options: Options,
+}
+
+#[derive(Debug, Deserialize)]
+struct Options {
+    max_tokens: Option<u32>,
+    max_completion_tokens: Option<u32>,
+    #[serde(default)]
+    stream: bool,
+    n: Option<u32>,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(untagged)]
+enum Prompt {
+    One(String),
+    List([String; 1]),
+}
+
+#[derive(Debug, Deserialize)]
+struct Message {
+    role: String,
+    content: Content,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(untagged)]
+enum Content {
+    Text(String),
+    Parts(Vec<ContentPart>),
+}
+
+#[derive(Debug, Deserialize)]
+struct ContentPart {
+    text: String,
+}
+
+/// Reads a request's body; none if it isn't of the API or asks for what we don't do.
+pub fn parse(form: Form, body: &[u8]) -> Option<Parsed> {
+    let (prompt, options) = match form {
+        Form::Text => {
+            let b: TextBody = serde_json::from_slice(body).ok()?;
+            let prompt = match b.prompt {
+                Prompt::One(text) | Prompt::List([text]) => text,
+            };
+            (prompt, b.options)
+        }
+        Form::Chat => {
+            let b: ChatBody = serde_json::from_slice(body).ok()?;
+            (join(&b.messages)?, b.options)
+        }
+    };
+    let max_tokens = options.max_completion_tokens.or(options.max_tokens);
+    let max_tokens = max_tokens.unwrap_or(DEFAULT_TOKENS);
+    let fits = (1..=MAX_TOKENS).contains(&max_tokens) && options.n.unwrap_or(1) == 1;
+    fits.then_some(Parsed {
+        completion: Completion { prompt, max_tokens, resume_from: 0 },
+        stream: options.stream,
+    })
+}
+
+/// Joins chat turns into a prompt.
+fn join(messages: &[Message]) -> Option<String> {
+    let mut out = String::new();
+    for m in messages {
+        out.push_str(&m.role);
+        out.push_str(": ");
+        match &m.content {
+            Content::Text(text) => out.push_str(text),
+            Content::Parts(parts) => parts.iter().for_each(|p| out.push_str(&p.text)),
+        }
+        out.push('\n');
+    }
+    (!messages.is_empty()).then_some(out)
+}
+
+#[derive(Serialize)]
+struct Answer<'a> {
+    id: &'a str,
+    object: &'static str,
+    model: &'a str,
+    choices: [Choice<'a>; 1],
+    #[serde(skip_serializing_if = "Option::is_none")]
+    usage: Option<Usage>,
+}
+
+#[derive(Serialize, Default)]
+struct Choice<'a> {
+    index: u32,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    text: Option<&'a str>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    delta: Option<Turn<'a>>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    message: Option<Turn<'a>>,
+    finish_reason: Option<&'static str>,
+}
+
+#[derive(Serialize)]
+struct Turn<'a> {
+    role: &'static str,
+    content: &'a str,
+}
+
+#[derive(Serialize)]
+struct Usage {
+    completion_tokens: u64,
+}
+
+const ROLE: &str = "assistant";
+
+fn choice<'a>(form: Form, streamed: bool, text: &'a str, end: bool) -> Choice<'a> {
+    let finish_reason = end.then_some("stop");
+    let turn = Turn { role: ROLE, content: text };
+    match (form, streamed) {
+        (Form::Text, _) => Choice { text: Some(text), finish_reason, ..Choice::default() },
+        (Form::Chat, true) => Choice { delta: Some(turn), finish_reason, ..Choice::default() },
+        (Form::Chat, false) => Choice { message: Some(turn), finish_reason, ..Choice::default() },
+    }
+}
+
+/// How answers of one request look.
+struct Style {
+    form: Form,
+    id: String,
+    model: String,
+}
+
+impl Style {
+    fn new(form: Form, session: &Session) -> Self {
+        let id = format!("cmpl-{}", session.id());
+        Self { form, id, model: session.service().to_owned() }
+    }
+
+    fn chunk(&self, text: &str, end: Option<u64>) -> Bytes {
+        let object = match self.form {
+            Form::Text => "text_completion",
+            Form::Chat => "chat.completion.chunk",
+        };
+        let choices = [choice(self.form, true, text, end.is_some())];
+        let usage = end.map(|completion_tokens| Usage { completion_tokens });
+        let answer = Answer { id: &self.id, object, model: &self.model, choices, usage };
+        let mut out = b"data: ".to_vec();
+        serde_json::to_writer(&mut out, &answer).expect("answers always encode");
+        out.extend_from_slice(b"\n\n");
+        Bytes::from(out)
+    }
+
+    fn whole(&self, text: &str, completion_tokens: u64) -> Vec<u8> {
+        let object = match self.form {
+            Form::Text => "text_completion",
+            Form::Chat => "chat.completion",
+        };
+        let choices = [choice(self.form, false, text, true)];
+        let usage = Some(Usage { completion_tokens });
+        let answer = Answer { id: &self.id, object, model: &self.model, choices, usage };
+        serde_json::to_vec(&answer).expect("answers always encode")
+    }
+}
+
+/// Serves a completion whose answer is given in one piece.
+pub async fn serve_whole(form: Form, mut session: Session) -> Response<Body> {
+    let (id, style) = (session.id(), Style::new(form, &session));
+    let mut text = String::new();
+    loop {
+        match session.next().await {
+            Ok(Part::Token(t)) => text.push_str(&t),
+            Ok(Part::End { count }) => {
+                let body = full(style.whole(&text, count));
+                return typed(body, "application/json", id);
+            }
+            // Agents send nothing else for a completion; the check of frames saw to it.
+            Ok(_) => {}
+            Err(r) => return refusal::answer(id, &r),
+        }
+    }
+}
+
+/// Serves a completion as a stream. The status waits for the first token, so
+/// that a refusal has a status of its own.
+pub async fn serve_stream(form: Form, mut session: Session) -> Response<Body> {
+    let (id, style) = (session.id(), Style::new(form, &session));
+    let first = match session.next().await {
+        Ok(part) => part,
+        Err(r) => return refusal::answer(id, &r),
+    };
+    let (tx, body) = stream(CALLER_SLACK);
+    tokio::spawn(pass_on(style, session, first, tx));
+    let mut res = typed(body, "text/event-stream", id);
+    res.headers_mut().insert(CACHE_CONTROL, HeaderValue::from_static("no-cache"));
+    res
+}
+
+/// Passes tokens on until the end. A caller that hangs up drops the session,
+/// which cancels upstream.
+async fn pass_on(style: Style, mut session: Session, first: Part, tx: BodySender) {
+    let gone = tx.watcher();
+    let mut next = Ok(first);
+    loop {
+        let sent = match next {
+            Ok(Part::Token(text)) => tx.send(style.chunk(&text, None)).await,
+            Ok(Part::End { count }) => {
+                let mut last = style.chunk("", Some(count)).to_vec();
+                last.extend_from_slice(b"data: [DONE]\n\n");
+                // A caller that went away at the very end misses nothing.
+                let _ = tx.send(Bytes::from(last)).await;
+                return tx.finish().await;
+            }
+            Ok(_) => Ok(()),
+            Err(r) => {
+                let mut event = b"data: ".to_vec();
+                event.extend_from_slice(&refusal::json(session.id(), &r));
+                event.extend_from_slice(b"\n\n");
+                let _ = tx.send(Bytes::from(event)).await;
+                // No `[DONE]`: the answer isn't whole, and doesn't look it.
+                return tx.finish().await;
+            }
+        };
+        if sent.is_err() {
+            return;
+        }
+        next = tokio::select! {
+            next = session.next() => next,
+            () = gone.closed() => return,
+        };
+    }
+}
+
+fn typed(body: Body, kind: &'static str, id: RequestId) -> Response<Body> {
+    let mut res = Response::new(body);
+    res.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static(kind));
+    set_request_id(&mut res, id);
+    res
+}
--- /dev/null
+++ b/crates/entry/src/docs.rs
@@ -0,0 +1,44 @@
+//! Documents between entries and agents: whoever is behind gets the newer one
+//! from the other, so that few need to ask the table service.
+
+use crate::state::Entry;
+use hyper::Method;
+use net::Peer;
+use observe::{Event, emit};
+use store::docs::Offered;
+use wire::{DocText, PATH_DOC};
+
+/// Largest document message.
+const MAX_DOC: usize = conf::yaml::MAX_FILE + 4096;
+
+/// Evens out versions with an agent that has `theirs`.
+pub async fn even_out(entry: &Entry, peer: &Peer, service: &str, theirs: u64) {
+    let book = &entry.node.book;
+    let ours = book.version(service);
+    if theirs > ours {
+        book.heard(service, theirs);
+        fetch(entry, peer, service).await;
+    } else if theirs < ours {
+        push(entry, peer, service).await;
+    }
+}
+
+async fn fetch(entry: &Entry, peer: &Peer, service: &str) {
+    let timeout = entry.node.settings.limits.probe_timeout;
+    let got = peer.call(Method::GET, PATH_DOC, Vec::new(), MAX_DOC, timeout).await;
+    // Without it the next look at the table service brings the document.
+    let Ok((status, body)) = got else { return };
+    let Some(text) = status.is_success().then(|| wire::decode::<DocText>(&body)).flatten() else {
+        return;
+    };
+    if text.service == service && entry.node.book.offer(&text) == Offered::Taken {
+        emit(&Event::DocInForce { service, version: text.version });
+    }
+}
+
+async fn push(entry: &Entry, peer: &Peer, service: &str) {
+    let Some(text) = entry.node.book.text(service) else { return };
+    let timeout = entry.node.settings.limits.probe_timeout;
+    // An agent that doesn't get it refuses the request, and nothing is lost.
+    let _ = peer.call(Method::POST, PATH_DOC, wire::encode(&text), MAX_DOC, timeout).await;
+}
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -1,1 +1,101 @@
-//! Soon.
+//! The entry: takes callers' requests and chooses an upstream for each.
+//!
+//! An entry keeps no map of everyone's load. It asks a few agents at the moment
+//! of choice, sends the request to the best, and goes on to another only after
+//! a refusal that says "not run", or for an idempotent request.
+
+mod api;
+mod budget;
+mod choose;
+mod completion;
+mod docs;
+mod health;
+mod ledger;
+mod peers;
+mod plain;
+mod refusal;
+mod session;
+mod state;
+
+use conf::Settings;
+use net::{Server, Stop};
+use node::{Node, StartError};
+use observe::{Event, emit};
+use plan::{DUTY, Duty};
+use state::Entry;
+use std::sync::Arc;
+use store::poll::AlsoRows;
+use store::rows::lease_key;
+use tokio::sync::watch;
+
+/// Runs an entry until `stop` is given and the last request has ended.
+pub async fn run(settings: Settings, stop: Stop) -> Result<(), StartError> {
+    if settings.upstream.is_some() {
+        return Err(StartError::Settings("an entry takes no field `upstream`"));
+    }
+    let (tx, leases) = watch::channel(Vec::new());
+    let keys = settings.services.iter().map(|s| lease_key(DUTY, s)).collect();
+    let node = Node::start(settings, Some(AlsoRows { keys, tx }), stop.clone());
+    let listener = node.listen()?;
+    let entry = Entry::new(node.clone());
+    let health = entry.clone();
+    node.serve_admin(move || health.is_ready())?;
+    tokio::spawn(node.clone().stop_when_leaving());
+    tokio::spawn(forget_unnamed(entry.clone()));
+    let duties = start_duties(&node, &leases, &stop);
+    let serving = Stop::default();
+    let server = Server {
+        head_timeout: node.settings.limits.read_timeout,
+        max_head: node.settings.limits.head,
+        stop: serving.clone(),
+    };
+    let handler = entry.clone();
+    let server = tokio::spawn(server.run(listener, move |req| api::serve(handler.clone(), req)));
+    stop.stopped().await;
+    emit(&Event::Stopping { why: "signal or leaving host" });
+    // Health says no at once; callers that the balancer still sends are served
+    // until it has noticed.
+    tokio::time::sleep(node.settings.limits.linger).await;
+    serving.stop();
+    let unfinished = node.drained(node.settings.limits.drain_bound).await;
+    emit(&Event::Stopped { unfinished });
+    // The tasks end by themselves; a panic in one was reported already.
+    let _ = server.await;
+    for duty in duties {
+        let _ = duty.await;
+    }
+    node.close_records().await;
+    Ok(())
+}
+
+fn start_duties(
+    node: &Arc<Node>,
+    leases: &watch::Receiver<Vec<store::Row>>,
+    stop: &Stop,
+) -> Vec<tokio::task::JoinHandle<()>> {
+    let duty = |service| Duty {
+        table: node.platform.clone(),
+        book: node.book.clone(),
+        service,
+        holder: node.id.clone(),
+        stale_after: node.settings.limits.lease,
+        leases: leases.clone(),
+        stop: stop.clone(),
+    };
+    node.book.services().into_iter().map(|s| tokio::spawn(duty(s).run())).collect()
+}
+
+/// Forgets agents that no document names any more, at each change of a document.
+async fn forget_unnamed(entry: Arc<Entry>) {
+    let book = &entry.node.book;
+    let mut changed = book.watch();
+    // The sender lives in the book, so this goes on until the process ends.
+    while changed.changed().await.is_ok() {
+        let docs = book.services().into_iter().filter_map(|s| book.get(&s));
+        let mut named: Vec<_> =
+            docs.flat_map(|d| d.doc.upstreams.iter().map(|u| u.agent).collect::<Vec<_>>()).collect();
+        named.sort_unstable();
+        entry.peers.keep_only(&named);
+        entry.health.keep_only(&named);
+    }
+}
--- /dev/null
+++ b/crates/entry/src/plain.rs
@@ -0,0 +1,48 @@
+//! Calls to plain services.
+
+use crate::api::set_request_id;
+use crate::refusal;
+use crate::session::Session;
+use hyper::header::{CONTENT_TYPE, HeaderValue};
+use hyper::{Response, StatusCode};
+use net::{Body, full};
+use wire::{Part, Reason, Refusal};
+
+/// Says that an answer is the one kept from an earlier request with the same key.
+const KEPT: &str = "idempotent-replayed";
+
+/// Serves a plain call. The whole answer is read before its first byte goes
+/// out, so that a try that breaks off can be made again.
+pub async fn serve(mut session: Session) -> Response<Body> {
+    let id = session.id();
+    let mut res = Response::new(());
+    let mut body = Vec::new();
+    loop {
+        match session.next().await {
+            Ok(Part::Head { status, content_type, kept }) => {
+                body.clear();
+                res = head(status, content_type, kept);
+            }
+            Ok(Part::Body(piece)) => body.extend_from_slice(&piece),
+            Ok(Part::End { .. }) => {
+                let mut res = res.map(|()| full(body));
+                set_request_id(&mut res, id);
+                return res;
+            }
+            Ok(_) => return refusal::answer(id, &Refusal::unknown(Reason::UpstreamBroken)),
+            Err(r) => return refusal::answer(id, &r),
+        }
+    }
+}
+
+fn head(status: u16, content_type: Option<String>, kept: bool) -> Response<()> {
+    let mut res = Response::new(());
+    *res.status_mut() = StatusCode::from_u16(status).unwrap_or(StatusCode::BAD_GATEWAY);
+    if let Some(kind) = content_type.and_then(|k| HeaderValue::try_from(k).ok()) {
+        res.headers_mut().insert(CONTENT_TYPE, kind);
+    }
+    if kept {
+        res.headers_mut().insert(KEPT, HeaderValue::from_static("true"));
+    }
+    res
+}
--- /dev/null
+++ b/crates/entry/src/session.rs
@@ -0,0 +1,356 @@
+//! A request on its way: tries, retries, resumes, and what is noted of it.
+
+use crate::choose::{Chosen, choose};
+use crate::ledger::{self, Ended};
+use crate::state::Entry;
+use conf::Class;
+use http_body_util::BodyExt;
+use hyper::Method;
+use hyper::body::Incoming;
+use net::CallError;
+use node::RunningGuard;
+use observe::{Event, emit};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+use store::InForce;
+use wire::{
+    Call, FrameReader, Leg, Outcome, PATH_RUN, Part, Probe, Reason, Refusal, RequestId,
+    StreamCheck, prefix,
+};
+
+/// What an agent may take longer than was agreed before it counts as lost.
+const SLACK: Duration = Duration::from_secs(1);
+/// When a caller may come back if no upstream takes work, in milliseconds.
+const NO_UPSTREAM_RETRY_MS: u64 = 1000;
+
+/// Who asks for what.
+#[derive(Debug, Clone)]
+pub struct Wanted {
+    /// The request's id.
+    pub id: RequestId,
+    /// The tenant.
+    pub tenant: String,
+    /// The document that it is served by.
+    pub doc: InForce,
+    /// Its class.
+    pub class: Class,
+    /// Time until the answer must begin, from the receipt.
+    pub deadline: Duration,
+    /// What to run.
+    pub call: Call,
+}
+
+/// A request on its way. Dropping it cancels what can be cancelled.
+pub struct Session {
+    entry: Arc<Entry>,
+    want: Wanted,
+    since: Instant,
+    current: Option<Attempt>,
+    tried: Vec<String>,
+    attempts: u32,
+    /// Whether every try so far came back as not run.
+    clean: bool,
+    /// Tokens that the caller has.
+    delivered: u64,
+    queue_ms: u64,
+    first: Option<Duration>,
+    noted: bool,
+    _running: RunningGuard,
+}
+
+struct Attempt {
+    upstream: String,
+    body: Incoming,
+    reader: FrameReader,
+    check: StreamCheck,
+    started: bool,
+}
+
+/// How a try went on.
+enum Step {
+    Part(Part),
+    Refused(Refusal),
+    /// The try broke off; the upstream may have run the request.
+    Lost(Reason),
+}
+
+impl Session {
+    /// A request that was received at `since`.
+    pub fn new(entry: Arc<Entry>, want: Wanted, since: Instant) -> Self {
+        entry.budget.earn();
+        let running = entry.node.begin();
+        Self {
+            entry,
+            want,
+            since,
+            current: None,
+            tried: Vec::new(),
+            attempts: 0,
+            clean: true,
+            delivered: 0,
+            queue_ms: 0,
+            first: None,
+            noted: false,
+            _running: running,
+        }
+    }
+
+    /// The request's id.
+    pub fn id(&self) -> RequestId {
+        self.want.id
+    }
+
+    /// The service.
+    pub fn service(&self) -> &str {
+        &self.want.doc.doc.service
+    }
+
+    /// Waits for the next part of the answer: tokens and an end, or a head, a
+    /// body and an end. A second head means that the answer begins anew.
+    pub async fn next(&mut self) -> Result<Part, Refusal> {
+        loop {
+            if self.current.is_none() {
+                self.open().await?;
+            }
+            match self.step().await {
+                Step::Part(Part::Started { queue_ms }) => self.queue_ms += queue_ms,
+                Step::Part(part) => {
+                    self.first.get_or_insert(self.since.elapsed());
+                    if matches!(part, Part::Token(_)) {
+                        self.delivered += 1;
+                    }
+                    if matches!(part, Part::End { .. }) {
+                        self.note(Outcome::Answered, None);
+                    }
+                    return Ok(part);
+                }
+                Step::Refused(refusal) => self.refused(refusal)?,
+                Step::Lost(reason) => self.lost(reason)?,
+            }
+        }
+    }
+
+    /// Opens the next try.
+    async fn open(&mut self) -> Result<(), Refusal> {
+        if self.attempts >= self.entry.node.settings.limits.attempts {
+            return Err(self.give_up(Refusal::not_run(Reason::NoUpstream)));
+        }
+        if self.attempts > 0 && !self.entry.budget.spend() {
+            return Err(self.give_up(Refusal::not_run(Reason::NoUpstream)));
+        }
+        if self.left().is_zero() {
+            return Err(self.give_up(Refusal::not_run(Reason::DeadlinePassed)));
+        }
+        let probe = self.probe();
+        let doc = self.want.doc.doc.clone();
+        let Some(chosen) = choose(&self.entry, &doc, &probe, &self.tried).await else {
+            let refusal = Refusal::not_run(Reason::NoUpstream).retry_in(NO_UPSTREAM_RETRY_MS);
+            return Err(self.give_up(refusal));
+        };
+        self.send(chosen).await
+    }
+
+    /// What is left of the deadline. A stream that goes on elsewhere has met
+    /// its deadline already, and gets the class's time once more.
+    fn left(&self) -> Duration {
+        if self.delivered > 0 {
+            return self.want.class.deadline;
+        }
+        self.want.deadline.saturating_sub(self.since.elapsed())
+    }
+
+    fn probe(&self) -> Probe {
+        let (prompt_len, prefixes) = match &self.want.call {
+            Call::Completion(c) => (c.prompt.len() as u64, prefix::hashes(c.prompt.as_bytes())),
+            Call::Plain(p) => (p.body.len() as u64, Vec::new()),
+        };
+        Probe {
+            service: self.service().to_owned(),
+            class: self.want.class.name.clone(),
+            prompt_len,
+            prefixes,
+            doc_version: self.want.doc.version,
+        }
+    }
+
+    async fn send(&mut self, chosen: Chosen) -> Result<(), Refusal> {
+        self.attempts += 1;
+        if let Call::Completion(c) = &mut self.want.call {
+            c.resume_from = self.delivered as u32;
+        }
+        let leg = Leg {
+            request: self.want.id,
+            attempt: self.attempts,
+            clean: self.clean,
+            service: self.service().to_owned(),
+            tenant: self.want.tenant.clone(),
+            class: self.want.class.name.clone(),
+            deadline_ms: self.left().as_millis() as u64,
+            doc_version: self.want.doc.version,
+            entry: self.entry.node.settings.name.clone(),
+        };
+        let body = wire::encode(&(&leg, &self.want.call));
+        self.tried.push(chosen.name.clone());
+        let req = chosen.peer.request(Method::POST, PATH_RUN, body);
+        let wait = self.left() + SLACK;
+        match tokio::time::timeout(wait, chosen.peer.send(req)).await {
+            Ok(Ok(answer)) if answer.status().is_success() => {
+                self.current = Some(Attempt {
+                    upstream: chosen.name,
+                    body: answer.into_body(),
+                    reader: FrameReader::default(),
+                    check: StreamCheck::new(self.want.id, self.delivered),
+                    started: false,
+                });
+                Ok(())
+            }
+            // The agent turned the message itself down, before it looked at the call.
+            Ok(Ok(_)) => self.refused(Refusal::not_run(Reason::NotReady)),
+            Ok(Err(CallError::NotSent(_))) => {
+                self.entry.health.bad(chosen.peer.addr(), Instant::now());
+                self.refused(Refusal::not_run(Reason::PeerLost))
+            }
+            Ok(Err(CallError::MaybeSent(_))) | Err(_) => {
+                self.entry.health.bad(chosen.peer.addr(), Instant::now());
+                self.lost(Reason::PeerLost)
+            }
+        }
+    }
+
+    /// Reads the next part of the current try.
+    async fn step(&mut self) -> Step {
+        let left = self.left();
+        let idle = self.entry.node.settings.limits.idle_timeout;
+        let Some(current) = &mut self.current else { return Step::Lost(Reason::PeerLost) };
+        let wait = if current.started { idle } else { left } + SLACK;
+        let Ok(Some(part)) = tokio::time::timeout(wait, current.read()).await else {
+            return Step::Lost(Reason::PeerLost);
+        };
+        match part {
+            Part::Refused(refusal) => Step::Refused(refusal),
+            Part::Broken => Step::Lost(Reason::UpstreamBroken),
+            Part::Started { .. } => {
+                current.started = true;
+                Step::Part(part)
+            }
+            part => Step::Part(part),
+        }
+    }
+
+    /// A try was refused: another may be made if no upstream has run it.
+    fn refused(&mut self, refusal: Refusal) -> Result<(), Refusal> {
+        self.current = None;
+        if refusal.outcome == Outcome::NotRun && may_go_elsewhere(refusal.reason) {
+            return Ok(());
+        }
+        Err(self.give_up(refusal))
+    }
+
+    /// A try broke off: another may be made only for an idempotent request.
+    fn lost(&mut self, reason: Reason) -> Result<(), Refusal> {
+        self.current = None;
+        self.clean = false;
+        if self.want.class.idempotent {
+            return Ok(());
+        }
+        Err(self.give_up(Refusal::unknown(reason)))
+    }
+
+    /// The final refusal. It says "not run" only if that is true of every try.
+    fn give_up(&mut self, mut refusal: Refusal) -> Refusal {
+        if !self.clean {
+            refusal.outcome = Outcome::Unknown;
+        }
+        self.note(refusal.outcome, Some(refusal.reason));
+        refusal
+    }
+
+    /// Notes what became of the request, once.
+    fn note(&mut self, outcome: Outcome, reason: Option<Reason>) {
+        if std::mem::replace(&mut self.noted, true) {
+            return;
+        }
+        ledger::note(&self.entry, &Ended {
+            id: self.want.id,
+            service: &self.want.doc.doc.service,
+            tenant: &self.want.tenant,
+            class: &self.want.class.name,
+            outcome,
+            reason,
+            upstream: self.tried.last().map(String::as_str),
+            attempts: self.attempts,
+            queue_ms: self.queue_ms,
+            first: self.first,
+            total: self.since.elapsed(),
+            deadline: self.want.deadline,
+            count: self.delivered,
+        });
+    }
+}
+
+impl Drop for Session {
+    /// A session that is dropped before its end has lost its caller.
+    fn drop(&mut self) {
+        let outcome = if self.attempts == 0 { Outcome::NotRun } else { Outcome::Unknown };
+        self.note(outcome, Some(Reason::CallerGone));
+    }
+}
+
+impl Attempt {
+    /// Reads the next frame's part; none if the answer breaks off or isn't ours.
+    async fn read(&mut self) -> Option<Part> {
+        loop {
+            match self.reader.pop() {
+                Ok(Some(frame)) => return self.accept(frame),
+                Ok(None) => {}
+                Err(e) => {
+                    self.tell(&e.to_string());
+                    return None;
+                }
+            }
+            let frame = self.body.frame().await?.ok()?;
+            if let Some(data) = frame.data_ref() {
+                self.reader.push(data);
+            }
+        }
+    }
+
+    fn accept(&mut self, frame: wire::Frame) -> Option<Part> {
+        let request = frame.request;
+        match self.check.take(frame) {
+            Ok(part) => Some(part),
+            Err(e) => {
+                self.tell(&format!("{e} ({request})"));
+                None
+            }
+        }
+    }
+
+    fn tell(&self, why: &str) {
+        let request = String::new();
+        emit(&Event::BadAnswer { request, upstream: &self.upstream, why: why.to_owned() });
+    }
+}
+
+/// Whether another upstream may help. What the caller did wrong is wrong there too.
+fn may_go_elsewhere(reason: Reason) -> bool {
+    match reason {
+        Reason::QueueFull
+        | Reason::TenantLimit
+        | Reason::DeadlineUnreachable
+        | Reason::Leaving
+        | Reason::NotReady
+        | Reason::NoUpstream
+        | Reason::UpstreamBroken
+        | Reason::PeerLost => true,
+        Reason::BadRequest
+        | Reason::TooLarge
+        | Reason::SlowRequest
+        | Reason::UnknownService
+        | Reason::UnknownClass
+        | Reason::DeadlinePassed
+        | Reason::ClaimUnavailable
+        | Reason::KeyInUse
+        | Reason::CallerGone => false,
+    }
+}
--- a/crates/net/src/body.rs
+++ b/crates/net/src/body.rs
@@ -29,6 +29,19 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Gone;
 
+/// Sees the receiver of a body go away.
+#[derive(Debug)]
+pub struct Watcher {
+    tx: mpsc::Sender<Piece>,
+}
+
+impl Watcher {
+    /// Waits until the receiver has gone away.
+    pub async fn closed(&self) {
+        self.tx.closed().await;
+    }
+}
+
 impl BodySender {
     /// Sends a piece, waiting while the receiver is behind.
     pub async fn send(&self, data: Bytes) -> Result<(), Gone> {
@@ -60,9 +73,9 @@
         let _ = self.tx.try_send(Piece::End);
     }
 
-    /// Waits until the receiver has gone away.
-    pub async fn closed(&self) {
-        self.tx.closed().await;
+    /// A handle that sees the receiver go away.
+    pub fn watcher(&self) -> Watcher {
+        Watcher { tx: self.tx.clone() }
     }
 }
 
--- /dev/null
+++ b/crates/node/src/lib.rs
@@ -0,0 +1,203 @@
+//! What every process of the system has: its name and incarnation, the
+//! platform's clients, the documents in force, the host list, records,
+//! metrics, and the admin server.
+
+use conf::Settings;
+use hyper::body::Incoming;
+use hyper::{Request, Response, StatusCode};
+use net::server::bind;
+use net::{Body, Server, Stop, full};
+use observe::{Event, Metrics, emit};
+use quick_error::quick_error;
+use records::Recorder;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+use store::poll::{AlsoRows, DocPoll, LeavingHosts, poll_hosts};
+use store::{DocBook, HttpPlatform};
+use tokio::net::TcpListener;
+use tokio::sync::Notify;
+
+/// Largest head on the admin address.
+const ADMIN_HEAD: usize = 16 << 10;
+/// Longest wait for a head on the admin address.
+const ADMIN_TIMEOUT: Duration = Duration::from_secs(10);
+/// Time between looks at whether running requests have ended.
+const DRAIN_LOOK: Duration = Duration::from_millis(20);
+/// Longest wait for the last records when a process ends.
+const LAST_RECORDS: Duration = Duration::from_secs(5);
+
+quick_error! {
+    /// Why a process can't start.
+    #[derive(Debug)]
+    pub enum StartError {
+        /// An address can't be bound; another process may hold it.
+        Bind(addr: SocketAddr, e: std::io::Error) { display("can't bind {addr}: {e}") }
+        /// The settings don't fit the process.
+        Settings(why: &'static str) { display("settings: {why}") }
+    }
+}
+
+/// The parts that every process has.
+#[derive(Debug)]
+pub struct Node {
+    /// The settings.
+    pub settings: Settings,
+    /// Name and incarnation; no two processes ever share it.
+    pub id: String,
+    /// The platform's clients.
+    pub platform: HttpPlatform,
+    /// The documents in force.
+    pub book: Arc<DocBook>,
+    /// Hosts that are leaving, as far as this process knows.
+    pub leaving: Arc<LeavingHosts>,
+    /// Makes the next look at the documents come at once.
+    pub nudge: Arc<Notify>,
+    /// Metrics.
+    pub metrics: Metrics,
+    /// Records.
+    pub recorder: Recorder,
+    /// Given when the process should end: by a signal, or as its host leaves.
+    pub stop: Stop,
+    running: AtomicU64,
+}
+
+/// Counts a request as running until it is dropped.
+#[derive(Debug)]
+pub struct RunningGuard(Arc<Node>);
+
+impl Drop for RunningGuard {
+    fn drop(&mut self) {
+        self.0.running.fetch_sub(1, Ordering::SeqCst);
+    }
+}
+
+impl Node {
+    /// Starts the parts. Documents are polled along with `also`.
+    pub fn start(settings: Settings, also: Option<AlsoRows>, stop: Stop) -> Arc<Self> {
+        let id = format!("{}-{:012x}", settings.name, fastrand::u64(..) >> 16);
+        let platform = HttpPlatform::new(&settings.platform);
+        let limits = &settings.limits;
+        let recorder = Recorder::start(
+            platform.clone(),
+            id.clone(),
+            limits.record_flush,
+            limits.record_buffer,
+        );
+        let node = Arc::new(Self {
+            id,
+            book: Arc::new(DocBook::new(&settings.services)),
+            leaving: Arc::default(),
+            nudge: Arc::default(),
+            metrics: Metrics::new(limits.tenant_metrics),
+            recorder,
+            stop,
+            running: AtomicU64::new(0),
+            platform,
+            settings,
+        });
+        node.clone().spawn_polls(also);
+        node
+    }
+
+    fn spawn_polls(self: Arc<Self>, also: Option<AlsoRows>) {
+        let limits = &self.settings.limits;
+        let poll = DocPoll {
+            book: self.book.clone(),
+            every: limits.doc_poll,
+            also,
+            nudge: self.nudge.clone(),
+        };
+        tokio::spawn(poll.run(self.platform.clone()));
+        let hosts = poll_hosts(self.platform.clone(), self.leaving.clone(), limits.host_poll);
+        tokio::spawn(hosts);
+        tokio::spawn(async move {
+            let mut changed = self.book.watch();
+            loop {
+                for service in self.book.services() {
+                    self.metrics.doc(&service, self.book.version(&service));
+                }
+                // The sender lives in the book, which `self` holds.
+                let _ = changed.changed().await;
+            }
+        });
+    }
+
+    /// Counts a request as running.
+    pub fn begin(self: &Arc<Self>) -> RunningGuard {
+        self.running.fetch_add(1, Ordering::SeqCst);
+        RunningGuard(self.clone())
+    }
+
+    /// Requests that run.
+    pub fn running(&self) -> u64 {
+        self.running.load(Ordering::SeqCst)
+    }
+
+    /// Waits until nothing runs, for at most `bound`. Gives what still runs.
+    pub async fn drained(&self, bound: Duration) -> u64 {
+        let done = async {
+            while self.running() > 0 {
+                tokio::time::sleep(DRAIN_LOOK).await;
+            }
+        };
+        // Past the bound the count below tells what is left.
+        let _ = tokio::time::timeout(bound, done).await;
+        self.running()
+    }
+
+    /// Writes the last records, within a bounded time.
+    pub async fn close_records(&self) {
+        self.recorder.close(LAST_RECORDS).await;
+    }
+
+    /// Serves health and metrics. `ready` says whether the process takes work.
+    pub fn serve_admin(
+        self: &Arc<Self>,
+        ready: impl Fn() -> bool + Clone + Send + Sync + 'static,
+    ) -> Result<(), StartError> {
+        let addr = self.settings.admin;
+        let listener = bind(addr).map_err(|e| StartError::Bind(addr, e))?;
+        let server =
+            Server { head_timeout: ADMIN_TIMEOUT, max_head: ADMIN_HEAD, stop: Stop::default() };
+        let node = self.clone();
+        tokio::spawn(server.run(listener, move |req| {
+            let answer = node.admin(&req, &ready);
+            async move { answer }
+        }));
+        Ok(())
+    }
+
+    fn admin(&self, req: &Request<Incoming>, ready: &impl Fn() -> bool) -> Response<Body> {
+        let (status, text) = match req.uri().path() {
+            "/health" if ready() => (StatusCode::OK, b"ready\n".to_vec()),
+            "/health" => (StatusCode::SERVICE_UNAVAILABLE, b"not ready\n".to_vec()),
+            "/metrics" => (StatusCode::OK, self.metrics.text()),
+            _ => (StatusCode::NOT_FOUND, b"not found\n".to_vec()),
+        };
+        let mut answer = Response::new(full(text));
+        *answer.status_mut() = status;
+        answer
+    }
+
+    /// Binds the process's main address and says so in the log.
+    pub fn listen(&self) -> Result<TcpListener, StartError> {
+        let addr = self.settings.listen;
+        let listener = bind(addr).map_err(|e| StartError::Bind(addr, e))?;
+        let admin = self.settings.admin.to_string();
+        emit(&Event::Started { listen: addr.to_string(), admin });
+        Ok(listener)
+    }
+
+    /// Gives the stop signal once this process's host is called leaving.
+    pub async fn stop_when_leaving(self: Arc<Self>) {
+        while !self.leaving.contains(&self.settings.host) {
+            tokio::time::sleep(self.settings.limits.host_poll.min(LEAVING_LOOK)).await;
+        }
+        self.stop.stop();
+    }
+}
+
+/// Time between looks at whether this host is leaving, in memory only.
+const LEAVING_LOOK: Duration = Duration::from_millis(100);
--- a/crates/observe/src/lib.rs
+++ b/crates/observe/src/lib.rs
@@ -1,1 +1,7 @@
-//! Soon.
+//! What operators see of a process: JSON log lines and prometheus metrics.
+
+pub mod event;
+pub mod metrics;
+
+pub use event::{Event, emit, init};
+pub use metrics::{Labels, Metrics, Seconds};
--- /dev/null
+++ b/crates/observe/src/metrics.rs
@@ -0,0 +1,146 @@
+//! Prometheus metrics, with histograms for each class and a bounded number of tenants.
+
+use prometheus::{
+    Encoder, HistogramOpts, HistogramVec, IntCounterVec, IntGaugeVec, Opts, Registry, TextEncoder,
+};
+use std::sync::Mutex;
+
+/// Bounds of the histograms, in seconds.
+const BUCKETS: [f64; 14] =
+    [0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.0, 5.0, 15.0, 60.0];
+/// Label of tenants past the bound.
+const OTHERS: &str = "other";
+
+/// Which histogram a time goes into.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Seconds {
+    /// Time in an agent's queue.
+    Queue,
+    /// Time to the first byte.
+    First,
+    /// Time to the end.
+    Total,
+}
+
+/// Whom a measurement is about.
+#[derive(Debug, Clone, Copy)]
+pub struct Labels<'a> {
+    /// The service.
+    pub service: &'a str,
+    /// The class.
+    pub class: &'a str,
+    /// The tenant.
+    pub tenant: &'a str,
+}
+
+/// The metrics of one process.
+#[derive(Debug)]
+pub struct Metrics {
+    registry: Registry,
+    requests: IntCounterVec,
+    queue: HistogramVec,
+    first: HistogramVec,
+    total: HistogramVec,
+    tenants: HistogramVec,
+    docs: IntGaugeVec,
+    known: Mutex<Vec<String>>,
+    most_tenants: usize,
+}
+
+impl Metrics {
+    /// Metrics with histograms of their own for at most so many tenants.
+    pub fn new(most_tenants: u32) -> Self {
+        let registry = Registry::new();
+        let class = ["service", "class"];
+        Self {
+            requests: counter(
+                &registry,
+                "requests_total",
+                "Requests by what became of them.",
+                &["service", "class", "outcome", "reason"],
+            ),
+            queue: histogram(&registry, "queue_seconds", "Time in an agent's queue.", &class),
+            first: histogram(&registry, "first_byte_seconds", "Time to the first byte.", &class),
+            total: histogram(&registry, "request_seconds", "Time to the end.", &class),
+            tenants: histogram(
+                &registry,
+                "tenant_first_byte_seconds",
+                "Time to the first byte for each tenant, up to a bound.",
+                &["service", "tenant"],
+            ),
+            docs: gauge(&registry, "document_version", "Version in force.", &["service"]),
+            known: Mutex::default(),
+            most_tenants: most_tenants as usize,
+            registry,
+        }
+    }
+
+    /// Counts a request's end.
+    pub fn count(&self, who: Labels<'_>, outcome: &str, reason: &str) {
+        self.requests.with_label_values(&[who.service, who.class, outcome, reason]).inc();
+    }
+
+    /// Notes a time, in seconds.
+    pub fn time(&self, who: Labels<'_>, what: Seconds, seconds: f64) {
+        let class = [who.service, who.class];
+        match what {
+            Seconds::Queue => self.queue.with_label_values(&class).observe(seconds),
+            Seconds::Total => self.total.with_label_values(&class).observe(seconds),
+            Seconds::First => {
+                self.first.with_label_values(&class).observe(seconds);
+                let tenant = self.tenant_label(who.tenant);
+                self.tenants.with_label_values(&[who.service, &tenant]).observe(seconds);
+            }
+        }
+    }
+
+    /// Notes the version of a document in force.
+    pub fn doc(&self, service: &str, version: u64) {
+        self.docs.with_label_values(&[service]).set(version as i64);
+    }
+
+    /// The text that prometheus reads.
+    pub fn text(&self) -> Vec<u8> {
+        let mut buf = Vec::new();
+        let families = self.registry.gather();
+        TextEncoder::new().encode(&families, &mut buf).expect("our own metrics are valid");
+        buf
+    }
+
+    /// The first tenants have a label of their own, the others share one: the
+    /// cost of 28,000 tenants must not fall on every process.
+    fn tenant_label(&self, tenant: &str) -> String {
+        let mut known = self.known.lock().expect("no panic while locked");
+        match known.binary_search_by(|t| t.as_str().cmp(tenant)) {
+            Ok(_) => tenant.to_owned(),
+            Err(at) if known.len() < self.most_tenants => {
+                known.insert(at, tenant.to_owned());
+                tenant.to_owned()
+            }
+            Err(_) => OTHERS.to_owned(),
+        }
+    }
+}
+
+fn name(short: &str) -> String {
+    format!("arbutusquay_{short}")
+}
+
+fn counter(registry: &Registry, short: &str, help: &str, labels: &[&str]) -> IntCounterVec {
+    let v = IntCounterVec::new(Opts::new(name(short), help), labels).expect("valid metric");
+    registry.register(Box::new(v.clone())).expect("registered once");
+    v
+}
+
+fn gauge(registry: &Registry, short: &str, help: &str, labels: &[&str]) -> IntGaugeVec {
+    let v = IntGaugeVec::new(Opts::new(name(short), help), labels).expect("valid metric");
+    registry.register(Box::new(v.clone())).expect("registered once");
+    v
+}
+
+fn histogram(registry: &Registry, short: &str, help: &str, labels: &[&str]) -> HistogramVec {
+    let opts = HistogramOpts::new(name(short), help).buckets(BUCKETS.to_vec());
+    let v = HistogramVec::new(opts, labels).expect("valid metric");
+    registry.register(Box::new(v.clone())).expect("registered once");
+    v
+}
--- a/crates/plan/src/lib.rs
+++ b/crates/plan/src/lib.rs
@@ -1,1 +1,13 @@
-//! Soon.
+//! The planner's duty: for each service with engines, one entry process holds a
+//! lease and writes what is wanted of each engine.
+//!
+//! An order is a transaction that depends on the lease's row and on the want
+//! row as the planner read them. A planner that has lost its lease, paused or
+//! cut off as it may be, fails that condition; no clock decides.
+
+pub mod duty;
+pub mod lease;
+pub mod policy;
+
+pub use duty::{DUTY, Duty};
+pub use lease::{Keeper, Standing};
--- /dev/null
+++ b/crates/records/src/table.rs
@@ -0,0 +1,55 @@
+//! The report as a table for people.
+
+use crate::report::{Counts, Report};
+use std::fmt;
+
+/// Tenants that the table shows for each class; `--json` shows all.
+const MAX_TENANTS: usize = 12;
+
+impl fmt::Display for Report {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        writeln!(f, "service {}", self.service)?;
+        writeln!(
+            f,
+            "{:<34} {:>8} {:>8} {:>8} {:>8} {:>8}  {:>18}  reasons",
+            "class / tenant", "requests", "served", "delayed", "refused", "unknown", "wait ms 50/95/99"
+        )?;
+        for c in &self.classes {
+            row(f, &c.class, &c.all)?;
+            let mut tenants: Vec<_> = c.tenants.iter().collect();
+            tenants.sort_by_key(|t| std::cmp::Reverse(t.counts.requests));
+            for t in tenants.iter().take(MAX_TENANTS) {
+                row(f, &format!("  {}", t.tenant), &t.counts)?;
+            }
+            if let Some(rest) = tenants.len().checked_sub(MAX_TENANTS).filter(|n| *n > 0) {
+                writeln!(f, "  and {rest} more tenants (--json shows all)")?;
+            }
+        }
+        row(f, "all", &self.all)?;
+        writeln!(f, "tries at agents: {}, known to agents only: {}", self.tries, self.agent_only)?;
+        for g in &self.gaps {
+            let end = if g.ended { "ended" } else { "no end seen" };
+            writeln!(
+                f,
+                "gap: {}: missing batches {:?}, records dropped {}, {end}",
+                g.process, g.missing, g.dropped
+            )?;
+        }
+        Ok(())
+    }
+}
+
+fn row(f: &mut fmt::Formatter<'_>, name: &str, c: &Counts) -> fmt::Result {
+    let waits = format!("{}/{}/{}", c.wait_ms.p50, c.wait_ms.p95, c.wait_ms.p99);
+    let reasons: Vec<String> = c.reasons.iter().map(|(r, n)| format!("{r} {n}")).collect();
+    writeln!(
+        f,
+        "{name:<34} {:>8} {:>8} {:>8} {:>8} {:>8}  {waits:>18}  {}",
+        c.requests,
+        c.served,
+        c.delayed,
+        c.refused,
+        c.unknown,
+        reasons.join(", ")
+    )
+}
--- a/crates/store/src/docs.rs
+++ b/crates/store/src/docs.rs
@@ -5,6 +5,7 @@
 
 use conf::Doc;
 use std::sync::{Arc, RwLock};
+use std::time::Duration;
 use tokio::sync::watch;
 use wire::DocText;
 
@@ -135,6 +136,18 @@
         Offered::Taken
     }
 
+    /// Waits until at least a version is in force, for at most `within`.
+    pub async fn reach(&self, service: &str, version: u64, within: Duration) -> bool {
+        let mut changed = self.watch();
+        let reached = async {
+            while self.version(service) < version {
+                // The sender lives in `self`.
+                let _ = changed.changed().await;
+            }
+        };
+        tokio::time::timeout(within, reached).await.is_ok()
+    }
+
     /// A receiver that sees each change of what is in force or heard of.
     pub fn watch(&self) -> watch::Receiver<u64> {
         self.changed.subscribe()
--- a/crates/store/src/http.rs
+++ b/crates/store/src/http.rs
@@ -88,7 +88,7 @@
         path: &str,
         body: Vec<u8>,
     ) -> Result<T, Error> {
-        let (status, body) = self.call(pool, method, path, body).await.map_err(unavailable)?;
+        let (status, body) = self.call(pool, method, path, body).await.map_err(|e| unavailable(&e))?;
         if !status.is_success() {
             return Err(Error::Unavailable(format!("status {status}")));
         }
@@ -105,7 +105,7 @@
         .expect("paths are built from checked names")
 }
 
-fn unavailable(e: CallError) -> Error {
+fn unavailable(e: &CallError) -> Error {
     Error::Unavailable(e.to_string())
 }
 
@@ -146,14 +146,14 @@
     async fn put(&self, name: &str, data: Vec<u8>) -> Result<(), Error> {
         let path = format!("{PATH_OBJECT}{name}");
         let (status, _) =
-            self.call(&self.objects, Method::PUT, &path, data).await.map_err(unavailable)?;
+            self.call(&self.objects, Method::PUT, &path, data).await.map_err(|e| unavailable(&e))?;
         if status.is_success() { Ok(()) } else { Err(Error::Unavailable(format!("status {status}"))) }
     }
 
     async fn get(&self, name: &str) -> Result<Option<Vec<u8>>, Error> {
         let path = format!("{PATH_OBJECT}{name}");
         let (status, body) =
-            self.call(&self.objects, Method::GET, &path, Vec::new()).await.map_err(unavailable)?;
+            self.call(&self.objects, Method::GET, &path, Vec::new()).await.map_err(|e| unavailable(&e))?;
         match status {
             StatusCode::NOT_FOUND => Ok(None),
             s if s.is_success() => Ok(Some(body.to_vec())),
--- a/crates/store/src/poll.rs
+++ b/crates/store/src/poll.rs
@@ -3,47 +3,94 @@
 use crate::docs::{DocBook, Offered};
 use crate::retry::around;
 use crate::rows::doc_key;
-use crate::table::{HostState, Hosts, Table};
+use crate::table::{HostState, Hosts, Row, Table};
+use observe::{Event, emit};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
-use tokio::sync::watch;
+use tokio::sync::{Notify, watch};
 use wire::DocText;
 
 /// Shortest time between two looks, however many peers speak of a new version.
 const MIN_PAUSE: Duration = Duration::from_millis(100);
 
-/// Reads each document again and again: every `every`, and at once when a peer
-/// speaks of a version that isn't in force here. Ends with its task.
-pub async fn poll_docs<T: Table>(table: T, book: Arc<DocBook>, every: Duration) {
-    let keys: Vec<String> = book.services().iter().map(|s| doc_key(s)).collect();
-    let mut changed = book.watch();
-    loop {
-        // An outage isn't an error here: what is in force stays in force.
-        if let Ok(rows) = table.read(keys.clone()).await {
-            for row in rows {
-                let Some(service) = row.key.strip_prefix("doc/") else { continue };
-                let text =
-                    DocText { service: service.into(), version: row.version, text: row.value };
-                if book.offer(&text) == Offered::Invalid {
-                    log::warn!("document {service} version {} is not valid", text.version);
-                }
+/// What a poll reads, and who may hurry it.
+#[derive(Debug)]
+pub struct DocPoll {
+    /// The documents to keep up to date.
+    pub book: Arc<DocBook>,
+    /// Time between looks.
+    pub every: Duration,
+    /// Rows that are read along with the documents.
+    pub also: Option<AlsoRows>,
+    /// Makes the next look come at once.
+    pub nudge: Arc<Notify>,
+}
+
+/// Rows that are read along with the documents, so that they cost no read more.
+#[derive(Debug)]
+pub struct AlsoRows {
+    /// Their keys.
+    pub keys: Vec<String>,
+    /// Where they go, sorted by key; absent ones are left out.
+    pub tx: watch::Sender<Vec<Row>>,
+}
+
+impl DocPoll {
+    /// Reads the rows again and again: every `every`, at once when a peer speaks
+    /// of a version that isn't in force here, and when nudged. Ends with its task.
+    pub async fn run<T: Table>(self, table: T) {
+        let mut keys: Vec<String> = self.book.services().iter().map(|s| doc_key(s)).collect();
+        keys.extend(self.also.iter().flat_map(|a| a.keys.iter().cloned()));
+        let mut changed = self.book.watch();
+        loop {
+            // An outage isn't an error here: what is in force stays in force.
+            if let Ok(rows) = table.read(keys.clone()).await {
+                self.take(rows);
+            }
+            tokio::time::sleep(MIN_PAUSE).await;
+            tokio::select! {
+                () = self.nudge.notified() => {}
+                () = wait_for_need(&self.book, &mut changed, around(self.every)) => {}
             }
         }
-        tokio::time::sleep(MIN_PAUSE).await;
-        wait_for_need(&book, &mut changed, around(every)).await;
     }
+
+    fn take(&self, rows: Vec<Row>) {
+        for row in rows {
+            if let Some(also) = self.also.as_ref().filter(|a| a.keys.contains(&row.key)) {
+                also.tx.send_if_modified(|rows| take_newer(rows, row));
+                continue;
+            }
+            let Some(service) = row.key.strip_prefix("doc/") else { continue };
+            let version = row.version;
+            let text = DocText { service: service.to_owned(), version, text: row.value };
+            match self.book.offer(&text) {
+                Offered::Taken => emit(&Event::DocInForce { service: &text.service, version }),
+                Offered::Invalid => emit(&Event::DocInvalid { service: &text.service, version }),
+                Offered::NotNewer => {}
+            }
+        }
+    }
+}
+
+/// Rows only go forward here, whatever order answers come in.
+fn take_newer(rows: &mut Vec<Row>, row: Row) -> bool {
+    match rows.binary_search_by(|r| r.key.cmp(&row.key)) {
+        Ok(at) if rows[at].version >= row.version => return false,
+        Ok(at) => rows[at] = row,
+        Err(at) => rows.insert(at, row),
+    }
+    true
 }
 
 async fn wait_for_need(book: &DocBook, changed: &mut watch::Receiver<u64>, longest: Duration) {
     let need = async {
-        loop {
-            if book.services().iter().any(|s| book.behind(s).is_some()) {
-                return;
-            }
+        while !book.services().iter().any(|s| book.behind(s).is_some()) {
             // The sender lives in `book`, which outlives this.
             let _ = changed.changed().await;
         }
     };
+    // Either way it is time for a look.
     let _ = tokio::time::timeout(longest, need).await;
 }
 
--- a/crates/store/src/retry.rs
+++ b/crates/store/src/retry.rs
@@ -17,7 +17,7 @@
     }
 
     /// The next wait.
-    pub fn next(&mut self) -> Duration {
+    pub fn wait(&mut self) -> Duration {
         let wait = jitter(self.bound);
         self.bound = (self.bound * 2).min(self.most);
         wait
--- a/crates/store/src/rows.rs
+++ b/crates/store/src/rows.rs
@@ -90,8 +90,8 @@
     pub status: u16,
     /// Content type.
     pub content_type: Option<String>,
-    /// The body.
-    pub body: Vec<u8>,
+    /// The body; only text is kept.
+    pub body: String,
 }
 
 /// Encodes a row's value.
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -77,7 +77,7 @@
     }
 
     /// Takes the next whole frame, if there is one.
-    pub fn next(&mut self) -> Result<Option<Frame>, StreamFault> {
+    pub fn pop(&mut self) -> Result<Option<Frame>, StreamFault> {
         let Some(head) = self.buf.first_chunk::<LENGTH>() else {
             return Ok(None);
         };
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -23,6 +23,8 @@
 pub const PATH_RUN: &str = "/peer/run";
 /// Path of a document's text, read by GET and offered by POST.
 pub const PATH_DOC: &str = "/peer/doc";
+/// Path of a nudge: look at the rows at once.
+pub const PATH_NUDGE: &str = "/peer/nudge";
 /// Path of a process's status, for the operators' commands.
 pub const PATH_STATUS: &str = "/peer/status";
 
@@ -31,6 +33,12 @@
     rmp_serde::to_vec_named(msg).expect("peer messages have no field that can't be encoded")
 }
 
+/// Encodes a message without its fields' names, for messages that are sent for
+/// each request and count against the control traffic.
+pub fn encode_compact<T: Serialize>(msg: &T) -> Vec<u8> {
+    rmp_serde::to_vec(msg).expect("peer messages have no field that can't be encoded")
+}
+
 /// Decodes a message; gives `None` for anything malformed.
 pub fn decode<T: DeserializeOwned>(buf: &[u8]) -> Option<T> {
     rmp_serde::from_slice(buf).ok()
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -153,9 +153,10 @@
 pub struct Leg {
     /// The request.
     pub request: RequestId,
-    /// Number of the try, from 1. The entry makes a later one only after every
-    /// earlier one came back as not run, or for an idempotent request.
+    /// Number of the try, from 1.
     pub attempt: u32,
+    /// Whether every earlier try came back as not run.
+    pub clean: bool,
     /// The service.
     pub service: String,
     /// The tenant.
--- a/crates/wire/tests/frames.rs
+++ b/crates/wire/tests/frames.rs
@@ -17,7 +17,7 @@
         let mut got = Vec::new();
         for piece in bytes.chunks(cut) {
             reader.push(piece);
-            while let Some(f) = reader.next().unwrap() {
+            while let Some(f) = reader.pop().unwrap() {
                 got.push(f);
             }
         }
@@ -29,7 +29,7 @@
 fn a_length_over_the_limit_is_malformed() {
     let mut reader = FrameReader::default();
     reader.push(&u32::MAX.to_be_bytes());
-    assert_eq!(reader.next(), Err(StreamFault::Malformed));
+    assert_eq!(reader.pop(), Err(StreamFault::Malformed));
 }
 
 #[test]
