Bench: both deployments as real processes, callers that check, a judge

The path needed a run from end to end. The bench starts the stand-ins in its own process, builds the shipped binary and starts entries and agents from it, sends a mixed load, kills and drains agents, and compares what callers got with what the upstreams saw.

--- /dev/null
+++ b/crates/bench/src/deploy.rs
@@ -0,0 +1,119 @@
+//! The users' deployments.
+
+use conf::Doc;
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+
+/// Part of loopback addresses that the sample documents use, as text.
+const SAMPLE_NETS: [&str; 2] = ["127.11.", "127.12."];
+/// Port on which entries and agents listen.
+const MAIN_PORT: u16 = 7000;
+/// Port of health and metrics.
+const ADMIN_PORT: u16 = 7001;
+/// Port of upstreams.
+const UPSTREAM_PORT: u16 = 8000;
+/// Port of the platform's services.
+const PLATFORM_PORT: u16 = 7100;
+
+/// A deployment.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Deployment {
+    /// De Sleutelbos, be-vlaanderen.
+    Sleutelbos,
+    /// Blue Mahoe, kingston.
+    BlueMahoe,
+}
+
+/// Both deployments.
+pub const ALL: [Deployment; 2] = [Deployment::Sleutelbos, Deployment::BlueMahoe];
+
+impl Deployment {
+    /// Finds a deployment by its name on the command line.
+    pub fn named(name: &str) -> Option<Self> {
+        ALL.into_iter().find(|d| d.name() == name)
+    }
+
+    /// Its name on the command line.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Sleutelbos => "sleutelbos",
+            Self::BlueMahoe => "blue-mahoe",
+        }
+    }
+
+    /// Second number of its loopback addresses, if no other is given.
+    pub fn net(self) -> u8 {
+        match self {
+            Self::Sleutelbos => 11,
+            Self::BlueMahoe => 12,
+        }
+    }
+
+    /// Availability zones of its entries, one entry each.
+    pub fn entry_zones(self) -> &'static [&'static str] {
+        match self {
+            Self::Sleutelbos => &["gent-zaal-a", "mechelen-zaal", "brussel-noord"],
+            Self::BlueMahoe => &["halfway-tree", "harbour-st"],
+        }
+    }
+
+    fn texts(self) -> [&'static str; 2] {
+        match self {
+            Self::Sleutelbos => [
+                include_str!("../../../samples/sleutelbos/taalmodel-dossier.yaml"),
+                include_str!("../../../samples/sleutelbos/ledenportaal.yaml"),
+            ],
+            Self::BlueMahoe => [
+                include_str!("../../../samples/blue-mahoe/blend-llm.yaml"),
+                include_str!("../../../samples/blue-mahoe/shop-api.yaml"),
+            ],
+        }
+    }
+
+    /// Its documents' texts on a part of the loopback addresses: the service
+    /// with engines first, then the plain one.
+    pub fn documents(self, net: u8) -> [String; 2] {
+        let own = format!("127.{net}.");
+        self.texts().map(|t| SAMPLE_NETS.iter().fold(t.to_owned(), |t, s| t.replace(s, &own)))
+    }
+
+    /// Its documents.
+    pub fn docs(self, net: u8) -> [Doc; 2] {
+        self.documents(net).map(|t| Doc::parse(&t).expect("samples are valid; a test reads them"))
+    }
+}
+
+fn addr(net: u8, part: u8, number: u8, port: u16) -> SocketAddr {
+    SocketAddr::new(IpAddr::V4(Ipv4Addr::new(127, net, part, number)), port)
+}
+
+/// Where the entry of a number (from 0) listens.
+pub fn entry_addr(net: u8, number: usize) -> SocketAddr {
+    addr(net, 1, number as u8 + 1, MAIN_PORT)
+}
+
+/// Where the table service is.
+pub fn table_addr(net: u8) -> SocketAddr {
+    addr(net, 2, 1, PLATFORM_PORT)
+}
+
+/// Where the object store is.
+pub fn objects_addr(net: u8) -> SocketAddr {
+    addr(net, 2, 2, PLATFORM_PORT)
+}
+
+/// Where the host list is.
+pub fn hosts_addr(net: u8) -> SocketAddr {
+    addr(net, 2, 3, PLATFORM_PORT)
+}
+
+/// The admin address of the process at an address.
+pub fn admin_of(mut main: SocketAddr) -> SocketAddr {
+    main.set_port(ADMIN_PORT);
+    main
+}
+
+/// The upstream behind the agent at an address.
+pub fn upstream_of(mut agent: SocketAddr) -> SocketAddr {
+    agent.set_port(UPSTREAM_PORT);
+    agent
+}
--- /dev/null
+++ b/crates/bench/src/lib.rs
@@ -0,0 +1,13 @@
+//! What tests and the bench share: a whole system of real processes on loopback
+//! addresses with stand-ins around it, callers that check what they get, and a
+//! judge that compares the callers' histories with the stand-ins'.
+
+pub mod caller;
+pub mod demo;
+pub mod deploy;
+pub mod judge;
+pub mod load;
+pub mod mix;
+pub mod procs;
+pub mod site;
+pub mod up;
--- /dev/null
+++ b/crates/bench/src/procs.rs
@@ -0,0 +1,130 @@
+//! Processes of the system, started and ended by the bench.
+
+use std::fs::File;
+use std::io;
+use std::path::{Path, PathBuf};
+use std::process::{ExitStatus, Stdio};
+use std::time::Duration;
+use tokio::process::{Child, Command};
+
+/// Longest wait for a process that was told to stop.
+const STOP_BOUND: Duration = Duration::from_secs(90);
+
+/// A process that the bench started. It is killed when this is dropped.
+#[derive(Debug)]
+pub struct Proc {
+    /// Its name.
+    pub name: String,
+    child: Child,
+}
+
+/// What is sent to a process.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Signal {
+    /// Stop gracefully.
+    Term,
+    /// End at once.
+    Kill,
+    /// Pause.
+    Pause,
+    /// Go on after a pause.
+    Resume,
+}
+
+impl Proc {
+    /// Starts the binary's `command` with a settings file; its log goes beside it.
+    pub fn start(binary: &Path, command: &str, name: &str, settings: &Path) -> io::Result<Self> {
+        let log = File::options().create(true).append(true).open(settings.with_extension("log"))?;
+        let child = Command::new(binary)
+            .arg(command)
+            .arg("--settings")
+            .arg(settings)
+            .stdin(Stdio::null())
+            .stdout(Stdio::null())
+            .stderr(log)
+            .kill_on_drop(true)
+            .spawn()?;
+        Ok(Self { name: name.to_owned(), child })
+    }
+
+    /// The process's id, while it runs.
+    pub fn id(&self) -> Option<u32> {
+        self.child.id()
+    }
+
+    /// Sends a signal to the process, if it runs.
+    pub fn signal(&self, signal: Signal) {
+        let number = match signal {
+            Signal::Term => libc::SIGTERM,
+            Signal::Kill => libc::SIGKILL,
+            Signal::Pause => libc::SIGSTOP,
+            Signal::Resume => libc::SIGCONT,
+        };
+        if let Some(id) = self.child.id() {
+            // SAFETY: kill takes plain numbers; the id is of our own child, which
+            // has not been waited for, so it can't be another process's yet.
+            unsafe { libc::kill(id as libc::pid_t, number) };
+        }
+    }
+
+    /// Waits for the process to end.
+    pub async fn ended(&mut self) -> io::Result<ExitStatus> {
+        match tokio::time::timeout(STOP_BOUND, self.child.wait()).await {
+            Ok(status) => status,
+            Err(_) => Err(io::Error::other(format!("{} doesn't end", self.name))),
+        }
+    }
+
+    /// Kills the process and waits for its end.
+    pub async fn kill(&mut self) -> io::Result<ExitStatus> {
+        self.signal(Signal::Kill);
+        self.ended().await
+    }
+
+    /// Stops the process gracefully and waits for its end.
+    pub async fn stop(&mut self) -> io::Result<ExitStatus> {
+        self.signal(Signal::Term);
+        self.ended().await
+    }
+}
+
+/// Output of a command that has ended.
+#[derive(Debug, Clone)]
+pub struct Output {
+    /// The exit code.
+    pub code: Option<i32>,
+    /// What it printed.
+    pub stdout: String,
+    /// What it complained of.
+    pub stderr: String,
+}
+
+/// Runs one of the operators' commands to its end.
+pub async fn command(binary: &Path, args: &[&str]) -> io::Result<Output> {
+    let out = Command::new(binary).args(args).stdin(Stdio::null()).output().await?;
+    Ok(Output {
+        code: out.status.code(),
+        stdout: String::from_utf8_lossy(&out.stdout).into_owned(),
+        stderr: String::from_utf8_lossy(&out.stderr).into_owned(),
+    })
+}
+
+/// Builds the shipped binary as this bench was built, and gives its path.
+pub async fn build_binary() -> io::Result<PathBuf> {
+    let here = std::env::current_exe()?;
+    let dir = here.parent().ok_or_else(|| io::Error::other("no folder"))?;
+    let release = dir.file_name().is_some_and(|n| n == "release");
+    let cargo = std::env::var_os("CARGO").unwrap_or_else(|| "cargo".into());
+    let mut build = Command::new(cargo);
+    build.args(["build", "--quiet", "-p", "arbutusquay"]);
+    if release {
+        build.arg("--release");
+    }
+    let status = build.current_dir(env!("CARGO_MANIFEST_DIR")).status().await?;
+    let binary = dir.join("arbutusquay");
+    if status.success() && binary.exists() {
+        Ok(binary)
+    } else {
+        Err(io::Error::other("the shipped binary can't be built"))
+    }
+}
--- /dev/null
+++ b/crates/bench/src/site.rs
@@ -0,0 +1,332 @@
+//! A running deployment: stand-ins in this process, entries and agents as
+//! processes of their own.
+
+use crate::deploy::{
+    Deployment, admin_of, entry_addr, hosts_addr, objects_addr, table_addr, upstream_of,
+};
+use crate::procs::{Output, Proc, command};
+use conf::{Doc, Upstream};
+use fakes::Running;
+use fakes::engine::{EngineStandin, Rates};
+use fakes::hosts::HostsStandin;
+use fakes::objects::ObjectsStandin;
+use fakes::plain::PlainStandin;
+use fakes::table::TableStandin;
+use hyper::{Method, Request};
+use net::{Pool, empty};
+use std::io;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Longest wait for a process to become ready.
+const READY_BOUND: Duration = Duration::from_secs(60);
+/// Time between looks at whether it is.
+const READY_LOOK: Duration = Duration::from_millis(50);
+/// Longest wait for one answer about health.
+const CALL_BOUND: Duration = Duration::from_secs(2);
+/// Largest such answer.
+const MAX_ANSWER: usize = 1 << 20;
+
+/// How a site is set up.
+#[derive(Debug, Clone)]
+pub struct Options {
+    /// The shipped binary.
+    pub binary: PathBuf,
+    /// Second number of the loopback addresses.
+    pub net: u8,
+    /// Entries; at most one for each zone of the deployment that has one.
+    pub entries: usize,
+    /// Rates of the engines.
+    pub rates: Rates,
+    /// Time that a plain service takes for a call.
+    pub plain_work: Duration,
+    /// Lag of the host list.
+    pub host_lag: Duration,
+    /// The field `limits` of all settings, as YAML.
+    pub limits: String,
+}
+
+impl Options {
+    /// A deployment's usual set-up.
+    pub fn new(binary: PathBuf, deployment: Deployment) -> Self {
+        Self {
+            binary,
+            net: deployment.net(),
+            entries: deployment.entry_zones().len(),
+            rates: Rates { fencing: deployment == Deployment::Sleutelbos, ..Rates::default() },
+            plain_work: Duration::from_millis(3),
+            host_lag: Duration::from_millis(500),
+            limits: "{record_flush: 1s, doc_poll: 1s, linger: 500ms, lease: 3s}".to_owned(),
+        }
+    }
+}
+
+/// A stand-in upstream.
+#[derive(Debug)]
+pub enum UpstreamStandin {
+    /// A model engine.
+    Engine(Arc<EngineStandin>),
+    /// A plain service.
+    Plain(Arc<PlainStandin>),
+}
+
+/// An upstream with its agent.
+#[derive(Debug)]
+pub struct Worker {
+    /// The service.
+    pub service: String,
+    /// The upstream, as the document has it.
+    pub upstream: Upstream,
+    /// The stand-in.
+    pub standin: UpstreamStandin,
+    /// The agent's process.
+    pub agent: Proc,
+    settings: PathBuf,
+    _running: Running,
+}
+
+/// An entry.
+#[derive(Debug)]
+pub struct EntryProc {
+    /// Where it listens.
+    pub addr: SocketAddr,
+    /// The process.
+    pub process: Proc,
+    settings: PathBuf,
+}
+
+/// A running deployment.
+#[derive(Debug)]
+pub struct Site {
+    /// Which one.
+    pub deployment: Deployment,
+    /// Its documents.
+    pub docs: [Doc; 2],
+    /// The table service.
+    pub table: Arc<TableStandin>,
+    /// The object store.
+    pub objects: Arc<ObjectsStandin>,
+    /// The host list.
+    pub hosts: Arc<HostsStandin>,
+    /// The upstreams with their agents.
+    pub workers: Vec<Worker>,
+    /// The entries.
+    pub entries: Vec<EntryProc>,
+    options: Options,
+    dir: PathBuf,
+    _running: Vec<Running>,
+}
+
+impl Drop for Site {
+    fn drop(&mut self) {
+        // A folder that can't be removed is left for the system to clean.
+        let _ = std::fs::remove_dir_all(&self.dir);
+    }
+}
+
+impl Site {
+    /// Starts everything and waits until every process is ready.
+    pub async fn start(deployment: Deployment, options: Options) -> io::Result<Self> {
+        let net = options.net;
+        let dir = std::env::temp_dir().join(format!("arbutusquay-{}-{net}", std::process::id()));
+        std::fs::create_dir_all(&dir)?;
+        let table = Arc::<TableStandin>::default();
+        let objects = Arc::<ObjectsStandin>::default();
+        let hosts = Arc::new(HostsStandin::new(options.host_lag));
+        let running = vec![
+            fakes::start(table_addr(net), table.clone()).await?,
+            fakes::start(objects_addr(net), objects.clone()).await?,
+            fakes::start(hosts_addr(net), hosts.clone()).await?,
+        ];
+        let mut site = Self {
+            deployment,
+            docs: deployment.docs(net),
+            table,
+            objects,
+            hosts,
+            workers: Vec::new(),
+            entries: Vec::new(),
+            options,
+            dir,
+            _running: running,
+        };
+        site.start_entries()?;
+        site.apply_documents().await?;
+        site.start_workers().await?;
+        site.ready().await?;
+        Ok(site)
+    }
+
+    fn start_entries(&mut self) -> io::Result<()> {
+        let zones = self.deployment.entry_zones();
+        for (i, zone) in zones.iter().take(self.options.entries).enumerate() {
+            let addr = entry_addr(self.options.net, i);
+            let name = format!("entry-{}", i + 1);
+            let services = self.docs.each_ref().map(|d| d.service.clone()).join(", ");
+            let host = format!("{}-ingang-{}", self.deployment.name(), i + 1);
+            let settings = self.settings(&name, &host, zone, addr, &services, "")?;
+            let process = Proc::start(&self.options.binary, "entry", &name, &settings)?;
+            self.entries.push(EntryProc { addr, process, settings });
+        }
+        Ok(())
+    }
+
+    async fn apply_documents(&self) -> io::Result<()> {
+        for (doc, text) in self.docs.iter().zip(self.deployment.documents(self.options.net)) {
+            let out = self.apply(&doc.service, &text, 0).await?;
+            if out.code != Some(0) {
+                return Err(io::Error::other(format!("{}: {}", doc.service, out.stderr)));
+            }
+        }
+        Ok(())
+    }
+
+    /// Applies a document's text over a version.
+    pub async fn apply(&self, service: &str, text: &str, over: u64) -> io::Result<Output> {
+        let file = self.dir.join(format!("{service}.yaml"));
+        std::fs::write(&file, text)?;
+        let over = over.to_string();
+        self.command(&["apply", &file.to_string_lossy(), "--over", &over]).await
+    }
+
+    /// Runs an operators' command with the first entry's settings.
+    pub async fn command(&self, args: &[&str]) -> io::Result<Output> {
+        let settings = self.settings_file();
+        let settings = settings.to_string_lossy();
+        let mut all = args.to_vec();
+        all.extend(["--settings", &settings]);
+        command(&self.options.binary, &all).await
+    }
+
+    /// The first entry's settings file.
+    pub fn settings_file(&self) -> PathBuf {
+        self.entries.first().map_or_else(|| self.dir.clone(), |e| e.settings.clone())
+    }
+
+    async fn start_workers(&mut self) -> io::Result<()> {
+        for doc in self.docs.clone() {
+            for upstream in &doc.upstreams {
+                let worker = self.start_worker(&doc, upstream).await?;
+                self.workers.push(worker);
+            }
+        }
+        Ok(())
+    }
+
+    async fn start_worker(&self, doc: &Doc, upstream: &Upstream) -> io::Result<Worker> {
+        let addr = upstream_of(upstream.agent);
+        let (standin, running) = if doc.is_engine() {
+            let engine = EngineStandin::new(self.options.rates.clone());
+            (UpstreamStandin::Engine(engine.clone()), fakes::start(addr, engine).await?)
+        } else {
+            let plain = Arc::new(PlainStandin::new(self.options.plain_work));
+            (UpstreamStandin::Plain(plain.clone()), fakes::start(addr, plain).await?)
+        };
+        let name = format!("agent-{}", upstream.name);
+        let extra = format!("upstream: {{name: {}, address: {addr}}}\n", upstream.name);
+        let (host, zone) = (&upstream.host, &upstream.zone);
+        let settings =
+            self.settings(&name, host, zone, upstream.agent, &doc.service, &extra)?;
+        let agent = Proc::start(&self.options.binary, "agent", &name, &settings)?;
+        Ok(Worker {
+            service: doc.service.clone(),
+            upstream: upstream.clone(),
+            standin,
+            agent,
+            settings,
+            _running: running,
+        })
+    }
+
+    fn settings(
+        &self,
+        name: &str,
+        host: &str,
+        zone: &str,
+        addr: SocketAddr,
+        services: &str,
+        extra: &str,
+    ) -> io::Result<PathBuf> {
+        let net = self.options.net;
+        let (table, objects, hosts) = (table_addr(net), objects_addr(net), hosts_addr(net));
+        let admin = admin_of(addr);
+        let text = format!(
+            "name: {name}\nhost: {host}\nzone: {zone}\nlisten: {addr}\nadmin: {admin}\n\
+             platform: {{table: {table}, objects: {objects}, hosts: {hosts}, timeout: 2s}}\n\
+             services: [{services}]\n{extra}limits: {}\n",
+            self.options.limits
+        );
+        let path = self.dir.join(format!("{name}.yaml"));
+        std::fs::write(&path, text)?;
+        Ok(path)
+    }
+
+    /// Waits until every process is ready.
+    pub async fn ready(&self) -> io::Result<()> {
+        for e in &self.entries {
+            ready(admin_of(e.addr), &e.process.name).await?;
+        }
+        for w in &self.workers {
+            ready(admin_of(w.upstream.agent), &w.agent.name).await?;
+        }
+        Ok(())
+    }
+
+    /// Starts a worker's agent anew, after the one before has ended.
+    pub fn restart_agent(&mut self, at: usize) -> io::Result<()> {
+        let w = &mut self.workers[at];
+        w.agent = Proc::start(&self.options.binary, "agent", &w.agent.name, &w.settings)?;
+        Ok(())
+    }
+
+    /// Starts an entry anew, after the one before has ended.
+    pub fn restart_entry(&mut self, at: usize) -> io::Result<()> {
+        let e = &mut self.entries[at];
+        e.process = Proc::start(&self.options.binary, "entry", &e.process.name, &e.settings)?;
+        Ok(())
+    }
+
+    /// Stops all processes gracefully, entries first.
+    pub async fn stop(&mut self) -> io::Result<()> {
+        let mut all: Vec<&mut Proc> = self.entries.iter_mut().map(|e| &mut e.process).collect();
+        all.extend(self.workers.iter_mut().map(|w| &mut w.agent));
+        for p in &all {
+            p.signal(crate::procs::Signal::Term);
+        }
+        for p in all {
+            p.ended().await?;
+        }
+        Ok(())
+    }
+
+    /// Where the processes' settings and logs are.
+    pub fn dir(&self) -> &Path {
+        &self.dir
+    }
+
+    /// Addresses of the entries.
+    pub fn entry_addrs(&self) -> Vec<SocketAddr> {
+        self.entries.iter().map(|e| e.addr).collect()
+    }
+}
+
+/// Waits until a process says that it is ready.
+pub async fn ready(admin: SocketAddr, name: &str) -> io::Result<()> {
+    let pool = Pool::new(admin, CALL_BOUND);
+    let until = tokio::time::Instant::now() + READY_BOUND;
+    loop {
+        let req = Request::builder().method(Method::GET).uri("/health").header("host", "bench");
+        let req = req.body(empty()).map_err(io::Error::other)?;
+        if let Ok((status, _)) = pool.call(req, MAX_ANSWER, CALL_BOUND).await
+            && status.is_success()
+        {
+            return Ok(());
+        }
+        if tokio::time::Instant::now() >= until {
+            return Err(io::Error::other(format!("{name} isn't ready")));
+        }
+        tokio::time::sleep(READY_LOOK).await;
+    }
+}
--- a/crates/fakes/src/engine.rs
+++ b/crates/fakes/src/engine.rs
@@ -95,6 +95,11 @@
         this
     }
 
+    /// What the engine saw.
+    pub fn history(&self) -> EngineHistory {
+        self.lock().orders.history()
+    }
+
     fn lock(&self) -> MutexGuard<'_, Inner> {
         self.inner.lock().expect("no panic while locked")
     }
@@ -128,7 +133,8 @@
         if !inner.orders.serves(&body.model) {
             return status(StatusCode::CONFLICT);
         }
-        let Inner { batch, cache, .. } = &mut *inner;
+        let Inner { batch, cache, orders } = &mut *inner;
+        orders.note_run(&body.request_id);
         let answer = batch.add(body, cache);
         drop(inner);
         self.work.notify_one();
--- a/crates/fakes/src/engine/orders.rs
+++ b/crates/fakes/src/engine/orders.rs
@@ -30,6 +30,8 @@
 pub struct EngineHistory {
     /// Orders, in order of arrival.
     pub orders: Vec<OrderSeen>,
+    /// Ids of the completions that it took.
+    pub runs: Vec<String>,
 }
 
 /// The engine's state as far as orders change it.
@@ -81,6 +83,13 @@
         self.history.clone()
     }
 
+    /// Notes a completion that was taken.
+    pub fn note_run(&mut self, id: &str) {
+        if self.history.runs.len() < MAX_HISTORY {
+            self.history.runs.push(id.to_owned());
+        }
+    }
+
     /// Takes an order.
     pub fn take(
         &mut self,
--- a/crates/fakes/src/plain.rs
+++ b/crates/fakes/src/plain.rs
@@ -45,6 +45,11 @@
     pub fn new(work: Duration) -> Self {
         Self { gate: FaultGate::default(), work, runs: Mutex::default() }
     }
+
+    /// The runs so far, in order.
+    pub fn history(&self) -> Vec<Run> {
+        self.runs.lock().expect("no panic while locked").clone()
+    }
 }
 
 impl Standin for PlainStandin {
--- a/crates/fakes/src/table.rs
+++ b/crates/fakes/src/table.rs
@@ -41,6 +41,11 @@
 }
 
 impl TableStandin {
+    /// What the table service saw.
+    pub fn history(&self) -> History {
+        self.state.lock().expect("no panic while locked").history.clone()
+    }
+
     fn read(&self, keys: &[String]) -> Vec<Row> {
         let mut state = self.state.lock().expect("no panic while locked");
         state.history.reads += 1;
