--- a/crates/agent/src/admission.rs
+++ b/crates/agent/src/admission.rs
@@ -73,7 +73,9 @@
 impl Admission {
     /// Admission with no slots yet; the document sets them.
     pub fn new() -> Arc<Self> {
-        Arc::new(Self { inner: Mutex::new(Inner::default()) })
+        Arc::new(Self {
+            inner: Mutex::new(Inner::default()),
+        })
     }
 
     fn lock(&self) -> MutexGuard<'_, Inner> {
@@ -114,7 +116,10 @@
         let (tx, mut rx) = oneshot::channel();
         let now = Instant::now();
         let (id, grants) = self.lock().join(&ask, tx, now)?;
-        let _place = Place { admission: self.clone(), id };
+        let _place = Place {
+            admission: self.clone(),
+            id,
+        };
         self.clone().hand_out(grants);
         let left = ask.deadline.saturating_duration_since(now);
         match tokio::time::timeout(left, &mut rx).await {
@@ -135,7 +140,10 @@
     /// can't be sent is dropped here, which frees its slot for the next.
     fn hand_out(self: Arc<Self>, grants: Vec<Grant>) {
         for grant in grants {
-            let ticket = Ticket { admission: self.clone(), id: grant.id };
+            let ticket = Ticket {
+                admission: self.clone(),
+                id: grant.id,
+            };
             drop(grant.tx.send(Ok(ticket)));
         }
     }
--- a/crates/agent/src/admission/pick.rs
+++ b/crates/agent/src/admission/pick.rs
@@ -79,7 +79,12 @@
     }
     let rank = |w: &Waiter| {
         let class = &p.classes[w.class];
-        (w.urgency, f64::from(class.running) / class.share, p.tenants[w.tenant].given, w.id)
+        (
+            w.urgency,
+            f64::from(class.running) / class.share,
+            p.tenants[w.tenant].given,
+            w.id,
+        )
     };
     let best = candidates().min_by(|(_, a), (_, b)| {
         let (a, b) = (rank(a), rank(b));
--- a/crates/agent/src/admission/queue.rs
+++ b/crates/agent/src/admission/queue.rs
@@ -58,7 +58,10 @@
     pub fn close(&mut self, reason: Reason) -> Vec<Reply> {
         self.closed = Some(reason);
         let ids: Vec<u64> = self.waiters.iter().map(|w| w.id).collect();
-        ids.into_iter().filter_map(|id| self.remove(id)).map(|p| p.tx).collect()
+        ids.into_iter()
+            .filter_map(|id| self.remove(id))
+            .map(|p| p.tx)
+            .collect()
     }
 
     pub fn open(&mut self) {
@@ -75,10 +78,16 @@
         if (self.running.len() as u32) < self.slots && self.waiters.is_empty() {
             return 0.0;
         }
-        let left: f64 = self.running.iter().map(|a| ms_until(a.ends, now).max(0.0)).sum();
+        let left: f64 = self
+            .running
+            .iter()
+            .map(|a| ms_until(a.ends, now).max(0.0))
+            .sum();
         let ahead = self.waiters.iter().zip(&self.pending);
-        let ahead: f64 =
-            ahead.filter(|(w, _)| w.urgency <= urgency).map(|(_, p)| p.cost.total_ms).sum();
+        let ahead: f64 = ahead
+            .filter(|(w, _)| w.urgency <= urgency)
+            .map(|(_, p)| p.cost.total_ms)
+            .sum();
         (left + ahead) / f64::from(self.slots.max(1))
     }
 
@@ -118,7 +127,11 @@
             since: now,
             starvation_bound: ask.class.starvation_bound,
         });
-        self.pending.push(Pending { tx, cost: ask.cost, deadline: ask.deadline });
+        self.pending.push(Pending {
+            tx,
+            cost: ask.cost,
+            deadline: ask.deadline,
+        });
         Ok((id, self.dispatch(now)))
     }
 
@@ -169,7 +182,12 @@
 
     fn start(&mut self, w: &Waiter, p: &Pending, now: Instant) {
         let ends = now + std::time::Duration::from_secs_f64(p.cost.total_ms / 1000.0);
-        self.running.push(Active { id: w.id, class: w.class, tenant: w.tenant, ends });
+        self.running.push(Active {
+            id: w.id,
+            class: w.class,
+            tenant: w.tenant,
+            ends,
+        });
         self.classes[w.class].running += 1;
         let tenant = &mut self.tenants[w.tenant];
         tenant.running += 1;
@@ -187,7 +205,10 @@
     }
 
     fn class_waiting(&self, name: &str) -> u32 {
-        self.classes.iter().find(|c| c.name == name).map_or(0, |c| c.waiting)
+        self.classes
+            .iter()
+            .find(|c| c.name == name)
+            .map_or(0, |c| c.waiting)
     }
 
     fn tenant_is_full(&self, ask: &Ask<'_>) -> bool {
@@ -197,8 +218,17 @@
 
     fn class_place(&mut self, name: &str, share: f64) -> usize {
         let found = self.classes.iter().position(|c| c.name == name);
-        let free = || self.classes.iter().position(|c| c.waiting == 0 && c.running == 0);
-        let fresh = ClassUse { name: name.to_owned(), share, waiting: 0, running: 0 };
+        let free = || {
+            self.classes
+                .iter()
+                .position(|c| c.waiting == 0 && c.running == 0)
+        };
+        let fresh = ClassUse {
+            name: name.to_owned(),
+            share,
+            waiting: 0,
+            running: 0,
+        };
         match found.or_else(free) {
             Some(at) if self.classes[at].name == name => {
                 self.classes[at].share = share;
@@ -217,7 +247,11 @@
 
     fn tenant_place(&mut self, name: &str, limit: u32) -> usize {
         let found = self.tenants.iter().position(|t| t.name == name);
-        let free = || self.tenants.iter().position(|t| t.waiting == 0 && t.running == 0);
+        let free = || {
+            self.tenants
+                .iter()
+                .position(|t| t.waiting == 0 && t.running == 0)
+        };
         let clock = self.clock;
         match found.or_else(free) {
             Some(at) if self.tenants[at].name == name => {
@@ -231,7 +265,13 @@
             }
             place => {
                 let name = name.to_owned();
-                let fresh = TenantUse { name, waiting: 0, running: 0, limit, given: clock };
+                let fresh = TenantUse {
+                    name,
+                    waiting: 0,
+                    running: 0,
+                    limit,
+                    given: clock,
+                };
                 match place {
                     Some(at) => self.tenants[at] = fresh,
                     None => self.tenants.push(fresh),
--- a/crates/agent/src/claims.rs
+++ b/crates/agent/src/claims.rs
@@ -88,7 +88,10 @@
     {
         let (jobs, jobs_rx) = mpsc::channel(MAX_WAITING);
         let (after, after_rx) = mpsc::channel(MAX_AFTERWARDS);
-        let batcher = Batcher { table: table.clone(), after: after.clone() };
+        let batcher = Batcher {
+            table: table.clone(),
+            after: after.clone(),
+        };
         tokio::spawn(batcher.run(jobs_rx));
         tokio::spawn(batch::write_after(table, after_rx));
         Arc::new(Self { agent, jobs, after })
@@ -102,7 +105,12 @@
     /// Claims a key.
     pub async fn claim(&self, key: String, claim: Claim, clean: bool) -> Claimed {
         let (reply, rx) = oneshot::channel();
-        let job = Job { key, claim, clean, reply };
+        let job = Job {
+            key,
+            claim,
+            clean,
+            reply,
+        };
         if self.jobs.try_send(job).is_err() {
             return Claimed::Unavailable;
         }
--- a/crates/agent/src/claims/batch.rs
+++ b/crates/agent/src/claims/batch.rs
@@ -53,7 +53,9 @@
     async fn commit(&self, batch: Vec<Try>) -> Vec<Try> {
         let mut txn = Txn::new();
         for t in &batch {
-            txn = txn.check(&t.job.key, t.over).put(&t.job.key, encode(&t.job.claim));
+            txn = txn
+                .check(&t.job.key, t.over)
+                .put(&t.job.key, encode(&t.job.claim));
         }
         match self.table.commit(&txn).await {
             Ok(version) => {
@@ -102,7 +104,10 @@
     fn give_up(&self, t: Try) {
         let claim = t.job.claim.clone();
         let tenant = t.job.key.split('/').nth(2).unwrap_or("");
-        emit(&Event::ClaimGivenUp { request: claim.request.to_string(), tenant });
+        emit(&Event::ClaimGivenUp {
+            request: claim.request.to_string(),
+            tenant,
+        });
         let key = t.job.key.clone();
         // With no room the key stays held if the write took effect, which is safe.
         let _ = self.after.try_send(After::Release { key, claim });
@@ -113,7 +118,9 @@
 async fn gather(rx: &mut mpsc::Receiver<Job>, batch: &mut Vec<Try>) {
     let until = tokio::time::Instant::now() + GATHER;
     while batch.len() < MAX_BATCH {
-        let Ok(Some(job)) = tokio::time::timeout_at(until, rx.recv()).await else { return };
+        let Ok(Some(job)) = tokio::time::timeout_at(until, rx.recv()).await else {
+            return;
+        };
         batch.push(Try { job, over: 0 });
     }
 }
@@ -163,7 +170,9 @@
 
 /// What a row that is already there means for a job.
 fn judge(job: &Job, row: Option<&Row>) -> Judged {
-    let Some(row) = row else { return Judged::Free(0) };
+    let Some(row) = row else {
+        return Judged::Free(0);
+    };
     let Some(old) = decode::<Claim>(&row.value) else {
         return Judged::Taken(Claimed::InUse);
     };
@@ -178,9 +187,7 @@
         // An earlier try of the same request that came back as not run never
         // runs: its agent has given it up for good.
         ClaimState::Held
-            if job.clean
-                && old.request == job.claim.request
-                && old.attempt < job.claim.attempt =>
+            if job.clean && old.request == job.claim.request && old.attempt < job.claim.attempt =>
         {
             Judged::Free(row.version)
         }
@@ -189,7 +196,11 @@
 }
 
 fn won(t: Try, version: u64) {
-    let held = Held { key: t.job.key.clone(), version, claim: t.job.claim.clone() };
+    let held = Held {
+        key: t.job.key.clone(),
+        version,
+        claim: t.job.claim.clone(),
+    };
     answer(t, Claimed::Won(held));
 }
 
@@ -212,8 +223,13 @@
 }
 
 async fn close<T: Table>(table: &T, held: Held, state: ClaimState) {
-    let claim = Claim { state, ..held.claim };
-    let txn = Txn::new().check(&held.key, held.version).put(&held.key, encode(&claim));
+    let claim = Claim {
+        state,
+        ..held.claim
+    };
+    let txn = Txn::new()
+        .check(&held.key, held.version)
+        .put(&held.key, encode(&claim));
     let mut backoff = Backoff::new(RETRY_FIRST, RETRY_MOST);
     for _ in 0..CLOSE_TRIES {
         match table.commit(&txn).await {
@@ -229,7 +245,10 @@
 /// Marks a claim released that may or may not have been written, until it is
 /// certain that it is or never will be.
 async fn release<T: Table>(table: &T, key: &str, claim: Claim) {
-    let released = encode(&Claim { state: ClaimState::Released, ..claim.clone() });
+    let released = encode(&Claim {
+        state: ClaimState::Released,
+        ..claim.clone()
+    });
     let mut backoff = Backoff::new(RETRY_FIRST, RETRY_MOST);
     let mut over = 0;
     loop {
--- a/crates/agent/src/complete.rs
+++ b/crates/agent/src/complete.rs
@@ -44,7 +44,9 @@
         let first_ms = (first.saturating_sub(t.times.queue)).as_secs_f64() * 1000.0;
         let total_ms = begun.elapsed().as_secs_f64() * 1000.0;
         t.agent.prefixes.add(&hashes);
-        t.agent.rates.learn_read(c.prompt.len().saturating_sub(cached), first_ms);
+        t.agent
+            .rates
+            .learn_read(c.prompt.len().saturating_sub(cached), first_ms);
         if let End::Answered(count) = end {
             let written = (count as u32).saturating_sub(c.resume_from + 1);
             t.agent.rates.learn_write(written, total_ms - first_ms);
@@ -80,5 +82,9 @@
 
 fn bad_answer(t: &Try<'_>, why: String) {
     let request = t.leg.request.to_string();
-    emit(&Event::BadAnswer { request, upstream: &t.agent.upstream, why });
+    emit(&Event::BadAnswer {
+        request,
+        upstream: &t.agent.upstream,
+        why,
+    });
 }
--- a/crates/agent/src/frames.rs
+++ b/crates/agent/src/frames.rs
@@ -15,12 +15,20 @@
 impl Frames {
     /// Frames for a request on a body.
     pub fn new(tx: BodySender, request: RequestId) -> Self {
-        Self { tx, request, next: 0 }
+        Self {
+            tx,
+            request,
+            next: 0,
+        }
     }
 
     /// Sends a frame, waiting while the entry is behind.
     pub async fn send(&mut self, part: Part) -> Result<(), Gone> {
-        let frame = Frame { request: self.request, index: self.next, part };
+        let frame = Frame {
+            request: self.request,
+            index: self.next,
+            part,
+        };
         self.next += 1;
         self.tx.send(frame.encode()).await
     }
--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -36,7 +36,10 @@
         return Err(StartError::Settings("an agent serves exactly one service"));
     };
     let (tx, want) = watch::channel(Vec::new());
-    let also = AlsoRows { keys: vec![want_key(service, &upstream.name)], tx };
+    let also = AlsoRows {
+        keys: vec![want_key(service, &upstream.name)],
+        tx,
+    };
     let service = service.clone();
     // Bound before anything else: while this process lives, paused or not, no
     // second agent for this upstream can get past this line.
@@ -47,7 +50,10 @@
     let ready = agent.clone();
     node.serve_admin(move || ready.is_ready())?;
     let admin = node.settings.admin.to_string();
-    emit(&Event::Started { listen: addr.to_string(), admin });
+    emit(&Event::Started {
+        listen: addr.to_string(),
+        admin,
+    });
     tokio::spawn(node.clone().stop_when_leaving());
     tokio::spawn(orders::tend(agent.clone(), want));
     let serving = Stop::default();
@@ -69,7 +75,9 @@
 
 /// Takes no new work, lets running requests end, then lets the server end.
 async fn drain(agent: &Arc<Agent>, serving: &Stop) {
-    emit(&Event::Stopping { why: "signal or leaving host" });
+    emit(&Event::Stopping {
+        why: "signal or leaving host",
+    });
     agent.leave();
     let bound = agent.node.settings.limits.drain_bound;
     let unfinished = agent.node.drained(bound).await;
--- a/crates/agent/src/orders.rs
+++ b/crates/agent/src/orders.rs
@@ -91,7 +91,12 @@
     }
     // Nothing is cut off: what runs ends first. Past the bound the change waits
     // for the next look, and the engine still takes nothing new.
-    set(agent, false, None, Some(format!("draining for order {}", want.order)));
+    set(
+        agent,
+        false,
+        None,
+        Some(format!("draining for order {}", want.order)),
+    );
     if !drained(agent, doc.doc.drain_bound).await {
         unusable(agent, "requests still run past the drain bound".into());
         return;
@@ -100,7 +105,10 @@
     if let Err(why) = change(agent, &want).await {
         unusable(agent, why);
     } else {
-        emit(&Event::OrderDone { upstream: &agent.upstream, order: want.order });
+        emit(&Event::OrderDone {
+            upstream: &agent.upstream,
+            order: want.order,
+        });
     }
 }
 
@@ -117,11 +125,22 @@
         model: want.model.clone(),
         model_version: want.model_version,
     };
-    emit(&Event::OrderGiven { upstream: &agent.upstream, order: want.order });
+    emit(&Event::OrderGiven {
+        upstream: &agent.upstream,
+        order: want.order,
+    });
     agent.prefixes.clear();
-    agent.engine.order(&order).await.map_err(|e| e.to_string())?;
+    agent
+        .engine
+        .order(&order)
+        .await
+        .map_err(|e| e.to_string())?;
     let state = quiet(agent).await?;
-    if is_as_wanted(&state, want) { Ok(()) } else { Err("engine isn't as ordered".into()) }
+    if is_as_wanted(&state, want) {
+        Ok(())
+    } else {
+        Err("engine isn't as ordered".into())
+    }
 }
 
 fn is_as_wanted(state: &EngineState, want: &Want) -> bool {
@@ -159,14 +178,19 @@
 
 async fn read_events(agent: &Agent, after: u64) -> u64 {
     // Without events the agent's own view of the cache stands.
-    let Ok(events) = agent.engine.cache_events(after).await else { return after };
+    let Ok(events) = agent.engine.cache_events(after).await else {
+        return after;
+    };
     agent.prefixes.apply(&events);
     events.last
 }
 
 fn unusable(agent: &Agent, why: String) {
     if agent.upstream_state().fault.as_ref() != Some(&why) {
-        emit(&Event::UpstreamBroken { upstream: &agent.upstream, why: why.clone() });
+        emit(&Event::UpstreamBroken {
+            upstream: &agent.upstream,
+            why: why.clone(),
+        });
     }
     set(agent, false, None, Some(why));
 }
@@ -175,9 +199,7 @@
     agent.set_upstream(UpstreamState {
         usable,
         role: state.map_or(Role::Mixed, |s| s.role),
-        model: state.and_then(|s| {
-            s.model.as_ref().map(|m| format!("{m}@{}", s.model_version))
-        }),
+        model: state.and_then(|s| s.model.as_ref().map(|m| format!("{m}@{}", s.model_version))),
         fault,
     });
 }
--- a/crates/agent/src/peer.rs
+++ b/crates/agent/src/peer.rs
@@ -10,8 +10,8 @@
 use net::{Body, empty, full, stream};
 use std::sync::Arc;
 use wire::{
-    Call, DocText, Leg, PATH_DOC, PATH_NUDGE, PATH_PROBE, PATH_RUN, PATH_STATUS, Probe, ProbeAnswer,
-    decode, encode, encode_compact,
+    Call, DocText, Leg, PATH_DOC, PATH_NUDGE, PATH_PROBE, PATH_RUN, PATH_STATUS, Probe,
+    ProbeAnswer, decode, encode, encode_compact,
 };
 
 /// Frames that an entry may be behind before the upstream waits for it.
@@ -61,10 +61,15 @@
 /// Expected time to the first byte of the answer to what the probe is about.
 fn expected_ms(agent: &Agent, p: &Probe) -> u64 {
     let Some(doc) = agent.doc() else { return 0 };
-    let Some(id) = doc.doc.class_named(&p.class) else { return 0 };
+    let Some(id) = doc.doc.class_named(&p.class) else {
+        return 0;
+    };
     let class = doc.doc.class(id);
     let cost: Cost = if doc.doc.is_engine() {
-        let cached = agent.prefixes.cached(&p.prefixes).min(p.prompt_len as usize);
+        let cached = agent
+            .prefixes
+            .cached(&p.prefixes)
+            .min(p.prompt_len as usize);
         agent.rates.completion(p.prompt_len as usize - cached, 0)
     } else {
         agent.rates.plain(&class.name)
--- a/crates/agent/src/plain.rs
+++ b/crates/agent/src/plain.rs
@@ -44,11 +44,29 @@
         };
     }
     let key = claim_key(&t.leg.service, &t.leg.tenant, &row_key(t, call));
-    match t.agent.claims.claim(key, new_claim(t, call), t.leg.clean).await {
+    match t
+        .agent
+        .claims
+        .claim(key, new_claim(t, call), t.leg.clean)
+        .await
+    {
         Claimed::Won(held) => run_once(t, call, held).await,
         Claimed::Kept(kept) => {
-            let KeptAnswer { status, content_type, body } = kept;
-            give(t, &Whole { status, content_type, body: Bytes::from(body) }, true).await
+            let KeptAnswer {
+                status,
+                content_type,
+                body,
+            } = kept;
+            give(
+                t,
+                &Whole {
+                    status,
+                    content_type,
+                    body: Bytes::from(body),
+                },
+                true,
+            )
+            .await
         }
         Claimed::InUse => End::Refused(Refusal::unknown(Reason::KeyInUse)),
         Claimed::OtherCall => End::Refused(Refusal::not_run(Reason::BadRequest)),
@@ -126,18 +144,31 @@
         Ok(whole) => whole?,
         Err(_) => return Err(CallError::MaybeSent("no answer in time".into())),
     };
-    t.agent.rates.learn_plain(&t.class.name, begun.elapsed().as_secs_f64() * 1000.0);
+    t.agent
+        .rates
+        .learn_plain(&t.class.name, begun.elapsed().as_secs_f64() * 1000.0);
     Ok(whole)
 }
 
 async fn read(mut answer: Answer, limit: usize) -> Result<Whole, CallError> {
     let head = &answer.response;
     let status = head.status().as_u16();
-    let content_type = head.headers().get(CONTENT_TYPE).and_then(|v| v.to_str().ok());
+    let content_type = head
+        .headers()
+        .get(CONTENT_TYPE)
+        .and_then(|v| v.to_str().ok());
     let content_type = content_type.map(str::to_owned);
-    let body = Limited::new(answer.response.body_mut(), limit).collect().await;
-    let body = body.map_err(|e| CallError::MaybeSent(e.to_string()))?.to_bytes();
-    Ok(Whole { status, content_type, body })
+    let body = Limited::new(answer.response.body_mut(), limit)
+        .collect()
+        .await;
+    let body = body
+        .map_err(|e| CallError::MaybeSent(e.to_string()))?
+        .to_bytes();
+    Ok(Whole {
+        status,
+        content_type,
+        body,
+    })
 }
 
 fn request(t: &Try<'_>, call: &PlainCall) -> Option<Request<Body>> {
@@ -161,7 +192,11 @@
 async fn give(t: &mut Try<'_>, whole: &Whole, kept: bool) -> End {
     t.first_byte();
     let content_type = whole.content_type.clone();
-    let head = Part::Head { status: whole.status, content_type, kept };
+    let head = Part::Head {
+        status: whole.status,
+        content_type,
+        kept,
+    };
     if t.frames.send(head).await.is_err() {
         return End::Gone;
     }
@@ -175,5 +210,9 @@
 
 fn bad_answer(t: &Try<'_>, why: String) {
     let request = t.leg.request.to_string();
-    emit(&Event::BadAnswer { request, upstream: &t.agent.upstream, why });
+    emit(&Event::BadAnswer {
+        request,
+        upstream: &t.agent.upstream,
+        why,
+    });
 }
--- a/crates/agent/src/prefixes.rs
+++ b/crates/agent/src/prefixes.rs
@@ -22,7 +22,10 @@
     /// Bytes at a prompt's beginning that are likely cached.
     pub fn cached(&self, hashes: &[u64]) -> usize {
         let known = self.known.lock().expect("no panic while locked");
-        hashes.iter().rposition(|h| known.contains(h)).map_or(0, prefix::length_at)
+        hashes
+            .iter()
+            .rposition(|h| known.contains(h))
+            .map_or(0, prefix::length_at)
     }
 
     /// Notes a prompt that the engine has read.
--- a/crates/agent/src/rates.rs
+++ b/crates/agent/src/rates.rs
@@ -67,15 +67,23 @@
     pub fn completion(&self, read: usize, tokens: u32) -> Cost {
         let l = self.learned.lock().expect("no panic while locked");
         let first_ms = l.read_ms_per_byte.get() * read as f64;
-        Cost { first_ms, total_ms: first_ms + l.ms_per_token.get() * f64::from(tokens) }
+        Cost {
+            first_ms,
+            total_ms: first_ms + l.ms_per_token.get() * f64::from(tokens),
+        }
     }
 
     /// Expected cost of a plain call of a class.
     pub fn plain(&self, class: &str) -> Cost {
         let l = self.learned.lock().expect("no panic while locked");
-        let at = l.plain.binary_search_by(|(name, _)| name.as_str().cmp(class));
+        let at = l
+            .plain
+            .binary_search_by(|(name, _)| name.as_str().cmp(class));
         let ms = at.map_or(0.0, |i| l.plain[i].1.get());
-        Cost { first_ms: ms, total_ms: ms }
+        Cost {
+            first_ms: ms,
+            total_ms: ms,
+        }
     }
 
     /// Learns from a prompt of so many uncached bytes that took so long to read.
@@ -96,7 +104,10 @@
     /// Learns from a plain call of a class.
     pub fn learn_plain(&self, class: &str, ms: f64) {
         let mut l = self.learned.lock().expect("no panic while locked");
-        match l.plain.binary_search_by(|(name, _)| name.as_str().cmp(class)) {
+        match l
+            .plain
+            .binary_search_by(|(name, _)| name.as_str().cmp(class))
+        {
             Ok(i) => l.plain[i].1.add(ms),
             Err(i) => {
                 let mut mean = Mean::default();
--- a/crates/agent/src/run.rs
+++ b/crates/agent/src/run.rs
@@ -76,7 +76,15 @@
             Some(id) => {
                 let class = doc.doc.class(id);
                 let (doc, frames, times) = (&doc, &mut frames, &mut times);
-                let t = Try { agent: &agent, leg: &leg, doc, class, frames, times, since };
+                let t = Try {
+                    agent: &agent,
+                    leg: &leg,
+                    doc,
+                    class,
+                    frames,
+                    times,
+                    since,
+                };
                 admit_and_run(t, call).await
             }
             None => End::Refused(Refusal::not_run(Reason::UnknownClass)),
@@ -142,7 +150,10 @@
 
 async fn admit(t: &Try<'_>, call: &Call) -> Result<Ticket, Refusal> {
     let cached = match call {
-        Call::Completion(c) => t.agent.prefixes.cached(&prefix::hashes(c.prompt.as_bytes())),
+        Call::Completion(c) => t
+            .agent
+            .prefixes
+            .cached(&prefix::hashes(c.prompt.as_bytes())),
         Call::Plain(_) => 0,
     };
     let ask = Ask {
@@ -174,7 +185,11 @@
         End::Broken => (Outcome::Unknown, Some(Reason::UpstreamBroken), 0),
         End::Gone => (Outcome::Unknown, Some(Reason::CallerGone), 0),
     };
-    let who = Labels { service: &leg.service, class: &leg.class, tenant: &leg.tenant };
+    let who = Labels {
+        service: &leg.service,
+        class: &leg.class,
+        tenant: &leg.tenant,
+    };
     let metrics = &agent.node.metrics;
     let reason_text = reason.map(|r| r.to_string()).unwrap_or_default();
     metrics.count(who, &outcome.to_string(), &reason_text);
--- a/crates/agent/src/state.rs
+++ b/crates/agent/src/state.rs
@@ -57,7 +57,12 @@
     pub fn new(node: Arc<Node>, service: String, upstream: &UpstreamSettings) -> Arc<Self> {
         let timeout = node.settings.platform.timeout;
         let claims = Claims::start(node.platform.clone(), node.id.clone());
-        let state = UpstreamState { usable: false, role: Role::Mixed, model: None, fault: None };
+        let state = UpstreamState {
+            usable: false,
+            role: Role::Mixed,
+            model: None,
+            fault: None,
+        };
         Arc::new(Self {
             engine: Client::new(upstream.address, timeout),
             plain: Pool::new(upstream.address, timeout),
@@ -96,7 +101,10 @@
 
     /// The upstream as last seen.
     pub fn upstream_state(&self) -> UpstreamState {
-        self.upstream_state.lock().expect("no panic while locked").clone()
+        self.upstream_state
+            .lock()
+            .expect("no panic while locked")
+            .clone()
     }
 
     /// Notes how the upstream stands, and opens or closes admission with it.
@@ -120,8 +128,16 @@
             return AgentState::Leaving;
         }
         let in_doc = self.doc().is_some_and(|d| self.me(&d.doc).is_some());
-        let usable = self.upstream_state.lock().expect("no panic while locked").usable;
-        if in_doc && usable { AgentState::Ready } else { AgentState::Starting }
+        let usable = self
+            .upstream_state
+            .lock()
+            .expect("no panic while locked")
+            .usable;
+        if in_doc && usable {
+            AgentState::Ready
+        } else {
+            AgentState::Starting
+        }
     }
 
     /// Whether it takes work.
--- /dev/null
+++ b/crates/agent/tests/claims.rs
@@ -0,0 +1,245 @@
+//! Claims: exactly one runner for a key, whatever the table service does.
+
+use agent::claims::{Claimed, Claims};
+use fakes::serve::Standin;
+use fakes::table::TableStandin;
+use fakes::{Faults, Running, start};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use store::rows::{Claim, ClaimState, KeptAnswer, decode};
+use store::{HttpPlatform, Table};
+use wire::RequestId;
+
+const TIMEOUT: Duration = Duration::from_millis(300);
+const BOUND: Duration = Duration::from_secs(30);
+const KEY: &str = "claim/s/t/key/k";
+
+struct Bed {
+    table: Arc<TableStandin>,
+    platform: HttpPlatform,
+    _running: Running,
+}
+
+async fn bed() -> Bed {
+    let table = Arc::<TableStandin>::default();
+    let any: SocketAddr = "127.0.0.1:0".parse().unwrap();
+    let running = start(any, table.clone()).await.unwrap();
+    let (t, o, h) = (running.addr, running.addr, running.addr);
+    let platform = conf::Platform {
+        table: t,
+        objects: o,
+        hosts: h,
+        timeout: TIMEOUT,
+    };
+    Bed {
+        table,
+        platform: HttpPlatform::new(&platform),
+        _running: running,
+    }
+}
+
+fn claim(request: u128, attempt: u32, agent: &str) -> Claim {
+    Claim {
+        request: RequestId(request),
+        attempt,
+        agent: agent.to_owned(),
+        digest: 1,
+        state: ClaimState::Held,
+        made_ms: 0,
+    }
+}
+
+async fn row(bed: &Bed, key: &str) -> Option<Claim> {
+    let rows = bed.platform.read(vec![key.to_owned()]).await.unwrap();
+    rows.first().and_then(|r| decode(&r.value))
+}
+
+async fn until_state(bed: &Bed, key: &str, want: impl Fn(&Option<Claim>) -> bool) {
+    let wait = async {
+        while !want(&row(bed, key).await) {
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+    };
+    tokio::time::timeout(BOUND, wait)
+        .await
+        .expect("the row gets there");
+}
+
+#[tokio::test]
+async fn of_many_that_race_for_a_key_one_wins() {
+    let bed = bed().await;
+    let agents: Vec<_> = (0..4)
+        .map(|i| Claims::start(bed.platform.clone(), format!("a{i}")))
+        .collect();
+    let mut tasks = Vec::new();
+    for n in 0..40u128 {
+        let agent = agents[n as usize % agents.len()].clone();
+        let key = format!("claim/s/t/key/{}", n % 5);
+        tasks.push(tokio::spawn(async move {
+            agent.claim(key, claim(n, 1, "a"), true).await
+        }));
+    }
+    let mut won = Vec::new();
+    for t in tasks {
+        match t.await.unwrap() {
+            Claimed::Won(held) => won.push(held.key),
+            Claimed::InUse => {}
+            other => panic!("{other:?}"),
+        }
+    }
+    won.sort();
+    assert_eq!(won.len(), 5);
+    won.dedup();
+    assert_eq!(won.len(), 5);
+}
+
+#[tokio::test]
+async fn a_kept_answer_is_given_to_a_repeat_through_any_agent() {
+    let bed = bed().await;
+    let (a, b) = (
+        Claims::start(bed.platform.clone(), "a".into()),
+        Claims::start(bed.platform.clone(), "b".into()),
+    );
+    let Claimed::Won(held) = a.claim(KEY.into(), claim(1, 1, "a"), true).await else {
+        panic!()
+    };
+    let kept = KeptAnswer {
+        status: 200,
+        content_type: None,
+        body: "done".into(),
+    };
+    a.close(held, ClaimState::Answered(kept.clone()));
+    a.settled(BOUND).await;
+    assert_eq!(
+        b.claim(KEY.into(), claim(2, 1, "b"), true).await,
+        Claimed::Kept(kept)
+    );
+    let other = Claim {
+        digest: 2,
+        ..claim(3, 1, "b")
+    };
+    assert_eq!(b.claim(KEY.into(), other, true).await, Claimed::OtherCall);
+}
+
+#[tokio::test]
+async fn a_write_whose_answer_is_lost_is_settled_by_reading_back() {
+    let bed = bed().await;
+    let a = Claims::start(bed.platform.clone(), "a".into());
+    bed.table.gate().set(Faults {
+        lose_answers: 1,
+        ..Faults::default()
+    });
+    let got = a.claim(KEY.into(), claim(1, 1, "a"), true).await;
+    assert!(matches!(got, Claimed::Won(_)), "{got:?}");
+}
+
+#[tokio::test]
+async fn while_the_table_is_down_nothing_is_claimed_and_the_key_stays_free() {
+    let bed = bed().await;
+    let a = Claims::start(bed.platform.clone(), "a".into());
+    bed.table.gate().set(Faults {
+        down: true,
+        ..Faults::default()
+    });
+    assert_eq!(
+        a.claim(KEY.into(), claim(1, 1, "a"), true).await,
+        Claimed::Unavailable
+    );
+    bed.table.gate().set(Faults::default());
+    assert!(matches!(
+        a.claim(KEY.into(), claim(2, 1, "a"), true).await,
+        Claimed::Won(_)
+    ));
+}
+
+/// The write takes effect, its answer is lost, and the table stays cut off: the
+/// claim is given up, and later released so that the key can be used again.
+#[tokio::test]
+async fn a_claim_that_was_given_up_is_released() {
+    let bed = bed().await;
+    let a = Claims::start(bed.platform.clone(), "a".into());
+    bed.table.gate().set(Faults {
+        lose_answers: 100,
+        ..Faults::default()
+    });
+    assert_eq!(
+        a.claim(KEY.into(), claim(1, 1, "a"), true).await,
+        Claimed::Unavailable
+    );
+    bed.table.gate().set(Faults::default());
+    until_state(&bed, KEY, |c| {
+        c.as_ref().is_some_and(|c| c.state == ClaimState::Released)
+    })
+    .await;
+    assert!(matches!(
+        a.claim(KEY.into(), claim(2, 1, "a"), true).await,
+        Claimed::Won(_)
+    ));
+}
+
+/// The write hangs and takes effect only after it was given up: the release has
+/// shut it out, or has found it.
+#[tokio::test]
+async fn a_claim_written_after_it_was_given_up_never_blocks_the_key() {
+    let bed = bed().await;
+    let a = Claims::start(bed.platform.clone(), "a".into());
+    bed.table.gate().set(Faults {
+        hang: true,
+        ..Faults::default()
+    });
+    assert_eq!(
+        a.claim(KEY.into(), claim(1, 1, "a"), true).await,
+        Claimed::Unavailable
+    );
+    bed.table.gate().set(Faults::default());
+    until_state(&bed, KEY, |c| {
+        c.as_ref().is_some_and(|c| c.state == ClaimState::Released)
+    })
+    .await;
+}
+
+#[tokio::test]
+async fn a_later_try_takes_over_only_if_all_before_were_not_run() {
+    let bed = bed().await;
+    let (a, b) = (
+        Claims::start(bed.platform.clone(), "a".into()),
+        Claims::start(bed.platform.clone(), "b".into()),
+    );
+    assert!(matches!(
+        a.claim(KEY.into(), claim(1, 1, "a"), true).await,
+        Claimed::Won(_)
+    ));
+    assert_eq!(
+        b.claim(KEY.into(), claim(1, 2, "b"), false).await,
+        Claimed::InUse
+    );
+    assert!(matches!(
+        b.claim(KEY.into(), claim(1, 2, "b"), true).await,
+        Claimed::Won(_)
+    ));
+    assert_eq!(
+        a.claim(KEY.into(), claim(1, 1, "a"), true).await,
+        Claimed::InUse
+    );
+}
+
+#[tokio::test]
+async fn many_claims_share_few_transactions() {
+    let bed = bed().await;
+    let a = Claims::start(bed.platform.clone(), "a".into());
+    let tasks: Vec<_> = (0..100u128)
+        .map(|n| {
+            let a = a.clone();
+            tokio::spawn(async move {
+                a.claim(format!("claim/s/t/key/{n}"), claim(n, 1, "a"), true)
+                    .await
+            })
+        })
+        .collect();
+    for t in tasks {
+        assert!(matches!(t.await.unwrap(), Claimed::Won(_)));
+    }
+    let commits = bed.table.history().commits;
+    assert!(commits <= 20, "{commits} transactions for 100 claims");
+}
--- a/crates/arbutusquay/src/args.rs
+++ b/crates/arbutusquay/src/args.rs
@@ -128,11 +128,17 @@
     let rest: Vec<&str> = args.iter().skip(1).map(String::as_str).collect();
     match Args::from_args(&["arbutusquay"], &rest) {
         Ok(args) => Ok(args),
-        Err(EarlyExit { output, status: Ok(()) }) => {
+        Err(EarlyExit {
+            output,
+            status: Ok(()),
+        }) => {
             println!("{output}");
             Err(Exit::Done)
         }
-        Err(EarlyExit { output, status: Err(()) }) => {
+        Err(EarlyExit {
+            output,
+            status: Err(()),
+        }) => {
             eprintln!("{output}");
             Err(Exit::Usage)
         }
--- a/crates/arbutusquay/src/commands/apply.rs
+++ b/crates/arbutusquay/src/commands/apply.rs
@@ -89,12 +89,18 @@
 async fn settle(table: &HttpPlatform, service: &str, txn: &Txn, over: u64, why: &str) -> Exit {
     for _ in 0..LOOKS {
         tokio::time::sleep(PAUSE).await;
-        let Ok(rows) = table.read(vec![doc_key(service)]).await else { continue };
+        let Ok(rows) = table.read(vec![doc_key(service)]).await else {
+            continue;
+        };
         match rows.first() {
             Some(row) if row.token == txn.token => return done(service, row.version),
             // Another version over the same one: ours can never come now.
             Some(row) if row.version != over => {
-                let text = txn.puts.first().and_then(|p| p.value.as_deref()).unwrap_or("");
+                let text = txn
+                    .puts
+                    .first()
+                    .and_then(|p| p.value.as_deref())
+                    .unwrap_or("");
                 return conflict(service, over, Some(row), text);
             }
             _ => {}
--- a/crates/arbutusquay/src/commands/check.rs
+++ b/crates/arbutusquay/src/commands/check.rs
@@ -18,7 +18,10 @@
                 Kind::Plain => "plain".to_owned(),
             };
             let (classes, ups) = (doc.classes.len(), doc.upstreams.len());
-            println!("{}: valid ({kind}, {classes} classes, {ups} upstreams)", doc.service);
+            println!(
+                "{}: valid ({kind}, {classes} classes, {ups} upstreams)",
+                doc.service
+            );
             Exit::Done
         }
         Err(faults) => {
--- a/crates/arbutusquay/src/commands/status.rs
+++ b/crates/arbutusquay/src/commands/status.rs
@@ -72,9 +72,17 @@
         services.push(service_status(&platform, service).await?);
     }
     // The list is another service of the platform; without it the rest stands.
-    let hosts = platform.hosts(0).await.ok().and_then(|l| l.hosts).unwrap_or_default();
+    let hosts = platform
+        .hosts(0)
+        .await
+        .ok()
+        .and_then(|l| l.hosts)
+        .unwrap_or_default();
     let leaving = hosts.into_iter().filter(|h| h.state == HostState::Leaving);
-    Ok(Status { services, leaving_hosts: leaving.map(|h| h.name).collect() })
+    Ok(Status {
+        services,
+        leaving_hosts: leaving.map(|h| h.name).collect(),
+    })
 }
 
 async fn service_status(table: &HttpPlatform, service: &str) -> Result<ServiceStatus, Error> {
@@ -99,8 +107,14 @@
 
 async fn upstreams(table: &HttpPlatform, doc: &Doc) -> Result<Vec<UpstreamStatus>, Error> {
     let key = |name: &str| want_key(&doc.service, name);
-    let wants = table.read(doc.upstreams.iter().map(|u| key(&u.name)).collect()).await?;
-    let asking: Vec<_> = doc.upstreams.iter().map(|u| tokio::spawn(ask(u.agent))).collect();
+    let wants = table
+        .read(doc.upstreams.iter().map(|u| key(&u.name)).collect())
+        .await?;
+    let asking: Vec<_> = doc
+        .upstreams
+        .iter()
+        .map(|u| tokio::spawn(ask(u.agent)))
+        .collect();
     let mut out = Vec::new();
     for (u, asked) in doc.upstreams.iter().zip(asking) {
         let want = |r: &&Row| r.key == key(&u.name);
@@ -116,7 +130,9 @@
 
 async fn ask(addr: std::net::SocketAddr) -> Option<AgentStatus> {
     let peer = Peer::new(addr, TIMEOUT);
-    let answer = peer.call(Method::GET, PATH_STATUS, Vec::new(), MAX_STATUS, TIMEOUT).await;
+    let answer = peer
+        .call(Method::GET, PATH_STATUS, Vec::new(), MAX_STATUS, TIMEOUT)
+        .await;
     wire::decode(&answer.ok()?.1)
 }
 
@@ -140,7 +156,9 @@
 impl fmt::Display for UpstreamStatus {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "{:<16} {:<14} ", self.name, self.zone)?;
-        let Some(a) = &self.agent else { return write!(f, "agent doesn't answer") };
+        let Some(a) = &self.agent else {
+            return write!(f, "agent doesn't answer");
+        };
         let state = match a.state {
             AgentState::Starting => "starting",
             AgentState::Ready => "ready",
@@ -148,7 +166,11 @@
         };
         let model = a.model.as_deref().unwrap_or("-");
         let role = format!("{:?}", a.role).to_lowercase();
-        write!(f, "{state:<9} {role:<8} {model:<18} document {:<6} ", a.doc_version)?;
+        write!(
+            f,
+            "{state:<9} {role:<8} {model:<18} document {:<6} ",
+            a.doc_version
+        )?;
         write!(f, "waiting {:<4} running {:<4}", a.waiting, a.running)?;
         if let Some(w) = &self.wanted {
             write!(f, " order {} ({})", w.order, w.why)?;
--- a/crates/arbutusquay/src/main.rs
+++ b/crates/arbutusquay/src/main.rs
@@ -15,7 +15,10 @@
         Ok(args) => args,
         Err(exit) => return exit.into(),
     };
-    let runtime = match tokio::runtime::Builder::new_multi_thread().enable_all().build() {
+    let runtime = match tokio::runtime::Builder::new_multi_thread()
+        .enable_all()
+        .build()
+    {
         Ok(runtime) => runtime,
         Err(e) => {
             eprintln!("can't start: {e}");
--- a/crates/bench/src/caller.rs
+++ b/crates/bench/src/caller.rs
@@ -103,13 +103,21 @@
 impl Caller {
     /// A caller of the entry at an address.
     pub fn new(addr: SocketAddr) -> Self {
-        Self { pool: Pool::new(addr, CONNECT) }
+        Self {
+            pool: Pool::new(addr, CONNECT),
+        }
     }
 
     /// Sends a request and waits for all that comes of it.
     pub async fn send(&self, ask: Ask) -> Sent {
         let since = Instant::now();
-        let mut sent = Sent { ask, id: None, got: Got::Truncated, first: None, gaps: Vec::new() };
+        let mut sent = Sent {
+            ask,
+            id: None,
+            got: Got::Truncated,
+            first: None,
+            gaps: Vec::new(),
+        };
         let whole = self.exchange(&mut sent, since);
         if tokio::time::timeout(PATIENCE, whole).await.is_err() {
             sent.got = Got::Nothing("no whole answer in time".into());
@@ -134,7 +142,10 @@
             sent.got = read_stream(&mut answer, sent, since).await;
             return;
         }
-        let kept = answer.response.headers().contains_key("idempotent-replayed");
+        let kept = answer
+            .response
+            .headers()
+            .contains_key("idempotent-replayed");
         match read_whole(&mut answer.response).await {
             Ok(body) => {
                 sent.first = Some(since.elapsed());
@@ -152,8 +163,17 @@
         .header("x-tenant", &ask.tenant)
         .header("x-class", ask.class);
     let (req, body) = match &ask.what {
-        What::Completion { prompt, tokens, chat, stream } => {
-            let form = if *chat { "/v1/chat/completions" } else { "/v1/completions" };
+        What::Completion {
+            prompt,
+            tokens,
+            chat,
+            stream,
+        } => {
+            let form = if *chat {
+                "/v1/chat/completions"
+            } else {
+                "/v1/completions"
+            };
             let mut body = serde_json::json!({"max_tokens": tokens, "stream": stream});
             if *chat {
                 body["messages"] = serde_json::json!([{"role": "user", "content": prompt}]);
@@ -161,9 +181,17 @@
                 body["prompt"] = serde_json::json!(prompt);
             }
             let req = req.method("POST").uri(format!("/{}{form}", ask.service));
-            (req.header("content-type", "application/json"), body.to_string())
+            (
+                req.header("content-type", "application/json"),
+                body.to_string(),
+            )
         }
-        What::Plain { method, path, body, key } => {
+        What::Plain {
+            method,
+            path,
+            body,
+            key,
+        } => {
             let mut req = req.method(*method).uri(format!("/{}{path}", ask.service));
             if let Some(key) = key {
                 req = req.header("idempotency-key", key);
@@ -176,13 +204,18 @@
 
 async fn read_whole(res: &mut Response<hyper::body::Incoming>) -> Result<Vec<u8>, String> {
     let body = http_body_util::Limited::new(res.body_mut(), MAX_ANSWER);
-    body.collect().await.map(|b| b.to_bytes().to_vec()).map_err(|e| e.to_string())
+    body.collect()
+        .await
+        .map(|b| b.to_bytes().to_vec())
+        .map_err(|e| e.to_string())
 }
 
 fn refused(body: &[u8]) -> Option<Got> {
     let r: Refusal = serde_json::from_slice(body).ok()?;
-    (!r.error.request_id.is_empty())
-        .then_some(Got::Refused { outcome: r.error.outcome, reason: r.error.reason })
+    (!r.error.request_id.is_empty()).then_some(Got::Refused {
+        outcome: r.error.outcome,
+        reason: r.error.reason,
+    })
 }
 
 fn judge_whole(ask: &Ask, status: StatusCode, body: &[u8], kept: bool) -> Got {
@@ -192,11 +225,18 @@
     }
     match &ask.what {
         What::Completion { .. } => {
-            let Ok(chunk) = serde_json::from_slice::<Chunk>(body) else { return Got::Truncated };
+            let Ok(chunk) = serde_json::from_slice::<Chunk>(body) else {
+                return Got::Truncated;
+            };
             let text: String = chunk.choices.into_iter().map(Choice::into_text).collect();
             judge_text(ask, &text)
         }
-        What::Plain { method, path, body: asked, .. } => {
+        What::Plain {
+            method,
+            path,
+            body: asked,
+            ..
+        } => {
             let Ok(got) = serde_json::from_slice::<PlainAnswer>(body) else {
                 return Got::Truncated;
             };
@@ -211,9 +251,21 @@
 
 /// Judges a completion's whole text.
 fn judge_text(ask: &Ask, text: &str) -> Got {
-    let What::Completion { prompt, tokens, chat, .. } = &ask.what else { return Got::Crossed };
+    let What::Completion {
+        prompt,
+        tokens,
+        chat,
+        ..
+    } = &ask.what
+    else {
+        return Got::Crossed;
+    };
     // The entry joins chat turns like this; the engine answers to the result.
-    let prompt = if *chat { format!("user: {prompt}\n") } else { prompt.clone() };
+    let prompt = if *chat {
+        format!("user: {prompt}\n")
+    } else {
+        prompt.clone()
+    };
     let expected = answer::completion(&prompt, *tokens);
     if text == expected {
         Got::Whole { kept: false }
--- a/crates/bench/src/demo.rs
+++ b/crates/bench/src/demo.rs
@@ -35,7 +35,11 @@
 
 async fn one(deployment: Deployment, options: Options) -> io::Result<Verdict> {
     let mut site = Site::start(deployment, options).await?;
-    println!("{}: {} processes ready", deployment.name(), site.workers.len() + site.entries.len());
+    println!(
+        "{}: {} processes ready",
+        deployment.name(),
+        site.workers.len() + site.entries.len()
+    );
     let callers = tokio::spawn(load(deployment, site.entry_addrs(), RATE, LENGTH, SEED));
     disturb(&mut site).await?;
     let sent = callers.await.map_err(io::Error::other)?;
@@ -50,8 +54,12 @@
 /// Kills an agent and starts it again, and drains another.
 async fn disturb(site: &mut Site) -> io::Result<()> {
     let engine = |w: &crate::site::Worker| matches!(w.standin, UpstreamStandin::Engine(_));
-    let engines: Vec<usize> = (0..site.workers.len()).filter(|i| engine(&site.workers[*i])).collect();
-    let plains: Vec<usize> = (0..site.workers.len()).filter(|i| !engines.contains(i)).collect();
+    let engines: Vec<usize> = (0..site.workers.len())
+        .filter(|i| engine(&site.workers[*i]))
+        .collect();
+    let plains: Vec<usize> = (0..site.workers.len())
+        .filter(|i| !engines.contains(i))
+        .collect();
     let (Some(&killed), Some(&drained)) = (engines.first(), engines.last()) else {
         return Ok(());
     };
@@ -107,7 +115,9 @@
     for doc in &site.docs {
         let table = site.command(&["report", "--service", &doc.service]).await?;
         println!("{}{}", table.stdout, table.stderr);
-        let json = site.command(&["report", "--service", &doc.service, "--json"]).await?;
+        let json = site
+            .command(&["report", "--service", &doc.service, "--json"])
+            .await?;
         let report: serde_json::Value = serde_json::from_str(&json.stdout)?;
         reported += report["all"]["requests"].as_u64().unwrap_or(0);
     }
--- a/crates/bench/src/deploy.rs
+++ b/crates/bench/src/deploy.rs
@@ -73,12 +73,17 @@
     /// with engines first, then the plain one.
     pub fn documents(self, net: u8) -> [String; 2] {
         let own = format!("127.{net}.");
-        self.texts().map(|t| SAMPLE_NETS.iter().fold(t.to_owned(), |t, s| t.replace(s, &own)))
+        self.texts().map(|t| {
+            SAMPLE_NETS
+                .iter()
+                .fold(t.to_owned(), |t, s| t.replace(s, &own))
+        })
     }
 
     /// Its documents.
     pub fn docs(self, net: u8) -> [Doc; 2] {
-        self.documents(net).map(|t| Doc::parse(&t).expect("samples are valid; a test reads them"))
+        self.documents(net)
+            .map(|t| Doc::parse(&t).expect("samples are valid; a test reads them"))
     }
 }
 
--- a/crates/bench/src/judge.rs
+++ b/crates/bench/src/judge.rs
@@ -84,7 +84,8 @@
                 UpstreamStandin::Engine(e) => {
                     // An engine sees the id with the number of the try.
                     let ids = e.history().runs.into_iter();
-                    seen.ids.extend(ids.filter_map(|i| Some(i.split_once('-')?.0.to_owned())));
+                    seen.ids
+                        .extend(ids.filter_map(|i| Some(i.split_once('-')?.0.to_owned())));
                 }
                 UpstreamStandin::Plain(p) => {
                     let doc = site.docs.iter().find(|d| d.service == w.service);
@@ -102,7 +103,11 @@
         let (method, path) = run.call.split_once(' ').unwrap_or(("", ""));
         let class = doc.and_then(|d| Some(d.class(d.class_routed(method, path)?)));
         let idempotent = class.is_none_or(|c| c.idempotent);
-        self.runs.push(SeenRun { service: service.to_owned(), idempotent, run });
+        self.runs.push(SeenRun {
+            service: service.to_owned(),
+            idempotent,
+            run,
+        });
     }
 
     /// Non-idempotent calls that ran more than once: by the caller's key, or by
@@ -123,13 +128,19 @@
 
 /// Judges a run.
 pub fn judge(sent: &[Sent], seen: &Seen, docs: &[Doc]) -> Verdict {
-    let mut v = Verdict { double_runs: seen.double_runs(), ..Verdict::default() };
+    let mut v = Verdict {
+        double_runs: seen.double_runs(),
+        ..Verdict::default()
+    };
     for s in sent {
         v.requests += 1;
         match &s.got {
             Got::Whole { .. } if is_late(s, docs) => v.delayed += 1,
             Got::Whole { .. } => v.served += 1,
-            Got::Refused { outcome: Outcome::NotRun, .. } => {
+            Got::Refused {
+                outcome: Outcome::NotRun,
+                ..
+            } => {
                 v.refused += 1;
                 let ran = s.id.as_ref().is_some_and(|id| seen.ids.contains(id));
                 v.false_not_run += u64::from(ran);
@@ -145,7 +156,9 @@
 fn is_late(s: &Sent, docs: &[Doc]) -> bool {
     let doc = docs.iter().find(|d| d.service == s.ask.service);
     let class = doc.and_then(|d| Some(d.class(d.class_named(s.ask.class)?)));
-    class.zip(s.first).is_some_and(|(c, first)| first > c.deadline)
+    class
+        .zip(s.first)
+        .is_some_and(|(c, first)| first > c.deadline)
 }
 
 /// Whether a request is a non-idempotent call of the mix.
--- a/crates/bench/src/mix.rs
+++ b/crates/bench/src/mix.rs
@@ -64,7 +64,13 @@
     /// A mix from a seed.
     pub fn new(deployment: Deployment, seed: u64) -> Self {
         let salt = format!("{}-{seed}", deployment.name());
-        Self { deployment, rng: Rng::with_seed(seed), salt, made: 0, last_keyed: None }
+        Self {
+            deployment,
+            rng: Rng::with_seed(seed),
+            salt,
+            made: 0,
+            last_keyed: None,
+        }
     }
 
     /// Draws a request.
@@ -95,8 +101,18 @@
             prompt.push_str(&format!("{} dossier {dossier} line {line}\n", self.salt));
         }
         prompt.push_str(&format!("question {}: urgent today?", self.made));
-        let what = What::Completion { prompt, tokens: 1, chat: false, stream: false };
-        Ask { service, class, tenant: self.tenant(), what }
+        let what = What::Completion {
+            prompt,
+            tokens: 1,
+            chat: false,
+            stream: false,
+        };
+        Ask {
+            service,
+            class,
+            tenant: self.tenant(),
+            what,
+        }
     }
 
     fn write(
@@ -105,17 +121,40 @@
         class: &'static str,
         tokens: std::ops::Range<u32>,
     ) -> Ask {
-        let prompt = format!("{} letter {}: explain where they stand", self.salt, self.made);
+        let prompt = format!(
+            "{} letter {}: explain where they stand",
+            self.salt, self.made
+        );
         let tokens = self.rng.u32(tokens);
         let (chat, stream) = (self.rng.bool(), self.rng.u32(..4) > 0);
-        let what = What::Completion { prompt, tokens, chat, stream };
-        Ask { service, class, tenant: self.tenant(), what }
+        let what = What::Completion {
+            prompt,
+            tokens,
+            chat,
+            stream,
+        };
+        Ask {
+            service,
+            class,
+            tenant: self.tenant(),
+            what,
+        }
     }
 
     fn lookup(&mut self, service: &'static str, path: &str) -> Ask {
         let path = format!("{path}{}?of={}", self.rng.u32(..1000), self.salt);
-        let what = What::Plain { method: "GET", path, body: String::new(), key: None };
-        Ask { service, class: "lookup", tenant: self.tenant(), what }
+        let what = What::Plain {
+            method: "GET",
+            path,
+            body: String::new(),
+            key: None,
+        };
+        Ask {
+            service,
+            class: "lookup",
+            tenant: self.tenant(),
+            what,
+        }
     }
 
     fn keyed(&mut self, service: &'static str, class: &'static str, path: &str) -> Ask {
@@ -127,8 +166,18 @@
         // Some callers give no key: theirs must run at most once all the same.
         let key = (self.rng.u32(..5) > 0).then(|| format!("{}-{}", self.salt, self.made));
         let body = format!("{{\"order\":{},\"of\":\"{}\"}}", self.made, self.salt);
-        let what = What::Plain { method: "POST", path: path.to_owned(), body, key: key.clone() };
-        let ask = Ask { service, class, tenant: self.tenant(), what };
+        let what = What::Plain {
+            method: "POST",
+            path: path.to_owned(),
+            body,
+            key: key.clone(),
+        };
+        let ask = Ask {
+            service,
+            class,
+            tenant: self.tenant(),
+            what,
+        };
         if key.is_some() {
             self.last_keyed = Some(ask.clone());
         }
--- a/crates/bench/src/procs.rs
+++ b/crates/bench/src/procs.rs
@@ -34,7 +34,10 @@
 impl Proc {
     /// Starts the binary's `command` with a settings file; its log goes beside it.
     pub fn start(binary: &Path, command: &str, name: &str, settings: &Path) -> io::Result<Self> {
-        let log = File::options().create(true).append(true).open(settings.with_extension("log"))?;
+        let log = File::options()
+            .create(true)
+            .append(true)
+            .open(settings.with_extension("log"))?;
         let child = Command::new(binary)
             .arg(command)
             .arg("--settings")
@@ -44,7 +47,10 @@
             .stderr(log)
             .kill_on_drop(true)
             .spawn()?;
-        Ok(Self { name: name.to_owned(), child })
+        Ok(Self {
+            name: name.to_owned(),
+            child,
+        })
     }
 
     /// The process's id, while it runs.
@@ -101,7 +107,11 @@
 
 /// Runs one of the operators' commands to its end.
 pub async fn command(binary: &Path, args: &[&str]) -> io::Result<Output> {
-    let out = Command::new(binary).args(args).stdin(Stdio::null()).output().await?;
+    let out = Command::new(binary)
+        .args(args)
+        .stdin(Stdio::null())
+        .output()
+        .await?;
     Ok(Output {
         code: out.status.code(),
         stdout: String::from_utf8_lossy(&out.stdout).into_owned(),
@@ -120,7 +130,10 @@
     if release {
         build.arg("--release");
     }
-    let status = build.current_dir(env!("CARGO_MANIFEST_DIR")).status().await?;
+    let status = build
+        .current_dir(env!("CARGO_MANIFEST_DIR"))
+        .status()
+        .await?;
     let binary = dir.join("arbutusquay");
     if status.success() && binary.exists() {
         Ok(binary)
--- a/crates/bench/src/site.rs
+++ b/crates/bench/src/site.rs
@@ -55,7 +55,10 @@
             binary,
             net: deployment.net(),
             entries: deployment.entry_zones().len(),
-            rates: Rates { fencing: deployment == Deployment::Sleutelbos, ..Rates::default() },
+            rates: Rates {
+                fencing: deployment == Deployment::Sleutelbos,
+                ..Rates::default()
+            },
             plain_work: Duration::from_millis(3),
             host_lag: Duration::from_millis(500),
             limits: "{record_flush: 1s, doc_poll: 1s, linger: 500ms, lease: 3s}".to_owned(),
@@ -168,13 +171,21 @@
             let host = format!("{}-ingang-{}", self.deployment.name(), i + 1);
             let settings = self.settings(&name, &host, zone, addr, &services, "")?;
             let process = Proc::start(&self.options.binary, "entry", &name, &settings)?;
-            self.entries.push(EntryProc { addr, process, settings });
+            self.entries.push(EntryProc {
+                addr,
+                process,
+                settings,
+            });
         }
         Ok(())
     }
 
     async fn apply_documents(&self) -> io::Result<()> {
-        for (doc, text) in self.docs.iter().zip(self.deployment.documents(self.options.net)) {
+        for (doc, text) in self
+            .docs
+            .iter()
+            .zip(self.deployment.documents(self.options.net))
+        {
             let out = self.apply(&doc.service, &text, 0).await?;
             if out.code != Some(0) {
                 return Err(io::Error::other(format!("{}: {}", doc.service, out.stderr)));
@@ -188,7 +199,8 @@
         let file = self.dir.join(format!("{service}.yaml"));
         std::fs::write(&file, text)?;
         let over = over.to_string();
-        self.command(&["apply", &file.to_string_lossy(), "--over", &over]).await
+        self.command(&["apply", &file.to_string_lossy(), "--over", &over])
+            .await
     }
 
     /// Runs an operators' command with the first entry's settings.
@@ -202,7 +214,9 @@
 
     /// The first entry's settings file.
     pub fn settings_file(&self) -> PathBuf {
-        self.entries.first().map_or_else(|| self.dir.clone(), |e| e.settings.clone())
+        self.entries
+            .first()
+            .map_or_else(|| self.dir.clone(), |e| e.settings.clone())
     }
 
     async fn start_workers(&mut self) -> io::Result<()> {
@@ -219,16 +233,21 @@
         let addr = upstream_of(upstream.agent);
         let (standin, running) = if doc.is_engine() {
             let engine = EngineStandin::new(self.options.rates.clone());
-            (UpstreamStandin::Engine(engine.clone()), fakes::start(addr, engine).await?)
+            (
+                UpstreamStandin::Engine(engine.clone()),
+                fakes::start(addr, engine).await?,
+            )
         } else {
             let plain = Arc::new(PlainStandin::new(self.options.plain_work));
-            (UpstreamStandin::Plain(plain.clone()), fakes::start(addr, plain).await?)
+            (
+                UpstreamStandin::Plain(plain.clone()),
+                fakes::start(addr, plain).await?,
+            )
         };
         let name = format!("agent-{}", upstream.name);
         let extra = format!("upstream: {{name: {}, address: {addr}}}\n", upstream.name);
         let (host, zone) = (&upstream.host, &upstream.zone);
-        let settings =
-            self.settings(&name, host, zone, upstream.agent, &doc.service, &extra)?;
+        let settings = self.settings(&name, host, zone, upstream.agent, &doc.service, &extra)?;
         let agent = Proc::start(&self.options.binary, "agent", &name, &settings)?;
         Ok(Worker {
             service: doc.service.clone(),
@@ -317,7 +336,10 @@
     let pool = Pool::new(admin, CALL_BOUND);
     let until = tokio::time::Instant::now() + READY_BOUND;
     loop {
-        let req = Request::builder().method(Method::GET).uri("/health").header("host", "bench");
+        let req = Request::builder()
+            .method(Method::GET)
+            .uri("/health")
+            .header("host", "bench");
         let req = req.body(empty()).map_err(io::Error::other)?;
         if let Ok((status, _)) = pool.call(req, MAX_ANSWER, CALL_BOUND).await
             && status.is_success()
--- a/crates/bench/src/up.rs
+++ b/crates/bench/src/up.rs
@@ -25,7 +25,9 @@
 }
 
 fn print_lines(site: &Site, binary: &str) {
-    let Some(entry) = site.entry_addrs().first().copied() else { return };
+    let Some(entry) = site.entry_addrs().first().copied() else {
+        return;
+    };
     let admin = crate::deploy::admin_of(entry);
     let [model, plain] = &site.docs;
     let settings = site.settings_file();
@@ -51,6 +53,9 @@
     println!("curl http://{admin}/metrics");
     println!("{binary} status --settings {settings}");
     println!("{binary} show {} --settings {settings}", model.service);
-    println!("{binary} report --service {} --settings {settings}", plain.service);
+    println!(
+        "{binary} report --service {} --settings {settings}",
+        plain.service
+    );
     println!();
 }
--- a/crates/conf/src/doc.rs
+++ b/crates/conf/src/doc.rs
@@ -138,7 +138,10 @@
     /// Finds the class that owns a call by its method and path.
     pub fn class_routed(&self, method: &str, path: &str) -> Option<ClassId> {
         let owns = |r: &Route| r.method == method && path.starts_with(r.path.as_str());
-        let at = self.classes.iter().position(|c| c.routes.iter().any(owns))?;
+        let at = self
+            .classes
+            .iter()
+            .position(|c| c.routes.iter().any(owns))?;
         Some(ClassId(at as u8))
     }
 
@@ -154,7 +157,10 @@
 
     /// Finds an upstream by name.
     pub fn upstream_named(&self, name: &str) -> Option<UpstreamId> {
-        let at = self.upstreams.binary_search_by(|u| u.name.as_str().cmp(name)).ok()?;
+        let at = self
+            .upstreams
+            .binary_search_by(|u| u.name.as_str().cmp(name))
+            .ok()?;
         Some(UpstreamId(at as u16))
     }
 
@@ -197,7 +203,10 @@
     if let (Some(kind), Some(classes)) = (&kind, &classes) {
         check_classes(kind, classes, f.place_of("classes"), cx);
         if *kind == Kind::Plain && (calm.is_some() || fencing.is_some()) {
-            cx.add(f.place(), "kind `plain` takes neither `calm` nor `fencing`: it has no roles");
+            cx.add(
+                f.place(),
+                "kind `plain` takes neither `calm` nor `fencing`: it has no roles",
+            );
         }
     }
     let upstreams = upstreams.map(|list| sort_upstreams(list, f.place_of("upstreams"), cx));
@@ -236,7 +245,10 @@
     let name = f.need("name", yaml::name, cx);
     let version = f.need("version", yaml::count, cx);
     f.close(cx);
-    Some(Model { name: name?, version: version? })
+    Some(Model {
+        name: name?,
+        version: version?,
+    })
 }
 
 fn class(node: &Node, cx: &mut Faults) -> Option<Class> {
@@ -250,7 +262,10 @@
     let queue = f.need("queue", yaml::count, cx);
     let routes = f.may("routes", |n, cx| yaml::list(n, cx, route), cx);
     if urgency.is_some_and(|u| u > MAX_URGENCY) {
-        cx.add(f.place_of("urgency"), format!("urgency goes from 0 to {MAX_URGENCY}"));
+        cx.add(
+            f.place_of("urgency"),
+            format!("urgency goes from 0 to {MAX_URGENCY}"),
+        );
     }
     if deadline == Some(Duration::ZERO) {
         cx.add(f.place_of("deadline"), "a deadline of 0 can't be met");
@@ -275,11 +290,15 @@
     let text = yaml::text(node, cx)?;
     let fits = |m: &str, p: &str| m.bytes().all(|b| b.is_ascii_uppercase()) && p.starts_with('/');
     match text.split_once(' ') {
-        Some((m, p)) if !m.is_empty() && fits(m, p) => {
-            Some(Route { method: m.to_owned(), path: p.to_owned() })
-        }
+        Some((m, p)) if !m.is_empty() && fits(m, p) => Some(Route {
+            method: m.to_owned(),
+            path: p.to_owned(),
+        }),
         _ => {
-            cx.add(yaml::place(node), "expected a method and a path, such as `POST /notices`");
+            cx.add(
+                yaml::place(node),
+                "expected a method and a path, such as `POST /notices`",
+            );
             None
         }
     }
@@ -293,7 +312,10 @@
         cx.add(f.place_of("running"), "a limit of 0 serves no tenant");
     }
     f.close(cx);
-    Some(TenantLimits { queue: queue?, running: running? })
+    Some(TenantLimits {
+        queue: queue?,
+        running: running?,
+    })
 }
 
 fn upstream(node: &Node, cx: &mut Faults) -> Option<Upstream> {
@@ -304,10 +326,19 @@
     let agent = f.need("agent", yaml::address, cx);
     let slots = f.need("slots", yaml::count, cx);
     if slots == Some(0) {
-        cx.add(f.place_of("slots"), "an upstream with no slots serves nothing");
+        cx.add(
+            f.place_of("slots"),
+            "an upstream with no slots serves nothing",
+        );
     }
     f.close(cx);
-    Some(Upstream { name: name?, host: host?, zone: zone?, agent: agent?, slots: slots? })
+    Some(Upstream {
+        name: name?,
+        host: host?,
+        zone: zone?,
+        agent: agent?,
+        slots: slots?,
+    })
 }
 
 fn check_classes(kind: &Kind, classes: &[Class], at: (usize, usize), cx: &mut Faults) {
@@ -316,7 +347,13 @@
     }
     let sum: f64 = classes.iter().map(|c| c.share).sum();
     if sum > 1.0 + SHARE_SLACK {
-        cx.add(at, format!("the classes' shares add up to {:.0}%, over 100%", sum * 100.0));
+        cx.add(
+            at,
+            format!(
+                "the classes' shares add up to {:.0}%, over 100%",
+                sum * 100.0
+            ),
+        );
     }
     for (i, c) in classes.iter().enumerate() {
         if classes[..i].iter().any(|o| o.name == c.name) {
@@ -328,12 +365,18 @@
             cx.add(at, format!("class `{}`: {why}", c.name));
         }
         if engine && !c.routes.is_empty() {
-            cx.add(at, format!("class `{}`: kind `engine` takes no `routes`", c.name));
+            cx.add(
+                at,
+                format!("class `{}`: kind `engine` takes no `routes`", c.name),
+            );
         }
         for r in &c.routes {
             let taken = |o: &Class| o.routes.contains(r);
             if classes[..i].iter().any(taken) {
-                cx.add(at, format!("route `{} {}` stands in two classes", r.method, r.path));
+                cx.add(
+                    at,
+                    format!("route `{} {}` stands in two classes", r.method, r.path),
+                );
             }
         }
     }
@@ -341,7 +384,10 @@
 
 fn sort_upstreams(mut list: Vec<Upstream>, at: (usize, usize), cx: &mut Faults) -> Vec<Upstream> {
     if list.len() > MAX_UPSTREAMS {
-        cx.add(at, format!("a document has at most {MAX_UPSTREAMS} upstreams"));
+        cx.add(
+            at,
+            format!("a document has at most {MAX_UPSTREAMS} upstreams"),
+        );
     }
     list.sort_by(|a, b| a.name.cmp(&b.name));
     for pair in list.windows(2) {
--- a/crates/conf/src/fault.rs
+++ b/crates/conf/src/fault.rs
@@ -26,7 +26,11 @@
 impl Faults {
     /// Notes a fault.
     pub fn add(&mut self, (line, column): (usize, usize), what: impl Into<String>) {
-        self.0.push(Fault { line, column, what: what.into() });
+        self.0.push(Fault {
+            line,
+            column,
+            what: what.into(),
+        });
     }
 
     /// The faults so far.
--- a/crates/conf/src/settings.rs
+++ b/crates/conf/src/settings.rs
@@ -154,7 +154,12 @@
     let hosts = f.need("hosts", yaml::address, cx);
     let timeout = f.need("timeout", yaml::duration, cx);
     f.close(cx);
-    Some(Platform { table: table?, objects: objects?, hosts: hosts?, timeout: timeout? })
+    Some(Platform {
+        table: table?,
+        objects: objects?,
+        hosts: hosts?,
+        timeout: timeout?,
+    })
 }
 
 fn upstream(node: &Node, cx: &mut Faults) -> Option<UpstreamSettings> {
@@ -162,7 +167,10 @@
     let name = f.need("name", yaml::name, cx);
     let address = f.need("address", yaml::address, cx);
     f.close(cx);
-    Some(UpstreamSettings { name: name?, address: address? })
+    Some(UpstreamSettings {
+        name: name?,
+        address: address?,
+    })
 }
 
 fn limits(node: &Node, cx: &mut Faults) -> Option<Limits> {
--- a/crates/conf/src/yaml.rs
+++ b/crates/conf/src/yaml.rs
@@ -25,7 +25,10 @@
 ) -> Result<T, Faults> {
     let mut cx = Faults::default();
     if text.len() > MAX_FILE {
-        cx.add((1, 1), format!("file is {} bytes, the limit is {MAX_FILE}", text.len()));
+        cx.add(
+            (1, 1),
+            format!("file is {} bytes, the limit is {MAX_FILE}", text.len()),
+        );
         return cx.settle(None);
     }
     let options = marked_yaml::LoaderOptions::default().error_on_duplicate_keys(true);
@@ -58,7 +61,9 @@
 
 /// Where a node begins.
 pub fn place(node: &Node) -> (usize, usize) {
-    node.span().start().map_or((1, 1), |m| (m.line(), m.column()))
+    node.span()
+        .start()
+        .map_or((1, 1), |m| (m.line(), m.column()))
 }
 
 /// The fields of a mapping, each to be taken once.
@@ -75,7 +80,11 @@
             cx.add(place(node), "expected fields (`name: value`)");
             return None;
         };
-        Some(Self { node: map, place: place(node), taken: Vec::new() })
+        Some(Self {
+            node: map,
+            place: place(node),
+            taken: Vec::new(),
+        })
     }
 
     /// Where the mapping begins.
@@ -110,9 +119,15 @@
             if self.taken.iter().any(|t| *t == key.as_str()) {
                 continue;
             }
-            let at = key.span().start().map_or(self.place, |m| (m.line(), m.column()));
+            let at = key
+                .span()
+                .start()
+                .map_or(self.place, |m| (m.line(), m.column()));
             let known = self.taken.join(", ");
-            cx.add(at, format!("unknown field `{}` (known: {known})", key.as_str()));
+            cx.add(
+                at,
+                format!("unknown field `{}` (known: {known})", key.as_str()),
+            );
         }
     }
 }
@@ -141,7 +156,9 @@
 
 /// Any text that isn't empty.
 pub fn text(node: &Node, cx: &mut Faults) -> Option<String> {
-    from_str(node, "a text", cx, |s| (!s.is_empty()).then(|| s.to_owned()))
+    from_str(node, "a text", cx, |s| {
+        (!s.is_empty()).then(|| s.to_owned())
+    })
 }
 
 /// A name: letters, digits, `-`, `_` and `.`, 64 bytes at most.
@@ -178,17 +195,32 @@
         let v: f64 = s.strip_suffix('%')?.trim_end().parse().ok()?;
         (v > 0.0 && v <= 100.0).then_some(v / 100.0)
     };
-    from_str(node, "a share such as 70% (over 0%, 100% at most)", cx, parse)
+    from_str(
+        node,
+        "a share such as 70% (over 0%, 100% at most)",
+        cx,
+        parse,
+    )
 }
 
 /// An IP address with a port.
 pub fn address(node: &Node, cx: &mut Faults) -> Option<SocketAddr> {
-    from_str(node, "an IP address with a port, such as 127.0.0.1:7000", cx, |s| s.parse().ok())
+    from_str(
+        node,
+        "an IP address with a port, such as 127.0.0.1:7000",
+        cx,
+        |s| s.parse().ok(),
+    )
 }
 
 /// A duration with its unit: `200ms`, `2s`, `5m`, `1h`.
 pub fn duration(node: &Node, cx: &mut Faults) -> Option<Duration> {
-    from_str(node, "a duration with a unit, such as 200ms, 2s, 5m, 1h", cx, parse_duration)
+    from_str(
+        node,
+        "a duration with a unit, such as 200ms, 2s, 5m, 1h",
+        cx,
+        parse_duration,
+    )
 }
 
 /// Reads a duration with its unit.
@@ -203,12 +235,17 @@
 
 /// A size with its unit: `64KiB`, `4MiB`.
 pub fn size(node: &Node, cx: &mut Faults) -> Option<usize> {
-    from_str(node, "a size with a unit, such as 512B, 64KiB, 4MiB", cx, |s| {
-        let (digits, unit) = [("KiB", 1024), ("MiB", 1024 * 1024), ("B", 1)]
-            .iter()
-            .find_map(|(suffix, unit)| Some((s.strip_suffix(suffix)?, *unit)))?;
-        digits.trim_end().parse::<usize>().ok()?.checked_mul(unit)
-    })
+    from_str(
+        node,
+        "a size with a unit, such as 512B, 64KiB, 4MiB",
+        cx,
+        |s| {
+            let (digits, unit) = [("KiB", 1024), ("MiB", 1024 * 1024), ("B", 1)]
+                .iter()
+                .find_map(|(suffix, unit)| Some((s.strip_suffix(suffix)?, *unit)))?;
+            digits.trim_end().parse::<usize>().ok()?.checked_mul(unit)
+        },
+    )
 }
 
 /// A list, each item read by `parse`.
--- a/crates/conf/tests/samples.rs
+++ b/crates/conf/tests/samples.rs
@@ -6,7 +6,9 @@
 use std::path::PathBuf;
 
 fn sample(name: &str) -> String {
-    let path = PathBuf::from(env!("CARGO_MANIFEST_DIR")).join("../../samples").join(name);
+    let path = PathBuf::from(env!("CARGO_MANIFEST_DIR"))
+        .join("../../samples")
+        .join(name);
     fs::read_to_string(path).unwrap()
 }
 
@@ -48,8 +50,18 @@
     assert!(at("drain_bound: 30"), "{faults}");
     assert!(at("urgncy: 2"), "{faults}");
     assert!(at("running: 0"), "{faults}");
-    assert!(faults.all().iter().any(|f| f.what.contains("unknown field `urgncy`")), "{faults}");
-    let urgency = faults.all().iter().find(|f| f.what.contains("unknown field")).unwrap();
+    assert!(
+        faults
+            .all()
+            .iter()
+            .any(|f| f.what.contains("unknown field `urgncy`")),
+        "{faults}"
+    );
+    let urgency = faults
+        .all()
+        .iter()
+        .find(|f| f.what.contains("unknown field"))
+        .unwrap();
     assert_eq!(urgency.column, 5);
 }
 
@@ -59,24 +71,59 @@
     let model = sample("sleutelbos/taalmodel-dossier.yaml");
     let cases = [
         (portal.replace("share: 50%", "share: 60%"), "add up to 120%"),
-        (portal.replace("kind: plain", "kind: plain\ncalm: 0.5"), "neither `calm` nor"),
-        (portal.replace("kind: plain", "kind: engine"), "needs the field `model`"),
-        (portal.replace("name: notice", "name: lookup"), "stands twice"),
-        (portal.replace("127.11.0.22:7000", "127.11.0.21:7000"), "two upstreams name the agent"),
-        (portal.replace("portaal-2,", "portaal-1,"), "upstream `portaal-1` stands twice"),
-        (model.replacen("idempotent: true", "idempotent: false", 1), "calls are idempotent"),
-        (model.replace("calm: 0.8", "calm: 1.8"), "a number from 0 to 1"),
-        (model.replace("urgency: 3", "urgency: 30"), "urgency goes from 0 to 9"),
+        (
+            portal.replace("kind: plain", "kind: plain\ncalm: 0.5"),
+            "neither `calm` nor",
+        ),
+        (
+            portal.replace("kind: plain", "kind: engine"),
+            "needs the field `model`",
+        ),
+        (
+            portal.replace("name: notice", "name: lookup"),
+            "stands twice",
+        ),
+        (
+            portal.replace("127.11.0.22:7000", "127.11.0.21:7000"),
+            "two upstreams name the agent",
+        ),
+        (
+            portal.replace("portaal-2,", "portaal-1,"),
+            "upstream `portaal-1` stands twice",
+        ),
+        (
+            model.replacen("idempotent: true", "idempotent: false", 1),
+            "calls are idempotent",
+        ),
+        (
+            model.replace("calm: 0.8", "calm: 1.8"),
+            "a number from 0 to 1",
+        ),
+        (
+            model.replace("urgency: 3", "urgency: 30"),
+            "urgency goes from 0 to 9",
+        ),
     ];
     for (text, want) in cases {
         let faults = Doc::parse(&text).unwrap_err();
-        assert!(faults.all().iter().any(|f| f.what.contains(want)), "{want}: {faults}");
+        assert!(
+            faults.all().iter().any(|f| f.what.contains(want)),
+            "{want}: {faults}"
+        );
     }
 }
 
 #[test]
 fn anchors_tags_and_broken_yaml_are_faults_and_not_panics() {
-    for text in ["a: &x 1\nb: *x\n", "a: !!str 1\n", "a: [1\n", "- a\n", "", "\u{0}", "a: {b: {c"] {
+    for text in [
+        "a: &x 1\nb: *x\n",
+        "a: !!str 1\n",
+        "a: [1\n",
+        "- a\n",
+        "",
+        "\u{0}",
+        "a: {b: {c",
+    ] {
         assert!(Doc::parse(text).is_err(), "{text:?}");
     }
 }
--- a/crates/engine/src/client.rs
+++ b/crates/engine/src/client.rs
@@ -65,7 +65,10 @@
 impl Client {
     /// A client; `timeout` bounds connecting and each call but completions.
     pub fn new(addr: SocketAddr, timeout: Duration) -> Self {
-        Self { pool: Pool::new(addr, timeout), timeout }
+        Self {
+            pool: Pool::new(addr, timeout),
+            timeout,
+        }
     }
 
     /// Starts a completion.
@@ -78,7 +81,13 @@
         }
         let events = EventReader::default();
         let id = body.request_id.clone();
-        Ok(Stream { answer, events, id, count: body.resume_from, finished: false })
+        Ok(Stream {
+            answer,
+            events,
+            id,
+            count: body.resume_from,
+            finished: false,
+        })
     }
 
     /// Reads the state.
@@ -93,7 +102,8 @@
 
     /// Reads cache events after a number.
     pub async fn cache_events(&self, after: u64) -> Result<CacheEvents, EngineError> {
-        self.ask(Method::GET, &format!("{PATH_EVENTS}?{after}"), empty()).await
+        self.ask(Method::GET, &format!("{PATH_EVENTS}?{after}"), empty())
+            .await
     }
 
     /// Gives an order.
@@ -105,7 +115,11 @@
     pub async fn cancel(&self, id: &str) -> Result<(), EngineError> {
         let req = self.request(Method::POST, &format!("{PATH_CANCEL}?{id}"), empty());
         let (status, _) = self.pool.call(req, MAX_ANSWER, self.timeout).await?;
-        if status.is_success() { Ok(()) } else { Err(EngineError::Refused(status)) }
+        if status.is_success() {
+            Ok(())
+        } else {
+            Err(EngineError::Refused(status))
+        }
     }
 
     async fn ask<T: DeserializeOwned>(
--- a/crates/engine/src/sse.rs
+++ b/crates/engine/src/sse.rs
@@ -28,19 +28,27 @@
         loop {
             let Some(at) = self.buf[self.scanned..].iter().position(|b| *b == b'\n') else {
                 self.scanned = self.buf.len();
-                return if self.scanned > MAX_EVENT { Err(Malformed) } else { Ok(None) };
+                return if self.scanned > MAX_EVENT {
+                    Err(Malformed)
+                } else {
+                    Ok(None)
+                };
             };
             let line = self.buf.split_to(self.scanned + at).freeze();
             self.buf.advance(1);
             self.scanned = 0;
-            let line = line.strip_suffix(b"\r").map_or(line.clone(), |l| line.slice_ref(l));
+            let line = line
+                .strip_suffix(b"\r")
+                .map_or(line.clone(), |l| line.slice_ref(l));
             if line.is_empty() || line.starts_with(b":") {
                 continue;
             }
             let Some(data) = line.strip_prefix(b"data:") else {
                 return Err(Malformed);
             };
-            return Ok(Some(line.slice_ref(data.strip_prefix(b" ").unwrap_or(data))));
+            return Ok(Some(
+                line.slice_ref(data.strip_prefix(b" ").unwrap_or(data)),
+            ));
         }
     }
 }
--- /dev/null
+++ b/crates/engine/tests/client.rs
@@ -0,0 +1,176 @@
+//! The engine's client against the stand-in: whole answers, and refusal of all else.
+
+use engine::client::Token;
+use engine::dialect::CompletionBody;
+use engine::sse::EventReader;
+use engine::{Client, EngineError, Order, OrderAnswer};
+use fakes::answer;
+use fakes::engine::{EngineStandin, Rates};
+use fakes::serve::Standin;
+use fakes::{Faults, Running, start};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use wire::Role;
+
+async fn bed(fencing: bool) -> (Arc<EngineStandin>, Client, Running) {
+    let step = Duration::from_millis(1);
+    let change = Duration::from_millis(20);
+    let standin = EngineStandin::new(Rates {
+        step,
+        change,
+        fencing,
+        ..Rates::default()
+    });
+    let any: SocketAddr = "127.0.0.1:0".parse().unwrap();
+    let running = start(any, standin.clone()).await.unwrap();
+    let client = Client::new(running.addr, Duration::from_secs(5));
+    (standin, client, running)
+}
+
+async fn load(client: &Client, fence: u64) {
+    assert_eq!(
+        client.order(&order(fence, 1)).await.unwrap(),
+        OrderAnswer::Taken
+    );
+    while client.state().await.unwrap().changing {
+        tokio::time::sleep(Duration::from_millis(2)).await;
+    }
+}
+
+fn order(fence: u64, model_version: u32) -> Order {
+    Order {
+        fence,
+        role: Role::Mixed,
+        model: "m".into(),
+        model_version,
+    }
+}
+
+fn body(id: &str, tokens: u32, resume_from: u32) -> CompletionBody {
+    CompletionBody {
+        request_id: id.into(),
+        model: "m".into(),
+        prompt: format!("prompt of {id}"),
+        max_tokens: tokens,
+        priority: 0,
+        resume_from,
+        stream: true,
+    }
+}
+
+async fn read(client: &Client, body: &CompletionBody) -> Result<String, EngineError> {
+    let mut stream = client.complete(body).await?;
+    let mut text = String::new();
+    loop {
+        match stream.next().await? {
+            Token::Text(t) => text.push_str(&t),
+            Token::End(_) => return Ok(text),
+        }
+    }
+}
+
+#[tokio::test]
+async fn a_completion_is_whole_and_a_resumed_one_goes_on_where_it_broke() {
+    let (_standin, client, _running) = bed(true).await;
+    load(&client, 1).await;
+    let whole = read(&client, &body("a", 9, 0)).await.unwrap();
+    assert_eq!(whole, answer::completion("prompt of a", 9));
+    let rest = read(&client, &body("a", 9, 4)).await.unwrap();
+    assert_eq!(
+        format!("{}{rest}", answer::completion("prompt of a", 4)),
+        whole
+    );
+}
+
+#[tokio::test]
+async fn broken_crossed_doubled_and_senseless_answers_are_errors() {
+    let (standin, client, _running) = bed(true).await;
+    load(&client, 1).await;
+    let one = |f: Faults| {
+        standin.gate().set(f);
+        let client = client.clone();
+        async move {
+            // A neighbour, so that there is somebody to be crossed with.
+            let other = body("first", 400, 0);
+            let neighbour = client.complete(&other).await;
+            let got = read(&client, &body("second", 30, 0)).await;
+            drop(neighbour);
+            got
+        }
+    };
+    assert!(
+        one(Faults {
+            break_streams: 2,
+            ..Faults::default()
+        })
+        .await
+        .is_err()
+    );
+    assert!(
+        one(Faults {
+            cross_chunks: 5,
+            ..Faults::default()
+        })
+        .await
+        .is_err()
+    );
+    assert!(
+        one(Faults {
+            double_chunks: 40,
+            ..Faults::default()
+        })
+        .await
+        .is_err()
+    );
+    assert!(
+        one(Faults {
+            nonsense: 2,
+            ..Faults::default()
+        })
+        .await
+        .is_err()
+    );
+    assert!(one(Faults::default()).await.is_ok());
+}
+
+#[tokio::test]
+async fn an_old_fencing_number_is_refused_by_engines_that_look() {
+    let (standin, client, _running) = bed(true).await;
+    load(&client, 7).await;
+    assert_eq!(
+        client.order(&order(6, 2)).await.unwrap(),
+        OrderAnswer::Stale
+    );
+    assert_eq!(client.state().await.unwrap().model_version, 1);
+    assert!(standin.history().orders.iter().all(|o| !o.stale_effective));
+    let (standin, client, _running) = bed(false).await;
+    load(&client, 7).await;
+    assert_eq!(
+        client.order(&order(6, 2)).await.unwrap(),
+        OrderAnswer::Taken
+    );
+    assert!(
+        standin.history().orders.iter().any(|o| o.stale_effective),
+        "the judge sees it"
+    );
+}
+
+#[test]
+fn events_survive_any_cut_and_other_bytes_are_malformed() {
+    let text = b"data: one\n\n: a comment\n\ndata: two\r\n\r\ndata:three\n\n";
+    for cut in 1..text.len() {
+        let mut r = EventReader::default();
+        let mut got = Vec::new();
+        for piece in text.chunks(cut) {
+            r.push(piece);
+            while let Some(data) = r.pop().unwrap() {
+                got.push(String::from_utf8(data.to_vec()).unwrap());
+            }
+        }
+        assert_eq!(got, ["one", "two", "three"]);
+    }
+    let mut r = EventReader::default();
+    r.push(b"HTTP nonsense\n");
+    assert!(r.pop().is_err());
+}
--- a/crates/entry/src/api.rs
+++ b/crates/entry/src/api.rs
@@ -67,28 +67,33 @@
 /// Notes a request that was refused before it was anywhere on its way. One that
 /// names no service of ours is in nobody's report.
 fn note_refused(entry: &Entry, head: &Parts, id: RequestId, reason: Reason, since: Instant) {
-    let Ok((service, path)) = split(head) else { return };
+    let Ok((service, path)) = split(head) else {
+        return;
+    };
     if !entry.node.book.knows(service) {
         return;
     }
     let doc = entry.node.book.get(service);
     let class = doc.as_ref().and_then(|d| class(&d.doc, head, path).ok());
     let tenant = tenant(head).unwrap_or_else(|_| NO_TENANT.to_owned());
-    ledger::note(entry, &Ended {
-        id,
-        service,
-        tenant: &tenant,
-        class: class.map_or(NO_CLASS, |c| c.name.as_str()),
-        outcome: Outcome::NotRun,
-        reason: Some(reason),
-        upstream: None,
-        attempts: 0,
-        queue_ms: 0,
-        first: None,
-        total: since.elapsed(),
-        deadline: class.map_or(Duration::ZERO, |c| c.deadline),
-        count: 0,
-    });
+    ledger::note(
+        entry,
+        &Ended {
+            id,
+            service,
+            tenant: &tenant,
+            class: class.map_or(NO_CLASS, |c| c.name.as_str()),
+            outcome: Outcome::NotRun,
+            reason: Some(reason),
+            upstream: None,
+            attempts: 0,
+            queue_ms: 0,
+            first: None,
+            total: since.elapsed(),
+            deadline: class.map_or(Duration::ZERO, |c| c.deadline),
+            count: 0,
+        },
+    );
 }
 
 /// How a request is answered.
@@ -116,27 +121,50 @@
     let doc = book.get(service).ok_or(Reason::NotReady)?;
     let class = class(&doc.doc, head, path)?.clone();
     let limits = &entry.node.settings.limits;
-    let body = read_body(body, limits.body, limits.read_timeout).await.map_err(|e| match e {
-        BodyFault::TooLarge => Reason::TooLarge,
-        BodyFault::Slow => Reason::SlowRequest,
-        BodyFault::Broken => Reason::CallerGone,
-    })?;
+    let body = read_body(body, limits.body, limits.read_timeout)
+        .await
+        .map_err(|e| match e {
+            BodyFault::TooLarge => Reason::TooLarge,
+            BodyFault::Slow => Reason::SlowRequest,
+            BodyFault::Broken => Reason::CallerGone,
+        })?;
     let (call, how) = if doc.doc.is_engine() {
         let form = form(head, path)?;
         let parsed = completion::parse(form, &body).ok_or(Reason::BadRequest)?;
-        let how = if parsed.stream { How::Stream(form) } else { How::Whole(form) };
+        let how = if parsed.stream {
+            How::Stream(form)
+        } else {
+            How::Whole(form)
+        };
         (Call::Completion(parsed.completion), how)
     } else {
-        (Call::Plain(plain_call(head, path, body.to_vec())?), How::Plain)
+        (
+            Call::Plain(plain_call(head, path, body.to_vec())?),
+            How::Plain,
+        )
     };
     let tenant = tenant(head)?;
     let deadline = deadline(head)?.unwrap_or(class.deadline);
-    Ok((Wanted { id, tenant, doc, class, deadline, call }, how))
+    Ok((
+        Wanted {
+            id,
+            tenant,
+            doc,
+            class,
+            deadline,
+            call,
+        },
+        how,
+    ))
 }
 
 /// Splits the path into the service and what follows, with its slash.
 fn split(head: &Parts) -> Result<(&str, &str), Reason> {
-    let path = head.uri.path().strip_prefix('/').ok_or(Reason::BadRequest)?;
+    let path = head
+        .uri
+        .path()
+        .strip_prefix('/')
+        .ok_or(Reason::BadRequest)?;
     let at = path.find('/').ok_or(Reason::UnknownService)?;
     Ok(path.split_at(at))
 }
@@ -153,10 +181,15 @@
 }
 
 fn plain_call(head: &Parts, path: &str, body: Vec<u8>) -> Result<PlainCall, Reason> {
-    let query = head.uri.query().map(|q| format!("?{q}")).unwrap_or_default();
+    let query = head
+        .uri
+        .query()
+        .map(|q| format!("?{q}"))
+        .unwrap_or_default();
     let content_type = header(head, CONTENT_TYPE.as_str())?.map(str::to_owned);
     let key = header(head, KEY)?;
-    let fits = |k: &str| !k.is_empty() && k.len() <= MAX_KEY && k.bytes().all(|b| b.is_ascii_graphic());
+    let fits =
+        |k: &str| !k.is_empty() && k.len() <= MAX_KEY && k.bytes().all(|b| b.is_ascii_graphic());
     if key.is_some_and(|k| !fits(k)) {
         return Err(Reason::BadRequest);
     }
@@ -171,7 +204,9 @@
 
 /// A header as text; an error if it isn't text.
 fn header<'a>(head: &'a Parts, name: &str) -> Result<Option<&'a str>, Reason> {
-    let Some(value) = head.headers.get(name) else { return Ok(None) };
+    let Some(value) = head.headers.get(name) else {
+        return Ok(None);
+    };
     value.to_str().map(Some).map_err(|_| Reason::BadRequest)
 }
 
@@ -200,7 +235,9 @@
 }
 
 fn deadline(head: &Parts) -> Result<Option<Duration>, Reason> {
-    let Some(text) = header(head, DEADLINE)? else { return Ok(None) };
+    let Some(text) = header(head, DEADLINE)? else {
+        return Ok(None);
+    };
     let ms = text.parse().map_err(|_| Reason::BadRequest)?;
     let deadline = Duration::from_millis(ms);
     if deadline.is_zero() || deadline > MAX_DEADLINE {
--- a/crates/entry/src/budget.rs
+++ b/crates/entry/src/budget.rs
@@ -16,7 +16,9 @@
 
 impl Default for Budget {
     fn default() -> Self {
-        Self { saved: Mutex::new(MOST) }
+        Self {
+            saved: Mutex::new(MOST),
+        }
     }
 }
 
--- a/crates/entry/src/choose.rs
+++ b/crates/entry/src/choose.rs
@@ -81,7 +81,11 @@
     left.sort_by_key(|id| doc.upstream(*id).zone == *here);
     // One of the drawn may be from anywhere, so that a busy zone isn't a trap.
     for drawn in 0..DRAWN.min(left.len()) {
-        let at = if drawn == 0 { left.len() - 1 } else { fastrand::usize(..left.len()) };
+        let at = if drawn == 0 {
+            left.len() - 1
+        } else {
+            fastrand::usize(..left.len())
+        };
         out.push(left.swap_remove(at));
     }
     out
@@ -93,12 +97,7 @@
     answer: ProbeAnswer,
 }
 
-async fn ask(
-    entry: &Arc<Entry>,
-    doc: &Doc,
-    probe: &Probe,
-    ids: Vec<UpstreamId>,
-) -> Option<Chosen> {
+async fn ask(entry: &Arc<Entry>, doc: &Doc, probe: &Probe, ids: Vec<UpstreamId>) -> Option<Chosen> {
     let now = Instant::now();
     let body = wire::encode_compact(probe);
     let (tx, mut rx) = mpsc::channel(ids.len().max(1));
@@ -113,7 +112,10 @@
     let mut until = now + entry.node.settings.limits.probe_timeout;
     // Ends when all have answered or failed, or the time is up.
     while let Ok(Some(asked)) = tokio::time::timeout_at(until.into(), rx.recv()).await {
-        entry.node.book.heard(&probe.service, asked.answer.doc_version);
+        entry
+            .node
+            .book
+            .heard(&probe.service, asked.answer.doc_version);
         if asked.answer.state != AgentState::Ready {
             continue;
         }
@@ -129,7 +131,10 @@
     let u = doc.upstream(id);
     let peer = entry.peers.get(u.agent);
     even_out(entry, &peer, &probe.service, answer.doc_version).await;
-    Some(Chosen { name: u.name.clone(), peer })
+    Some(Chosen {
+        name: u.name.clone(),
+        peer,
+    })
 }
 
 /// Asks one agent, to the end even if the choice is made before, so that a
@@ -143,8 +148,13 @@
 ) {
     let timeout = entry.node.settings.limits.probe_timeout;
     let peer = entry.peers.get(addr);
-    let call = peer.call(Method::POST, PATH_PROBE, body, MAX_ANSWER, timeout).await;
-    match call.ok().and_then(|(_, body)| wire::decode::<ProbeAnswer>(&body)) {
+    let call = peer
+        .call(Method::POST, PATH_PROBE, body, MAX_ANSWER, timeout)
+        .await;
+    match call
+        .ok()
+        .and_then(|(_, body)| wire::decode::<ProbeAnswer>(&body))
+    {
         Some(answer) => {
             entry.health.good(addr);
             // The choice may have been made already.
--- a/crates/entry/src/completion.rs
+++ b/crates/entry/src/completion.rs
@@ -102,7 +102,11 @@
     let max_tokens = max_tokens.unwrap_or(DEFAULT_TOKENS);
     let fits = (1..=MAX_TOKENS).contains(&max_tokens) && options.n.unwrap_or(1) == 1;
     fits.then_some(Parsed {
-        completion: Completion { prompt, max_tokens, resume_from: 0 },
+        completion: Completion {
+            prompt,
+            max_tokens,
+            resume_from: 0,
+        },
         stream: options.stream,
     })
 }
@@ -159,11 +163,26 @@
 
 fn choice<'a>(form: Form, streamed: bool, text: &'a str, end: bool) -> Choice<'a> {
     let finish_reason = end.then_some("stop");
-    let turn = Turn { role: ROLE, content: text };
+    let turn = Turn {
+        role: ROLE,
+        content: text,
+    };
     match (form, streamed) {
-        (Form::Text, _) => Choice { text: Some(text), finish_reason, ..Choice::default() },
-        (Form::Chat, true) => Choice { delta: Some(turn), finish_reason, ..Choice::default() },
-        (Form::Chat, false) => Choice { message: Some(turn), finish_reason, ..Choice::default() },
+        (Form::Text, _) => Choice {
+            text: Some(text),
+            finish_reason,
+            ..Choice::default()
+        },
+        (Form::Chat, true) => Choice {
+            delta: Some(turn),
+            finish_reason,
+            ..Choice::default()
+        },
+        (Form::Chat, false) => Choice {
+            message: Some(turn),
+            finish_reason,
+            ..Choice::default()
+        },
     }
 }
 
@@ -177,7 +196,11 @@
 impl Style {
     fn new(form: Form, session: &Session) -> Self {
         let id = format!("cmpl-{}", session.id());
-        Self { form, id, model: session.service().to_owned() }
+        Self {
+            form,
+            id,
+            model: session.service().to_owned(),
+        }
     }
 
     fn chunk(&self, text: &str, end: Option<u64>) -> Bytes {
@@ -187,7 +210,13 @@
         };
         let choices = [choice(self.form, true, text, end.is_some())];
         let usage = end.map(|completion_tokens| Usage { completion_tokens });
-        let answer = Answer { id: &self.id, object, model: &self.model, choices, usage };
+        let answer = Answer {
+            id: &self.id,
+            object,
+            model: &self.model,
+            choices,
+            usage,
+        };
         let mut out = b"data: ".to_vec();
         serde_json::to_writer(&mut out, &answer).expect("answers always encode");
         out.extend_from_slice(b"\n\n");
@@ -201,7 +230,13 @@
         };
         let choices = [choice(self.form, false, text, true)];
         let usage = Some(Usage { completion_tokens });
-        let answer = Answer { id: &self.id, object, model: &self.model, choices, usage };
+        let answer = Answer {
+            id: &self.id,
+            object,
+            model: &self.model,
+            choices,
+            usage,
+        };
         serde_json::to_vec(&answer).expect("answers always encode")
     }
 }
@@ -235,7 +270,8 @@
     let (tx, body) = stream(CALLER_SLACK);
     tokio::spawn(pass_on(style, session, first, tx));
     let mut res = typed(body, "text/event-stream", id);
-    res.headers_mut().insert(CACHE_CONTROL, HeaderValue::from_static("no-cache"));
+    res.headers_mut()
+        .insert(CACHE_CONTROL, HeaderValue::from_static("no-cache"));
     res
 }
 
@@ -276,7 +312,8 @@
 
 fn typed(body: Body, kind: &'static str, id: RequestId) -> Response<Body> {
     let mut res = Response::new(body);
-    res.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static(kind));
+    res.headers_mut()
+        .insert(CONTENT_TYPE, HeaderValue::from_static(kind));
     set_request_id(&mut res, id);
     res
 }
--- a/crates/entry/src/docs.rs
+++ b/crates/entry/src/docs.rs
@@ -25,20 +25,39 @@
 
 async fn fetch(entry: &Entry, peer: &Peer, service: &str) {
     let timeout = entry.node.settings.limits.probe_timeout;
-    let got = peer.call(Method::GET, PATH_DOC, Vec::new(), MAX_DOC, timeout).await;
+    let got = peer
+        .call(Method::GET, PATH_DOC, Vec::new(), MAX_DOC, timeout)
+        .await;
     // Without it the next look at the table service brings the document.
     let Ok((status, body)) = got else { return };
-    let Some(text) = status.is_success().then(|| wire::decode::<DocText>(&body)).flatten() else {
+    let Some(text) = status
+        .is_success()
+        .then(|| wire::decode::<DocText>(&body))
+        .flatten()
+    else {
         return;
     };
     if text.service == service && entry.node.book.offer(&text) == Offered::Taken {
-        emit(&Event::DocInForce { service, version: text.version });
+        emit(&Event::DocInForce {
+            service,
+            version: text.version,
+        });
     }
 }
 
 async fn push(entry: &Entry, peer: &Peer, service: &str) {
-    let Some(text) = entry.node.book.text(service) else { return };
+    let Some(text) = entry.node.book.text(service) else {
+        return;
+    };
     let timeout = entry.node.settings.limits.probe_timeout;
     // An agent that doesn't get it refuses the request, and nothing is lost.
-    let _ = peer.call(Method::POST, PATH_DOC, wire::encode(&text), MAX_DOC, timeout).await;
+    let _ = peer
+        .call(
+            Method::POST,
+            PATH_DOC,
+            wire::encode(&text),
+            MAX_DOC,
+            timeout,
+        )
+        .await;
 }
--- a/crates/entry/src/health.rs
+++ b/crates/entry/src/health.rs
@@ -29,7 +29,9 @@
     /// the caller that asked, and left out for the others meanwhile.
     pub fn may_try(&self, addr: SocketAddr, now: Instant) -> bool {
         let mut failed = self.failed.lock().expect("no panic while locked");
-        let Ok(at) = failed.binary_search_by_key(&addr, |f| f.addr) else { return true };
+        let Ok(at) = failed.binary_search_by_key(&addr, |f| f.addr) else {
+            return true;
+        };
         if failed[at].until > now {
             return false;
         }
@@ -54,7 +56,14 @@
                 f.times = f.times.saturating_add(1);
                 f.until = now + pause(f.times);
             }
-            Err(at) => failed.insert(at, Failed { addr, times: 1, until: now + pause(1) }),
+            Err(at) => failed.insert(
+                at,
+                Failed {
+                    addr,
+                    times: 1,
+                    until: now + pause(1),
+                },
+            ),
         }
     }
 
--- a/crates/entry/src/ledger.rs
+++ b/crates/entry/src/ledger.rs
@@ -74,7 +74,11 @@
 }
 
 fn measure(entry: &Entry, e: &Ended<'_>) {
-    let who = Labels { service: e.service, class: e.class, tenant: e.tenant };
+    let who = Labels {
+        service: e.service,
+        class: e.class,
+        tenant: e.tenant,
+    };
     let metrics = &entry.node.metrics;
     let reason = e.reason.map(|r| r.to_string()).unwrap_or_default();
     metrics.count(who, &e.outcome.to_string(), &reason);
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -34,7 +34,11 @@
         return Err(StartError::Settings("an entry takes no field `upstream`"));
     }
     let (tx, leases) = watch::channel(Vec::new());
-    let keys = settings.services.iter().map(|s| lease_key(DUTY, s)).collect();
+    let keys = settings
+        .services
+        .iter()
+        .map(|s| lease_key(DUTY, s))
+        .collect();
     let node = Node::start(settings, Some(AlsoRows { keys, tx }), stop.clone());
     let listener = node.listen()?;
     let entry = Entry::new(node.clone());
@@ -52,7 +56,9 @@
     let handler = entry.clone();
     let server = tokio::spawn(server.run(listener, move |req| api::serve(handler.clone(), req)));
     stop.stopped().await;
-    emit(&Event::Stopping { why: "signal or leaving host" });
+    emit(&Event::Stopping {
+        why: "signal or leaving host",
+    });
     // Health says no at once; callers that the balancer still sends are served
     // until it has noticed.
     tokio::time::sleep(node.settings.limits.linger).await;
@@ -82,7 +88,11 @@
         leases: leases.clone(),
         stop: stop.clone(),
     };
-    node.book.services().into_iter().map(|s| tokio::spawn(duty(s).run())).collect()
+    node.book
+        .services()
+        .into_iter()
+        .map(|s| tokio::spawn(duty(s).run()))
+        .collect()
 }
 
 /// Forgets agents that no document names any more, at each change of a document.
@@ -92,8 +102,9 @@
     // The sender lives in the book, so this goes on until the process ends.
     while changed.changed().await.is_ok() {
         let docs = book.services().into_iter().filter_map(|s| book.get(&s));
-        let mut named: Vec<_> =
-            docs.flat_map(|d| d.doc.upstreams.iter().map(|u| u.agent).collect::<Vec<_>>()).collect();
+        let mut named: Vec<_> = docs
+            .flat_map(|d| d.doc.upstreams.iter().map(|u| u.agent).collect::<Vec<_>>())
+            .collect();
         named.sort_unstable();
         entry.peers.keep_only(&named);
         entry.health.keep_only(&named);
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -15,7 +15,10 @@
 impl Peers {
     /// No connections yet; `timeout` bounds opening one.
     pub fn new(timeout: Duration) -> Self {
-        Self { timeout, peers: RwLock::default() }
+        Self {
+            timeout,
+            peers: RwLock::default(),
+        }
     }
 
     /// The peer at an address.
--- a/crates/entry/src/plain.rs
+++ b/crates/entry/src/plain.rs
@@ -19,7 +19,11 @@
     let mut body = Vec::new();
     loop {
         match session.next().await {
-            Ok(Part::Head { status, content_type, kept }) => {
+            Ok(Part::Head {
+                status,
+                content_type,
+                kept,
+            }) => {
                 body.clear();
                 res = head(status, content_type, kept);
             }
@@ -42,7 +46,8 @@
         res.headers_mut().insert(CONTENT_TYPE, kind);
     }
     if kept {
-        res.headers_mut().insert(KEPT, HeaderValue::from_static("true"));
+        res.headers_mut()
+            .insert(KEPT, HeaderValue::from_static("true"));
     }
     res
 }
--- a/crates/entry/src/session.rs
+++ b/crates/entry/src/session.rs
@@ -221,7 +221,9 @@
     async fn step(&mut self) -> Step {
         let left = self.left();
         let idle = self.entry.node.settings.limits.idle_timeout;
-        let Some(current) = &mut self.current else { return Step::Lost(Reason::PeerLost) };
+        let Some(current) = &mut self.current else {
+            return Step::Lost(Reason::PeerLost);
+        };
         let wait = if current.started { idle } else { left } + SLACK;
         let Ok(Some(part)) = tokio::time::timeout(wait, current.read()).await else {
             return Step::Lost(Reason::PeerLost);
@@ -270,28 +272,35 @@
         if std::mem::replace(&mut self.noted, true) {
             return;
         }
-        ledger::note(&self.entry, &Ended {
-            id: self.want.id,
-            service: &self.want.doc.doc.service,
-            tenant: &self.want.tenant,
-            class: &self.want.class.name,
-            outcome,
-            reason,
-            upstream: self.tried.last().map(String::as_str),
-            attempts: self.attempts,
-            queue_ms: self.queue_ms,
-            first: self.first,
-            total: self.since.elapsed(),
-            deadline: self.want.deadline,
-            count: self.delivered,
-        });
+        ledger::note(
+            &self.entry,
+            &Ended {
+                id: self.want.id,
+                service: &self.want.doc.doc.service,
+                tenant: &self.want.tenant,
+                class: &self.want.class.name,
+                outcome,
+                reason,
+                upstream: self.tried.last().map(String::as_str),
+                attempts: self.attempts,
+                queue_ms: self.queue_ms,
+                first: self.first,
+                total: self.since.elapsed(),
+                deadline: self.want.deadline,
+                count: self.delivered,
+            },
+        );
     }
 }
 
 impl Drop for Session {
     /// A session that is dropped before its end has lost its caller.
     fn drop(&mut self) {
-        let outcome = if self.attempts == 0 { Outcome::NotRun } else { Outcome::Unknown };
+        let outcome = if self.attempts == 0 {
+            Outcome::NotRun
+        } else {
+            Outcome::Unknown
+        };
         self.note(outcome, Some(Reason::CallerGone));
     }
 }
@@ -328,7 +337,11 @@
 
     fn tell(&self, why: &str) {
         let request = String::new();
-        emit(&Event::BadAnswer { request, upstream: &self.upstream, why: why.to_owned() });
+        emit(&Event::BadAnswer {
+            request,
+            upstream: &self.upstream,
+            why: why.to_owned(),
+        });
     }
 }
 
--- a/crates/fakes/src/answer.rs
+++ b/crates/fakes/src/answer.rs
@@ -19,7 +19,11 @@
 /// The same from the prompt's hash.
 pub fn token_of(prompt_hash: u64, index: u32) -> String {
     let h = xxh3_64_with_seed(&index.to_le_bytes(), prompt_hash);
-    format!("{}{:02x} ", WORDS[(h % WORDS.len() as u64) as usize], (h >> 32) as u8)
+    format!(
+        "{}{:02x} ",
+        WORDS[(h % WORDS.len() as u64) as usize],
+        (h >> 32) as u8
+    )
 }
 
 /// The whole completion of a prompt.
--- a/crates/fakes/src/engine.rs
+++ b/crates/fakes/src/engine.rs
@@ -20,8 +20,8 @@
 };
 use hyper::{Response, StatusCode};
 use net::Body;
-pub use orders::{EngineHistory, OrderSeen};
 use orders::Orders;
+pub use orders::{EngineHistory, OrderSeen};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
@@ -105,7 +105,9 @@
     }
 
     async fn steps(this: std::sync::Weak<Self>) {
-        let Some(step) = this.upgrade().map(|e| e.rates.step) else { return };
+        let Some(step) = this.upgrade().map(|e| e.rates.step) else {
+            return;
+        };
         let mut clock = tokio::time::interval(step);
         clock.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
         loop {
@@ -133,7 +135,11 @@
         if !inner.orders.serves(&body.model) {
             return status(StatusCode::CONFLICT);
         }
-        let Inner { batch, cache, orders } = &mut *inner;
+        let Inner {
+            batch,
+            cache,
+            orders,
+        } = &mut *inner;
         orders.note_run(&body.request_id);
         let answer = batch.add(body, cache);
         drop(inner);
@@ -147,7 +153,11 @@
         };
         let crash = self.gate.use_up(|f| &mut f.crash_in_order);
         let mut inner = self.lock();
-        let Inner { batch, cache, orders } = &mut *inner;
+        let Inner {
+            batch,
+            cache,
+            orders,
+        } = &mut *inner;
         let answer = orders.take(&order, batch, cache, crash);
         json(&answer)
     }
--- a/crates/fakes/src/engine/batch.rs
+++ b/crates/fakes/src/engine/batch.rs
@@ -5,7 +5,7 @@
 use crate::answer::token_of;
 use crate::fault::FaultGate;
 use bytes::Bytes;
-use engine::dialect::{Chunk, Choice, CompletionBody, Load, Usage};
+use engine::dialect::{Choice, Chunk, CompletionBody, Load, Usage};
 use hyper::Response;
 use net::{Body, BodySender, stream};
 use std::collections::VecDeque;
@@ -124,7 +124,11 @@
     }
 
     fn decode(&mut self, gate: &FaultGate) {
-        let other = self.running.first().map(|s| s.id.clone()).unwrap_or_default();
+        let other = self
+            .running
+            .first()
+            .map(|s| s.id.clone())
+            .unwrap_or_default();
         let mut i = 0;
         while i < self.running.len() {
             match emit(&mut self.running[i], gate, &other) {
@@ -151,7 +155,9 @@
 
     /// The load as it was some time ago.
     pub fn report(&self) -> Load {
-        self.reports.front().map_or_else(Load::default, |(_, load)| *load)
+        self.reports
+            .front()
+            .map_or_else(Load::default, |(_, load)| *load)
     }
 }
 
@@ -171,12 +177,18 @@
     let last = seq.next + 1 >= seq.max;
     let crossed = other != seq.id && gate.use_up(|f| &mut f.cross_chunks);
     let chunk = Chunk {
-        id: if crossed { other.to_owned() } else { seq.id.clone() },
+        id: if crossed {
+            other.to_owned()
+        } else {
+            seq.id.clone()
+        },
         choices: vec![Choice {
             text: token_of(seq.prompt_hash, seq.next),
             finish_reason: last.then(|| "length".to_owned()),
         }],
-        usage: Usage { completion_tokens: seq.next + 1 },
+        usage: Usage {
+            completion_tokens: seq.next + 1,
+        },
     };
     let mut text = serde_json::to_string(&chunk).expect("chunks always encode");
     text = format!("data: {text}\n\n");
--- a/crates/fakes/src/engine/cache.rs
+++ b/crates/fakes/src/engine/cache.rs
@@ -23,7 +23,13 @@
 impl PrefixCache {
     /// A cache with room for so many prefixes, whose events come `lag` late.
     pub fn new(room: usize, lag: Duration) -> Self {
-        Self { room, lag, held: VecDeque::new(), last: 0, events: VecDeque::new() }
+        Self {
+            room,
+            lag,
+            held: VecDeque::new(),
+            last: 0,
+            events: VecDeque::new(),
+        }
     }
 
     /// Bytes at the prompt's beginning that are cached.
@@ -58,7 +64,11 @@
 
     fn note(&mut self, prefix: u64, added: bool) {
         self.last += 1;
-        let event = CacheEvent { number: self.last, prefix, added };
+        let event = CacheEvent {
+            number: self.last,
+            prefix,
+            added,
+        };
         self.events.push_back((Instant::now(), event));
         if self.events.len() > MAX_EVENTS {
             self.events.pop_front();
@@ -70,14 +80,22 @@
         let due = |(at, e): &&(Instant, CacheEvent)| at.elapsed() >= self.lag && e.number > after;
         let due: Vec<CacheEvent> = self.events.iter().filter(due).map(|(_, e)| *e).collect();
         let last = due.last().map_or(after, |e| e.number);
-        let events = due.into_iter().filter(|e| e.number % GAP_EVERY != 0).collect();
+        let events = due
+            .into_iter()
+            .filter(|e| e.number % GAP_EVERY != 0)
+            .collect();
         CacheEvents { last, events }
     }
 
     /// KV cache of a prompt, as far as it is held.
     pub fn export(&self, prompt: &[u8]) -> KvBlob {
         let hashes = prefix::hashes(prompt);
-        KvBlob { prefixes: hashes.into_iter().filter(|h| self.held.contains(h)).collect() }
+        KvBlob {
+            prefixes: hashes
+                .into_iter()
+                .filter(|h| self.held.contains(h))
+                .collect(),
+        }
     }
 
     /// Takes KV cache in.
--- a/crates/fakes/src/engine/orders.rs
+++ b/crates/fakes/src/engine/orders.rs
@@ -55,7 +55,13 @@
             changing: false,
             incarnation: 1,
         };
-        Self { fencing, change, state, until: None, history: EngineHistory::default() }
+        Self {
+            fencing,
+            change,
+            state,
+            until: None,
+            history: EngineHistory::default(),
+        }
     }
 
     /// The state, once a change whose time has come is done.
@@ -144,7 +150,13 @@
     ) {
         if self.history.orders.len() < MAX_HISTORY {
             let order = order.clone();
-            let seen = OrderSeen { order, answer, conflicting, stale_effective, cut };
+            let seen = OrderSeen {
+                order,
+                answer,
+                conflicting,
+                stale_effective,
+                cut,
+            };
             self.history.orders.push(seen);
         }
     }
--- a/crates/fakes/src/hosts.rs
+++ b/crates/fakes/src/hosts.rs
@@ -20,7 +20,11 @@
 impl HostsStandin {
     /// A list whose readers see a change after `lag`.
     pub fn new(lag: Duration) -> Self {
-        Self { gate: FaultGate::default(), lag, changes: Mutex::default() }
+        Self {
+            gate: FaultGate::default(),
+            lag,
+            changes: Mutex::default(),
+        }
     }
 
     fn seen(&self) -> HostList {
@@ -32,13 +36,22 @@
             hosts.retain(|h| h.name != host.name);
             hosts.push(host.clone());
         }
-        HostList { version, hosts: Some(hosts) }
+        HostList {
+            version,
+            hosts: Some(hosts),
+        }
     }
 
     /// Changes a host's state.
     pub fn set(&self, name: &str, state: HostState) {
-        let host = Host { name: name.to_owned(), state };
-        self.changes.lock().expect("no panic while locked").push((Instant::now(), host));
+        let host = Host {
+            name: name.to_owned(),
+            state,
+        };
+        self.changes
+            .lock()
+            .expect("no panic while locked")
+            .push((Instant::now(), host));
     }
 }
 
--- a/crates/fakes/src/objects.rs
+++ b/crates/fakes/src/objects.rs
@@ -20,15 +20,24 @@
     fn list(&self, prefix: &str) -> Vec<String> {
         let objects = self.objects.lock().expect("no panic while locked");
         let from = objects.range(prefix.to_owned()..);
-        from.map(|(name, _)| name.clone()).take_while(|n| n.starts_with(prefix)).collect()
+        from.map(|(name, _)| name.clone())
+            .take_while(|n| n.starts_with(prefix))
+            .collect()
     }
 
     fn get(&self, name: &str) -> Option<Bytes> {
-        self.objects.lock().expect("no panic while locked").get(name).cloned()
+        self.objects
+            .lock()
+            .expect("no panic while locked")
+            .get(name)
+            .cloned()
     }
 
     fn put(&self, name: &str, data: Bytes) {
-        self.objects.lock().expect("no panic while locked").insert(name.to_owned(), data);
+        self.objects
+            .lock()
+            .expect("no panic while locked")
+            .insert(name.to_owned(), data);
     }
 }
 
--- a/crates/fakes/src/plain.rs
+++ b/crates/fakes/src/plain.rs
@@ -43,7 +43,11 @@
 impl PlainStandin {
     /// A service that takes `work` for each call.
     pub fn new(work: Duration) -> Self {
-        Self { gate: FaultGate::default(), work, runs: Mutex::default() }
+        Self {
+            gate: FaultGate::default(),
+            work,
+            runs: Mutex::default(),
+        }
     }
 
     /// The runs so far, in order.
--- a/crates/fakes/src/serve.rs
+++ b/crates/fakes/src/serve.rs
@@ -52,7 +52,10 @@
 
     /// A header as text, or an empty text.
     pub fn header(&self, name: &str) -> &str {
-        self.headers.get(name).and_then(|v| v.to_str().ok()).unwrap_or("")
+        self.headers
+            .get(name)
+            .and_then(|v| v.to_str().ok())
+            .unwrap_or("")
     }
 }
 
@@ -82,8 +85,11 @@
 pub async fn start<S: Standin>(addr: SocketAddr, standin: Arc<S>) -> io::Result<Running> {
     let listener = bind(addr)?;
     let addr = listener.local_addr()?;
-    let server =
-        Server { head_timeout: BODY_TIMEOUT, max_head: MAX_HEAD, stop: Stop::default() };
+    let server = Server {
+        head_timeout: BODY_TIMEOUT,
+        max_head: MAX_HEAD,
+        stop: Stop::default(),
+    };
     let handler = move |req| serve(standin.clone(), req);
     let task = tokio::spawn(server.run(listener, handler));
     Ok(Running { addr, task })
@@ -149,6 +155,8 @@
     let text = serde_json::to_vec(value).expect("stand-ins' messages always encode");
     let mut answer = Response::new(full(text));
     let kind = hyper::header::HeaderValue::from_static("application/json");
-    answer.headers_mut().insert(hyper::header::CONTENT_TYPE, kind);
+    answer
+        .headers_mut()
+        .insert(hyper::header::CONTENT_TYPE, kind);
     answer
 }
--- a/crates/fakes/src/table.rs
+++ b/crates/fakes/src/table.rs
@@ -43,13 +43,19 @@
 impl TableStandin {
     /// What the table service saw.
     pub fn history(&self) -> History {
-        self.state.lock().expect("no panic while locked").history.clone()
+        self.state
+            .lock()
+            .expect("no panic while locked")
+            .history
+            .clone()
     }
 
     fn read(&self, keys: &[String]) -> Vec<Row> {
         let mut state = self.state.lock().expect("no panic while locked");
         state.history.reads += 1;
-        keys.iter().filter_map(|k| state.rows.get(k).cloned()).collect()
+        keys.iter()
+            .filter_map(|k| state.rows.get(k).cloned())
+            .collect()
     }
 
     fn scan(&self, body: &ScanBody) -> Vec<Row> {
@@ -69,14 +75,15 @@
 
     fn commit(&self, txn: &Txn) -> CommitBody {
         let mut state = self.state.lock().expect("no panic while locked");
-        let holds = |key: &str, version| {
-            state.rows.get(key).map_or(0, |r| r.version) == version
-        };
+        let holds = |key: &str, version| state.rows.get(key).map_or(0, |r| r.version) == version;
         let conflicts: Vec<Conflict> = txn
             .checks
             .iter()
             .filter(|c| !holds(&c.key, c.version))
-            .map(|c| Conflict { key: c.key.clone(), row: state.rows.get(&c.key).cloned() })
+            .map(|c| Conflict {
+                key: c.key.clone(),
+                row: state.rows.get(&c.key).cloned(),
+            })
             .collect();
         if !conflicts.is_empty() {
             state.history.refused += 1;
@@ -89,7 +96,12 @@
                 state.rows.remove(&put.key);
                 continue;
             };
-            let row = Row { key: put.key.clone(), version, value, token: txn.token };
+            let row = Row {
+                key: put.key.clone(),
+                version,
+                value,
+                token: txn.token,
+            };
             if state.history.written.len() < MAX_HISTORY {
                 state.history.written.push(row.clone());
             }
--- a/crates/net/src/body.rs
+++ b/crates/net/src/body.rs
@@ -75,7 +75,9 @@
 
     /// A handle that sees the receiver go away.
     pub fn watcher(&self) -> Watcher {
-        Watcher { tx: self.tx.clone() }
+        Watcher {
+            tx: self.tx.clone(),
+        }
     }
 }
 
@@ -127,7 +129,9 @@
 
 /// A body known in whole.
 pub fn full(data: impl Into<Bytes>) -> Body {
-    Full::new(data.into()).map_err(|never| match never {}).boxed()
+    Full::new(data.into())
+        .map_err(|never| match never {})
+        .boxed()
 }
 
 /// A body that a task sends piece by piece, at most `buffer` ahead.
--- a/crates/net/src/client.rs
+++ b/crates/net/src/client.rs
@@ -13,6 +13,7 @@
         Ok(Err(e)) => return Err(CallError::NotSent(e.to_string())),
         Err(_) => return Err(CallError::NotSent("connecting took too long".into())),
     };
-    tcp.set_nodelay(true).map_err(|e| CallError::NotSent(e.to_string()))?;
+    tcp.set_nodelay(true)
+        .map_err(|e| CallError::NotSent(e.to_string()))?;
     Ok(TokioIo::new(tcp))
 }
--- a/crates/net/src/h1.rs
+++ b/crates/net/src/h1.rs
@@ -46,7 +46,11 @@
 impl Pool {
     /// A pool for an address; `timeout` bounds connecting.
     pub fn new(addr: SocketAddr, timeout: Duration) -> Self {
-        Self { addr, timeout, idle: Arc::default() }
+        Self {
+            addr,
+            timeout,
+            idle: Arc::default(),
+        }
     }
 
     /// The address.
@@ -73,8 +77,9 @@
 
     async fn open(&self) -> Result<SendRequest<Body>, CallError> {
         let io = connect(self.addr, self.timeout).await?;
-        let (conn, driver) =
-            handshake(io).await.map_err(|e| CallError::NotSent(e.to_string()))?;
+        let (conn, driver) = handshake(io)
+            .await
+            .map_err(|e| CallError::NotSent(e.to_string()))?;
         // The driver ends with the connection; its error shows in the request.
         tokio::spawn(driver);
         Ok(conn)
@@ -101,9 +106,15 @@
         mut conn: SendRequest<Body>,
         req: Request<Body>,
     ) -> Result<Answer, CallError> {
-        let response =
-            conn.send_request(req).await.map_err(|e| CallError::MaybeSent(e.to_string()))?;
-        Ok(Answer { response, conn, pool: self.clone() })
+        let response = conn
+            .send_request(req)
+            .await
+            .map_err(|e| CallError::MaybeSent(e.to_string()))?;
+        Ok(Answer {
+            response,
+            conn,
+            pool: self.clone(),
+        })
     }
 
     /// Sends a request and reads the whole answer, both within `timeout`.
@@ -116,8 +127,12 @@
         let whole = async {
             let mut answer = self.send(req).await?;
             let status = answer.response.status();
-            let body = Limited::new(answer.response.body_mut(), limit).collect().await;
-            let body = body.map_err(|e| CallError::MaybeSent(e.to_string()))?.to_bytes();
+            let body = Limited::new(answer.response.body_mut(), limit)
+                .collect()
+                .await;
+            let body = body
+                .map_err(|e| CallError::MaybeSent(e.to_string()))?
+                .to_bytes();
             answer.done();
             Ok((status, body))
         };
--- a/crates/net/src/peer.rs
+++ b/crates/net/src/peer.rs
@@ -30,7 +30,11 @@
 impl Peer {
     /// A peer at an address; `timeout` bounds connecting.
     pub fn new(addr: SocketAddr, timeout: Duration) -> Self {
-        Self { addr, timeout, conn: Arc::default() }
+        Self {
+            addr,
+            timeout,
+            conn: Arc::default(),
+        }
     }
 
     /// The peer's address.
@@ -66,8 +70,12 @@
     /// Sends a request; its answer's body is still to come.
     pub async fn send(&self, req: Request<Body>) -> Result<Response<Incoming>, CallError> {
         let mut conn = self.open().await?;
-        conn.ready().await.map_err(|e| CallError::NotSent(e.to_string()))?;
-        conn.send_request(req).await.map_err(|e| CallError::MaybeSent(e.to_string()))
+        conn.ready()
+            .await
+            .map_err(|e| CallError::NotSent(e.to_string()))?;
+        conn.send_request(req)
+            .await
+            .map_err(|e| CallError::MaybeSent(e.to_string()))
     }
 
     /// Builds a request with a body for this peer.
--- a/crates/net/src/server.rs
+++ b/crates/net/src/server.rs
@@ -45,7 +45,9 @@
 
 impl Default for Stop {
     fn default() -> Self {
-        Self { tx: Arc::new(watch::Sender::new(false)) }
+        Self {
+            tx: Arc::new(watch::Sender::new(false)),
+        }
     }
 }
 
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -110,7 +110,11 @@
             nudge: self.nudge.clone(),
         };
         tokio::spawn(poll.run(self.platform.clone()));
-        let hosts = poll_hosts(self.platform.clone(), self.leaving.clone(), limits.host_poll);
+        let hosts = poll_hosts(
+            self.platform.clone(),
+            self.leaving.clone(),
+            limits.host_poll,
+        );
         tokio::spawn(hosts);
         tokio::spawn(async move {
             let mut changed = self.book.watch();
@@ -159,8 +163,11 @@
     ) -> Result<(), StartError> {
         let addr = self.settings.admin;
         let listener = bind(addr).map_err(|e| StartError::Bind(addr, e))?;
-        let server =
-            Server { head_timeout: ADMIN_TIMEOUT, max_head: ADMIN_HEAD, stop: Stop::default() };
+        let server = Server {
+            head_timeout: ADMIN_TIMEOUT,
+            max_head: ADMIN_HEAD,
+            stop: Stop::default(),
+        };
         let node = self.clone();
         tokio::spawn(server.run(listener, move |req| {
             let answer = node.admin(&req, &ready);
@@ -186,7 +193,10 @@
         let addr = self.settings.listen;
         let listener = bind(addr).map_err(|e| StartError::Bind(addr, e))?;
         let admin = self.settings.admin.to_string();
-        emit(&Event::Started { listen: addr.to_string(), admin });
+        emit(&Event::Started {
+            listen: addr.to_string(),
+            admin,
+        });
         Ok(listener)
     }
 
--- a/crates/observe/src/event.rs
+++ b/crates/observe/src/event.rs
@@ -187,7 +187,12 @@
         return;
     }
     let process = PROCESS.get().map_or("", String::as_str);
-    let line = Line { ts_ms: now_ms(), level, process, event };
+    let line = Line {
+        ts_ms: now_ms(),
+        level,
+        process,
+        event,
+    };
     let text = serde_json::to_string(&line).expect("events always encode");
     log::log!(level, "{text}");
 }
--- a/crates/observe/src/metrics.rs
+++ b/crates/observe/src/metrics.rs
@@ -6,8 +6,9 @@
 use std::sync::Mutex;
 
 /// Bounds of the histograms, in seconds.
-const BUCKETS: [f64; 14] =
-    [0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.0, 5.0, 15.0, 60.0];
+const BUCKETS: [f64; 14] = [
+    0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.0, 5.0, 15.0, 60.0,
+];
 /// Label of tenants past the bound.
 const OTHERS: &str = "other";
 
@@ -59,8 +60,18 @@
                 "Requests by what became of them.",
                 &["service", "class", "outcome", "reason"],
             ),
-            queue: histogram(&registry, "queue_seconds", "Time in an agent's queue.", &class),
-            first: histogram(&registry, "first_byte_seconds", "Time to the first byte.", &class),
+            queue: histogram(
+                &registry,
+                "queue_seconds",
+                "Time in an agent's queue.",
+                &class,
+            ),
+            first: histogram(
+                &registry,
+                "first_byte_seconds",
+                "Time to the first byte.",
+                &class,
+            ),
             total: histogram(&registry, "request_seconds", "Time to the end.", &class),
             tenants: histogram(
                 &registry,
@@ -68,7 +79,12 @@
                 "Time to the first byte for each tenant, up to a bound.",
                 &["service", "tenant"],
             ),
-            docs: gauge(&registry, "document_version", "Version in force.", &["service"]),
+            docs: gauge(
+                &registry,
+                "document_version",
+                "Version in force.",
+                &["service"],
+            ),
             known: Mutex::default(),
             most_tenants: most_tenants as usize,
             registry,
@@ -77,7 +93,9 @@
 
     /// Counts a request's end.
     pub fn count(&self, who: Labels<'_>, outcome: &str, reason: &str) {
-        self.requests.with_label_values(&[who.service, who.class, outcome, reason]).inc();
+        self.requests
+            .with_label_values(&[who.service, who.class, outcome, reason])
+            .inc();
     }
 
     /// Notes a time, in seconds.
@@ -89,7 +107,9 @@
             Seconds::First => {
                 self.first.with_label_values(&class).observe(seconds);
                 let tenant = self.tenant_label(who.tenant);
-                self.tenants.with_label_values(&[who.service, &tenant]).observe(seconds);
+                self.tenants
+                    .with_label_values(&[who.service, &tenant])
+                    .observe(seconds);
             }
         }
     }
@@ -103,7 +123,9 @@
     pub fn text(&self) -> Vec<u8> {
         let mut buf = Vec::new();
         let families = self.registry.gather();
-        TextEncoder::new().encode(&families, &mut buf).expect("our own metrics are valid");
+        TextEncoder::new()
+            .encode(&families, &mut buf)
+            .expect("our own metrics are valid");
         buf
     }
 
@@ -128,19 +150,25 @@
 
 fn counter(registry: &Registry, short: &str, help: &str, labels: &[&str]) -> IntCounterVec {
     let v = IntCounterVec::new(Opts::new(name(short), help), labels).expect("valid metric");
-    registry.register(Box::new(v.clone())).expect("registered once");
+    registry
+        .register(Box::new(v.clone()))
+        .expect("registered once");
     v
 }
 
 fn gauge(registry: &Registry, short: &str, help: &str, labels: &[&str]) -> IntGaugeVec {
     let v = IntGaugeVec::new(Opts::new(name(short), help), labels).expect("valid metric");
-    registry.register(Box::new(v.clone())).expect("registered once");
+    registry
+        .register(Box::new(v.clone()))
+        .expect("registered once");
     v
 }
 
 fn histogram(registry: &Registry, short: &str, help: &str, labels: &[&str]) -> HistogramVec {
     let opts = HistogramOpts::new(name(short), help).buckets(BUCKETS.to_vec());
     let v = HistogramVec::new(opts, labels).expect("valid metric");
-    registry.register(Box::new(v.clone())).expect("registered once");
+    registry
+        .register(Box::new(v.clone()))
+        .expect("registered once");
     v
 }
--- a/crates/plan/src/duty.rs
+++ b/crates/plan/src/duty.rs
@@ -62,7 +62,9 @@
     }
 
     async fn look(&mut self, keeper: &mut Keeper, peers: &mut Vec<Peer>) {
-        let Some(doc) = self.book.get(&self.service) else { return };
+        let Some(doc) = self.book.get(&self.service) else {
+            return;
+        };
         match keeper.standing() {
             Standing::Watching => {
                 let rows = self.leases.borrow_and_update().clone();
@@ -87,7 +89,10 @@
     /// The engines with their want rows and statuses; none while the store is down.
     async fn engines(&self, doc: &InForce, peers: &mut Vec<Peer>) -> Option<Vec<Engine>> {
         let ups = &doc.doc.upstreams;
-        let keys: Vec<String> = ups.iter().map(|u| want_key(&self.service, &u.name)).collect();
+        let keys: Vec<String> = ups
+            .iter()
+            .map(|u| want_key(&self.service, &u.name))
+            .collect();
         let rows = self.table.read(keys.clone()).await.ok()?;
         let mut engines = Vec::new();
         for (u, key) in ups.iter().zip(keys) {
@@ -132,8 +137,14 @@
 
     fn tell(&self, before: Option<u64>, after: Option<u64>) {
         match (before, after) {
-            (None, Some(epoch)) => emit(&Event::LeaseTaken { service: &self.service, epoch }),
-            (Some(epoch), None) => emit(&Event::LeaseLost { service: &self.service, epoch }),
+            (None, Some(epoch)) => emit(&Event::LeaseTaken {
+                service: &self.service,
+                epoch,
+            }),
+            (Some(epoch), None) => emit(&Event::LeaseLost {
+                service: &self.service,
+                epoch,
+            }),
             _ => {}
         }
     }
@@ -159,15 +170,31 @@
 }
 
 async fn status(peer: &Peer) -> Option<AgentStatus> {
-    let answer = peer.call(Method::GET, PATH_STATUS, Vec::new(), MAX_STATUS, STATUS_TIMEOUT).await;
+    let answer = peer
+        .call(
+            Method::GET,
+            PATH_STATUS,
+            Vec::new(),
+            MAX_STATUS,
+            STATUS_TIMEOUT,
+        )
+        .await;
     wire::decode(&answer.ok()?.1)
 }
 
 /// Tells an agent to look at its want row. It would look by itself a little later.
 async fn nudge(doc: &InForce, peers: &mut Vec<Peer>, upstream: &str) {
-    let Some(id) = doc.doc.upstream_named(upstream) else { return };
+    let Some(id) = doc.doc.upstream_named(upstream) else {
+        return;
+    };
     let peer = peer(peers, doc.doc.upstream(id).agent);
-    let call = peer.call(Method::POST, PATH_NUDGE, Vec::new(), MAX_STATUS, STATUS_TIMEOUT);
+    let call = peer.call(
+        Method::POST,
+        PATH_NUDGE,
+        Vec::new(),
+        MAX_STATUS,
+        STATUS_TIMEOUT,
+    );
     // A nudge that is lost costs a few seconds, nothing else.
     let _ = call.await;
 }
--- a/crates/plan/src/lease.rs
+++ b/crates/plan/src/lease.rs
@@ -36,7 +36,13 @@
     /// A keeper of the lease row `key` for `holder`. Another's lease may be
     /// taken once its row has stood still for `stale_after` on our own clock.
     pub fn new(key: String, holder: String, stale_after: Duration) -> Self {
-        Self { key, holder, stale_after, standing: Standing::Watching, seen: None }
+        Self {
+            key,
+            holder,
+            stale_after,
+            standing: Standing::Watching,
+            seen: None,
+        }
     }
 
     /// What this process knows of the lease.
@@ -72,30 +78,48 @@
         tokio::time::sleep(jitter(self.stale_after / 4)).await;
         let old = row.and_then(|r| decode::<Lease>(&r.value));
         let epoch = old.map_or(0, |l| l.epoch) + 1;
-        let lease = Lease { holder: self.holder.clone(), epoch, renewals: 0 };
+        let lease = Lease {
+            holder: self.holder.clone(),
+            epoch,
+            renewals: 0,
+        };
         self.write(table, lease, row.map_or(0, |r| r.version)).await;
     }
 
     /// Renews the lease that is held. A lost one leaves the standing at watching.
     pub async fn renew<T: Table>(&mut self, table: &T) {
-        let Standing::Holding { lease, version } = self.standing.clone() else { return };
-        let lease = Lease { renewals: lease.renewals + 1, ..lease };
+        let Standing::Holding { lease, version } = self.standing.clone() else {
+            return;
+        };
+        let lease = Lease {
+            renewals: lease.renewals + 1,
+            ..lease
+        };
         self.write(table, lease, version).await;
     }
 
     /// Gives the lease up, as when the process stops, so that another can take
     /// it at once. The row stays, so that epochs go on rising.
     pub async fn give_up<T: Table>(&mut self, table: &T) {
-        let Standing::Holding { lease, version } = self.standing.clone() else { return };
-        let free = Lease { holder: NOBODY.to_owned(), ..lease };
-        let txn = Txn::new().check(&self.key, version).put(&self.key, encode(&free));
+        let Standing::Holding { lease, version } = self.standing.clone() else {
+            return;
+        };
+        let free = Lease {
+            holder: NOBODY.to_owned(),
+            ..lease
+        };
+        let txn = Txn::new()
+            .check(&self.key, version)
+            .put(&self.key, encode(&free));
         self.standing = Standing::Watching;
         // If this fails the lease goes stale, and is taken then.
         let _ = table.commit(&txn).await;
     }
 
     async fn write<T: Table>(&mut self, table: &T, lease: Lease, over: u64) {
-        let txn = Txn::new().check(&self.key, over).put(&self.key, encode(&lease));
+        let txn = Txn::new()
+            .check(&self.key, over)
+            .put(&self.key, encode(&lease));
         match table.commit(&txn).await {
             Ok(version) => self.standing = Standing::Holding { lease, version },
             Err(WriteError::Refused(_)) => self.standing = Standing::Watching,
@@ -114,7 +138,10 @@
         };
         match rows.first() {
             Some(row) if row.token == token => {
-                self.standing = Standing::Holding { lease, version: row.version };
+                self.standing = Standing::Holding {
+                    lease,
+                    version: row.version,
+                };
             }
             Some(row) if self.holds(row) => {}
             _ => self.standing = Standing::Watching,
--- a/crates/plan/src/policy.rs
+++ b/crates/plan/src/policy.rs
@@ -35,7 +35,9 @@
 /// through the engines a bounded part at a time, and the next part waits until
 /// the changed ones serve again.
 pub fn orders(doc: &Doc, engines: &[Engine], epoch: u64) -> Vec<NewOrder> {
-    let Kind::Engine(model) = &doc.kind else { return Vec::new() };
+    let Kind::Engine(model) = &doc.kind else {
+        return Vec::new();
+    };
     let mut out = Vec::new();
     let mut room = (engines.len() / PART_IN_CHANGE).max(1);
     room = room.saturating_sub(engines.iter().filter(|e| in_change(e)).count());
@@ -58,7 +60,17 @@
         let order = e.want.as_ref().map_or(0, |w| w.order) + 1;
         let model_version = model.version;
         let model = model.name.clone();
-        out.push(NewOrder { engine, want: Want { role, model, model_version, epoch, order, why } });
+        out.push(NewOrder {
+            engine,
+            want: Want {
+                role,
+                model,
+                model_version,
+                epoch,
+                order,
+                why,
+            },
+        });
     }
     out
 }
@@ -66,7 +78,9 @@
 /// Whether any engine is wanted otherwise than the document says. If not, there
 /// is nothing to order, and nobody needs to be asked.
 pub fn any_to_change(doc: &Doc, engines: &[Engine]) -> bool {
-    let Kind::Engine(model) = &doc.kind else { return false };
+    let Kind::Engine(model) = &doc.kind else {
+        return false;
+    };
     let fits = |w: &Want| w.model == model.name && w.model_version == model.version;
     engines.iter().any(|e| !e.want.as_ref().is_some_and(fits))
 }
--- /dev/null
+++ b/crates/plan/tests/policy.rs
@@ -0,0 +1,99 @@
+//! What is wanted of the engines.
+
+use conf::Doc;
+use plan::policy::{Engine, any_to_change, orders};
+use store::rows::Want;
+use wire::{AgentState, AgentStatus, Role};
+
+const EPOCH: u64 = 5;
+
+fn doc(version: u32) -> Doc {
+    let ups: String = (0..8)
+        .map(|i| {
+            format!(
+                "- {{name: u{i}, host: h{i}, zone: z, agent: 127.0.0.1:{}, slots: 1}}\n",
+                7000 + i
+            )
+        })
+        .collect();
+    let text = format!(
+        "service: s\nkind: engine\nmodel: {{name: m, version: {version}}}\nshare: 50%\n\
+         drain_bound: 1s\ntenants: {{queue: 1, running: 1}}\nclasses:\n- {{name: c, urgency: 0, \
+         deadline: 1s, idempotent: true, share: 50%, starvation_bound: 1s, queue: 1}}\n\
+         upstreams:\n{ups}"
+    );
+    Doc::parse(&text).unwrap()
+}
+
+fn engine(i: usize, version: Option<u32>, ready: bool) -> Engine {
+    let want = version.map(|v| Want {
+        role: Role::Mixed,
+        model: "m".into(),
+        model_version: v,
+        epoch: 1,
+        order: 3,
+        why: String::new(),
+    });
+    let state = if ready {
+        AgentState::Ready
+    } else {
+        AgentState::Starting
+    };
+    let status = AgentStatus {
+        upstream: format!("u{i}"),
+        state,
+        role: Role::Mixed,
+        model: version.map(|v| format!("m@{v}")),
+        doc_version: 1,
+        waiting: 0,
+        running: 0,
+        fault: None,
+    };
+    Engine {
+        name: format!("u{i}"),
+        want,
+        version: 1,
+        status: Some(status),
+    }
+}
+
+#[test]
+fn engines_without_an_order_get_their_first_at_once() {
+    let engines: Vec<Engine> = (0..8).map(|i| engine(i, None, true)).collect();
+    let got = orders(&doc(1), &engines, EPOCH);
+    assert_eq!(got.len(), 8);
+    assert!(
+        got.iter()
+            .all(|o| o.want.order == 1 && o.want.epoch == EPOCH)
+    );
+}
+
+#[test]
+fn nothing_to_change_is_nothing_to_order() {
+    let engines: Vec<Engine> = (0..8).map(|i| engine(i, Some(1), true)).collect();
+    assert!(!any_to_change(&doc(1), &engines));
+    assert!(orders(&doc(1), &engines, EPOCH).is_empty());
+}
+
+#[test]
+fn a_change_of_model_goes_a_quarter_at_a_time() {
+    let mut engines: Vec<Engine> = (0..8).map(|i| engine(i, Some(1), true)).collect();
+    let got = orders(&doc(2), &engines, EPOCH);
+    assert_eq!(got.len(), 2);
+    assert!(
+        got.iter()
+            .all(|o| o.want.order == 4 && o.want.model_version == 2)
+    );
+    engines[0] = engine(0, Some(2), false);
+    engines[1] = engine(1, Some(2), true);
+    assert_eq!(
+        orders(&doc(2), &engines, EPOCH).len(),
+        1,
+        "one is still in its change"
+    );
+    engines[1].status = None;
+    assert!(
+        orders(&doc(2), &engines, EPOCH).is_empty(),
+        "an agent that is silent counts"
+    );
+}
--- a/crates/records/src/record.rs
+++ b/crates/records/src/record.rs
@@ -84,7 +84,10 @@
 impl BatchName {
     /// The object's name.
     pub fn to_object(&self) -> String {
-        format!("{PREFIX}{:07}/{}/{:08}", self.hour, self.process, self.number)
+        format!(
+            "{PREFIX}{:07}/{}/{:08}",
+            self.hour, self.process, self.number
+        )
     }
 
     /// Reads an object's name.
@@ -93,6 +96,10 @@
         let hour = parts.next()?.parse().ok()?;
         let process = parts.next()?.to_owned();
         let number = parts.next()?.parse().ok()?;
-        parts.next().is_none().then_some(Self { hour, process, number })
+        parts.next().is_none().then_some(Self {
+            hour,
+            process,
+            number,
+        })
     }
 }
--- a/crates/records/src/report.rs
+++ b/crates/records/src/report.rs
@@ -130,7 +130,11 @@
         let mut counts = self.counts;
         if let Some(w) = self.waits {
             let q = |q| w.value_at_quantile(q);
-            counts.wait_ms = Quantiles { p50: q(0.5), p95: q(0.95), p99: q(0.99) };
+            counts.wait_ms = Quantiles {
+                p50: q(0.5),
+                p95: q(0.95),
+                p99: q(0.99),
+            };
         }
         counts
     }
@@ -204,9 +208,16 @@
         let known = |r: &&RequestId| self.entry_seen.binary_search(r).is_err();
         let agent_only = self.agent_seen.iter().filter(known).count() as u64;
         let class = |(class, (group, tenants)): (String, (Group, BTreeMap<String, Group>))| {
-            let tenant = |(tenant, g): (String, Group)| TenantReport { tenant, counts: g.finish() };
+            let tenant = |(tenant, g): (String, Group)| TenantReport {
+                tenant,
+                counts: g.finish(),
+            };
             let tenants = tenants.into_iter().map(tenant).collect();
-            ClassReport { class, all: group.finish(), tenants }
+            ClassReport {
+                class,
+                all: group.finish(),
+                tenants,
+            }
         };
         Report {
             service: self.service,
@@ -214,7 +225,11 @@
             classes: self.classes.into_iter().map(class).collect(),
             agent_only,
             tries,
-            gaps: self.processes.into_iter().filter_map(|(p, seen)| gap(p, seen)).collect(),
+            gaps: self
+                .processes
+                .into_iter()
+                .filter_map(|(p, seen)| gap(p, seen))
+                .collect(),
         }
     }
 }
@@ -222,10 +237,18 @@
 fn gap(process: String, mut seen: ProcessSeen) -> Option<Gap> {
     seen.numbers.sort_unstable();
     seen.numbers.dedup();
-    let missing: Vec<u64> =
-        seen.numbers.windows(2).flat_map(|pair| pair[0] + 1..pair[1]).collect();
+    let missing: Vec<u64> = seen
+        .numbers
+        .windows(2)
+        .flat_map(|pair| pair[0] + 1..pair[1])
+        .collect();
     let whole = missing.is_empty() && seen.dropped == 0 && seen.ended;
-    (!whole).then_some(Gap { process, missing, dropped: seen.dropped, ended: seen.ended })
+    (!whole).then_some(Gap {
+        process,
+        missing,
+        dropped: seen.dropped,
+        ended: seen.ended,
+    })
 }
 
 /// Reads a service's report from the object store.
@@ -236,12 +259,16 @@
 ) -> Result<Report, Error> {
     let mut collector = Collector::new(service, since_ms);
     for object in objects.list(PREFIX).await? {
-        let Some(name) = BatchName::parse(&object) else { continue };
+        let Some(name) = BatchName::parse(&object) else {
+            continue;
+        };
         // A batch of an earlier hour holds nothing that ended since.
         if (name.hour + 1) * HOUR_MS < since_ms {
             continue;
         }
-        let Some(data) = objects.get(&object).await? else { continue };
+        let Some(data) = objects.get(&object).await? else {
+            continue;
+        };
         let Some(batch) = wire::decode::<Batch>(&data) else {
             return Err(Error::Nonsense(format!("batch {object}")));
         };
--- a/crates/records/src/table.rs
+++ b/crates/records/src/table.rs
@@ -12,7 +12,13 @@
         writeln!(
             f,
             "{:<34} {:>8} {:>8} {:>8} {:>8} {:>8}  {:>18}  reasons",
-            "class / tenant", "requests", "served", "delayed", "refused", "unknown", "wait ms 50/95/99"
+            "class / tenant",
+            "requests",
+            "served",
+            "delayed",
+            "refused",
+            "unknown",
+            "wait ms 50/95/99"
         )?;
         for c in &self.classes {
             row(f, &c.class, &c.all)?;
@@ -26,7 +32,11 @@
             }
         }
         row(f, "all", &self.all)?;
-        writeln!(f, "tries at agents: {}, known to agents only: {}", self.tries, self.agent_only)?;
+        writeln!(
+            f,
+            "tries at agents: {}, known to agents only: {}",
+            self.tries, self.agent_only
+        )?;
         for g in &self.gaps {
             let end = if g.ended { "ended" } else { "no end seen" };
             writeln!(
--- a/crates/records/src/writer.rs
+++ b/crates/records/src/writer.rs
@@ -3,8 +3,8 @@
 use crate::record::{Batch, BatchName, HOUR_MS, Record};
 use observe::event::now_ms;
 use observe::{Event, emit};
-use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 use store::Objects;
 use store::retry::{Backoff, around};
@@ -37,7 +37,13 @@
     {
         let (tx, rx) = mpsc::channel(buffer as usize);
         let dropped = Arc::new(AtomicU64::new(0));
-        let writer = Writer { objects, process, flush, number: 0, dropped: dropped.clone() };
+        let writer = Writer {
+            objects,
+            process,
+            flush,
+            number: 0,
+            dropped: dropped.clone(),
+        };
         tokio::spawn(writer.run(rx));
         Self { tx, dropped }
     }
@@ -94,9 +100,17 @@
             emit(&Event::RecordsDropped { count: dropped });
         }
         let hour = now_ms() / HOUR_MS;
-        let name = BatchName { hour, process: self.process.clone(), number: self.number };
+        let name = BatchName {
+            hour,
+            process: self.process.clone(),
+            number: self.number,
+        };
         let name = name.to_object();
-        let data = wire::encode(&Batch { dropped, last, records });
+        let data = wire::encode(&Batch {
+            dropped,
+            last,
+            records,
+        });
         let mut backoff = Backoff::new(RETRY_FIRST, RETRY_MOST);
         // The same bytes under the same name: a repeat after a lost answer is harmless.
         while self.objects.put(&name, data.clone()).await.is_err() {
--- a/crates/store/src/docs.rs
+++ b/crates/store/src/docs.rs
@@ -51,7 +51,11 @@
         let mut names = services.to_vec();
         names.sort_unstable();
         names.dedup();
-        let slot = |service| Slot { service, in_force: None, wanted: 0 };
+        let slot = |service| Slot {
+            service,
+            in_force: None,
+            wanted: 0,
+        };
         Self {
             slots: RwLock::new(names.into_iter().map(slot).collect()),
             changed: watch::Sender::new(0),
@@ -60,7 +64,9 @@
 
     fn with<T>(&self, service: &str, f: impl FnOnce(&Slot) -> T) -> Option<T> {
         let slots = self.slots.read().expect("no panic while locked");
-        let at = slots.binary_search_by(|s| s.service.as_str().cmp(service)).ok()?;
+        let at = slots
+            .binary_search_by(|s| s.service.as_str().cmp(service))
+            .ok()?;
         Some(f(&slots[at]))
     }
 
@@ -82,7 +88,8 @@
 
     /// The version in force, 0 if there is none.
     pub fn version(&self, service: &str) -> u64 {
-        self.with(service, |s| s.in_force.as_ref().map_or(0, |d| d.version)).unwrap_or(0)
+        self.with(service, |s| s.in_force.as_ref().map_or(0, |d| d.version))
+            .unwrap_or(0)
     }
 
     /// The highest version that a peer has spoken of, if it is above the one in force.
@@ -124,12 +131,19 @@
         };
         let slot = &mut slots[at];
         // Looked at again under the lock: two offers may race.
-        if slot.in_force.as_ref().is_some_and(|d| d.version >= text.version) {
+        if slot
+            .in_force
+            .as_ref()
+            .is_some_and(|d| d.version >= text.version)
+        {
             return Offered::NotNewer;
         }
         let text_arc = Arc::from(text.text.as_str());
-        slot.in_force =
-            Some(InForce { version: text.version, doc: Arc::new(doc), text: text_arc });
+        slot.in_force = Some(InForce {
+            version: text.version,
+            doc: Arc::new(doc),
+            text: text_arc,
+        });
         slot.wanted = slot.wanted.max(text.version);
         drop(slots);
         self.changed.send_modify(|n| *n += 1);
@@ -156,6 +170,10 @@
     /// The document in force, as a message to a peer.
     pub fn text(&self, service: &str) -> Option<DocText> {
         let d = self.get(service)?;
-        Some(DocText { service: service.to_owned(), version: d.version, text: d.text.to_string() })
+        Some(DocText {
+            service: service.to_owned(),
+            version: d.version,
+            text: d.text.to_string(),
+        })
     }
 }
--- a/crates/store/src/http.rs
+++ b/crates/store/src/http.rs
@@ -3,9 +3,7 @@
 //! This is the one module to replace for another platform. The stand-ins speak
 //! the same dialect and share the message types below.
 
-use crate::table::{
-    Conflict, Error, HostList, Hosts, Objects, Row, Table, Txn, WriteError,
-};
+use crate::table::{Conflict, Error, HostList, Hosts, Objects, Row, Table, Txn, WriteError};
 use conf::Platform;
 use hyper::{Method, Request, StatusCode};
 use net::{Body, CallError, Pool, full};
@@ -88,7 +86,10 @@
         path: &str,
         body: Vec<u8>,
     ) -> Result<T, Error> {
-        let (status, body) = self.call(pool, method, path, body).await.map_err(|e| unavailable(&e))?;
+        let (status, body) = self
+            .call(pool, method, path, body)
+            .await
+            .map_err(|e| unavailable(&e))?;
         if !status.is_success() {
             return Err(Error::Unavailable(format!("status {status}")));
         }
@@ -115,16 +116,23 @@
 
 impl Table for HttpPlatform {
     async fn read(&self, keys: Vec<String>) -> Result<Vec<Row>, Error> {
-        self.ask(&self.table, Method::POST, PATH_READ, json(&keys)).await
+        self.ask(&self.table, Method::POST, PATH_READ, json(&keys))
+            .await
     }
 
     async fn scan(&self, prefix: String, after: String, limit: u32) -> Result<Vec<Row>, Error> {
-        let body = json(&ScanBody { prefix, after, limit });
+        let body = json(&ScanBody {
+            prefix,
+            after,
+            limit,
+        });
         self.ask(&self.table, Method::POST, PATH_SCAN, body).await
     }
 
     async fn commit(&self, txn: &Txn) -> Result<u64, WriteError> {
-        let answer = self.call(&self.table, Method::POST, PATH_COMMIT, json(txn)).await;
+        let answer = self
+            .call(&self.table, Method::POST, PATH_COMMIT, json(txn))
+            .await;
         let (status, body) = match answer {
             Ok(answer) => answer,
             Err(CallError::NotSent(why)) => return Err(WriteError::Unavailable(why)),
@@ -145,15 +153,23 @@
 impl Objects for HttpPlatform {
     async fn put(&self, name: &str, data: Vec<u8>) -> Result<(), Error> {
         let path = format!("{PATH_OBJECT}{name}");
-        let (status, _) =
-            self.call(&self.objects, Method::PUT, &path, data).await.map_err(|e| unavailable(&e))?;
-        if status.is_success() { Ok(()) } else { Err(Error::Unavailable(format!("status {status}"))) }
+        let (status, _) = self
+            .call(&self.objects, Method::PUT, &path, data)
+            .await
+            .map_err(|e| unavailable(&e))?;
+        if status.is_success() {
+            Ok(())
+        } else {
+            Err(Error::Unavailable(format!("status {status}")))
+        }
     }
 
     async fn get(&self, name: &str) -> Result<Option<Vec<u8>>, Error> {
         let path = format!("{PATH_OBJECT}{name}");
-        let (status, body) =
-            self.call(&self.objects, Method::GET, &path, Vec::new()).await.map_err(|e| unavailable(&e))?;
+        let (status, body) = self
+            .call(&self.objects, Method::GET, &path, Vec::new())
+            .await
+            .map_err(|e| unavailable(&e))?;
         match status {
             StatusCode::NOT_FOUND => Ok(None),
             s if s.is_success() => Ok(Some(body.to_vec())),
@@ -163,7 +179,8 @@
 
     async fn list(&self, prefix: &str) -> Result<Vec<String>, Error> {
         let path = format!("{PATH_LIST}?{prefix}");
-        self.ask(&self.objects, Method::GET, &path, Vec::new()).await
+        self.ask(&self.objects, Method::GET, &path, Vec::new())
+            .await
     }
 }
 
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -15,6 +15,6 @@
 pub use docs::{DocBook, InForce};
 pub use http::HttpPlatform;
 pub use table::{
-    Check, Conflict, Error, Host, HostList, HostState, Hosts, Objects, Put, Row, Table, Token,
-    Txn, WriteError,
+    Check, Conflict, Error, Host, HostList, HostState, Hosts, Objects, Put, Row, Table, Token, Txn,
+    WriteError,
 };
--- a/crates/store/src/poll.rs
+++ b/crates/store/src/poll.rs
@@ -61,12 +61,24 @@
                 also.tx.send_if_modified(|rows| take_newer(rows, row));
                 continue;
             }
-            let Some(service) = row.key.strip_prefix("doc/") else { continue };
+            let Some(service) = row.key.strip_prefix("doc/") else {
+                continue;
+            };
             let version = row.version;
-            let text = DocText { service: service.to_owned(), version, text: row.value };
+            let text = DocText {
+                service: service.to_owned(),
+                version,
+                text: row.value,
+            };
             match self.book.offer(&text) {
-                Offered::Taken => emit(&Event::DocInForce { service: &text.service, version }),
-                Offered::Invalid => emit(&Event::DocInvalid { service: &text.service, version }),
+                Offered::Taken => emit(&Event::DocInForce {
+                    service: &text.service,
+                    version,
+                }),
+                Offered::Invalid => emit(&Event::DocInvalid {
+                    service: &text.service,
+                    version,
+                }),
                 Offered::NotNewer => {}
             }
         }
--- a/crates/store/src/rows.rs
+++ b/crates/store/src/rows.rs
@@ -1,7 +1,7 @@
 //! Keys and values of the rows that the system keeps.
 
-use serde::{Deserialize, Serialize};
 use serde::de::DeserializeOwned;
+use serde::{Deserialize, Serialize};
 use wire::{RequestId, Role};
 
 /// Key of a service's document.
--- a/crates/store/src/table.rs
+++ b/crates/store/src/table.rs
@@ -62,18 +62,28 @@
 impl Txn {
     /// A transaction with a token of its own.
     pub fn new() -> Self {
-        Self { token: Token::draw(), checks: Vec::new(), puts: Vec::new() }
+        Self {
+            token: Token::draw(),
+            checks: Vec::new(),
+            puts: Vec::new(),
+        }
     }
 
     /// Makes the transaction depend on a row's version.
     pub fn check(mut self, key: impl Into<String>, version: u64) -> Self {
-        self.checks.push(Check { key: key.into(), version });
+        self.checks.push(Check {
+            key: key.into(),
+            version,
+        });
         self
     }
 
     /// Adds a row to be written.
     pub fn put(mut self, key: impl Into<String>, value: String) -> Self {
-        self.puts.push(Put { key: key.into(), value: Some(value) });
+        self.puts.push(Put {
+            key: key.into(),
+            value: Some(value),
+        });
         self
     }
 }
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -90,7 +90,9 @@
         }
         self.buf.advance(LENGTH);
         let body = self.buf.split_to(len);
-        rmp_serde::from_slice(&body).map(Some).map_err(|_| StreamFault::Malformed)
+        rmp_serde::from_slice(&body)
+            .map(Some)
+            .map_err(|_| StreamFault::Malformed)
     }
 }
 
@@ -120,7 +122,11 @@
 impl StreamCheck {
     /// Begins a check. `counted` is what an earlier try already delivered.
     pub fn new(request: RequestId, counted: u64) -> Self {
-        Self { request, next: 0, counted }
+        Self {
+            request,
+            next: 0,
+            counted,
+        }
     }
 
     /// Takes the next frame.
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -10,8 +10,8 @@
 
 pub use frame::{Frame, FrameReader, Part, StreamCheck, StreamFault};
 pub use message::{
-    AgentState, AgentStatus, Call, Completion, DocText, Leg, Outcome, PlainCall, Probe, ProbeAnswer,
-    Reason, Refusal, RequestId, Role,
+    AgentState, AgentStatus, Call, Completion, DocText, Leg, Outcome, PlainCall, Probe,
+    ProbeAnswer, Reason, Refusal, RequestId, Role,
 };
 
 use serde::Serialize;
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -121,12 +121,20 @@
 impl Refusal {
     /// A refusal of a request that no upstream has seen.
     pub fn not_run(reason: Reason) -> Self {
-        Self { outcome: Outcome::NotRun, reason, retry_ms: None }
+        Self {
+            outcome: Outcome::NotRun,
+            reason,
+            retry_ms: None,
+        }
     }
 
     /// A refusal of a request that an upstream may have seen.
     pub fn unknown(reason: Reason) -> Self {
-        Self { outcome: Outcome::Unknown, reason, retry_ms: None }
+        Self {
+            outcome: Outcome::Unknown,
+            reason,
+            retry_ms: None,
+        }
     }
 
     /// Adds when another try may help, in milliseconds.
--- a/crates/wire/tests/frames.rs
+++ b/crates/wire/tests/frames.rs
@@ -5,12 +5,18 @@
 const REQ: RequestId = RequestId(7);
 
 fn frame(index: u32, part: Part) -> Frame {
-    Frame { request: REQ, index, part }
+    Frame {
+        request: REQ,
+        index,
+        part,
+    }
 }
 
 #[test]
 fn frames_survive_any_cut() {
-    let sent: Vec<Frame> = (0..20).map(|i| frame(i, Part::Token(format!("t{i}")))).collect();
+    let sent: Vec<Frame> = (0..20)
+        .map(|i| frame(i, Part::Token(format!("t{i}"))))
+        .collect();
     let bytes: Vec<u8> = sent.iter().flat_map(|f| f.encode().to_vec()).collect();
     for cut in 1..17 {
         let mut reader = FrameReader::default();
@@ -35,12 +41,25 @@
 #[test]
 fn foreign_doubled_missing_and_short_answers_are_refused() {
     let mut check = StreamCheck::new(REQ, 0);
-    let foreign = Frame { request: RequestId(8), index: 0, part: Part::Token("x".into()) };
+    let foreign = Frame {
+        request: RequestId(8),
+        index: 0,
+        part: Part::Token("x".into()),
+    };
     assert_eq!(check.take(foreign), Err(StreamFault::Foreign));
     check.take(frame(0, Part::Token("a".into()))).unwrap();
-    assert_eq!(check.take(frame(0, Part::Token("a".into()))), Err(StreamFault::OutOfOrder));
-    assert_eq!(check.take(frame(2, Part::Token("c".into()))), Err(StreamFault::OutOfOrder));
-    assert_eq!(check.take(frame(1, Part::End { count: 2 })), Err(StreamFault::WrongCount));
+    assert_eq!(
+        check.take(frame(0, Part::Token("a".into()))),
+        Err(StreamFault::OutOfOrder)
+    );
+    assert_eq!(
+        check.take(frame(2, Part::Token("c".into()))),
+        Err(StreamFault::OutOfOrder)
+    );
+    assert_eq!(
+        check.take(frame(1, Part::End { count: 2 })),
+        Err(StreamFault::WrongCount)
+    );
 }
 
 #[test]
