--- a/crates/agent/src/admission.rs
+++ b/crates/agent/src/admission.rs
@@ -106,6 +106,11 @@
         self.lock().counts()
     }
 
+    /// Requests that run and wait, in thousandths of the slots.
+    pub fn load(&self) -> u32 {
+        self.lock().load()
+    }
+
     /// Expected time in the queue of a request of a class, in milliseconds.
     pub fn expected_wait_ms(&self, class: &Class) -> f64 {
         self.lock().expected_wait_ms(class.urgency, Instant::now())
--- a/crates/agent/src/admission/queue.rs
+++ b/crates/agent/src/admission/queue.rs
@@ -72,6 +72,11 @@
         (self.waiters.len() as u32, self.running.len() as u32)
     }
 
+    pub fn load(&self) -> u32 {
+        let all = (self.running.len() + self.waiters.len()) as u32;
+        all.saturating_mul(1000) / self.slots.max(1)
+    }
+
     /// Expected time until a slot is free for work of an urgency: what runs and
     /// what goes before, over the slots.
     pub fn expected_wait_ms(&self, urgency: u32, now: Instant) -> f64 {
--- a/crates/agent/src/peer.rs
+++ b/crates/agent/src/peer.rs
@@ -52,6 +52,7 @@
     let answer = ProbeAnswer {
         state: agent.state(),
         wait_ms: expected_ms(agent, &p),
+        load: agent.admission.load(),
         role: agent.upstream_state().role,
         doc_version: agent.node.book.version(&agent.service),
     };
--- /dev/null
+++ b/crates/arbutusquay/tests/lifecycle.rs
@@ -0,0 +1,177 @@
+//! Starting, stopping and failing: drains cut nothing off, kills are survived.
+
+use bench::bed::{BOUND, Bed, LOOK, bed, bed_with, is_whole, lookup, notice, reply, until};
+use bench::mix::Ask;
+use bench::procs::{Proc, Signal};
+use std::path::PathBuf;
+use std::time::Duration;
+use store::HostState;
+
+/// The shipped binary.
+const BINARY: &str = env!("CARGO_BIN_EXE_arbutusquay");
+
+/// Tokens of a stream that is still running when something happens to it.
+const LONG: u32 = 600;
+
+/// Starts long streams through an entry and waits until all run.
+async fn streams(bed: &Bed, entry: usize, count: usize) -> Vec<tokio::task::JoinHandle<bool>> {
+    let tasks: Vec<_> = (0..count)
+        .map(|n| {
+            let caller = bed.caller(entry);
+            // Each of another tenant, so that no tenant's limit holds one back.
+            let ask = Ask {
+                tenant: format!("t{n}"),
+                ..reply(&format!("long {n}"), LONG)
+            };
+            tokio::spawn(async move { is_whole(&caller.send(ask).await) })
+        })
+        .collect();
+    let open = || {
+        bed.engines()
+            .iter()
+            .map(|e| e.open_requests())
+            .sum::<usize>()
+            == count
+    };
+    until("streams", open).await;
+    tasks
+}
+
+async fn all_whole(tasks: Vec<tokio::task::JoinHandle<bool>>) {
+    for t in tasks {
+        assert!(t.await.unwrap(), "a stream was cut off");
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_drained_agent_takes_nothing_new_ends_its_streams_and_exits() {
+    let mut bed = bed(BINARY, 2).await;
+    let running = streams(&bed, 0, 8).await;
+    bed.site.workers[0].agent.signal(Signal::Term);
+    let before = bed.engine(0).history().runs.len();
+    let admin = bench::deploy::admin_of(bed.site.workers[0].upstream.agent);
+    health_fails(admin).await;
+    let late = bed.engine(0).history().runs.len();
+    for n in 0..10 {
+        assert!(is_whole(
+            &bed.caller(1).send(reply(&format!("new {n}"), 3)).await
+        ));
+    }
+    assert_eq!(
+        bed.engine(0).history().runs.len(),
+        late,
+        "new work after it left"
+    );
+    assert!(late >= before);
+    all_whole(running).await;
+    assert!(bed.site.workers[0].agent.ended().await.unwrap().success());
+}
+
+async fn health_fails(admin: std::net::SocketAddr) {
+    let pool = net::Pool::new(admin, Duration::from_secs(5));
+    let wait = async {
+        loop {
+            let req = hyper::Request::builder().uri("/health").header("host", "t");
+            let req = req.body(net::empty()).unwrap();
+            match pool.call(req, 1024, Duration::from_secs(5)).await {
+                Ok((status, _)) if status.is_success() => tokio::time::sleep(LOOK).await,
+                _ => return,
+            }
+        }
+    };
+    tokio::time::timeout(BOUND, wait)
+        .await
+        .expect("health says no");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_agent_whose_host_leaves_drains_by_itself() {
+    let mut bed = bed(BINARY, 2).await;
+    let running = streams(&bed, 0, 6).await;
+    let host = bed.site.workers[1].upstream.host.clone();
+    bed.site.hosts.set(&host, HostState::Leaving);
+    all_whole(running).await;
+    assert!(bed.site.workers[1].agent.ended().await.unwrap().success());
+    let before = bed.engine(1).history().runs.len();
+    assert!(is_whole(&bed.caller(0).send(reply("after", 3)).await));
+    assert_eq!(bed.engine(1).history().runs.len(), before);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stopped_entry_ends_its_streams_and_exits() {
+    let mut bed = bed(BINARY, 2).await;
+    let running = streams(&bed, 0, 6).await;
+    bed.site.entries[0].process.signal(Signal::Term);
+    all_whole(running).await;
+    assert!(bed.site.entries[0].process.ended().await.unwrap().success());
+    assert!(is_whole(
+        &bed.caller(1).send(reply("by the other", 3)).await
+    ));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn streams_of_a_killed_agent_go_on_elsewhere() {
+    let mut bed = bed(BINARY, 3).await;
+    let running = streams(&bed, 0, 9).await;
+    bed.site.workers[0].agent.kill().await.unwrap();
+    all_whole(running).await;
+    bed.site.restart_agent(0).unwrap();
+    bed.site.ready().await.unwrap();
+    assert!(is_whole(&bed.caller(0).send(reply("after", 3)).await));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn streams_of_a_paused_agent_go_on_elsewhere() {
+    let bed = bed_with_short_idle().await;
+    let running = streams(&bed, 0, 6).await;
+    bed.site.workers[0].agent.signal(Signal::Pause);
+    all_whole(running).await;
+    assert!(is_whole(&bed.caller(0).send(reply("meanwhile", 3)).await));
+    bed.site.workers[0].agent.signal(Signal::Resume);
+    assert!(is_whole(&bed.caller(1).send(reply("after", 3)).await));
+}
+
+async fn bed_with_short_idle() -> Bed {
+    bed_with(BINARY, 3, |o| {
+        o.limits = o.limits.replace('}', ", idle_timeout: 1s}");
+    })
+    .await
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_second_agent_for_a_slot_ends_at_once_with_1() {
+    let bed = bed(BINARY, 1).await;
+    let settings = bed.site.dir().join("agent-dossier-1.yaml");
+    let binary = PathBuf::from(BINARY);
+    // Also while the first is paused: the kernel holds its address.
+    bed.site.workers[0].agent.signal(Signal::Pause);
+    let mut second = Proc::start(&binary, "agent", "second", &settings).unwrap();
+    assert_eq!(second.ended().await.unwrap().code(), Some(1));
+    bed.site.workers[0].agent.signal(Signal::Resume);
+    assert!(is_whole(
+        &bed.caller(0).send(reply("the first serves", 3)).await
+    ));
+    let orders = bed.engine(0).history().orders;
+    assert!(orders.iter().all(|o| !o.conflicting && !o.stale_effective));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_entry_restarted_while_the_table_is_down_serves_once_it_is_back() {
+    use fakes::Faults;
+    use fakes::serve::Standin;
+    let mut bed = bed(BINARY, 1).await;
+    bed.site.table.gate().set(Faults {
+        down: true,
+        ..Faults::default()
+    });
+    bed.site.entries[0].process.kill().await.unwrap();
+    bed.site.restart_entry(0).unwrap();
+    assert!(
+        is_whole(&bed.caller(1).send(lookup("/status/1")).await),
+        "the other goes on"
+    );
+    bed.site.table.gate().set(Faults::default());
+    bed.site.ready().await.unwrap();
+    assert!(is_whole(&bed.caller(0).send(lookup("/status/2")).await));
+    assert!(is_whole(&bed.caller(0).send(notice("n", "x")).await));
+}
--- /dev/null
+++ b/crates/arbutusquay/tests/path.rs
@@ -0,0 +1,351 @@
+//! The whole path, with real processes: answers, refusals, bad input, faults of
+//! upstreams and of the table service.
+
+use bench::bed::{Bed, bed, is_whole, lookup, notice, reply, until};
+use bench::caller::{Got, Sent, request};
+use bench::mix::{Ask, What};
+use fakes::Faults;
+use fakes::serve::Standin;
+use http_body_util::BodyExt;
+use hyper::Request;
+use net::{Pool, full};
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use wire::Outcome;
+
+/// The shipped binary.
+const BINARY: &str = env!("CARGO_BIN_EXE_arbutusquay");
+
+fn refused(sent: &Sent) -> (Outcome, &str) {
+    match &sent.got {
+        Got::Refused { outcome, reason } => (*outcome, reason),
+        other => panic!("{other:?}"),
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn answers_are_whole_in_every_form() {
+    let bed = bed(BINARY, 2).await;
+    let caller = bed.caller(0);
+    for (chat, stream) in [(false, false), (false, true), (true, false), (true, true)] {
+        let prompt = format!("form {chat} {stream}");
+        let what = What::Completion {
+            prompt,
+            tokens: 17,
+            chat,
+            stream,
+        };
+        let sent = caller
+            .send(Ask {
+                what,
+                ..reply("", 1)
+            })
+            .await;
+        assert!(is_whole(&sent), "{chat} {stream}: {:?}", sent.got);
+        assert!(sent.id.is_some());
+    }
+    assert!(is_whole(&caller.send(lookup("/status/7?of=ann")).await));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_repeated_key_gets_the_kept_answer_through_any_entry_and_runs_once() {
+    let bed = bed(BINARY, 2).await;
+    let first = bed.caller(0).send(notice("k1", "you are third")).await;
+    assert_eq!(first.got, Got::Whole { kept: false });
+    // The answer is kept a moment after it was given.
+    let mut repeat = bed.caller(1).send(notice("k1", "you are third")).await;
+    while matches!(
+        &repeat.got,
+        Got::Refused {
+            outcome: Outcome::Unknown,
+            ..
+        }
+    ) {
+        repeat = bed.caller(1).send(notice("k1", "you are third")).await;
+    }
+    assert_eq!(repeat.got, Got::Whole { kept: true });
+    let other = bed.caller(1).send(notice("k1", "something else")).await;
+    assert_eq!(refused(&other), (Outcome::NotRun, "bad-request"));
+    assert_eq!(bed.runs_of("k1"), 1);
+    let race = (0..8).map(|n| {
+        let caller = bed.caller(n % 2);
+        tokio::spawn(async move { caller.send(notice("k2", "raced")).await })
+    });
+    for task in race.collect::<Vec<_>>() {
+        let sent = task.await.unwrap();
+        assert!(
+            is_whole(&sent) || refused(&sent).0 == Outcome::Unknown,
+            "{:?}",
+            sent.got
+        );
+    }
+    assert_eq!(bed.runs_of("k2"), 1);
+}
+
+/// Method, path, body, a header, and the status and reason that must come.
+type Wrong = (
+    &'static str,
+    &'static str,
+    &'static str,
+    Option<(&'static str, &'static str)>,
+    u16,
+    &'static str,
+);
+
+const COMPLETIONS: &str = "/taalmodel-dossier/v1/completions";
+const WRONG: [Wrong; 11] = [
+    (
+        "POST",
+        "/nobody/v1/completions",
+        "{}",
+        None,
+        404,
+        "unknown-service",
+    ),
+    ("GET", "/", "", None, 404, "unknown-service"),
+    ("POST", COMPLETIONS, "{", None, 400, "bad-request"),
+    (
+        "POST",
+        COMPLETIONS,
+        r#"{"prompt":7}"#,
+        None,
+        400,
+        "bad-request",
+    ),
+    (
+        "POST",
+        COMPLETIONS,
+        r#"{"prompt":"x","n":2}"#,
+        None,
+        400,
+        "bad-request",
+    ),
+    ("GET", COMPLETIONS, "", None, 400, "bad-request"),
+    (
+        "POST",
+        COMPLETIONS,
+        r#"{"prompt":"x"}"#,
+        Some(("x-class", "none")),
+        400,
+        "unknown-class",
+    ),
+    (
+        "POST",
+        "/ledenportaal/notices",
+        "x",
+        Some(("x-class", "lookup")),
+        400,
+        "unknown-class",
+    ),
+    (
+        "POST",
+        "/ledenportaal/notices",
+        "x",
+        Some(("idempotency-key", "a b")),
+        400,
+        "bad-request",
+    ),
+    (
+        "GET",
+        "/ledenportaal/x",
+        "",
+        Some(("x-deadline-ms", "soon")),
+        400,
+        "bad-request",
+    ),
+    (
+        "GET",
+        "/ledenportaal/x",
+        "",
+        Some(("x-tenant", "a/b")),
+        400,
+        "bad-request",
+    ),
+];
+
+#[tokio::test(flavor = "multi_thread")]
+async fn wrong_requests_are_refused_with_a_type() {
+    let bed = bed(BINARY, 1).await;
+    let pool = Pool::new(bed.site.entries[0].addr, Duration::from_secs(5));
+    for (method, path, body, header, status, reason) in WRONG {
+        let mut req = Request::builder()
+            .method(method)
+            .uri(path)
+            .header("host", "entry");
+        if let Some((name, value)) = header {
+            req = req.header(name, value);
+        }
+        let req = req.body(full(body)).unwrap();
+        let (got, text) = pool
+            .call(req, 1 << 16, Duration::from_secs(10))
+            .await
+            .unwrap();
+        let text = String::from_utf8(text.to_vec()).unwrap();
+        assert_eq!(got, status, "{method} {path} {body}: {text}");
+        assert!(
+            text.contains(&format!("\"reason\":\"{reason}\"")),
+            "{method} {path} {body}: {text}"
+        );
+        assert!(text.contains("\"outcome\":\"not-run\""), "{text}");
+    }
+    assert!(
+        bed.plains().iter().all(|p| p.history().is_empty()),
+        "nothing of it ran"
+    );
+}
+
+async fn raw(bed: &Bed, bytes: &[u8]) -> String {
+    let mut tcp = TcpStream::connect(bed.site.entries[0].addr).await.unwrap();
+    // The other side may answer and close before all is sent.
+    let _ = tcp.write_all(bytes).await;
+    let mut got = Vec::new();
+    let _ = tokio::time::timeout(bench::bed::BOUND, tcp.read_to_end(&mut got)).await;
+    String::from_utf8_lossy(&got).into_owned()
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn hostile_input_is_refused_and_the_process_stays_up() {
+    let bed = bed(BINARY, 1).await;
+    let head =
+        "POST /taalmodel-dossier/v1/completions HTTP/1.1\r\nhost: e\r\nconnection: close\r\n";
+    assert!(
+        raw(&bed, b"\x00\xff nonsense\r\n\r\n")
+            .await
+            .contains("400")
+    );
+    let huge = format!("{head}x-filler: {}\r\n\r\n", "x".repeat(1 << 20));
+    assert!(raw(&bed, huge.as_bytes()).await.contains("431"));
+    let slow = format!("{head}content-length: 100\r\n\r\n{{");
+    let got = raw(&bed, slow.as_bytes()).await;
+    assert!(got.contains("408") && got.contains("slow-request"), "{got}");
+    let long = format!(
+        "{head}content-length: 9000000\r\n\r\n{}",
+        "x".repeat(9_000_000)
+    );
+    let got = raw(&bed, long.as_bytes()).await;
+    // The refusal may be lost when the rest of the body meets a closed socket.
+    assert!(got.is_empty() || got.contains("too-large"), "{got}");
+    assert!(is_whole(
+        &bed.caller(0).send(reply("still there?", 5)).await
+    ));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_engine_that_answers_nonsense_costs_a_retry_and_never_a_wrong_answer() {
+    let bed = bed(BINARY, 3).await;
+    let caller = bed.caller(0);
+    let faults = [
+        Faults {
+            break_streams: 1,
+            ..Faults::default()
+        },
+        Faults {
+            double_chunks: 1,
+            ..Faults::default()
+        },
+        Faults {
+            cross_chunks: 1,
+            ..Faults::default()
+        },
+    ];
+    for (n, fault) in faults.into_iter().enumerate() {
+        bed.engine(0).gate().set(fault.clone());
+        let tasks: Vec<_> = (0..12)
+            .map(|i| {
+                let caller = caller.clone();
+                tokio::spawn(async move { caller.send(reply(&format!("{n} {i}"), 40)).await })
+            })
+            .collect();
+        for t in tasks {
+            let sent = t.await.unwrap();
+            assert!(is_whole(&sent), "{fault:?}: {:?}", sent.got);
+        }
+    }
+    for e in bed.engines() {
+        e.gate().set(Faults {
+            break_streams: 1000,
+            ..Faults::default()
+        });
+    }
+    let sent = caller.send(reply("all broken", 9)).await;
+    assert_eq!(refused(&sent).0, Outcome::Unknown);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_lost_answer_of_a_non_idempotent_call_is_unknown_for_good_and_ran_once() {
+    let bed = bed(BINARY, 1).await;
+    let plain = bed.plains().remove(0);
+    plain.gate().set(Faults {
+        lose_answers: 1,
+        ..Faults::default()
+    });
+    let sent = bed.caller(0).send(notice("lost", "x")).await;
+    assert_eq!(refused(&sent).0, Outcome::Unknown);
+    let again = bed.caller(1).send(notice("lost", "x")).await;
+    assert_eq!(refused(&again), (Outcome::Unknown, "key-in-use"));
+    assert_eq!(bed.runs_of("lost"), 1);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn with_the_table_service_down_idempotent_work_goes_on_and_the_rest_is_not_run() {
+    let bed = bed(BINARY, 1).await;
+    bed.site.table.gate().set(Faults {
+        down: true,
+        ..Faults::default()
+    });
+    let sent = bed.caller(0).send(notice("down", "x")).await;
+    assert_eq!(refused(&sent), (Outcome::NotRun, "claim-unavailable"));
+    assert!(is_whole(&bed.caller(0).send(reply("p", 5)).await));
+    assert!(is_whole(&bed.caller(1).send(lookup("/status/1")).await));
+    assert_eq!(bed.runs_of("down"), 0);
+    bed.site.table.gate().set(Faults::default());
+    assert!(is_whole(&bed.caller(0).send(notice("down", "x")).await));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_caller_that_hangs_up_cancels_a_completion_but_not_a_non_idempotent_call() {
+    let bed = bed(BINARY, 1).await;
+    let engine = bed.engine(0);
+    let pool = Pool::new(bed.site.entries[0].addr, Duration::from_secs(5));
+    let mut answer = pool
+        .send_fresh(request(&reply("endless", 30_000)))
+        .await
+        .unwrap();
+    answer.response.body_mut().frame().await.unwrap().unwrap();
+    assert_eq!(engine.open_requests(), 1);
+    drop(answer);
+    until("the cancel", || engine.open_requests() == 0).await;
+
+    let plain = bed.plains().remove(0);
+    plain.gate().set(Faults {
+        delay_ms: 300,
+        ..Faults::default()
+    });
+    let begun = tokio::spawn(async move { pool.send_fresh(request(&notice("gone", "x"))).await });
+    let table = bed.site.table.clone();
+    let claimed = || {
+        table
+            .history()
+            .written
+            .iter()
+            .any(|r| r.key.ends_with("key/gone"))
+    };
+    until("the claim", claimed).await;
+    begun.abort();
+    until("the run", || bed.runs_of("gone") == 1).await;
+    let answered = || {
+        table
+            .history()
+            .written
+            .iter()
+            .filter(|r| r.key.ends_with("key/gone"))
+            .count()
+            == 2
+    };
+    until("the kept answer", answered).await;
+    plain.gate().set(Faults::default());
+    let repeat = bed.caller(1).send(notice("gone", "x")).await;
+    assert_eq!(repeat.got, Got::Whole { kept: true });
+    assert_eq!(bed.runs_of("gone"), 1);
+}
--- a/crates/bench/src/deploy.rs
+++ b/crates/bench/src/deploy.rs
@@ -1,7 +1,9 @@
 //! The users' deployments.
 
 use conf::Doc;
-use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::io;
+use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener};
+use std::ops::RangeInclusive;
 
 /// Part of loopback addresses that the sample documents use, as text.
 const SAMPLE_NETS: [&str; 2] = ["127.11.", "127.12."];
@@ -11,6 +13,10 @@
 const ADMIN_PORT: u16 = 7001;
 /// Port of upstreams.
 const UPSTREAM_PORT: u16 = 8000;
+/// Port whose listener marks a part of the addresses as used.
+const LOCK_PORT: u16 = 6999;
+/// Parts of the loopback addresses that tests draw from.
+const FREE_NETS: RangeInclusive<u8> = 32..=220;
 /// Port of the platform's services.
 const PLATFORM_PORT: u16 = 7100;
 
@@ -70,20 +76,21 @@
     }
 
     /// Its documents' texts on a part of the loopback addresses: the service
-    /// with engines first, then the plain one.
-    pub fn documents(self, net: u8) -> [String; 2] {
+    /// with engines first, then the plain one, with at most so many workers each.
+    pub fn documents(self, net: u8, workers: usize) -> [String; 2] {
         let own = format!("127.{net}.");
-        self.texts().map(|t| {
+        let moved = |t: &str| {
             SAMPLE_NETS
                 .iter()
                 .fold(t.to_owned(), |t, s| t.replace(s, &own))
-        })
+        };
+        self.texts().map(|t| first_upstreams(&moved(t), workers))
     }
 
     /// Its documents.
-    pub fn docs(self, net: u8) -> [Doc; 2] {
-        self.documents(net)
-            .map(|t| Doc::parse(&t).expect("samples are valid; a test reads them"))
+    pub fn docs(self, net: u8, workers: usize) -> [Doc; 2] {
+        let parse = |t: String| Doc::parse(&t).expect("samples are valid; a test reads them");
+        self.documents(net, workers).map(parse)
     }
 }
 
@@ -122,3 +129,32 @@
     agent.set_port(UPSTREAM_PORT);
     agent
 }
+
+/// Leaves only the first upstreams in a sample's text, where they stand last
+/// and one in a line.
+fn first_upstreams(text: &str, workers: usize) -> String {
+    let Some((head, list)) = text.split_once("upstreams:\n") else {
+        return text.to_owned();
+    };
+    let kept: String = list
+        .lines()
+        .take(workers)
+        .map(|l| format!("{l}\n"))
+        .collect();
+    format!("{head}upstreams:\n{kept}")
+}
+
+/// A part of the loopback addresses that no other run uses, while the lock lives.
+pub fn free_net() -> io::Result<(u8, TcpListener)> {
+    let first = fastrand::u8(..);
+    for step in 0..=u8::MAX {
+        let net =
+            FREE_NETS.start() + first.wrapping_add(step) % (FREE_NETS.end() - FREE_NETS.start());
+        if let Ok(lock) = TcpListener::bind(addr(net, 250, 1, LOCK_PORT)) {
+            return Ok((net, lock));
+        }
+    }
+    Err(io::Error::other(
+        "all parts of the loopback addresses are in use",
+    ))
+}
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -2,6 +2,7 @@
 //! addresses with stand-ins around it, callers that check what they get, and a
 //! judge that compares the callers' histories with the stand-ins'.
 
+pub mod bed;
 pub mod caller;
 pub mod demo;
 pub mod deploy;
--- a/crates/bench/src/site.rs
+++ b/crates/bench/src/site.rs
@@ -38,6 +38,8 @@
     pub net: u8,
     /// Entries; at most one for each zone of the deployment that has one.
     pub entries: usize,
+    /// Most workers of each service.
+    pub workers: usize,
     /// Rates of the engines.
     pub rates: Rates,
     /// Time that a plain service takes for a call.
@@ -55,6 +57,7 @@
             binary,
             net: deployment.net(),
             entries: deployment.entry_zones().len(),
+            workers: usize::MAX,
             rates: Rates {
                 fencing: deployment == Deployment::Sleutelbos,
                 ..Rates::default()
@@ -145,7 +148,7 @@
         ];
         let mut site = Self {
             deployment,
-            docs: deployment.docs(net),
+            docs: deployment.docs(net, options.workers),
             table,
             objects,
             hosts,
@@ -181,11 +184,7 @@
     }
 
     async fn apply_documents(&self) -> io::Result<()> {
-        for (doc, text) in self
-            .docs
-            .iter()
-            .zip(self.deployment.documents(self.options.net))
-        {
+        for (doc, text) in self.docs.iter().zip(self.documents()) {
             let out = self.apply(&doc.service, &text, 0).await?;
             if out.code != Some(0) {
                 return Err(io::Error::other(format!("{}: {}", doc.service, out.stderr)));
@@ -194,6 +193,12 @@
         Ok(())
     }
 
+    /// The documents' texts as they were first applied.
+    pub fn documents(&self) -> [String; 2] {
+        self.deployment
+            .documents(self.options.net, self.options.workers)
+    }
+
     /// Applies a document's text over a version.
     pub async fn apply(&self, service: &str, text: &str, over: u64) -> io::Result<Output> {
         let file = self.dir.join(format!("{service}.yaml"));
--- a/crates/entry/src/choose.rs
+++ b/crates/entry/src/choose.rs
@@ -27,6 +27,9 @@
 const ZONE_MS: u64 = 3;
 /// How long the others are waited for once a candidate that takes work has answered.
 const GRACE: Duration = Duration::from_millis(4);
+/// What a full upstream costs over an idle one, in milliseconds: requests that
+/// run side by side slow each other even while there are free slots.
+const FULL_MS: u64 = 20;
 /// Largest answer to a probe.
 const MAX_ANSWER: usize = 4096;
 
@@ -122,7 +125,9 @@
         // The others get a little longer: a slow one must not hold back a request.
         until = until.min(Instant::now() + GRACE);
         let far = doc.upstream(asked.id).zone != entry.node.settings.zone;
-        let score = asked.answer.wait_ms + u64::from(far) * ZONE_MS;
+        let score = asked.answer.wait_ms
+            + u64::from(far) * ZONE_MS
+            + u64::from(asked.answer.load) * FULL_MS / 1000;
         if best.as_ref().is_none_or(|(s, _)| score < *s) {
             best = Some((score, asked));
         }
--- a/crates/fakes/src/engine.rs
+++ b/crates/fakes/src/engine.rs
@@ -100,6 +100,11 @@
         self.lock().orders.history()
     }
 
+    /// Requests that wait or run now.
+    pub fn open_requests(&self) -> usize {
+        self.lock().batch.open()
+    }
+
     fn lock(&self) -> MutexGuard<'_, Inner> {
         self.inner.lock().expect("no panic while locked")
     }
--- a/crates/fakes/src/engine/batch.rs
+++ b/crates/fakes/src/engine/batch.rs
@@ -57,6 +57,15 @@
         self.waiting.is_empty() && self.running.is_empty()
     }
 
+    /// Requests whose reader is still there.
+    pub fn open(&self) -> usize {
+        self.waiting
+            .iter()
+            .chain(&self.running)
+            .filter(|s| !s.out.is_closed())
+            .count()
+    }
+
     /// Takes a request in and gives its stream.
     pub fn add(&mut self, body: CompletionBody, cache: &PrefixCache) -> Response<Body> {
         let (out, answer) = stream(READER_SLACK);
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -249,6 +249,8 @@
     pub state: AgentState,
     /// Expected time to the first byte of the answer, in milliseconds.
     pub wait_ms: u64,
+    /// Requests that run and wait there, in thousandths of its slots.
+    pub load: u32,
     /// The engine's role; plain services are mixed.
     pub role: Role,
     /// Version of the document that the agent goes by.
