Load tool: what the product adds over the engine itself, interleaved

Requests alternate between the entry and straight to an engine in one run, so noise falls on both alike; processor time and memory come from /proc.

--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -12,3 +12,4 @@
 pub mod procs;
 pub mod site;
 pub mod up;
+pub mod usage;
--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -1,6 +1,7 @@
 //! The bench: demo, a system to try, and measurements.
 
 use argh::FromArgs;
+use bench::load::LoadOptions;
 use std::io;
 use std::process::ExitCode;
 
@@ -16,6 +17,7 @@
 enum Command {
     Demo(DemoArgs),
     Up(UpArgs),
+    Load(LoadArgs),
 }
 
 /// run both deployments under a mixed load, kill and drain agents, and judge what callers got
@@ -28,6 +30,30 @@
 #[argh(subcommand, name = "up")]
 struct UpArgs {}
 
+/// measure throughput, token times, and the time that the product adds over an engine itself
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "load")]
+struct LoadArgs {
+    /// requests a second through the entry; as many go straight to engines (default 20)
+    #[argh(option, default = "20")]
+    rate: u32,
+    /// how long, in seconds (default 10)
+    #[argh(option, default = "10")]
+    seconds: u32,
+    /// tokens of each answer (default 60)
+    #[argh(option, default = "60")]
+    tokens: u32,
+    /// bytes of each prompt (default 400)
+    #[argh(option, default = "400")]
+    prompt: usize,
+    /// start a system with one entry, instead of using the one that `up` runs
+    #[argh(switch)]
+    start: bool,
+    /// step of the engines in milliseconds, with --start (default 5)
+    #[argh(option, default = "5")]
+    step_ms: u64,
+}
+
 #[tokio::main]
 async fn main() -> ExitCode {
     let args: Args = argh::from_env();
@@ -53,5 +79,18 @@
             bench::up::run().await?;
             Ok(true)
         }
+        Command::Load(a) => {
+            let options = LoadOptions {
+                rate: a.rate,
+                seconds: a.seconds,
+                tokens: a.tokens,
+                prompt: a.prompt,
+                step_ms: a.step_ms,
+                start: a.start,
+            };
+            let measured = bench::load::run(&options).await?;
+            println!("{}", serde_json::to_string(&measured)?);
+            Ok(measured.through.failed == 0)
+        }
     }
 }
--- /dev/null
+++ b/crates/bench/src/usage.rs
@@ -0,0 +1,38 @@
+//! Processor time, memory and bytes of a process, from /proc.
+
+use std::fs;
+use std::time::Duration;
+
+/// What a process has used so far.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct Usage {
+    /// Processor time, user and system.
+    pub cpu: Duration,
+    /// Resident memory, in bytes.
+    pub resident: u64,
+}
+
+/// Reads a process's usage; none if it has ended.
+pub fn of(id: u32) -> Option<Usage> {
+    let stat = fs::read_to_string(format!("/proc/{id}/stat")).ok()?;
+    // The name in parentheses may hold spaces; fields are counted after it.
+    let rest = stat.rsplit_once(')')?.1;
+    let fields: Vec<u64> = rest
+        .split_whitespace()
+        .map(|f| f.parse().unwrap_or(0))
+        .collect();
+    let ticks = fields.get(11)? + fields.get(12)?;
+    let status = fs::read_to_string(format!("/proc/{id}/status")).ok()?;
+    let line = status.lines().find(|l| l.starts_with("VmRSS:"))?;
+    let resident = line.split_whitespace().nth(1)?.parse::<u64>().ok()? * 1024;
+    Some(Usage {
+        cpu: Duration::from_secs_f64(ticks as f64 / ticks_per_second()),
+        resident,
+    })
+}
+
+fn ticks_per_second() -> f64 {
+    // SAFETY: sysconf takes a plain number and has no other effect.
+    let ticks = unsafe { libc::sysconf(libc::_SC_CLK_TCK) };
+    ticks.max(1) as f64
+}
