Count control bytes at the sockets; separate connections for control and requests

Capacity is stated in bytes of control for each node, and nothing counted them. Every connection to the platform, and every connection for probes, documents and the planner, now counts what crosses its socket, and /metrics shows it. Requests have a connection of their own to each agent, which also keeps a long prompt on its way from holding back a probe.

--- a/crates/entry/src/choose.rs
+++ b/crates/entry/src/choose.rs
@@ -38,7 +38,7 @@
 pub struct Chosen {
     /// The upstream's name.
     pub name: String,
-    /// The connection to its agent.
+    /// The connection for requests to its agent.
     pub peer: Peer,
 }
 
@@ -134,11 +134,11 @@
     }
     let (_, Asked { id, answer }) = best?;
     let u = doc.upstream(id);
-    let peer = entry.peers.get(u.agent);
-    even_out(entry, &peer, &probe.service, answer.doc_version).await;
+    let link = entry.peers.get(u.agent);
+    even_out(entry, &link.control, &probe.service, answer.doc_version).await;
     Some(Chosen {
         name: u.name.clone(),
-        peer,
+        peer: link.data,
     })
 }
 
@@ -152,7 +152,7 @@
     tx: mpsc::Sender<Asked>,
 ) {
     let timeout = entry.node.settings.limits.probe_timeout;
-    let peer = entry.peers.get(addr);
+    let peer = entry.peers.get(addr).control;
     let call = peer
         .call(Method::POST, PATH_PROBE, body, MAX_ANSWER, timeout)
         .await;
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -86,6 +86,7 @@
         holder: node.id.clone(),
         stale_after: node.settings.limits.lease,
         leases: leases.clone(),
+        meter: node.peer_bytes.clone(),
         stop: stop.clone(),
     };
     node.book
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -1,48 +1,71 @@
 //! Kept connections to agents, sorted by address.
+//!
+//! Each agent has two: one for control, which is counted, and one for requests,
+//! so that a long prompt on its way holds back no probe.
 
-use net::Peer;
+use net::{Meter, Peer};
 use std::net::SocketAddr;
 use std::sync::RwLock;
 use std::time::Duration;
 
-/// The connections.
+/// The connections to one agent.
+#[derive(Debug, Clone)]
+pub struct Link {
+    /// For probes and documents.
+    pub control: Peer,
+    /// For requests.
+    pub data: Peer,
+}
+
+impl Link {
+    fn addr(&self) -> SocketAddr {
+        self.control.addr()
+    }
+}
+
+/// The connections to all agents that were needed so far.
 #[derive(Debug)]
 pub struct Peers {
     timeout: Duration,
-    peers: RwLock<Vec<Peer>>,
+    meter: Meter,
+    links: RwLock<Vec<Link>>,
 }
 
 impl Peers {
-    /// No connections yet; `timeout` bounds opening one.
-    pub fn new(timeout: Duration) -> Self {
+    /// No connections yet; `timeout` bounds opening one, `meter` counts control.
+    pub fn new(timeout: Duration, meter: Meter) -> Self {
         Self {
             timeout,
-            peers: RwLock::default(),
+            meter,
+            links: RwLock::default(),
         }
     }
 
-    /// The peer at an address.
-    pub fn get(&self, addr: SocketAddr) -> Peer {
+    /// The connections to the agent at an address.
+    pub fn get(&self, addr: SocketAddr) -> Link {
         {
-            let peers = self.peers.read().expect("no panic while locked");
-            if let Ok(at) = peers.binary_search_by_key(&addr, Peer::addr) {
-                return peers[at].clone();
+            let links = self.links.read().expect("no panic while locked");
+            if let Ok(at) = links.binary_search_by_key(&addr, Link::addr) {
+                return links[at].clone();
             }
         }
-        let mut peers = self.peers.write().expect("no panic while locked");
-        match peers.binary_search_by_key(&addr, Peer::addr) {
-            Ok(at) => peers[at].clone(),
+        let mut links = self.links.write().expect("no panic while locked");
+        match links.binary_search_by_key(&addr, Link::addr) {
+            Ok(at) => links[at].clone(),
             Err(at) => {
-                let peer = Peer::new(addr, self.timeout);
-                peers.insert(at, peer.clone());
-                peer
+                let link = Link {
+                    control: Peer::new(addr, self.timeout).metered(&self.meter),
+                    data: Peer::new(addr, self.timeout),
+                };
+                links.insert(at, link.clone());
+                link
             }
         }
     }
 
     /// Closes connections to agents that no document names any more.
     pub fn keep_only(&self, named: &[SocketAddr]) {
-        let mut peers = self.peers.write().expect("no panic while locked");
-        peers.retain(|p| named.binary_search(&p.addr()).is_ok());
+        let mut links = self.links.write().expect("no panic while locked");
+        links.retain(|l| named.binary_search(&l.addr()).is_ok());
     }
 }
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -24,8 +24,8 @@
     pub fn new(node: Arc<Node>) -> Arc<Self> {
         let timeout = node.settings.limits.probe_timeout;
         Arc::new(Self {
+            peers: Peers::new(timeout, node.peer_bytes.clone()),
             node,
-            peers: Peers::new(timeout),
             health: Health::default(),
             budget: Budget::default(),
         })
--- a/crates/net/src/client.rs
+++ b/crates/net/src/client.rs
@@ -1,13 +1,21 @@
 //! Opening connections.
 
 use crate::error::CallError;
+use crate::meter::{Meter, Metered};
 use hyper_util::rt::TokioIo;
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::net::TcpStream;
 
+/// An open connection, as hyper takes it.
+pub type Connection = TokioIo<Metered<TcpStream>>;
+
 /// Opens a TCP connection within a time. Nothing was sent if it fails.
-pub async fn connect(addr: SocketAddr, timeout: Duration) -> Result<TokioIo<TcpStream>, CallError> {
+pub async fn connect(
+    addr: SocketAddr,
+    timeout: Duration,
+    meter: &Meter,
+) -> Result<Connection, CallError> {
     let tcp = match tokio::time::timeout(timeout, TcpStream::connect(addr)).await {
         Ok(Ok(tcp)) => tcp,
         Ok(Err(e)) => return Err(CallError::NotSent(e.to_string())),
@@ -15,5 +23,5 @@
     };
     tcp.set_nodelay(true)
         .map_err(|e| CallError::NotSent(e.to_string()))?;
-    Ok(TokioIo::new(tcp))
+    Ok(TokioIo::new(Metered::new(tcp, meter.clone())))
 }
--- a/crates/net/src/h1.rs
+++ b/crates/net/src/h1.rs
@@ -6,6 +6,7 @@
 use crate::body::Body;
 use crate::client::connect;
 use crate::error::CallError;
+use crate::meter::Meter;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
@@ -23,6 +24,7 @@
 pub struct Pool {
     addr: SocketAddr,
     timeout: Duration,
+    meter: Meter,
     idle: Arc<Mutex<Vec<SendRequest<Body>>>>,
 }
 
@@ -49,10 +51,17 @@
         Self {
             addr,
             timeout,
+            meter: Meter::default(),
             idle: Arc::default(),
         }
     }
 
+    /// Counts the bytes of its connections with a meter.
+    pub fn metered(self, meter: &Meter) -> Self {
+        let meter = meter.clone();
+        Self { meter, ..self }
+    }
+
     /// The address.
     pub fn addr(&self) -> SocketAddr {
         self.addr
@@ -76,7 +85,7 @@
     }
 
     async fn open(&self) -> Result<SendRequest<Body>, CallError> {
-        let io = connect(self.addr, self.timeout).await?;
+        let io = connect(self.addr, self.timeout, &self.meter).await?;
         let (conn, driver) = handshake(io)
             .await
             .map_err(|e| CallError::NotSent(e.to_string()))?;
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -8,11 +8,13 @@
 pub mod client;
 pub mod error;
 pub mod h1;
+pub mod meter;
 pub mod peer;
 pub mod server;
 
 pub use body::{Body, BodySender, empty, full, stream};
 pub use error::CallError;
 pub use h1::Pool;
+pub use meter::Meter;
 pub use peer::Peer;
 pub use server::{Server, Stop, bind};
--- a/crates/net/src/peer.rs
+++ b/crates/net/src/peer.rs
@@ -3,6 +3,7 @@
 use crate::body::{Body, full};
 use crate::client::connect;
 use crate::error::CallError;
+use crate::meter::Meter;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
@@ -24,6 +25,7 @@
 pub struct Peer {
     addr: SocketAddr,
     timeout: Duration,
+    meter: Meter,
     conn: Arc<Mutex<Option<SendRequest<Body>>>>,
 }
 
@@ -33,10 +35,17 @@
         Self {
             addr,
             timeout,
+            meter: Meter::default(),
             conn: Arc::default(),
         }
     }
 
+    /// Counts the bytes of its connections with a meter.
+    pub fn metered(self, meter: &Meter) -> Self {
+        let meter = meter.clone();
+        Self { meter, ..self }
+    }
+
     /// The peer's address.
     pub fn addr(&self) -> SocketAddr {
         self.addr
@@ -50,7 +59,7 @@
             return Ok(conn.clone());
         }
         *kept = None;
-        let io = connect(self.addr, self.timeout).await?;
+        let io = connect(self.addr, self.timeout, &self.meter).await?;
         let handshake = Builder::new(TokioExecutor::new())
             .timer(TokioTimer::new())
             .keep_alive_interval(PING_EVERY)
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -6,7 +6,7 @@
 use hyper::body::Incoming;
 use hyper::{Request, Response, StatusCode};
 use net::server::bind;
-use net::{Body, Server, Stop, full};
+use net::{Body, Meter, Server, Stop, full};
 use observe::{Event, Metrics, emit};
 use quick_error::quick_error;
 use records::Recorder;
@@ -54,6 +54,10 @@
     pub leaving: Arc<LeavingHosts>,
     /// Makes the next look at the documents come at once.
     pub nudge: Arc<Notify>,
+    /// Bytes between this process and the platform.
+    pub platform_bytes: Meter,
+    /// Bytes of control between this process and its peers: all but requests.
+    pub peer_bytes: Meter,
     /// Metrics.
     pub metrics: Metrics,
     /// Records.
@@ -77,7 +81,8 @@
     /// Starts the parts. Documents are polled along with `also`.
     pub fn start(settings: Settings, also: Option<AlsoRows>, stop: Stop) -> Arc<Self> {
         let id = format!("{}-{:012x}", settings.name, fastrand::u64(..) >> 16);
-        let platform = HttpPlatform::new(&settings.platform);
+        let platform_bytes = Meter::default();
+        let platform = HttpPlatform::metered(&settings.platform, &platform_bytes);
         let limits = &settings.limits;
         let recorder = Recorder::start(
             platform.clone(),
@@ -90,6 +95,8 @@
             book: Arc::new(DocBook::new(&settings.services)),
             leaving: Arc::default(),
             nudge: Arc::default(),
+            platform_bytes,
+            peer_bytes: Meter::default(),
             metrics: Metrics::new(limits.tenant_metrics),
             recorder,
             stop,
@@ -180,7 +187,11 @@
         let (status, text) = match req.uri().path() {
             "/health" if ready() => (StatusCode::OK, b"ready\n".to_vec()),
             "/health" => (StatusCode::SERVICE_UNAVAILABLE, b"not ready\n".to_vec()),
-            "/metrics" => (StatusCode::OK, self.metrics.text()),
+            "/metrics" => {
+                self.metrics.bytes("platform", self.platform_bytes.bytes());
+                self.metrics.bytes("peers", self.peer_bytes.bytes());
+                (StatusCode::OK, self.metrics.text())
+            }
             _ => (StatusCode::NOT_FOUND, b"not found\n".to_vec()),
         };
         let mut answer = Response::new(full(text));
--- a/crates/observe/src/metrics.rs
+++ b/crates/observe/src/metrics.rs
@@ -44,6 +44,7 @@
     total: HistogramVec,
     tenants: HistogramVec,
     docs: IntGaugeVec,
+    bytes: IntGaugeVec,
     known: Mutex<Vec<String>>,
     most_tenants: usize,
 }
@@ -85,6 +86,12 @@
                 "Version in force.",
                 &["service"],
             ),
+            bytes: gauge(
+                &registry,
+                "control_bytes",
+                "Bytes of control traffic so far, in both directions, by other side.",
+                &["link"],
+            ),
             known: Mutex::default(),
             most_tenants: most_tenants as usize,
             registry,
@@ -119,6 +126,11 @@
         self.docs.with_label_values(&[service]).set(version as i64);
     }
 
+    /// Notes the bytes of control traffic so far over a kind of link.
+    pub fn bytes(&self, link: &str, bytes: u64) {
+        self.bytes.with_label_values(&[link]).set(bytes as i64);
+    }
+
     /// The text that prometheus reads.
     pub fn text(&self) -> Vec<u8> {
         let mut buf = Vec::new();
--- a/crates/plan/src/duty.rs
+++ b/crates/plan/src/duty.rs
@@ -3,8 +3,9 @@
 use crate::lease::{Keeper, Standing};
 use crate::policy::{Engine, NewOrder, any_to_change, orders};
 use hyper::Method;
-use net::{Peer, Stop};
+use net::{Meter, Peer, Stop};
 use observe::{Event, emit};
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 use store::retry::around;
@@ -38,6 +39,8 @@
     pub stale_after: Duration,
     /// The lease rows as they were last read, sorted by key.
     pub leases: watch::Receiver<Vec<Row>>,
+    /// Counts the bytes between the planner and agents.
+    pub meter: Meter,
     /// Ends the task; the lease is given up.
     pub stop: Stop,
 }
@@ -81,7 +84,10 @@
             for order in orders(&doc.doc, &engines, lease.epoch) {
                 let engine = &engines[order.engine];
                 self.write(keeper.key(), version, engine, &order).await;
-                nudge(&doc, peers, &engine.name).await;
+                let id = doc.doc.upstream_named(&engine.name);
+                if let Some(u) = id.map(|id| doc.doc.upstream(id)) {
+                    nudge(peer(peers, u.agent, &self.meter)).await;
+                }
             }
         }
     }
@@ -106,7 +112,7 @@
         }
         if any_to_change(&doc.doc, &engines) {
             for (e, u) in engines.iter_mut().zip(ups) {
-                e.status = status(peer(peers, u.agent)).await;
+                e.status = status(peer(peers, u.agent, &self.meter)).await;
             }
         }
         Some(engines)
@@ -158,11 +164,11 @@
 }
 
 /// The kept connection to an agent; the list is sorted by address.
-fn peer(peers: &mut Vec<Peer>, addr: std::net::SocketAddr) -> &Peer {
+fn peer<'a>(peers: &'a mut Vec<Peer>, addr: SocketAddr, meter: &Meter) -> &'a Peer {
     let at = match peers.binary_search_by_key(&addr, Peer::addr) {
         Ok(at) => at,
         Err(at) => {
-            peers.insert(at, Peer::new(addr, STATUS_TIMEOUT));
+            peers.insert(at, Peer::new(addr, STATUS_TIMEOUT).metered(meter));
             at
         }
     };
@@ -183,11 +189,7 @@
 }
 
 /// Tells an agent to look at its want row. It would look by itself a little later.
-async fn nudge(doc: &InForce, peers: &mut Vec<Peer>, upstream: &str) {
-    let Some(id) = doc.doc.upstream_named(upstream) else {
-        return;
-    };
-    let peer = peer(peers, doc.doc.upstream(id).agent);
+async fn nudge(peer: &Peer) {
     let call = peer.call(
         Method::POST,
         PATH_NUDGE,
--- a/crates/store/src/http.rs
+++ b/crates/store/src/http.rs
@@ -6,7 +6,7 @@
 use crate::table::{Conflict, Error, HostList, Hosts, Objects, Row, Table, Txn, WriteError};
 use conf::Platform;
 use hyper::{Method, Request, StatusCode};
-use net::{Body, CallError, Pool, full};
+use net::{Body, CallError, Meter, Pool, full};
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 use std::time::Duration;
@@ -60,10 +60,16 @@
 impl HttpPlatform {
     /// Clients for the addresses in the settings.
     pub fn new(p: &Platform) -> Self {
+        Self::metered(p, &Meter::default())
+    }
+
+    /// The same, with the bytes of all connections counted.
+    pub fn metered(p: &Platform, meter: &Meter) -> Self {
+        let pool = |addr| Pool::new(addr, p.timeout).metered(meter);
         Self {
-            table: Pool::new(p.table, p.timeout),
-            objects: Pool::new(p.objects, p.timeout),
-            hosts: Pool::new(p.hosts, p.timeout),
+            table: pool(p.table),
+            objects: pool(p.objects),
+            hosts: pool(p.hosts),
             timeout: p.timeout,
         }
     }
