Slopes: what each role costs as a function of one size at a time

Real entries and agents, bytes from the sockets, processor time and memory from /proc, reads and writes from the stand-ins; a line is fitted over a factor of at least 8.

--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -10,6 +10,8 @@
 pub mod load;
 pub mod mix;
 pub mod procs;
+pub mod scrape;
 pub mod site;
+pub mod slopes;
 pub mod up;
 pub mod usage;
--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -18,6 +18,7 @@
     Demo(DemoArgs),
     Up(UpArgs),
     Load(LoadArgs),
+    Slopes(SlopesArgs),
 }
 
 /// run both deployments under a mixed load, kill and drain agents, and judge what callers got
@@ -54,6 +55,18 @@
     step_ms: u64,
 }
 
+/// measure what each role costs as a function of the system's size, and print the slopes as JSON
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "slopes")]
+struct SlopesArgs {
+    /// measure only this variable: agents, entries, requests, tenants, documents or changes
+    #[argh(option)]
+    only: Option<String>,
+    /// seconds of each measurement (default 8)
+    #[argh(option, default = "8")]
+    seconds: u32,
+}
+
 #[tokio::main]
 async fn main() -> ExitCode {
     let args: Args = argh::from_env();
@@ -79,6 +92,11 @@
             bench::up::run().await?;
             Ok(true)
         }
+        Command::Slopes(a) => {
+            let slopes = bench::slopes::run(a.only.as_deref(), a.seconds).await?;
+            println!("{}", serde_json::to_string_pretty(&slopes)?);
+            Ok(true)
+        }
         Command::Load(a) => {
             let options = LoadOptions {
                 rate: a.rate,
--- a/crates/bench/src/site.rs
+++ b/crates/bench/src/site.rs
@@ -38,6 +38,8 @@
     pub net: u8,
     /// Entries; at most one for each zone of the deployment that has one.
     pub entries: usize,
+    /// Documents to serve in place of the deployment's own.
+    pub documents: Option<Vec<String>>,
     /// Most workers of each service.
     pub workers: usize,
     /// Rates of the engines.
@@ -57,6 +59,7 @@
             binary,
             net: deployment.net(),
             entries: deployment.entry_zones().len(),
+            documents: None,
             workers: usize::MAX,
             rates: Rates {
                 fencing: deployment == Deployment::Sleutelbos,
@@ -109,7 +112,7 @@
     /// Which one.
     pub deployment: Deployment,
     /// Its documents.
-    pub docs: [Doc; 2],
+    pub docs: Vec<Doc>,
     /// The table service.
     pub table: Arc<TableStandin>,
     /// The object store.
@@ -148,7 +151,7 @@
         ];
         let mut site = Self {
             deployment,
-            docs: deployment.docs(net, options.workers),
+            docs: Vec::new(),
             table,
             objects,
             hosts,
@@ -158,6 +161,7 @@
             dir,
             _running: running,
         };
+        site.docs = site.parse_documents()?;
         site.start_entries()?;
         site.apply_documents().await?;
         site.start_workers().await?;
@@ -167,10 +171,11 @@
 
     fn start_entries(&mut self) -> io::Result<()> {
         let zones = self.deployment.entry_zones();
-        for (i, zone) in zones.iter().take(self.options.entries).enumerate() {
+        for (i, zone) in zones.iter().cycle().take(self.options.entries).enumerate() {
             let addr = entry_addr(self.options.net, i);
             let name = format!("entry-{}", i + 1);
-            let services = self.docs.each_ref().map(|d| d.service.clone()).join(", ");
+            let services: Vec<&str> = self.docs.iter().map(|d| d.service.as_str()).collect();
+            let services = services.join(", ");
             let host = format!("{}-ingang-{}", self.deployment.name(), i + 1);
             let settings = self.settings(&name, &host, zone, addr, &services, "")?;
             let process = Proc::start(&self.options.binary, "entry", &name, &settings)?;
@@ -194,9 +199,18 @@
     }
 
     /// The documents' texts as they were first applied.
-    pub fn documents(&self) -> [String; 2] {
-        self.deployment
-            .documents(self.options.net, self.options.workers)
+    pub fn documents(&self) -> Vec<String> {
+        let own = || {
+            self.deployment
+                .documents(self.options.net, self.options.workers)
+                .to_vec()
+        };
+        self.options.documents.clone().unwrap_or_else(own)
+    }
+
+    fn parse_documents(&self) -> io::Result<Vec<Doc>> {
+        let parse = |t: String| Doc::parse(&t).map_err(io::Error::other);
+        self.documents().into_iter().map(parse).collect()
     }
 
     /// Applies a document's text over a version.
@@ -325,6 +339,11 @@
         Ok(())
     }
 
+    /// Second number of its loopback addresses.
+    pub fn net(&self) -> u8 {
+        self.options.net
+    }
+
     /// Where the processes' settings and logs are.
     pub fn dir(&self) -> &Path {
         &self.dir
--- /dev/null
+++ b/crates/bench/src/slopes.rs
@@ -0,0 +1,371 @@
+//! `slopes`: what each role costs, as a function of one size at a time.
+//!
+//! Real entries and agents with small stand-ins. Bytes are counted at the
+//! sockets, processor time and memory come from /proc, and reads and writes are
+//! the stand-ins' own counts. One variable changes over a factor of at least 8;
+//! a line is fitted to each figure.
+
+use crate::caller::{Caller, Got};
+use crate::deploy::{Deployment, admin_of, free_net};
+use crate::mix::{Ask, What};
+use crate::procs::build_binary;
+use crate::scrape::control_bytes;
+use crate::site::{Options, Site};
+use crate::usage;
+use fakes::engine::Rates;
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+use std::io;
+use std::path::Path;
+use std::time::{Duration, Instant};
+use store::rows::doc_key;
+use store::{HttpPlatform, Table, Txn};
+use tokio::task::JoinSet;
+
+/// Time for connections to be opened and rates to be learned, not counted.
+const WARM_UP: Duration = Duration::from_secs(3);
+/// Times between polls and flushes as the defaults have them, so that the
+/// figures are those of a real site.
+const LIMITS: &str = "{linger: 100ms}";
+/// Bytes of a prompt.
+const PROMPT: usize = 1200;
+
+/// Sizes of one measurement.
+#[derive(Debug, Clone, Copy, PartialEq)]
+struct Sizes {
+    entries: usize,
+    agents: usize,
+    /// Requests a second at each entry.
+    rate: u32,
+    tenants: u64,
+    documents: usize,
+    /// Changes of documents a minute.
+    changes: u32,
+}
+
+const BASE: Sizes = Sizes {
+    entries: 1,
+    agents: 4,
+    rate: 8,
+    tenants: 10,
+    documents: 1,
+    changes: 0,
+};
+
+/// A figure as a function of a variable: `intercept + slope * x`.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Line {
+    /// What one more costs.
+    pub slope: f64,
+    /// What none costs.
+    pub intercept: f64,
+    /// How well the line fits: 1 is exact.
+    pub fit: f64,
+    /// The measurements.
+    pub points: Vec<(f64, f64)>,
+}
+
+/// Figures by name, of one variable.
+pub type Figures = BTreeMap<String, Line>;
+
+/// Figures of all variables that were measured.
+pub type Slopes = BTreeMap<String, Figures>;
+
+/// Measures.
+pub async fn run(only: Option<&str>, seconds: u32) -> io::Result<Slopes> {
+    let binary = build_binary().await?;
+    let length = Duration::from_secs(u64::from(seconds.max(1)));
+    let mut slopes = Slopes::new();
+    for (variable, points) in series() {
+        if only.is_some_and(|o| o != variable) {
+            continue;
+        }
+        let mut measured: Vec<(f64, BTreeMap<String, f64>)> = Vec::new();
+        for (x, sizes) in points {
+            let figures = measure(&binary, sizes, length).await?;
+            eprintln!("{variable} {x}: {figures:?}");
+            measured.push((x, figures));
+        }
+        slopes.insert(variable.to_owned(), fit_all(&measured));
+    }
+    Ok(slopes)
+}
+
+fn series() -> Vec<(&'static str, Vec<(f64, Sizes)>)> {
+    let of = |xs: &[u32], set: fn(&mut Sizes, u32)| {
+        let point = |x: &u32| {
+            let mut sizes = BASE;
+            set(&mut sizes, *x);
+            (f64::from(*x), sizes)
+        };
+        xs.iter().map(point).collect::<Vec<_>>()
+    };
+    vec![
+        ("agents", of(&[4, 12, 36, 72], |s, x| s.agents = x as usize)),
+        ("entries", of(&[1, 4, 12], |s, x| s.entries = x as usize)),
+        ("requests", of(&[4, 16, 64], |s, x| s.rate = x)),
+        (
+            "tenants",
+            of(&[10, 100, 800], |s, x| {
+                s.rate = 120;
+                s.tenants = u64::from(x);
+            }),
+        ),
+        (
+            "documents",
+            of(&[1, 4, 12], |s, x| {
+                s.agents = 2;
+                s.documents = x as usize;
+            }),
+        ),
+        ("changes", of(&[0, 12, 96], |s, x| s.changes = x)),
+    ]
+}
+
+/// The document of a service made up for a measurement.
+fn document(net: u8, number: usize, agents: usize, note: u64) -> String {
+    let first = number * agents;
+    let up = |i: usize| {
+        let (n, zone) = (
+            first + i,
+            ["gent-zaal-a", "gent-zaal-b", "mechelen-zaal"][i % 3],
+        );
+        let agent = format!("127.{net}.{}.{}:7000", n / 200 * 3, n % 200 + 1);
+        format!("- {{name: u{n}, host: h{n}, zone: {zone}, agent: '{agent}', slots: 16}}\n")
+    };
+    let ups: String = (0..agents).map(up).collect();
+    format!(
+        "# change {note}\nservice: s{number}\nkind: engine\nmodel: {{name: m, version: 1}}\n\
+         share: 50%\ndrain_bound: 5s\ntenants: {{queue: 64, running: 64}}\nclasses:\n\
+         - {{name: c, urgency: 1, deadline: 10s, idempotent: true, share: 100%, \
+         starvation_bound: 5s, queue: 64}}\nupstreams:\n{ups}"
+    )
+}
+
+async fn measure(
+    binary: &Path,
+    sizes: Sizes,
+    length: Duration,
+) -> io::Result<BTreeMap<String, f64>> {
+    let (net, _lock) = free_net()?;
+    let mut options = Options::new(binary.to_owned(), Deployment::Sleutelbos);
+    options.net = net;
+    options.entries = sizes.entries;
+    let texts = (0..sizes.documents)
+        .map(|n| document(net, n, sizes.agents, 0))
+        .collect();
+    options.documents = Some(texts);
+    options.limits = LIMITS.to_owned();
+    options.rates = Rates {
+        step: Duration::from_millis(2),
+        prefill_per_step: 100_000,
+        ..options.rates
+    };
+    let mut site = Site::start(Deployment::Sleutelbos, options).await?;
+    load(&site, sizes, WARM_UP).await?;
+    let before = Totals::read(&site).await?;
+    load(&site, sizes, length).await?;
+    let after = Totals::read(&site).await?;
+    site.stop().await?;
+    Ok(after.since(&before))
+}
+
+/// Sends requests, and changes documents, for a time.
+async fn load(site: &Site, sizes: Sizes, length: Duration) -> io::Result<()> {
+    let callers: Vec<Caller> = site.entry_addrs().into_iter().map(Caller::new).collect();
+    let each = sizes.rate.max(1) * callers.len() as u32;
+    let mut clock = tokio::time::interval(Duration::from_secs(1) / each);
+    let until = tokio::time::Instant::now() + length;
+    let changes = tokio::time::timeout_at(until, change(site, sizes));
+    let mut calls = JoinSet::new();
+    let requests = async {
+        let mut n = 0usize;
+        while clock.tick().await < until {
+            let (caller, ask) = (callers[n % callers.len()].clone(), ask(sizes, n));
+            n += 1;
+            calls.spawn(async move { caller.send(ask).await });
+        }
+    };
+    let ((), changed) = tokio::join!(requests, changes);
+    if let Ok(changed) = changed {
+        changed?;
+    }
+    while let Some(sent) = calls.join_next().await {
+        let sent = sent.map_err(io::Error::other)?;
+        if !matches!(sent.got, Got::Whole { .. }) {
+            return Err(io::Error::other(format!(
+                "a request failed: {:?}",
+                sent.got
+            )));
+        }
+    }
+    Ok(())
+}
+
+/// Services of the measurements. Callers' requests name them statically.
+const NAMES: [&str; 12] = [
+    "s0", "s1", "s2", "s3", "s4", "s5", "s6", "s7", "s8", "s9", "s10", "s11",
+];
+
+fn ask(sizes: Sizes, n: usize) -> Ask {
+    let mut prompt = format!("{:016x} ", fastrand::u64(..));
+    while prompt.len() < PROMPT {
+        prompt.push_str("lorem ipsum dolor sit amet ");
+    }
+    let what = What::Completion {
+        prompt,
+        tokens: 2,
+        chat: false,
+        stream: true,
+    };
+    Ask {
+        service: NAMES[n % sizes.documents.min(NAMES.len())],
+        class: "c",
+        tenant: format!("tenant-{}", n as u64 % sizes.tenants),
+        what,
+    }
+}
+
+/// Changes documents at their rate until it is cancelled.
+async fn change(site: &Site, sizes: Sizes) -> io::Result<()> {
+    if sizes.changes == 0 {
+        return std::future::pending().await;
+    }
+    let settings = std::fs::read_to_string(site.settings_file())?;
+    let settings = conf::Settings::parse(&settings).map_err(io::Error::other)?;
+    let table = HttpPlatform::new(&settings.platform);
+    let every = Duration::from_secs(60) / sizes.changes;
+    for note in 1.. {
+        tokio::time::sleep(every).await;
+        let rows = table
+            .read(vec![doc_key("s0")])
+            .await
+            .map_err(io::Error::other)?;
+        let over = rows.first().map_or(0, |r| r.version);
+        let text = document(site.net(), 0, sizes.agents, note);
+        let txn = Txn::new()
+            .check(doc_key("s0"), over)
+            .put(doc_key("s0"), text);
+        table.commit(&txn).await.map_err(io::Error::other)?;
+    }
+    Ok(())
+}
+
+/// What everything has used so far.
+#[derive(Debug)]
+struct Totals {
+    at: Instant,
+    entry: RoleTotals,
+    agent: RoleTotals,
+    reads: u64,
+    commits: u64,
+    puts: u64,
+}
+
+/// Means over the processes of one role.
+#[derive(Debug, Default)]
+struct RoleTotals {
+    platform: f64,
+    peers: f64,
+    cpu: f64,
+    resident: f64,
+}
+
+impl Totals {
+    async fn read(site: &Site) -> io::Result<Self> {
+        let entries = site
+            .entries
+            .iter()
+            .map(|e| (e.process.id(), admin_of(e.addr)));
+        let agents = site
+            .workers
+            .iter()
+            .map(|w| (w.agent.id(), admin_of(w.upstream.agent)));
+        let history = site.table.history();
+        Ok(Self {
+            entry: RoleTotals::read(entries.collect()).await?,
+            agent: RoleTotals::read(agents.collect()).await?,
+            reads: history.reads,
+            commits: history.commits,
+            puts: site.objects.puts(),
+            at: Instant::now(),
+        })
+    }
+
+    fn since(&self, before: &Self) -> BTreeMap<String, f64> {
+        let took = (self.at - before.at).as_secs_f64();
+        let mut out = BTreeMap::new();
+        for (role, now, then) in [
+            ("entry", &self.entry, &before.entry),
+            ("agent", &self.agent, &before.agent),
+        ] {
+            let mut put = |name: &str, value: f64| out.insert(format!("{role}_{name}"), value);
+            put(
+                "platform_bytes_per_s",
+                (now.platform - then.platform) / took,
+            );
+            put("peer_bytes_per_s", (now.peers - then.peers) / took);
+            put("cores", (now.cpu - then.cpu) / took);
+            put("mb", now.resident / 1e6);
+        }
+        let per_s = |now: u64, then: u64| (now - then) as f64 / took;
+        out.insert("table_reads_per_s".into(), per_s(self.reads, before.reads));
+        out.insert(
+            "table_commits_per_s".into(),
+            per_s(self.commits, before.commits),
+        );
+        out.insert("object_puts_per_s".into(), per_s(self.puts, before.puts));
+        out
+    }
+}
+
+impl RoleTotals {
+    async fn read(processes: Vec<(Option<u32>, std::net::SocketAddr)>) -> io::Result<Self> {
+        let count = processes.len().max(1) as f64;
+        let mut sum = Self::default();
+        for (id, admin) in processes {
+            let bytes = control_bytes(admin).await?;
+            sum.platform += bytes.platform as f64 / count;
+            sum.peers += bytes.peers as f64 / count;
+            if let Some(used) = id.and_then(usage::of) {
+                sum.cpu += used.cpu.as_secs_f64() / count;
+                sum.resident += used.resident as f64 / count;
+            }
+        }
+        Ok(sum)
+    }
+}
+
+fn fit_all(measured: &[(f64, BTreeMap<String, f64>)]) -> Figures {
+    let Some((_, first)) = measured.first() else {
+        return Figures::new();
+    };
+    let line = |name: &String| {
+        let point = |(x, figures): &(f64, BTreeMap<String, f64>)| (*x, figures[name]);
+        (name.clone(), fit(measured.iter().map(point).collect()))
+    };
+    first.keys().map(line).collect()
+}
+
+/// Fits a line by least squares.
+pub fn fit(points: Vec<(f64, f64)>) -> Line {
+    let n = points.len() as f64;
+    let mean = |f: fn(&(f64, f64)) -> f64| points.iter().map(f).sum::<f64>() / n;
+    let (mx, my) = (mean(|p| p.0), mean(|p| p.1));
+    let sum = |f: &dyn Fn(&(f64, f64)) -> f64| points.iter().map(f).sum::<f64>();
+    let sxx = sum(&|p| (p.0 - mx).powi(2));
+    let sxy = sum(&|p| (p.0 - mx) * (p.1 - my));
+    let syy = sum(&|p| (p.1 - my).powi(2));
+    let slope = if sxx > 0.0 { sxy / sxx } else { 0.0 };
+    let fit = if sxx > 0.0 && syy > 0.0 {
+        sxy * sxy / (sxx * syy)
+    } else {
+        1.0
+    };
+    Line {
+        slope,
+        intercept: my - slope * mx,
+        fit,
+        points,
+    }
+}
--- a/crates/bench/src/up.rs
+++ b/crates/bench/src/up.rs
@@ -29,7 +29,9 @@
         return;
     };
     let admin = crate::deploy::admin_of(entry);
-    let [model, plain] = &site.docs;
+    let [model, plain] = site.docs.as_slice() else {
+        return;
+    };
     let settings = site.settings_file();
     let settings = settings.display();
     let once = plain.classes.iter().find_map(|c| c.routes.first());
--- a/crates/fakes/src/objects.rs
+++ b/crates/fakes/src/objects.rs
@@ -6,6 +6,7 @@
 use hyper::{Method, Response, StatusCode};
 use net::{Body, full};
 use std::collections::BTreeMap;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use store::http::{PATH_LIST, PATH_OBJECT};
 
@@ -14,6 +15,7 @@
 pub struct ObjectsStandin {
     gate: FaultGate,
     objects: Mutex<BTreeMap<String, Bytes>>,
+    puts: AtomicU64,
 }
 
 impl ObjectsStandin {
@@ -33,7 +35,13 @@
             .cloned()
     }
 
+    /// Objects written so far.
+    pub fn puts(&self) -> u64 {
+        self.puts.load(Ordering::Relaxed)
+    }
+
     fn put(&self, name: &str, data: Bytes) {
+        self.puts.fetch_add(1, Ordering::Relaxed);
         self.objects
             .lock()
             .expect("no panic while locked")
