Polls cost the same however long a document is; the planner keeps want rows in mind

Cause: each poll read every document in whole, and the planner read all want rows at every renewal. Ruled out: the host list (conditional already), and records (flat).

Change: apply writes a small head row along with the document, polls read heads and fetch a document only when its head moved; the planner reads want rows once and after a write that went astray, and asks agents only while something is to be changed, all at once. An entry draws from a subset of 16 upstreams of each service and closes connections without use, so that no mesh grows between all entries and all agents.

--- a/crates/arbutusquay/src/commands/apply.rs
+++ b/crates/arbutusquay/src/commands/apply.rs
@@ -5,7 +5,7 @@
 use crate::exit::Exit;
 use conf::Doc;
 use similar::TextDiff;
-use store::rows::doc_key;
+use store::rows::{doc_key, head_key};
 use store::{HttpPlatform, Row, Table, Txn, WriteError};
 
 /// Beginning of the line with the version that was read.
@@ -38,7 +38,10 @@
     };
     let table = platform(&args.settings)?;
     let key = doc_key(&doc.service);
-    let txn = Txn::new().check(&key, over).put(&key, text.clone());
+    let txn = Txn::new()
+        .check(&key, over)
+        .put(&key, text.clone())
+        .put(head_key(&doc.service), String::new());
     match table.commit(&txn).await {
         Ok(version) => Ok(done(&doc.service, version)),
         Err(WriteError::Refused(conflicts)) => {
--- a/crates/bench/src/slopes.rs
+++ b/crates/bench/src/slopes.rs
@@ -18,7 +18,7 @@
 use std::io;
 use std::path::Path;
 use std::time::{Duration, Instant};
-use store::rows::doc_key;
+use store::rows::{doc_key, head_key};
 use store::{HttpPlatform, Table, Txn};
 use tokio::task::JoinSet;
 
@@ -245,7 +245,8 @@
         let text = document(site.net(), 0, sizes.agents, note);
         let txn = Txn::new()
             .check(doc_key("s0"), over)
-            .put(doc_key("s0"), text);
+            .put(doc_key("s0"), text)
+            .put(head_key("s0"), String::new());
         table.commit(&txn).await.map_err(io::Error::other)?;
     }
     Ok(())
--- a/crates/entry/src/choose.rs
+++ b/crates/entry/src/choose.rs
@@ -20,6 +20,8 @@
 const TIED: usize = 1;
 /// Candidates drawn at random.
 const DRAWN: usize = 2;
+/// Upstreams of a service that an entry draws from.
+const SUBSET: usize = 16;
 /// Candidates of the second round, if none of the first takes work.
 const SECOND_ROUND: usize = 8;
 /// What another availability zone costs, in milliseconds. Zones are about a
@@ -67,6 +69,10 @@
 }
 
 /// Takes the candidates of the first round out of `left`.
+///
+/// The tied one may be any upstream: all entries must agree on it. The drawn
+/// ones come from this entry's subset, so that at any size an entry keeps few
+/// connections warm and no mesh grows between all entries and all agents.
 fn candidates(
     entry: &Entry,
     doc: &Doc,
@@ -78,18 +84,26 @@
         left.sort_unstable_by_key(|id| prefix::rank(key, &doc.upstream(*id).name));
         out.extend(left.split_off(left.len().saturating_sub(TIED)));
     }
-    fastrand::shuffle(left);
-    let here = &entry.node.settings.zone;
-    // A stable sort: those of one zone stay shuffled.
-    left.sort_by_key(|id| doc.upstream(*id).zone == *here);
-    // One of the drawn may be from anywhere, so that a busy zone isn't a trap.
+    let own = &entry.node.settings;
+    let seed = prefix::rank(0, &own.name);
+    left.sort_unstable_by_key(|id| {
+        let u = doc.upstream(*id);
+        (u.zone == own.zone, prefix::rank(seed, &u.name))
+    });
+    // Nearer zones stand last. One of the drawn may be from anywhere in the
+    // subset, so that a busy zone isn't a trap.
+    let near = left
+        .iter()
+        .filter(|id| doc.upstream(**id).zone == own.zone)
+        .count();
     for drawn in 0..DRAWN.min(left.len()) {
-        let at = if drawn == 0 {
-            left.len() - 1
+        let from = if drawn == 0 {
+            near.clamp(1, SUBSET / 2)
         } else {
-            fastrand::usize(..left.len())
+            SUBSET
         };
-        out.push(left.swap_remove(at));
+        let first = left.len().saturating_sub(from);
+        out.push(left.remove(fastrand::usize(first..left.len())));
     }
     out
 }
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -46,6 +46,8 @@
     node.serve_admin(move || health.is_ready())?;
     tokio::spawn(node.clone().stop_when_leaving());
     tokio::spawn(forget_unnamed(entry.clone()));
+    let idle = entry.clone();
+    tokio::spawn(async move { idle.peers.close_idle().await });
     let duties = start_duties(&node, &leases, &stop);
     let serving = Stop::default();
     let server = Server {
--- a/crates/plan/src/duty.rs
+++ b/crates/plan/src/duty.rs
@@ -2,6 +2,7 @@
 
 use crate::lease::{Keeper, Standing};
 use crate::policy::{Engine, NewOrder, any_to_change, orders};
+use conf::Upstream;
 use hyper::Method;
 use net::{Meter, Peer, Stop};
 use observe::{Event, emit};
@@ -12,6 +13,7 @@
 use store::rows::{decode, encode, lease_key, want_key};
 use store::{DocBook, InForce, Row, Table, Txn, WriteError};
 use tokio::sync::watch;
+use tokio::task::JoinSet;
 use wire::{AgentStatus, PATH_NUDGE, PATH_STATUS};
 
 /// Name of the duty in its lease's key.
@@ -21,6 +23,8 @@
 const STATUS_TIMEOUT: Duration = Duration::from_millis(500);
 /// Largest status.
 const MAX_STATUS: usize = 64 << 10;
+/// Longest that want rows are kept in mind, should an operator mend one by hand.
+const READ_AGAIN: Duration = Duration::from_secs(60);
 /// Renewals in the time after which a lease counts as stale.
 const RENEWALS: u32 = 3;
 
@@ -45,16 +49,35 @@
     pub stop: Stop,
 }
 
+/// What the planner keeps in mind while it holds the lease.
+#[derive(Debug, Default)]
+struct Memory {
+    /// Connections to agents, sorted by address.
+    peers: Vec<Peer>,
+    /// The engines with their want rows. Only the holder of the lease writes
+    /// these rows, so they need no reading again until a write goes astray.
+    engines: Vec<Engine>,
+    /// Version of the document that `engines` is of, and when it was read.
+    read: Option<(u64, Instant)>,
+}
+
+impl Memory {
+    fn is_fresh(&self, version: u64, now: Instant) -> bool {
+        let fresh = |(v, at): (u64, Instant)| v == version && now - at < READ_AGAIN;
+        self.read.is_some_and(fresh)
+    }
+}
+
 impl<T: Table> Duty<T> {
     /// Runs until the stop signal.
     pub async fn run(mut self) {
         let key = lease_key(DUTY, &self.service);
         let mut keeper = Keeper::new(key, self.holder.clone(), self.stale_after);
-        let mut peers = Vec::new();
+        let mut memory = Memory::default();
         let every = self.stale_after / RENEWALS;
         while !self.stop.is_stopped() {
             let before = epoch(&keeper);
-            self.look(&mut keeper, &mut peers).await;
+            self.look(&mut keeper, &mut memory).await;
             self.tell(before, epoch(&keeper));
             tokio::select! {
                 () = tokio::time::sleep(around(every)) => {}
@@ -64,12 +87,17 @@
         keeper.give_up(&self.table).await;
     }
 
-    async fn look(&mut self, keeper: &mut Keeper, peers: &mut Vec<Peer>) {
+    async fn look(&mut self, keeper: &mut Keeper, memory: &mut Memory) {
         let Some(doc) = self.book.get(&self.service) else {
             return;
         };
+        // A plain service has no roles, so there is nothing to plan.
+        if !doc.doc.is_engine() {
+            return;
+        }
         match keeper.standing() {
             Standing::Watching => {
+                memory.read = None;
                 let rows = self.leases.borrow_and_update().clone();
                 let row = rows.iter().find(|r| r.key == keeper.key());
                 if keeper.may_take(row, Instant::now()) {
@@ -78,66 +106,95 @@
             }
             Standing::Holding { .. } => keeper.renew(&self.table).await,
         }
-        if let Standing::Holding { lease, version } = keeper.standing().clone()
-            && let Some(engines) = self.engines(&doc, peers).await
-        {
-            for order in orders(&doc.doc, &engines, lease.epoch) {
-                let engine = &engines[order.engine];
-                self.write(keeper.key(), version, engine, &order).await;
-                let id = doc.doc.upstream_named(&engine.name);
-                if let Some(u) = id.map(|id| doc.doc.upstream(id)) {
-                    nudge(peer(peers, u.agent, &self.meter)).await;
-                }
+        let Standing::Holding { lease, version } = keeper.standing().clone() else {
+            return;
+        };
+        if !memory.is_fresh(doc.version, Instant::now()) {
+            let Some(engines) = self.read_engines(&doc).await else {
+                return;
+            };
+            memory.engines = engines;
+            memory.read = Some((doc.version, Instant::now()));
+        }
+        if any_to_change(&doc.doc, &memory.engines) {
+            self.ask_all(&doc, memory).await;
+            for order in orders(&doc.doc, &memory.engines, lease.epoch) {
+                self.write(keeper.key(), version, memory, order).await;
             }
         }
     }
 
-    /// The engines with their want rows and statuses; none while the store is down.
-    async fn engines(&self, doc: &InForce, peers: &mut Vec<Peer>) -> Option<Vec<Engine>> {
+    /// Reads the engines' want rows; none while the store is down.
+    async fn read_engines(&self, doc: &InForce) -> Option<Vec<Engine>> {
         let ups = &doc.doc.upstreams;
-        let keys: Vec<String> = ups
-            .iter()
-            .map(|u| want_key(&self.service, &u.name))
-            .collect();
-        let rows = self.table.read(keys.clone()).await.ok()?;
-        let mut engines = Vec::new();
-        for (u, key) in ups.iter().zip(keys) {
-            let row = rows.iter().find(|r| r.key == key);
-            engines.push(Engine {
+        let key = |name: &str| want_key(&self.service, name);
+        let rows = self
+            .table
+            .read(ups.iter().map(|u| key(&u.name)).collect())
+            .await
+            .ok()?;
+        let engine = |u: &Upstream| {
+            let row = rows.iter().find(|r| r.key == key(&u.name));
+            Engine {
                 name: u.name.clone(),
+                agent: u.agent,
                 want: row.and_then(|r| decode(&r.value)),
                 version: row.map_or(0, |r| r.version),
                 status: None,
-            });
-        }
-        if any_to_change(&doc.doc, &engines) {
-            for (e, u) in engines.iter_mut().zip(ups) {
-                e.status = status(peer(peers, u.agent, &self.meter)).await;
             }
+        };
+        Some(ups.iter().map(engine).collect())
+    }
+
+    /// Asks the agents of engines that have an order how they stand, all at
+    /// once: a silent one must not hold up the renewal of the lease.
+    async fn ask_all(&self, doc: &InForce, memory: &mut Memory) {
+        let mut asking = JoinSet::new();
+        for (at, e) in memory
+            .engines
+            .iter()
+            .enumerate()
+            .filter(|(_, e)| e.want.is_some())
+        {
+            let peer = peer(&mut memory.peers, e.agent, &self.meter).clone();
+            asking.spawn(async move { (at, status(&peer).await) });
+        }
+        while let Some(asked) = asking.join_next().await {
+            // A task that panicked was reported; its engine counts as silent.
+            let Ok((at, status)) = asked else { continue };
+            memory.engines[at].status = status;
         }
-        Some(engines)
+        let named: Vec<SocketAddr> = doc.doc.upstreams.iter().map(|u| u.agent).collect();
+        memory.peers.retain(|p| named.contains(&p.addr()));
     }
 
-    async fn write(&self, lease: &str, version: u64, engine: &Engine, order: &NewOrder) {
+    async fn write(&self, lease: &str, version: u64, memory: &mut Memory, order: NewOrder) {
+        let engine = &mut memory.engines[order.engine];
         let key = want_key(&self.service, &engine.name);
         let txn = Txn::new()
             .check(lease, version)
             .check(&key, engine.version)
             .put(&key, encode(&order.want));
-        let done = match self.table.commit(&txn).await {
-            Ok(_) => true,
-            // The lease or the row has moved on: nothing was written.
-            Err(WriteError::Refused(_) | WriteError::Unavailable(_)) => false,
-            // The next look reads the row, and sees what became of it.
-            Err(WriteError::Unknown(_)) => false,
-        };
-        if done {
-            emit(&Event::OrderWritten {
-                service: &self.service,
-                upstream: &engine.name,
-                order: order.want.order,
-                why: &order.want.why,
-            });
+        match self.table.commit(&txn).await {
+            Ok(version) => {
+                emit(&Event::OrderWritten {
+                    service: &self.service,
+                    upstream: &engine.name,
+                    order: order.want.order,
+                    why: &order.want.why,
+                });
+                engine.want = Some(order.want);
+                engine.version = version;
+                // What it said before is about the order before.
+                engine.status = None;
+                let peer = peer(&mut memory.peers, engine.agent, &self.meter).clone();
+                // Not waited for: a silent agent must not hold up the lease.
+                tokio::spawn(async move { nudge(&peer).await });
+            }
+            // Nothing was written, or nobody knows: the rows are read again.
+            Err(WriteError::Refused(_) | WriteError::Unavailable(_) | WriteError::Unknown(_)) => {
+                memory.read = None;
+            }
         }
     }
 
--- a/crates/plan/src/policy.rs
+++ b/crates/plan/src/policy.rs
@@ -1,6 +1,7 @@
 //! What is wanted of the engines, as a function of what is known.
 
 use conf::{Doc, Kind};
+use std::net::SocketAddr;
 use store::rows::Want;
 use wire::{AgentState, AgentStatus, Role};
 
@@ -12,6 +13,8 @@
 pub struct Engine {
     /// The upstream's name.
     pub name: String,
+    /// Where its agent listens.
+    pub agent: SocketAddr,
     /// What was wanted of it last, with the row's version; 0 if there is none.
     pub want: Option<Want>,
     /// Version of the want row.
--- a/crates/plan/tests/policy.rs
+++ b/crates/plan/tests/policy.rs
@@ -51,6 +51,7 @@
     };
     Engine {
         name: format!("u{i}"),
+        agent: format!("127.0.0.1:{}", 7000 + i).parse().unwrap(),
         want,
         version: 1,
         status: Some(status),
--- a/crates/store/src/poll.rs
+++ b/crates/store/src/poll.rs
@@ -2,7 +2,7 @@
 
 use crate::docs::{DocBook, Offered};
 use crate::retry::around;
-use crate::rows::doc_key;
+use crate::rows::{doc_key, head_key};
 use crate::table::{HostState, Hosts, Row, Table};
 use observe::{Event, emit};
 use std::sync::{Arc, Mutex};
@@ -35,18 +35,27 @@
     pub tx: watch::Sender<Vec<Row>>,
 }
 
+/// A document's head as it was last acted on.
+#[derive(Debug)]
+struct Head {
+    service: String,
+    key: String,
+    version: u64,
+}
+
 impl DocPoll {
     /// Reads the rows again and again: every `every`, at once when a peer speaks
     /// of a version that isn't in force here, and when nudged. Ends with its task.
     pub async fn run<T: Table>(self, table: T) {
-        let mut keys: Vec<String> = self.book.services().iter().map(|s| doc_key(s)).collect();
-        keys.extend(self.also.iter().flat_map(|a| a.keys.iter().cloned()));
+        let head = |service: String| Head {
+            key: head_key(&service),
+            service,
+            version: 0,
+        };
+        let mut heads: Vec<Head> = self.book.services().into_iter().map(head).collect();
         let mut changed = self.book.watch();
         loop {
-            // An outage isn't an error here: what is in force stays in force.
-            if let Ok(rows) = table.read(keys.clone()).await {
-                self.take(rows);
-            }
+            self.look(&table, &mut heads).await;
             tokio::time::sleep(MIN_PAUSE).await;
             tokio::select! {
                 () = self.nudge.notified() => {}
@@ -55,32 +64,61 @@
         }
     }
 
-    fn take(&self, rows: Vec<Row>) {
-        for row in rows {
-            if let Some(also) = self.also.as_ref().filter(|a| a.keys.contains(&row.key)) {
-                also.tx.send_if_modified(|rows| take_newer(rows, row));
-                continue;
-            }
-            let Some(service) = row.key.strip_prefix("doc/") else {
-                continue;
-            };
-            let version = row.version;
-            let text = DocText {
-                service: service.to_owned(),
-                version,
-                text: row.value,
-            };
-            match self.book.offer(&text) {
-                Offered::Taken => emit(&Event::DocInForce {
-                    service: &text.service,
-                    version,
-                }),
-                Offered::Invalid => emit(&Event::DocInvalid {
-                    service: &text.service,
-                    version,
-                }),
-                Offered::NotNewer => {}
+    /// Reads heads and other rows, and documents only where there is a newer
+    /// one. An outage isn't an error: what is in force stays in force.
+    async fn look<T: Table>(&self, table: &T, heads: &mut [Head]) {
+        let mut keys: Vec<String> = heads.iter().map(|h| h.key.clone()).collect();
+        keys.extend(self.also.iter().flat_map(|a| a.keys.iter().cloned()));
+        let Ok(rows) = table.read(keys).await else {
+            return;
+        };
+        let seen = |h: &Head| {
+            rows.iter()
+                .find(|r| r.key == h.key)
+                .map_or(0, |r| r.version)
+        };
+        let stale = |h: &Head| {
+            seen(h) > h.version
+                || self.book.behind(&h.service).is_some()
+                || self.book.version(&h.service) == 0
+        };
+        let wanted: Vec<String> = heads
+            .iter()
+            .filter(|h| stale(h))
+            .map(|h| doc_key(&h.service))
+            .collect();
+        let docs = if wanted.is_empty() {
+            Ok(Vec::new())
+        } else {
+            table.read(wanted).await
+        };
+        if let Ok(docs) = docs {
+            for h in heads.iter_mut() {
+                h.version = h.version.max(seen(h));
             }
+            docs.into_iter().for_each(|row| self.take_doc(row));
+        }
+        let Some(also) = &self.also else { return };
+        for row in rows.into_iter().filter(|r| also.keys.contains(&r.key)) {
+            also.tx.send_if_modified(|rows| take_newer(rows, row));
+        }
+    }
+
+    fn take_doc(&self, row: Row) {
+        let Some(service) = row.key.strip_prefix("doc/") else {
+            return;
+        };
+        let version = row.version;
+        let text = DocText {
+            service: service.to_owned(),
+            version,
+            text: row.value,
+        };
+        let service = text.service.as_str();
+        match self.book.offer(&text) {
+            Offered::Taken => emit(&Event::DocInForce { service, version }),
+            Offered::Invalid => emit(&Event::DocInvalid { service, version }),
+            Offered::NotNewer => {}
         }
     }
 }
--- a/crates/store/src/rows.rs
+++ b/crates/store/src/rows.rs
@@ -9,6 +9,12 @@
     format!("doc/{service}")
 }
 
+/// Key of a document's head: an empty row that is written along with each
+/// version, so that a poll costs the same however long the document is.
+pub fn head_key(service: &str) -> String {
+    format!("head/{service}")
+}
+
 /// Key of a duty's lease.
 pub fn lease_key(duty: &str, service: &str) -> String {
     format!("lease/{duty}/{service}")
