Faults bench: random faults over a mixed load, judged by history

A schedule of six lanes (agents, entries, table, other platform services, upstreams, editors) is drawn from a seed; histories of callers and stand-ins are judged by one function for each promise, and each function has a test with a bad history that it must reject.

Closed on the way, found by reading: an order whose answer never came may still be in a socket's buffer, so an agent waits until the engine has stood still for a second before the next order, and after its own start; a paused agent looks at the host list again before it takes work; a request given up during a pause doesn't begin; a caller or entry that takes nothing for the idle timeout no longer holds a slot; callers get the last agent's refusal instead of a bare no-upstream. Ends of claims share transactions (30 ends in at most 10). Prompts under 2 KiB are tied to no upstream.

--- a/crates/agent/src/claims/batch.rs
+++ b/crates/agent/src/claims/batch.rs
@@ -10,6 +10,8 @@
 
 /// Time that the first claim of a batch waits for others.
 const GATHER: Duration = Duration::from_millis(2);
+/// Time that the first end of a batch waits for others.
+const CLOSE_GATHER: Duration = Duration::from_millis(100);
 /// Most claims in one transaction.
 const MAX_BATCH: usize = 128;
 /// Looks at rows after a write whose outcome is unknown.
@@ -211,30 +213,61 @@
 }
 
 /// Writes how calls ended and releases what was given up, in the background.
+/// Ends share transactions: nobody waits for them but a repeat of the key.
 pub async fn write_after<T: Table>(table: T, mut rx: mpsc::Receiver<After>) {
-    while let Some(after) = rx.recv().await {
-        match after {
-            After::Close(held, state) => close(&table, held, state).await,
-            After::Release { key, claim } => release(&table, &key, claim).await,
-            // The waiter may have given up.
-            After::Settled(tx) => drop(tx.send(())),
+    while let Some(first) = rx.recv().await {
+        let mut closes = Vec::new();
+        let mut others = Vec::new();
+        sort_in(first, &mut closes, &mut others);
+        let until = tokio::time::Instant::now() + CLOSE_GATHER;
+        while !closes.is_empty() && others.is_empty() && closes.len() < MAX_BATCH {
+            let Ok(Some(next)) = tokio::time::timeout_at(until, rx.recv()).await else {
+                break;
+            };
+            sort_in(next, &mut closes, &mut others);
+        }
+        close_all(&table, closes).await;
+        for other in others {
+            match other {
+                After::Close(..) => {}
+                After::Release { key, claim } => release(&table, &key, claim).await,
+                // The waiter may have given up.
+                After::Settled(tx) => drop(tx.send(())),
+            }
         }
     }
 }
 
-async fn close<T: Table>(table: &T, held: Held, state: ClaimState) {
-    let claim = Claim {
-        state,
-        ..held.claim
-    };
-    let txn = Txn::new()
-        .check(&held.key, held.version)
-        .put(&held.key, encode(&claim));
+fn sort_in(after: After, closes: &mut Vec<(Held, ClaimState)>, others: &mut Vec<After>) {
+    match after {
+        After::Close(held, state) => closes.push((held, state)),
+        other => others.push(other),
+    }
+}
+
+async fn close_all<T: Table>(table: &T, mut closes: Vec<(Held, ClaimState)>) {
     let mut backoff = Backoff::new(RETRY_FIRST, RETRY_MOST);
     for _ in 0..CLOSE_TRIES {
+        if closes.is_empty() {
+            return;
+        }
+        let mut txn = Txn::new();
+        for (held, state) in &closes {
+            let claim = Claim {
+                state: state.clone(),
+                ..held.claim.clone()
+            };
+            txn = txn
+                .check(&held.key, held.version)
+                .put(&held.key, encode(&claim));
+        }
         match table.commit(&txn).await {
-            // Refused: this very write took effect before its answer was lost.
-            Ok(_) | Err(WriteError::Refused(_)) => return,
+            Ok(_) => return,
+            // These were written by this very write before its answer was lost,
+            // or belong to another by now; the rest goes again without them.
+            Err(WriteError::Refused(conflicts)) => {
+                closes.retain(|(held, _)| conflicts.iter().all(|c| c.key != held.key));
+            }
             Err(WriteError::Unavailable(_) | WriteError::Unknown(_)) => {
                 tokio::time::sleep(backoff.wait()).await;
             }
--- a/crates/agent/src/frames.rs
+++ b/crates/agent/src/frames.rs
@@ -2,6 +2,7 @@
 
 use net::BodySender;
 use net::body::{Gone, Watcher};
+use std::time::Duration;
 use wire::{Frame, Part, Refusal, RequestId};
 
 /// The way back to the entry, for one try.
@@ -10,15 +11,18 @@
     tx: BodySender,
     request: RequestId,
     next: u32,
+    patience: Duration,
 }
 
 impl Frames {
-    /// Frames for a request on a body.
-    pub fn new(tx: BodySender, request: RequestId) -> Self {
+    /// Frames for a request on a body. An entry that takes nothing for as long as
+    /// `patience` counts as gone, or it would hold a slot of the upstream.
+    pub fn new(tx: BodySender, request: RequestId, patience: Duration) -> Self {
         Self {
             tx,
             request,
             next: 0,
+            patience,
         }
     }
 
@@ -30,7 +34,10 @@
             part,
         };
         self.next += 1;
-        self.tx.send(frame.encode()).await
+        let send = self.tx.send(frame.encode());
+        tokio::time::timeout(self.patience, send)
+            .await
+            .unwrap_or(Err(Gone))
     }
 
     /// Sends a refusal and ends the answer.
--- a/crates/agent/src/orders.rs
+++ b/crates/agent/src/orders.rs
@@ -5,6 +5,10 @@
 //! order with its number as the fencing number, and wait until the engine is as
 //! wanted. An engine that fails this a few times is reported as broken, and
 //! stays so until there is another order or it comes right by itself.
+//!
+//! An order whose answer never came may still lie in a socket's buffer, also one
+//! of an agent that was killed in this slot before. So no order is given until
+//! the engine has answered and stood still for [`SETTLE`] since such a moment.
 
 use crate::state::{Agent, UpstreamState};
 use engine::{EngineState, Order};
@@ -23,12 +27,20 @@
 const CHANGE_LOOK: Duration = Duration::from_millis(20);
 /// Longest that a change may take before it counts as failed.
 const CHANGE_BOUND: Duration = Duration::from_secs(60);
+/// How long an engine must have stood still before an order, if another one may
+/// still be on its way to it.
+const SETTLE: Duration = Duration::from_secs(1);
 /// Tries of one order before the engine counts as broken.
 const TRIES: u32 = 3;
 
 /// Tends the upstream until the process ends.
 pub async fn tend(agent: Arc<Agent>, mut want: watch::Receiver<Vec<Row>>) {
-    let mut tries = Tries { order: 0, made: 0 };
+    let mut tries = Tries {
+        order: 0,
+        made: 0,
+        // An agent before this one may have left an order on its way.
+        astray: true,
+    };
     let mut changed = agent.node.book.watch();
     let mut events = 0;
     loop {
@@ -56,13 +68,16 @@
 struct Tries {
     order: u64,
     made: u32,
+    /// Whether an order may still be on its way to the engine.
+    astray: bool,
 }
 
 impl Tries {
     /// Whether another try of an order may be made.
     fn may(&mut self, order: u64) -> bool {
         if self.order != order {
-            *self = Self { order, made: 0 };
+            self.order = order;
+            self.made = 0;
         }
         self.made < TRIES
     }
@@ -102,7 +117,7 @@
         return;
     }
     tries.made += 1;
-    if let Err(why) = change(agent, &want).await {
+    if let Err(why) = change(agent, &want, &mut tries.astray).await {
         unusable(agent, why);
     } else {
         emit(&Event::OrderDone {
@@ -113,9 +128,12 @@
 }
 
 /// Makes a drained engine as wanted.
-async fn change(agent: &Agent, want: &Want) -> Result<(), String> {
-    // An order of an agent before this one may still be under way.
-    let state = quiet(agent).await?;
+async fn change(agent: &Agent, want: &Want, astray: &mut bool) -> Result<(), String> {
+    let mut state = quiet(agent).await?;
+    if *astray {
+        state = settled(agent, state).await?;
+        *astray = false;
+    }
     if is_as_wanted(&state, want) {
         return Ok(());
     }
@@ -130,11 +148,14 @@
         order: want.order,
     });
     agent.prefixes.clear();
+    // Until the engine has answered, the order may be anywhere.
+    *astray = true;
     agent
         .engine
         .order(&order)
         .await
         .map_err(|e| e.to_string())?;
+    *astray = false;
     let state = quiet(agent).await?;
     if is_as_wanted(&state, want) {
         Ok(())
@@ -143,6 +164,19 @@
     }
 }
 
+/// Waits until the engine has stood still for [`SETTLE`].
+async fn settled(agent: &Agent, first: EngineState) -> Result<EngineState, String> {
+    let mut still = (first, Instant::now());
+    while still.1.elapsed() < SETTLE {
+        tokio::time::sleep(CHANGE_LOOK).await;
+        let state = quiet(agent).await?;
+        if state != still.0 {
+            still = (state, Instant::now());
+        }
+    }
+    Ok(still.0)
+}
+
 fn is_as_wanted(state: &EngineState, want: &Want) -> bool {
     !state.changing
         && state.role == want.role
--- a/crates/agent/src/run.rs
+++ b/crates/agent/src/run.rs
@@ -18,6 +18,9 @@
 /// Longest wait for a document that the entry has and this agent hasn't.
 const DOC_WAIT: Duration = Duration::from_millis(500);
 
+/// Longest wait for a look at the host list after a pause of this process.
+const LIST_WAIT: Duration = Duration::from_secs(1);
+
 /// How a try ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum End {
@@ -69,7 +72,7 @@
 pub async fn serve(agent: Arc<Agent>, leg: Leg, call: Call, tx: BodySender) {
     let _running = agent.node.begin();
     let since = Instant::now();
-    let mut frames = Frames::new(tx, leg.request);
+    let mut frames = Frames::new(tx, leg.request, agent.node.settings.limits.idle_timeout);
     let mut times = Times::default();
     let end = match check(&agent, &leg).await {
         Ok(doc) => match doc.doc.class_named(&leg.class) {
@@ -112,6 +115,8 @@
     if !book.reach(&leg.service, leg.doc_version, DOC_WAIT).await {
         return Err(Refusal::not_run(Reason::NotReady));
     }
+    // After a pause of this process its host may have left meanwhile.
+    agent.node.leaving.looked_since_pause(LIST_WAIT).await;
     match agent.state() {
         AgentState::Ready => agent.doc().ok_or(Refusal::not_run(Reason::NotReady)),
         AgentState::Starting => Err(Refusal::not_run(Reason::NotReady)),
@@ -122,8 +127,11 @@
 async fn admit_and_run(mut t: Try<'_>, call: Call) -> End {
     let gone = t.frames.watcher();
     let ticket = tokio::select! {
-        ticket = admit(&t, &call) => ticket,
+        // First: a request whose entry has given it up must not begin, as after
+        // a pause of this process.
+        biased;
         () = gone.closed() => return End::Gone,
+        ticket = admit(&t, &call) => ticket,
     };
     let ticket = match ticket {
         Ok(ticket) => ticket,
--- a/crates/agent/tests/claims.rs
+++ b/crates/agent/tests/claims.rs
@@ -243,3 +243,33 @@
     let commits = bed.table.history().commits;
     assert!(commits <= 20, "{commits} transactions for 100 claims");
 }
+
+/// Ends share transactions, and one that was taken over meanwhile doesn't keep
+/// the others from being written.
+#[tokio::test]
+async fn ends_share_transactions_and_one_conflict_spoils_no_other() {
+    let bed = bed().await;
+    let a = Claims::start(bed.platform.clone(), "a".into());
+    let mut held = Vec::new();
+    for n in 0..30u128 {
+        let key = format!("claim/s/t/key/{n}");
+        let Claimed::Won(h) = a.claim(key, claim(n, 1, "a"), true).await else {
+            panic!()
+        };
+        held.push(h);
+    }
+    let taken = claim(0, 2, "b");
+    let b = Claims::start(bed.platform.clone(), "b".into());
+    let over = b.claim(held[0].key.clone(), taken.clone(), true).await;
+    assert!(matches!(over, Claimed::Won(_)));
+    let before = bed.table.history().commits;
+    for h in held {
+        a.close(h, ClaimState::TooLargeToKeep);
+    }
+    a.settled(BOUND).await;
+    let commits = bed.table.history().commits - before;
+    assert!(commits <= 10, "{commits} transactions for 30 ends");
+    assert_eq!(row(&bed, "claim/s/t/key/0").await, Some(taken));
+    let last = row(&bed, "claim/s/t/key/29").await.unwrap();
+    assert_eq!(last.state, ClaimState::TooLargeToKeep);
+}
--- /dev/null
+++ b/crates/bench/src/check.rs
@@ -0,0 +1,228 @@
+//! The rules by which a history is judged, one function for each promise.
+//!
+//! A history joins what callers, stand-ins and the fault schedule wrote, each on
+//! its own. The product isn't asked.
+
+use crate::caller::{Got, Sent};
+use fakes::engine::OrderSeen;
+use std::collections::{BTreeMap, BTreeSet};
+use store::Row;
+use store::rows::{Lease, Want, decode};
+use wire::Outcome;
+
+/// A leaving upstream gets no new work after this, in milliseconds.
+pub const LEAVING_BOUND_MS: u64 = 3_000;
+/// An accepted configuration is in force after this, in milliseconds.
+pub const CONFIG_BOUND_MS: u64 = 12_000;
+
+/// A run at an upstream.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct RunSeen {
+    /// The upstream.
+    pub upstream: String,
+    /// The service.
+    pub service: String,
+    /// The request's id.
+    pub request: String,
+    /// The caller's key, or an empty text.
+    pub key: String,
+    /// Whether the document calls it idempotent.
+    pub idempotent: bool,
+    /// When it began.
+    pub at_ms: u64,
+}
+
+/// A time during which an upstream was leaving.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Leaving {
+    /// The upstream.
+    pub upstream: String,
+    /// When the list or its agent said so.
+    pub from_ms: u64,
+    /// When it was taken back, or the run ended.
+    pub until_ms: u64,
+}
+
+/// A document that the table service accepted.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Accepted {
+    /// The service.
+    pub service: String,
+    /// The version.
+    pub version: u64,
+    /// When the editor knew.
+    pub at_ms: u64,
+}
+
+/// The version in force in a process at a time.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Sample {
+    /// The process's name.
+    pub process: String,
+    /// Its id, which tells incarnations apart.
+    pub id: u32,
+    /// The service.
+    pub service: String,
+    /// The version; 0 if there was none yet.
+    pub version: u64,
+    /// When it was asked.
+    pub at_ms: u64,
+}
+
+/// A time during which a process couldn't be expected to follow: it was paused
+/// or down, or the table service was.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Excused {
+    /// The process; `None` for all.
+    pub process: Option<String>,
+    /// From when.
+    pub from_ms: u64,
+    /// Until when.
+    pub until_ms: u64,
+}
+
+/// Everything that was seen.
+#[derive(Debug, Clone, Default)]
+pub struct History {
+    /// What callers got.
+    pub sent: Vec<Sent>,
+    /// Runs at upstreams.
+    pub runs: Vec<RunSeen>,
+    /// Orders that engines saw, by upstream, in order.
+    pub orders: Vec<(String, OrderSeen)>,
+    /// Rows that the table service wrote, in order.
+    pub rows: Vec<Row>,
+    /// When upstreams were leaving.
+    pub leaving: Vec<Leaving>,
+    /// Documents that were accepted.
+    pub accepted: Vec<Accepted>,
+    /// Versions in force.
+    pub samples: Vec<Sample>,
+    /// When processes couldn't follow.
+    pub excused: Vec<Excused>,
+}
+
+/// Orders that came while a different change was under way.
+pub fn conflicting_orders(h: &History) -> u64 {
+    count(h.orders.iter(), |(_, o)| o.conflicting)
+}
+
+/// Streams that an order broke off.
+pub fn cut_off(h: &History) -> u64 {
+    h.orders.iter().map(|(_, o)| o.cut).sum()
+}
+
+/// Orders with an effect that came from a planner or agent whose time was over:
+/// an older number after a newer one at an engine, or a want row written under
+/// another epoch than that of the lease at that moment.
+pub fn stale_orders_effective(h: &History) -> u64 {
+    let at_engines = count(h.orders.iter(), |(_, o)| o.stale_effective);
+    let mut epochs: BTreeMap<String, u64> = BTreeMap::new();
+    let mut in_table = 0;
+    for row in &h.rows {
+        if let Some(service) = row.key.strip_prefix("lease/plan/") {
+            let epoch = decode::<Lease>(&row.value).map_or(0, |l| l.epoch);
+            epochs.insert(service.to_owned(), epoch);
+        } else if let Some(rest) = row.key.strip_prefix("want/") {
+            let service = rest.split('/').next().unwrap_or("");
+            let epoch = decode::<Want>(&row.value).map_or(0, |w| w.epoch);
+            in_table += u64::from(epochs.get(service) != Some(&epoch));
+        }
+    }
+    at_engines + in_table
+}
+
+/// Answers to something else.
+pub fn crossed(h: &History) -> u64 {
+    count(h.sent.iter(), |s| s.got == Got::Crossed)
+}
+
+/// Answers that aren't whole and don't say so.
+pub fn truncated(h: &History) -> u64 {
+    count(h.sent.iter(), |s| s.got == Got::Truncated)
+}
+
+/// Requests refused as not run that ran.
+pub fn false_not_run(h: &History) -> u64 {
+    let ran: BTreeSet<&str> = h.runs.iter().map(|r| r.request.as_str()).collect();
+    count(h.sent.iter(), |s| {
+        matches!(
+            s.got,
+            Got::Refused {
+                outcome: Outcome::NotRun,
+                ..
+            }
+        ) && s.id.as_deref().is_some_and(|id| ran.contains(id))
+    })
+}
+
+/// Runs of non-idempotent calls beyond the first: by the caller's key, or by the
+/// request's id where there was none.
+pub fn double_runs(h: &History) -> u64 {
+    let mut times: BTreeMap<(&str, &str, &str), u64> = BTreeMap::new();
+    for r in h.runs.iter().filter(|r| !r.idempotent) {
+        let name = if r.key.is_empty() {
+            ("request", r.request.as_str())
+        } else {
+            ("key", r.key.as_str())
+        };
+        *times.entry((&r.service, name.0, name.1)).or_default() += 1;
+    }
+    times.values().map(|n| n.saturating_sub(1)).sum()
+}
+
+/// Runs that began at an upstream after it had been leaving for a while.
+pub fn late_work_to_leaving(h: &History) -> u64 {
+    count(h.runs.iter(), |r| {
+        h.leaving.iter().any(|l| {
+            l.upstream == r.upstream
+                && r.at_ms > l.from_ms + LEAVING_BOUND_MS
+                && r.at_ms < l.until_ms
+        })
+    })
+}
+
+/// Times that a process went back to a lower version.
+pub fn config_reverts(h: &History) -> u64 {
+    let mut last: BTreeMap<(&str, u32, &str), u64> = BTreeMap::new();
+    let mut reverts = 0;
+    for s in &h.samples {
+        let before = last.entry((&s.process, s.id, &s.service)).or_default();
+        reverts += u64::from(s.version < *before);
+        *before = s.version;
+    }
+    reverts
+}
+
+/// Samples of a process that was behind an accepted document for longer than
+/// the bound, times in which it couldn't follow not counted.
+pub fn config_late(h: &History) -> u64 {
+    count(h.samples.iter(), |s| {
+        h.accepted.iter().any(|a| {
+            a.service == s.service
+                && s.version < a.version
+                && s.at_ms > a.at_ms + CONFIG_BOUND_MS
+                && s.at_ms - a.at_ms - excused(h, &s.process, a.at_ms, s.at_ms) > CONFIG_BOUND_MS
+        })
+    })
+}
+
+/// How much of a time a process is excused.
+fn excused(h: &History, process: &str, from: u64, until: u64) -> u64 {
+    let of = |e: &&Excused| e.process.as_deref().is_none_or(|p| p == process);
+    let clip = |e: &Excused| (e.from_ms.max(from), e.until_ms.min(until));
+    let mut spans: Vec<(u64, u64)> = h.excused.iter().filter(of).map(clip).collect();
+    spans.retain(|(a, b)| a < b);
+    spans.sort_unstable();
+    let (mut sum, mut end) = (0, from);
+    for (a, b) in spans {
+        let a = a.max(end);
+        sum += b.saturating_sub(a);
+        end = end.max(b);
+    }
+    sum
+}
+
+fn count<T>(items: impl Iterator<Item = T>, f: impl Fn(&T) -> bool) -> u64 {
+    items.filter(|i| f(i)).count() as u64
+}
--- a/crates/bench/src/judge.rs
+++ b/crates/bench/src/judge.rs
@@ -85,7 +85,7 @@
                     // An engine sees the id with the number of the try.
                     let ids = e.history().runs.into_iter();
                     seen.ids
-                        .extend(ids.filter_map(|i| Some(i.split_once('-')?.0.to_owned())));
+                        .extend(ids.filter_map(|r| Some(r.id.split_once('-')?.0.to_owned())));
                 }
                 UpstreamStandin::Plain(p) => {
                     let doc = site.docs.iter().find(|d| d.service == w.service);
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -4,12 +4,17 @@
 
 pub mod bed;
 pub mod caller;
+pub mod capacity;
+pub mod check;
 pub mod demo;
 pub mod deploy;
+pub mod edit;
+pub mod faults;
 pub mod judge;
 pub mod load;
 pub mod mix;
 pub mod procs;
+pub mod schedule;
 pub mod scrape;
 pub mod site;
 pub mod slopes;
--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -19,6 +19,8 @@
     Up(UpArgs),
     Load(LoadArgs),
     Slopes(SlopesArgs),
+    Faults(FaultsArgs),
+    Capacity(CapacityArgs),
 }
 
 /// run both deployments under a mixed load, kill and drain agents, and judge what callers got
@@ -67,6 +69,23 @@
     seconds: u32,
 }
 
+/// run a mixed load under random faults and judge the history; a seed gives the same schedule
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "faults")]
+struct FaultsArgs {
+    /// seed of the schedule and the mix
+    #[argh(option)]
+    seed: u64,
+    /// how long faults go on, in seconds (default 60)
+    #[argh(option, default = "60")]
+    seconds: u64,
+}
+
+/// work the capacity page's rows out anew from docs/slopes.json, and print them as a table
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "capacity")]
+struct CapacityArgs {}
+
 #[tokio::main]
 async fn main() -> ExitCode {
     let args: Args = argh::from_env();
@@ -97,6 +116,12 @@
             println!("{}", serde_json::to_string_pretty(&slopes)?);
             Ok(true)
         }
+        Command::Faults(a) => {
+            let counted = bench::faults::run(a.seed, a.seconds).await?;
+            println!("{}", serde_json::to_string(&counted)?);
+            Ok(counted.violations() == 0)
+        }
+        Command::Capacity(_) => bench::capacity::renew().map(|()| true),
         Command::Load(a) => {
             let options = LoadOptions {
                 rate: a.rate,
--- /dev/null
+++ b/crates/bench/src/schedule.rs
@@ -0,0 +1,171 @@
+//! A schedule of faults, drawn from a seed.
+
+use fakes::Faults;
+use fastrand::Rng;
+
+/// What a fault is done to, and what is done.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Fault {
+    /// An agent, by place, is killed and later started again.
+    KillAgent(usize),
+    /// An agent is stopped gracefully and later started again.
+    StopAgent(usize),
+    /// An agent is paused.
+    PauseAgent(usize),
+    /// An entry is killed and later started again.
+    KillEntry(usize),
+    /// An entry is stopped gracefully and later started again.
+    StopEntry(usize),
+    /// An entry is paused, maybe for longer than its lease.
+    PauseEntry(usize),
+    /// A host is called leaving; its agent is started again when it is back.
+    LeaveHost(usize),
+    /// The table service shows faults.
+    Table(Faults),
+    /// The object store shows faults.
+    Objects(Faults),
+    /// The host list shows faults.
+    Hosts(Faults),
+    /// An upstream, by place, shows faults.
+    Upstream(usize, Faults),
+    /// Two editors race for the document of a service, by place.
+    Edit(usize),
+}
+
+/// A fault with its time.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Planned {
+    /// When it begins, in milliseconds.
+    pub from_ms: u64,
+    /// When it ends.
+    pub until_ms: u64,
+    /// What it is.
+    pub fault: Fault,
+}
+
+/// How many of each there are.
+#[derive(Debug, Clone, Copy)]
+pub struct Counts {
+    /// Upstreams with agents.
+    pub workers: usize,
+    /// Entries.
+    pub entries: usize,
+    /// Services.
+    pub services: usize,
+}
+
+/// Draws a schedule. Faults of one lane follow each other, those of different
+/// lanes fall together.
+pub fn draw(seed: u64, length_ms: u64, n: Counts) -> Vec<Planned> {
+    let lanes: [fn(&mut Rng, Counts) -> Fault; 6] = [agent, entry, table, other, upstream, edit];
+    let mut all = Vec::new();
+    for (lane, draw) in lanes.into_iter().enumerate() {
+        let mut rng = Rng::with_seed(seed.wrapping_mul(31).wrapping_add(lane as u64));
+        let mut at = 1_000 + rng.u64(..3_000);
+        while at < length_ms {
+            let fault = draw(&mut rng, n);
+            let lasts = if matches!(fault, Fault::Edit(_)) {
+                0
+            } else {
+                300 + rng.u64(..5_700)
+            };
+            all.push(Planned {
+                from_ms: at,
+                until_ms: (at + lasts).min(length_ms),
+                fault,
+            });
+            at += lasts + 500 + rng.u64(..4_000);
+        }
+    }
+    all.sort_by_key(|p| p.from_ms);
+    all
+}
+
+fn agent(rng: &mut Rng, n: Counts) -> Fault {
+    let at = rng.usize(..n.workers);
+    match rng.u32(..4) {
+        0 => Fault::KillAgent(at),
+        1 => Fault::StopAgent(at),
+        2 => Fault::PauseAgent(at),
+        _ => Fault::LeaveHost(at),
+    }
+}
+
+fn entry(rng: &mut Rng, n: Counts) -> Fault {
+    let at = rng.usize(..n.entries);
+    match rng.u32(..3) {
+        0 => Fault::KillEntry(at),
+        1 => Fault::StopEntry(at),
+        _ => Fault::PauseEntry(at),
+    }
+}
+
+fn platform(rng: &mut Rng) -> Faults {
+    let none = Faults::default();
+    match rng.u32(..4) {
+        0 => Faults { down: true, ..none },
+        1 => Faults { hang: true, ..none },
+        2 => Faults {
+            lose_answers: 1 + rng.u32(..20),
+            ..none
+        },
+        _ => Faults {
+            delay_ms: 50 + rng.u64(..1_500),
+            ..none
+        },
+    }
+}
+
+fn table(rng: &mut Rng, _: Counts) -> Fault {
+    Fault::Table(platform(rng))
+}
+
+fn other(rng: &mut Rng, _: Counts) -> Fault {
+    if rng.bool() {
+        Fault::Objects(platform(rng))
+    } else {
+        Fault::Hosts(platform(rng))
+    }
+}
+
+fn upstream(rng: &mut Rng, n: Counts) -> Fault {
+    let none = Faults::default();
+    let some = 1 + rng.u32(..5);
+    let faults = match rng.u32(..9) {
+        0 => Faults {
+            break_streams: some,
+            ..none
+        },
+        1 => Faults {
+            cross_chunks: some,
+            ..none
+        },
+        2 => Faults {
+            double_chunks: some,
+            ..none
+        },
+        3 => Faults {
+            nonsense: some,
+            ..none
+        },
+        4 => Faults {
+            lose_answers: some,
+            ..none
+        },
+        5 => Faults {
+            delay_ms: 20 + rng.u64(..500),
+            ..none
+        },
+        6 => Faults { hang: true, ..none },
+        7 => Faults {
+            crash_in_order: 1,
+            ..none
+        },
+        _ => Faults { down: true, ..none },
+    };
+    Fault::Upstream(rng.usize(..n.workers), faults)
+}
+
+fn edit(rng: &mut Rng, n: Counts) -> Fault {
+    Fault::Edit(rng.usize(..n.services))
+}
--- a/crates/bench/src/scrape.rs
+++ b/crates/bench/src/scrape.rs
@@ -20,8 +20,35 @@
     pub peers: u64,
 }
 
-/// Reads the bytes of control traffic of the process at an admin address.
-pub async fn control_bytes(admin: SocketAddr) -> io::Result<ControlBytes> {
+/// Versions in force in a process.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Versions {
+    /// The process's id.
+    pub process: u32,
+    /// Each service's version.
+    pub versions: Vec<(String, u64)>,
+}
+
+/// Reads the versions in force in the process at an admin address.
+pub async fn document_versions(admin: SocketAddr) -> io::Result<Versions> {
+    let text = metrics(admin).await?;
+    let mut seen = Versions::default();
+    for line in text.lines() {
+        if let Some(id) = line.strip_prefix("arbutusquay_process_id ") {
+            seen.process = id.parse().unwrap_or(0);
+        }
+        let Some(rest) = line.strip_prefix("arbutusquay_document_version{service=\"") else {
+            continue;
+        };
+        if let Some((service, version)) = rest.split_once("\"} ") {
+            let version = version.parse::<f64>().unwrap_or(0.0) as u64;
+            seen.versions.push((service.to_owned(), version));
+        }
+    }
+    Ok(seen)
+}
+
+async fn metrics(admin: SocketAddr) -> io::Result<String> {
     let req = Request::builder().uri("/metrics").header("host", "bench");
     let req = req.body(empty()).map_err(io::Error::other)?;
     let pool = Pool::new(admin, TIMEOUT);
@@ -29,7 +56,12 @@
         .call(req, MAX_TEXT, TIMEOUT)
         .await
         .map_err(io::Error::other)?;
-    let text = String::from_utf8_lossy(&text);
+    Ok(String::from_utf8_lossy(&text).into_owned())
+}
+
+/// Reads the bytes of control traffic of the process at an admin address.
+pub async fn control_bytes(admin: SocketAddr) -> io::Result<ControlBytes> {
+    let text = metrics(admin).await?;
     let value = |link: &str| {
         let name = format!("arbutusquay_control_bytes{{link=\"{link}\"}} ");
         let line = text.lines().find_map(|l| l.strip_prefix(&name));
--- a/crates/bench/src/slopes.rs
+++ b/crates/bench/src/slopes.rs
@@ -27,8 +27,8 @@
 /// Times between polls and flushes as the defaults have them, so that the
 /// figures are those of a real site.
 const LIMITS: &str = "{linger: 100ms}";
-/// Bytes of a prompt.
-const PROMPT: usize = 1200;
+/// Bytes of prompts: two in five are long, and tied to an upstream.
+const PROMPTS: [usize; 5] = [400, 6_000, 400, 6_000, 400];
 
 /// Sizes of one measurement.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -209,7 +209,7 @@
 
 fn ask(sizes: Sizes, n: usize) -> Ask {
     let mut prompt = format!("{:016x} ", fastrand::u64(..));
-    while prompt.len() < PROMPT {
+    while prompt.len() < PROMPTS[n % PROMPTS.len()] {
         prompt.push_str("lorem ipsum dolor sit amet ");
     }
     let what = What::Completion {
--- /dev/null
+++ b/crates/bench/tests/check.rs
@@ -0,0 +1,294 @@
+//! Each rule accepts a good history and rejects one that lacks its guard.
+
+use bench::caller::{Got, Sent};
+use bench::check::{self, Accepted, Excused, History, Leaving, RunSeen, Sample};
+use bench::mix::{Ask, What};
+use engine::{Order, OrderAnswer};
+use fakes::engine::OrderSeen;
+use store::rows::{Lease, Want, encode};
+use store::{Row, Token};
+use wire::{Outcome, Role};
+
+fn order(fence: u64) -> OrderSeen {
+    let (role, model) = (Role::Mixed, "m".to_owned());
+    OrderSeen {
+        order: Order {
+            fence,
+            role,
+            model,
+            model_version: 1,
+        },
+        answer: OrderAnswer::Taken,
+        conflicting: false,
+        stale_effective: false,
+        cut: 0,
+        at_ms: 0,
+    }
+}
+
+fn run(upstream: &str, request: &str, key: &str, idempotent: bool, at_ms: u64) -> RunSeen {
+    RunSeen {
+        upstream: upstream.into(),
+        service: "s".into(),
+        request: request.into(),
+        key: key.into(),
+        idempotent,
+        at_ms,
+    }
+}
+
+fn sent(id: &str, got: Got) -> Sent {
+    let what = What::Plain {
+        method: "POST",
+        path: "/x".into(),
+        body: String::new(),
+        key: None,
+    };
+    let ask = Ask {
+        service: "s",
+        class: "c",
+        tenant: "t".into(),
+        what,
+    };
+    Sent {
+        ask,
+        id: Some(id.into()),
+        got,
+        first: None,
+        gaps: Vec::new(),
+    }
+}
+
+fn row(key: &str, value: String) -> Row {
+    Row {
+        key: key.into(),
+        version: 1,
+        value,
+        token: Token(1),
+    }
+}
+
+fn lease(epoch: u64) -> Row {
+    row(
+        "lease/plan/s",
+        encode(&Lease {
+            holder: "h".into(),
+            epoch,
+            renewals: 0,
+        }),
+    )
+}
+
+fn want(epoch: u64) -> Row {
+    let want = Want {
+        role: Role::Mixed,
+        model: "m".into(),
+        model_version: 1,
+        epoch,
+        order: 1,
+        why: String::new(),
+    };
+    row("want/s/u", encode(&want))
+}
+
+fn sample(id: u32, version: u64, at_ms: u64) -> Sample {
+    Sample {
+        process: "p".into(),
+        id,
+        service: "s".into(),
+        version,
+        at_ms,
+    }
+}
+
+fn orders(seen: Vec<OrderSeen>) -> History {
+    let orders = seen.into_iter().map(|o| ("u".to_owned(), o)).collect();
+    History {
+        orders,
+        ..History::default()
+    }
+}
+
+#[test]
+fn orders_that_conflict_cut_off_or_come_late_are_counted() {
+    let good = orders(vec![order(1), order(2)]);
+    assert_eq!(check::conflicting_orders(&good), 0);
+    assert_eq!(check::cut_off(&good), 0);
+    assert_eq!(check::stale_orders_effective(&good), 0);
+    let conflicting = OrderSeen {
+        conflicting: true,
+        ..order(2)
+    };
+    assert_eq!(
+        check::conflicting_orders(&orders(vec![order(1), conflicting])),
+        1
+    );
+    let cut = OrderSeen { cut: 3, ..order(2) };
+    assert_eq!(check::cut_off(&orders(vec![cut])), 3);
+    let stale = OrderSeen {
+        stale_effective: true,
+        ..order(1)
+    };
+    assert_eq!(
+        check::stale_orders_effective(&orders(vec![order(2), stale])),
+        1
+    );
+}
+
+#[test]
+fn a_want_row_written_under_a_lost_lease_is_counted() {
+    let of = |rows| History {
+        rows,
+        ..History::default()
+    };
+    assert_eq!(
+        check::stale_orders_effective(&of(vec![lease(1), want(1), lease(2), want(2)])),
+        0
+    );
+    assert_eq!(
+        check::stale_orders_effective(&of(vec![lease(1), lease(2), want(1)])),
+        1
+    );
+    assert_eq!(
+        check::stale_orders_effective(&of(vec![want(1)])),
+        1,
+        "under no lease at all"
+    );
+}
+
+#[test]
+fn crossed_and_truncated_answers_are_counted() {
+    let of = |got| History {
+        sent: vec![sent("1", got)],
+        ..History::default()
+    };
+    assert_eq!(check::crossed(&of(Got::Whole { kept: false })), 0);
+    assert_eq!(check::crossed(&of(Got::Crossed)), 1);
+    assert_eq!(check::truncated(&of(Got::Whole { kept: false })), 0);
+    assert_eq!(check::truncated(&of(Got::Truncated)), 1);
+}
+
+#[test]
+fn not_run_that_ran_is_counted_and_unknown_that_ran_is_not() {
+    let of = |outcome| History {
+        sent: vec![sent(
+            "1",
+            Got::Refused {
+                outcome,
+                reason: String::new(),
+            },
+        )],
+        runs: vec![run("u", "1", "k", false, 0)],
+        ..History::default()
+    };
+    assert_eq!(check::false_not_run(&of(Outcome::NotRun)), 1);
+    assert_eq!(check::false_not_run(&of(Outcome::Unknown)), 0);
+}
+
+#[test]
+fn a_second_run_of_a_key_or_of_a_request_without_key_is_counted() {
+    let of = |runs| History {
+        runs,
+        ..History::default()
+    };
+    let runs = |a: (&str, &str), b: (&str, &str), idempotent| {
+        of(vec![
+            run("u", a.0, a.1, idempotent, 0),
+            run("v", b.0, b.1, idempotent, 0),
+        ])
+    };
+    assert_eq!(check::double_runs(&runs(("1", "k"), ("2", "l"), false)), 0);
+    assert_eq!(check::double_runs(&runs(("1", "k"), ("2", "k"), false)), 1);
+    assert_eq!(check::double_runs(&runs(("1", ""), ("1", ""), false)), 1);
+    assert_eq!(check::double_runs(&runs(("1", ""), ("2", ""), false)), 0);
+    assert_eq!(check::double_runs(&runs(("1", "k"), ("2", "k"), true)), 0);
+}
+
+#[test]
+fn work_that_begins_at_a_leaving_upstream_after_the_bound_is_counted() {
+    let of = |upstream: &str, at_ms| History {
+        runs: vec![run(upstream, "1", "", true, at_ms)],
+        leaving: vec![Leaving {
+            upstream: "u".into(),
+            from_ms: 1_000,
+            until_ms: 9_000,
+        }],
+        ..History::default()
+    };
+    assert_eq!(
+        check::late_work_to_leaving(&of("u", 1_000 + check::LEAVING_BOUND_MS)),
+        0
+    );
+    assert_eq!(
+        check::late_work_to_leaving(&of("u", 1_001 + check::LEAVING_BOUND_MS)),
+        1
+    );
+    assert_eq!(check::late_work_to_leaving(&of("v", 8_000)), 0);
+    assert_eq!(
+        check::late_work_to_leaving(&of("u", 9_500)),
+        0,
+        "it was back"
+    );
+}
+
+#[test]
+fn a_process_that_goes_back_to_a_lower_version_is_counted() {
+    let of = |samples| History {
+        samples,
+        ..History::default()
+    };
+    assert_eq!(
+        check::config_reverts(&of(vec![sample(1, 0, 0), sample(1, 3, 1), sample(1, 5, 2)])),
+        0
+    );
+    assert_eq!(
+        check::config_reverts(&of(vec![sample(1, 5, 0), sample(1, 3, 1)])),
+        1
+    );
+    assert_eq!(
+        check::config_reverts(&of(vec![sample(1, 5, 0), sample(2, 0, 1)])),
+        0,
+        "a new start"
+    );
+}
+
+#[test]
+fn a_process_behind_for_longer_than_the_bound_is_counted_unless_it_could_not_follow() {
+    let late = 1_001 + check::CONFIG_BOUND_MS;
+    let of = |version, at_ms, excused: Vec<Excused>| History {
+        accepted: vec![Accepted {
+            service: "s".into(),
+            version: 5,
+            at_ms: 1_000,
+        }],
+        samples: vec![sample(1, version, at_ms)],
+        excused,
+        ..History::default()
+    };
+    assert_eq!(check::config_late(&of(4, late - 1, Vec::new())), 0);
+    assert_eq!(check::config_late(&of(4, late, Vec::new())), 1);
+    assert_eq!(check::config_late(&of(5, late, Vec::new())), 0);
+    let out = |process: Option<&str>, from_ms, until_ms| Excused {
+        process: process.map(str::to_owned),
+        from_ms,
+        until_ms,
+    };
+    assert_eq!(
+        check::config_late(&of(4, late, vec![out(Some("p"), 2_000, 4_000)])),
+        0
+    );
+    assert_eq!(
+        check::config_late(&of(4, late, vec![out(None, 2_000, 4_000)])),
+        0
+    );
+    assert_eq!(
+        check::config_late(&of(4, late, vec![out(Some("q"), 2_000, 4_000)])),
+        1
+    );
+    let twice = vec![out(None, 2_000, 4_000), out(Some("p"), 2_500, 3_500)];
+    assert_eq!(
+        check::config_late(&of(4, late + 2_500, twice)),
+        1,
+        "overlaps count once"
+    );
+}
--- a/crates/conf/src/settings.rs
+++ b/crates/conf/src/settings.rs
@@ -99,7 +99,7 @@
             probe_timeout: Duration::from_millis(250),
             idle_timeout: Duration::from_secs(20),
             doc_poll: Duration::from_secs(4),
-            host_poll: Duration::from_secs(1),
+            host_poll: Duration::from_secs(2),
             linger: Duration::from_secs(2),
             drain_bound: Duration::from_secs(60),
             record_flush: Duration::from_secs(10),
--- a/crates/entry/src/choose.rs
+++ b/crates/entry/src/choose.rs
@@ -18,6 +18,8 @@
 
 /// Candidates tied to the prompt's beginning.
 const TIED: usize = 1;
+/// Prompts with at most so many prefixes (under 2 KiB) are tied to no upstream.
+const SHORT_PREFIXES: usize = 3;
 /// Candidates drawn at random.
 const DRAWN: usize = 2;
 /// Upstreams of a service that an entry draws from.
@@ -58,7 +60,9 @@
         let u = doc.upstream(*id);
         !tried.contains(&u.name) && !leaving.contains(&u.host)
     });
-    let key = probe.prefixes.first().copied();
+    // A short prompt is read as fast anywhere, and needs no tie.
+    let tied = probe.prefixes.len() > SHORT_PREFIXES;
+    let key = probe.prefixes.first().copied().filter(|_| tied);
     let first = candidates(entry, doc, &mut left, key);
     if let Some(chosen) = ask(entry, doc, probe, first).await {
         return Some(chosen);
--- a/crates/entry/src/completion.rs
+++ b/crates/entry/src/completion.rs
@@ -6,6 +6,7 @@
 use bytes::Bytes;
 use hyper::Response;
 use hyper::header::{CACHE_CONTROL, CONTENT_TYPE, HeaderValue};
+use net::body::Gone;
 use net::{Body, BodySender, full, stream};
 use serde::{Deserialize, Serialize};
 use wire::{Completion, Part, RequestId};
@@ -282,7 +283,13 @@
     let mut next = Ok(first);
     loop {
         let sent = match next {
-            Ok(Part::Token(text)) => tx.send(style.chunk(&text, None)).await,
+            // A caller that takes nothing for that long would hold an engine's slot.
+            Ok(Part::Token(text)) => {
+                let send = tx.send(style.chunk(&text, None));
+                tokio::time::timeout(session.patience(), send)
+                    .await
+                    .unwrap_or(Err(Gone))
+            }
             Ok(Part::End { count }) => {
                 let mut last = style.chunk("", Some(count)).to_vec();
                 last.extend_from_slice(b"data: [DONE]\n\n");
--- a/crates/entry/src/session.rs
+++ b/crates/entry/src/session.rs
@@ -50,6 +50,8 @@
     attempts: u32,
     /// Whether every try so far came back as not run.
     clean: bool,
+    /// The last refusal of an agent, to be passed on if no other serves.
+    refusal: Option<Refusal>,
     /// Tokens that the caller has.
     delivered: u64,
     queue_ms: u64,
@@ -87,6 +89,7 @@
             tried: Vec::new(),
             attempts: 0,
             clean: true,
+            refusal: None,
             delivered: 0,
             queue_ms: 0,
             first: None,
@@ -100,6 +103,11 @@
         self.want.id
     }
 
+    /// Longest that a caller may leave a piece of its answer untaken.
+    pub fn patience(&self) -> Duration {
+        self.entry.node.settings.limits.idle_timeout
+    }
+
     /// The service.
     pub fn service(&self) -> &str {
         &self.want.doc.doc.service
@@ -132,24 +140,30 @@
 
     /// Opens the next try.
     async fn open(&mut self) -> Result<(), Refusal> {
-        if self.attempts >= self.entry.node.settings.limits.attempts {
-            return Err(self.give_up(Refusal::not_run(Reason::NoUpstream)));
-        }
-        if self.attempts > 0 && !self.entry.budget.spend() {
-            return Err(self.give_up(Refusal::not_run(Reason::NoUpstream)));
+        let spent = self.attempts >= self.entry.node.settings.limits.attempts
+            || (self.attempts > 0 && !self.entry.budget.spend());
+        if spent {
+            return Err(self.give_up_as(Reason::NoUpstream));
         }
         if self.left().is_zero() {
-            return Err(self.give_up(Refusal::not_run(Reason::DeadlinePassed)));
+            return Err(self.give_up_as(Reason::DeadlinePassed));
         }
         let probe = self.probe();
         let doc = self.want.doc.doc.clone();
         let Some(chosen) = choose(&self.entry, &doc, &probe, &self.tried).await else {
-            let refusal = Refusal::not_run(Reason::NoUpstream).retry_in(NO_UPSTREAM_RETRY_MS);
-            return Err(self.give_up(refusal));
+            return Err(self.give_up_as(Reason::NoUpstream));
         };
         self.send(chosen).await
     }
 
+    /// Gives up with the last agent's refusal, which says more to the caller, or
+    /// else for a reason of the entry's own.
+    fn give_up_as(&mut self, reason: Reason) -> Refusal {
+        let own = Refusal::not_run(reason).retry_in(NO_UPSTREAM_RETRY_MS);
+        let refusal = self.refusal.unwrap_or(own);
+        self.give_up(refusal)
+    }
+
     /// What is left of the deadline. A stream that goes on elsewhere has met
     /// its deadline already, and gets the class's time once more.
     fn left(&self) -> Duration {
@@ -243,6 +257,7 @@
     fn refused(&mut self, refusal: Refusal) -> Result<(), Refusal> {
         self.current = None;
         if refusal.outcome == Outcome::NotRun && may_go_elsewhere(refusal.reason) {
+            self.refusal = Some(refusal);
             return Ok(());
         }
         Err(self.give_up(refusal))
@@ -252,6 +267,7 @@
     fn lost(&mut self, reason: Reason) -> Result<(), Refusal> {
         self.current = None;
         self.clean = false;
+        self.refusal = None;
         if self.want.class.idempotent {
             return Ok(());
         }
--- a/crates/fakes/src/engine.rs
+++ b/crates/fakes/src/engine.rs
@@ -21,7 +21,7 @@
 use hyper::{Response, StatusCode};
 use net::Body;
 use orders::Orders;
-pub use orders::{EngineHistory, OrderSeen};
+pub use orders::{EngineHistory, EngineRun, OrderSeen};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
--- a/crates/fakes/src/engine/orders.rs
+++ b/crates/fakes/src/engine/orders.rs
@@ -2,6 +2,7 @@
 
 use super::batch::Batch;
 use super::cache::PrefixCache;
+use crate::clock::now_ms;
 use engine::dialect::{EngineState, Order, OrderAnswer};
 use serde::{Deserialize, Serialize};
 use std::time::{Duration, Instant};
@@ -23,6 +24,17 @@
     pub stale_effective: bool,
     /// Streams that the change broke off.
     pub cut: u64,
+    /// When it came, by [`crate::clock::now_ms`].
+    pub at_ms: u64,
+}
+
+/// A completion as the engine saw it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EngineRun {
+    /// The request's id with the number of the try.
+    pub id: String,
+    /// When it came, by [`crate::clock::now_ms`].
+    pub at_ms: u64,
 }
 
 /// What an engine saw.
@@ -30,8 +42,8 @@
 pub struct EngineHistory {
     /// Orders, in order of arrival.
     pub orders: Vec<OrderSeen>,
-    /// Ids of the completions that it took.
-    pub runs: Vec<String>,
+    /// Completions that it took.
+    pub runs: Vec<EngineRun>,
 }
 
 /// The engine's state as far as orders change it.
@@ -92,7 +104,10 @@
     /// Notes a completion that was taken.
     pub fn note_run(&mut self, id: &str) {
         if self.history.runs.len() < MAX_HISTORY {
-            self.history.runs.push(id.to_owned());
+            self.history.runs.push(EngineRun {
+                id: id.to_owned(),
+                at_ms: now_ms(),
+            });
         }
     }
 
@@ -156,6 +171,7 @@
                 conflicting,
                 stale_effective,
                 cut,
+                at_ms: now_ms(),
             };
             self.history.orders.push(seen);
         }
--- a/crates/fakes/src/lib.rs
+++ b/crates/fakes/src/lib.rs
@@ -9,6 +9,7 @@
 //! Nothing in the product depends on them.
 
 pub mod answer;
+pub mod clock;
 pub mod engine;
 pub mod fault;
 pub mod hosts;
--- a/crates/fakes/src/plain.rs
+++ b/crates/fakes/src/plain.rs
@@ -1,6 +1,7 @@
 //! A plain service, which counts the runs of each call.
 
 use crate::answer::plain_digest;
+use crate::clock::now_ms;
 use crate::fault::FaultGate;
 use crate::serve::{Call, Standin, json};
 use hyper::Response;
@@ -23,6 +24,8 @@
     pub call: String,
     /// Digest of method, path and body.
     pub digest: String,
+    /// When it came, by [`crate::clock::now_ms`].
+    pub at_ms: u64,
 }
 
 /// What the service answers.
@@ -76,6 +79,7 @@
             request: call.header("x-request-id").to_owned(),
             call: format!("{} {target}", call.method),
             digest: digest.clone(),
+            at_ms: now_ms(),
         };
         {
             let mut runs = self.runs.lock().expect("no panic while locked");
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -123,6 +123,8 @@
             limits.host_poll,
         );
         tokio::spawn(hosts);
+        let leaving = self.leaving.clone();
+        tokio::spawn(async move { leaving.keep_pulse().await });
         tokio::spawn(async move {
             let mut changed = self.book.watch();
             loop {
--- a/crates/observe/src/metrics.rs
+++ b/crates/observe/src/metrics.rs
@@ -53,6 +53,9 @@
     /// Metrics with histograms of their own for at most so many tenants.
     pub fn new(most_tenants: u32) -> Self {
         let registry = Registry::new();
+        gauge(&registry, "process_id", "Id of the process.", &[])
+            .with_label_values::<&str>(&[])
+            .set(i64::from(std::process::id()));
         let class = ["service", "class"];
         Self {
             requests: counter(
--- a/crates/store/src/poll.rs
+++ b/crates/store/src/poll.rs
@@ -6,7 +6,7 @@
 use crate::table::{HostState, Hosts, Row, Table};
 use observe::{Event, emit};
 use std::sync::{Arc, Mutex};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use tokio::sync::{Notify, watch};
 use wire::DocText;
 
@@ -145,9 +145,35 @@
 }
 
 /// Hosts that the platform's list calls leaving, as this process last saw it.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct LeavingHosts {
     names: Mutex<Vec<String>>,
+    looked: watch::Sender<Instant>,
+    pulse: Mutex<Pulse>,
+}
+
+/// How this process sees its own pauses.
+#[derive(Debug, Clone, Copy)]
+struct Pulse {
+    last: Instant,
+    gap_seen: Option<Instant>,
+}
+
+/// Time between beats of the pulse, and the gap that counts as a pause.
+const PULSE: Duration = Duration::from_millis(200);
+const PAUSED: Duration = Duration::from_secs(1);
+
+impl Default for LeavingHosts {
+    fn default() -> Self {
+        Self {
+            names: Mutex::default(),
+            looked: watch::Sender::new(Instant::now()),
+            pulse: Mutex::new(Pulse {
+                last: Instant::now(),
+                gap_seen: None,
+            }),
+        }
+    }
 }
 
 impl LeavingHosts {
@@ -161,6 +187,43 @@
     pub fn names(&self) -> Vec<String> {
         self.names.lock().expect("no panic while locked").clone()
     }
+
+    /// After a pause of this process, waits for the next look at the list for at
+    /// most `within`: the host may have left meanwhile.
+    pub async fn looked_since_pause(&self, within: Duration) {
+        let mut looked = self.looked.subscribe();
+        if !self.was_paused_since(*looked.borrow_and_update()) {
+            return;
+        }
+        // Without a look in time, what was known stands.
+        let _ = tokio::time::timeout(within, looked.changed()).await;
+    }
+
+    fn was_paused_since(&self, look: Instant) -> bool {
+        let pulse = *self.pulse.lock().expect("no panic while locked");
+        // The second is a pause that the pulse itself hasn't seen yet.
+        pulse.gap_seen.is_some_and(|seen| look < seen) || pulse.last.elapsed() > PAUSED
+    }
+
+    /// Keeps the pulse by which pauses of this process are seen.
+    pub async fn keep_pulse(&self) {
+        loop {
+            tokio::time::sleep(PULSE).await;
+            let now = Instant::now();
+            let mut pulse = self.pulse.lock().expect("no panic while locked");
+            if now.saturating_duration_since(pulse.last) > PAUSED {
+                pulse.gap_seen = Some(now);
+            }
+            pulse.last = now;
+        }
+    }
+
+    fn set(&self, hosts: Vec<crate::table::Host>) {
+        let gone = hosts.into_iter().filter(|h| h.state == HostState::Leaving);
+        let mut names: Vec<String> = gone.map(|h| h.name).collect();
+        names.sort_unstable();
+        *self.names.lock().expect("no panic while locked") = names;
+    }
 }
 
 /// Reads the host list again and again into `leaving`. Ends with its task.
@@ -170,12 +233,10 @@
         if let Ok(list) = hosts.hosts(have).await {
             have = list.version;
             if let Some(hosts) = list.hosts {
-                let gone = hosts.into_iter().filter(|h| h.state == HostState::Leaving);
-                let mut names: Vec<String> = gone.map(|h| h.name).collect();
-                names.sort_unstable();
-                *leaving.names.lock().expect("no panic while locked") = names;
+                leaving.set(hosts);
             }
         }
+        leaving.looked.send_replace(Instant::now());
         tokio::time::sleep(around(every)).await;
     }
 }
