Faults bench: an agent is started again only once the lagging host list says live

The bench started it while the list still called its host leaving, and it drained at once, as it should. Ruled out: a broken engine (its stand-in was as wanted).

--- a/crates/bench/src/faults.rs
+++ b/crates/bench/src/faults.rs
@@ -31,6 +31,8 @@
 const CALM_DOWN: Duration = Duration::from_secs(4);
 /// What a process needs after a start or a pause before it is judged, in milliseconds.
 const START_MS: u64 = 3_000;
+/// What the host list may lag over its setting.
+const SLACK: Duration = Duration::from_millis(200);
 /// Workers of each service.
 const WORKERS: usize = 3;
 const LIMITS: &str = "{record_flush: 2s, linger: 300ms, lease: 3s, idle_timeout: 4s, \
@@ -304,6 +306,8 @@
                 let host = self.site.workers[*at].upstream.host.clone();
                 self.close_leaving(*at);
                 self.site.hosts.set(&host, HostState::Live);
+                // An agent that still saw the old list would drain at once.
+                tokio::time::sleep(self.site.host_lag() + SLACK).await;
                 // The agent drained by itself, unless it never heard of it.
                 self.site.workers[*at].agent.signal(Signal::Term);
                 self.site.workers[*at].agent.ended().await?;
--- a/crates/bench/src/site.rs
+++ b/crates/bench/src/site.rs
@@ -130,6 +130,11 @@
 
 impl Drop for Site {
     fn drop(&mut self) {
+        // Logs are kept where a run asks for it, to look into a failure.
+        if std::env::var_os("BENCH_KEEP").is_some() {
+            eprintln!("kept {}", self.dir.display());
+            return;
+        }
         // A folder that can't be removed is left for the system to clean.
         let _ = std::fs::remove_dir_all(&self.dir);
     }
@@ -339,6 +344,11 @@
         Ok(())
     }
 
+    /// Lag of the host list.
+    pub fn host_lag(&self) -> Duration {
+        self.options.host_lag
+    }
+
     /// Second number of its loopback addresses.
     pub fn net(&self) -> u8 {
         self.options.net
