--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -66,9 +66,10 @@
     let server = tokio::spawn(server.run(listener, move |req| peer::serve(handler.clone(), req)));
     stop.stopped().await;
     drain(&agent, &serving).await;
-    // The server's task ends once its last connection has; a panic in it is a
-    // broken invariant that was reported already.
-    let _ = server.await;
+    // The server's task ends once its last connection has. All requests have
+    // ended; what is left is for their last frames to be taken, which a peer that
+    // is paused or cut off never does.
+    let _ = tokio::time::timeout(node.settings.limits.drain_bound, server).await;
     node.close_records().await;
     Ok(())
 }
--- a/crates/agent/src/plain.rs
+++ b/crates/agent/src/plain.rs
@@ -97,6 +97,10 @@
 
 /// Runs a call whose key is ours.
 async fn run_once(t: &mut Try<'_>, call: &PlainCall, held: Held) -> End {
+    if !t.agent.may_begin() {
+        t.agent.claims.close(held, ClaimState::Released);
+        return End::Refused(Refusal::not_run(Reason::Leaving));
+    }
     match send(t, call).await {
         Ok(whole) => {
             t.agent.claims.close(held, keep(t, &whole));
--- a/crates/agent/src/state.rs
+++ b/crates/agent/src/state.rs
@@ -9,11 +9,14 @@
 use engine::Client;
 use net::Pool;
 use node::Node;
-use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Mutex, OnceLock};
+use std::time::{Duration, Instant};
 use store::InForce;
 use wire::{AgentState, AgentStatus, Reason, Role};
 
+/// How long after an agent began to stop an admitted call may still begin.
+const BEGIN_BOUND: Duration = Duration::from_secs(1);
+
 /// An agent.
 #[derive(Debug)]
 pub struct Agent {
@@ -35,7 +38,7 @@
     pub rates: Rates,
     /// Prefixes that the engine has cached.
     pub prefixes: Prefixes,
-    leaving: AtomicBool,
+    left: OnceLock<Instant>,
     upstream_state: Mutex<UpstreamState>,
 }
 
@@ -71,7 +74,7 @@
             claims,
             rates: Rates::default(),
             prefixes: Prefixes::default(),
-            leaving: AtomicBool::new(false),
+            left: OnceLock::new(),
             upstream_state: Mutex::new(state),
             service,
             node,
@@ -90,13 +93,21 @@
 
     /// Takes nothing new from now on, for good.
     pub fn leave(&self) {
-        self.leaving.store(true, Ordering::SeqCst);
+        // A second call changes nothing: it left when it first did.
+        let _ = self.left.set(Instant::now());
         self.admission.close(Reason::Leaving);
     }
 
     /// Whether this process is stopping.
     pub fn is_leaving(&self) -> bool {
-        self.leaving.load(Ordering::SeqCst)
+        self.left.get().is_some()
+    }
+
+    /// Whether a call that was admitted before this process began to stop may
+    /// still begin at the upstream. It may not once the upstream has been
+    /// leaving for a while, however long its claim took.
+    pub fn may_begin(&self) -> bool {
+        self.left.get().is_none_or(|at| at.elapsed() < BEGIN_BOUND)
     }
 
     /// The upstream as last seen.
--- a/crates/arbutusquay/tests/lifecycle.rs
+++ b/crates/arbutusquay/tests/lifecycle.rs
@@ -1,11 +1,17 @@
 //! Starting, stopping and failing: drains cut nothing off, kills are survived.
 
 use bench::bed::{BOUND, Bed, LOOK, bed, bed_with, is_whole, lookup, notice, reply, until};
+use bench::caller::Got;
+use bench::check::LEAVING_BOUND_MS;
 use bench::mix::Ask;
 use bench::procs::{Proc, Signal};
+use fakes::Faults;
+use fakes::clock::now_ms;
+use fakes::serve::Standin;
 use std::path::PathBuf;
 use std::time::Duration;
 use store::HostState;
+use wire::Outcome;
 
 /// The shipped binary.
 const BINARY: &str = env!("CARGO_BIN_EXE_arbutusquay");
@@ -157,8 +163,6 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn an_entry_restarted_while_the_table_is_down_serves_once_it_is_back() {
-    use fakes::Faults;
-    use fakes::serve::Standin;
     let mut bed = bed(BINARY, 1).await;
     bed.site.table.gate().set(Faults {
         down: true,
@@ -175,3 +179,82 @@
     assert!(is_whole(&bed.caller(0).send(lookup("/status/2")).await));
     assert!(is_whole(&bed.caller(0).send(notice("n", "x")).await));
 }
+
+/// Found by `bench faults`: the agent waited for ever for a peer that was paused.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stopped_agent_ends_though_a_peer_is_paused() {
+    let mut bed = bed_with(BINARY, 2, |o| {
+        o.limits = o.limits.replace('}', ", drain_bound: 2s}");
+    })
+    .await;
+    for entry in 0..2 {
+        assert!(is_whole(&bed.caller(entry).send(reply("warm", 3)).await));
+    }
+    bed.site.entries[1].process.signal(Signal::Pause);
+    for worker in 0..2 {
+        assert!(
+            bed.site.workers[worker]
+                .agent
+                .stop()
+                .await
+                .unwrap()
+                .success()
+        );
+    }
+    bed.site.entries[1].process.signal(Signal::Resume);
+}
+
+/// Found by `bench faults`: a call that waited for its claim began seconds after
+/// its upstream had begun to leave. Here the claim's answer is lost, and the row
+/// can only be read back when the agent has long been told to stop.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_claim_that_comes_late_begins_nothing_at_a_leaving_upstream() {
+    let mut bed = bed(BINARY, 1).await;
+    let plain = bed
+        .site
+        .workers
+        .iter()
+        .position(|w| w.upstream.name == "portaal-1")
+        .unwrap();
+    let lost = Faults {
+        delay_ms: 800,
+        lose_answers: 1,
+        ..Faults::default()
+    };
+    bed.site.table.gate().set(lost);
+    let caller = bed.caller(0);
+    let late = tokio::spawn(async move { caller.send(notice("late", "x")).await });
+    let table = bed.site.table.clone();
+    let claimed = || {
+        let written = table.history().written;
+        written.iter().any(|r| r.key.ends_with("key/late"))
+    };
+    until("the claim", claimed).await;
+    let cut = Faults {
+        hang: true,
+        ..Faults::default()
+    };
+    bed.site.table.gate().set(cut);
+    bed.site.workers[plain].agent.signal(Signal::Term);
+    let told = now_ms();
+    until("the bound", || now_ms() > told + LEAVING_BOUND_MS).await;
+    bed.site.table.gate().set(Faults::default());
+    let sent = late.await.unwrap();
+    let not_run = matches!(
+        sent.got,
+        Got::Refused {
+            outcome: Outcome::NotRun,
+            ..
+        }
+    );
+    assert!(not_run, "{:?}", sent.got);
+    assert_eq!(bed.runs_of("late"), 0);
+    assert!(
+        bed.site.workers[plain]
+            .agent
+            .ended()
+            .await
+            .unwrap()
+            .success()
+    );
+}
--- a/crates/bench/src/caller.rs
+++ b/crates/bench/src/caller.rs
@@ -4,6 +4,7 @@
 use engine::sse::EventReader;
 use fakes::answer;
 use fakes::plain::PlainAnswer;
+use fakes::serve::NONSENSE;
 use http_body_util::BodyExt;
 use hyper::{Request, Response, StatusCode};
 use net::h1::Answer;
@@ -237,6 +238,10 @@
             body: asked,
             ..
         } => {
+            // What a plain service answers is its own affair, even this.
+            if body == NONSENSE.as_bytes() {
+                return Got::Whole { kept };
+            }
             let Ok(got) = serde_json::from_slice::<PlainAnswer>(body) else {
                 return Got::Truncated;
             };
--- a/crates/bench/src/faults.rs
+++ b/crates/bench/src/faults.rs
@@ -215,6 +215,9 @@
     site: &'a mut Site,
     history: Arc<Mutex<History>>,
     edits: Vec<JoinHandle<()>>,
+    /// Faults whose process was told to stop and is to be started again once it
+    /// has ended. Other faults begin and end meanwhile: it may be waiting for one.
+    stopping: Vec<Fault>,
 }
 
 /// One end of a fault.
@@ -230,6 +233,7 @@
             site,
             history,
             edits: Vec::new(),
+            stopping: Vec::new(),
         }
     }
 
@@ -252,6 +256,7 @@
         for a in actions {
             let wait = (start + a.at_ms).saturating_sub(now_ms());
             tokio::time::sleep(Duration::from_millis(wait)).await;
+            self.start_ended(false).await?;
             if a.begins {
                 let lasts = a.planned.until_ms - a.planned.from_ms;
                 println!("{:>6} ms: {:?} for {lasts} ms", a.at_ms, a.planned.fault);
@@ -260,6 +265,7 @@
                 self.end(&a.planned.fault).await?;
             }
         }
+        self.start_ended(true).await?;
         for edit in self.edits.drain(..) {
             edit.await.map_err(io::Error::other)?;
         }
@@ -290,17 +296,9 @@
 
     async fn end(&mut self, fault: &Fault) -> io::Result<()> {
         match fault {
-            Fault::KillAgent(at) => self.site.restart_agent(*at)?,
-            Fault::StopAgent(at) => {
-                self.site.workers[*at].agent.ended().await?;
-                self.site.restart_agent(*at)?;
-            }
+            Fault::KillAgent(at) => self.ensure_agent(*at)?,
             Fault::PauseAgent(at) => self.site.workers[*at].agent.signal(Signal::Resume),
-            Fault::KillEntry(at) => self.site.restart_entry(*at)?,
-            Fault::StopEntry(at) => {
-                self.site.entries[*at].process.ended().await?;
-                self.site.restart_entry(*at)?;
-            }
+            Fault::KillEntry(at) => self.ensure_entry(*at)?,
             Fault::PauseEntry(at) => self.site.entries[*at].process.signal(Signal::Resume),
             Fault::LeaveHost(at) => {
                 let host = self.site.workers[*at].upstream.host.clone();
@@ -308,10 +306,14 @@
                 self.site.hosts.set(&host, HostState::Live);
                 // An agent that still saw the old list would drain at once.
                 tokio::time::sleep(self.site.host_lag() + SLACK).await;
-                // The agent drained by itself, unless it never heard of it.
+                // It drained by itself, unless it never heard of it.
                 self.site.workers[*at].agent.signal(Signal::Term);
-                self.site.workers[*at].agent.ended().await?;
-                self.site.restart_agent(*at)?;
+                self.stopping.push(fault.clone());
+                return Ok(());
+            }
+            Fault::StopAgent(_) | Fault::StopEntry(_) => {
+                self.stopping.push(fault.clone());
+                return Ok(());
             }
             Fault::Table(_) => self.site.table.gate().set(Faults::default()),
             Fault::Objects(_) => self.site.objects.gate().set(Faults::default()),
@@ -323,6 +325,46 @@
         Ok(())
     }
 
+    /// Starts processes again that were stopped and have ended; waits for them
+    /// if `wait` is set.
+    async fn start_ended(&mut self, wait: bool) -> io::Result<()> {
+        for fault in std::mem::take(&mut self.stopping) {
+            let process = match fault {
+                Fault::StopEntry(at) => &mut self.site.entries[at].process,
+                Fault::StopAgent(at) | Fault::LeaveHost(at) => &mut self.site.workers[at].agent,
+                _ => continue,
+            };
+            if wait {
+                process.ended().await?;
+            }
+            if !process.has_ended() {
+                self.stopping.push(fault);
+                continue;
+            }
+            match fault {
+                Fault::StopEntry(at) => self.ensure_entry(at)?,
+                Fault::StopAgent(at) | Fault::LeaveHost(at) => self.ensure_agent(at)?,
+                _ => {}
+            }
+            self.note_end(&fault);
+        }
+        Ok(())
+    }
+
+    fn ensure_agent(&mut self, at: usize) -> io::Result<()> {
+        if self.site.workers[at].agent.has_ended() {
+            self.site.restart_agent(at)?;
+        }
+        Ok(())
+    }
+
+    fn ensure_entry(&mut self, at: usize) -> io::Result<()> {
+        if self.site.entries[at].process.has_ended() {
+            self.site.restart_entry(at)?;
+        }
+        Ok(())
+    }
+
     fn upstream(&self, at: usize, faults: Faults) {
         match &self.site.workers[at].standin {
             UpstreamStandin::Engine(e) => e.gate().set(faults),
--- a/crates/bench/src/procs.rs
+++ b/crates/bench/src/procs.rs
@@ -73,6 +73,11 @@
         }
     }
 
+    /// Whether the process has ended.
+    pub fn has_ended(&mut self) -> bool {
+        !matches!(self.child.try_wait(), Ok(None))
+    }
+
     /// Waits for the process to end.
     pub async fn ended(&mut self) -> io::Result<ExitStatus> {
         match tokio::time::timeout(STOP_BOUND, self.child.wait()).await {
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -67,8 +67,9 @@
     serving.stop();
     let unfinished = node.drained(node.settings.limits.drain_bound).await;
     emit(&Event::Stopped { unfinished });
-    // The tasks end by themselves; a panic in one was reported already.
-    let _ = server.await;
+    // The tasks end by themselves; a panic in one was reported already. A caller
+    // that never takes its answer doesn't hold the process for ever.
+    let _ = tokio::time::timeout(node.settings.limits.drain_bound, server).await;
     for duty in duties {
         let _ = duty.await;
     }
--- a/crates/fakes/src/serve.rs
+++ b/crates/fakes/src/serve.rs
@@ -17,6 +17,8 @@
 const MAX_BODY: usize = 64 << 20;
 /// Longest wait for a body.
 const BODY_TIMEOUT: Duration = Duration::from_secs(30);
+/// Body of an answer that isn't the protocol.
+pub const NONSENSE: &str = "\u{0}nonsense{{{";
 /// Largest head.
 const MAX_HEAD: usize = 64 << 10;
 
@@ -117,7 +119,7 @@
         return status(StatusCode::SERVICE_UNAVAILABLE);
     }
     if standin.gate().use_up(|f| &mut f.nonsense) {
-        return Response::new(full("\u{0}nonsense{{{"));
+        return Response::new(full(NONSENSE));
     }
     let answer = standin.clone().answer(call).await;
     if standin.gate().use_up(|f| &mut f.lose_answers) {
