A stream that breaks after its last token is whole, and isn't resumed

Ruled out: frames of another request (the checks of ids and indexes held), kept answers (completions have none).

Change: a broken completion that has all tokens asked for ends there.

Measured: the new test fails before (unknown after three tries, or a token too many) and passes after.

--- a/crates/arbutusquay/tests/path.rs
+++ b/crates/arbutusquay/tests/path.rs
@@ -272,6 +272,24 @@
     assert_eq!(refused(&sent).0, Outcome::Unknown);
 }
 
+/// Found by `bench faults`: a stream that broke after its last token, but before
+/// its end, was resumed past its length and got a token too many.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_that_breaks_after_its_last_token_is_not_resumed() {
+    let bed = bed(BINARY, 2).await;
+    for tokens in [1, 7] {
+        for e in bed.engines() {
+            // The last chunk comes twice, which breaks the try after it.
+            e.gate().set(Faults {
+                double_last: 1,
+                ..Faults::default()
+            });
+        }
+        let sent = bed.caller(0).send(reply("short", tokens)).await;
+        assert!(is_whole(&sent), "{tokens}: {:?}", sent.got);
+    }
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_lost_answer_of_a_non_idempotent_call_is_unknown_for_good_and_ran_once() {
     let bed = bed(BINARY, 1).await;
--- a/crates/bench/src/faults.rs
+++ b/crates/bench/src/faults.rs
@@ -120,9 +120,20 @@
     let mut history = history.lock().expect("no panic while locked").clone();
     history.sent = sent;
     read_standins(&site, &mut history);
+    tell_wrong_answers(&history);
     Ok(judge(seed, faults, &history))
 }
 
+/// Prints what callers got that nobody should, to look into it.
+fn tell_wrong_answers(h: &History) {
+    let wrong = |s: &&Sent| matches!(s.got, Got::Crossed | Got::Truncated);
+    for s in h.sent.iter().filter(wrong) {
+        let what = format!("{:?}", s.ask.what);
+        let short: String = what.chars().take(200).collect();
+        println!("{:?} to {:?}: {} {short}", s.got, s.id, s.ask.class);
+    }
+}
+
 fn options(binary: PathBuf, net: u8, seed: u64) -> Options {
     let mut options = Options::new(binary, Deployment::Sleutelbos);
     options.net = net;
--- a/crates/entry/src/session.rs
+++ b/crates/entry/src/session.rs
@@ -135,6 +135,13 @@
                 Step::Refused(refusal) => self.refused(refusal)?,
                 Step::Lost(reason) => self.lost(reason)?,
             }
+            if self.has_all_tokens() {
+                // It broke after its last token: there is nothing to resume.
+                self.note(Outcome::Answered, None);
+                return Ok(Part::End {
+                    count: self.delivered,
+                });
+            }
         }
     }
 
@@ -164,6 +171,16 @@
         self.give_up(refusal)
     }
 
+    /// Whether a broken completion already has as many tokens as were asked for.
+    fn has_all_tokens(&self) -> bool {
+        match &self.want.call {
+            Call::Completion(c) => {
+                self.current.is_none() && self.delivered >= u64::from(c.max_tokens)
+            }
+            Call::Plain(_) => false,
+        }
+    }
+
     /// What is left of the deadline. A stream that goes on elsewhere has met
     /// its deadline already, and gets the class's time once more.
     fn left(&self) -> Duration {
--- a/crates/fakes/src/engine/batch.rs
+++ b/crates/fakes/src/engine/batch.rs
@@ -201,7 +201,8 @@
     };
     let mut text = serde_json::to_string(&chunk).expect("chunks always encode");
     text = format!("data: {text}\n\n");
-    if gate.use_up(|f| &mut f.double_chunks) {
+    let doubled = gate.use_up(|f| &mut f.double_chunks);
+    if doubled || (last && gate.use_up(|f| &mut f.double_last)) {
         text = text.repeat(2);
     }
     if last {
--- a/crates/fakes/src/fault.rs
+++ b/crates/fakes/src/fault.rs
@@ -24,6 +24,8 @@
     pub cross_chunks: u32,
     /// So many chunks are sent twice.
     pub double_chunks: u32,
+    /// So many streams' last chunks are sent twice.
+    pub double_last: u32,
     /// The next order breaks the engine in the middle of the change.
     pub crash_in_order: u32,
 }
