Judge the leaving promise by what the list could say; relays for cuts; smaller modules

Cause: the host list hung from 28.4 s to 34.2 s, over all of the time in which it had to say that the host leaves (30.7 s to 34.0 s); nobody could know. Ruled out: the agent (no pause, no signal) and its claims. It is replaced by one that counts the time in which the list could be read, its lag included, as strictly as before for signals; a test has the cases.

Relays between entries and agents can refuse to pass bytes, and the schedule has cuts.

--- a/crates/bench/src/check.rs
+++ b/crates/bench/src/check.rs
@@ -37,8 +37,10 @@
 pub struct Leaving {
     /// The upstream.
     pub upstream: String,
-    /// When the list or its agent said so.
+    /// When its agent was told, or the list began to say so.
     pub from_ms: u64,
+    /// Whether only the list says so.
+    pub by_list: bool,
     /// When it was taken back, or the run ended.
     pub until_ms: u64,
 }
@@ -100,6 +102,8 @@
     pub samples: Vec<Sample>,
     /// When processes couldn't follow.
     pub excused: Vec<Excused>,
+    /// When nobody could read the host list, or only now and then.
+    pub list_out: Vec<(u64, u64)>,
 }
 
 /// Orders that came while a different change was under way.
@@ -171,17 +175,28 @@
     times.values().map(|n| n.saturating_sub(1)).sum()
 }
 
-/// Runs that began at an upstream after it had been leaving for a while.
+/// Runs that began at an upstream after it had been leaving for a while. Where
+/// only the list says so, times in which nobody could read it don't count.
 pub fn late_work_to_leaving(h: &History) -> u64 {
-    count(h.runs.iter(), |r| {
-        h.leaving.iter().any(|l| {
-            l.upstream == r.upstream
-                && r.at_ms > l.from_ms + LEAVING_BOUND_MS
-                && r.at_ms < l.until_ms
-        })
+    count(h.runs.iter(), |r| is_late_work(h, r))
+}
+
+/// Whether a run began at an upstream that had been leaving for a while.
+pub fn is_late_work(h: &History, r: &RunSeen) -> bool {
+    h.leaving.iter().any(|l| {
+        let during = l.upstream == r.upstream && r.at_ms > l.from_ms && r.at_ms < l.until_ms;
+        during && r.at_ms - l.from_ms - unsaid(h, l, r.at_ms) > LEAVING_BOUND_MS
     })
 }
 
+/// How much of the time up to a moment the list couldn't say that a host leaves.
+fn unsaid(h: &History, l: &Leaving, until: u64) -> u64 {
+    if !l.by_list {
+        return 0;
+    }
+    overlap(h.list_out.iter().copied(), l.from_ms, until)
+}
+
 /// Times that a process went back to a lower version.
 pub fn config_reverts(h: &History) -> u64 {
     let mut last: BTreeMap<(&str, u32, &str), u64> = BTreeMap::new();
@@ -210,14 +225,18 @@
 /// How much of a time a process is excused.
 fn excused(h: &History, process: &str, from: u64, until: u64) -> u64 {
     let of = |e: &&Excused| e.process.as_deref().is_none_or(|p| p == process);
-    let clip = |e: &Excused| (e.from_ms.max(from), e.until_ms.min(until));
-    let mut spans: Vec<(u64, u64)> = h.excused.iter().filter(of).map(clip).collect();
-    spans.retain(|(a, b)| a < b);
+    let spans = h.excused.iter().filter(of);
+    overlap(spans.map(|e| (e.from_ms, e.until_ms)), from, until)
+}
+
+/// How much of a time spans cover; where they overlap counts once.
+fn overlap(spans: impl Iterator<Item = (u64, u64)>, from: u64, until: u64) -> u64 {
+    let clip = |(a, b): (u64, u64)| (a.max(from), b.min(until));
+    let mut spans: Vec<(u64, u64)> = spans.map(clip).filter(|(a, b)| a < b).collect();
     spans.sort_unstable();
     let (mut sum, mut end) = (0, from);
     for (a, b) in spans {
-        let a = a.max(end);
-        sum += b.saturating_sub(a);
+        sum += b.saturating_sub(a.max(end));
         end = end.max(b);
     }
     sum
--- a/crates/bench/src/deploy.rs
+++ b/crates/bench/src/deploy.rs
@@ -11,6 +11,8 @@
 const MAIN_PORT: u16 = 7000;
 /// Port of health and metrics.
 const ADMIN_PORT: u16 = 7001;
+/// Port on which agents listen behind a relay.
+const RELAYED_PORT: u16 = 7002;
 /// Port of upstreams.
 const UPSTREAM_PORT: u16 = 8000;
 /// Port whose listener marks a part of the addresses as used.
@@ -124,6 +126,12 @@
     main
 }
 
+/// Where an agent listens whose own address is a relay's.
+pub fn behind_relay(mut agent: SocketAddr) -> SocketAddr {
+    agent.set_port(RELAYED_PORT);
+    agent
+}
+
 /// The upstream behind the agent at an address.
 pub fn upstream_of(mut agent: SocketAddr) -> SocketAddr {
     agent.set_port(UPSTREAM_PORT);
--- /dev/null
+++ b/crates/bench/src/driver.rs
@@ -0,0 +1,298 @@
+//! Carries a schedule of faults out on a site, and notes whom it excuses.
+
+use crate::check::{Accepted, Excused, History, Leaving};
+use crate::edit;
+use crate::procs::Signal;
+use crate::schedule::{Fault, Planned};
+use crate::site::{Site, UpstreamStandin};
+use fakes::Faults;
+use fakes::clock::now_ms;
+use fakes::serve::Standin;
+use std::io;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+use store::HostState;
+use tokio::task::JoinHandle;
+
+/// What a process needs after a start or a pause before it is judged, in milliseconds.
+const START_MS: u64 = 3_000;
+/// What the host list may lag over its setting.
+const SLACK: Duration = Duration::from_millis(200);
+
+/// Carries a schedule out.
+pub struct Driver<'a> {
+    site: &'a mut Site,
+    history: Arc<Mutex<History>>,
+    edits: Vec<JoinHandle<()>>,
+    /// Faults whose process was told to stop and is to be started again once it
+    /// has ended. Other faults begin and end meanwhile: it may be waiting for one.
+    stopping: Vec<Fault>,
+}
+
+/// One end of a fault.
+struct Action<'a> {
+    at_ms: u64,
+    planned: &'a Planned,
+    begins: bool,
+}
+
+impl<'a> Driver<'a> {
+    /// A driver that notes what it does in a history.
+    pub fn new(site: &'a mut Site, history: Arc<Mutex<History>>) -> Self {
+        Self {
+            site,
+            history,
+            edits: Vec::new(),
+            stopping: Vec::new(),
+        }
+    }
+
+    /// Carries a schedule out; prints each fault as it happens.
+    pub async fn drive(&mut self, schedule: &[Planned]) -> io::Result<()> {
+        let mut actions: Vec<Action<'_>> = Vec::new();
+        for planned in schedule {
+            actions.push(Action {
+                at_ms: planned.from_ms,
+                planned,
+                begins: true,
+            });
+            actions.push(Action {
+                at_ms: planned.until_ms,
+                planned,
+                begins: false,
+            });
+        }
+        actions.sort_by_key(|a| (a.at_ms, a.begins));
+        let start = now_ms();
+        for a in actions {
+            let wait = (start + a.at_ms).saturating_sub(now_ms());
+            tokio::time::sleep(Duration::from_millis(wait)).await;
+            self.start_ended(false).await?;
+            if a.begins {
+                let lasts = a.planned.until_ms - a.planned.from_ms;
+                println!("{:>6} ms: {:?} for {lasts} ms", a.at_ms, a.planned.fault);
+                self.begin(&a.planned.fault).await?;
+            } else {
+                self.end(&a.planned.fault).await?;
+            }
+        }
+        self.start_ended(true).await?;
+        for edit in self.edits.drain(..) {
+            edit.await.map_err(io::Error::other)?;
+        }
+        Ok(())
+    }
+
+    async fn begin(&mut self, fault: &Fault) -> io::Result<()> {
+        match fault {
+            Fault::KillAgent(at) => drop(self.site.workers[*at].agent.kill().await?),
+            Fault::StopAgent(at) => self.site.workers[*at].agent.signal(Signal::Term),
+            Fault::PauseAgent(at) => self.site.workers[*at].agent.signal(Signal::Pause),
+            Fault::CutAgent(at) => self.cut(*at, true),
+            Fault::KillEntry(at) => drop(self.site.entries[*at].process.kill().await?),
+            Fault::StopEntry(at) => self.site.entries[*at].process.signal(Signal::Term),
+            Fault::PauseEntry(at) => self.site.entries[*at].process.signal(Signal::Pause),
+            Fault::LeaveHost(at) => {
+                let host = self.site.workers[*at].upstream.host.clone();
+                self.site.hosts.set(&host, HostState::Leaving);
+            }
+            Fault::Table(f) => self.site.table.gate().set(f.clone()),
+            Fault::Objects(f) => self.site.objects.gate().set(f.clone()),
+            Fault::Hosts(f) => self.site.hosts.gate().set(f.clone()),
+            Fault::Upstream(at, f) => self.upstream(*at, f.clone()),
+            Fault::Edit(at) => self.edit(*at),
+        }
+        self.note_begin(fault);
+        Ok(())
+    }
+
+    async fn end(&mut self, fault: &Fault) -> io::Result<()> {
+        match fault {
+            Fault::KillAgent(at) => self.ensure_agent(*at)?,
+            Fault::PauseAgent(at) => self.site.workers[*at].agent.signal(Signal::Resume),
+            Fault::CutAgent(at) => self.cut(*at, false),
+            Fault::KillEntry(at) => self.ensure_entry(*at)?,
+            Fault::PauseEntry(at) => self.site.entries[*at].process.signal(Signal::Resume),
+            Fault::LeaveHost(at) => {
+                let host = self.site.workers[*at].upstream.host.clone();
+                self.close_leaving(*at);
+                self.site.hosts.set(&host, HostState::Live);
+                // An agent that still saw the old list would drain at once.
+                tokio::time::sleep(self.site.host_lag() + SLACK).await;
+                // It drained by itself, unless it never heard of it.
+                self.site.workers[*at].agent.signal(Signal::Term);
+                self.stopping.push(fault.clone());
+                return Ok(());
+            }
+            Fault::StopAgent(_) | Fault::StopEntry(_) => {
+                self.stopping.push(fault.clone());
+                return Ok(());
+            }
+            Fault::Table(_) => self.site.table.gate().set(Faults::default()),
+            Fault::Objects(_) => self.site.objects.gate().set(Faults::default()),
+            Fault::Hosts(_) => self.site.hosts.gate().set(Faults::default()),
+            Fault::Upstream(at, _) => self.upstream(*at, Faults::default()),
+            Fault::Edit(_) => {}
+        }
+        self.note_end(fault);
+        Ok(())
+    }
+
+    /// Starts processes again that were stopped and have ended; waits for them
+    /// if `wait` is set.
+    async fn start_ended(&mut self, wait: bool) -> io::Result<()> {
+        for fault in std::mem::take(&mut self.stopping) {
+            let process = match fault {
+                Fault::StopEntry(at) => &mut self.site.entries[at].process,
+                Fault::StopAgent(at) | Fault::LeaveHost(at) => &mut self.site.workers[at].agent,
+                _ => continue,
+            };
+            if wait {
+                process.ended().await?;
+            }
+            if !process.has_ended() {
+                self.stopping.push(fault);
+                continue;
+            }
+            match fault {
+                Fault::StopEntry(at) => self.ensure_entry(at)?,
+                Fault::StopAgent(at) | Fault::LeaveHost(at) => self.ensure_agent(at)?,
+                _ => {}
+            }
+            self.note_end(&fault);
+        }
+        Ok(())
+    }
+
+    fn ensure_agent(&mut self, at: usize) -> io::Result<()> {
+        if self.site.workers[at].agent.has_ended() {
+            self.site.restart_agent(at)?;
+        }
+        Ok(())
+    }
+
+    fn ensure_entry(&mut self, at: usize) -> io::Result<()> {
+        if self.site.entries[at].process.has_ended() {
+            self.site.restart_entry(at)?;
+        }
+        Ok(())
+    }
+
+    fn cut(&self, at: usize, cut: bool) {
+        if let Some(relay) = &self.site.workers[at].relay {
+            relay.set_cut(cut);
+        }
+    }
+
+    fn upstream(&self, at: usize, faults: Faults) {
+        match &self.site.workers[at].standin {
+            UpstreamStandin::Engine(e) => e.gate().set(faults),
+            UpstreamStandin::Plain(p) => p.gate().set(faults),
+        }
+    }
+
+    fn edit(&mut self, at: usize) {
+        let (service, settings) = (
+            self.site.docs[at].service.clone(),
+            self.site.settings_file(),
+        );
+        let history = self.history.clone();
+        self.edits.push(tokio::spawn(async move {
+            for (version, at_ms) in edit::race(&settings, &service).await {
+                let accepted = Accepted {
+                    service: service.clone(),
+                    version,
+                    at_ms,
+                };
+                history
+                    .lock()
+                    .expect("no panic while locked")
+                    .accepted
+                    .push(accepted);
+            }
+        }));
+    }
+
+    fn note_begin(&self, fault: &Fault) {
+        let mut h = self.history.lock().expect("no panic while locked");
+        let from_ms = now_ms();
+        let open = u64::MAX;
+        if let Some(process) = self.excused(fault) {
+            h.excused.push(Excused {
+                process,
+                from_ms,
+                until_ms: open,
+            });
+        }
+        if let Fault::LeaveHost(at) | Fault::StopAgent(at) = fault {
+            let by_list = matches!(fault, Fault::LeaveHost(_));
+            // The list itself says so only after its lag.
+            let lag = if by_list {
+                self.site.host_lag()
+            } else {
+                Duration::ZERO
+            };
+            h.leaving.push(Leaving {
+                upstream: self.site.workers[*at].upstream.name.clone(),
+                from_ms: from_ms + lag.as_millis() as u64,
+                by_list,
+                until_ms: open,
+            });
+        }
+        if let Fault::Hosts(_) = fault {
+            h.list_out.push((from_ms, open));
+        }
+    }
+
+    fn note_end(&self, fault: &Fault) {
+        let mut h = self.history.lock().expect("no panic while locked");
+        let until_ms = now_ms();
+        if let Some(process) = self.excused(fault) {
+            let open = h
+                .excused
+                .iter_mut()
+                .find(|e| e.process == process && e.until_ms == u64::MAX);
+            if let Some(e) = open {
+                e.until_ms = until_ms + START_MS;
+            }
+        }
+        if let (Fault::Hosts(_), Some(out)) = (fault, h.list_out.last_mut()) {
+            out.1 = until_ms;
+        }
+        drop(h);
+        if let Fault::LeaveHost(at) | Fault::StopAgent(at) = fault {
+            self.close_leaving(*at);
+        }
+    }
+
+    fn close_leaving(&self, at: usize) {
+        let mut h = self.history.lock().expect("no panic while locked");
+        let name = &self.site.workers[at].upstream.name;
+        for l in h
+            .leaving
+            .iter_mut()
+            .filter(|l| l.upstream == *name && l.until_ms == u64::MAX)
+        {
+            l.until_ms = now_ms();
+        }
+    }
+
+    /// Whom a fault excuses from following documents: `None` for nobody.
+    fn excused(&self, fault: &Fault) -> Option<Option<String>> {
+        match fault {
+            Fault::KillAgent(at)
+            | Fault::StopAgent(at)
+            | Fault::PauseAgent(at)
+            | Fault::LeaveHost(at) => Some(Some(self.site.workers[*at].agent.name.clone())),
+            Fault::KillEntry(at) | Fault::StopEntry(at) | Fault::PauseEntry(at) => {
+                Some(Some(self.site.entries[*at].process.name.clone()))
+            }
+            Fault::Table(_) => Some(None),
+            Fault::CutAgent(_)
+            | Fault::Objects(_)
+            | Fault::Hosts(_)
+            | Fault::Upstream(..)
+            | Fault::Edit(_) => None,
+        }
+    }
+}
--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -21,6 +21,8 @@
     Slopes(SlopesArgs),
     Faults(FaultsArgs),
     Capacity(CapacityArgs),
+    Inforce(InforceArgs),
+    Outage(OutageArgs),
 }
 
 /// run both deployments under a mixed load, kill and drain agents, and judge what callers got
@@ -86,6 +88,24 @@
 #[argh(subcommand, name = "capacity")]
 struct CapacityArgs {}
 
+/// measure the time from apply until a document is in force on every process
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "inforce")]
+struct InforceArgs {
+    /// changes to make (default 20)
+    #[argh(option, default = "20")]
+    changes: u32,
+}
+
+/// measure what is served before, in and after an outage of the platform's stores
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "outage")]
+struct OutageArgs {
+    /// length of the outage in seconds (default 60)
+    #[argh(option, default = "60")]
+    seconds: u64,
+}
+
 #[tokio::main]
 async fn main() -> ExitCode {
     let args: Args = argh::from_env();
@@ -122,6 +142,16 @@
             Ok(counted.violations() == 0)
         }
         Command::Capacity(_) => bench::capacity::renew().map(|()| true),
+        Command::Inforce(a) => {
+            let measured = bench::inforce::run(a.changes).await?;
+            println!("{}", serde_json::to_string(&measured)?);
+            Ok(true)
+        }
+        Command::Outage(a) => {
+            let measured = bench::outage::run(a.seconds).await?;
+            println!("{}", serde_json::to_string(&measured)?);
+            Ok(measured.lost_records == 0)
+        }
         Command::Load(a) => {
             let options = LoadOptions {
                 rate: a.rate,
--- a/crates/bench/src/site.rs
+++ b/crates/bench/src/site.rs
@@ -2,9 +2,11 @@
 //! processes of their own.
 
 use crate::deploy::{
-    Deployment, admin_of, entry_addr, hosts_addr, objects_addr, table_addr, upstream_of,
+    Deployment, admin_of, behind_relay, entry_addr, hosts_addr, objects_addr, table_addr,
+    upstream_of,
 };
 use crate::procs::{Output, Proc, command};
+use crate::relay::Relay;
 use conf::{Doc, Upstream};
 use fakes::Running;
 use fakes::engine::{EngineStandin, Rates};
@@ -48,6 +50,8 @@
     pub plain_work: Duration,
     /// Lag of the host list.
     pub host_lag: Duration,
+    /// Whether entries reach agents through relays that can be cut.
+    pub relays: bool,
     /// The field `limits` of all settings, as YAML.
     pub limits: String,
 }
@@ -67,6 +71,7 @@
             },
             plain_work: Duration::from_millis(3),
             host_lag: Duration::from_millis(500),
+            relays: false,
             limits: "{record_flush: 1s, doc_poll: 1s, linger: 500ms, lease: 3s}".to_owned(),
         }
     }
@@ -92,6 +97,10 @@
     pub standin: UpstreamStandin,
     /// The agent's process.
     pub agent: Proc,
+    /// Where the agent itself listens.
+    pub listen: SocketAddr,
+    /// What stands between the entries and the agent, if anything does.
+    pub relay: Option<Relay>,
     settings: PathBuf,
     _running: Running,
 }
@@ -268,16 +277,27 @@
                 fakes::start(addr, plain).await?,
             )
         };
+        let listen = if self.options.relays {
+            behind_relay(upstream.agent)
+        } else {
+            upstream.agent
+        };
+        let relay = match self.options.relays {
+            true => Some(Relay::start(upstream.agent, listen)?),
+            false => None,
+        };
         let name = format!("agent-{}", upstream.name);
         let extra = format!("upstream: {{name: {}, address: {addr}}}\n", upstream.name);
         let (host, zone) = (&upstream.host, &upstream.zone);
-        let settings = self.settings(&name, host, zone, upstream.agent, &doc.service, &extra)?;
+        let settings = self.settings(&name, host, zone, listen, &doc.service, &extra)?;
         let agent = Proc::start(&self.options.binary, "agent", &name, &settings)?;
         Ok(Worker {
             service: doc.service.clone(),
             upstream: upstream.clone(),
             standin,
             agent,
+            listen,
+            relay,
             settings,
             _running: running,
         })
@@ -312,7 +332,7 @@
             ready(admin_of(e.addr), &e.process.name).await?;
         }
         for w in &self.workers {
-            ready(admin_of(w.upstream.agent), &w.agent.name).await?;
+            ready(admin_of(w.listen), &w.agent.name).await?;
         }
         Ok(())
     }
--- a/crates/bench/src/slopes.rs
+++ b/crates/bench/src/slopes.rs
@@ -281,7 +281,7 @@
         let agents = site
             .workers
             .iter()
-            .map(|w| (w.agent.id(), admin_of(w.upstream.agent)));
+            .map(|w| (w.agent.id(), admin_of(w.listen)));
         let history = site.table.history();
         Ok(Self {
             entry: RoleTotals::read(entries.collect()).await?,
--- a/crates/bench/tests/check.rs
+++ b/crates/bench/tests/check.rs
@@ -211,6 +211,7 @@
         leaving: vec![Leaving {
             upstream: "u".into(),
             from_ms: 1_000,
+            by_list: false,
             until_ms: 9_000,
         }],
         ..History::default()
@@ -231,6 +232,36 @@
     );
 }
 
+#[test]
+fn only_a_list_that_nobody_could_read_excuses_work_at_a_leaving_upstream() {
+    let of = |by_list, list_out| History {
+        runs: vec![run("u", "1", "", true, 5_000)],
+        leaving: vec![Leaving {
+            upstream: "u".into(),
+            from_ms: 1_000,
+            by_list,
+            until_ms: 9_000,
+        }],
+        list_out,
+        ..History::default()
+    };
+    assert_eq!(check::late_work_to_leaving(&of(true, Vec::new())), 1);
+    assert_eq!(
+        check::late_work_to_leaving(&of(true, vec![(500, 2_500)])),
+        0
+    );
+    assert_eq!(
+        check::late_work_to_leaving(&of(true, vec![(500, 1_500)])),
+        1,
+        "3.5 s remain"
+    );
+    assert_eq!(
+        check::late_work_to_leaving(&of(false, vec![(500, 2_500)])),
+        1,
+        "a signal"
+    );
+}
+
 #[test]
 fn a_process_that_goes_back_to_a_lower_version_is_counted() {
     let of = |samples| History {
--- /dev/null
+++ b/crates/entry/src/attempt.rs
@@ -0,0 +1,68 @@
+//! One try of a request, as its frames come in.
+
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use observe::{Event, emit};
+use wire::{Frame, FrameReader, Part, RequestId, StreamCheck};
+
+/// A try whose answer is under way. Dropping it cancels it at the agent.
+pub struct Attempt {
+    request: RequestId,
+    upstream: String,
+    body: Incoming,
+    reader: FrameReader,
+    check: StreamCheck,
+    /// Whether the agent has said that it left the queue.
+    pub started: bool,
+}
+
+impl Attempt {
+    /// A try at an upstream. `delivered` is what the caller has from earlier tries.
+    pub fn new(request: RequestId, upstream: String, body: Incoming, delivered: u64) -> Self {
+        Self {
+            request,
+            upstream,
+            body,
+            reader: FrameReader::default(),
+            check: StreamCheck::new(request, delivered),
+            started: false,
+        }
+    }
+
+    /// Reads the next frame's part; none if the answer breaks off or isn't ours.
+    pub async fn read(&mut self) -> Option<Part> {
+        loop {
+            match self.reader.pop() {
+                Ok(Some(frame)) => return self.accept(frame),
+                Ok(None) => {}
+                Err(e) => {
+                    self.tell(e.to_string());
+                    return None;
+                }
+            }
+            let frame = self.body.frame().await?.ok()?;
+            if let Some(data) = frame.data_ref() {
+                self.reader.push(data);
+            }
+        }
+    }
+
+    fn accept(&mut self, frame: Frame) -> Option<Part> {
+        let claimed = frame.request;
+        match self.check.take(frame) {
+            Ok(part) => Some(part),
+            Err(e) => {
+                self.tell(format!("{e}: it says {claimed}"));
+                None
+            }
+        }
+    }
+
+    fn tell(&self, why: String) {
+        emit(&Event::BadAnswer {
+            request: self.request.to_string(),
+            upstream: &self.upstream,
+            why,
+        });
+    }
+}
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -5,6 +5,7 @@
 //! a refusal that says "not run", or for an idempotent request.
 
 mod api;
+mod attempt;
 mod budget;
 mod choose;
 mod completion;
--- a/crates/entry/src/session.rs
+++ b/crates/entry/src/session.rs
@@ -1,22 +1,17 @@
 //! A request on its way: tries, retries, resumes, and what is noted of it.
 
+use crate::attempt::Attempt;
 use crate::choose::{Chosen, choose};
 use crate::ledger::{self, Ended};
 use crate::state::Entry;
 use conf::Class;
-use http_body_util::BodyExt;
 use hyper::Method;
-use hyper::body::Incoming;
 use net::CallError;
 use node::RunningGuard;
-use observe::{Event, emit};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 use store::InForce;
-use wire::{
-    Call, FrameReader, Leg, Outcome, PATH_RUN, Part, Probe, Reason, Refusal, RequestId,
-    StreamCheck, prefix,
-};
+use wire::{Call, Leg, Outcome, PATH_RUN, Part, Probe, Reason, Refusal, RequestId, prefix};
 
 /// What an agent may take longer than was agreed before it counts as lost.
 const SLACK: Duration = Duration::from_secs(1);
@@ -60,14 +55,6 @@
     _running: RunningGuard,
 }
 
-struct Attempt {
-    upstream: String,
-    body: Incoming,
-    reader: FrameReader,
-    check: StreamCheck,
-    started: bool,
-}
-
 /// How a try went on.
 enum Step {
     Part(Part),
@@ -226,13 +213,9 @@
         let wait = self.left() + SLACK;
         match tokio::time::timeout(wait, chosen.peer.send(req)).await {
             Ok(Ok(answer)) if answer.status().is_success() => {
-                self.current = Some(Attempt {
-                    upstream: chosen.name,
-                    body: answer.into_body(),
-                    reader: FrameReader::default(),
-                    check: StreamCheck::new(self.want.id, self.delivered),
-                    started: false,
-                });
+                let body = answer.into_body();
+                let attempt = Attempt::new(self.want.id, chosen.name, body, self.delivered);
+                self.current = Some(attempt);
                 Ok(())
             }
             // The agent turned the message itself down, before it looked at the call.
@@ -338,46 +321,6 @@
     }
 }
 
-impl Attempt {
-    /// Reads the next frame's part; none if the answer breaks off or isn't ours.
-    async fn read(&mut self) -> Option<Part> {
-        loop {
-            match self.reader.pop() {
-                Ok(Some(frame)) => return self.accept(frame),
-                Ok(None) => {}
-                Err(e) => {
-                    self.tell(&e.to_string());
-                    return None;
-                }
-            }
-            let frame = self.body.frame().await?.ok()?;
-            if let Some(data) = frame.data_ref() {
-                self.reader.push(data);
-            }
-        }
-    }
-
-    fn accept(&mut self, frame: wire::Frame) -> Option<Part> {
-        let request = frame.request;
-        match self.check.take(frame) {
-            Ok(part) => Some(part),
-            Err(e) => {
-                self.tell(&format!("{e} ({request})"));
-                None
-            }
-        }
-    }
-
-    fn tell(&self, why: &str) {
-        let request = String::new();
-        emit(&Event::BadAnswer {
-            request,
-            upstream: &self.upstream,
-            why: why.to_owned(),
-        });
-    }
-}
-
 /// Whether another upstream may help. What the caller did wrong is wrong there too.
 fn may_go_elsewhere(reason: Reason) -> bool {
     match reason {
--- a/crates/plan/src/duty.rs
+++ b/crates/plan/src/duty.rs
@@ -10,7 +10,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 use store::retry::around;
-use store::rows::{decode, encode, lease_key, want_key};
+use store::rows::{Want, decode, encode, lease_key, want_key};
 use store::{DocBook, InForce, Row, Table, Txn, WriteError};
 use tokio::sync::watch;
 use tokio::task::JoinSet;
@@ -171,10 +171,7 @@
     async fn write(&self, lease: &str, version: u64, memory: &mut Memory, order: NewOrder) {
         let engine = &mut memory.engines[order.engine];
         let key = want_key(&self.service, &engine.name);
-        let txn = Txn::new()
-            .check(lease, version)
-            .check(&key, engine.version)
-            .put(&key, encode(&order.want));
+        let txn = order_txn((lease, version), (&key, engine.version), &order.want);
         match self.table.commit(&txn).await {
             Ok(version) => {
                 emit(&Event::OrderWritten {
@@ -213,6 +210,16 @@
     }
 }
 
+/// The transaction that is an order. It takes effect only while the lease's row
+/// has the version that its holder wrote last, and the want row the version that
+/// the planner goes by.
+pub fn order_txn(lease: (&str, u64), row: (&str, u64), want: &Want) -> Txn {
+    Txn::new()
+        .check(lease.0, lease.1)
+        .check(row.0, row.1)
+        .put(row.0, encode(want))
+}
+
 fn epoch(keeper: &Keeper) -> Option<u64> {
     match keeper.standing() {
         Standing::Watching => None,
