Adapters: a model is named with its version and adapters throughout

Cause: documents, want rows, orders and engine states had a model's name and version as two fields each, and adapters nowhere, though engines take orders to load them. One type stands for all three now; the document may list adapters, and a changed list goes through the engines as a change of model.

--- a/crates/agent/src/orders.rs
+++ b/crates/agent/src/orders.rs
@@ -141,7 +141,6 @@
         fence: want.order,
         role: want.role,
         model: want.model.clone(),
-        model_version: want.model_version,
     };
     emit(&Event::OrderGiven {
         upstream: &agent.upstream,
@@ -178,10 +177,7 @@
 }
 
 fn is_as_wanted(state: &EngineState, want: &Want) -> bool {
-    !state.changing
-        && state.role == want.role
-        && state.model.as_deref() == Some(want.model.as_str())
-        && state.model_version == want.model_version
+    !state.changing && state.role == want.role && state.model.as_ref() == Some(&want.model)
 }
 
 async fn drained(agent: &Agent, bound: Duration) -> bool {
@@ -233,7 +229,7 @@
     agent.set_upstream(UpstreamState {
         usable,
         role: state.map_or(Role::Mixed, |s| s.role),
-        model: state.and_then(|s| s.model.as_ref().map(|m| format!("{m}@{}", s.model_version))),
+        model: state.and_then(|s| s.model.clone()),
         fault,
     });
 }
--- a/crates/agent/src/state.rs
+++ b/crates/agent/src/state.rs
@@ -12,7 +12,7 @@
 use std::sync::{Arc, Mutex, OnceLock};
 use std::time::{Duration, Instant};
 use store::InForce;
-use wire::{AgentState, AgentStatus, Reason, Role};
+use wire::{AgentState, AgentStatus, Model, Reason, Role};
 
 /// How long after an agent began to stop an admitted call may still begin.
 const BEGIN_BOUND: Duration = Duration::from_secs(1);
@@ -50,7 +50,7 @@
     /// Its role.
     pub role: Role,
     /// What it serves.
-    pub model: Option<String>,
+    pub model: Option<Model>,
     /// What it last did wrong.
     pub fault: Option<String>,
 }
--- a/crates/arbutusquay/src/commands/status.rs
+++ b/crates/arbutusquay/src/commands/status.rs
@@ -164,7 +164,7 @@
             AgentState::Ready => "ready",
             AgentState::Leaving => "leaving",
         };
-        let model = a.model.as_deref().unwrap_or("-");
+        let model = a.model.as_ref().map_or("-".to_owned(), |m| m.to_string());
         let role = format!("{:?}", a.role).to_lowercase();
         write!(
             f,
--- a/crates/arbutusquay/tests/operators.rs
+++ b/crates/arbutusquay/tests/operators.rs
@@ -212,7 +212,7 @@
     );
     let changed = |e: &std::sync::Arc<fakes::engine::EngineStandin>| {
         let orders = e.history().orders;
-        orders.last().is_some_and(|o| o.order.model_version == 2)
+        orders.last().is_some_and(|o| o.order.model.version == 2)
     };
     bench::bed::until("the new model", || bed.engines().iter().all(changed)).await;
     for t in load {
--- a/crates/bench/tests/check.rs
+++ b/crates/bench/tests/check.rs
@@ -7,17 +7,12 @@
 use fakes::engine::OrderSeen;
 use store::rows::{Lease, Want, encode};
 use store::{Row, Token};
-use wire::{Outcome, Role};
+use wire::{Model, Outcome, Role};
 
 fn order(fence: u64) -> OrderSeen {
-    let (role, model) = (Role::Mixed, "m".to_owned());
+    let (role, model) = (Role::Mixed, Model::plain("m", 1));
     OrderSeen {
-        order: Order {
-            fence,
-            role,
-            model,
-            model_version: 1,
-        },
+        order: Order { fence, role, model },
         answer: OrderAnswer::Taken,
         conflicting: false,
         stale_effective: false,
@@ -82,8 +77,7 @@
 fn want(epoch: u64) -> Row {
     let want = Want {
         role: Role::Mixed,
-        model: "m".into(),
-        model_version: 1,
+        model: Model::plain("m", 1),
         epoch,
         order: 1,
         why: String::new(),
--- a/crates/conf/src/doc.rs
+++ b/crates/conf/src/doc.rs
@@ -39,6 +39,8 @@
     pub name: String,
     /// The model's version.
     pub version: u32,
+    /// Adapters to be loaded with it, sorted.
+    pub adapters: Vec<String>,
 }
 
 /// A document, checked.
--- a/crates/conf/src/doc/read.rs
+++ b/crates/conf/src/doc/read.rs
@@ -84,10 +84,18 @@
     let mut f = Fields::open(node, cx)?;
     let name = f.need("name", yaml::name, cx);
     let version = f.need("version", yaml::count, cx);
+    let adapters = f.may("adapters", |n, cx| yaml::list(n, cx, yaml::name), cx);
+    let at = f.place_of("adapters");
     f.close(cx);
+    let mut adapters = adapters.unwrap_or_default();
+    adapters.sort_unstable();
+    if adapters.windows(2).any(|pair| pair[0] == pair[1]) {
+        cx.add(at, "an adapter stands twice");
+    }
     Some(Model {
         name: name?,
         version: version?,
+        adapters,
     })
 }
 
--- a/crates/conf/tests/samples.rs
+++ b/crates/conf/tests/samples.rs
@@ -95,6 +95,10 @@
             model.replacen("idempotent: true", "idempotent: false", 1),
             "calls are idempotent",
         ),
+        (
+            model.replace("version: 1}", "version: 1, adapters: [nl, nl]}"),
+            "an adapter stands twice",
+        ),
         (
             model.replace("calm: 0.8", "calm: 1.8"),
             "a number from 0 to 1",
--- a/crates/engine/src/dialect.rs
+++ b/crates/engine/src/dialect.rs
@@ -1,7 +1,7 @@
 //! An engine's messages.
 
 use serde::{Deserialize, Serialize};
-use wire::Role;
+use wire::{Model, Role};
 
 /// Path of a completion.
 pub const PATH_COMPLETIONS: &str = "/v1/completions";
@@ -71,10 +71,8 @@
 pub struct EngineState {
     /// The role.
     pub role: Role,
-    /// The model that is loaded.
-    pub model: Option<String>,
-    /// Its version.
-    pub model_version: u32,
+    /// What is loaded.
+    pub model: Option<Model>,
     /// The highest order number that it has taken.
     pub fence: u64,
     /// Whether a change is under way.
@@ -101,10 +99,8 @@
     pub fence: u64,
     /// The role.
     pub role: Role,
-    /// The model's name.
-    pub model: String,
-    /// The model's version.
-    pub model_version: u32,
+    /// What to load.
+    pub model: Model,
 }
 
 /// What an engine says to an order.
--- a/crates/engine/tests/client.rs
+++ b/crates/engine/tests/client.rs
@@ -11,7 +11,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
-use wire::Role;
+use wire::{Model, Role};
 
 async fn bed(fencing: bool) -> (Arc<EngineStandin>, Client, Running) {
     let step = Duration::from_millis(1);
@@ -42,8 +42,7 @@
     Order {
         fence,
         role: Role::Mixed,
-        model: "m".into(),
-        model_version,
+        model: Model::plain("m", model_version),
     }
 }
 
@@ -142,7 +141,10 @@
         client.order(&order(6, 2)).await.unwrap(),
         OrderAnswer::Stale
     );
-    assert_eq!(client.state().await.unwrap().model_version, 1);
+    assert_eq!(
+        client.state().await.unwrap().model,
+        Some(Model::plain("m", 1))
+    );
     assert!(standin.history().orders.iter().all(|o| !o.stale_effective));
     let (standin, client, _running) = bed(false).await;
     load(&client, 7).await;
--- a/crates/fakes/src/engine/orders.rs
+++ b/crates/fakes/src/engine/orders.rs
@@ -62,7 +62,6 @@
         let state = EngineState {
             role: Role::Mixed,
             model: None,
-            model_version: 0,
             fence: 0,
             changing: false,
             incarnation: 1,
@@ -83,7 +82,6 @@
         {
             self.state.role = order.role;
             self.state.model = Some(order.model.clone());
-            self.state.model_version = order.model_version;
             self.state.changing = false;
             self.until = None;
         }
@@ -93,7 +91,7 @@
     /// Whether the engine serves a model now.
     pub fn serves(&mut self, model: &str) -> bool {
         let state = self.state();
-        !state.changing && state.model.as_deref() == Some(model)
+        !state.changing && state.model.is_some_and(|m| m.name == model)
     }
 
     /// The history.
@@ -137,7 +135,7 @@
             self.crash(cache);
             return OrderAnswer::Taken;
         }
-        if self.state.model.as_deref() != Some(order.model.as_str()) {
+        if self.state.model.as_ref() != Some(&order.model) {
             cache.clear();
         }
         self.state.changing = true;
--- a/crates/plan/src/policy.rs
+++ b/crates/plan/src/policy.rs
@@ -3,7 +3,7 @@
 use conf::{Doc, Kind};
 use std::net::SocketAddr;
 use store::rows::Want;
-use wire::{AgentState, AgentStatus, Role};
+use wire::{AgentState, AgentStatus, Model, Role};
 
 /// Part of a service's engines that may be in a planned change at once.
 const PART_IN_CHANGE: usize = 4;
@@ -38,7 +38,7 @@
 /// through the engines a bounded part at a time, and the next part waits until
 /// the changed ones serve again.
 pub fn orders(doc: &Doc, engines: &[Engine], epoch: u64) -> Vec<NewOrder> {
-    let Kind::Engine(model) = &doc.kind else {
+    let Some(model) = wanted(doc) else {
         return Vec::new();
     };
     let mut out = Vec::new();
@@ -47,44 +47,44 @@
     for (engine, e) in engines.iter().enumerate() {
         let why = match &e.want {
             None => "first order".to_owned(),
-            Some(w) if w.model == model.name && w.model_version == model.version => continue,
+            Some(w) if w.model == model => continue,
+            Some(_) if room == 0 => continue,
             Some(w) => {
-                if room == 0 {
-                    continue;
-                }
                 room -= 1;
-                format!(
-                    "document wants {}@{} in place of {}@{}",
-                    model.name, model.version, w.model, w.model_version
-                )
+                format!("document wants {model} in place of {}", w.model)
             }
         };
-        let role = e.want.as_ref().map_or(Role::Mixed, |w| w.role);
-        let order = e.want.as_ref().map_or(0, |w| w.order) + 1;
-        let model_version = model.version;
-        let model = model.name.clone();
-        out.push(NewOrder {
-            engine,
-            want: Want {
-                role,
-                model,
-                model_version,
-                epoch,
-                order,
-                why,
-            },
-        });
+        let want = Want {
+            role: e.want.as_ref().map_or(Role::Mixed, |w| w.role),
+            model: model.clone(),
+            epoch,
+            order: e.want.as_ref().map_or(0, |w| w.order) + 1,
+            why,
+        };
+        out.push(NewOrder { engine, want });
     }
     out
 }
 
+/// The model that the document wants; none if the service has no engines.
+fn wanted(doc: &Doc) -> Option<Model> {
+    let Kind::Engine(model) = &doc.kind else {
+        return None;
+    };
+    Some(Model {
+        name: model.name.clone(),
+        version: model.version,
+        adapters: model.adapters.clone(),
+    })
+}
+
 /// Whether any engine is wanted otherwise than the document says. If not, there
 /// is nothing to order, and nobody needs to be asked.
 pub fn any_to_change(doc: &Doc, engines: &[Engine]) -> bool {
-    let Kind::Engine(model) = &doc.kind else {
+    let Some(model) = wanted(doc) else {
         return false;
     };
-    let fits = |w: &Want| w.model == model.name && w.model_version == model.version;
+    let fits = |w: &Want| w.model == model;
     engines.iter().any(|e| !e.want.as_ref().is_some_and(fits))
 }
 
@@ -92,9 +92,9 @@
 /// whose agent doesn't answer counts: nobody knows when it serves again.
 fn in_change(e: &Engine) -> bool {
     let Some(want) = &e.want else { return false };
-    let model = format!("{}@{}", want.model, want.model_version);
     let serves = |s: &AgentStatus| {
-        s.state == AgentState::Ready && s.role == want.role && s.model.as_ref() == Some(&model)
+        let loaded = s.model.as_ref() == Some(&want.model);
+        s.state == AgentState::Ready && s.role == want.role && loaded
     };
     !e.status.as_ref().is_some_and(serves)
 }
--- a/crates/plan/tests/lease.rs
+++ b/crates/plan/tests/lease.rs
@@ -10,7 +10,7 @@
 use std::time::{Duration, Instant};
 use store::rows::{Lease, Want, decode};
 use store::{HttpPlatform, Row, Table, WriteError};
-use wire::Role;
+use wire::{Model, Role};
 
 const STALE: Duration = Duration::from_millis(40);
 const KEY: &str = "lease/plan/s";
@@ -91,8 +91,7 @@
     assert!(holding(&b).is_some());
     let want = Want {
         role: Role::Mixed,
-        model: "m".into(),
-        model_version: 1,
+        model: Model::plain("m", 1),
         epoch: 1,
         order: 1,
         why: String::new(),
--- a/crates/plan/tests/policy.rs
+++ b/crates/plan/tests/policy.rs
@@ -3,7 +3,7 @@
 use conf::Doc;
 use plan::policy::{Engine, any_to_change, orders};
 use store::rows::Want;
-use wire::{AgentState, AgentStatus, Role};
+use wire::{AgentState, AgentStatus, Model, Role};
 
 const EPOCH: u64 = 5;
 
@@ -28,8 +28,7 @@
 fn engine(i: usize, version: Option<u32>, ready: bool) -> Engine {
     let want = version.map(|v| Want {
         role: Role::Mixed,
-        model: "m".into(),
-        model_version: v,
+        model: Model::plain("m", v),
         epoch: 1,
         order: 3,
         why: String::new(),
@@ -43,7 +42,7 @@
         upstream: format!("u{i}"),
         state,
         role: Role::Mixed,
-        model: version.map(|v| format!("m@{v}")),
+        model: version.map(|v| Model::plain("m", v)),
         doc_version: 1,
         waiting: 0,
         running: 0,
@@ -83,7 +82,7 @@
     assert_eq!(got.len(), 2);
     assert!(
         got.iter()
-            .all(|o| o.want.order == 4 && o.want.model_version == 2)
+            .all(|o| o.want.order == 4 && o.want.model.version == 2)
     );
     engines[0] = engine(0, Some(2), false);
     engines[1] = engine(1, Some(2), true);
@@ -98,3 +97,18 @@
         "an agent that is silent counts"
     );
 }
+
+#[test]
+fn an_adapter_in_the_document_is_a_change_of_the_engine() {
+    let engines: Vec<Engine> = (0..8).map(|i| engine(i, Some(1), true)).collect();
+    let mut doc = doc(1);
+    doc.kind = conf::Kind::Engine(conf::Model {
+        name: "m".into(),
+        version: 1,
+        adapters: vec!["nl".into()],
+    });
+    assert!(any_to_change(&doc, &engines));
+    let got = orders(&doc, &engines, EPOCH);
+    assert_eq!(got.len(), 2);
+    assert_eq!(got[0].want.model.to_string(), "m@1+nl");
+}
--- a/crates/store/src/rows.rs
+++ b/crates/store/src/rows.rs
@@ -2,7 +2,7 @@
 
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
-use wire::{RequestId, Role};
+use wire::{Model, RequestId, Role};
 
 /// Key of a service's document.
 pub fn doc_key(service: &str) -> String {
@@ -46,10 +46,8 @@
 pub struct Want {
     /// The role.
     pub role: Role,
-    /// The model's name.
-    pub model: String,
-    /// The model's version.
-    pub model_version: u32,
+    /// What is to be loaded.
+    pub model: Model,
     /// Epoch of the lease under which it was written.
     pub epoch: u64,
     /// Rises with each order to this upstream; the fencing number.
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -10,7 +10,7 @@
 
 pub use frame::{Frame, FrameReader, Part, StreamCheck, StreamFault};
 pub use message::{
-    AgentState, AgentStatus, Call, Completion, DocText, Leg, Outcome, PlainCall, Probe,
+    AgentState, AgentStatus, Call, Completion, DocText, Leg, Model, Outcome, PlainCall, Probe,
     ProbeAnswer, Reason, Refusal, RequestId, Role,
 };
 
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -156,6 +156,35 @@
     Decode,
 }
 
+/// A model with its adapters.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Model {
+    /// Its name in the weight store.
+    pub name: String,
+    /// Its version.
+    pub version: u32,
+    /// Adapters that are loaded with it, sorted.
+    pub adapters: Vec<String>,
+}
+
+impl Model {
+    /// A model without adapters.
+    pub fn plain(name: &str, version: u32) -> Self {
+        Self {
+            name: name.to_owned(),
+            version,
+            adapters: Vec::new(),
+        }
+    }
+}
+
+impl fmt::Display for Model {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}@{}", self.name, self.version)?;
+        self.adapters.iter().try_for_each(|a| write!(f, "+{a}"))
+    }
+}
+
 /// One try to serve a request, from the entry that makes it.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Leg {
@@ -277,8 +306,8 @@
     pub state: AgentState,
     /// The engine's role.
     pub role: Role,
-    /// What the engine serves, such as `dossier-7b@3`.
-    pub model: Option<String>,
+    /// What the engine has loaded.
+    pub model: Option<Model>,
     /// Version of the document in force.
     pub doc_version: u64,
     /// Requests that wait.
