--- a/crates/records/src/writer.rs
+++ b/crates/records/src/writer.rs
@@ -106,7 +106,7 @@
             number: self.number,
         };
         let name = name.to_object();
-        let data = wire::encode(&Batch {
+        let data = wire::encode_compact(&Batch {
             dropped,
             last,
             records,
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -33,8 +33,8 @@
     rmp_serde::to_vec_named(msg).expect("peer messages have no field that can't be encoded")
 }
 
-/// Encodes a message without its fields' names, for messages that are sent for
-/// each request and count against the control traffic.
+/// Encodes a message without its fields' names, for what is sent or kept for
+/// each request and counts against the control traffic.
 pub fn encode_compact<T: Serialize>(msg: &T) -> Vec<u8> {
     rmp_serde::to_vec(msg).expect("peer messages have no field that can't be encoded")
 }
