A key repeated at once gets its kept answer, not unknown

Change: ends wait 10 ms for others, and a key in use is looked at three times more within 400 ms before the answer is unknown.

--- a/crates/agent/src/claims/batch.rs
+++ b/crates/agent/src/claims/batch.rs
@@ -11,7 +11,7 @@
 /// Time that the first claim of a batch waits for others.
 const GATHER: Duration = Duration::from_millis(2);
 /// Time that the first end of a batch waits for others.
-const CLOSE_GATHER: Duration = Duration::from_millis(100);
+const CLOSE_GATHER: Duration = Duration::from_millis(10);
 /// Most claims in one transaction.
 const MAX_BATCH: usize = 128;
 /// Looks at rows after a write whose outcome is unknown.
--- a/crates/agent/src/plain.rs
+++ b/crates/agent/src/plain.rs
@@ -13,11 +13,17 @@
 use net::{Body, CallError, full};
 use observe::event::now_ms;
 use observe::{Event, emit};
-use std::time::Instant;
+use std::time::{Duration, Instant};
 use store::rows::{Claim, ClaimState, KeptAnswer, claim_key};
 use wire::{Part, PlainCall, Reason, Refusal};
 use xxhash_rust::xxh3::xxh3_64;
 
+/// Waits before a key in use is looked at again.
+const REPEAT_PAUSES: [Duration; 3] = [
+    Duration::from_millis(50),
+    Duration::from_millis(100),
+    Duration::from_millis(250),
+];
 /// Largest piece of an answer in one frame.
 const PIECE: usize = 64 << 10;
 
@@ -43,13 +49,7 @@
             }
         };
     }
-    let key = claim_key(&t.leg.service, &t.leg.tenant, &row_key(t, call));
-    match t
-        .agent
-        .claims
-        .claim(key, new_claim(t, call), t.leg.clean)
-        .await
-    {
+    match claim(t, call).await {
         Claimed::Won(held) => run_once(t, call, held).await,
         Claimed::Kept(kept) => {
             let KeptAnswer {
@@ -74,6 +74,26 @@
     }
 }
 
+/// Claims a call's key. A key whose first call still runs is waited for a little,
+/// so that a caller who repeats at once gets the answer and not `unknown`.
+async fn claim(t: &Try<'_>, call: &PlainCall) -> Claimed {
+    let key = claim_key(&t.leg.service, &t.leg.tenant, &row_key(t, call));
+    let once = || {
+        t.agent
+            .claims
+            .claim(key.clone(), new_claim(t, call), t.leg.clean)
+    };
+    let mut claimed = once().await;
+    for pause in REPEAT_PAUSES {
+        if claimed != Claimed::InUse {
+            break;
+        }
+        tokio::time::sleep(pause).await;
+        claimed = once().await;
+    }
+    claimed
+}
+
 /// The key under which a call is claimed: the caller's own, or the request's id.
 fn row_key(t: &Try<'_>, call: &PlainCall) -> String {
     match &call.key {
