--- a/crates/records/src/report.rs
+++ b/crates/records/src/report.rs
@@ -75,6 +75,13 @@
     pub ended: bool,
 }
 
+impl Gap {
+    /// Whether records are known to be lost, and not just to come.
+    pub fn is_loss(&self) -> bool {
+        !self.missing.is_empty() || self.dropped > 0
+    }
+}
+
 /// A service's report.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize)]
 pub struct Report {
--- a/crates/records/src/table.rs
+++ b/crates/records/src/table.rs
@@ -37,12 +37,20 @@
             "tries at agents: {}, known to agents only: {}",
             self.tries, self.agent_only
         )?;
-        for g in &self.gaps {
-            let end = if g.ended { "ended" } else { "no end seen" };
+        for g in self.gaps.iter().filter(|g| g.is_loss()) {
+            let (process, missing) = (&g.process, &g.missing);
             writeln!(
                 f,
-                "gap: {}: missing batches {:?}, records dropped {}, {end}",
-                g.process, g.missing, g.dropped
+                "gap: {process}: missing batches {missing:?}, records dropped {}",
+                g.dropped
+            )?;
+        }
+        let open = self.gaps.iter().filter(|g| !g.ended).count();
+        if open > 0 {
+            writeln!(
+                f,
+                "{open} processes haven't ended with a last batch: they run still, or were \
+                 killed, and their newest records may be missing (--json names them)"
             )?;
         }
         Ok(())
--- a/crates/records/tests/report.rs
+++ b/crates/records/tests/report.rs
@@ -90,6 +90,10 @@
     assert_eq!(of("b").unwrap().dropped, 7);
     assert!(!of("c").unwrap().ended);
     assert!(of("whole").is_none());
+    let text = r.to_string();
+    assert!(text.contains("gap: a: missing batches [2, 3]"), "{text}");
+    assert!(!text.contains("gap: c:"), "{text}");
+    assert!(text.contains("1 processes haven't ended"), "{text}");
     assert_eq!(r.lost(), 7);
 }
 
