--- a/crates/agent/src/complete.rs
+++ b/crates/agent/src/complete.rs
@@ -5,7 +5,6 @@
 use engine::dialect::CompletionBody;
 use engine::{EngineError, Stream};
 use net::CallError;
-use observe::{Event, emit};
 use std::time::Instant;
 use wire::{Completion, Part, Reason, Refusal, prefix};
 
@@ -29,7 +28,7 @@
     let mut stream = match started {
         Ok(Ok(stream)) => stream,
         Ok(Err(EngineError::Call(CallError::NotSent(why)))) => {
-            bad_answer(t, why);
+            t.bad_answer(why);
             return End::Refused(Refusal::not_run(Reason::UpstreamBroken));
         }
         Ok(Err(EngineError::Refused(_))) => {
@@ -76,15 +75,6 @@
 }
 
 fn broken(t: &Try<'_>, why: &str) -> End {
-    bad_answer(t, why.to_owned());
+    t.bad_answer(why.to_owned());
     End::Broken
 }
-
-fn bad_answer(t: &Try<'_>, why: String) {
-    let request = t.leg.request.to_string();
-    emit(&Event::BadAnswer {
-        request,
-        upstream: &t.agent.upstream,
-        why,
-    });
-}
--- a/crates/agent/src/plain.rs
+++ b/crates/agent/src/plain.rs
@@ -12,7 +12,6 @@
 use net::h1::Answer;
 use net::{Body, CallError, full};
 use observe::event::now_ms;
-use observe::{Event, emit};
 use std::time::{Duration, Instant};
 use store::rows::{Claim, ClaimState, KeptAnswer, claim_key};
 use wire::{Part, PlainCall, Reason, Refusal};
@@ -40,11 +39,11 @@
         return match send(t, call).await {
             Ok(whole) => give(t, &whole, false).await,
             Err(CallError::NotSent(why)) => {
-                bad_answer(t, why);
+                t.bad_answer(why);
                 End::Refused(Refusal::not_run(Reason::UpstreamBroken))
             }
             Err(CallError::MaybeSent(why)) => {
-                bad_answer(t, why);
+                t.bad_answer(why);
                 End::Broken
             }
         };
@@ -127,13 +126,13 @@
             give(t, &whole, false).await
         }
         Err(CallError::NotSent(why)) => {
-            bad_answer(t, why);
+            t.bad_answer(why);
             t.agent.claims.close(held, ClaimState::Released);
             End::Refused(Refusal::not_run(Reason::UpstreamBroken))
         }
         // The key stays held: nobody can tell whether the call took effect.
         Err(CallError::MaybeSent(why)) => {
-            bad_answer(t, why);
+            t.bad_answer(why);
             End::Refused(Refusal::unknown(Reason::UpstreamBroken))
         }
     }
@@ -231,12 +230,3 @@
     }
     End::Answered(whole.body.len() as u64)
 }
-
-fn bad_answer(t: &Try<'_>, why: String) {
-    let request = t.leg.request.to_string();
-    emit(&Event::BadAnswer {
-        request,
-        upstream: &t.agent.upstream,
-        why,
-    });
-}
--- a/crates/agent/src/run.rs
+++ b/crates/agent/src/run.rs
@@ -8,7 +8,7 @@
 use conf::Class;
 use net::BodySender;
 use observe::event::now_ms;
-use observe::{Labels, Seconds};
+use observe::{Event, Labels, Seconds, emit};
 use records::{Record, Side};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -66,6 +66,15 @@
     pub fn first_byte(&mut self) {
         self.times.first.get_or_insert(self.since.elapsed());
     }
+
+    /// Logs what the upstream did wrong.
+    pub fn bad_answer(&self, why: String) {
+        emit(&Event::BadAnswer {
+            request: self.leg.request.to_string(),
+            upstream: &self.agent.upstream,
+            why,
+        });
+    }
 }
 
 /// Serves a try in a task of its own.
