The demo judges by the same rules as the faults bench

The demo read the stand-ins' histories and counted in its own way, and the faults bench in another. One gatherer and one set of rules remain, those whose tests reject bad histories.

--- a/crates/bench/src/demo.rs
+++ b/crates/bench/src/demo.rs
@@ -1,8 +1,10 @@
 //! `demo`: both deployments under a mixed load, with an agent killed and another drained.
 
 use crate::caller::{Caller, Sent};
+use crate::check::History;
 use crate::deploy::{ALL, Deployment};
-use crate::judge::{Seen, Verdict, judge};
+use crate::gather::read_standins;
+use crate::judge::{Verdict, judge};
 use crate::mix::Mix;
 use crate::procs::build_binary;
 use crate::site::{Options, Site, UpstreamStandin};
@@ -46,8 +48,13 @@
     let status = site.command(&["status"]).await?;
     println!("{}{}", status.stdout, status.stderr);
     site.stop().await?;
-    let mut verdict = judge(&sent, &Seen::read(&site), &site.docs);
-    verdict.lost_records = print_reports(&site, sent.len() as u64).await?;
+    let mut history = History {
+        sent,
+        ..History::default()
+    };
+    read_standins(&site, &mut history);
+    let mut verdict = judge(&history, &site.docs);
+    verdict.lost_records = print_reports(&site, verdict.requests).await?;
     Ok(verdict)
 }
 
