--- a/crates/bench/src/site.rs
+++ b/crates/bench/src/site.rs
@@ -1,6 +1,10 @@
 //! A running deployment: stand-ins in this process, entries and agents as
 //! processes of their own.
 
+mod options;
+
+pub use options::Options;
+
 use crate::deploy::{
     Deployment, admin_of, behind_relay, entry_addr, hosts_addr, objects_addr, table_addr,
     upstream_of,
@@ -9,7 +13,7 @@
 use crate::relay::Relay;
 use conf::{Doc, Upstream};
 use fakes::Running;
-use fakes::engine::{EngineStandin, Rates};
+use fakes::engine::EngineStandin;
 use fakes::hosts::HostsStandin;
 use fakes::objects::ObjectsStandin;
 use fakes::plain::PlainStandin;
@@ -31,52 +35,6 @@
 /// Largest such answer.
 const MAX_ANSWER: usize = 1 << 20;
 
-/// How a site is set up.
-#[derive(Debug, Clone)]
-pub struct Options {
-    /// The shipped binary.
-    pub binary: PathBuf,
-    /// Second number of the loopback addresses.
-    pub net: u8,
-    /// Entries; at most one for each zone of the deployment that has one.
-    pub entries: usize,
-    /// Documents to serve in place of the deployment's own.
-    pub documents: Option<Vec<String>>,
-    /// Most workers of each service.
-    pub workers: usize,
-    /// Rates of the engines.
-    pub rates: Rates,
-    /// Time that a plain service takes for a call.
-    pub plain_work: Duration,
-    /// Lag of the host list.
-    pub host_lag: Duration,
-    /// Whether entries reach agents through relays that can be cut.
-    pub relays: bool,
-    /// The field `limits` of all settings, as YAML.
-    pub limits: String,
-}
-
-impl Options {
-    /// A deployment's usual set-up.
-    pub fn new(binary: PathBuf, deployment: Deployment) -> Self {
-        Self {
-            binary,
-            net: deployment.net(),
-            entries: deployment.entry_zones().len(),
-            documents: None,
-            workers: usize::MAX,
-            rates: Rates {
-                fencing: deployment == Deployment::Sleutelbos,
-                ..Rates::default()
-            },
-            plain_work: Duration::from_millis(3),
-            host_lag: Duration::from_millis(500),
-            relays: false,
-            limits: "{record_flush: 1s, doc_poll: 1s, linger: 500ms, lease: 3s}".to_owned(),
-        }
-    }
-}
-
 /// A stand-in upstream.
 #[derive(Debug)]
 pub enum UpstreamStandin {
