A claim given up over a released row is released too

Cause, found by reading: the release of a claim whose write is in doubt began with the condition that there is no row. Over a row that was released before it met that row, took it for another's and stopped, so the lost write could still come later and block the key for good (never run it twice).

Change: the release begins at the version that the claim was to be written over. Ruled out: double runs, since the claim itself was given up.

--- a/crates/agent/src/claims.rs
+++ b/crates/agent/src/claims.rs
@@ -67,7 +67,12 @@
     /// The call's end.
     Close(Held, ClaimState),
     /// A claim whose write's outcome is unknown, to be released.
-    Release { key: String, claim: Claim },
+    Release {
+        key: String,
+        claim: Claim,
+        /// Version of the row that the claim was to be written over.
+        over: u64,
+    },
     /// Answers when all before it were tried.
     Settled(oneshot::Sender<()>),
 }
--- a/crates/agent/src/claims/batch.rs
+++ b/crates/agent/src/claims/batch.rs
@@ -112,7 +112,11 @@
         });
         let key = t.job.key.clone();
         // With no room the key stays held if the write took effect, which is safe.
-        let _ = self.after.try_send(After::Release { key, claim });
+        let _ = self.after.try_send(After::Release {
+            key,
+            claim,
+            over: t.over,
+        });
         answer(t, Claimed::Unavailable);
     }
 }
@@ -230,7 +234,7 @@
         for other in others {
             match other {
                 After::Close(..) => {}
-                After::Release { key, claim } => release(&table, &key, claim).await,
+                After::Release { key, claim, over } => release(&table, &key, claim, over).await,
                 // The waiter may have given up.
                 After::Settled(tx) => drop(tx.send(())),
             }
@@ -277,13 +281,12 @@
 
 /// Marks a claim released that may or may not have been written, until it is
 /// certain that it is or never will be.
-async fn release<T: Table>(table: &T, key: &str, claim: Claim) {
+async fn release<T: Table>(table: &T, key: &str, claim: Claim, mut over: u64) {
     let released = encode(&Claim {
         state: ClaimState::Released,
         ..claim.clone()
     });
     let mut backoff = Backoff::new(RETRY_FIRST, RETRY_MOST);
-    let mut over = 0;
     loop {
         let txn = Txn::new().check(key, over).put(key, released.clone());
         match table.commit(&txn).await {
--- a/crates/agent/tests/claims.rs
+++ b/crates/agent/tests/claims.rs
@@ -224,6 +224,41 @@
     );
 }
 
+/// The same over a row that was released before: the lost write depends on that
+/// row's version, so the release must move it on.
+#[tokio::test]
+async fn a_given_up_claim_over_a_released_row_is_shut_out_too() {
+    let bed = bed().await;
+    let a = Claims::start(bed.platform.clone(), "a".into());
+    let Claimed::Won(held) = a.claim(KEY.into(), claim(1, 1, "a"), true).await else {
+        panic!()
+    };
+    a.close(held, ClaimState::Released);
+    a.settled(BOUND).await;
+    // The first write is refused and shows the released row; the second, over
+    // that row, hangs until it is given up.
+    let probe = a.claim(KEY.into(), claim(2, 1, "a"), true);
+    let (got, ()) = tokio::join!(probe, async {
+        while bed.table.history().refused == 0 {
+            tokio::task::yield_now().await;
+        }
+        bed.table.gate().set(Faults {
+            hang: true,
+            ..Faults::default()
+        });
+    });
+    bed.table.gate().set(Faults::default());
+    if got == Claimed::Unavailable {
+        let released = |c: &Option<Claim>| {
+            let ours = |c: &Claim| c.request == RequestId(2) && c.state == ClaimState::Released;
+            c.as_ref().is_some_and(ours)
+        };
+        until_state(&bed, KEY, released).await;
+    } else {
+        assert!(matches!(got, Claimed::Won(_)), "{got:?}");
+    }
+}
+
 #[tokio::test]
 async fn many_claims_share_few_transactions() {
     let bed = bed().await;
