--- a/crates/gateway/src/choose.rs
+++ b/crates/gateway/src/choose.rs
@@ -21,7 +21,7 @@
 /// so much, a first event still comes within the users' 120 ms.
 const MAX_OWN_WORK_MS: f64 = 20.0;
 /// Answers of more tokens than this hold their slot for seconds.
-const LONG_ANSWER_TOKENS: u32 = 256;
+const LONG_ANSWER_TOKENS: u32 = 1024;
 /// What a long answer costs the requests beside it, as work.
 const STREAM_MS: f64 = 6.0;
 /// What an upstream in another availability zone costs, in milliseconds: twice
