--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -193,7 +193,7 @@
             max_output_tokens: self.incoming.max_output_tokens,
             target: route.target_latency,
             elapsed: self.since.elapsed(),
-            may_split: is_first && route.max_attempts > 1,
+            may_split: is_first,
             tried: &self.tried,
         }
     }
