--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -28,6 +28,9 @@
 const IDLE_SHARE: f64 = 0.5;
 /// The same for an upstream that names no time.
 const IDLE_UNNAMED: Duration = Duration::from_millis(400);
+/// Ranks of requests at an engine, by the length of their answers.
+const LONG_PRIORITY: u8 = 2;
+const SHORT_PRIORITY: u8 = 4;
 /// Weight of a failure of the connection in an upstream's health, and of an
 /// answer that says that the upstream failed: some services answer one request
 /// in seven so, and must not be suspended for it.
@@ -294,6 +297,15 @@
     }
 }
 
+/// Rank of a request among an engine's own. Engines preempt what is less urgent
+/// whenever their slots are full, and a preempted answer is late for good.
+fn engine_priority(plan: &Plan) -> u8 {
+    match plan.is_long {
+        true => LONG_PRIORITY,
+        false => SHORT_PRIORITY,
+    }
+}
+
 fn idle_time(headers: &HeaderMap) -> Duration {
     header::idle_timeout(headers).map_or(IDLE_UNNAMED, |t| t.mul_f64(IDLE_SHARE))
 }
@@ -305,7 +317,7 @@
     let say = ToWorker {
         instance: &plan.instance,
         deadline: left.or_else(|| Some(call.left())),
-        rank: is_engine.then_some(call.target().route.rank),
+        rank: is_engine.then(|| engine_priority(plan)),
         last_event: call.last_event,
         step,
     };
