Processes tell each other their load at each upstream

Cause: each process knew only its own quarter of an engine's queue, so its bound of 20 ms either refused while an engine was idle or let four times as much wait. Ruled out: asking the engines (priced by the call, and 100 ms old). Change: datagrams of 16 bytes an upstream, at most each 10 ms; admission by the estimated first event, queue of all processes included; configuration and registry from a peer when the store refuses this process.

--- a/crates/gateway/src/choose.rs
+++ b/crates/gateway/src/choose.rs
@@ -16,14 +16,17 @@
 /// Share of homes of an engine that only reads prompts, against one that
 /// generates too: it reads twice as fast.
 const PREFILL_WEIGHT: f64 = 2.0;
-/// Most estimated work of this process, in milliseconds, that may wait at an
-/// engine when another prompt is sent there. With four processes each bringing
-/// so much, a first event still comes within the users' 120 ms.
-const MAX_OWN_WORK_MS: f64 = 20.0;
+/// Part of the latency target that the estimated time to the first event may
+/// take for a prompt to be admitted. The rest covers the way to the client, what
+/// other processes send at the same moment, and errors of the estimate.
+const ADMIT_SHARE: f64 = 0.65;
 /// Answers of more tokens than this hold their slot for seconds.
 const LONG_ANSWER_TOKENS: u32 = 1024;
 /// What a long answer costs the requests beside it, as work.
 const STREAM_MS: f64 = 6.0;
+/// What an engine costs whose slots are all taken by long answers: a second or
+/// more until one ends.
+const FULL_MS: f64 = 1000.0;
 /// What an upstream in another availability zone costs, in milliseconds: twice
 /// the way between zones.
 const ZONE_MS: f64 = 2.0;
@@ -144,17 +147,19 @@
 
 /// What waits at an engine, with its long answers as work.
 fn generator_cost(u: &Upstream) -> f64 {
-    let streams = f64::from(u.streams + u.others.streams);
-    let slots = f64::from(u.instance.slots);
     // Past its slots a request waits for a long answer to end.
-    let is_full = f64::from(u.running) >= slots;
-    u.queue_ms() + streams * STREAM_MS + if is_full { 1000.0 } else { 0.0 }
+    let full_ms = if u.all_streams() >= u.instance.slots {
+        FULL_MS
+    } else {
+        0.0
+    };
+    u.queue_ms() + f64::from(u.all_streams()) * STREAM_MS + full_ms
 }
 
 /// The least loaded upstream for its slots, nearer ones first.
 fn choose_plain(fleet: &Fleet, zone: &str, need: &Need<'_>, now: Instant) -> Choice {
     let cost = |u: &Upstream| {
-        let load = f64::from(u.running) / f64::from(u.instance.slots);
+        let load = f64::from(u.all_running()) / f64::from(u.instance.slots);
         load + zone_cost(u, zone) * 0.05 + fastrand::f64() * 0.05
     };
     let all = candidates(fleet, need, now).map(|(key, u)| (key, u, cost(u)));
@@ -191,7 +196,7 @@
     };
     let uncached = home.cache.uncached(need.parts, need.prompt_tokens, now);
     let plan = plan(fleet, key, home, need, uncached);
-    if home.queue_ms() <= MAX_OWN_WORK_MS {
+    if plan.inputs.estimate_ms <= plan.inputs.admit_ms {
         return Choice::Send(Box::new(plan));
     }
     Choice::Busy(plan.inputs, retry_after(home.queue_ms()))
@@ -247,7 +252,7 @@
         is_long: need.max_output_tokens > LONG_ANSWER_TOKENS,
         inputs: Inputs {
             estimate_ms: upstream.queue_ms() + work_ms * upstream.slowdown.factor(),
-            admit_ms: MAX_OWN_WORK_MS + work_ms,
+            admit_ms: need.target.as_secs_f64() * 1000.0 * ADMIT_SHARE,
             uncached,
         },
     }
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -9,6 +9,7 @@
 pub mod health;
 pub mod speed;
 
+use crate::peers::Load;
 use cache::PartCache;
 use health::Health;
 use net::{Meter, Pool};
@@ -60,15 +61,33 @@
     pub cache: PartCache,
 }
 
-/// Load at an upstream that comes from other processes of the system.
-#[derive(Debug, Clone, Copy, Default, PartialEq)]
+/// Load at an upstream that comes from other processes of the system, summed.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct Others {
     /// Requests whose first byte hasn't come yet, as estimated work.
-    pub work_ms: f64,
-    /// Long answers that are being streamed.
+    pub work_us: u64,
+    /// Requests that run.
+    pub running: u32,
+    /// Of these, long answers that are being streamed.
     pub streams: u32,
 }
 
+impl Others {
+    /// Adds what a process says of its load.
+    pub fn add(&mut self, load: &Load) {
+        self.work_us += u64::from(load.work_us);
+        self.running += u32::from(load.running);
+        self.streams += u32::from(load.streams);
+    }
+
+    /// Takes off what the process said before.
+    pub fn take_off(&mut self, load: &Load) {
+        self.work_us = self.work_us.saturating_sub(u64::from(load.work_us));
+        self.running = self.running.saturating_sub(u32::from(load.running));
+        self.streams = self.streams.saturating_sub(u32::from(load.streams));
+    }
+}
+
 /// What is known of a service as a whole.
 #[derive(Debug)]
 pub struct ServiceInfo {
@@ -172,6 +191,11 @@
         all.find(|(_, u)| u.instance.id == id).map(|(key, _)| key)
     }
 
+    /// The upstream whose id has a hash, for changes.
+    pub fn find_hash(&mut self, hash: u64) -> Option<&mut Upstream> {
+        self.iter_mut().find(|u| u.hash == hash)
+    }
+
     /// Upstreams that are known.
     pub fn len(&self) -> usize {
         self.iter().count()
@@ -277,7 +301,28 @@
 
     /// Estimated time until work that is there now is done, in milliseconds.
     pub fn queue_ms(&self) -> f64 {
-        (self.work_ms + self.others.work_ms) * self.slowdown.factor()
+        let others_ms = self.others.work_us as f64 / 1000.0;
+        (self.work_ms + others_ms) * self.slowdown.factor()
+    }
+
+    /// Requests that run there, of all processes.
+    pub fn all_running(&self) -> u32 {
+        self.running + self.others.running
+    }
+
+    /// Long answers that are streamed there, to clients of all processes.
+    pub fn all_streams(&self) -> u32 {
+        self.streams + self.others.streams
+    }
+
+    /// What this process says of its load there; none if there is none.
+    pub fn load(&self) -> Option<Load> {
+        (self.running > 0).then(|| Load {
+            upstream: self.hash,
+            work_us: (self.work_ms * 1000.0) as u32,
+            running: self.running.min(u32::from(u16::MAX)) as u16,
+            streams: self.streams.min(u32::from(u16::MAX)) as u16,
+        })
     }
 
     /// What the upstream is called in logs when it does something with prompts.
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -35,14 +35,14 @@
 const LOST_AFTER: Duration = Duration::from_millis(1000);
 
 /// Whether the store answers one kind of read.
-struct Dependency {
+pub(crate) struct Dependency {
     name: &'static str,
     last_good: Instant,
     is_lost: bool,
 }
 
 impl Dependency {
-    fn new(name: &'static str) -> Self {
+    pub(crate) fn new(name: &'static str) -> Self {
         Self {
             name,
             last_good: Instant::now(),
@@ -51,7 +51,7 @@
     }
 
     /// Notes a good read; says whether the store was lost before it.
-    fn good(&mut self) -> bool {
+    pub(crate) fn good(&mut self) -> bool {
         let lost = std::mem::take(&mut self.is_lost);
         if lost {
             emit(&Event::DependencyBack {
@@ -64,7 +64,7 @@
     }
 
     /// Notes a failed read, and says so when the store is lost by it.
-    fn bad(&mut self, e: &StoreError) {
+    pub(crate) fn bad(&mut self, e: &StoreError) {
         if !self.is_lost && self.last_good.elapsed() >= LOST_AFTER {
             self.is_lost = true;
             emit(&Event::DependencyLost {
@@ -75,20 +75,21 @@
     }
 }
 
-async fn pause() {
+/// Waits before the next try, with chance.
+pub(crate) async fn pause() {
     let (least, spread) = RETRY_PAUSE;
     tokio::time::sleep(least + spread.mul_f64(fastrand::f64())).await;
 }
 
 /// The store's client for the settings in use, made anew when they change.
-struct Client {
+pub(crate) struct Client {
     gateway: Arc<Gateway>,
     addr: SocketAddr,
     store: Store,
 }
 
 impl Client {
-    fn new(gateway: &Arc<Gateway>) -> Self {
+    pub(crate) fn new(gateway: &Arc<Gateway>) -> Self {
         let addr = gateway.host().store;
         Self {
             store: Store::new(addr, &gateway.store_bytes),
@@ -97,7 +98,7 @@
         }
     }
 
-    fn store(&mut self) -> &Store {
+    pub(crate) fn store(&mut self) -> &Store {
         if self.gateway.host().store != self.addr {
             *self = Self::new(&self.gateway);
         }
@@ -249,6 +250,15 @@
     gateway.set_registry(version);
 }
 
+/// Takes a peer's view of the registry, if it is newer than ours.
+pub fn merge_view(gateway: &Arc<Gateway>, instances: Vec<Instance>, version: u64) {
+    if version <= gateway.registry().version {
+        return;
+    }
+    let changes = instances.into_iter().map(Registration::Present).collect();
+    merge(gateway, changes, true, version, &mut Missing::default());
+}
+
 /// Upstreams that are known and don't stand in a whole read of the registry.
 fn absent(gateway: &Gateway, read: &[Registration]) -> Vec<String> {
     let is_read = |id: &str| {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod events;
 pub mod fleet;
 pub mod follow;
+pub mod peers;
 pub mod ready;
 pub mod relay;
 pub mod reload;
@@ -69,6 +70,8 @@
     });
     tokio::spawn(follow::follow_config(gateway.clone()));
     tokio::spawn(follow::follow_registry(gateway.clone()));
+    let exchange = peers::exchange::start(&gateway)?;
+    tokio::spawn(peers::membership::follow(gateway.clone()));
     tokio::spawn(reload::follow_settings(gateway.clone(), path));
     let serving = Stop::default();
     let server = Server {
@@ -84,10 +87,12 @@
     emit(&Event::Stopping { why: "signal" });
     tokio::time::sleep(LEAVE_DELAY).await;
     serving.stop();
+    peers::membership::leave(&gateway).await;
     let grace = gateway.host().stop_grace.mul_f64(GRACE_SHARE);
     let left = grace.saturating_sub(since.elapsed());
     // Past the time the count below tells what is left.
     let _ = tokio::time::timeout(left, server).await;
+    exchange.stop();
     emit(&Event::Stopped {
         unfinished: gateway.running(),
     });
--- /dev/null
+++ b/crates/gateway/src/peers/exchange.rs
@@ -0,0 +1,239 @@
+//! Tells peers of this process's load, and hears of theirs.
+//!
+//! A process that the store refuses takes the configuration and the registry
+//! from a peer that has newer ones, over HTTP on the same port.
+
+use crate::StartError;
+use crate::follow;
+use crate::peers::{Beat, Load};
+use crate::state::Gateway;
+use hyper::body::Incoming;
+use hyper::header::HOST;
+use hyper::{Method, Request, Response, StatusCode};
+use net::server::bind;
+use net::{Body, CallError, Pool, Protocol, Server, Stop, empty, full};
+use observe::{Event, emit};
+use platform::{Config, Instance};
+use serde::de::DeserializeOwned;
+use serde::{Deserialize, Serialize};
+use std::net::{IpAddr, SocketAddr};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+use tokio::net::UdpSocket;
+
+/// Shortest time between two datagrams to one peer. What a peer doesn't know yet
+/// is what it may send too much: some two prompts of 10 ms in this time.
+const SEND_EVERY: Duration = Duration::from_millis(10);
+/// Time added for each peer, so that a process sends and takes at most some 250
+/// datagrams a second however many peers there are: 2 in 100 of its core.
+const SEND_EVERY_PER_PEER: Duration = Duration::from_millis(4);
+/// Longest time between two datagrams, so that a silent peer is a lost one.
+const SEND_AT_LEAST: Duration = Duration::from_millis(200);
+/// Time that the store has to bring what a peer has already before the peer is
+/// asked: asking is for processes that the store refuses.
+const PEER_AHEAD: Duration = Duration::from_millis(250);
+/// Age of the registry from which a peer's is taken: a read of our own failed.
+const REGISTRY_OLD: Duration = Duration::from_millis(1000);
+/// Pause between two questions to peers.
+const ASK_EVERY: Duration = Duration::from_millis(300);
+/// Longest wait for a peer's answer.
+const ASK_TIMEOUT: Duration = Duration::from_millis(500);
+/// Largest datagram: 16 bytes for each of some hundred upstreams.
+const MAX_DATAGRAM: usize = 16 << 10;
+/// Largest answer of a peer: some thousand routes or upstreams.
+const MAX_ANSWER: usize = 8 << 20;
+/// Largest head, and longest idle time, of a peer's connection.
+const MAX_HEAD: usize = 8 << 10;
+const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
+
+const CONFIG_PATH: &str = "/config";
+const REGISTRY_PATH: &str = "/registry";
+
+/// The registry as a process knows it.
+#[derive(Debug, Serialize, Deserialize)]
+struct RegistryView {
+    version: u64,
+    instances: Vec<Instance>,
+}
+
+/// Starts to tell and to hear, and answers peers' questions.
+pub fn start(gateway: &Arc<Gateway>) -> Result<Stop, StartError> {
+    let host = gateway.host();
+    let addr = SocketAddr::new(host.ip, host.peer_port);
+    let bad = |e| StartError::Bind(addr, e);
+    let listener = bind(addr).map_err(bad)?;
+    let socket = std::net::UdpSocket::bind(addr).map_err(bad)?;
+    socket.set_nonblocking(true).map_err(bad)?;
+    let socket = Arc::new(UdpSocket::from_std(socket).map_err(bad)?);
+    let stop = Stop::default();
+    let server = Server {
+        head_timeout: IDLE_TIMEOUT,
+        max_head: MAX_HEAD,
+        protocol: Protocol::Http1,
+        stop: stop.clone(),
+    };
+    let served = gateway.clone();
+    tokio::spawn(server.run(listener, move |req| {
+        let res = answer(&served, &req);
+        async move { res }
+    }));
+    tokio::spawn(hear(gateway.clone(), socket.clone()));
+    tokio::spawn(tell(gateway.clone(), socket));
+    tokio::spawn(ask(gateway.clone()));
+    Ok(stop)
+}
+
+/// Hears datagrams until the process ends.
+async fn hear(gateway: Arc<Gateway>, socket: Arc<UdpSocket>) {
+    let mut buf = vec![0; MAX_DATAGRAM];
+    loop {
+        let (len, from) = match socket.recv_from(&mut buf).await {
+            Ok(read) => read,
+            // An earlier datagram met a closed port; nothing is wrong here.
+            Err(_) => continue,
+        };
+        let Some(beat) = wire::decode::<Beat>(&buf[..len]) else {
+            emit(&Event::Undecodable {
+                what: "datagram of a peer",
+                why: format!("{len} bytes from {from}"),
+            });
+            continue;
+        };
+        let mut peers = gateway.peers();
+        peers.hear(from.ip(), beat, &mut gateway.fleet(), Instant::now());
+    }
+}
+
+/// Tells the peers of this process's load until the process ends.
+async fn tell(gateway: Arc<Gateway>, socket: Arc<UdpSocket>) {
+    let start = fastrand::u64(..);
+    let mut number = 0;
+    let mut last = (Instant::now(), Vec::new());
+    loop {
+        let (peers, live) = expire(&gateway);
+        gateway.set_live_peers(live);
+        let every = SEND_EVERY.max(SEND_EVERY_PER_PEER * peers.len() as u32);
+        tokio::time::sleep(every).await;
+        let loads: Vec<Load> = gateway.fleet().iter().filter_map(|(_, u)| u.load()).collect();
+        if loads == last.1 && last.0.elapsed() < SEND_AT_LEAST {
+            continue;
+        }
+        number += 1;
+        let beat = Beat {
+            start,
+            number,
+            config: gateway.config_version(),
+            registry: gateway.registry().version,
+            loads,
+        };
+        let buf = wire::encode_compact(&beat);
+        let port = gateway.host().peer_port;
+        for ip in peers {
+            // NB: a datagram that can't be sent now is as good as lost; the next
+            // one says everything anew.
+            let _ = socket.try_send_to(&buf, SocketAddr::new(ip, port));
+        }
+        last = (Instant::now(), beat.loads);
+    }
+}
+
+/// Takes off what peers that fell silent said. Gives the addresses of all peers
+/// and how many are alive.
+fn expire(gateway: &Gateway) -> (Vec<IpAddr>, u32) {
+    let now = Instant::now();
+    let mut peers = gateway.peers();
+    peers.expire(&mut gateway.fleet(), now);
+    let live = peers.live(now).count() as u32;
+    (peers.addresses().collect(), live)
+}
+
+/// Asks peers for what they know and this process doesn't, until it ends.
+async fn ask(gateway: Arc<Gateway>) {
+    let mut config_ahead = None;
+    loop {
+        tokio::time::sleep(ASK_EVERY).await;
+        let now = Instant::now();
+        match ahead(&gateway, |beat| beat.config, gateway.config_version()) {
+            None => config_ahead = None,
+            Some(ip) if now - *config_ahead.get_or_insert(now) >= PEER_AHEAD => {
+                if let Some(config) = fetch::<Config>(&gateway, ip, CONFIG_PATH).await {
+                    follow::put_in_force(&gateway, config, "peer");
+                }
+            }
+            Some(_) => {}
+        }
+        if gateway.registry_age() < REGISTRY_OLD {
+            continue;
+        }
+        let known = gateway.registry().version;
+        if let Some(ip) = ahead(&gateway, |beat| beat.registry, known) {
+            if let Some(view) = fetch::<RegistryView>(&gateway, ip, REGISTRY_PATH).await {
+                follow::merge_view(&gateway, view.instances, view.version);
+            }
+        }
+    }
+}
+
+/// The live peer with the newest version of something, if it is newer than ours.
+fn ahead(gateway: &Gateway, version: impl Fn(&Beat) -> u64, known: u64) -> Option<IpAddr> {
+    let peers = gateway.peers();
+    let live = peers.live(Instant::now());
+    let newest = live.max_by_key(|(_, beat)| version(beat))?;
+    (version(newest.1) > known).then_some(newest.0.ip)
+}
+
+async fn fetch<T: DeserializeOwned>(gateway: &Gateway, ip: IpAddr, path: &str) -> Option<T> {
+    let addr = SocketAddr::new(ip, gateway.host().peer_port);
+    let why = match get(gateway, addr, path).await {
+        Ok((StatusCode::OK, body)) => match wire::decode(&body) {
+            Some(value) => return Some(value),
+            None => "malformed answer".to_owned(),
+        },
+        Ok((status, _)) => format!("status {status}"),
+        Err(e) => e.to_string(),
+    };
+    emit(&Event::Undecodable {
+        what: "answer of a peer",
+        why: format!("{addr}{path}: {why}"),
+    });
+    None
+}
+
+async fn get(
+    gateway: &Gateway,
+    addr: SocketAddr,
+    path: &str,
+) -> Result<(StatusCode, bytes::Bytes), CallError> {
+    let req = Request::builder()
+        .method(Method::GET)
+        .uri(path)
+        .header(HOST, addr.to_string())
+        .body(empty())
+        .map_err(|e| CallError::NotSent(e.to_string()))?;
+    let pool = Pool::new(addr, ASK_TIMEOUT).metered(&gateway.peer_bytes);
+    pool.call(req, MAX_ANSWER, ASK_TIMEOUT).await
+}
+
+/// Answers a peer's question.
+fn answer(gateway: &Gateway, req: &Request<Incoming>) -> Response<Body> {
+    let known = match req.uri().path() {
+        CONFIG_PATH => gateway.routes().map(|t| wire::encode(&t.config)),
+        REGISTRY_PATH => Some(wire::encode(&registry_view(gateway))),
+        _ => None,
+    };
+    let Some(body) = known else {
+        let mut res = Response::new(empty());
+        *res.status_mut() = StatusCode::NOT_FOUND;
+        return res;
+    };
+    Response::new(full(body))
+}
+
+fn registry_view(gateway: &Gateway) -> RegistryView {
+    let version = gateway.registry().version;
+    let fleet = gateway.fleet();
+    RegistryView {
+        version,
+        instances: fleet.iter().map(|(_, u)| u.instance.clone()).collect(),
+    }
+}
--- a/crates/gateway/src/ready.rs
+++ b/crates/gateway/src/ready.rs
@@ -43,6 +43,7 @@
         METRICS_PATH => {
             let metrics = &gateway.metrics;
             metrics.bytes("store", gateway.store_bytes.bytes());
+            metrics.bytes("peers", gateway.peer_bytes.bytes());
             metrics.bytes("upstreams", gateway.upstream_bytes.bytes());
             (StatusCode::OK, metrics.text())
         }
--- a/crates/gateway/src/routes.rs
+++ b/crates/gateway/src/routes.rs
@@ -20,6 +20,8 @@
     pub version: u64,
     /// Bounds on what callers may send.
     pub limits: Limits,
+    /// The configuration as it was read, for peers that can't reach the store.
+    pub config: Config,
     /// Sorted by host, then by prefix.
     targets: Vec<Target>,
 }
@@ -32,20 +34,21 @@
         }
         let mut targets: Vec<Target> = config
             .routes
-            .into_iter()
+            .iter()
             .map(|route| Target {
                 shares: route
                     .shares
                     .iter()
                     .map(|s| (fleet.service(&s.service), s.weight))
                     .collect(),
-                route,
+                route: route.clone(),
             })
             .collect();
         targets.sort_unstable_by(|a, b| a.key().cmp(&b.key()));
         Self {
             version: config.version,
             limits: config.limits,
+            config,
             targets,
         }
     }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -2,6 +2,7 @@
 
 use crate::budget::Budget;
 use crate::fleet::{Fleet, ServiceKey, UpstreamKey};
+use crate::peers::Peers;
 use crate::routes::RouteTable;
 use net::{Meter, Stop};
 use observe::Metrics;
@@ -21,12 +22,15 @@
     fleet: Mutex<Fleet>,
     budgets: Mutex<Vec<(ServiceKey, Budget)>>,
     registry: Mutex<Registry>,
-    peers: AtomicU32,
+    peers: Mutex<Peers>,
+    live_peers: AtomicU32,
     running: AtomicU64,
     /// Metrics.
     pub metrics: Metrics,
     /// Bytes between this process and upstreams.
     pub upstream_bytes: Meter,
+    /// Bytes between this process and its peers.
+    pub peer_bytes: Meter,
     /// Bytes between this process and the store.
     pub store_bytes: Meter,
     /// Given when the process should end.
@@ -54,10 +58,12 @@
                 version: 0,
                 read_at: Instant::now(),
             }),
-            peers: AtomicU32::new(0),
+            peers: Mutex::default(),
+            live_peers: AtomicU32::new(0),
             running: AtomicU64::new(0),
             metrics: Metrics::new(TENANT_METRICS),
             upstream_bytes: Meter::default(),
+            peer_bytes: Meter::default(),
             store_bytes: Meter::default(),
             stop,
         })
@@ -111,14 +117,15 @@
         self.registry().read_at.elapsed()
     }
 
-    /// Other processes of the system that share the load.
-    pub fn peers(&self) -> u32 {
-        self.peers.load(Ordering::Relaxed)
+    /// The other processes of the system. Never held across an await; locked
+    /// before the fleet where both are needed.
+    pub fn peers(&self) -> MutexGuard<'_, Peers> {
+        lock(&self.peers)
     }
 
-    /// Takes a new number of peers.
-    pub fn set_peers(&self, peers: u32) {
-        if self.peers.swap(peers, Ordering::Relaxed) == peers {
+    /// Takes a new number of peers that are alive, and share the retry budget.
+    pub fn set_live_peers(&self, peers: u32) {
+        if self.live_peers.swap(peers, Ordering::Relaxed) == peers {
             return;
         }
         let slack = self.host().retry_slack;
@@ -127,6 +134,11 @@
         }
     }
 
+    /// Processes that share the retry budget.
+    fn processes(&self) -> u32 {
+        self.live_peers.load(Ordering::Relaxed) + 1
+    }
+
     /// Works on the retry budget of a service.
     fn with_budget<T>(&self, service: ServiceKey, work: impl FnOnce(&mut Budget) -> T) -> T {
         let mut budgets = lock(&self.budgets);
@@ -134,7 +146,7 @@
         let at = at.unwrap_or_else(|at| {
             let host = self.host();
             let (ratio, slack) = (host.retry_ratio, host.retry_slack);
-            let budget = Budget::new(ratio, slack, host.retry_window, self.peers() + 1);
+            let budget = Budget::new(ratio, slack, host.retry_window, self.processes());
             budgets.insert(at, (service, budget));
             at
         });
