First events estimated from prompts and tokens ahead; admission at 0.6 of the target

Cause: the estimate took a fixed time a prompt from idle engines, with a slope of 0.7 ms a thousand tokens where 2 to 3.6 were measured: what it knew as uncached was wrong whenever another process had sent the shared parts. What is left varies by more than the estimate explains.

--- a/crates/gateway/src/account.rs
+++ b/crates/gateway/src/account.rs
@@ -1,6 +1,7 @@
 //! What is logged and counted of a request: one line at its end.
 
 use crate::answer::{Outcome, Reason};
+use crate::fleet::speed::Work;
 use crate::state::{Gateway, RunningGuard};
 use observe::{Event, Labels, Seconds, emit};
 use std::sync::Arc;
@@ -10,7 +11,7 @@
 const NONE: &str = "-";
 
 /// What decided the choice of an upstream.
-#[derive(Debug, Clone, Copy, Default, PartialEq)]
+#[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Inputs {
     /// Estimated time to the first byte.
     pub estimate_ms: f64,
@@ -18,6 +19,12 @@
     pub admit_ms: f64,
     /// Prompt tokens that were expected not to be cached.
     pub uncached: u32,
+    /// What the engine had to read until the first byte.
+    pub work: Work,
+    /// How much slower than its kind the upstream was.
+    pub slowdown: f64,
+    /// Whether it only reads prompts.
+    pub is_prefill: bool,
 }
 
 /// The account of one request. Dropped without an end, its client has gone.
@@ -101,6 +108,10 @@
             estimate_ms: self.inputs.map(|i| i.estimate_ms as u64),
             admit_ms: self.inputs.map(|i| i.admit_ms as u64),
             uncached: self.inputs.map(|i| i.uncached),
+            prompts_ahead: self.inputs.map(|i| i.work.prompts as u32),
+            tokens_ahead: self.inputs.map(|i| i.work.tokens as u32 - i.uncached),
+            slowdown: self.inputs.map(|i| i.slowdown),
+            is_prefill: self.inputs.map(|i| i.is_prefill),
             first_ms: self.first.map(millis),
             total_ms: millis(total),
         });
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -162,7 +162,7 @@
 /// Has the prompt read; none if it wasn't, as far as this process knows.
 async fn prefill(call: &Call, plan: &Plan) -> Option<Prefilled> {
     let gateway = &call.gateway;
-    let mut placed = gateway.place(plan.key, plan.work_ms, false);
+    let mut placed = gateway.place(plan.key, plan.inputs.uncached, false);
     let since = Instant::now();
     let req = request(call, plan, Step::Prefill)?;
     let answer = match plan.pool.send_once(req).await {
@@ -205,7 +205,7 @@
 /// Sends the request itself to an upstream.
 pub async fn attempt_at(call: &Call, account: &mut Account, plan: &Plan, step: Step<'_>) -> Tried {
     let gateway = &call.gateway;
-    let placed = gateway.place(plan.key, plan.work_ms, plan.is_long);
+    let placed = gateway.place(plan.key, plan.inputs.uncached, plan.is_long);
     let since = Instant::now();
     let Some(req) = request(call, plan, step) else {
         return Tried::NotRun(NotRun::NotSent);
@@ -330,7 +330,6 @@
 
 /// Notes an answer's first byte in what is known of the upstream.
 fn measured(gateway: &Arc<Gateway>, call: &Call, plan: &Plan, took: Duration) {
-    let now = Instant::now();
     let ms = took.as_secs_f64() * 1000.0;
     let mut fleet = gateway.fleet();
     let Some(upstream) = fleet.get_mut(plan.key) else {
@@ -340,12 +339,13 @@
     if !call.is_engine {
         return;
     }
-    upstream.cache.used(&call.incoming.parts, now);
-    upstream.slowdown.sample(ms, plan.inputs.estimate_ms);
     let (service, stage) = (upstream.service, upstream.instance.stage);
-    if plan.is_alone {
-        let uncached = plan.inputs.uncached;
-        fleet.speed_mut(service, stage).sample(uncached, ms);
+    let slowdown = upstream.slowdown.factor();
+    let speed = fleet.speed_mut(service, stage);
+    let estimate = speed.estimate(plan.inputs.work);
+    speed.sample(plan.inputs.work, ms / slowdown);
+    if let Some(upstream) = fleet.get_mut(plan.key) {
+        upstream.slowdown.sample(ms, estimate);
     }
 }
 
--- a/crates/gateway/src/choose.rs
+++ b/crates/gateway/src/choose.rs
@@ -19,11 +19,14 @@
 /// Part of the latency target that the estimated time to the first event may
 /// take for a prompt to be admitted. The rest covers the way to the client, what
 /// other processes send at the same moment, and errors of the estimate.
-const ADMIT_SHARE: f64 = 0.65;
+const ADMIT_SHARE: f64 = 0.6;
 /// Answers of more tokens than this hold their slot for seconds.
 const LONG_ANSWER_TOKENS: u32 = 1024;
 /// What a long answer costs the requests beside it, as work.
 const STREAM_MS: f64 = 6.0;
+/// Time to the first event after a prompt was read at another engine: its KV
+/// cache is fetched (some 4 ms) and a step made.
+const TAKE_MS: f64 = 8.0;
 /// What an engine costs whose slots are all taken by long answers: a second or
 /// more until one ends.
 const FULL_MS: f64 = 1000.0;
@@ -56,6 +59,15 @@
     pub tried: &'a [UpstreamKey],
 }
 
+impl Need<'_> {
+    /// Tokens of the prompt that no other request shares.
+    fn own_tokens(&self) -> u32 {
+        let shared = self.parts.len().saturating_sub(1);
+        let shared: u32 = self.parts[..shared].iter().map(|p| p.tokens).sum();
+        self.prompt_tokens.saturating_sub(shared)
+    }
+}
+
 /// Where a request goes.
 #[derive(Debug, Clone)]
 pub struct Plan {
@@ -69,10 +81,6 @@
     pub pool: Pool,
     /// Whether it only reads the prompt, and another generates.
     pub is_prefill: bool,
-    /// Estimated time that the upstream works until the first byte.
-    pub work_ms: f64,
-    /// Whether the upstream had no other prompt to read, as far as is known.
-    pub is_alone: bool,
     /// Whether the answer is long.
     pub is_long: bool,
     /// What decided.
@@ -110,7 +118,7 @@
     let zone = &gateway.host().zone;
     let all = candidates(&fleet, need, now).filter(|(_, u)| generates(u));
     let best = all.min_by(|(_, a), (_, b)| {
-        let cost = |u: &Upstream| generator_cost(u) + zone_cost(u, zone);
+        let cost = |u: &Upstream| generator_cost(&fleet, u) + zone_cost(u, zone);
         cost(a).total_cmp(&cost(b))
     });
     match best {
@@ -146,14 +154,14 @@
 }
 
 /// What waits at an engine, with its long answers as work.
-fn generator_cost(u: &Upstream) -> f64 {
+fn generator_cost(fleet: &Fleet, u: &Upstream) -> f64 {
     // Past its slots a request waits for a long answer to end.
     let full_ms = if u.all_streams() >= u.instance.slots {
         FULL_MS
     } else {
         0.0
     };
-    u.queue_ms() + f64::from(u.all_streams()) * STREAM_MS + full_ms
+    fleet.estimate_ms(u, 0) + f64::from(u.all_streams()) * STREAM_MS + full_ms
 }
 
 /// The least loaded upstream for its slots, nearer ones first.
@@ -172,7 +180,7 @@
 /// The engine with the least work and the fewest long answers.
 fn choose_for_long(fleet: &Fleet, need: &Need<'_>, now: Instant) -> Choice {
     let all = candidates(fleet, need, now).filter(|(_, u)| generates(u));
-    let cost = |u: &Upstream| generator_cost(u) + fastrand::f64();
+    let cost = |u: &Upstream| generator_cost(fleet, u) + fastrand::f64();
     let best = all.map(|(key, u)| (key, u, cost(u)));
     match best.min_by(|a, b| a.2.total_cmp(&b.2)) {
         Some((key, upstream, _)) => {
@@ -194,12 +202,13 @@
     let Some((key, home)) = best else {
         return Choice::NoUpstream;
     };
-    let uncached = home.cache.uncached(need.parts, need.prompt_tokens, now);
-    let plan = plan(fleet, key, home, need, uncached);
+    // All processes send a part to the same home, where it stays cached; what is
+    // read anew after a change of homes shows in the engine's slowdown.
+    let plan = plan(fleet, key, home, need, need.own_tokens());
     if plan.inputs.estimate_ms <= plan.inputs.admit_ms {
         return Choice::Send(Box::new(plan));
     }
-    Choice::Busy(plan.inputs, retry_after(home.queue_ms()))
+    Choice::Busy(plan.inputs, retry_after(plan.inputs.estimate_ms))
 }
 
 /// The part that decides the home: the last that other requests may share.
@@ -235,25 +244,22 @@
     need: &Need<'_>,
     uncached: u32,
 ) -> Plan {
-    let info = fleet.info(need.service);
-    let stage = upstream.instance.stage;
-    let work_ms = match info.engine {
-        Some(_) => info.speed(stage).estimate(uncached),
-        None => 0.0,
-    };
+    let is_prefill = upstream.instance.stage == Some(Stage::Prefill);
+    let take_ms = if is_prefill { TAKE_MS } else { 0.0 };
     Plan {
         key,
         instance: upstream.instance.id.clone(),
         addr: upstream.instance.addr,
         pool: upstream.pool.clone(),
-        is_prefill: stage == Some(Stage::Prefill),
-        work_ms,
-        is_alone: upstream.queue_ms() < 1.0,
+        is_prefill,
         is_long: need.max_output_tokens > LONG_ANSWER_TOKENS,
         inputs: Inputs {
-            estimate_ms: upstream.queue_ms() + work_ms * upstream.slowdown.factor(),
+            estimate_ms: fleet.estimate_ms(upstream, uncached) + take_ms,
             admit_ms: need.target.as_secs_f64() * 1000.0 * ADMIT_SHARE,
             uncached,
+            work: upstream.work(uncached),
+            slowdown: upstream.slowdown.factor(),
+            is_prefill,
         },
     }
 }
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -5,16 +5,14 @@
 //! stands what this process has seen itself: its own requests there, how long
 //! first bytes take, failures, and which prompt parts were sent there.
 
-pub mod cache;
 pub mod health;
 pub mod speed;
 
 use crate::peers::Load;
-use cache::PartCache;
 use health::Health;
 use net::{Meter, Pool};
 use platform::{Engine, Instance, Service, Stage};
-use speed::{Slowdown, Speed};
+use speed::{Slowdown, Speed, Work};
 use std::time::{Duration, Instant};
 
 /// Longest wait for a connection to an upstream. Within a region a connection
@@ -47,8 +45,10 @@
     pub hash: u64,
     /// Requests of this process that run there.
     pub running: u32,
-    /// Of these, those whose first byte hasn't come yet, as estimated work.
-    pub work_ms: f64,
+    /// Of these, those whose first byte hasn't come yet.
+    pub waiting: u32,
+    /// Uncached tokens of those that wait.
+    pub tokens: u32,
     /// The same for all other processes of the system, as they last said.
     pub others: Others,
     /// Of the running requests, those that stream long answers.
@@ -57,15 +57,15 @@
     pub health: Health,
     /// How much slower it is than its kind.
     pub slowdown: Slowdown,
-    /// Prompt parts that it should have cached.
-    pub cache: PartCache,
 }
 
 /// Load at an upstream that comes from other processes of the system, summed.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct Others {
-    /// Requests whose first byte hasn't come yet, as estimated work.
-    pub work_us: u64,
+    /// Requests whose first byte hasn't come yet.
+    pub waiting: u32,
+    /// Uncached tokens of those that wait.
+    pub tokens: u32,
     /// Requests that run.
     pub running: u32,
     /// Of these, long answers that are being streamed.
@@ -75,14 +75,16 @@
 impl Others {
     /// Adds what a process says of its load.
     pub fn add(&mut self, load: &Load) {
-        self.work_us += u64::from(load.work_us);
+        self.waiting += u32::from(load.waiting);
+        self.tokens += load.tokens;
         self.running += u32::from(load.running);
         self.streams += u32::from(load.streams);
     }
 
     /// Takes off what the process said before.
     pub fn take_off(&mut self, load: &Load) {
-        self.work_us = self.work_us.saturating_sub(u64::from(load.work_us));
+        self.waiting = self.waiting.saturating_sub(u32::from(load.waiting));
+        self.tokens = self.tokens.saturating_sub(load.tokens);
         self.running = self.running.saturating_sub(u32::from(load.running));
         self.streams = self.streams.saturating_sub(u32::from(load.streams));
     }
@@ -191,6 +193,13 @@
         all.find(|(_, u)| u.instance.id == id).map(|(key, _)| key)
     }
 
+    /// Estimated time to the first byte of a prompt that is sent to an upstream
+    /// now, in milliseconds.
+    pub fn estimate_ms(&self, upstream: &Upstream, uncached: u32) -> f64 {
+        let speed = self.info(upstream.service).speed(upstream.instance.stage);
+        speed.estimate(upstream.work(uncached)) * upstream.slowdown.factor()
+    }
+
     /// The upstream whose id has a hash, for changes.
     pub fn find_hash(&mut self, hash: u64) -> Option<&mut Upstream> {
         self.iter_mut().find(|u| u.hash == hash)
@@ -236,12 +245,12 @@
             pool: Pool::new(instance.addr, CONNECT_TIMEOUT).metered(meter),
             hash: xxhash_rust::xxh3::xxh3_64(instance.id.as_bytes()),
             running: 0,
-            work_ms: 0.0,
+            waiting: 0,
+            tokens: 0,
             others: Others::default(),
             streams: 0,
             health: Health::default(),
             slowdown: Slowdown::default(),
-            cache: PartCache::default(),
             instance,
         };
         let free = self.slots.iter().position(|s| s.upstream.is_none());
@@ -299,10 +308,13 @@
         !self.instance.is_draining
     }
 
-    /// Estimated time until work that is there now is done, in milliseconds.
-    pub fn queue_ms(&self) -> f64 {
-        let others_ms = self.others.work_us as f64 / 1000.0;
-        (self.work_ms + others_ms) * self.slowdown.factor()
+    /// What it has to read until the first byte of a prompt that is sent now.
+    pub fn work(&self, uncached: u32) -> Work {
+        let tokens = self.tokens + self.others.tokens + uncached;
+        Work {
+            prompts: f64::from(self.waiting + self.others.waiting),
+            tokens: f64::from(tokens),
+        }
     }
 
     /// Requests that run there, of all processes.
@@ -319,9 +331,10 @@
     pub fn load(&self) -> Option<Load> {
         (self.running > 0).then(|| Load {
             upstream: self.hash,
-            work_us: (self.work_ms * 1000.0) as u32,
-            running: self.running.min(u32::from(u16::MAX)) as u16,
-            streams: self.streams.min(u32::from(u16::MAX)) as u16,
+            tokens: self.tokens,
+            waiting: small(self.waiting),
+            running: small(self.running),
+            streams: small(self.streams),
         })
     }
 
@@ -339,3 +352,8 @@
         self.health.is_suspended(now)
     }
 }
+
+/// A count as it is told to peers; none of ours comes near the bound.
+fn small(count: u32) -> u16 {
+    u16::try_from(count).unwrap_or(u16::MAX)
+}
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -41,8 +41,10 @@
 pub struct Load {
     /// Hash of the upstream's id.
     pub upstream: u64,
-    /// Estimated work until the first bytes of what waits there, in microseconds.
-    pub work_us: u32,
+    /// Requests whose first byte hasn't come yet.
+    pub waiting: u16,
+    /// Uncached tokens of those that wait.
+    pub tokens: u32,
     /// Requests that run there.
     pub running: u16,
     /// Of these, long answers.
@@ -76,7 +78,10 @@
 
     /// Notes that the store no longer tells of a host's process.
     pub fn remove(&mut self, host: &str, fleet: &mut Fleet) {
-        let at = self.all.iter().position(|p| p.host.as_deref() == Some(host));
+        let at = self
+            .all
+            .iter()
+            .position(|p| p.host.as_deref() == Some(host));
         if let Some(at) = at {
             self.all.remove(at).take_off(fleet);
         }
--- a/crates/gateway/src/peers/exchange.rs
+++ b/crates/gateway/src/peers/exchange.rs
@@ -114,7 +114,11 @@
         gateway.set_live_peers(live);
         let every = SEND_EVERY.max(SEND_EVERY_PER_PEER * peers.len() as u32);
         tokio::time::sleep(every).await;
-        let loads: Vec<Load> = gateway.fleet().iter().filter_map(|(_, u)| u.load()).collect();
+        let loads: Vec<Load> = gateway
+            .fleet()
+            .iter()
+            .filter_map(|(_, u)| u.load())
+            .collect();
         if loads == last.1 && last.0.elapsed() < SEND_AT_LEAST {
             continue;
         }
--- a/crates/gateway/src/peers/membership.rs
+++ b/crates/gateway/src/peers/membership.rs
@@ -32,7 +32,11 @@
                 }
             }
         }
-        match client.store().processes(from, WAIT, WAIT + ANSWER_TIMEOUT).await {
+        match client
+            .store()
+            .processes(from, WAIT, WAIT + ANSWER_TIMEOUT)
+            .await
+        {
             Ok(change) => {
                 dependency.good();
                 for why in change.malformed {
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -181,16 +181,18 @@
     }
 
     /// Counts a request at an upstream until the guard is dropped.
-    pub fn place(self: &Arc<Self>, key: UpstreamKey, work_ms: f64, is_long: bool) -> Placed {
+    pub fn place(self: &Arc<Self>, key: UpstreamKey, tokens: u32, is_long: bool) -> Placed {
         if let Some(upstream) = self.fleet().get_mut(key) {
             upstream.running += 1;
-            upstream.work_ms += work_ms;
+            upstream.waiting += 1;
+            upstream.tokens += tokens;
             upstream.streams += u32::from(is_long);
         }
         Placed {
             gateway: self.clone(),
             key,
-            work_ms,
+            tokens,
+            is_waiting: true,
             is_long,
         }
     }
@@ -215,16 +217,20 @@
 pub struct Placed {
     gateway: Arc<Gateway>,
     key: UpstreamKey,
-    work_ms: f64,
+    tokens: u32,
+    is_waiting: bool,
     is_long: bool,
 }
 
 impl Placed {
     /// The first byte has come: the prompt has been read.
     pub fn has_begun(&mut self) {
-        let work_ms = std::mem::take(&mut self.work_ms);
+        if !std::mem::take(&mut self.is_waiting) {
+            return;
+        }
         if let Some(upstream) = self.gateway.fleet().get_mut(self.key) {
-            upstream.work_ms = (upstream.work_ms - work_ms).max(0.0);
+            upstream.waiting = upstream.waiting.saturating_sub(1);
+            upstream.tokens = upstream.tokens.saturating_sub(self.tokens);
         }
     }
 }
--- a/crates/observe/src/event.rs
+++ b/crates/observe/src/event.rs
@@ -293,6 +293,14 @@
         admit_ms: Option<u64>,
         /// Prompt tokens that were expected not to be cached.
         uncached: Option<u32>,
+        /// Tokens that the engine had to read before.
+        tokens_ahead: Option<u32>,
+        /// Prompts that waited there, of all processes.
+        prompts_ahead: Option<u32>,
+        /// How much slower than its kind the upstream was.
+        slowdown: Option<f64>,
+        /// Whether the prompt was read at an engine that only reads prompts.
+        is_prefill: Option<bool>,
         /// Time to the first byte, in milliseconds.
         first_ms: Option<u64>,
         /// Time to the end, in milliseconds.
