Two processes read the store often, the others hear from them

Change: datagrams carry the version and a hash of the registry; a process reads it only when no later read by one that knows the same was heard of in time.

--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -215,6 +215,21 @@
         self.iter().next().is_none()
     }
 
+    /// Hash of all that the registry says of upstreams. Two processes with the
+    /// same hash know the same.
+    pub fn view(&self) -> u64 {
+        let instances = self.iter().map(|(_, u)| &u.instance);
+        let hash = |i: &Instance| {
+            let text = format!(
+                "{} {} {} {:?} {}",
+                i.id, i.service, i.addr, i.stage, i.is_draining
+            );
+            xxhash_rust::xxh3::xxh3_64(text.as_bytes())
+        };
+        // The order differs between processes; a sum doesn't depend on it.
+        instances.map(hash).fold(0, u64::wrapping_add)
+    }
+
     /// Takes an upstream's entry from the registry.
     pub fn merge(&mut self, instance: Instance, meter: &Meter) -> Merged {
         if let Some(key) = self.find(&instance.id) {
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -15,16 +15,28 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-/// How long the store may hold a read of the configuration. A read on a
+/// Processes that read the store often. The others hear from them and read it
+/// themselves only when these fall silent: each call is paid for, and 31
+/// processes that all read made it the dearest of all prices (0.042 of the worth).
+const READERS: u32 = 2;
+/// How long the store may hold a reader's read of the configuration. A read on a
 /// connection that was cut is noticed after this time and [`ANSWER_TIMEOUT`],
 /// within the time after a cut in which bounds don't count yet (3 s).
 const CONFIG_WAIT: Duration = Duration::from_millis(2000);
+/// The same for the others, whom the readers tell of a new version.
+const LONG_CONFIG_WAIT: Duration = Duration::from_millis(10_000);
 /// Longest wait for an answer of the store, besides the time that it may hold a
 /// read. Answers take some 5 ms, and some 300 ms while it is slow.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(800);
-/// Time between reads of the registry: with an answer's time, well under the
-/// 2 s within which a leaving upstream must get no new request.
-const REGISTRY_EVERY: Duration = Duration::from_millis(600);
+/// Age of the registry at which a reader reads it anew: with an answer's time,
+/// well under the 2 s within which a leaving upstream must get no new request.
+const REGISTRY_AGE: Duration = Duration::from_millis(600);
+/// Age at which the others read it, and what each place adds, so that one of
+/// them reads first and the rest hear of it.
+const OLD_REGISTRY_AGE: Duration = Duration::from_millis(1000);
+const REGISTRY_AGE_PER_PLACE: Duration = Duration::from_millis(100);
+/// Places beyond this one add nothing more.
+const MAX_PLACES: u32 = 5;
 /// Pause after a read that failed, and the most that chance adds: processes that
 /// lose the store together mustn't come back together.
 const RETRY_PAUSE: (Duration, Duration) = (Duration::from_millis(250), Duration::from_millis(250));
@@ -112,8 +124,9 @@
     let mut dependency = Dependency::new("store/configuration");
     let mut from = Feed::Start;
     loop {
-        let timeout = CONFIG_WAIT + ANSWER_TIMEOUT;
-        match client.store().config(from, CONFIG_WAIT, timeout).await {
+        let wait = config_wait(&gateway);
+        let timeout = wait + ANSWER_TIMEOUT;
+        match client.store().config(from, wait, timeout).await {
             Ok(change) => {
                 dependency.good();
                 tell_malformed("configuration", change.malformed);
@@ -131,6 +144,14 @@
     }
 }
 
+fn config_wait(gateway: &Gateway) -> Duration {
+    if gateway.rank() < READERS {
+        CONFIG_WAIT
+    } else {
+        LONG_CONFIG_WAIT
+    }
+}
+
 /// Puts a configuration in force, if it is newer than the one that is.
 pub fn put_in_force(gateway: &Gateway, config: Config, source: &str) {
     let over = gateway.config_version();
@@ -189,7 +210,6 @@
     let mut missing = Missing::default();
     let mut from = Feed::Start;
     loop {
-        let since = Instant::now();
         match client.store().upstreams(from, ANSWER_TIMEOUT).await {
             Ok(change) => {
                 if dependency.good() {
@@ -204,16 +224,37 @@
                     change.version,
                     &mut missing,
                 );
-                from = Feed::Since(change.version);
-                let left = REGISTRY_EVERY.saturating_sub(since.elapsed());
-                tokio::time::sleep(left).await;
             }
-            Err(StoreError::HistoryGone) => from = Feed::Start,
+            Err(StoreError::HistoryGone) => {
+                from = Feed::Start;
+                continue;
+            }
             Err(e) => {
                 dependency.bad(&e);
                 pause().await;
             }
         }
+        let version = gateway.registry().version;
+        if version > 0 {
+            from = Feed::Since(version);
+            wait_until_old(&gateway).await;
+        }
+    }
+}
+
+/// Waits until this process should read the registry itself.
+async fn wait_until_old(gateway: &Gateway) {
+    loop {
+        let rank = gateway.rank();
+        let bound = match rank.checked_sub(READERS) {
+            None => REGISTRY_AGE,
+            Some(place) => OLD_REGISTRY_AGE + REGISTRY_AGE_PER_PLACE * place.min(MAX_PLACES),
+        };
+        let left = bound.saturating_sub(gateway.registry_age());
+        if left.is_zero() {
+            return;
+        }
+        tokio::time::sleep(left).await;
     }
 }
 
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -30,8 +30,10 @@
     pub number: u64,
     /// Version of the configuration in force there.
     pub config: u64,
-    /// Version of the registry that it knows.
+    /// The store's version at its last read of the registry.
     pub registry: u64,
+    /// Hash of what it made of the registry; see [`Fleet::view`].
+    pub view: u64,
     /// Its load at each upstream where it has any.
     pub loads: Vec<Load>,
 }
@@ -144,6 +146,12 @@
         self.all.iter().map(|p| p.ip)
     }
 
+    /// Live peers whose address is before one: the place of a process among all.
+    pub fn rank(&self, ip: IpAddr, now: Instant) -> u32 {
+        let before = self.all.iter().take_while(|p| p.ip < ip);
+        before.filter(|p| p.is_live(now)).count() as u32
+    }
+
     /// Peers that were heard of late.
     pub fn live(&self, now: Instant) -> impl Iterator<Item = (&Peer, &Beat)> {
         let live = self.all.iter().filter(move |p| p.is_live(now));
--- a/crates/gateway/src/peers/exchange.rs
+++ b/crates/gateway/src/peers/exchange.rs
@@ -32,10 +32,8 @@
 /// Time that the store has to bring what a peer has already before the peer is
 /// asked: asking is for processes that the store refuses.
 const PEER_AHEAD: Duration = Duration::from_millis(250);
-/// Age of the registry from which a peer's is taken: a read of our own failed.
-const REGISTRY_OLD: Duration = Duration::from_millis(1000);
-/// Pause between two questions to peers.
-const ASK_EVERY: Duration = Duration::from_millis(300);
+/// Pause between two looks at what peers know.
+const ASK_EVERY: Duration = Duration::from_millis(200);
 /// Longest wait for a peer's answer.
 const ASK_TIMEOUT: Duration = Duration::from_millis(500);
 /// Largest datagram: 16 bytes for each of some hundred upstreams.
@@ -98,8 +96,11 @@
             });
             continue;
         };
+        let (registry, view) = (beat.registry, beat.view);
         let mut peers = gateway.peers();
-        peers.hear(from.ip(), beat, &mut gateway.fleet(), Instant::now());
+        if peers.hear(from.ip(), beat, &mut gateway.fleet(), Instant::now()) {
+            gateway.confirm_registry(registry, view);
+        }
     }
 }
 
@@ -122,11 +123,13 @@
             continue;
         }
         number += 1;
+        let registry = gateway.registry();
         let beat = Beat {
             start,
             number,
             config: gateway.config_version(),
-            registry: gateway.registry().version,
+            registry: registry.version,
+            view: registry.view,
             loads,
         };
         let buf = wire::encode_compact(&beat);
@@ -165,9 +168,7 @@
             }
             Some(_) => {}
         }
-        if gateway.registry_age() < REGISTRY_OLD {
-            continue;
-        }
+        // A peer that is ahead and knows the same has been taken at its word.
         let known = gateway.registry().version;
         let Some(ip) = ahead(&gateway, |beat| beat.registry, known) else {
             continue;
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -42,8 +42,10 @@
 pub struct Registry {
     /// The store's version of the last read; 0 before the first.
     pub version: u64,
-    /// When that was.
+    /// When that was, by this process or by a peer that knows the same.
     pub read_at: Instant,
+    /// Hash of what it told; see [`Fleet::view`].
+    pub view: u64,
 }
 
 impl Gateway {
@@ -57,6 +59,7 @@
             registry: Mutex::new(Registry {
                 version: 0,
                 read_at: Instant::now(),
+                view: 0,
             }),
             peers: Mutex::default(),
             live_peers: AtomicU32::new(0),
@@ -104,14 +107,33 @@
         *lock(&self.registry)
     }
 
-    /// Notes a read of the registry.
+    /// Notes a read of the registry. Its version never goes back, since a peer's
+    /// later read may have been taken while ours was on its way.
     pub fn set_registry(&self, version: u64) {
-        *lock(&self.registry) = Registry {
-            version,
+        let view = self.fleet().view();
+        let mut registry = lock(&self.registry);
+        *registry = Registry {
+            version: version.max(registry.version),
             read_at: Instant::now(),
+            view,
         };
     }
 
+    /// Notes that a peer has read the registry later and knows the same.
+    pub fn confirm_registry(&self, version: u64, view: u64) {
+        let mut registry = lock(&self.registry);
+        if view == registry.view && version > registry.version {
+            registry.version = version;
+            registry.read_at = Instant::now();
+        }
+    }
+
+    /// The place of this process among all that are alive.
+    pub fn rank(&self) -> u32 {
+        let ip = self.host().ip;
+        self.peers().rank(ip, Instant::now())
+    }
+
     /// Age of the view of the upstreams.
     pub fn registry_age(&self) -> Duration {
         self.registry().read_at.elapsed()
--- a/crates/gateway/tests/decisions.rs
+++ b/crates/gateway/tests/decisions.rs
@@ -267,6 +267,7 @@
         number,
         config: 0,
         registry: 0,
+        view: 0,
         loads: loads
             .iter()
             .map(|(upstream, tokens)| Load {
--- a/crates/gateway/tests/state.rs
+++ b/crates/gateway/tests/state.rs
@@ -218,6 +218,7 @@
         number: 1,
         config: 0,
         registry: 0,
+        view: 0,
         loads: Vec::new(),
     };
     let buf = wire::encode_compact(&beat);
