--- a/crates/gateway/src/peers/membership.rs
+++ b/crates/gateway/src/peers/membership.rs
@@ -10,6 +10,9 @@
 /// How long the store may hold a read. Members change a few times a day, and a
 /// newcomer makes itself known by its datagrams, so this may be long.
 const WAIT: Duration = Duration::from_secs(10);
+/// Pause after a read that told of changes. When all processes start together,
+/// each row that is written would else wake each of them.
+const PAUSE: Duration = Duration::from_secs(3);
 /// Longest wait for an answer besides.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(800);
 
@@ -44,7 +47,10 @@
                     emit(&Event::Undecodable { what, why });
                 }
                 from = Feed::Since(change.version);
-                merge(&gateway, change.items);
+                if !change.items.is_empty() {
+                    merge(&gateway, change.items);
+                    tokio::time::sleep(PAUSE).await;
+                }
             }
             Err(StoreError::HistoryGone) => from = Feed::Start,
             Err(e) => {
