A stopping process takes connections as long as any request runs

Ruled out: the start (0.65 s from exit to configuration). The test of homes named the weight of 2 and was red since 3.2; it now takes the constant.

--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -61,6 +61,7 @@
         head_timeout: node.settings.limits.read_timeout,
         max_head: node.settings.limits.head,
         protocol: Protocol::Any,
+        drain: Stop::default(),
         stop: serving.clone(),
     };
     let handler = agent.clone();
--- a/crates/fakes/src/serve.rs
+++ b/crates/fakes/src/serve.rs
@@ -91,6 +91,7 @@
         head_timeout: BODY_TIMEOUT,
         max_head: MAX_HEAD,
         protocol: Protocol::Any,
+        drain: Stop::default(),
         stop: Stop::default(),
     };
     let handler = move |req| serve(standin.clone(), req);
--- a/crates/gateway/src/answer.rs
+++ b/crates/gateway/src/answer.rs
@@ -23,6 +23,8 @@
     NoConfig,
     /// No upstream of the service is usable.
     NoUpstream,
+    /// The process is stopping, and the answer would take longer than it has left.
+    Stopping,
     /// All upstreams have too much to do for an answer in time.
     Overloaded,
     /// Each upstream that was tried said that it didn't run the request.
@@ -71,6 +73,7 @@
             Self::NoRoute => "no_route",
             Self::NoConfig => "no_config",
             Self::NoUpstream => "no_upstream",
+            Self::Stopping => "stopping",
             Self::Overloaded => "overloaded",
             Self::Rejected => "rejected",
             Self::UpstreamLost => "upstream_lost",
@@ -103,6 +106,7 @@
             Self::NoRoute => "no route matches the host and path".into(),
             Self::NoConfig => "no configuration has been read yet".into(),
             Self::NoUpstream => "no upstream of the service is usable".into(),
+            Self::Stopping => "the process is stopping".into(),
             Self::Overloaded => "all upstreams are busy beyond the latency target".into(),
             Self::Rejected => "the upstreams rejected the request".into(),
             Self::UpstreamLost => "the connection to the upstream was lost".into(),
--- a/crates/gateway/src/choose.rs
+++ b/crates/gateway/src/choose.rs
@@ -17,7 +17,7 @@
 /// generates: it reads some 2.3 times as fast and has no long answers beside. With
 /// a weight of 2, a quarter of the prompts at generating engines was refused on
 /// loaded days, and one in fourteen at the others; 3.2 serves 3 in 100 more.
-const PREFILL_WEIGHT: f64 = 3.2;
+pub const PREFILL_WEIGHT: f64 = 3.2;
 /// Part of the latency target that the estimated time to the first event may
 /// take for a prompt to be admitted. The rest covers the way to the client, what
 /// other processes send at the same moment, and errors of the estimate.
@@ -62,6 +62,11 @@
 }
 
 impl Need<'_> {
+    /// Whether the answer is so long that it holds its slot for seconds.
+    pub fn is_long(&self) -> bool {
+        self.max_output_tokens > LONG_ANSWER_TOKENS
+    }
+
     /// Tokens of the prompt that no other request shares.
     fn own_tokens(&self) -> u32 {
         let shared = self.parts.len().saturating_sub(1);
@@ -107,7 +112,7 @@
     if fleet.info(need.service).engine.is_none() {
         return choose_plain(&fleet, &gateway.host().zone, need, now);
     }
-    if need.max_output_tokens > LONG_ANSWER_TOKENS {
+    if need.is_long() {
         return choose_for_long(&fleet, need, now);
     }
     choose_home(&fleet, need, now)
@@ -254,7 +259,7 @@
         addr: upstream.instance.addr,
         pool: upstream.pool.clone(),
         is_prefill,
-        is_long: need.max_output_tokens > LONG_ANSWER_TOKENS,
+        is_long: need.is_long(),
         inputs: Inputs {
             estimate_ms: fleet.estimate_ms(upstream, uncached) + take_ms,
             admit_ms: need.target.as_secs_f64() * 1000.0 * ADMIT_SHARE,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -45,6 +45,11 @@
 /// Part of the time between SIGTERM and SIGKILL after which the process ends
 /// whatever still runs.
 const GRACE_SHARE: f64 = 0.95;
+/// Time kept at the end of it in which no connection is taken: a plain request or
+/// a short answer is through by then.
+const LAST_REQUESTS: Duration = Duration::from_millis(1200);
+/// Pause between two looks at whether requests still run.
+const LOOK_EVERY: Duration = Duration::from_millis(50);
 
 quick_error! {
     /// Why a gateway can't start.
@@ -73,11 +78,12 @@
     let exchange = peers::exchange::start(&gateway)?;
     tokio::spawn(peers::membership::follow(gateway.clone()));
     tokio::spawn(reload::follow_settings(gateway.clone(), path));
-    let serving = Stop::default();
+    let (drain, serving) = (Stop::default(), Stop::default());
     let server = Server {
         head_timeout: IDLE_TIMEOUT,
         max_head: MAX_HEAD,
         protocol: Protocol::Http1,
+        drain: drain.clone(),
         stop: serving.clone(),
     };
     let served = gateway.clone();
@@ -86,10 +92,14 @@
     let since = Instant::now();
     emit(&Event::Stopping { why: "signal" });
     tokio::time::sleep(LEAVE_DELAY).await;
+    let grace = gateway.host().stop_grace.mul_f64(GRACE_SHARE);
+    // Set once, here; requests that come from now on keep to it.
+    let ends_at = *gateway.ends_at.get_or_init(|| since + grace);
+    drain.stop();
+    wait_until_idle(&gateway, ends_at - LAST_REQUESTS).await;
     serving.stop();
     peers::membership::leave(&gateway).await;
-    let grace = gateway.host().stop_grace.mul_f64(GRACE_SHARE);
-    let left = grace.saturating_sub(since.elapsed());
+    let left = ends_at.saturating_duration_since(Instant::now());
     // Past the time the count below tells what is left.
     let _ = tokio::time::timeout(left, server).await;
     exchange.stop();
@@ -98,3 +108,12 @@
     });
     Ok(())
 }
+
+/// Waits until no request runs, at most until a time. New connections are still
+/// taken: the balancer sends them here only while no other host is ready, as when
+/// all are stopped in turn.
+async fn wait_until_idle(gateway: &Gateway, until: Instant) {
+    while gateway.running() > 0 && Instant::now() < until {
+        tokio::time::sleep(LOOK_EVERY).await;
+    }
+}
--- a/crates/gateway/src/peers/exchange.rs
+++ b/crates/gateway/src/peers/exchange.rs
@@ -68,6 +68,7 @@
         head_timeout: IDLE_TIMEOUT,
         max_head: MAX_HEAD,
         protocol: Protocol::Http1,
+        drain: Stop::default(),
         stop: stop.clone(),
     };
     let served = gateway.clone();
--- a/crates/gateway/src/ready.rs
+++ b/crates/gateway/src/ready.rs
@@ -26,6 +26,7 @@
         head_timeout: IDLE_TIMEOUT,
         max_head: MAX_HEAD,
         protocol: Protocol::Http1,
+        drain: Stop::default(),
         stop: Stop::default(),
     };
     let gateway = gateway.clone();
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -25,6 +25,9 @@
 const NO_CONFIG_RETRY: Duration = Duration::from_millis(500);
 /// The same while no upstream is usable, or those that were tried rejected it.
 const NO_UPSTREAM_RETRY: Duration = Duration::from_millis(300);
+/// Time before the process's end at which a request is answered, whatever its
+/// upstream does, so that the client gets an answer and not a closed connection.
+const ANSWER_MARGIN: Duration = Duration::from_millis(150);
 /// Upstreams that are tried without anything being sent to them, for one request.
 const MAX_UNSENT: usize = 4;
 
@@ -49,6 +52,8 @@
     pub last_event: Option<u64>,
     /// Whether the service's upstreams are model engines.
     pub is_engine: bool,
+    /// When the process ends, for a request that came while it was stopping.
+    ends_at: Option<Instant>,
     table: Arc<RouteTable>,
     service: ServiceKey,
     tried: Vec<UpstreamKey>,
@@ -84,7 +89,7 @@
     fn from(reason: Reason) -> Self {
         let retry_after = match reason {
             Reason::NoConfig => Some(NO_CONFIG_RETRY),
-            Reason::NoUpstream | Reason::Rejected => Some(NO_UPSTREAM_RETRY),
+            Reason::NoUpstream | Reason::Rejected | Reason::Stopping => Some(NO_UPSTREAM_RETRY),
             _ => None,
         };
         Self {
@@ -136,7 +141,9 @@
         true => Bytes::new(),
         false => read_whole(body, table.limits.body_bytes, left).await?,
     };
+    let ends_at = gateway.ends_at.get().map(|at| *at - ANSWER_MARGIN);
     Ok(Call {
+        ends_at,
         since: account.since,
         last_event: incoming.last_event,
         method: head.method,
@@ -177,10 +184,14 @@
             .expect("the route was found when the request came")
     }
 
-    /// Time that is left of it.
+    /// Time that is left of it: its own, and of a process that is stopping.
     pub fn left(&self) -> Duration {
         let elapsed = self.since.elapsed();
-        self.target().left(self.incoming.deadline, elapsed)
+        let left = self.target().left(self.incoming.deadline, elapsed);
+        let ends_at = self
+            .ends_at
+            .map(|at| at.saturating_duration_since(Instant::now()));
+        ends_at.map_or(left, |ends| left.min(ends))
     }
 
     fn need(&self, account: &Account) -> Need<'_> {
@@ -211,6 +222,9 @@
         &mut self,
         account: &mut Account,
     ) -> Result<crate::attempt::Started, Refusal> {
+        if self.ends_at.is_some() && self.is_engine && self.need(account).is_long() {
+            return Err(Reason::Stopping.into());
+        }
         let mut last = Refusal::from(Reason::NoUpstream);
         loop {
             if account.attempts > 0 && !self.may_retry(account) {
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -8,7 +8,7 @@
 use observe::Metrics;
 use platform::Host;
 use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard};
+use std::sync::{Arc, Mutex, MutexGuard, OnceLock};
 use std::time::{Duration, Instant};
 
 /// Tenants with histograms of their own. The platform's requests name none.
@@ -35,6 +35,8 @@
     pub store_bytes: Meter,
     /// Given when the process should end.
     pub stop: Stop,
+    /// When the process ends whatever still runs, once it is stopping.
+    pub ends_at: OnceLock<Instant>,
 }
 
 /// How fresh this process's view of the upstreams is.
@@ -69,6 +71,7 @@
             peer_bytes: Meter::default(),
             store_bytes: Meter::default(),
             stop,
+            ends_at: OnceLock::new(),
         })
     }
 
--- a/crates/gateway/tests/decisions.rs
+++ b/crates/gateway/tests/decisions.rs
@@ -1,7 +1,7 @@
 //! The parts that decide, against naive versions of themselves.
 
 use gateway::budget::Budget;
-use gateway::choose::{Choice, Need, choose};
+use gateway::choose::{Choice, Need, PREFILL_WEIGHT, choose};
 use gateway::events::EventCutter;
 use gateway::fleet::health::Health;
 use gateway::fleet::speed::{Slowdown, Speed, Work};
@@ -408,10 +408,12 @@
     let homes: Vec<_> = (2..1002).map(|part| chosen(&a, part).unwrap()).collect();
     let others: Vec<_> = (2..1002).map(|part| chosen(&b, part).unwrap()).collect();
     assert_eq!(homes, others);
-    // Weights of 2, 2 and seven times 1 share 1,000 parts.
+    // Two that only read, by their weight, and seven others share 1,000 parts.
+    let weights = 2.0 * PREFILL_WEIGHT + 7.0;
     let count = |id: &str| homes.iter().filter(|h| *h == id).count();
     for n in 0..9 {
-        let expected = if n < 2 { 2000.0 / 11.0 } else { 1000.0 / 11.0 };
+        let weight = if n < 2 { PREFILL_WEIGHT } else { 1.0 };
+        let expected = 1000.0 * weight / weights;
         let share = count(&format!("i-{n}")) as f64 / expected;
         assert!((0.7..1.3).contains(&share), "i-{n}: {share}");
     }
--- a/crates/gateway/tests/state.rs
+++ b/crates/gateway/tests/state.rs
@@ -267,6 +267,45 @@
     assert!(!bed.store.has("processes", &row));
 }
 
+#[tokio::test]
+async fn while_it_stops_short_requests_are_served_and_long_answers_refused() {
+    let (mut bed, _workers) = start(1).await;
+    let engine = bed.add_worker("i-llm", "llm", Some("decode")).await;
+    engine.script([Act::Events(1..=2), Act::EventsThenHang(1..=2)]);
+    let tokens = |most: u32| format!("token-counts: 100,{most}\r\nprompt-prefix: a:50,b:50\r\n");
+    bed.wait_answer(&request("POST", "/prompt/", "id-0", &tokens(5), "x"), 200)
+        .await;
+    // A long answer that began before keeps the process from ending.
+    let mut early = common::Client::connect(bed.callers).await;
+    early
+        .send(&request("POST", "/prompt/", "early", &tokens(5000), "x"))
+        .await;
+    early.read_until("piece 2").await;
+    bed.stop.stop();
+    // Once a response says so, the process is past the balancer's notice.
+    let callers = bed.callers;
+    wait_for("the drain", || async move {
+        let text = exchange(callers, &request("GET", "/safe/", "short", "", "")).await;
+        assert_eq!(status(&text), 200, "{text}");
+        text.contains("connection: close")
+    })
+    .await;
+    let seen = engine.seen().len();
+    let text = exchange(
+        callers,
+        &request("POST", "/prompt/", "late", &tokens(5000), "x"),
+    )
+    .await;
+    assert_eq!(status(&text), 503);
+    assert!(text.contains("\"error\":\"stopping\""), "{text}");
+    assert!(text.contains("retry-after"), "{text}");
+    assert_eq!(engine.seen().len(), seen);
+    tokio::time::timeout(common::PATIENCE, &mut bed.task)
+        .await
+        .expect("in time")
+        .unwrap();
+}
+
 #[tokio::test]
 async fn a_failing_worker_is_passed_over_and_tried_again() {
     let (bed, workers) = start(2).await;
--- a/crates/net/src/server.rs
+++ b/crates/net/src/server.rs
@@ -89,6 +89,9 @@
     pub max_head: usize,
     /// Versions of HTTP that are spoken.
     pub protocol: Protocol,
+    /// After this signal open connections end when idle, and new ones after one
+    /// request.
+    pub drain: Stop,
     /// After this signal no connection is taken, and open ones end when idle.
     pub stop: Stop,
 }
@@ -137,10 +140,14 @@
         // with it, and each notes that itself.
         match self.protocol {
             Protocol::Http1 => {
-                let conn = self.http1().serve_connection(io, service);
+                let is_late = self.drain.is_stopped();
+                let mut builder = self.http1();
+                builder.keep_alive(!is_late);
+                let conn = builder.serve_connection(io, service);
                 tokio::pin!(conn);
                 tokio::select! {
                     _ = conn.as_mut() => return,
+                    () = self.drain.stopped(), if !is_late => conn.as_mut().graceful_shutdown(),
                     () = self.stop.stopped() => conn.as_mut().graceful_shutdown(),
                 }
                 let _ = conn.await;
@@ -151,6 +158,7 @@
                 tokio::pin!(conn);
                 tokio::select! {
                     _ = conn.as_mut() => return,
+                    () = self.drain.stopped() => conn.as_mut().graceful_shutdown(),
                     () = self.stop.stopped() => conn.as_mut().graceful_shutdown(),
                 }
                 let _ = conn.await;
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -176,6 +176,7 @@
             head_timeout: ADMIN_TIMEOUT,
             max_head: ADMIN_HEAD,
             protocol: Protocol::Any,
+            drain: Stop::default(),
             stop: Stop::default(),
         };
         let node = self.clone();
