explain: a request's way through the logs; a fault soak of our own

explain ID FILE... prints a request's lines of several processes in order of time, with what these believed of its upstreams and dependencies meanwhile; a test plays an unknown outcome, a broken answer and a refusal on a real process. The soak runs gateways as processes behind relays; its judge rejects a history with each broken promise.

--- a/crates/arbutusquay/src/args.rs
+++ b/crates/arbutusquay/src/args.rs
@@ -36,6 +36,8 @@
     Status(StatusArgs),
     /// Prints a service's report.
     Report(ReportArgs),
+    /// Prints a request's way through the logs.
+    Explain(ExplainArgs),
 }
 
 /// run an entry: take callers' requests and choose an upstream for each
@@ -130,6 +132,19 @@
     pub json: bool,
 }
 
+/// print a request's way through the logs of several processes, in order of time,
+/// with what they believed of its upstreams and of their dependencies meanwhile
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "explain")]
+pub struct ExplainArgs {
+    /// the request's id
+    #[argh(positional)]
+    pub id: String,
+    /// files with the processes' logs
+    #[argh(positional)]
+    pub files: Vec<PathBuf>,
+}
+
 /// Reads the command line. Help ends with 0, wrong usage with 2.
 pub fn parse() -> Result<Args, Exit> {
     let args: Vec<String> = std::env::args().collect();
--- a/crates/arbutusquay/src/commands.rs
+++ b/crates/arbutusquay/src/commands.rs
@@ -2,6 +2,7 @@
 
 pub mod apply;
 pub mod check;
+pub mod explain;
 pub mod process;
 pub mod report;
 pub mod show;
--- a/crates/arbutusquay/src/main.rs
+++ b/crates/arbutusquay/src/main.rs
@@ -45,5 +45,6 @@
         Command::Show(a) => commands::show::run(&a).await,
         Command::Status(a) => commands::status::run(&a).await,
         Command::Report(a) => commands::report::run(&a).await,
+        Command::Explain(a) => commands::explain::run(&a),
     }
 }
--- /dev/null
+++ b/crates/arbutusquay/tests/explain.rs
@@ -0,0 +1,209 @@
+//! From a failed request's id to its cause, by the logs of a real process.
+
+use bench::procs::{Proc, command};
+use standin::fixture::{CONFIG, WORKERS, config, request, routes, settings, worker};
+use standin::{Act, Store, Worker};
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::path::{Path, PathBuf};
+use std::time::{Duration, Instant};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+
+const BINARY: &str = env!("CARGO_BIN_EXE_arbutusquay");
+/// Longest wait for a condition.
+const PATIENCE: Duration = Duration::from_secs(30);
+
+struct Bed {
+    binary: PathBuf,
+    log: PathBuf,
+    callers: SocketAddr,
+    store: Store,
+    _proc: Proc,
+}
+
+async fn start(host: u8) -> Bed {
+    let net = (std::process::id() % 200 + 20) as u8;
+    let ip = Ipv4Addr::new(127, 66, net, host);
+    let at = |port| SocketAddr::new(IpAddr::V4(ip), port);
+    let store = Store::start(at(7003)).unwrap();
+    store.put(CONFIG.0, CONFIG.1, &config(1, &routes()));
+    let dir = std::env::temp_dir().join(format!("explain-{}-{host}", std::process::id()));
+    std::fs::create_dir_all(&dir).unwrap();
+    let file = dir.join("edge.toml");
+    std::fs::write(&file, settings("edge", ip, store.addr)).unwrap();
+    let binary = PathBuf::from(BINARY);
+    Bed {
+        _proc: Proc::start_gateway(&binary, "edge", &file).unwrap(),
+        binary,
+        log: file.with_extension("log"),
+        callers: at(7000),
+        store,
+    }
+}
+
+impl Bed {
+    async fn add(&self, id: &str, service: &str, stage: Option<&str>) -> Worker {
+        let SocketAddr::V4(callers) = self.callers else {
+            panic!("an IPv4 address");
+        };
+        let at = SocketAddr::new(
+            IpAddr::V4(*callers.ip()),
+            7100 + self.store.calls() as u16 % 900,
+        );
+        let worker_ = Worker::start(at, id).await.unwrap();
+        self.store
+            .put(WORKERS, id, &worker(service, worker_.addr, "ready", stage));
+        worker_
+    }
+
+    /// Sends a request until the gateway knows its worker; gives the first answer
+    /// that isn't "no upstream", with the id that it was for.
+    async fn ask(&self, method: &str, path: &str, more: &str) -> (String, String) {
+        let until = Instant::now() + PATIENCE;
+        for n in 0.. {
+            assert!(Instant::now() < until);
+            let id = format!("id{}-{n}", path.replace('/', ""));
+            let text = self.send(&request(method, path, &id, more, "x")).await;
+            if !text.is_empty() && !text.contains("no_upstream") && !text.contains("no_config") {
+                return (id, text);
+            }
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+        unreachable!("the loop has no end")
+    }
+
+    async fn send(&self, text: &str) -> String {
+        let Ok(mut tcp) = TcpStream::connect(self.callers).await else {
+            return String::new();
+        };
+        tcp.write_all(text.as_bytes()).await.unwrap();
+        let mut buf = Vec::new();
+        // A plain answer leaves the connection open: it is over once nothing comes.
+        let quiet = Duration::from_millis(300);
+        while tokio::time::timeout(quiet, tcp.read_buf(&mut buf))
+            .await
+            .is_ok_and(|n| n.is_ok_and(|n| n > 0))
+        {}
+        String::from_utf8_lossy(&buf).into_owned()
+    }
+
+    /// What `explain` prints once the request's last line is written.
+    async fn explain(&self, id: &str) -> String {
+        let until = Instant::now() + PATIENCE;
+        loop {
+            let out = run(&self.binary, id, &self.log).await;
+            if out.contains(" answered ") {
+                return out;
+            }
+            assert!(Instant::now() < until, "{out}");
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+    }
+}
+
+async fn run(binary: &Path, id: &str, log: &Path) -> String {
+    let out = command(binary, &["explain", id, &log.display().to_string()])
+        .await
+        .unwrap();
+    out.stdout
+}
+
+fn assert_told(text: &str, words: &[&str]) {
+    for word in words {
+        assert!(text.contains(word), "{word} in\n{text}");
+    }
+}
+
+#[tokio::test]
+async fn an_unknown_outcome_is_explained() {
+    let bed = start(1).await;
+    let worker = bed.add("i-lost", "plain", None).await;
+    worker.script([Act::Close]);
+    let (id, text) = bed.ask("POST", "/unsafe/", "").await;
+    assert!(text.starts_with("HTTP/1.1 502"), "{text}");
+    let told = bed.explain(&id).await;
+    let words = [
+        "attempt_failed",
+        "upstream=i-lost",
+        "outcome=unknown",
+        "reason=upstream_lost",
+        "status=502",
+    ];
+    assert_told(&told, &words);
+    let why = told.lines().find(|l| l.contains("attempt_failed")).unwrap();
+    assert!(why.contains("why=") && why.contains("attempt=1"), "{why}");
+}
+
+#[tokio::test]
+async fn a_broken_off_answer_is_explained() {
+    let bed = start(2).await;
+    let worker = bed.add("i-torn", "plain", None).await;
+    worker.script([Act::EventsThenReset(1..=2)]);
+    let (id, text) = bed.ask("POST", "/stream/", "").await;
+    assert!(text.starts_with("HTTP/1.1 200"), "{text}");
+    let told = bed.explain(&id).await;
+    let words = [
+        "attempt_failed",
+        "upstream=i-torn",
+        "outcome=broken_off",
+        "reason=upstream_lost",
+        "first_ms=",
+    ];
+    assert_told(&told, &words);
+}
+
+#[tokio::test]
+async fn a_refusal_under_overload_is_explained() {
+    let bed = start(3).await;
+    let worker = bed.add("i-busy", "llm", Some("decode")).await;
+    worker.usually(Act::Hang);
+    let tokens = "token-counts: 9000,5\r\nprompt-prefix: a:10,b:10,c:8980\r\n";
+    let ids: Vec<String> = (0..200).map(|n| format!("id-{n}")).collect();
+    // Each of these hangs, so the estimate grows until one is refused.
+    let mut held = Vec::new();
+    let until = Instant::now() + PATIENCE;
+    for id in ids.iter().cycle() {
+        assert!(Instant::now() < until);
+        let Ok(mut tcp) = TcpStream::connect(bed.callers).await else {
+            continue;
+        };
+        let text = request("POST", "/prompt/", id, tokens, "x");
+        tcp.write_all(text.as_bytes()).await.unwrap();
+        let mut buf = vec![0; 4096];
+        let read = tokio::time::timeout(Duration::from_millis(60), tcp.read(&mut buf)).await;
+        let answer = read.map_or(0, |n| n.unwrap_or(0));
+        let answer = String::from_utf8_lossy(&buf[..answer]).into_owned();
+        if answer.contains("overloaded") {
+            assert!(answer.contains("retry-after: "), "{answer}");
+            let told = bed.explain(id).await;
+            let words = [
+                "outcome=not_run",
+                "reason=overloaded",
+                "status=503",
+                "estimate_ms=",
+                "admit_ms=",
+                "tokens_ahead=",
+                "registry_ms=",
+            ];
+            assert_told(&told, &words);
+            return;
+        }
+        held.push(tcp);
+    }
+}
+
+#[tokio::test]
+async fn an_unknown_id_is_told_by_exit_code() {
+    let binary = PathBuf::from(BINARY);
+    let file = std::env::temp_dir().join(format!("explain-none-{}", std::process::id()));
+    std::fs::write(&file, "not a line\n{\"ts_ms\":1}\n").unwrap();
+    let path = file.display().to_string();
+    let out = command(&binary, &["explain", "nobody", &path])
+        .await
+        .unwrap();
+    assert_eq!(out.code, Some(1));
+    let out = command(&binary, &["explain", "nobody", "/nonexistent"])
+        .await
+        .unwrap();
+    assert_eq!(out.code, Some(2));
+}
--- a/crates/bench/src/procs.rs
+++ b/crates/bench/src/procs.rs
@@ -1,5 +1,6 @@
 //! Processes of the system, started and ended by the bench.
 
+use standin::fixture::SETTINGS_VARIABLE;
 use std::fs::File;
 use std::io;
 use std::path::{Path, PathBuf};
@@ -29,19 +30,31 @@
     Pause,
     /// Go on after a pause.
     Resume,
+    /// Read the settings again.
+    Hangup,
 }
 
 impl Proc {
     /// Starts the binary's `command` with a settings file; its log goes beside it.
     pub fn start(binary: &Path, command: &str, name: &str, settings: &Path) -> io::Result<Self> {
+        let mut run = Command::new(binary);
+        run.arg(command).arg("--settings").arg(settings);
+        Self::spawn(run, name, settings)
+    }
+
+    /// Starts a gateway, whose settings file is named by a variable.
+    pub fn start_gateway(binary: &Path, name: &str, settings: &Path) -> io::Result<Self> {
+        let mut run = Command::new(binary);
+        run.arg("gateway").env(SETTINGS_VARIABLE, settings);
+        Self::spawn(run, name, settings)
+    }
+
+    fn spawn(mut run: Command, name: &str, settings: &Path) -> io::Result<Self> {
         let log = File::options()
             .create(true)
             .append(true)
             .open(settings.with_extension("log"))?;
-        let child = Command::new(binary)
-            .arg(command)
-            .arg("--settings")
-            .arg(settings)
+        let child = run
             .stdin(Stdio::null())
             .stdout(log.try_clone()?)
             .stderr(log)
@@ -65,6 +78,7 @@
             Signal::Kill => libc::SIGKILL,
             Signal::Pause => libc::SIGSTOP,
             Signal::Resume => libc::SIGCONT,
+            Signal::Hangup => libc::SIGHUP,
         };
         if let Some(id) = self.child.id() {
             // SAFETY: kill takes plain numbers; the id is of our own child, which
--- a/crates/bench/src/relay.rs
+++ b/crates/bench/src/relay.rs
@@ -1,8 +1,10 @@
-//! A relay that can refuse to pass bytes, for cuts between processes that live.
+//! A relay that treats bytes as a bad link does, between processes that live.
 
 use net::bind;
+use socket2::SockRef;
 use std::io;
 use std::net::SocketAddr;
+use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::{TcpListener, TcpStream};
@@ -12,11 +14,44 @@
 /// Bytes that are passed on at once.
 const PIECE: usize = 64 << 10;
 
-/// Passes bytes between an address and a process, unless it is cut. It ends
-/// when it is dropped.
+/// What a link does with bytes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Link {
+    /// It passes them.
+    Open,
+    /// It holds them in both directions. What was on its way is held, not lost, as
+    /// TCP would hold it over a short cut.
+    Held,
+    /// It holds what comes back, and passes what goes there.
+    HeldBack,
+    /// It passes each piece after a time.
+    Slow(Duration),
+    /// It breaks open connections and refuses new ones.
+    Broken,
+}
+
+impl Link {
+    fn passes(self, way: Way) -> bool {
+        match self {
+            Self::Open | Self::Slow(_) | Self::Broken => true,
+            Self::Held => false,
+            Self::HeldBack => way == Way::There,
+        }
+    }
+}
+
+/// Direction of bytes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Way {
+    There,
+    Back,
+}
+
+/// Passes bytes between an address and a process as a link does. It ends when it
+/// is dropped.
 #[derive(Debug)]
 pub struct Relay {
-    cut: watch::Sender<bool>,
+    link: watch::Sender<Link>,
     task: JoinHandle<()>,
 }
 
@@ -30,29 +65,34 @@
     /// Starts a relay from one address to another.
     pub fn start(from: SocketAddr, to: SocketAddr) -> io::Result<Self> {
         let listener = bind(from)?;
-        let cut = watch::Sender::new(false);
-        let task = tokio::spawn(run(listener, to, cut.subscribe()));
-        Ok(Self { cut, task })
+        let link = watch::Sender::new(Link::Open);
+        let task = tokio::spawn(run(listener, to, link.subscribe()));
+        Ok(Self { link, task })
     }
 
-    /// Stops or goes on to pass bytes. What was on its way is held, not lost, as
-    /// TCP would hold it over a short cut.
+    /// Changes what the link does.
+    pub fn set(&self, link: Link) {
+        self.link.send_replace(link);
+    }
+
+    /// Holds bytes in both directions, or goes on to pass them.
     pub fn set_cut(&self, cut: bool) {
-        self.cut.send_replace(cut);
+        self.set(if cut { Link::Held } else { Link::Open });
     }
 }
 
-async fn run(listener: TcpListener, to: SocketAddr, cut: watch::Receiver<bool>) {
+async fn run(listener: TcpListener, to: SocketAddr, link: watch::Receiver<Link>) {
     loop {
         let Ok((near, _)) = listener.accept().await else {
             continue;
         };
-        tokio::spawn(connection(near, to, cut.clone()));
+        tokio::spawn(connection(near, to, link.clone()));
     }
 }
 
-async fn connection(near: TcpStream, to: SocketAddr, mut cut: watch::Receiver<bool>) {
-    if !passable(&mut cut).await {
+async fn connection(near: TcpStream, to: SocketAddr, mut link: watch::Receiver<Link>) {
+    // A connection that is dropped with bytes unread is reset.
+    if *link.borrow() == Link::Broken || !passable(&mut link, Way::There).await {
         return;
     }
     // The other end sees a connection that closes at once, as it would without
@@ -64,22 +104,48 @@
     let _ = (near.set_nodelay(true), far.set_nodelay(true));
     let (near_in, near_out) = near.into_split();
     let (far_in, far_out) = far.into_split();
-    let there = tokio::spawn(pass(near_in, far_out, cut.clone()));
-    pass(far_in, near_out, cut).await;
+    let there = tokio::spawn(pass(near_in, far_out, link.clone(), Way::There));
+    let back = pass(far_in, near_out, link.clone(), Way::Back);
+    tokio::select! {
+        () = back => {}
+        // The sender lives as long as the relay; without it the connection ends too.
+        _ = link.wait_for(|l| *l == Link::Broken) => {}
+    }
     there.abort();
 }
 
-async fn pass(mut from: OwnedReadHalf, mut to: OwnedWriteHalf, mut cut: watch::Receiver<bool>) {
+async fn pass(
+    mut from: OwnedReadHalf,
+    mut to: OwnedWriteHalf,
+    mut link: watch::Receiver<Link>,
+    way: Way,
+) {
     let mut buf = vec![0; PIECE];
-    while let Ok(n) = from.read(&mut buf).await {
+    loop {
+        let Ok(n) = from.read(&mut buf).await else {
+            // A reset is passed on as one: an answer without a length that ends
+            // with a reset isn't whole, and one that ends in order is.
+            let _ = SockRef::from(to.as_ref()).set_linger(Some(Duration::ZERO));
+            // Dropped, it would end the connection in order first.
+            to.forget();
+            return;
+        };
+        let slow = match *link.borrow() {
+            Link::Slow(pause) => Some(pause),
+            _ => None,
+        };
+        if let Some(pause) = slow {
+            tokio::time::sleep(pause).await;
+        }
         // An end is passed on too, and not before a cut is over.
-        if !passable(&mut cut).await || n == 0 || to.write_all(&buf[..n]).await.is_err() {
+        let is_open = passable(&mut link, way).await;
+        if !is_open || n == 0 || to.write_all(&buf[..n]).await.is_err() {
             return;
         }
     }
 }
 
 /// Waits until bytes may pass; false if the relay has ended.
-async fn passable(cut: &mut watch::Receiver<bool>) -> bool {
-    cut.wait_for(|c| !*c).await.is_ok()
+async fn passable(link: &mut watch::Receiver<Link>, way: Way) -> bool {
+    link.wait_for(|l| l.passes(way)).await.is_ok()
 }
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -105,7 +105,7 @@
 pub async fn attempt(call: &Call, account: &mut Account, plan: &Plan, need: &Need<'_>) -> Tried {
     let since = Instant::now();
     account.upstream = Some(plan.instance.clone());
-    account.inputs = Some(plan.inputs);
+    account.inputs = call.is_engine.then_some(plan.inputs);
     let tried = if plan.is_prefill {
         attempt_split(call, account, plan, need).await
     } else {
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -216,7 +216,7 @@
     }
 
     /// Finds an upstream whose answer begins, or the reason why there is none.
-    async fn run(&mut self, account: &mut Account) -> Result<crate::attempt::Started, Refusal> {
+    async fn run(&mut self, account: &mut Account) -> Result<attempt::Started, Refusal> {
         let left = self.left();
         match tokio::time::timeout(left, self.run_untimed(account)).await {
             Ok(done) => done,
@@ -224,10 +224,7 @@
         }
     }
 
-    async fn run_untimed(
-        &mut self,
-        account: &mut Account,
-    ) -> Result<crate::attempt::Started, Refusal> {
+    async fn run_untimed(&mut self, account: &mut Account) -> Result<attempt::Started, Refusal> {
         if self.ends_at.is_some() && self.is_engine && self.need(account).is_long() {
             return Err(Reason::Stopping.into());
         }
--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -4,8 +4,8 @@
 
 use net::Stop;
 use platform::Host;
-use serde_json::{Value, json};
-use standin::{Store, Worker};
+pub use standin::fixture::{config, request, routes};
+use standin::{Store, Worker, fixture};
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::path::PathBuf;
 use std::sync::atomic::{AtomicU32, Ordering};
@@ -26,46 +26,6 @@
     Ipv4Addr::from(0x7f40_0000 | (low & 0x003f_ffff) | 1 << 21)
 }
 
-/// Two services: `plain`, and `llm` with engines.
-pub fn config(version: u64, routes: &Value) -> Value {
-    json!({
-        "Version": version,
-        "Routes": routes,
-        "Services": [
-            {"Name": "plain", "HealthPath": "/h", "MaxConnections": 100, "Protocol": "h1", "Tls": false},
-            {"Name": "llm", "HealthPath": "/h", "MaxConnections": 100, "Protocol": "h1", "Tls": false,
-             "Engine": {"Slots": 8, "KvCapacityTokens": 1_000_000, "KvTokenBytes": 18432, "LinkMbps": 1000.0}},
-        ],
-        "Limits": {"MaxHeaderBytes": 16384, "MaxBodyBytes": 65536,
-                   "HeaderTimeoutMs": 3000, "IdleTimeoutMs": 15000},
-    })
-}
-
-/// The routes that most tests use.
-pub fn routes() -> Value {
-    let route = |name: &str, kind: &str, attempts: u32| {
-        json!({"Name": name, "Host": "a.example", "PathPrefix": format!("/{name}/"),
-               "RouteType": kind, "TimeoutMs": 5000, "TargetLatencyMs": 400, "Priority": 1,
-               "Service": "plain", "MaxAttempts": attempts})
-    };
-    let mut resumable = route("resumable", "streaming", 2);
-    resumable["Resumable"] = json!(true);
-    let mut short = route("short", "non_idempotent", 1);
-    short["TimeoutMs"] = json!(300);
-    let mut prompt = route("prompt", "streaming", 1);
-    prompt["Service"] = json!("llm");
-    prompt["SessionAffinity"] = json!(true);
-    json!([
-        route("safe", "idempotent", 2),
-        route("unsafe", "non_idempotent", 1),
-        route("twice", "non_idempotent", 2),
-        route("stream", "streaming", 1),
-        resumable,
-        short,
-        prompt,
-    ])
-}
-
 /// A gateway with its store.
 pub struct Bed {
     pub store: Store,
@@ -162,13 +122,7 @@
         state: &str,
         stage: Option<&str>,
     ) {
-        let mut row = json!({
-            "Service": service, "Address": addr.to_string(), "Zone": "zone-a", "Version": "v1",
-            "Slots": 8, "State": state, "ColdRemainingMs": 0, "Sequence": 1,
-        });
-        if let Some(stage) = stage {
-            row["Stage"] = json!(stage);
-        }
+        let row = fixture::worker(service, addr, state, stage);
         self.store.put("servers", id, &row);
     }
 
@@ -202,15 +156,6 @@
     }
 }
 
-/// A request's text with the headers that each needs.
-pub fn request(method: &str, path: &str, id: &str, more: &str, body: &str) -> String {
-    let len = body.len();
-    format!(
-        "{method} {path} HTTP/1.1\r\nhost: a.example\r\nattempt-id: {id}\r\ndeadline-ms: 4000\r\n\
-         {more}content-length: {len}\r\n\r\n{body}"
-    )
-}
-
 /// Sends text on a new connection and reads one answer.
 pub async fn exchange(addr: SocketAddr, text: &str) -> String {
     let mut client = Client::connect(addr).await;
--- /dev/null
+++ b/crates/soak/src/fault.rs
@@ -0,0 +1,197 @@
+//! Faults, drawn by a seed, in series and overlapping.
+
+use crate::judge::{Left, PIECES};
+use crate::scene::Scene;
+use bench::procs::Signal;
+use bench::relay::Link;
+use standin::fixture::DRAIN_BOUND;
+use standin::{Act, Mode};
+use std::io;
+use std::time::{Duration, Instant};
+
+/// Time after a worker's notice past which a new request breaks the promise: the
+/// bound, and room for a busy machine.
+const LEAVE_BOUND: Duration = DRAIN_BOUND.saturating_add(Duration::from_millis(500));
+/// Of the notices that are drawn, one in so many is given: each needs calm.
+const LEAVE_ONE_IN: u32 = 3;
+/// Time without any fault before and during a notice, so that the promise holds.
+const CALM: Duration = Duration::from_secs(4);
+
+/// A kind of fault.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Fault {
+    Kill,
+    Stop,
+    Pause,
+    Hangup,
+    Store,
+    StoreLink,
+    WorkerLink,
+    Answers,
+    Config,
+    Scale,
+    Leave,
+    Forget,
+}
+
+const ALL: [Fault; 12] = [
+    Fault::Kill,
+    Fault::Stop,
+    Fault::Pause,
+    Fault::Hangup,
+    Fault::Store,
+    Fault::StoreLink,
+    Fault::WorkerLink,
+    Fault::Answers,
+    Fault::Config,
+    Fault::Scale,
+    Fault::Leave,
+    Fault::Forget,
+];
+
+/// Counts of what was done.
+#[derive(Debug, Default)]
+pub struct Done {
+    /// Faults.
+    pub faults: usize,
+    /// Workers that left in calm, and what they got after their time.
+    pub left: Vec<Left>,
+}
+
+/// Does faults until a time.
+pub async fn run(scene: &mut Scene, seed: u64, until: Instant) -> io::Result<Done> {
+    let mut rng = fastrand::Rng::with_seed(seed);
+    let mut done = Done::default();
+    while Instant::now() < until {
+        let pause = Duration::from_millis(rng.u64(50..700));
+        tokio::time::sleep(pause).await;
+        revive(scene)?;
+        let fault = ALL[rng.usize(..ALL.len())];
+        if fault == Fault::Leave && rng.u32(..LEAVE_ONE_IN) > 0 {
+            continue;
+        }
+        done.faults += 1;
+        act(scene, fault, &mut rng, &mut done).await?;
+    }
+    Ok(done)
+}
+
+/// Starts processes anew that have ended.
+fn revive(scene: &mut Scene) -> io::Result<()> {
+    for n in 0..scene.gateways.len() {
+        if scene.gateways[n].proc.has_ended() {
+            scene.restart(n)?;
+        }
+    }
+    Ok(())
+}
+
+async fn act(
+    scene: &mut Scene,
+    fault: Fault,
+    rng: &mut fastrand::Rng,
+    done: &mut Done,
+) -> io::Result<()> {
+    let gateway = rng.usize(..scene.gateways.len());
+    let worker = rng.usize(..scene.upstreams.len());
+    let proc = &scene.gateways[gateway].proc;
+    match fault {
+        Fault::Kill => proc.signal(Signal::Kill),
+        Fault::Stop => proc.signal(Signal::Term),
+        // A process that is paused when it is told to stop goes on at once.
+        Fault::Pause if rng.bool() => proc.signal(Signal::Pause),
+        Fault::Pause => proc.signal(Signal::Resume),
+        Fault::Hangup => proc.signal(Signal::Hangup),
+        Fault::Store => scene.store.set_mode(mode(rng)),
+        Fault::StoreLink => scene.gateways[gateway].store.set(link(rng)),
+        Fault::WorkerLink => scene.upstreams[worker].relay.set(link(rng)),
+        Fault::Answers => {
+            let acts: Vec<Act> = (0..rng.usize(1..6)).map(|_| answer(rng)).collect();
+            scene.upstreams[worker].worker.script(acts);
+        }
+        Fault::Config => scene.change_config(),
+        Fault::Scale if scene.upstreams.len() > 2 && rng.bool() => scene.retire(worker),
+        Fault::Scale => scene.add_worker().await?,
+        Fault::Forget => scene.store.forget_history(),
+        Fault::Leave => leave(scene, worker, done).await?,
+    }
+    Ok(())
+}
+
+fn mode(rng: &mut fastrand::Rng) -> Mode {
+    match rng.u32(..5) {
+        0 => Mode::Refuse(503),
+        1 => Mode::Refuse(429),
+        2 => Mode::Silent,
+        _ => Mode::Serve,
+    }
+}
+
+fn link(rng: &mut fastrand::Rng) -> Link {
+    match rng.u32(..6) {
+        0 => Link::Held,
+        1 => Link::HeldBack,
+        2 => Link::Slow(Duration::from_millis(rng.u64(5..80))),
+        3 => Link::Broken,
+        _ => Link::Open,
+    }
+}
+
+fn answer(rng: &mut fastrand::Rng) -> Act {
+    let after = rng.u64(1..PIECES);
+    match rng.u32(..10) {
+        0 => Act::Close,
+        1 => Act::Reject(503),
+        2 => Act::Truncated("torn".into()),
+        3 => Act::ForeignId("foreign".into()),
+        4 => Act::Garbage,
+        5 => Act::UnframedReset("torn".into()),
+        6 => Act::Hang,
+        7 => Act::Answer(500, "failed".into()),
+        8 => Act::After(
+            Duration::from_millis(rng.u64(10..900)),
+            Box::new(Act::Close),
+        ),
+        _ => Act::BreakOnce {
+            after,
+            last: PIECES,
+            again: rng.u64(..=after),
+        },
+    }
+}
+
+/// Ends all faults.
+pub async fn calm(scene: &mut Scene) -> io::Result<()> {
+    scene.store.set_mode(Mode::Serve);
+    for gateway in &scene.gateways {
+        gateway.proc.signal(Signal::Resume);
+        gateway.store.set(Link::Open);
+    }
+    for upstream in &scene.upstreams {
+        upstream.relay.set(Link::Open);
+    }
+    tokio::time::sleep(Duration::from_millis(200)).await;
+    revive(scene)
+}
+
+/// Lets a worker leave in calm, and counts what it gets after its time.
+async fn leave(scene: &mut Scene, n: usize, done: &mut Done) -> io::Result<()> {
+    if scene.upstreams.len() <= 2 {
+        return Ok(());
+    }
+    calm(scene).await?;
+    tokio::time::sleep(CALM).await;
+    revive(scene)?;
+    if !scene.all_serve(CALM).await {
+        return Ok(());
+    }
+    scene.register(&scene.upstreams[n], "draining");
+    tokio::time::sleep(LEAVE_BOUND).await;
+    let since = Instant::now();
+    let before = scene.upstreams[n].worker.seen().len();
+    tokio::time::sleep(CALM).await;
+    let late = scene.upstreams[n].worker.seen().len() - before;
+    done.left.push(Left { late, since });
+    scene.retire(n);
+    Ok(())
+}
--- /dev/null
+++ b/crates/soak/src/judge.rs
@@ -0,0 +1,128 @@
+//! The promises, checked over what clients got and workers saw.
+
+use serde::Serialize;
+use std::time::Instant;
+
+/// What a client may expect of a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Kind {
+    /// May run more than once.
+    Idempotent,
+    /// May run once.
+    NonIdempotent,
+    /// A stream that may go on elsewhere.
+    Resumable,
+}
+
+/// How a request ended for its client.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum End {
+    /// An answer, with its status and body; whole as the protocol has it.
+    Whole(u16, String),
+    /// The connection broke, or nothing came in time.
+    Broken,
+}
+
+/// A request as its client saw it.
+#[derive(Debug, Clone)]
+pub struct Asked {
+    /// Its id.
+    pub id: String,
+    /// What may be done with it.
+    pub kind: Kind,
+    /// How it ended.
+    pub end: End,
+}
+
+/// A request as a worker saw it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Ran {
+    /// Its id.
+    pub id: String,
+    /// Event after which it went on.
+    pub resumed_after: Option<u64>,
+}
+
+/// A time in which a worker should have got no new request.
+#[derive(Debug, Clone)]
+pub struct Left {
+    /// Requests that it got in that time.
+    pub late: usize,
+    /// When the time began.
+    pub since: Instant,
+}
+
+/// Counts of broken promises; all must be 0.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize)]
+pub struct Verdict {
+    /// Answers with a body that isn't the request's own.
+    pub mixed: usize,
+    /// Requests that ran twice though they may not.
+    pub twice: usize,
+    /// Requests that were called not run and have run.
+    pub refused_but_ran: usize,
+    /// Runs of requests that no client sent.
+    pub unasked: usize,
+    /// Streams that looked whole with a piece missing, doubled or out of order.
+    pub disordered: usize,
+    /// Requests that reached a worker long after it said that it leaves.
+    pub late_at_leaving: usize,
+    /// Nothing was served after the last fault.
+    pub not_recovered: usize,
+}
+
+impl Verdict {
+    /// Whether each promise was kept.
+    pub fn is_clean(&self) -> bool {
+        *self == Self::default()
+    }
+}
+
+/// Pieces of each stream.
+pub const PIECES: u64 = 4;
+
+/// Compares what clients got with what workers saw.
+pub fn judge(asked: &[Asked], ran: &[Ran], left: &[Left]) -> Verdict {
+    let mut runs: Vec<&Ran> = ran.iter().collect();
+    runs.sort_by(|a, b| a.id.cmp(&b.id));
+    let mut ids: Vec<&str> = asked.iter().map(|a| a.id.as_str()).collect();
+    ids.sort_unstable();
+    let is_unasked = |r: &&Ran| ids.binary_search(&r.id.as_str()).is_err();
+    let mut out = Verdict {
+        unasked: ran.iter().filter(is_unasked).count(),
+        late_at_leaving: left.iter().map(|l| l.late).sum(),
+        ..Verdict::default()
+    };
+    for asked in asked {
+        let from = runs.partition_point(|r| r.id < asked.id);
+        let own = runs[from..].iter().take_while(|r| r.id == asked.id);
+        check(asked, own.count(), &mut out);
+    }
+    out
+}
+
+fn check(asked: &Asked, runs: usize, out: &mut Verdict) {
+    if asked.kind == Kind::NonIdempotent && runs > 1 {
+        out.twice += 1;
+    }
+    let End::Whole(status, body) = &asked.end else {
+        return;
+    };
+    match (*status, asked.kind) {
+        (200, Kind::Resumable) if !is_ordered(body) => out.disordered += 1,
+        (200, _) if is_foreign(asked) => out.mixed += 1,
+        (429 | 503 | 408 | 421, Kind::NonIdempotent) if runs > 0 => out.refused_but_ran += 1,
+        _ => {}
+    }
+}
+
+/// Whether a plain request was answered with success and another body than its own.
+pub fn is_foreign(asked: &Asked) -> bool {
+    let is_plain = asked.kind != Kind::Resumable;
+    is_plain && matches!(&asked.end, End::Whole(200, body) if *body != asked.id)
+}
+
+fn is_ordered(body: &str) -> bool {
+    let pieces = body.lines().filter_map(|l| l.strip_prefix("id: "));
+    pieces.map(str::parse).eq((1..=PIECES).map(Ok))
+}
--- /dev/null
+++ b/crates/soak/src/lib.rs
@@ -0,0 +1,7 @@
+//! A fault soak: gateways as real processes before stand-ins, faults from outside
+//! them, and promises checked from what clients and workers see.
+
+pub mod client;
+pub mod fault;
+pub mod judge;
+pub mod scene;
--- /dev/null
+++ b/crates/soak/src/main.rs
@@ -0,0 +1,115 @@
+//! Runs a soak. The last line is one JSON object with a count for each promise;
+//! the exit code isn't 0 if one was broken.
+
+use argh::FromArgs;
+use bench::procs::build_binary;
+use serde::Serialize;
+use soak::client::{self, History};
+use soak::fault;
+use soak::judge::{Ran, Verdict, is_foreign, judge};
+use soak::scene::{Scene, Upstream};
+use std::process::ExitCode;
+use std::time::{Duration, Instant};
+use tokio::sync::watch;
+
+/// Longest time after the last fault until all gateways serve.
+const RECOVERY: Duration = Duration::from_secs(12);
+/// Longest wait for requests that are under way at the end.
+const LAST_REQUESTS: Duration = Duration::from_secs(7);
+
+/// Random faults over gateways that run as processes, by a seed.
+#[derive(Debug, FromArgs)]
+struct Args {
+    /// seed of the faults and of the load
+    #[argh(option, default = "1")]
+    seed: u64,
+    /// time with faults, in seconds
+    #[argh(option, default = "20")]
+    seconds: u64,
+    /// clients
+    #[argh(option, default = "12")]
+    clients: u32,
+    /// third byte of the addresses, so that several soaks can run side by side
+    #[argh(option, default = "1")]
+    net: u8,
+}
+
+#[derive(Debug, Serialize)]
+struct Summary {
+    seed: u64,
+    seconds: u64,
+    requests: usize,
+    served: usize,
+    runs: usize,
+    faults: usize,
+    leaves: usize,
+    #[serde(flatten)]
+    verdict: Verdict,
+}
+
+fn main() -> std::io::Result<ExitCode> {
+    let args: Args = argh::from_env();
+    let runtime = tokio::runtime::Runtime::new()?;
+    let summary = runtime.block_on(run(&args))?;
+    println!("{}", serde_json::to_string(&summary)?);
+    Ok(match summary.verdict.is_clean() {
+        true => ExitCode::SUCCESS,
+        false => ExitCode::FAILURE,
+    })
+}
+
+async fn run(args: &Args) -> std::io::Result<Summary> {
+    let binary = build_binary().await?;
+    let dir = std::env::temp_dir().join(format!("soak-{}-{}", std::process::id(), args.seed));
+    std::fs::create_dir_all(&dir)?;
+    println!("settings and logs: {}", dir.display());
+    let mut scene = Scene::start(args.net, &binary, &dir).await?;
+    scene.all_serve(RECOVERY).await;
+    let history = History::default();
+    let stop = watch::Sender::new(false);
+    let addresses: Vec<_> = scene.gateways.iter().map(|g| g.callers).collect();
+    let clients: Vec<_> = (0..args.clients)
+        .map(|n| {
+            let seed = args.seed.wrapping_mul(1000) + u64::from(n);
+            let (to, history) = (addresses.clone(), history.clone());
+            tokio::spawn(client::run(n, to, history, stop.subscribe(), seed))
+        })
+        .collect();
+    let until = Instant::now() + Duration::from_secs(args.seconds);
+    let done = fault::run(&mut scene, args.seed, until).await?;
+    fault::calm(&mut scene).await?;
+    let recovered = scene.all_serve(RECOVERY).await;
+    stop.send_replace(true);
+    for client in clients {
+        // A client that hangs is ended with the runtime; its last request is open.
+        let _ = tokio::time::timeout(LAST_REQUESTS, client).await;
+    }
+    let asked = history.lock().expect("no panic while locked").clone();
+    for asked in asked.iter().filter(|a| is_foreign(a)) {
+        println!("not its own body: {asked:?}");
+    }
+    let ran = runs(scene.upstreams.iter().chain(&scene.gone));
+    let mut verdict = judge(&asked, &ran, &done.left);
+    verdict.not_recovered = usize::from(!recovered);
+    let is_served = |a: &&soak::judge::Asked| matches!(a.end, soak::judge::End::Whole(200, _));
+    Ok(Summary {
+        seed: args.seed,
+        seconds: args.seconds,
+        requests: asked.len(),
+        served: asked.iter().filter(is_served).count(),
+        runs: ran.len(),
+        faults: done.faults,
+        leaves: done.left.len(),
+        verdict,
+    })
+}
+
+/// What workers saw, but for the soak's own probes.
+fn runs<'a>(upstreams: impl Iterator<Item = &'a Upstream>) -> Vec<Ran> {
+    let seen = upstreams.flat_map(|u| u.worker.seen());
+    let ran = seen.filter(|s| s.ran).map(|s| Ran {
+        id: s.id().to_owned(),
+        resumed_after: s.resumed_after(),
+    });
+    ran.filter(|r| r.id != "probe").collect()
+}
--- /dev/null
+++ b/crates/soak/src/scene.rs
@@ -0,0 +1,188 @@
+//! What a soak runs: gateways as processes, a store and workers behind relays.
+
+use crate::judge::PIECES;
+use bench::procs::Proc;
+use bench::relay::Relay;
+use serde_json::json;
+use standin::fixture::{CONFIG, WORKERS, config, route, routes, settings, worker};
+use standin::{Act, Store, Worker};
+use std::io;
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::path::{Path, PathBuf};
+use std::time::Duration;
+
+/// Gateways of a soak.
+pub const GATEWAYS: u8 = 3;
+/// Workers of a soak.
+pub const WORKERS_COUNT: u8 = 4;
+
+/// A gateway: its process, and where clients reach it.
+#[derive(Debug)]
+pub struct Gateway {
+    /// The process.
+    pub proc: Proc,
+    /// Where clients connect.
+    pub callers: SocketAddr,
+    /// The relay between it and the store.
+    pub store: Relay,
+    name: String,
+    settings: PathBuf,
+}
+
+/// A worker behind a relay.
+#[derive(Debug)]
+pub struct Upstream {
+    /// The worker.
+    pub worker: Worker,
+    /// Its id.
+    pub id: String,
+    /// The relay before it, under the address that it registers.
+    pub relay: Relay,
+    /// That address.
+    pub addr: SocketAddr,
+}
+
+/// All of it.
+#[derive(Debug)]
+pub struct Scene {
+    /// The store.
+    pub store: Store,
+    /// The gateways.
+    pub gateways: Vec<Gateway>,
+    /// Workers that are registered.
+    pub upstreams: Vec<Upstream>,
+    /// Workers that have left; their histories still count.
+    pub gone: Vec<Upstream>,
+    net: u8,
+    binary: PathBuf,
+    started: u32,
+    version: u64,
+}
+
+impl Scene {
+    /// Starts all of it on the addresses 127.65.NET.0/24, with files in a folder.
+    pub async fn start(net: u8, binary: &Path, dir: &Path) -> io::Result<Self> {
+        let store = Store::start(address(net, 1, 7000))?;
+        let mut scene = Self {
+            store,
+            gateways: Vec::new(),
+            upstreams: Vec::new(),
+            gone: Vec::new(),
+            net,
+            binary: binary.to_owned(),
+            started: 0,
+            version: 0,
+        };
+        scene.change_config();
+        for _ in 0..WORKERS_COUNT {
+            scene.add_worker().await?;
+        }
+        for n in 0..GATEWAYS {
+            scene.add_gateway(n, dir)?;
+        }
+        Ok(scene)
+    }
+
+    fn add_gateway(&mut self, n: u8, dir: &Path) -> io::Result<()> {
+        let ip = Ipv4Addr::new(127, 65, self.net, 10 + n);
+        let front = address(self.net, 30 + n, 7000);
+        let store = Relay::start(front, self.store.addr)?;
+        let name = format!("edge-{n}");
+        let path = dir.join(format!("{name}.toml"));
+        std::fs::write(&path, settings(&name, ip, front))?;
+        self.gateways.push(Gateway {
+            proc: Proc::start_gateway(&self.binary, &name, &path)?,
+            callers: SocketAddr::new(IpAddr::V4(ip), 7000),
+            store,
+            name,
+            settings: path,
+        });
+        Ok(())
+    }
+
+    /// Starts a gateway's process anew, once the old one has ended.
+    pub fn restart(&mut self, n: usize) -> io::Result<()> {
+        let gateway = &mut self.gateways[n];
+        gateway.proc = Proc::start_gateway(&self.binary, &gateway.name, &gateway.settings)?;
+        Ok(())
+    }
+
+    /// Starts a worker and registers it.
+    pub async fn add_worker(&mut self) -> io::Result<()> {
+        let n = self.started;
+        self.started += 1;
+        let (high, low) = ((n / 200) as u8, (n % 200) as u8);
+        let port = 7000 + u16::from(high);
+        let worker = Worker::start(address(self.net, 50 + low, port), &format!("i-{n}")).await?;
+        worker.usually(Act::Serve(PIECES));
+        let addr = address(self.net, 50 + low, port + 100);
+        let upstream = Upstream {
+            relay: Relay::start(addr, worker.addr)?,
+            worker,
+            id: format!("i-{n}"),
+            addr,
+        };
+        self.register(&upstream, "ready");
+        self.upstreams.push(upstream);
+        Ok(())
+    }
+
+    /// Writes a worker's row.
+    pub fn register(&self, upstream: &Upstream, state: &str) {
+        let row = worker("plain", upstream.addr, state, None);
+        self.store.put(WORKERS, &upstream.id, &row);
+    }
+
+    /// Removes a worker's row; it goes on serving what it has.
+    pub fn retire(&mut self, n: usize) {
+        let upstream = self.upstreams.remove(n);
+        self.store.remove(WORKERS, &upstream.id);
+        self.gone.push(upstream);
+    }
+
+    /// Writes a new version of the configuration, with a route more each time.
+    pub fn change_config(&mut self) {
+        self.version += 3;
+        let mut all = routes();
+        if let Some(all) = all.as_array_mut() {
+            all.push(route(&format!("v{}", self.version), "idempotent", 2));
+        }
+        self.store
+            .put(CONFIG.0, CONFIG.1, &config(self.version, &json!(all)));
+    }
+
+    /// Waits until each gateway serves, at most for a time; says whether all do.
+    pub async fn all_serve(&self, bound: Duration) -> bool {
+        let all = self.gateways.iter().map(|g| serves(g.callers));
+        let served = async {
+            for one in all {
+                one.await;
+            }
+        };
+        tokio::time::timeout(bound, served).await.is_ok()
+    }
+}
+
+fn address(net: u8, host: u8, port: u16) -> SocketAddr {
+    SocketAddr::new(IpAddr::V4(Ipv4Addr::new(127, 65, net, host)), port)
+}
+
+/// Waits until a gateway takes connections and answers one with success.
+async fn serves(at: SocketAddr) {
+    use tokio::io::{AsyncReadExt, AsyncWriteExt};
+    const PAUSE: Duration = Duration::from_millis(50);
+    loop {
+        let text = standin::fixture::request("GET", "/safe/", "probe", "", "");
+        let asked = async {
+            let mut tcp = tokio::net::TcpStream::connect(at).await?;
+            tcp.write_all(text.as_bytes()).await?;
+            let mut buf = vec![0; 12];
+            tcp.read_exact(&mut buf).await?;
+            io::Result::Ok(buf)
+        };
+        if asked.await.is_ok_and(|buf| buf.ends_with(b"200")) {
+            return;
+        }
+        tokio::time::sleep(PAUSE).await;
+    }
+}
