Fields that nothing uses go; limits on heads follow the configuration; bench gateway

The idle time and the largest head that a client's connection may have were constants; they follow the configuration in force now. bench gateway measures processor time a request and added time against calling the worker straight.

--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -18,7 +18,7 @@
 mod state;
 
 use conf::Settings;
-use net::{Protocol, Server, Stop};
+use net::{HeadLimits, Protocol, Server, Stop};
 use node::{Node, StartError};
 use observe::{Event, emit};
 use state::Agent;
@@ -58,8 +58,7 @@
     tokio::spawn(orders::tend(agent.clone(), want));
     let serving = Stop::default();
     let server = Server {
-        head_timeout: node.settings.limits.read_timeout,
-        max_head: node.settings.limits.head,
+        head: HeadLimits::new(node.settings.limits.read_timeout, node.settings.limits.head),
         protocol: Protocol::Any,
         drain: Stop::default(),
         stop: serving.clone(),
--- /dev/null
+++ b/crates/bench/src/gateway.rs
@@ -0,0 +1,141 @@
+//! What a gateway costs: processor time a request, and the time it adds over
+//! calling the same worker straight, interleaved in one run.
+
+use crate::procs::{Proc, build_binary};
+use crate::usage;
+use serde::Serialize;
+use standin::fixture::{CONFIG, WORKERS, config, request, routes, settings, worker};
+use standin::{Act, Store, Worker};
+use std::io;
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::time::{Duration, Instant};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+
+/// Where the gateway and its stand-ins listen.
+const HOST: Ipv4Addr = Ipv4Addr::new(127, 67, 0, 1);
+/// Events of a streamed answer, as in the users' prompts with short answers.
+const EVENTS: u64 = 2;
+/// Requests before the measurement, so that connections are open.
+const WARM_UP: usize = 200;
+/// Longest wait for the gateway's first answer.
+const START_BOUND: Duration = Duration::from_secs(10);
+
+/// Figures of one kind of request.
+#[derive(Debug, Clone, Serialize)]
+pub struct Figures {
+    /// What was sent.
+    pub kind: &'static str,
+    /// Requests through the gateway; as many went straight.
+    pub requests: usize,
+    /// Processor time of the gateway a request, in milliseconds.
+    pub cpu_ms: f64,
+    /// Median time through the gateway, in milliseconds.
+    pub through_ms: f64,
+    /// Median time straight to the worker, in milliseconds.
+    pub straight_ms: f64,
+    /// Resident memory of the gateway after it, in MiB.
+    pub resident_mib: f64,
+}
+
+/// Measures plain and streamed requests.
+pub async fn run(requests: usize) -> io::Result<Vec<Figures>> {
+    let at = |port| SocketAddr::new(IpAddr::V4(HOST), port);
+    let store = Store::start(at(7003))?;
+    store.put(CONFIG.0, CONFIG.1, &config(1, &routes()));
+    let upstream = Worker::start(at(7100), "i-0").await?;
+    upstream.usually(Act::Serve(EVENTS));
+    let row = worker("plain", upstream.addr, "ready", None);
+    store.put(WORKERS, "i-0", &row);
+    let dir = std::env::temp_dir().join(format!("bench-gateway-{}", std::process::id()));
+    std::fs::create_dir_all(&dir)?;
+    let file = dir.join("edge.toml");
+    std::fs::write(&file, settings("edge", HOST, store.addr))?;
+    let mut proc = Proc::start_gateway(&build_binary().await?, "edge", &file)?;
+    wait_served(at(7000)).await?;
+    let mut out = Vec::new();
+    for (kind, path) in [("plain", "/unsafe/"), ("stream of 2 events", "/resumable/")] {
+        out.push(measure(kind, path, requests, at(7000), upstream.addr, &proc).await?);
+    }
+    proc.kill().await?;
+    Ok(out)
+}
+
+async fn wait_served(at: SocketAddr) -> io::Result<()> {
+    const PAUSE: Duration = Duration::from_millis(20);
+    let until = Instant::now() + START_BOUND;
+    while Instant::now() < until {
+        let served = async {
+            let mut tcp = TcpStream::connect(at).await?;
+            ask(&mut tcp, "/safe/").await
+        };
+        if served.await.is_ok_and(|s| s.contains(" 200 ")) {
+            return Ok(());
+        }
+        tokio::time::sleep(PAUSE).await;
+    }
+    Err(io::Error::other("the gateway doesn't serve"))
+}
+
+async fn measure(
+    kind: &'static str,
+    path: &str,
+    requests: usize,
+    gateway: SocketAddr,
+    upstream: SocketAddr,
+    proc: &Proc,
+) -> io::Result<Figures> {
+    let mut through = TcpStream::connect(gateway).await?;
+    let mut straight = TcpStream::connect(upstream).await?;
+    for tcp in [&through, &straight] {
+        tcp.set_nodelay(true)?;
+    }
+    for _ in 0..WARM_UP {
+        ask(&mut through, path).await?;
+    }
+    let used = || proc.id().and_then(usage::of).unwrap_or_default();
+    let before = used();
+    let mut times = (Vec::new(), Vec::new());
+    for _ in 0..requests {
+        let since = Instant::now();
+        ask(&mut through, path).await?;
+        times.0.push(since.elapsed());
+        let since = Instant::now();
+        ask(&mut straight, path).await?;
+        times.1.push(since.elapsed());
+    }
+    let after = used();
+    let cpu = after.cpu.saturating_sub(before.cpu);
+    Ok(Figures {
+        kind,
+        requests,
+        cpu_ms: cpu.as_secs_f64() * 1000.0 / requests as f64,
+        through_ms: median(&mut times.0),
+        straight_ms: median(&mut times.1),
+        resident_mib: after.resident as f64 / f64::from(1 << 20),
+    })
+}
+
+fn median(times: &mut [Duration]) -> f64 {
+    times.sort_unstable();
+    times[times.len() / 2].as_secs_f64() * 1000.0
+}
+
+/// Sends a request and reads its answer, by length or to the last chunk.
+async fn ask(tcp: &mut TcpStream, path: &str) -> io::Result<String> {
+    const BODY: &str = "0123456789abcdef0123456789abcdef";
+    let id = format!("{:016x}", fastrand::u64(..));
+    let body = BODY.repeat(19);
+    tcp.write_all(request("POST", path, &id, "", &body).as_bytes())
+        .await?;
+    let mut buf = Vec::with_capacity(1024);
+    loop {
+        if tcp.read_buf(&mut buf).await? == 0 {
+            return Err(io::ErrorKind::UnexpectedEof.into());
+        }
+        // The plain answer's body is the id.
+        if buf.ends_with(b"0\r\n\r\n") || buf.ends_with(id.as_bytes()) {
+            return Ok(String::from_utf8_lossy(&buf).into_owned());
+        }
+    }
+}
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod driver;
 pub mod edit;
 pub mod faults;
+pub mod gateway;
 pub mod gather;
 pub mod inforce;
 pub mod judge;
--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -23,6 +23,7 @@
     Capacity(CapacityArgs),
     Inforce(InforceArgs),
     Outage(OutageArgs),
+    Gateway(GatewayArgs),
 }
 
 /// run both deployments under a mixed load, kill and drain agents, and judge what callers got
@@ -30,6 +31,15 @@
 #[argh(subcommand, name = "demo")]
 struct DemoArgs {}
 
+/// measure what a gateway costs a request, against calling its worker straight
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "gateway")]
+struct GatewayArgs {
+    /// requests of each kind (default 10000)
+    #[argh(option, default = "10_000")]
+    requests: usize,
+}
+
 /// run both deployments until Ctrl-C, and print lines to try
 #[derive(Debug, FromArgs)]
 #[argh(subcommand, name = "up")]
@@ -141,6 +151,12 @@
             println!("{}", serde_json::to_string(&counted)?);
             Ok(counted.violations() == 0)
         }
+        Command::Gateway(a) => {
+            for figures in bench::gateway::run(a.requests).await? {
+                println!("{}", serde_json::to_string(&figures)?);
+            }
+            Ok(true)
+        }
         Command::Capacity(_) => bench::capacity::renew().map(|()| true),
         Command::Inforce(a) => {
             let measured = bench::inforce::run(a.changes).await?;
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -19,7 +19,7 @@
 mod state;
 
 use conf::Settings;
-use net::{Protocol, Server, Stop};
+use net::{HeadLimits, Protocol, Server, Stop};
 use node::{Node, StartError};
 use observe::{Event, emit};
 use plan::{DUTY, Duty};
@@ -52,8 +52,7 @@
     let duties = start_duties(&node, &leases, &stop);
     let serving = Stop::default();
     let server = Server {
-        head_timeout: node.settings.limits.read_timeout,
-        max_head: node.settings.limits.head,
+        head: HeadLimits::new(node.settings.limits.read_timeout, node.settings.limits.head),
         protocol: Protocol::Any,
         drain: Stop::default(),
         stop: serving.clone(),
--- a/crates/fakes/src/serve.rs
+++ b/crates/fakes/src/serve.rs
@@ -5,7 +5,7 @@
 use hyper::body::Incoming;
 use hyper::{Method, Request, Response, StatusCode};
 use net::server::read_body;
-use net::{Body, Protocol, Server, Stop, bind, full, stream};
+use net::{Body, HeadLimits, Protocol, Server, Stop, bind, full, stream};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use std::io;
@@ -88,8 +88,7 @@
     let listener = bind(addr)?;
     let addr = listener.local_addr()?;
     let server = Server {
-        head_timeout: BODY_TIMEOUT,
-        max_head: MAX_HEAD,
+        head: HeadLimits::new(BODY_TIMEOUT, MAX_HEAD),
         protocol: Protocol::Any,
         drain: Stop::default(),
         stop: Stop::default(),
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -95,8 +95,6 @@
 pub struct ServiceInfo {
     /// Its name.
     pub name: String,
-    /// Connections that each upstream takes from all callers together.
-    pub max_connections: u32,
     /// Figures of its engines; none for a plain service.
     pub engine: Option<Engine>,
     /// Measured speeds of its upstreams, by stage.
@@ -142,7 +140,6 @@
     pub fn configure(&mut self, service: &Service) {
         let key = self.service(&service.name);
         let info = &mut self.services[usize::from(key.0)];
-        info.max_connections = service.max_connections;
         info.engine = service.engine;
     }
 
@@ -296,7 +293,6 @@
     fn new(name: &str) -> Self {
         Self {
             name: name.to_owned(),
-            max_connections: u32::MAX,
             engine: None,
             speeds: [Speed::decode(), Speed::prefill()],
         }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -32,12 +32,6 @@
 use std::path::PathBuf;
 use std::time::{Duration, Instant};
 
-/// Largest head of a request. The users' configurations allow 16 KiB.
-const MAX_HEAD: usize = 16 << 10;
-/// Longest that a client's connection may be idle or take for a head. The users'
-/// configurations allow 15 s and clients use 12; a connection must not be closed
-/// while a client still counts on it.
-const IDLE_TIMEOUT: Duration = Duration::from_secs(16);
 /// How long requests are served as before after the stop signal, while the
 /// balancer notices that this host isn't ready: it asks once a second and takes
 /// a host out after two misses.
@@ -80,8 +74,7 @@
     tokio::spawn(reload::follow_settings(gateway.clone(), path));
     let (drain, serving) = (Stop::default(), Stop::default());
     let server = Server {
-        head_timeout: IDLE_TIMEOUT,
-        max_head: MAX_HEAD,
+        head: gateway.heads.clone(),
         protocol: Protocol::Http1,
         drain: drain.clone(),
         stop: serving.clone(),
--- a/crates/gateway/src/peers/exchange.rs
+++ b/crates/gateway/src/peers/exchange.rs
@@ -11,7 +11,7 @@
 use hyper::header::HOST;
 use hyper::{Method, Request, Response, StatusCode};
 use net::server::bind;
-use net::{Body, CallError, Pool, Protocol, Server, Stop, empty, full};
+use net::{Body, CallError, HeadLimits, Pool, Protocol, Server, Stop, empty, full};
 use observe::{Event, emit};
 use platform::{Config, Instance};
 use serde::de::DeserializeOwned;
@@ -65,8 +65,7 @@
     let socket = Arc::new(UdpSocket::from_std(socket).map_err(bad)?);
     let stop = Stop::default();
     let server = Server {
-        head_timeout: IDLE_TIMEOUT,
-        max_head: MAX_HEAD,
+        head: HeadLimits::new(IDLE_TIMEOUT, MAX_HEAD),
         protocol: Protocol::Http1,
         drain: Stop::default(),
         stop: stop.clone(),
--- a/crates/gateway/src/ready.rs
+++ b/crates/gateway/src/ready.rs
@@ -5,7 +5,7 @@
 use hyper::body::Incoming;
 use hyper::{Request, Response, StatusCode};
 use net::server::bind;
-use net::{Body, Protocol, Server, Stop, full};
+use net::{Body, HeadLimits, Protocol, Server, Stop, full};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -23,8 +23,7 @@
 pub fn serve(gateway: &Arc<Gateway>, addr: SocketAddr) -> Result<(), StartError> {
     let listener = bind(addr).map_err(|e| StartError::Bind(addr, e))?;
     let server = Server {
-        head_timeout: IDLE_TIMEOUT,
-        max_head: MAX_HEAD,
+        head: HeadLimits::new(IDLE_TIMEOUT, MAX_HEAD),
         protocol: Protocol::Http1,
         drain: Stop::default(),
         stop: Stop::default(),
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -4,7 +4,7 @@
 use crate::fleet::{Fleet, ServiceKey, UpstreamKey};
 use crate::peers::Peers;
 use crate::routes::RouteTable;
-use net::{Meter, Stop};
+use net::{HeadLimits, Meter, Stop};
 use observe::Metrics;
 use platform::Host;
 use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
@@ -14,6 +14,10 @@
 /// Tenants with histograms of their own. The platform's requests name none.
 const TENANT_METRICS: u32 = 0;
 
+/// Limits on clients' heads until a configuration is read: the users' own.
+const FIRST_IDLE_TIMEOUT: Duration = Duration::from_secs(15);
+const FIRST_MAX_HEAD: usize = 16 << 10;
+
 /// A gateway.
 #[derive(Debug)]
 pub struct Gateway {
@@ -25,6 +29,8 @@
     peers: Mutex<Peers>,
     live_peers: AtomicU32,
     running: AtomicU64,
+    /// Limits on clients' heads, by the configuration in force.
+    pub heads: HeadLimits,
     /// Metrics.
     pub metrics: Metrics,
     /// Bytes between this process and upstreams.
@@ -66,6 +72,7 @@
             peers: Mutex::default(),
             live_peers: AtomicU32::new(0),
             running: AtomicU64::new(0),
+            heads: HeadLimits::new(FIRST_IDLE_TIMEOUT, FIRST_MAX_HEAD),
             metrics: Metrics::new(TENANT_METRICS),
             upstream_bytes: Meter::default(),
             peer_bytes: Meter::default(),
@@ -97,6 +104,10 @@
 
     /// Puts a configuration in force.
     pub fn set_routes(&self, table: RouteTable) {
+        // One timer covers a connection's idle time and a head's own, so the longer
+        // bound holds: a connection mustn't be closed that a client counts on.
+        self.heads
+            .set(table.limits.idle_timeout, table.limits.head_bytes);
         *lock(&self.routes) = Some(Arc::new(table));
     }
 
--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -53,15 +53,10 @@
         ready: Some(at(7001)),
         peer_port: 7002,
         store,
-        heartbeat: Duration::from_millis(1200),
         stop_grace: Duration::from_secs(8),
-        apply_bound: Duration::from_secs(2),
-        drain_bound: Duration::from_secs(2),
         retry_ratio: 0.2,
         retry_window: Duration::from_secs(10),
         retry_slack: 50.0,
-        max_descriptors: 1000,
-        max_memory: 1 << 30,
     }
 }
 
--- a/crates/gateway/tests/decisions.rs
+++ b/crates/gateway/tests/decisions.rs
@@ -32,8 +32,6 @@
         kind: RouteKind::Idempotent,
         timeout: Duration::from_secs(1),
         target_latency: Duration::from_millis(120),
-        target_pause: None,
-        rank: 0,
         max_attempts: 2,
         shares: vec![Share {
             service: "s".into(),
@@ -48,16 +46,11 @@
         routes,
         services: vec![Service {
             name: "s".into(),
-            max_connections: 100,
-            engine: Some(Engine {
-                slots: 8,
-                cache_tokens: 1_000_000,
-            }),
+            engine: Some(Engine { slots: 8 }),
         }],
         limits: Limits {
             head_bytes: 16384,
             body_bytes: 65536,
-            head_timeout: Duration::from_secs(3),
             idle_timeout: Duration::from_secs(15),
         },
     }
@@ -71,7 +64,6 @@
         zone: "z".into(),
         slots: 8,
         is_draining: false,
-        warmup_left: Duration::ZERO,
         stage: Some(stage),
     }
 }
@@ -281,6 +273,9 @@
     }
 }
 
+/// Number, time and loads of what a peer last said.
+type Word = (u64, Instant, Vec<(u64, u32)>);
+
 #[test]
 fn peers_loads_add_up_as_by_summing_their_last_words() {
     let word = (
@@ -300,7 +295,7 @@
             let hashes: Vec<u64> = fleet.iter().map(|(_, u)| u.hash).collect();
             let mut peers = Peers::default();
             let mut now = Instant::now();
-            let mut last: Vec<Option<(u64, Instant, Vec<(u64, u32)>)>> = vec![None; 3];
+            let mut last: Vec<Option<Word>> = vec![None; 3];
             for (n, (peer, number, loads, pause)) in words.into_iter().enumerate() {
                 now += Duration::from_millis(pause);
                 let ip = IpAddr::V4(Ipv4Addr::new(10, 0, 0, peer));
@@ -345,15 +340,10 @@
         ready: None,
         peer_port: 1,
         store: SocketAddr::new(ip, 1),
-        heartbeat: Duration::from_secs(1),
         stop_grace: Duration::from_secs(8),
-        apply_bound: Duration::from_secs(2),
-        drain_bound: Duration::from_secs(2),
         retry_ratio: 0.2,
         retry_window: Duration::from_secs(10),
         retry_slack: 50.0,
-        max_descriptors: 100,
-        max_memory: 1 << 30,
     };
     let gateway = Gateway::new(host, Stop::default());
     let table = RouteTable::new(configuration(Vec::new()), &mut gateway.fleet());
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -17,4 +17,4 @@
 pub use h1::Pool;
 pub use meter::Meter;
 pub use peer::Peer;
-pub use server::{Protocol, Server, Stop, bind};
+pub use server::{HeadLimits, Protocol, Server, Stop, bind};
--- a/crates/net/src/server.rs
+++ b/crates/net/src/server.rs
@@ -12,6 +12,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
@@ -20,6 +21,8 @@
 const BACKLOG: i32 = 1024;
 /// Streams that one peer may have open on its connection.
 const MAX_STREAMS: u32 = 4096;
+/// Least bytes of a head that hyper can be told to allow.
+const MIN_HEAD: usize = 8192;
 /// Pause after a failed accept, such as one for want of descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
@@ -70,6 +73,43 @@
     }
 }
 
+/// Limits on requests' heads. Clones share them, and a change holds for
+/// connections that are taken from then on.
+#[derive(Debug, Clone)]
+pub struct HeadLimits {
+    timeout_ms: Arc<AtomicU64>,
+    bytes: Arc<AtomicUsize>,
+}
+
+impl HeadLimits {
+    /// Limits on the time until a head is there, in which its connection may be
+    /// idle too, and on its size in bytes.
+    pub fn new(timeout: Duration, bytes: usize) -> Self {
+        let limits = Self {
+            timeout_ms: Arc::default(),
+            bytes: Arc::default(),
+        };
+        limits.set(timeout, bytes);
+        limits
+    }
+
+    /// Changes the limits.
+    pub fn set(&self, timeout: Duration, bytes: usize) {
+        let ms = u64::try_from(timeout.as_millis()).unwrap_or(u64::MAX);
+        self.timeout_ms.store(ms, Ordering::Relaxed);
+        self.bytes.store(bytes, Ordering::Relaxed);
+    }
+
+    fn timeout(&self) -> Duration {
+        Duration::from_millis(self.timeout_ms.load(Ordering::Relaxed))
+    }
+
+    /// The size, within what hyper can do.
+    fn bytes(&self) -> usize {
+        self.bytes.load(Ordering::Relaxed).max(MIN_HEAD)
+    }
+}
+
 /// Versions of HTTP that a server speaks.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Protocol {
@@ -83,10 +123,8 @@
 /// How a server treats its connections.
 #[derive(Debug, Clone)]
 pub struct Server {
-    /// Longest that a peer may take to send a request's head.
-    pub head_timeout: Duration,
-    /// Largest head, in bytes.
-    pub max_head: usize,
+    /// Limits on heads.
+    pub head: HeadLimits,
     /// Versions of HTTP that are spoken.
     pub protocol: Protocol,
     /// After this signal open connections end when idle, and new ones after one
@@ -170,8 +208,8 @@
         let mut builder = http1::Builder::new();
         builder
             .timer(TokioTimer::new())
-            .header_read_timeout(self.head_timeout)
-            .max_buf_size(self.max_head.max(8192));
+            .header_read_timeout(self.head.timeout())
+            .max_buf_size(self.head.bytes());
         builder
     }
 
@@ -180,13 +218,13 @@
         builder
             .http1()
             .timer(TokioTimer::new())
-            .header_read_timeout(self.head_timeout)
-            .max_buf_size(self.max_head.max(8192));
+            .header_read_timeout(self.head.timeout())
+            .max_buf_size(self.head.bytes());
         builder
             .http2()
             .timer(TokioTimer::new())
             .max_concurrent_streams(MAX_STREAMS)
-            .max_header_list_size(self.max_head as u32)
+            .max_header_list_size(self.head.bytes() as u32)
             .initial_stream_window_size(1 << 20)
             .initial_connection_window_size(8 << 20);
         builder
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -6,7 +6,7 @@
 use hyper::body::Incoming;
 use hyper::{Request, Response, StatusCode};
 use net::server::bind;
-use net::{Body, Meter, Protocol, Server, Stop, full};
+use net::{Body, HeadLimits, Meter, Protocol, Server, Stop, full};
 use observe::{Event, Metrics, emit};
 use quick_error::quick_error;
 use records::Recorder;
@@ -173,8 +173,7 @@
         let addr = self.settings.admin;
         let listener = bind(addr).map_err(|e| StartError::Bind(addr, e))?;
         let server = Server {
-            head_timeout: ADMIN_TIMEOUT,
-            max_head: ADMIN_HEAD,
+            head: HeadLimits::new(ADMIN_TIMEOUT, ADMIN_HEAD),
             protocol: Protocol::Any,
             drain: Stop::default(),
             stop: Stop::default(),
