--- a/crates/arbutusquay/tests/explain.rs
+++ b/crates/arbutusquay/tests/explain.rs
@@ -207,3 +207,48 @@
         .unwrap();
     assert_eq!(out.code, Some(2));
 }
+
+#[tokio::test]
+async fn requests_are_served_though_nobody_reads_the_log() {
+    let bed = start(4).await;
+    let ip = Ipv4Addr::new(127, 66, (std::process::id() % 200 + 20) as u8, 5);
+    let at = |port| SocketAddr::new(IpAddr::V4(ip), port);
+    let file = bed.log.with_extension("unread");
+    std::fs::write(&file, settings("edge-unread", ip, bed.store.addr)).unwrap();
+    let worker = bed.add("i-ok", "plain", None).await;
+    worker.usually(Act::Echo);
+    let mut child = tokio::process::Command::new(BINARY)
+        .arg("gateway")
+        .env(standin::fixture::SETTINGS_VARIABLE, &file)
+        .stdout(std::process::Stdio::piped())
+        .kill_on_drop(true)
+        .spawn()
+        .unwrap();
+    let until = Instant::now() + PATIENCE;
+    let mut tcp = loop {
+        assert!(Instant::now() < until);
+        if let Ok(tcp) = TcpStream::connect(at(7000)).await {
+            break tcp;
+        }
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    };
+    // Some 400 bytes a line: far more than a pipe's 64 KiB.
+    let mut served = 0;
+    for n in 0..4000 {
+        let text = request("GET", "/safe/", &format!("unread-{n:05}"), "", "");
+        tcp.write_all(text.as_bytes()).await.unwrap();
+        let mut buf = Vec::new();
+        let whole = |buf: &[u8]| {
+            let text = String::from_utf8_lossy(buf);
+            let end = text.split("\r\n\r\n").nth(1);
+            end.is_some_and(|b| b == format!("unread-{n:05}") || b.ends_with('}'))
+        };
+        while !whole(&buf) {
+            let read = tokio::time::timeout(PATIENCE, tcp.read_buf(&mut buf)).await;
+            assert!(read.unwrap().unwrap() > 0);
+        }
+        served += u32::from(buf.starts_with(b"HTTP/1.1 200"));
+    }
+    assert!(served > 3500, "{served}");
+    child.kill().await.unwrap();
+}
