The rest of a broken stream is admitted up to twice the target

Cause: found by reading: the rest of a stream that broke passed the same admission as a new prompt, and under load was refused, so the stream broke off.

--- a/crates/gateway/src/choose.rs
+++ b/crates/gateway/src/choose.rs
@@ -22,6 +22,14 @@
 /// take for a prompt to be admitted. The rest covers the way to the client, what
 /// other processes send at the same moment, and errors of the estimate.
 const ADMIT_SHARE: f64 = 0.6;
+/// The same for the rest of a broken stream: refused, it would be broken off for
+/// good. For all that is sent a second time the larger bound gained nothing.
+const ADMIT_REST_SHARE: f64 = 2.0;
+/// What an upstream in another availability zone costs a plain request, and the
+/// most that chance adds, as load for its slots: a tenth of its slots outweighs
+/// both, and processes that know the same don't all choose the same.
+const PLAIN_ZONE_LOAD: f64 = 0.1;
+const PLAIN_CHANCE: f64 = 0.05;
 /// Answers of more tokens than this hold their slot for seconds.
 const LONG_ANSWER_TOKENS: u32 = 1024;
 /// What a long answer costs the requests beside it, as work.
@@ -52,8 +60,8 @@
     pub max_output_tokens: u32,
     /// Time to the first byte that is on time.
     pub target: Duration,
-    /// Time since the request came.
-    pub elapsed: Duration,
+    /// Whether this is the rest of a broken stream.
+    pub is_rest: bool,
     /// Whether the prompt may be read at one engine and the answer generated at
     /// another.
     pub may_split: bool,
@@ -67,6 +75,14 @@
         self.max_output_tokens > LONG_ANSWER_TOKENS
     }
 
+    fn admit_share(&self) -> f64 {
+        if self.is_rest {
+            ADMIT_REST_SHARE
+        } else {
+            ADMIT_SHARE
+        }
+    }
+
     /// Tokens of the prompt that no other request shares.
     fn own_tokens(&self) -> u32 {
         let shared = self.parts.len().saturating_sub(1);
@@ -175,7 +191,8 @@
 fn choose_plain(fleet: &Fleet, zone: &str, need: &Need<'_>, now: Instant) -> Choice {
     let cost = |u: &Upstream| {
         let load = f64::from(u.all_running()) / f64::from(u.instance.slots);
-        load + zone_cost(u, zone) * 0.05 + fastrand::f64() * 0.05
+        let is_far = u.instance.zone != zone;
+        load + f64::from(u8::from(is_far)) * PLAIN_ZONE_LOAD + fastrand::f64() * PLAIN_CHANCE
     };
     let all = candidates(fleet, need, now).map(|(key, u)| (key, u, cost(u)));
     match all.min_by(|a, b| a.2.total_cmp(&b.2)) {
@@ -262,7 +279,7 @@
         is_long: need.is_long(),
         inputs: Inputs {
             estimate_ms: fleet.estimate_ms(upstream, uncached) + take_ms,
-            admit_ms: need.target.as_secs_f64() * 1000.0 * ADMIT_SHARE,
+            admit_ms: need.target.as_secs_f64() * 1000.0 * need.admit_share(),
             uncached,
             work: upstream.work(uncached),
             slowdown: upstream.slowdown.factor(),
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -202,15 +202,15 @@
 
     fn need(&self, account: &Account) -> Need<'_> {
         let route = &self.target().route;
-        let is_first = account.attempts == 0 && self.last_event.is_none();
+        let is_again = account.attempts > 0;
         Need {
             service: self.service,
             parts: &self.incoming.parts,
             prompt_tokens: self.incoming.prompt_tokens,
             max_output_tokens: self.incoming.max_output_tokens,
             target: route.target_latency,
-            elapsed: self.since.elapsed(),
-            may_split: is_first,
+            is_rest: is_again && self.last_event.is_some(),
+            may_split: !is_again && self.last_event.is_none(),
             tried: &self.tried,
         }
     }
