--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -13,9 +13,13 @@
 use std::net::IpAddr;
 use std::time::{Duration, Instant};
 
-/// A peer that was silent for so long counts as gone, and its load with it. Ten
-/// times the longest pause between two datagrams of four processes.
+/// A peer that was silent for so long counts as gone, and its load with it: three
+/// times the longest pause between two datagrams.
 pub const SILENT: Duration = Duration::from_millis(600);
+/// The same for each peer. With many peers each hears less often (see
+/// [`exchange::SEND_EVERY_PER_PEER`]); without it all of 300 counted as gone by
+/// turns, and each read the store for itself.
+const SILENT_PER_PEER: Duration = Duration::from_millis(16);
 /// Most peers that are known: the aim is 350, and an unknown sender must not
 /// fill the memory.
 const MAX_PEERS: usize = 1024;
@@ -130,15 +134,22 @@
         true
     }
 
+    /// Silence after which a peer counts as gone.
+    fn silent(&self) -> Duration {
+        SILENT.max(SILENT_PER_PEER * self.all.len() as u32)
+    }
+
     /// Takes the load of peers that fell silent off the upstreams. A peer that
     /// only its datagrams made known is forgotten.
     pub fn expire(&mut self, fleet: &mut Fleet, now: Instant) {
+        let bound = self.silent();
         for peer in &mut self.all {
-            if !peer.is_live(now) {
+            if !peer.is_live(now, bound) {
                 peer.take_off(fleet);
             }
         }
-        self.all.retain(|p| p.host.is_some() || p.is_live(now));
+        self.all
+            .retain(|p| p.host.is_some() || p.is_live(now, bound));
     }
 
     /// Addresses of all peers.
@@ -149,20 +160,22 @@
     /// Live peers whose address is before one: the place of a process among all.
     pub fn rank(&self, ip: IpAddr, now: Instant) -> u32 {
         let before = self.all.iter().take_while(|p| p.ip < ip);
-        before.filter(|p| p.is_live(now)).count() as u32
+        let bound = self.silent();
+        before.filter(|p| p.is_live(now, bound)).count() as u32
     }
 
     /// Peers that were heard of late.
     pub fn live(&self, now: Instant) -> impl Iterator<Item = (&Peer, &Beat)> {
-        let live = self.all.iter().filter(move |p| p.is_live(now));
+        let bound = self.silent();
+        let live = self.all.iter().filter(move |p| p.is_live(now, bound));
         live.filter_map(|p| p.beat.as_ref().map(|b| (p, b)))
     }
 }
 
 impl Peer {
-    fn is_live(&self, now: Instant) -> bool {
+    fn is_live(&self, now: Instant, bound: Duration) -> bool {
         let silent = self.heard_at.map(|at| now.saturating_duration_since(at));
-        silent.is_some_and(|s| s < SILENT)
+        silent.is_some_and(|s| s < bound)
     }
 
     /// Takes what it last said off the upstreams; only its versions are kept.
--- a/crates/gateway/tests/decisions.rs
+++ b/crates/gateway/tests/decisions.rs
@@ -273,6 +273,28 @@
     }
 }
 
+#[test]
+fn many_peers_that_speak_seldom_count_as_alive() {
+    let mut fleet = Fleet::default();
+    let mut peers = Peers::default();
+    let start = Instant::now();
+    let ip = |n: u16| IpAddr::V4(Ipv4Addr::new(10, 1, (n >> 8) as u8, n as u8));
+    // 300 processes, each heard every 1.2 s, one after the other.
+    let pause = gateway::peers::exchange::SEND_EVERY_PER_PEER;
+    for round in 0..3u64 {
+        for n in 0..300u16 {
+            let now = start + pause * (round as u32 * 300 + u32::from(n));
+            peers.hear(ip(n), beat(1, round, &[]), &mut fleet, now);
+            peers.expire(&mut fleet, now);
+            let expected = if round == 0 { usize::from(n) + 1 } else { 300 };
+            assert_eq!(peers.live(now).count(), expected);
+        }
+    }
+    let later = start + pause * 900 + Duration::from_secs(10);
+    peers.expire(&mut fleet, later);
+    assert_eq!(peers.live(later).count(), 0);
+}
+
 /// Number, time and loads of what a peer last said.
 type Word = (u64, Instant, Vec<(u64, u32)>);
 
