--- /dev/null
+++ b/crates/agent/src/attempt.rs
@@ -0,0 +1,66 @@
+//! A try that is being served, and how it ended.
+
+use crate::frames::Frames;
+use crate::state::Agent;
+use conf::Class;
+use observe::{Event, emit};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+use store::InForce;
+use wire::{Refusal, RequestContext};
+
+/// How a try ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum End {
+    /// The whole answer was sent: so many tokens or bytes.
+    Answered(u64),
+    /// It was refused.
+    Refused(Refusal),
+    /// The answer broke off.
+    Broken,
+    /// The entry went away.
+    Gone,
+}
+
+/// Times of a try.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Times {
+    /// In the queue.
+    pub queue: Duration,
+    /// From receipt to the first byte.
+    pub first: Option<Duration>,
+}
+
+/// A try that is being served.
+pub struct Try<'a> {
+    /// The agent.
+    pub agent: &'a Arc<Agent>,
+    /// What came with the request.
+    pub cx: &'a RequestContext,
+    /// The document that it is served by.
+    pub doc: &'a InForce,
+    /// Its class.
+    pub class: &'a Class,
+    /// The way back.
+    pub frames: &'a mut Frames,
+    /// Its times.
+    pub times: &'a mut Times,
+    /// When it was received.
+    pub since: Instant,
+}
+
+impl Try<'_> {
+    /// Notes the first byte of the answer.
+    pub fn first_byte(&mut self) {
+        self.times.first.get_or_insert(self.since.elapsed());
+    }
+
+    /// Logs what the upstream did wrong.
+    pub fn bad_answer(&self, why: String) {
+        emit(&Event::BadAnswer {
+            request: self.cx.request.to_string(),
+            upstream: &self.agent.upstream,
+            why,
+        });
+    }
+}
--- a/crates/agent/src/claims.rs
+++ b/crates/agent/src/claims.rs
@@ -57,7 +57,7 @@
     /// The row, in state held.
     pub claim: Claim,
     /// Whether every earlier try of the same request came back as not run.
-    pub clean: bool,
+    pub none_has_run: bool,
     reply: oneshot::Sender<Claimed>,
 }
 
@@ -108,12 +108,12 @@
     }
 
     /// Claims a key.
-    pub async fn claim(&self, key: String, claim: Claim, clean: bool) -> Claimed {
+    pub async fn claim(&self, key: String, claim: Claim, none_has_run: bool) -> Claimed {
         let (reply, rx) = oneshot::channel();
         let job = Job {
             key,
             claim,
-            clean,
+            none_has_run,
             reply,
         };
         if self.jobs.try_send(job).is_err() {
--- a/crates/agent/src/claims/batch.rs
+++ b/crates/agent/src/claims/batch.rs
@@ -193,7 +193,9 @@
         // An earlier try of the same request that came back as not run never
         // runs: its agent has given it up for good.
         ClaimState::Held
-            if job.clean && old.request == job.claim.request && old.attempt < job.claim.attempt =>
+            if job.none_has_run
+                && old.request == job.claim.request
+                && old.attempt < job.claim.attempt =>
         {
             Judged::Free(row.version)
         }
--- a/crates/agent/src/complete.rs
+++ b/crates/agent/src/complete.rs
@@ -1,6 +1,6 @@
 //! A completion by the engine.
 
-use crate::run::{End, Try};
+use crate::attempt::{End, Try};
 use engine::client::Token;
 use engine::dialect::CompletionBody;
 use engine::{EngineError, Stream};
@@ -14,7 +14,7 @@
     let cached = t.agent.prefixes.cached(&hashes);
     let body = CompletionBody {
         // With the try's number, so that a late chunk of an earlier try is foreign.
-        request_id: format!("{}-{}", t.leg.request, t.leg.attempt),
+        request_id: format!("{}-{}", t.cx.request, t.cx.attempt),
         model: model.to_owned(),
         prompt: c.prompt.clone(),
         max_tokens: c.max_tokens,
--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -6,6 +6,7 @@
 //! drains when it is told to stop or its host leaves.
 
 pub mod admission;
+mod attempt;
 pub mod claims;
 mod complete;
 mod frames;
@@ -24,7 +25,7 @@
 use state::Agent;
 use std::sync::Arc;
 use store::poll::AlsoRows;
-use store::rows::want_key;
+use store::rows::desired_key;
 use tokio::sync::watch;
 
 /// Runs an agent until `stop` is given and the last request has ended.
@@ -35,9 +36,9 @@
     let [service] = settings.services.as_slice() else {
         return Err(StartError::Settings("an agent serves exactly one service"));
     };
-    let (tx, want) = watch::channel(Vec::new());
+    let (tx, desired) = watch::channel(Vec::new());
     let also = AlsoRows {
-        keys: vec![want_key(service, &upstream.name)],
+        keys: vec![desired_key(service, &upstream.name)],
         tx,
     };
     let service = service.clone();
@@ -55,7 +56,7 @@
         admin,
     });
     tokio::spawn(node.clone().stop_when_leaving());
-    tokio::spawn(orders::tend(agent.clone(), want));
+    tokio::spawn(orders::tend(agent.clone(), desired));
     let serving = Stop::default();
     let server = Server {
         head: HeadLimits::new(node.settings.limits.read_timeout, node.settings.limits.head),
--- a/crates/agent/src/orders.rs
+++ b/crates/agent/src/orders.rs
@@ -1,9 +1,9 @@
-//! Keeping the engine as its want row says.
+//! Keeping the engine as its row of the desired state says.
 //!
-//! The agent takes orders from its want row and from nowhere else, and runs one
+//! The agent takes orders from its row of the desired state and from nowhere else, and runs one
 //! at a time: drain, look at the engine until no change is under way, give the
 //! order with its number as the fencing number, and wait until the engine is as
-//! wanted. An engine that fails this a few times is reported as broken, and
+//! desired. An engine that fails this a few times is reported as broken, and
 //! stays so until there is another order or it comes right by itself.
 //!
 //! An order whose answer never came may still lie in a socket's buffer, also one
@@ -16,12 +16,12 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 use store::retry::around;
-use store::rows::{Want, decode};
+use store::rows::{Desired, decode};
 use store::{InForce, Row};
 use tokio::sync::watch;
 use wire::Role;
 
-/// Time between looks at an upstream that is as wanted.
+/// Time between looks at an upstream that is as desired.
 const LOOK: Duration = Duration::from_millis(500);
 /// Time between looks during a change.
 const CHANGE_LOOK: Duration = Duration::from_millis(20);
@@ -34,21 +34,21 @@
 const TRIES: u32 = 3;
 
 /// Tends the upstream until the process ends.
-pub async fn tend(agent: Arc<Agent>, mut want: watch::Receiver<Vec<Row>>) {
+pub async fn tend(agent: Arc<Agent>, mut desired: watch::Receiver<Vec<Row>>) {
     let mut tries = Tries {
         order: 0,
         made: 0,
         // An agent before this one may have left an order on its way.
         astray: true,
     };
-    let mut changed = agent.node.book.watch();
+    let mut changed = agent.node.documents.watch();
     let mut events = 0;
     loop {
         if let Some(doc) = agent.doc() {
             let slots = agent.me(&doc.doc).map_or(0, |u| u.slots);
             agent.admission.set_slots(slots);
             if doc.doc.is_engine() {
-                let row = want.borrow_and_update().first().cloned();
+                let row = desired.borrow_and_update().first().cloned();
                 tend_engine(&agent, &doc, row, &mut tries).await;
                 events = read_events(&agent, events).await;
             } else {
@@ -58,7 +58,7 @@
         // Whichever comes first makes the next look.
         tokio::select! {
             () = tokio::time::sleep(around(LOOK)) => {}
-            _ = want.changed() => {}
+            _ = desired.changed() => {}
             _ = changed.changed() => {}
         }
     }
@@ -84,7 +84,7 @@
 }
 
 async fn tend_engine(agent: &Agent, doc: &InForce, row: Option<Row>, tries: &mut Tries) {
-    let Some(want) = row.and_then(|r| decode::<Want>(&r.value)) else {
+    let Some(desired) = row.and_then(|r| decode::<Desired>(&r.value)) else {
         set(agent, false, None, Some("no order yet".into()));
         return;
     };
@@ -95,13 +95,16 @@
             return;
         }
     };
-    if is_as_wanted(&state, &want) {
+    if is_as_desired(&state, &desired) {
         tries.made = 0;
         set(agent, true, Some(&state), None);
         return;
     }
-    if !tries.may(want.order) {
-        unusable(agent, format!("order {} failed {TRIES} times", want.order));
+    if !tries.may(desired.order) {
+        unusable(
+            agent,
+            format!("order {} failed {TRIES} times", desired.order),
+        );
         return;
     }
     // Nothing is cut off: what runs ends first. Past the bound the change waits
@@ -110,41 +113,41 @@
         agent,
         false,
         None,
-        Some(format!("draining for order {}", want.order)),
+        Some(format!("draining for order {}", desired.order)),
     );
     if !drained(agent, doc.doc.drain_bound).await {
         unusable(agent, "requests still run past the drain bound".into());
         return;
     }
     tries.made += 1;
-    if let Err(why) = change(agent, &want, &mut tries.astray).await {
+    if let Err(why) = change(agent, &desired, &mut tries.astray).await {
         unusable(agent, why);
     } else {
         emit(&Event::OrderDone {
             upstream: &agent.upstream,
-            order: want.order,
+            order: desired.order,
         });
     }
 }
 
-/// Makes a drained engine as wanted.
-async fn change(agent: &Agent, want: &Want, astray: &mut bool) -> Result<(), String> {
+/// Makes a drained engine as desired.
+async fn change(agent: &Agent, desired: &Desired, astray: &mut bool) -> Result<(), String> {
     let mut state = quiet(agent).await?;
     if *astray {
         state = settled(agent, state).await?;
         *astray = false;
     }
-    if is_as_wanted(&state, want) {
+    if is_as_desired(&state, desired) {
         return Ok(());
     }
     let order = Order {
-        fence: want.order,
-        role: want.role,
-        model: want.model.clone(),
+        fence: desired.order,
+        role: desired.role,
+        model: desired.model.clone(),
     };
     emit(&Event::OrderGiven {
         upstream: &agent.upstream,
-        order: want.order,
+        order: desired.order,
     });
     agent.prefixes.clear();
     // Until the engine has answered, the order may be anywhere.
@@ -156,7 +159,7 @@
         .map_err(|e| e.to_string())?;
     *astray = false;
     let state = quiet(agent).await?;
-    if is_as_wanted(&state, want) {
+    if is_as_desired(&state, desired) {
         Ok(())
     } else {
         Err("engine isn't as ordered".into())
@@ -176,8 +179,8 @@
     Ok(still.0)
 }
 
-fn is_as_wanted(state: &EngineState, want: &Want) -> bool {
-    !state.changing && state.role == want.role && state.model.as_ref() == Some(&want.model)
+fn is_as_desired(state: &EngineState, desired: &Desired) -> bool {
+    !state.changing && state.role == desired.role && state.model.as_ref() == Some(&desired.model)
 }
 
 async fn drained(agent: &Agent, bound: Duration) -> bool {
--- a/crates/agent/src/peer.rs
+++ b/crates/agent/src/peer.rs
@@ -10,8 +10,8 @@
 use net::{Body, empty, full, stream};
 use std::sync::Arc;
 use wire::{
-    Call, DocText, Leg, PATH_DOC, PATH_NUDGE, PATH_PROBE, PATH_RUN, PATH_STATUS, Probe,
-    ProbeAnswer, decode, encode, encode_compact,
+    Call, DocText, PATH_DOC, PATH_NUDGE, PATH_PROBE, PATH_RUN, PATH_STATUS, Probe, ProbeAnswer,
+    RequestContext, decode, encode, encode_compact,
 };
 
 /// Frames that an entry may be behind before the upstream waits for it.
@@ -31,7 +31,7 @@
         (Method::POST, PATH_PROBE) => probe(&agent, &body),
         (Method::POST, PATH_RUN) => begin(agent, &body),
         (Method::POST, PATH_DOC) => take_doc(&agent, &body),
-        (Method::GET, PATH_DOC) => match agent.node.book.text(&agent.service) {
+        (Method::GET, PATH_DOC) => match agent.node.documents.text(&agent.service) {
             Some(text) => message(&text),
             None => status(StatusCode::NOT_FOUND),
         },
@@ -48,13 +48,13 @@
     let Some(p) = decode::<Probe>(body) else {
         return status(StatusCode::BAD_REQUEST);
     };
-    agent.node.book.heard(&p.service, p.doc_version);
+    agent.node.documents.heard(&p.service, p.doc_version);
     let answer = ProbeAnswer {
         state: agent.state(),
         wait_ms: expected_ms(agent, &p),
         load: agent.admission.load(),
         role: agent.upstream_state().role,
-        doc_version: agent.node.book.version(&agent.service),
+        doc_version: agent.node.documents.version(&agent.service),
     };
     Response::new(full(encode_compact(&answer)))
 }
@@ -79,11 +79,11 @@
 }
 
 fn begin(agent: Arc<Agent>, body: &[u8]) -> Response<Body> {
-    let Some((leg, call)) = decode::<(Leg, Call)>(body) else {
+    let Some((cx, call)) = decode::<(RequestContext, Call)>(body) else {
         return status(StatusCode::BAD_REQUEST);
     };
     let (tx, answer) = stream(FRAME_SLACK);
-    tokio::spawn(run::serve(agent, leg, call, tx));
+    tokio::spawn(run::serve(agent, cx, call, tx));
     Response::new(answer)
 }
 
@@ -91,7 +91,7 @@
     let Some(text) = decode::<DocText>(body) else {
         return status(StatusCode::BAD_REQUEST);
     };
-    agent.node.book.offer(&text);
+    agent.node.documents.offer(&text);
     status(StatusCode::OK)
 }
 
--- a/crates/agent/src/plain.rs
+++ b/crates/agent/src/plain.rs
@@ -3,8 +3,8 @@
 //! The answer is read in whole before its first byte goes back, so that a
 //! caller gets all of it or a typed refusal.
 
+use crate::attempt::{End, Try};
 use crate::claims::{Claimed, Held};
-use crate::run::{End, Try};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Limited};
 use hyper::header::{CONTENT_TYPE, HOST};
@@ -76,11 +76,11 @@
 /// Claims a call's key. A key whose first call still runs is waited for a little,
 /// so that a caller who repeats at once gets the answer and not `unknown`.
 async fn claim(t: &Try<'_>, call: &PlainCall) -> Claimed {
-    let key = claim_key(&t.leg.service, &t.leg.tenant, &row_key(t, call));
+    let key = claim_key(&t.cx.service, &t.cx.tenant, &row_key(t, call));
     let once = || {
         t.agent
             .claims
-            .claim(key.clone(), new_claim(t, call), t.leg.clean)
+            .claim(key.clone(), new_claim(t, call), t.cx.none_has_run)
     };
     let mut claimed = once().await;
     for pause in REPEAT_PAUSES {
@@ -97,7 +97,7 @@
 fn row_key(t: &Try<'_>, call: &PlainCall) -> String {
     match &call.key {
         Some(key) => format!("key/{key}"),
-        None => format!("request/{}", t.leg.request),
+        None => format!("request/{}", t.cx.request),
     }
 }
 
@@ -105,8 +105,8 @@
     let mut text = format!("{} {}\n", call.method, call.path).into_bytes();
     text.extend_from_slice(&call.body);
     Claim {
-        request: t.leg.request,
-        attempt: t.leg.attempt,
+        request: t.cx.request,
+        attempt: t.cx.attempt,
         agent: t.agent.claims.agent().to_owned(),
         digest: xxh3_64(&text),
         state: ClaimState::Held,
@@ -200,8 +200,8 @@
         .method(method)
         .uri(&call.path)
         .header(HOST, t.agent.plain.addr().to_string())
-        .header("x-request-id", t.leg.request.to_string())
-        .header("x-tenant", &t.leg.tenant);
+        .header("x-request-id", t.cx.request.to_string())
+        .header("x-tenant", &t.cx.tenant);
     if let Some(kind) = &call.content_type {
         req = req.header(CONTENT_TYPE, kind);
     }
--- a/crates/agent/src/run.rs
+++ b/crates/agent/src/run.rs
@@ -1,19 +1,19 @@
 //! One try of a request, from its receipt to its last frame.
 
 use crate::admission::{Ask, Ticket};
+use crate::attempt::{End, Times, Try};
 use crate::complete::complete;
 use crate::frames::Frames;
 use crate::plain::call_plain;
 use crate::state::Agent;
-use conf::Class;
 use net::BodySender;
 use observe::event::now_ms;
-use observe::{Event, Labels, Seconds, emit};
+use observe::{Labels, Seconds};
 use records::{Record, Side};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 use store::InForce;
-use wire::{AgentState, Call, Leg, Outcome, Part, Reason, Refusal, prefix};
+use wire::{AgentState, Call, Outcome, Part, Reason, Refusal, RequestContext, prefix};
 
 /// Longest wait for a document that the entry has and this agent hasn't.
 const DOC_WAIT: Duration = Duration::from_millis(500);
@@ -21,76 +21,20 @@
 /// Longest wait for a look at the host list after a pause of this process.
 const LIST_WAIT: Duration = Duration::from_secs(1);
 
-/// How a try ended.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum End {
-    /// The whole answer was sent: so many tokens or bytes.
-    Answered(u64),
-    /// It was refused.
-    Refused(Refusal),
-    /// The answer broke off.
-    Broken,
-    /// The entry went away.
-    Gone,
-}
-
-/// Times of a try.
-#[derive(Debug, Clone, Copy, Default)]
-pub struct Times {
-    /// In the queue.
-    pub queue: Duration,
-    /// From receipt to the first byte.
-    pub first: Option<Duration>,
-}
-
-/// A try that is being served.
-pub struct Try<'a> {
-    /// The agent.
-    pub agent: &'a Arc<Agent>,
-    /// Its leg.
-    pub leg: &'a Leg,
-    /// The document that it is served by.
-    pub doc: &'a InForce,
-    /// Its class.
-    pub class: &'a Class,
-    /// The way back.
-    pub frames: &'a mut Frames,
-    /// Its times.
-    pub times: &'a mut Times,
-    /// When it was received.
-    pub since: Instant,
-}
-
-impl Try<'_> {
-    /// Notes the first byte of the answer.
-    pub fn first_byte(&mut self) {
-        self.times.first.get_or_insert(self.since.elapsed());
-    }
-
-    /// Logs what the upstream did wrong.
-    pub fn bad_answer(&self, why: String) {
-        emit(&Event::BadAnswer {
-            request: self.leg.request.to_string(),
-            upstream: &self.agent.upstream,
-            why,
-        });
-    }
-}
-
 /// Serves a try in a task of its own.
-pub async fn serve(agent: Arc<Agent>, leg: Leg, call: Call, tx: BodySender) {
+pub async fn serve(agent: Arc<Agent>, cx: RequestContext, call: Call, tx: BodySender) {
     let _running = agent.node.begin();
     let since = Instant::now();
-    let mut frames = Frames::new(tx, leg.request, agent.node.settings.limits.idle_timeout);
+    let mut frames = Frames::new(tx, cx.request, agent.node.settings.limits.idle_timeout);
     let mut times = Times::default();
-    let end = match check(&agent, &leg).await {
-        Ok(doc) => match doc.doc.class_named(&leg.class) {
+    let end = match check(&agent, &cx).await {
+        Ok(doc) => match doc.doc.class_named(&cx.class) {
             Some(id) => {
                 let class = doc.doc.class(id);
                 let (doc, frames, times) = (&doc, &mut frames, &mut times);
                 let t = Try {
                     agent: &agent,
-                    leg: &leg,
+                    cx: &cx,
                     doc,
                     class,
                     frames,
@@ -104,7 +48,7 @@
         Err(refusal) => End::Refused(refusal),
     };
     // Noted before the last frame, so that who sees the answer finds the record.
-    note(&agent, &leg, end, times, since);
+    note(&agent, &cx, end, times, since);
     match end {
         End::Answered(count) => frames.end(count).await,
         End::Refused(refusal) => frames.refuse(refusal).await,
@@ -113,15 +57,15 @@
     }
 }
 
-/// Checks that this agent may serve the leg, and by which document.
-async fn check(agent: &Agent, leg: &Leg) -> Result<InForce, Refusal> {
-    if leg.service != agent.service {
+/// Checks that this agent may serve the request, and by which document.
+async fn check(agent: &Agent, cx: &RequestContext) -> Result<InForce, Refusal> {
+    if cx.service != agent.service {
         return Err(Refusal::not_run(Reason::UnknownService));
     }
-    let book = &agent.node.book;
-    book.heard(&leg.service, leg.doc_version);
+    let documents = &agent.node.documents;
+    documents.heard(&cx.service, cx.doc_version);
     // A document that an entry goes by is in force here too, or nothing runs.
-    if !book.reach(&leg.service, leg.doc_version, DOC_WAIT).await {
+    if !documents.reach(&cx.service, cx.doc_version, DOC_WAIT).await {
         return Err(Refusal::not_run(Reason::NotReady));
     }
     // After a pause of this process its host may have left meanwhile.
@@ -175,10 +119,10 @@
     };
     let ask = Ask {
         class: t.class,
-        tenant: &t.leg.tenant,
+        tenant: &t.cx.tenant,
         limits: t.doc.doc.tenants,
         cost: t.agent.rates.cost(t.class, call, cached),
-        deadline: t.since + Duration::from_millis(t.leg.deadline_ms),
+        deadline: t.since + Duration::from_millis(t.cx.deadline_ms),
     };
     t.agent.admission.admit(ask).await
 }
@@ -194,7 +138,7 @@
     }
 }
 
-fn note(agent: &Agent, leg: &Leg, end: End, times: Times, since: Instant) {
+fn note(agent: &Agent, cx: &RequestContext, end: End, times: Times, since: Instant) {
     let total = since.elapsed();
     let (outcome, reason, count) = match end {
         End::Answered(count) => (Outcome::Answered, None, count),
@@ -203,9 +147,9 @@
         End::Gone => (Outcome::Unknown, Some(Reason::CallerGone), 0),
     };
     let who = Labels {
-        service: &leg.service,
-        class: &leg.class,
-        tenant: &leg.tenant,
+        service: &cx.service,
+        class: &cx.class,
+        tenant: &cx.tenant,
     };
     let metrics = &agent.node.metrics;
     let reason_text = reason.map(|r| r.to_string()).unwrap_or_default();
@@ -216,19 +160,19 @@
         metrics.time(who, Seconds::First, first.as_secs_f64());
     }
     agent.node.recorder.record(Record {
-        request: leg.request,
+        request: cx.request,
         side: Side::Agent,
-        service: leg.service.clone(),
-        tenant: leg.tenant.clone(),
-        class: leg.class.clone(),
+        service: cx.service.clone(),
+        tenant: cx.tenant.clone(),
+        class: cx.class.clone(),
         outcome,
         reason,
         upstream: Some(agent.upstream.clone()),
-        attempts: leg.attempt,
+        attempts: cx.attempt,
         queue_ms: times.queue.as_millis() as u64,
         first_ms: times.first.map(|d| d.as_millis() as u64),
         total_ms: total.as_millis() as u64,
-        deadline_ms: leg.deadline_ms,
+        deadline_ms: cx.deadline_ms,
         count,
         ended_ms: now_ms(),
     });
--- a/crates/agent/src/state.rs
+++ b/crates/agent/src/state.rs
@@ -83,7 +83,7 @@
 
     /// The document in force.
     pub fn doc(&self) -> Option<InForce> {
-        self.node.book.get(&self.service)
+        self.node.documents.get(&self.service)
     }
 
     /// This agent's upstream in a document.
@@ -165,7 +165,7 @@
             state: self.state(),
             role: up.role,
             model: up.model,
-            doc_version: self.node.book.version(&self.service),
+            doc_version: self.node.documents.version(&self.service),
             waiting,
             running,
             fault: up.fault,
--- a/crates/arbutusquay/src/commands/status.rs
+++ b/crates/arbutusquay/src/commands/status.rs
@@ -10,7 +10,7 @@
 use serde::Serialize;
 use std::fmt;
 use std::time::Duration;
-use store::rows::{Lease, Want, decode, doc_key, lease_key, want_key};
+use store::rows::{Desired, Lease, decode, desired_key, doc_key, lease_key};
 use store::{Error, HostState, Hosts, HttpPlatform, Row, Table};
 use wire::{AgentState, AgentStatus, PATH_STATUS};
 
@@ -41,7 +41,7 @@
 struct UpstreamStatus {
     name: String,
     zone: String,
-    wanted: Option<Want>,
+    desired: Option<Desired>,
     agent: Option<AgentStatus>,
 }
 
@@ -106,8 +106,8 @@
 }
 
 async fn upstreams(table: &HttpPlatform, doc: &Doc) -> Result<Vec<UpstreamStatus>, Error> {
-    let key = |name: &str| want_key(&doc.service, name);
-    let wants = table
+    let key = |name: &str| desired_key(&doc.service, name);
+    let desired_rows = table
         .read(doc.upstreams.iter().map(|u| key(&u.name)).collect())
         .await?;
     let asking: Vec<_> = doc
@@ -117,11 +117,14 @@
         .collect();
     let mut out = Vec::new();
     for (u, asked) in doc.upstreams.iter().zip(asking) {
-        let want = |r: &&Row| r.key == key(&u.name);
+        let desired = |r: &&Row| r.key == key(&u.name);
         out.push(UpstreamStatus {
             name: u.name.clone(),
             zone: u.zone.clone(),
-            wanted: wants.iter().find(want).and_then(|r| decode(&r.value)),
+            desired: desired_rows
+                .iter()
+                .find(desired)
+                .and_then(|r| decode(&r.value)),
             agent: asked.await.ok().flatten(),
         });
     }
@@ -172,7 +175,7 @@
             a.doc_version
         )?;
         write!(f, "waiting {:<4} running {:<4}", a.waiting, a.running)?;
-        if let Some(w) = &self.wanted {
+        if let Some(w) = &self.desired {
             write!(f, " order {} ({})", w.order, w.why)?;
         }
         match &a.fault {
--- a/crates/bench/src/check.rs
+++ b/crates/bench/src/check.rs
@@ -7,7 +7,7 @@
 use fakes::engine::OrderSeen;
 use std::collections::{BTreeMap, BTreeSet};
 use store::Row;
-use store::rows::{Lease, Want, decode};
+use store::rows::{Desired, Lease, decode};
 use wire::Outcome;
 
 /// A leaving upstream gets no new work after this, in milliseconds.
@@ -117,7 +117,7 @@
 }
 
 /// Orders with an effect that came from a planner or agent whose time was over:
-/// an older number after a newer one at an engine, or a want row written under
+/// an older number after a newer one at an engine, or a row of the desired state written under
 /// another epoch than that of the lease at that moment.
 pub fn stale_orders_effective(h: &History) -> u64 {
     let at_engines = count(h.orders.iter(), |(_, o)| o.stale_effective);
@@ -127,9 +127,9 @@
         if let Some(service) = row.key.strip_prefix("lease/plan/") {
             let epoch = decode::<Lease>(&row.value).map_or(0, |l| l.epoch);
             epochs.insert(service.to_owned(), epoch);
-        } else if let Some(rest) = row.key.strip_prefix("want/") {
+        } else if let Some(rest) = row.key.strip_prefix("desired/") {
             let service = rest.split('/').next().unwrap_or("");
-            let epoch = decode::<Want>(&row.value).map_or(0, |w| w.epoch);
+            let epoch = decode::<Desired>(&row.value).map_or(0, |w| w.epoch);
             in_table += u64::from(epochs.get(service) != Some(&epoch));
         }
     }
--- a/crates/bench/tests/check.rs
+++ b/crates/bench/tests/check.rs
@@ -5,7 +5,7 @@
 use bench::mix::{Ask, What};
 use engine::{Order, OrderAnswer};
 use fakes::engine::OrderSeen;
-use store::rows::{Lease, Want, encode};
+use store::rows::{Desired, Lease, encode};
 use store::{Row, Token};
 use wire::{Model, Outcome, Role};
 
@@ -74,15 +74,15 @@
     )
 }
 
-fn want(epoch: u64) -> Row {
-    let want = Want {
+fn desired(epoch: u64) -> Row {
+    let desired = Desired {
         role: Role::Mixed,
         model: Model::plain("m", 1),
         epoch,
         order: 1,
         why: String::new(),
     };
-    row("want/s/u", encode(&want))
+    row("desired/s/u", encode(&desired))
 }
 
 fn sample(id: u32, version: u64, at_ms: u64) -> Sample {
@@ -130,21 +130,21 @@
 }
 
 #[test]
-fn a_want_row_written_under_a_lost_lease_is_counted() {
+fn a_desired_state_written_under_a_lost_lease_is_counted() {
     let of = |rows| History {
         rows,
         ..History::default()
     };
     assert_eq!(
-        check::stale_orders_effective(&of(vec![lease(1), want(1), lease(2), want(2)])),
+        check::stale_orders_effective(&of(vec![lease(1), desired(1), lease(2), desired(2)])),
         0
     );
     assert_eq!(
-        check::stale_orders_effective(&of(vec![lease(1), lease(2), want(1)])),
+        check::stale_orders_effective(&of(vec![lease(1), lease(2), desired(1)])),
         1
     );
     assert_eq!(
-        check::stale_orders_effective(&of(vec![want(1)])),
+        check::stale_orders_effective(&of(vec![desired(1)])),
         1,
         "under no lease at all"
     );
--- a/crates/entry/src/ledger.rs
+++ b/crates/entry/src/account.rs
@@ -1,4 +1,4 @@
-//! What is noted of a request at its end: metrics, a log line, a record.
+//! The account of a request at its end: metrics, a log line, a record.
 
 use crate::state::Entry;
 use observe::event::now_ms;
@@ -38,8 +38,8 @@
     pub count: u64,
 }
 
-/// Notes a request's end.
-pub fn note(entry: &Entry, e: &Ended<'_>) {
+/// Writes a request's account.
+pub fn close(entry: &Entry, e: &Ended<'_>) {
     measure(entry, e);
     emit(&Event::Request {
         request: e.id.to_string(),
--- a/crates/entry/src/api.rs
+++ b/crates/entry/src/api.rs
@@ -4,16 +4,16 @@
 //! rest is the common completion API; of a plain service it goes upstream as it
 //! is. Headers name the tenant, the class, the deadline and the key.
 
+use crate::account::{self, Ended};
 use crate::completion::{self, Form};
-use crate::ledger::{self, Ended};
 use crate::plain;
 use crate::refusal;
-use crate::session::{Session, Wanted};
+use crate::session::{RoutedRequest, Session};
 use crate::state::Entry;
 use conf::yaml::is_name;
 use conf::{Class, Doc};
 use hyper::body::Incoming;
-use hyper::header::{CONTENT_TYPE, HeaderValue};
+use hyper::header::CONTENT_TYPE;
 use hyper::http::request::Parts;
 use hyper::{Method, Request, Response};
 use net::Body;
@@ -30,8 +30,6 @@
 const DEADLINE: &str = "x-deadline-ms";
 /// Header with the caller's key.
 const KEY: &str = "idempotency-key";
-/// Header of answers with the request's id.
-const REQUEST_ID: &str = "x-request-id";
 /// Tenant of a request that names none.
 const NO_TENANT: &str = "anonymous";
 /// Class in records of a request whose class isn't known.
@@ -49,8 +47,8 @@
     let id = RequestId(fastrand::u128(..));
     let (head, body) = req.into_parts();
     match prepare(&entry, &head, body, id).await {
-        Ok((want, how)) => {
-            let session = Session::new(entry, want, since);
+        Ok((req, how)) => {
+            let session = Session::new(entry, req, since);
             match how {
                 How::Whole(form) => completion::serve_whole(form, session).await,
                 How::Stream(form) => completion::serve_stream(form, session).await,
@@ -70,13 +68,13 @@
     let Ok((service, path)) = split(head) else {
         return;
     };
-    if !entry.node.book.knows(service) {
+    if !entry.node.documents.knows(service) {
         return;
     }
-    let doc = entry.node.book.get(service);
+    let doc = entry.node.documents.get(service);
     let class = doc.as_ref().and_then(|d| class(&d.doc, head, path).ok());
     let tenant = tenant(head).unwrap_or_else(|_| NO_TENANT.to_owned());
-    ledger::note(
+    account::close(
         entry,
         &Ended {
             id,
@@ -108,17 +106,17 @@
     head: &Parts,
     body: Incoming,
     id: RequestId,
-) -> Result<(Wanted, How), Reason> {
+) -> Result<(RoutedRequest, How), Reason> {
     let (service, path) = split(head)?;
-    let book = &entry.node.book;
-    if !book.knows(service) {
+    let documents = &entry.node.documents;
+    if !documents.knows(service) {
         return Err(Reason::UnknownService);
     }
     // A process that just started serves only once it has a document.
-    if !book.reach(service, 1, DOC_WAIT).await {
+    if !documents.reach(service, 1, DOC_WAIT).await {
         return Err(Reason::NotReady);
     }
-    let doc = book.get(service).ok_or(Reason::NotReady)?;
+    let doc = documents.get(service).ok_or(Reason::NotReady)?;
     let class = class(&doc.doc, head, path)?.clone();
     let limits = &entry.node.settings.limits;
     let body = read_body(body, limits.body, limits.read_timeout)
@@ -146,7 +144,7 @@
     let tenant = tenant(head)?;
     let deadline = deadline(head)?.unwrap_or(class.deadline);
     Ok((
-        Wanted {
+        RoutedRequest {
             id,
             tenant,
             doc,
@@ -245,9 +243,3 @@
     }
     Ok(Some(deadline))
 }
-
-/// Puts a request's id into its answer.
-pub fn set_request_id(res: &mut Response<Body>, id: RequestId) {
-    let value = HeaderValue::try_from(id.to_string()).expect("hex digits are valid in a header");
-    res.headers_mut().insert(REQUEST_ID, value);
-}
--- a/crates/entry/src/choose.rs
+++ b/crates/entry/src/choose.rs
@@ -1,6 +1,6 @@
 //! The choice of an upstream, from fresh answers of a few agents.
 //!
-//! Candidates are those that rendezvous hashing ties to the prompt's
+//! Candidates are those that rendezvous hashing gives the prompt's
 //! beginning, where its KV cache likely is, and random ones, nearer
 //! availability zones first. Each is asked how long the answer's first byte
 //! would take; the soonest wins.
@@ -16,13 +16,13 @@
 use tokio::sync::mpsc;
 use wire::{AgentState, PATH_PROBE, Probe, ProbeAnswer, prefix};
 
-/// Candidates tied to the prompt's beginning.
-const TIED: usize = 1;
-/// Prompts with at most so many prefixes (under 2 KiB) are tied to no upstream.
+/// Candidates that have affinity for the prompt's beginning.
+const BY_AFFINITY: usize = 1;
+/// Prompts with at most so many prefixes (under 2 KiB) have affinity for none.
 const SHORT_PREFIXES: usize = 3;
-/// Candidates drawn at random.
-const DRAWN: usize = 2;
-/// Upstreams of a service that an entry draws from.
+/// Candidates sampled at random.
+const SAMPLED: usize = 2;
+/// Upstreams of a service that an entry samples from.
 const SUBSET: usize = 16;
 /// Candidates of the second round, if none of the first takes work.
 const SECOND_ROUND: usize = 8;
@@ -60,9 +60,9 @@
         let u = doc.upstream(*id);
         !tried.contains(&u.name) && !leaving.contains(&u.host)
     });
-    // A short prompt is read as fast anywhere, and needs no tie.
-    let tied = probe.prefixes.len() > SHORT_PREFIXES;
-    let key = probe.prefixes.first().copied().filter(|_| tied);
+    // A short prompt is read as fast anywhere, and needs no affinity.
+    let has_affinity = probe.prefixes.len() > SHORT_PREFIXES;
+    let key = probe.prefixes.first().copied().filter(|_| has_affinity);
     let first = candidates(entry, doc, &mut left, key);
     if let Some(chosen) = ask(entry, doc, probe, first).await {
         return Some(chosen);
@@ -74,7 +74,7 @@
 
 /// Takes the candidates of the first round out of `left`.
 ///
-/// The tied one may be any upstream: all entries must agree on it. The drawn
+/// The one by affinity may be any upstream: all entries must agree on it. The sampled
 /// ones come from this entry's subset, so that at any size an entry keeps few
 /// connections warm and no mesh grows between all entries and all agents.
 fn candidates(
@@ -86,7 +86,7 @@
     let mut out = Vec::new();
     if let Some(key) = key {
         left.sort_unstable_by_key(|id| prefix::rank(key, &doc.upstream(*id).name));
-        out.extend(left.split_off(left.len().saturating_sub(TIED)));
+        out.extend(left.split_off(left.len().saturating_sub(BY_AFFINITY)));
     }
     let own = &entry.node.settings;
     let seed = prefix::rank(0, &own.name);
@@ -94,14 +94,14 @@
         let u = doc.upstream(*id);
         (u.zone == own.zone, prefix::rank(seed, &u.name))
     });
-    // Nearer zones stand last. One of the drawn may be from anywhere in the
+    // Nearer zones stand last. One of the sampled may be from anywhere in the
     // subset, so that a busy zone isn't a trap.
     let near = left
         .iter()
         .filter(|id| doc.upstream(**id).zone == own.zone)
         .count();
-    for drawn in 0..DRAWN.min(left.len()) {
-        let from = if drawn == 0 {
+    for sampled in 0..SAMPLED.min(left.len()) {
+        let from = if sampled == 0 {
             near.clamp(1, SUBSET / 2)
         } else {
             SUBSET
@@ -124,7 +124,7 @@
     let (tx, mut rx) = mpsc::channel(ids.len().max(1));
     for id in ids {
         let addr = doc.upstream(id).agent;
-        if entry.health.may_try(addr, now) {
+        if !entry.health.is_suspended(addr, now) {
             tokio::spawn(ask_one(entry.clone(), id, addr, body.clone(), tx.clone()));
         }
     }
@@ -135,7 +135,7 @@
     while let Ok(Some(asked)) = tokio::time::timeout_at(until.into(), rx.recv()).await {
         entry
             .node
-            .book
+            .documents
             .heard(&probe.service, asked.answer.doc_version);
         if asked.answer.state != AgentState::Ready {
             continue;
@@ -179,10 +179,10 @@
         .and_then(|(_, body)| wire::decode::<ProbeAnswer>(&body))
     {
         Some(answer) => {
-            entry.health.good(addr);
+            entry.health.succeeded(addr);
             // The choice may have been made already.
             let _ = tx.send(Asked { id, answer }).await;
         }
-        None => entry.health.bad(addr, Instant::now()),
+        None => entry.health.failed(addr, Instant::now()),
     }
 }
--- a/crates/entry/src/completion.rs
+++ b/crates/entry/src/completion.rs
@@ -1,7 +1,7 @@
 //! The common completion API: completions and chat, streamed and not.
 
-use crate::api::set_request_id;
 use crate::refusal;
+use crate::reply::set_request_id;
 use crate::session::Session;
 use bytes::Bytes;
 use hyper::Response;
--- a/crates/entry/src/docs.rs
+++ b/crates/entry/src/docs.rs
@@ -13,10 +13,10 @@
 
 /// Evens out versions with an agent that has `theirs`.
 pub async fn even_out(entry: &Entry, peer: &Peer, service: &str, theirs: u64) {
-    let book = &entry.node.book;
-    let ours = book.version(service);
+    let documents = &entry.node.documents;
+    let ours = documents.version(service);
     if theirs > ours {
-        book.heard(service, theirs);
+        documents.heard(service, theirs);
         fetch(entry, peer, service).await;
     } else if theirs < ours {
         push(entry, peer, service).await;
@@ -37,7 +37,7 @@
     else {
         return;
     };
-    if text.service == service && entry.node.book.offer(&text) == Offered::Taken {
+    if text.service == service && entry.node.documents.offer(&text) == Offered::Taken {
         emit(&Event::DocInForce {
             service,
             version: text.version,
@@ -46,7 +46,7 @@
 }
 
 async fn push(entry: &Entry, peer: &Peer, service: &str) {
-    let Some(text) = entry.node.book.text(service) else {
+    let Some(text) = entry.node.documents.text(service) else {
         return;
     };
     let timeout = entry.node.settings.limits.probe_timeout;
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -4,17 +4,17 @@
 //! of choice, sends the request to the best, and goes on to another only after
 //! a refusal that says "not run", or for an idempotent request.
 
+mod account;
 mod api;
 mod attempt;
-mod budget;
 mod choose;
 mod completion;
 mod docs;
-mod health;
-mod ledger;
+pub mod health;
 mod peers;
 mod plain;
 mod refusal;
+mod reply;
 mod session;
 mod state;
 
@@ -86,7 +86,7 @@
 ) -> Vec<tokio::task::JoinHandle<()>> {
     let duty = |service| Duty {
         table: node.platform.clone(),
-        book: node.book.clone(),
+        documents: node.documents.clone(),
         service,
         holder: node.id.clone(),
         stale_after: node.settings.limits.lease,
@@ -94,7 +94,7 @@
         meter: node.peer_bytes.clone(),
         stop: stop.clone(),
     };
-    node.book
+    node.documents
         .services()
         .into_iter()
         .map(|s| tokio::spawn(duty(s).run()))
@@ -103,11 +103,14 @@
 
 /// Forgets agents that no document names any more, at each change of a document.
 async fn forget_unnamed(entry: Arc<Entry>) {
-    let book = &entry.node.book;
-    let mut changed = book.watch();
-    // The sender lives in the book, so this goes on until the process ends.
+    let documents = &entry.node.documents;
+    let mut changed = documents.watch();
+    // The sender lives in `documents`, so this goes on until the process ends.
     while changed.changed().await.is_ok() {
-        let docs = book.services().into_iter().filter_map(|s| book.get(&s));
+        let docs = documents
+            .services()
+            .into_iter()
+            .filter_map(|s| documents.get(&s));
         let mut named: Vec<_> = docs
             .flat_map(|d| d.doc.upstreams.iter().map(|u| u.agent).collect::<Vec<_>>())
             .collect();
--- a/crates/entry/src/plain.rs
+++ b/crates/entry/src/plain.rs
@@ -1,7 +1,7 @@
 //! Calls to plain services.
 
-use crate::api::set_request_id;
 use crate::refusal;
+use crate::reply::set_request_id;
 use crate::session::Session;
 use hyper::header::{CONTENT_TYPE, HeaderValue};
 use hyper::{Response, StatusCode};
--- a/crates/entry/src/refusal.rs
+++ b/crates/entry/src/refusal.rs
@@ -1,5 +1,6 @@
 //! Refusals to callers: typed JSON, a status, and when to come back.
 
+use crate::reply::set_request_id;
 use hyper::header::{CONTENT_TYPE, HeaderValue, RETRY_AFTER};
 use hyper::{Response, StatusCode};
 use net::{Body, full};
@@ -50,7 +51,7 @@
         // The header counts in whole seconds; the body has the exact time.
         headers.insert(RETRY_AFTER, HeaderValue::from(ms.div_ceil(1000)));
     }
-    super::api::set_request_id(&mut res, id);
+    set_request_id(&mut res, id);
     res
 }
 
--- a/crates/entry/src/session.rs
+++ b/crates/entry/src/session.rs
@@ -1,8 +1,8 @@
-//! A request on its way: tries, retries, resumes, and what is noted of it.
+//! A request on its way: tries, retries, resumes, and its account.
 
+use crate::account::{self, Ended};
 use crate::attempt::Attempt;
 use crate::choose::{Chosen, choose};
-use crate::ledger::{self, Ended};
 use crate::state::Entry;
 use conf::Class;
 use hyper::Method;
@@ -11,16 +11,18 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 use store::InForce;
-use wire::{Call, Leg, Outcome, PATH_RUN, Part, Probe, Reason, Refusal, RequestId, prefix};
+use wire::{
+    Call, Outcome, PATH_RUN, Part, Probe, Reason, Refusal, RequestContext, RequestId, prefix,
+};
 
 /// What an agent may take longer than was agreed before it counts as lost.
 const SLACK: Duration = Duration::from_secs(1);
 /// When a caller may come back if no upstream takes work, in milliseconds.
 const NO_UPSTREAM_RETRY_MS: u64 = 1000;
 
-/// Who asks for what.
+/// A request with its class and document.
 #[derive(Debug, Clone)]
-pub struct Wanted {
+pub struct RoutedRequest {
     /// The request's id.
     pub id: RequestId,
     /// The tenant.
@@ -38,20 +40,20 @@
 /// A request on its way. Dropping it cancels what can be cancelled.
 pub struct Session {
     entry: Arc<Entry>,
-    want: Wanted,
+    req: RoutedRequest,
     since: Instant,
     current: Option<Attempt>,
     tried: Vec<String>,
     attempts: u32,
     /// Whether every try so far came back as not run.
-    clean: bool,
+    none_has_run: bool,
     /// The last refusal of an agent, to be passed on if no other serves.
     refusal: Option<Refusal>,
     /// Tokens that the caller has.
     delivered: u64,
     queue_ms: u64,
     first: Option<Duration>,
-    noted: bool,
+    is_closed: bool,
     _running: RunningGuard,
 }
 
@@ -65,29 +67,29 @@
 
 impl Session {
     /// A request that was received at `since`.
-    pub fn new(entry: Arc<Entry>, want: Wanted, since: Instant) -> Self {
-        entry.budget.earn();
+    pub fn new(entry: Arc<Entry>, req: RoutedRequest, since: Instant) -> Self {
+        entry.earn_retry();
         let running = entry.node.begin();
         Self {
             entry,
-            want,
+            req,
             since,
             current: None,
             tried: Vec::new(),
             attempts: 0,
-            clean: true,
+            none_has_run: true,
             refusal: None,
             delivered: 0,
             queue_ms: 0,
             first: None,
-            noted: false,
+            is_closed: false,
             _running: running,
         }
     }
 
     /// The request's id.
     pub fn id(&self) -> RequestId {
-        self.want.id
+        self.req.id
     }
 
     /// Longest that a caller may leave a piece of its answer untaken.
@@ -97,7 +99,7 @@
 
     /// The service.
     pub fn service(&self) -> &str {
-        &self.want.doc.doc.service
+        &self.req.doc.doc.service
     }
 
     /// Waits for the next part of the answer: tokens and an end, or a head, a
@@ -135,7 +137,7 @@
     /// Opens the next try.
     async fn open(&mut self) -> Result<(), Refusal> {
         let spent = self.attempts >= self.entry.node.settings.limits.attempts
-            || (self.attempts > 0 && !self.entry.budget.spend());
+            || (self.attempts > 0 && !self.entry.spend_retry());
         if spent {
             return Err(self.give_up_as(Reason::NoUpstream));
         }
@@ -143,7 +145,7 @@
             return Err(self.give_up_as(Reason::DeadlinePassed));
         }
         let probe = self.probe();
-        let doc = self.want.doc.doc.clone();
+        let doc = self.req.doc.doc.clone();
         let Some(chosen) = choose(&self.entry, &doc, &probe, &self.tried).await else {
             return Err(self.give_up_as(Reason::NoUpstream));
         };
@@ -160,7 +162,7 @@
 
     /// Whether a broken completion already has as many tokens as were asked for.
     fn has_all_tokens(&self) -> bool {
-        match &self.want.call {
+        match &self.req.call {
             Call::Completion(c) => {
                 self.current.is_none() && self.delivered >= u64::from(c.max_tokens)
             }
@@ -172,60 +174,60 @@
     /// its deadline already, and gets the class's time once more.
     fn left(&self) -> Duration {
         if self.delivered > 0 {
-            return self.want.class.deadline;
+            return self.req.class.deadline;
         }
-        self.want.deadline.saturating_sub(self.since.elapsed())
+        self.req.deadline.saturating_sub(self.since.elapsed())
     }
 
     fn probe(&self) -> Probe {
-        let (prompt_len, prefixes) = match &self.want.call {
+        let (prompt_len, prefixes) = match &self.req.call {
             Call::Completion(c) => (c.prompt.len() as u64, prefix::hashes(c.prompt.as_bytes())),
             Call::Plain(p) => (p.body.len() as u64, Vec::new()),
         };
         Probe {
             service: self.service().to_owned(),
-            class: self.want.class.name.clone(),
+            class: self.req.class.name.clone(),
             prompt_len,
             prefixes,
-            doc_version: self.want.doc.version,
+            doc_version: self.req.doc.version,
         }
     }
 
     async fn send(&mut self, chosen: Chosen) -> Result<(), Refusal> {
         self.attempts += 1;
-        if let Call::Completion(c) = &mut self.want.call {
+        if let Call::Completion(c) = &mut self.req.call {
             c.resume_from = self.delivered as u32;
         }
-        let leg = Leg {
-            request: self.want.id,
+        let cx = RequestContext {
+            request: self.req.id,
             attempt: self.attempts,
-            clean: self.clean,
+            none_has_run: self.none_has_run,
             service: self.service().to_owned(),
-            tenant: self.want.tenant.clone(),
-            class: self.want.class.name.clone(),
+            tenant: self.req.tenant.clone(),
+            class: self.req.class.name.clone(),
             deadline_ms: self.left().as_millis() as u64,
-            doc_version: self.want.doc.version,
+            doc_version: self.req.doc.version,
             entry: self.entry.node.settings.name.clone(),
         };
-        let body = wire::encode(&(&leg, &self.want.call));
+        let body = wire::encode(&(&cx, &self.req.call));
         self.tried.push(chosen.name.clone());
         let req = chosen.peer.request(Method::POST, PATH_RUN, body);
         let wait = self.left() + SLACK;
         match tokio::time::timeout(wait, chosen.peer.send(req)).await {
             Ok(Ok(answer)) if answer.status().is_success() => {
                 let body = answer.into_body();
-                let attempt = Attempt::new(self.want.id, chosen.name, body, self.delivered);
+                let attempt = Attempt::new(self.req.id, chosen.name, body, self.delivered);
                 self.current = Some(attempt);
                 Ok(())
             }
             // The agent turned the message itself down, before it looked at the call.
             Ok(Ok(_)) => self.refused(Refusal::not_run(Reason::NotReady)),
             Ok(Err(CallError::NotSent(_))) => {
-                self.entry.health.bad(chosen.peer.addr(), Instant::now());
+                self.entry.health.failed(chosen.peer.addr(), Instant::now());
                 self.refused(Refusal::not_run(Reason::PeerLost))
             }
             Ok(Err(CallError::MaybeSent(_))) | Err(_) => {
-                self.entry.health.bad(chosen.peer.addr(), Instant::now());
+                self.entry.health.failed(chosen.peer.addr(), Instant::now());
                 self.lost(Reason::PeerLost)
             }
         }
@@ -266,9 +268,9 @@
     /// A try broke off: another may be made only for an idempotent request.
     fn lost(&mut self, reason: Reason) -> Result<(), Refusal> {
         self.current = None;
-        self.clean = false;
+        self.none_has_run = false;
         self.refusal = None;
-        if self.want.class.idempotent {
+        if self.req.class.idempotent {
             return Ok(());
         }
         Err(self.give_up(Refusal::unknown(reason)))
@@ -276,7 +278,7 @@
 
     /// The final refusal. It says "not run" only if that is true of every try.
     fn give_up(&mut self, mut refusal: Refusal) -> Refusal {
-        if !self.clean {
+        if !self.none_has_run {
             refusal.outcome = Outcome::Unknown;
         }
         self.note(refusal.outcome, Some(refusal.reason));
@@ -285,16 +287,16 @@
 
     /// Notes what became of the request, once.
     fn note(&mut self, outcome: Outcome, reason: Option<Reason>) {
-        if std::mem::replace(&mut self.noted, true) {
+        if std::mem::replace(&mut self.is_closed, true) {
             return;
         }
-        ledger::note(
+        account::close(
             &self.entry,
             &Ended {
-                id: self.want.id,
-                service: &self.want.doc.doc.service,
-                tenant: &self.want.tenant,
-                class: &self.want.class.name,
+                id: self.req.id,
+                service: &self.req.doc.doc.service,
+                tenant: &self.req.tenant,
+                class: &self.req.class.name,
                 outcome,
                 reason,
                 upstream: self.tried.last().map(String::as_str),
@@ -302,7 +304,7 @@
                 queue_ms: self.queue_ms,
                 first: self.first,
                 total: self.since.elapsed(),
-                deadline: self.want.deadline,
+                deadline: self.req.deadline,
                 count: self.delivered,
             },
         );
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -1,10 +1,19 @@
 //! What an entry is and knows.
 
-use crate::budget::Budget;
-use crate::health::Health;
+use crate::health::AgentHealth;
 use crate::peers::Peers;
 use node::Node;
-use std::sync::Arc;
+use resilience::Budget;
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+/// Retries that each request earns, so that an overload isn't made worse by them.
+const RETRIES_PER_REQUEST: f64 = 0.2;
+/// Retries that each window allows besides: a few requests must be able to go
+/// elsewhere however little load there is.
+const RETRY_ALLOWANCE: f64 = 50.0;
+/// Window over which both count: the time in which a failing upstream is left out.
+const RETRY_WINDOW: Duration = Duration::from_secs(10);
 
 /// An entry.
 #[derive(Debug)]
@@ -14,9 +23,8 @@
     /// Connections to agents.
     pub peers: Peers,
     /// Agents that failed of late.
-    pub health: Health,
-    /// Retries that may be made.
-    pub budget: Budget,
+    pub health: AgentHealth,
+    budget: Mutex<Budget>,
 }
 
 impl Entry {
@@ -26,15 +34,36 @@
         Arc::new(Self {
             peers: Peers::new(timeout, node.peer_bytes.clone()),
             node,
-            health: Health::default(),
-            budget: Budget::default(),
+            health: AgentHealth::default(),
+            budget: Mutex::new(Budget::new(
+                RETRIES_PER_REQUEST,
+                RETRY_ALLOWANCE,
+                RETRY_WINDOW,
+                1,
+            )),
         })
     }
 
+    /// Notes a request, which earns a part of a retry.
+    pub fn earn_retry(&self) {
+        let mut budget = self.budget.lock().expect("no panic while locked");
+        budget.earn(Instant::now());
+    }
+
+    /// Takes a retry, if there is one.
+    pub fn spend_retry(&self) -> bool {
+        let mut budget = self.budget.lock().expect("no panic while locked");
+        budget.spend(Instant::now())
+    }
+
     /// Whether it takes requests: it isn't stopping, and has a document for
     /// each of its services.
     pub fn is_ready(&self) -> bool {
-        let book = &self.node.book;
-        !self.node.stop.is_stopped() && book.services().iter().all(|s| book.version(s) > 0)
+        let documents = &self.node.documents;
+        !self.node.stop.is_stopped()
+            && documents
+                .services()
+                .iter()
+                .all(|s| documents.version(s) > 0)
     }
 }
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -5,13 +5,12 @@
 //! stands what this process has seen itself: its own requests there, how long
 //! first bytes take, failures, and which prompt parts were sent there.
 
-pub mod health;
 pub mod speed;
 
 use crate::peers::Load;
-use health::Health;
 use net::{Meter, Pool};
 use platform::{Engine, Instance, Service, Stage};
+use resilience::Health;
 use speed::{Slowdown, Speed, Task, Work};
 use std::time::{Duration, Instant};
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -9,7 +9,6 @@
 pub mod account;
 pub mod answer;
 pub mod attempt;
-pub mod budget;
 pub mod choose;
 pub mod events;
 pub mod fleet;
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -1,12 +1,12 @@
 //! What a gateway is and knows.
 
-use crate::budget::Budget;
 use crate::fleet::{Fleet, ServiceKey, UpstreamKey};
 use crate::peers::Peers;
 use crate::routes::RouteTable;
 use net::{HeadLimits, Meter, Stop};
 use observe::Metrics;
 use platform::Host;
+use resilience::Budget;
 use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, OnceLock};
 use std::time::{Duration, Instant};
--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -1,7 +1,5 @@
 //! A gateway in this process, before stand-ins, on loopback addresses of its own.
 
-#![expect(dead_code, reason = "each test file uses a part of this")]
-
 use net::Stop;
 use platform::Host;
 pub use standin::fixture::{config, request, routes};
--- a/crates/gateway/tests/input.rs
+++ b/crates/gateway/tests/input.rs
@@ -1,5 +1,6 @@
 //! Bad input: a clear answer, and nothing passed on.
 
+#[expect(dead_code, reason = "each test file uses a part of it")]
 mod common;
 
 use common::{Client, exchange, request, start, status};
--- a/crates/gateway/tests/relay.rs
+++ b/crates/gateway/tests/relay.rs
@@ -1,5 +1,6 @@
 //! What a client gets and what workers see, for each way in which a worker may answer.
 
+#[expect(dead_code, reason = "each test file uses a part of it")]
 mod common;
 
 use common::{Client, exchange, request, start, status};
--- a/crates/gateway/tests/state.rs
+++ b/crates/gateway/tests/state.rs
@@ -299,7 +299,7 @@
     bed.wait_answer(&request("POST", "/prompt/", "id-0", &tokens(5), "x"), 200)
         .await;
     // A long answer that began before keeps the process from ending.
-    let mut early = common::Client::connect(bed.callers).await;
+    let mut early = Client::connect(bed.callers).await;
     early
         .send(&request("POST", "/prompt/", "early", &tokens(5000), "x"))
         .await;
--- a/crates/gateway/tests/streams.rs
+++ b/crates/gateway/tests/streams.rs
@@ -1,5 +1,6 @@
 //! Streams: events as they come, resumed only where that is allowed.
 
+#[expect(dead_code, reason = "each test file uses a part of it")]
 mod common;
 
 use common::{Client, exchange, request, start, status};
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -15,7 +15,7 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 use store::poll::{AlsoRows, DocPoll, LeavingHosts, poll_hosts};
-use store::{DocBook, HttpPlatform};
+use store::{Documents, HttpPlatform};
 use tokio::net::TcpListener;
 use tokio::sync::Notify;
 
@@ -49,7 +49,7 @@
     /// The platform's clients.
     pub platform: HttpPlatform,
     /// The documents in force.
-    pub book: Arc<DocBook>,
+    pub documents: Arc<Documents>,
     /// Hosts that are leaving, as far as this process knows.
     pub leaving: Arc<LeavingHosts>,
     /// Makes the next look at the documents come at once.
@@ -92,7 +92,7 @@
         );
         let node = Arc::new(Self {
             id,
-            book: Arc::new(DocBook::new(&settings.services)),
+            documents: Arc::new(Documents::new(&settings.services)),
             leaving: Arc::default(),
             nudge: Arc::default(),
             platform_bytes,
@@ -111,7 +111,7 @@
     fn spawn_polls(self: Arc<Self>, also: Option<AlsoRows>) {
         let limits = &self.settings.limits;
         let poll = DocPoll {
-            book: self.book.clone(),
+            documents: self.documents.clone(),
             every: limits.doc_poll,
             also,
             nudge: self.nudge.clone(),
@@ -126,12 +126,12 @@
         let leaving = self.leaving.clone();
         tokio::spawn(async move { leaving.keep_pulse().await });
         tokio::spawn(async move {
-            let mut changed = self.book.watch();
+            let mut changed = self.documents.watch();
             loop {
-                for service in self.book.services() {
-                    self.metrics.doc(&service, self.book.version(&service));
+                for service in self.documents.services() {
+                    self.metrics.doc(&service, self.documents.version(&service));
                 }
-                // The sender lives in the book, which `self` holds.
+                // The sender lives in `documents`, which `self` holds.
                 let _ = changed.changed().await;
             }
         });
--- a/crates/observe/src/event.rs
+++ b/crates/observe/src/event.rs
@@ -134,7 +134,7 @@
         /// The order number.
         order: u64,
     },
-    /// The engine is as wanted.
+    /// The engine is in its desired state.
     OrderDone {
         /// The upstream.
         upstream: &'a str,
--- a/crates/plan/src/duty.rs
+++ b/crates/plan/src/duty.rs
@@ -10,8 +10,8 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 use store::retry::around;
-use store::rows::{Want, decode, encode, lease_key, want_key};
-use store::{DocBook, InForce, Row, Table, Txn, WriteError};
+use store::rows::{Desired, decode, desired_key, encode, lease_key};
+use store::{Documents, InForce, Row, Table, Txn, WriteError};
 use tokio::sync::watch;
 use tokio::task::JoinSet;
 use wire::{AgentStatus, PATH_NUDGE, PATH_STATUS};
@@ -23,7 +23,7 @@
 const STATUS_TIMEOUT: Duration = Duration::from_millis(500);
 /// Largest status.
 const MAX_STATUS: usize = 64 << 10;
-/// Longest that want rows are kept in mind, should an operator mend one by hand.
+/// Longest that rows of the desired state are kept in mind, should an operator mend one by hand.
 const READ_AGAIN: Duration = Duration::from_secs(60);
 /// Renewals in the time after which a lease counts as stale.
 const RENEWALS: u32 = 3;
@@ -34,7 +34,7 @@
     /// The table service.
     pub table: T,
     /// The documents in force.
-    pub book: Arc<DocBook>,
+    pub documents: Arc<Documents>,
     /// The service.
     pub service: String,
     /// This process, by name and incarnation.
@@ -54,7 +54,7 @@
 struct Memory {
     /// Connections to agents, sorted by address.
     peers: Vec<Peer>,
-    /// The engines with their want rows. Only the holder of the lease writes
+    /// The engines with their rows of the desired state. Only the holder of the lease writes
     /// these rows, so they need no reading again until a write goes astray.
     engines: Vec<Engine>,
     /// Version of the document that `engines` is of, and when it was read.
@@ -88,7 +88,7 @@
     }
 
     async fn look(&mut self, keeper: &mut Keeper, memory: &mut Memory) {
-        let Some(doc) = self.book.get(&self.service) else {
+        let Some(doc) = self.documents.get(&self.service) else {
             return;
         };
         // A plain service has no roles, so there is nothing to plan.
@@ -124,10 +124,10 @@
         }
     }
 
-    /// Reads the engines' want rows; none while the store is down.
+    /// Reads the engines' rows of the desired state; none while the store is down.
     async fn read_engines(&self, doc: &InForce) -> Option<Vec<Engine>> {
         let ups = &doc.doc.upstreams;
-        let key = |name: &str| want_key(&self.service, name);
+        let key = |name: &str| desired_key(&self.service, name);
         let rows = self
             .table
             .read(ups.iter().map(|u| key(&u.name)).collect())
@@ -138,7 +138,7 @@
             Engine {
                 name: u.name.clone(),
                 agent: u.agent,
-                want: row.and_then(|r| decode(&r.value)),
+                desired: row.and_then(|r| decode(&r.value)),
                 version: row.map_or(0, |r| r.version),
                 status: None,
             }
@@ -154,7 +154,7 @@
             .engines
             .iter()
             .enumerate()
-            .filter(|(_, e)| e.want.is_some())
+            .filter(|(_, e)| e.desired.is_some())
         {
             let peer = peer(&mut memory.peers, e.agent, &self.meter).clone();
             asking.spawn(async move { (at, status(&peer).await) });
@@ -170,17 +170,17 @@
 
     async fn write(&self, lease: &str, version: u64, memory: &mut Memory, order: NewOrder) {
         let engine = &mut memory.engines[order.engine];
-        let key = want_key(&self.service, &engine.name);
-        let txn = order_txn((lease, version), (&key, engine.version), &order.want);
+        let key = desired_key(&self.service, &engine.name);
+        let txn = order_txn((lease, version), (&key, engine.version), &order.desired);
         match self.table.commit(&txn).await {
             Ok(version) => {
                 emit(&Event::OrderWritten {
                     service: &self.service,
                     upstream: &engine.name,
-                    order: order.want.order,
-                    why: &order.want.why,
+                    order: order.desired.order,
+                    why: &order.desired.why,
                 });
-                engine.want = Some(order.want);
+                engine.desired = Some(order.desired);
                 engine.version = version;
                 // What it said before is about the order before.
                 engine.status = None;
@@ -211,13 +211,13 @@
 }
 
 /// The transaction that is an order. It takes effect only while the lease's row
-/// has the version that its holder wrote last, and the want row the version that
+/// has the version that its holder wrote last, and the row of the desired state the version that
 /// the planner goes by.
-pub fn order_txn(lease: (&str, u64), row: (&str, u64), want: &Want) -> Txn {
+pub fn order_txn(lease: (&str, u64), row: (&str, u64), desired: &Desired) -> Txn {
     Txn::new()
         .check(lease.0, lease.1)
         .check(row.0, row.1)
-        .put(row.0, encode(want))
+        .put(row.0, encode(desired))
 }
 
 fn epoch(keeper: &Keeper) -> Option<u64> {
@@ -252,7 +252,7 @@
     wire::decode(&answer.ok()?.1)
 }
 
-/// Tells an agent to look at its want row. It would look by itself a little later.
+/// Tells an agent to look at its row of the desired state. It would look by itself a little later.
 async fn nudge(peer: &Peer) {
     let call = peer.call(
         Method::POST,
--- a/crates/plan/src/policy.rs
+++ b/crates/plan/src/policy.rs
@@ -1,8 +1,8 @@
-//! What is wanted of the engines, as a function of what is known.
+//! What is desired of the engines, as a function of what is known.
 
 use conf::{Doc, Kind};
 use std::net::SocketAddr;
-use store::rows::Want;
+use store::rows::Desired;
 use wire::{AgentState, AgentStatus, Model, Role};
 
 /// Part of a service's engines that may be in a planned change at once.
@@ -15,9 +15,9 @@
     pub name: String,
     /// Where its agent listens.
     pub agent: SocketAddr,
-    /// What was wanted of it last, with the row's version; 0 if there is none.
-    pub want: Option<Want>,
-    /// Version of the want row.
+    /// What was desired of it last, with the row's version; 0 if there is none.
+    pub desired: Option<Desired>,
+    /// Version of the row of the desired state.
     pub version: u64,
     /// What its agent says, if it answered.
     pub status: Option<AgentStatus>,
@@ -28,8 +28,8 @@
 pub struct NewOrder {
     /// Place of the engine among those that were given.
     pub engine: usize,
-    /// What is wanted.
-    pub want: Want,
+    /// What is desired.
+    pub desired: Desired,
 }
 
 /// Gives the orders to write now, under a lease of this epoch.
@@ -38,14 +38,14 @@
 /// through the engines a bounded part at a time, and the next part waits until
 /// the changed ones serve again.
 pub fn orders(doc: &Doc, engines: &[Engine], epoch: u64) -> Vec<NewOrder> {
-    let Some(model) = wanted(doc) else {
+    let Some(model) = desired(doc) else {
         return Vec::new();
     };
     let mut out = Vec::new();
     let mut room = (engines.len() / PART_IN_CHANGE).max(1);
     room = room.saturating_sub(engines.iter().filter(|e| in_change(e)).count());
     for (engine, e) in engines.iter().enumerate() {
-        let why = match &e.want {
+        let why = match &e.desired {
             None => "first order".to_owned(),
             Some(w) if w.model == model => continue,
             Some(_) if room == 0 => continue,
@@ -54,20 +54,20 @@
                 format!("document wants {model} in place of {}", w.model)
             }
         };
-        let want = Want {
-            role: e.want.as_ref().map_or(Role::Mixed, |w| w.role),
+        let desired = Desired {
+            role: e.desired.as_ref().map_or(Role::Mixed, |w| w.role),
             model: model.clone(),
             epoch,
-            order: e.want.as_ref().map_or(0, |w| w.order) + 1,
+            order: e.desired.as_ref().map_or(0, |w| w.order) + 1,
             why,
         };
-        out.push(NewOrder { engine, want });
+        out.push(NewOrder { engine, desired });
     }
     out
 }
 
-/// The model that the document wants; none if the service has no engines.
-fn wanted(doc: &Doc) -> Option<Model> {
+/// The model that the document desired_rows; none if the service has no engines.
+fn desired(doc: &Doc) -> Option<Model> {
     let Kind::Engine(model) = &doc.kind else {
         return None;
     };
@@ -78,23 +78,27 @@
     })
 }
 
-/// Whether any engine is wanted otherwise than the document says. If not, there
+/// Whether any engine is desired otherwise than the document says. If not, there
 /// is nothing to order, and nobody needs to be asked.
 pub fn any_to_change(doc: &Doc, engines: &[Engine]) -> bool {
-    let Some(model) = wanted(doc) else {
+    let Some(model) = desired(doc) else {
         return false;
     };
-    let fits = |w: &Want| w.model == model;
-    engines.iter().any(|e| !e.want.as_ref().is_some_and(fits))
+    let fits = |w: &Desired| w.model == model;
+    engines
+        .iter()
+        .any(|e| !e.desired.as_ref().is_some_and(fits))
 }
 
-/// Whether an engine was ordered to change and doesn't serve as wanted yet. One
+/// Whether an engine was ordered to change and doesn't serve as desired yet. One
 /// whose agent doesn't answer counts: nobody knows when it serves again.
 fn in_change(e: &Engine) -> bool {
-    let Some(want) = &e.want else { return false };
+    let Some(desired) = &e.desired else {
+        return false;
+    };
     let serves = |s: &AgentStatus| {
-        let loaded = s.model.as_ref() == Some(&want.model);
-        s.state == AgentState::Ready && s.role == want.role && loaded
+        let loaded = s.model.as_ref() == Some(&desired.model);
+        s.state == AgentState::Ready && s.role == desired.role && loaded
     };
     !e.status.as_ref().is_some_and(serves)
 }
--- a/crates/plan/tests/lease.rs
+++ b/crates/plan/tests/lease.rs
@@ -8,7 +8,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
-use store::rows::{Lease, Want, decode};
+use store::rows::{Desired, Lease, decode};
 use store::{HttpPlatform, Row, Table, WriteError};
 use wire::{Model, Role};
 
@@ -89,19 +89,19 @@
     let seen = row(&table).await;
     b.take(&table, seen.as_ref()).await;
     assert!(holding(&b).is_some());
-    let want = Want {
+    let desired = Desired {
         role: Role::Mixed,
         model: Model::plain("m", 1),
         epoch: 1,
         order: 1,
         why: String::new(),
     };
-    let order = |version| order_txn((KEY, version), ("want/s/u", 0), &want);
+    let order = |version| order_txn((KEY, version), ("desired/s/u", 0), &desired);
     let late = table.commit(&order(version_a)).await;
     assert!(matches!(late, Err(WriteError::Refused(_))), "{late:?}");
     assert!(
         table
-            .read(vec!["want/s/u".to_owned()])
+            .read(vec!["desired/s/u".to_owned()])
             .await
             .unwrap()
             .is_empty()
--- a/crates/plan/tests/policy.rs
+++ b/crates/plan/tests/policy.rs
@@ -1,8 +1,8 @@
-//! What is wanted of the engines.
+//! What is desired of the engines.
 
 use conf::Doc;
 use plan::policy::{Engine, any_to_change, orders};
-use store::rows::Want;
+use store::rows::Desired;
 use wire::{AgentState, AgentStatus, Model, Role};
 
 const EPOCH: u64 = 5;
@@ -26,7 +26,7 @@
 }
 
 fn engine(i: usize, version: Option<u32>, ready: bool) -> Engine {
-    let want = version.map(|v| Want {
+    let desired = version.map(|v| Desired {
         role: Role::Mixed,
         model: Model::plain("m", v),
         epoch: 1,
@@ -51,7 +51,7 @@
     Engine {
         name: format!("u{i}"),
         agent: format!("127.0.0.1:{}", 7000 + i).parse().unwrap(),
-        want,
+        desired,
         version: 1,
         status: Some(status),
     }
@@ -64,7 +64,7 @@
     assert_eq!(got.len(), 8);
     assert!(
         got.iter()
-            .all(|o| o.want.order == 1 && o.want.epoch == EPOCH)
+            .all(|o| o.desired.order == 1 && o.desired.epoch == EPOCH)
     );
 }
 
@@ -82,7 +82,7 @@
     assert_eq!(got.len(), 2);
     assert!(
         got.iter()
-            .all(|o| o.want.order == 4 && o.want.model.version == 2)
+            .all(|o| o.desired.order == 4 && o.desired.model.version == 2)
     );
     engines[0] = engine(0, Some(2), false);
     engines[1] = engine(1, Some(2), true);
@@ -110,5 +110,5 @@
     assert!(any_to_change(&doc, &engines));
     let got = orders(&doc, &engines, EPOCH);
     assert_eq!(got.len(), 2);
-    assert_eq!(got[0].want.model.to_string(), "m@1+nl");
+    assert_eq!(got[0].desired.model.to_string(), "m@1+nl");
 }
--- a/crates/gateway/src/fleet/health.rs
+++ b/crates/resilience/src/health.rs
@@ -43,10 +43,10 @@
         }
     }
 
-    /// Notes a failure by its weight in the share of failures, at most
-    /// [`NEWEST`]; says so if the upstream is suspended by it.
+    /// Notes a failure by its weight in the share of failures, from 0 to 1; says so
+    /// if the upstream is suspended by it.
     pub fn failed(&mut self, weight: f64, now: Instant) -> Option<Suspended> {
-        self.failures += (1.0 - self.failures) * weight.min(NEWEST);
+        self.failures += (1.0 - self.failures) * weight.clamp(0.0, 1.0);
         if self.failures < SUSPEND_OVER || self.is_suspended(now) {
             return None;
         }
--- /dev/null
+++ b/crates/resilience/src/lib.rs
@@ -0,0 +1,8 @@
+//! What keeps failures from spreading: the retry budget, and the health of
+//! upstreams as their requests show it.
+
+pub mod budget;
+pub mod health;
+
+pub use budget::Budget;
+pub use health::{Health, Suspended};
--- /dev/null
+++ b/crates/resilience/tests/limits.rs
@@ -0,0 +1,73 @@
+//! The retry budget against naive counts, and the health of upstreams.
+
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
+use resilience::{Budget, Health};
+use std::time::{Duration, Instant};
+
+/// A runner with a fixed seed: the same cases each time.
+fn runner() -> TestRunner {
+    let rng = TestRng::deterministic_rng(RngAlgorithm::ChaCha);
+    TestRunner::new_with_rng(Config::with_cases(300), rng)
+}
+
+#[test]
+fn the_budget_keeps_to_its_share_over_any_window() {
+    let steps = proptest::collection::vec((0u64..400, any::<bool>()), 1..400);
+    runner()
+        .run(&(steps, 1u32..6), |(steps, processes)| {
+            let window = Duration::from_secs(10);
+            let mut budget = Budget::new(0.2, 54.0, window, processes);
+            let start = Instant::now();
+            let mut at = Duration::ZERO;
+            let mut requests: Vec<Duration> = Vec::new();
+            let mut retries: Vec<Duration> = Vec::new();
+            for (pause, is_retry) in steps {
+                at += Duration::from_millis(pause);
+                if !is_retry {
+                    budget.earn(start + at);
+                    requests.push(at);
+                } else if budget.spend(start + at) {
+                    retries.push(at);
+                }
+                let from = at.saturating_sub(window);
+                let recent = retries.iter().filter(|t| **t >= from).count() as f64;
+                // Requests count in the window or the one before it.
+                let from = at.saturating_sub(window * 2);
+                let earned = requests.iter().filter(|t| **t >= from).count() as f64;
+                let bound = 0.2 * earned + 54.0 / f64::from(processes);
+                prop_assert!(recent <= bound, "{recent} retries, {bound} allowed");
+            }
+            Ok(())
+        })
+        .unwrap();
+}
+
+#[test]
+fn a_worker_that_fails_is_suspended_longer_each_time_and_a_sound_one_never() {
+    let start = Instant::now();
+    let mut health = Health::default();
+    let mut pauses = Vec::new();
+    let mut now = start;
+    for _ in 0..12 {
+        if let Some(s) = health.failed(0.25, now) {
+            pauses.push(s.pause);
+            assert!(health.is_suspended(now));
+            now += s.pause;
+            assert!(!health.is_suspended(now));
+        }
+    }
+    assert!(pauses.len() >= 4, "{pauses:?}");
+    assert!(pauses.windows(2).all(|p| p[1] >= p[0]), "{pauses:?}");
+    assert_eq!(*pauses.last().unwrap(), Duration::from_secs(4));
+
+    // One in seven answers says that the worker failed; that is its usual way.
+    let mut health = Health::default();
+    for n in 0..5000 {
+        if n % 7 == 0 {
+            assert!(health.failed(0.06, start).is_none());
+        } else {
+            health.succeeded();
+        }
+    }
+}
--- a/crates/store/src/docs.rs
+++ b/crates/store/src/docs.rs
@@ -33,7 +33,7 @@
 
 /// The documents in force, sorted by service.
 #[derive(Debug)]
-pub struct DocBook {
+pub struct Documents {
     slots: RwLock<Vec<Slot>>,
     changed: watch::Sender<u64>,
 }
@@ -45,8 +45,8 @@
     wanted: u64,
 }
 
-impl DocBook {
-    /// A book for some services, with nothing in force yet.
+impl Documents {
+    /// Documents of some services, with nothing in force yet.
     pub fn new(services: &[String]) -> Self {
         let mut names = services.to_vec();
         names.sort_unstable();
@@ -70,7 +70,7 @@
         Some(f(&slots[at]))
     }
 
-    /// The services of this book.
+    /// The services of these documents.
     pub fn services(&self) -> Vec<String> {
         let slots = self.slots.read().expect("no panic while locked");
         slots.iter().map(|s| s.service.clone()).collect()
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -12,7 +12,7 @@
 pub mod rows;
 pub mod table;
 
-pub use docs::{DocBook, InForce};
+pub use docs::{Documents, InForce};
 pub use http::HttpPlatform;
 pub use table::{
     Check, Conflict, Error, Host, HostList, HostState, Hosts, Objects, Put, Row, Table, Token, Txn,
--- a/crates/store/src/poll.rs
+++ b/crates/store/src/poll.rs
@@ -1,6 +1,6 @@
 //! Keeping a process's documents and host list up to date.
 
-use crate::docs::{DocBook, Offered};
+use crate::docs::{Documents, Offered};
 use crate::retry::around;
 use crate::rows::{doc_key, head_key};
 use crate::table::{HostState, Hosts, Row, Table};
@@ -17,7 +17,7 @@
 #[derive(Debug)]
 pub struct DocPoll {
     /// The documents to keep up to date.
-    pub book: Arc<DocBook>,
+    pub documents: Arc<Documents>,
     /// Time between looks.
     pub every: Duration,
     /// Rows that are read along with the documents.
@@ -52,14 +52,14 @@
             service,
             version: 0,
         };
-        let mut heads: Vec<Head> = self.book.services().into_iter().map(head).collect();
-        let mut changed = self.book.watch();
+        let mut heads: Vec<Head> = self.documents.services().into_iter().map(head).collect();
+        let mut changed = self.documents.watch();
         loop {
             self.look(&table, &mut heads).await;
             tokio::time::sleep(MIN_PAUSE).await;
             tokio::select! {
                 () = self.nudge.notified() => {}
-                () = wait_for_need(&self.book, &mut changed, around(self.every)) => {}
+                () = wait_for_need(&self.documents, &mut changed, around(self.every)) => {}
             }
         }
     }
@@ -79,8 +79,8 @@
         };
         let stale = |h: &Head| {
             seen(h) > h.version
-                || self.book.behind(&h.service).is_some()
-                || self.book.version(&h.service) == 0
+                || self.documents.behind(&h.service).is_some()
+                || self.documents.version(&h.service) == 0
         };
         let wanted: Vec<String> = heads
             .iter()
@@ -115,7 +115,7 @@
             text: row.value,
         };
         let service = text.service.as_str();
-        match self.book.offer(&text) {
+        match self.documents.offer(&text) {
             Offered::Taken => emit(&Event::DocInForce { service, version }),
             Offered::Invalid => emit(&Event::DocInvalid { service, version }),
             Offered::NotNewer => {}
@@ -133,10 +133,18 @@
     true
 }
 
-async fn wait_for_need(book: &DocBook, changed: &mut watch::Receiver<u64>, longest: Duration) {
+async fn wait_for_need(
+    documents: &Documents,
+    changed: &mut watch::Receiver<u64>,
+    longest: Duration,
+) {
     let need = async {
-        while !book.services().iter().any(|s| book.behind(s).is_some()) {
-            // The sender lives in `book`, which outlives this.
+        while !documents
+            .services()
+            .iter()
+            .any(|s| documents.behind(s).is_some())
+        {
+            // The sender lives in `documents`, which outlives this.
             let _ = changed.changed().await;
         }
     };
--- a/crates/store/src/rows.rs
+++ b/crates/store/src/rows.rs
@@ -20,9 +20,9 @@
     format!("lease/{duty}/{service}")
 }
 
-/// Key of what is wanted of an upstream.
-pub fn want_key(service: &str, upstream: &str) -> String {
-    format!("want/{service}/{upstream}")
+/// Key of what is desired of an upstream.
+pub fn desired_key(service: &str, upstream: &str) -> String {
+    format!("desired/{service}/{upstream}")
 }
 
 /// Key of a claim. Names hold no `/`; the caller's key may, and stands last.
@@ -41,9 +41,9 @@
     pub renewals: u64,
 }
 
-/// What is wanted of an engine.
+/// What is desired of an engine.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Want {
+pub struct Desired {
     /// The role.
     pub role: Role,
     /// What is to be loaded.
--- a/crates/store/tests/docs.rs
+++ b/crates/store/tests/docs.rs
@@ -1,7 +1,7 @@
 //! Documents in force only go forward, and only valid ones come into force.
 
 use proptest::prelude::*;
-use store::DocBook;
+use store::Documents;
 use store::docs::Offered;
 use wire::DocText;
 
@@ -23,33 +23,33 @@
 
 #[test]
 fn invalid_and_foreign_documents_change_nothing() {
-    let book = DocBook::new(&["s".into()]);
-    assert_eq!(book.offer(&offer("s", 3)), Offered::Taken);
+    let documents = Documents::new(&["s".into()]);
+    assert_eq!(documents.offer(&offer("s", 3)), Offered::Taken);
     let broken = DocText {
         text: "nonsense".into(),
         ..offer("s", 9)
     };
-    assert_eq!(book.offer(&broken), Offered::Invalid);
+    assert_eq!(documents.offer(&broken), Offered::Invalid);
     let other = DocText {
         text: text("t", 9),
         ..offer("s", 9)
     };
-    assert_eq!(book.offer(&other), Offered::Invalid);
-    assert_eq!(book.offer(&offer("t", 1)), Offered::Invalid);
-    assert_eq!(book.version("s"), 3);
+    assert_eq!(documents.offer(&other), Offered::Invalid);
+    assert_eq!(documents.offer(&offer("t", 1)), Offered::Invalid);
+    assert_eq!(documents.version("s"), 3);
 }
 
 #[test]
 fn a_version_that_was_heard_of_is_wanted_until_it_is_there() {
-    let book = DocBook::new(&["s".into()]);
-    assert_eq!(book.behind("s"), None);
-    book.heard("s", 4);
-    book.heard("s", 2);
-    assert_eq!(book.behind("s"), Some(4));
-    assert_eq!(book.offer(&offer("s", 3)), Offered::Taken);
-    assert_eq!(book.behind("s"), Some(4));
-    assert_eq!(book.offer(&offer("s", 4)), Offered::Taken);
-    assert_eq!(book.behind("s"), None);
+    let documents = Documents::new(&["s".into()]);
+    assert_eq!(documents.behind("s"), None);
+    documents.heard("s", 4);
+    documents.heard("s", 2);
+    assert_eq!(documents.behind("s"), Some(4));
+    assert_eq!(documents.offer(&offer("s", 3)), Offered::Taken);
+    assert_eq!(documents.behind("s"), Some(4));
+    assert_eq!(documents.offer(&offer("s", 4)), Offered::Taken);
+    assert_eq!(documents.behind("s"), None);
 }
 
 proptest! {
@@ -59,15 +59,15 @@
     #[test]
     fn in_force_is_the_highest_version_offered(offers in prop::collection::vec((0usize..2, 1u64..20), 0..40)) {
         let names = ["a", "b"];
-        let book = DocBook::new(&names.map(String::from));
+        let documents = Documents::new(&names.map(String::from));
         let mut highest = [0, 0];
         for (at, version) in offers {
-            let taken = book.offer(&offer(names[at], version));
+            let taken = documents.offer(&offer(names[at], version));
             prop_assert_eq!(taken == Offered::Taken, version > highest[at]);
             highest[at] = highest[at].max(version);
             for (name, highest) in names.iter().zip(highest) {
-                prop_assert_eq!(book.version(name), highest);
-                if let Some(d) = book.get(name) {
+                prop_assert_eq!(documents.version(name), highest);
+                if let Some(d) = documents.get(name) {
                     prop_assert_eq!(u64::from(d.doc.tenants.queue), highest);
                 }
             }
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -10,8 +10,8 @@
 
 pub use frame::{Frame, FrameReader, Part, StreamCheck, StreamFault};
 pub use message::{
-    AgentState, AgentStatus, Call, Completion, DocText, Leg, Model, Outcome, PlainCall, Probe,
-    ProbeAnswer, Reason, Refusal, RequestId, Role,
+    AgentState, AgentStatus, Call, Completion, DocText, Model, Outcome, PlainCall, Probe,
+    ProbeAnswer, Reason, Refusal, RequestContext, RequestId, Role,
 };
 
 use serde::Serialize;
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -187,13 +187,13 @@
 
 /// One try to serve a request, from the entry that makes it.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub struct Leg {
+pub struct RequestContext {
     /// The request.
     pub request: RequestId,
     /// Number of the try, from 1.
     pub attempt: u32,
     /// Whether every earlier try came back as not run.
-    pub clean: bool,
+    pub none_has_run: bool,
     /// The service.
     pub service: String,
     /// The tenant.
