Registry: pages are retried one by one, late reads call nobody back, an index

Cause 1: a table of several pages was read anew from its first page when one call failed. With each third call refused, 7 pages are never whole. The stand-in now has pages and refuses each third call; the test waits for a worker on the last page (it waited in vain before). Cause 2: a read of the store that was on its way while a peer's newer view was taken merged older rows after it: an upstream that had gone came back, and its removal would never be told again. Found by reading; the test merges in that order. Change: the store's client gives page after page, `Feed::Rest` says where the reader stands; older reads are left out; a sorted index by hash.

--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -111,6 +111,11 @@
 pub struct Fleet {
     services: Vec<ServiceInfo>,
     slots: Vec<Slot>,
+    /// Slots without an upstream.
+    free: Vec<u32>,
+    /// Keys by the hash of the upstream's id, sorted: each datagram of a peer and
+    /// each heartbeat in the registry looks some up.
+    by_hash: Vec<(u64, UpstreamKey)>,
 }
 
 /// What the registry changed.
@@ -178,15 +183,14 @@
         })
     }
 
-    /// All upstreams, for changes.
-    pub fn iter_mut(&mut self) -> impl Iterator<Item = &mut Upstream> {
-        self.slots.iter_mut().filter_map(|s| s.upstream.as_mut())
-    }
-
     /// The upstream with an id.
     pub fn find(&self, id: &str) -> Option<UpstreamKey> {
-        let mut all = self.iter();
-        all.find(|(_, u)| u.instance.id == id).map(|(key, _)| key)
+        self.key_of(id_hash(id))
+    }
+
+    fn key_of(&self, hash: u64) -> Option<UpstreamKey> {
+        let at = self.by_hash.binary_search_by_key(&hash, |(h, _)| *h);
+        at.ok().map(|at| self.by_hash[at].1)
     }
 
     /// Estimated time to the first byte of a request that an upstream is sent now,
@@ -198,17 +202,17 @@
 
     /// The upstream whose id has a hash, for changes.
     pub fn find_hash(&mut self, hash: u64) -> Option<&mut Upstream> {
-        self.iter_mut().find(|u| u.hash == hash)
+        self.get_mut(self.key_of(hash)?)
     }
 
     /// Upstreams that are known.
     pub fn len(&self) -> usize {
-        self.iter().count()
+        self.by_hash.len()
     }
 
     /// Whether no upstream is known.
     pub fn is_empty(&self) -> bool {
-        self.iter().next().is_none()
+        self.by_hash.is_empty()
     }
 
     /// Hash of all that the registry says of upstreams. Two processes with the
@@ -254,7 +258,7 @@
         let upstream = Upstream {
             service,
             pool: Pool::new(instance.addr, CONNECT_TIMEOUT).metered(meter),
-            hash: xxhash_rust::xxh3::xxh3_64(instance.id.as_bytes()),
+            hash: id_hash(&instance.id),
             running: 0,
             waiting: 0,
             tokens: 0,
@@ -264,30 +268,42 @@
             slowdown: Slowdown::default(),
             instance,
         };
-        let free = self.slots.iter().position(|s| s.upstream.is_none());
-        let index = free.unwrap_or_else(|| {
+        let hash = upstream.hash;
+        let index = self.free.pop().unwrap_or_else(|| {
             self.slots.push(Slot {
                 generation: 0,
                 upstream: None,
             });
-            self.slots.len() - 1
+            self.slots.len() as u32 - 1
         });
-        let slot = &mut self.slots[index];
+        let slot = &mut self.slots[index as usize];
         slot.generation += 1;
         slot.upstream = Some(upstream);
-        UpstreamKey {
-            index: index as u32,
+        let key = UpstreamKey {
+            index,
             generation: slot.generation,
-        }
+        };
+        let at = self.by_hash.partition_point(|(h, _)| *h < hash);
+        self.by_hash.insert(at, (hash, key));
+        key
     }
 
     /// Forgets an upstream that is gone from the registry.
     pub fn remove(&mut self, key: UpstreamKey) -> Option<Upstream> {
-        self.get(key)?;
+        let hash = self.get(key)?.hash;
+        if let Ok(at) = self.by_hash.binary_search_by_key(&hash, |(h, _)| *h) {
+            self.by_hash.remove(at);
+        }
+        self.free.push(key.index);
         self.slots[key.index as usize].upstream.take()
     }
 }
 
+/// Hash under which peers know an upstream.
+fn id_hash(id: &str) -> u64 {
+    xxhash_rust::xxh3::xxh3_64(id.as_bytes())
+}
+
 impl ServiceInfo {
     fn new(name: &str) -> Self {
         Self {
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -126,14 +126,14 @@
     loop {
         let wait = config_wait(&gateway);
         let timeout = wait + ANSWER_TIMEOUT;
-        match client.store().config(from, wait, timeout).await {
+        match client.store().config(&from, wait, timeout).await {
             Ok(change) => {
                 dependency.good();
                 tell_malformed("configuration", change.malformed);
                 if let Some(newest) = change.items.into_iter().max_by_key(|c| c.version) {
                     put_in_force(&gateway, newest, "store");
                 }
-                from = Feed::Since(change.version);
+                from = change.next;
             }
             Err(StoreError::HistoryGone) => from = Feed::Start,
             Err(e) => {
@@ -177,8 +177,8 @@
 }
 
 /// Upstreams whose entries were found missing just after the store's return.
-#[derive(Default)]
-struct Missing {
+#[derive(Debug, Default)]
+pub struct Missing {
     until: Option<Instant>,
     ids: Vec<String>,
 }
@@ -209,29 +209,37 @@
     let mut dependency = Dependency::new("store/registry");
     let mut missing = Missing::default();
     let mut from = Feed::Start;
+    // Pages of a table that is being read in full.
+    let mut pages = Vec::new();
     loop {
-        match client.store().upstreams(from, ANSWER_TIMEOUT).await {
+        match client.store().upstreams(&from, ANSWER_TIMEOUT).await {
             Ok(change) => {
                 if dependency.good() {
                     missing.open(Instant::now());
                 }
                 tell_malformed("registry", change.malformed);
-                let is_whole = from == Feed::Start;
-                merge(
-                    &gateway,
-                    change.items,
-                    is_whole,
-                    change.version,
-                    &mut missing,
-                );
+                pages.extend(change.items);
+                let is_whole = !matches!(from, Feed::Since(_));
+                from = change.next;
+                if matches!(from, Feed::Rest { .. }) {
+                    continue;
+                }
+                let changes = std::mem::take(&mut pages);
+                merge(&gateway, changes, is_whole, change.version, &mut missing);
             }
             Err(StoreError::HistoryGone) => {
                 from = Feed::Start;
+                pages.clear();
                 continue;
             }
             Err(e) => {
                 dependency.bad(&e);
                 pause().await;
+                // Only the page that failed is read again: a table of thousands of
+                // rows would else never be whole while the store turns calls down.
+                if !matches!(from, Feed::Since(_)) {
+                    continue;
+                }
             }
         }
         let version = gateway.registry().version;
@@ -258,14 +266,19 @@
     }
 }
 
-/// Takes changes of the registry; a whole read also tells by absence.
-fn merge(
+/// Takes changes of the registry from the store; a whole read also tells by
+/// absence. A read that is older than what a peer has told since is left out: it
+/// would call upstreams back whose removal is never told again.
+pub fn merge(
     gateway: &Arc<Gateway>,
     changes: Vec<Registration>,
     is_whole: bool,
     version: u64,
     missing: &mut Missing,
 ) {
+    if version < gateway.registry().version {
+        return;
+    }
     let now = Instant::now();
     let mut gone = Vec::new();
     if is_whole {
@@ -302,10 +315,13 @@
 
 /// Upstreams that are known and don't stand in a whole read of the registry.
 fn absent(gateway: &Gateway, read: &[Registration]) -> Vec<String> {
-    let is_read = |id: &str| {
-        read.iter()
-            .any(|r| matches!(r, Registration::Present(i) if i.id == id))
-    };
+    let present = read.iter().filter_map(|r| match r {
+        Registration::Present(instance) => Some(instance.id.as_str()),
+        Registration::Removed { .. } => None,
+    });
+    let mut present: Vec<&str> = present.collect();
+    present.sort_unstable();
+    let is_read = |id: &str| present.binary_search(&id).is_ok();
     let fleet = gateway.fleet();
     let ids = fleet.iter().map(|(_, u)| u.instance.id.clone());
     ids.filter(|id| !is_read(id)).collect()
--- a/crates/gateway/src/peers/membership.rs
+++ b/crates/gateway/src/peers/membership.rs
@@ -37,7 +37,7 @@
         }
         match client
             .store()
-            .processes(from, WAIT, WAIT + ANSWER_TIMEOUT)
+            .processes(&from, WAIT, WAIT + ANSWER_TIMEOUT)
             .await
         {
             Ok(change) => {
@@ -46,7 +46,7 @@
                     let what = "processes";
                     emit(&Event::Undecodable { what, why });
                 }
-                from = Feed::Since(change.version);
+                from = change.next;
                 if !change.items.is_empty() {
                     merge(&gateway, change.items);
                     tokio::time::sleep(PAUSE).await;
--- a/crates/gateway/tests/choice.rs
+++ b/crates/gateway/tests/choice.rs
@@ -3,13 +3,14 @@
 #[expect(dead_code, reason = "each test file uses some of them")]
 mod fixtures;
 
-use fixtures::{gateway_with, instance};
+use fixtures::{gateway_with, instance, runner};
 use gateway::choose::{Choice, Need, PREFILL_WEIGHT, choose};
 use gateway::fleet::speed::{Slowdown, Speed, Task, Work};
 use gateway::fleet::{Fleet, Merged};
 use gateway::state::Gateway;
 use net::Meter;
 use platform::{PromptPart, Stage};
+use proptest::prelude::*;
 use std::time::Duration;
 
 #[test]
@@ -52,6 +53,34 @@
     );
 }
 
+#[test]
+fn upstreams_are_found_as_by_looking_at_all() {
+    let steps = proptest::collection::vec((0u8..20, any::<bool>()), 1..80);
+    runner()
+        .run(&steps, |steps| {
+            let (mut fleet, meter) = (Fleet::default(), Meter::default());
+            let mut known: Vec<u8> = Vec::new();
+            for (n, is_there) in steps {
+                known.retain(|k| *k != n);
+                if is_there {
+                    known.push(n);
+                    fleet.merge(instance(n, Stage::Decode), &meter);
+                } else if let Some(key) = fleet.find(&format!("i-{n}")) {
+                    prop_assert!(fleet.remove(key).is_some());
+                }
+                prop_assert_eq!(fleet.len(), known.len());
+                for n in 0..20u8 {
+                    let id = format!("i-{n}");
+                    let found = fleet.find(&id).and_then(|key| fleet.get(key));
+                    let found = found.map(|u| u.instance.id.clone());
+                    prop_assert_eq!(found, known.contains(&n).then_some(id));
+                }
+            }
+            Ok(())
+        })
+        .unwrap();
+}
+
 #[test]
 fn a_key_of_a_removed_upstream_finds_nothing() {
     let mut fleet = Fleet::default();
--- a/crates/gateway/tests/peers.rs
+++ b/crates/gateway/tests/peers.rs
@@ -3,11 +3,12 @@
 #[expect(dead_code, reason = "each test file uses some of them")]
 mod fixtures;
 
-use fixtures::{instance, runner};
+use fixtures::{gateway_with, instance, runner};
 use gateway::fleet::Fleet;
+use gateway::follow::{Missing, merge, merge_view};
 use gateway::peers::{Beat, Load, Peers};
 use net::Meter;
-use platform::Stage;
+use platform::{Registration, Stage};
 use proptest::prelude::*;
 use std::net::{IpAddr, Ipv4Addr};
 use std::time::{Duration, Instant};
@@ -110,3 +111,20 @@
         })
         .unwrap();
 }
+
+#[test]
+fn a_read_that_is_older_than_a_peers_view_calls_no_upstream_back() {
+    let gateway = gateway_with(&[]);
+    let (kept, removed) = (instance(1, Stage::Decode), instance(2, Stage::Decode));
+    let both = || vec![kept.clone(), removed.clone()];
+    let missing = &mut Missing::default();
+    let read = both().into_iter().map(Registration::Present).collect();
+    merge(&gateway, read, true, 5, missing);
+    assert_eq!(gateway.fleet().len(), 2);
+    // A peer has read since that one has gone; a read from before comes late.
+    merge_view(&gateway, vec![kept.clone()], 9);
+    let late = both().into_iter().map(Registration::Present).collect();
+    merge(&gateway, late, false, 7, missing);
+    assert!(gateway.fleet().find("i-2").is_none());
+    assert!(gateway.fleet().find("i-1").is_some());
+}
--- a/crates/gateway/tests/state.rs
+++ b/crates/gateway/tests/state.rs
@@ -354,3 +354,20 @@
     let store = SocketAddr::new(IpAddr::V4(address()), 1);
     assert_ne!(host(address(), store).ip, host(address(), store).ip);
 }
+
+#[tokio::test]
+async fn a_registry_of_many_pages_is_read_though_each_third_call_is_refused() {
+    let bed = start_bare();
+    bed.store.set_mode(Mode::RefuseThird(429));
+    bed.store.set_page_rows(3);
+    let gone = SocketAddr::new(IpAddr::V4(address()), 7300);
+    for n in 0..20 {
+        bed.register(&format!("a-{n:02}"), "plain", gone, "draining", None);
+    }
+    // It stands on the last page, so it is used only once all have been read.
+    let worker = bed.add_worker("z-last", "plain", None).await;
+    bed.store.put("op", "config", &config(1, &routes()));
+    bed.wait_answer(&request("GET", "/safe/", "id-1", "", ""), 200)
+        .await;
+    assert!(!worker.seen().is_empty());
+}
