A peer's read of the registry counts by its age, not by a newer version alone

Cause: processes that don't read often took a peer's word only if its version was newer. Ruled out: views that differ (27 processes read after the same version). Change: datagrams carry the age of the sender's last read; a later read that found the same counts. The test fails with the old comparison.

--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -36,6 +36,9 @@
     pub config: u64,
     /// The store's version at its last read of the registry.
     pub registry: u64,
+    /// Age of that read, in milliseconds. While nothing changes the version stays
+    /// the same, so the version alone doesn't tell a new read from an old one.
+    pub registry_ms: u32,
     /// Hash of what it made of the registry; see [`Fleet::view`].
     pub view: u64,
     /// Its load at each upstream where it has any.
--- a/crates/gateway/src/peers/exchange.rs
+++ b/crates/gateway/src/peers/exchange.rs
@@ -6,7 +6,7 @@
 use crate::StartError;
 use crate::follow;
 use crate::peers::{Beat, Load};
-use crate::state::Gateway;
+use crate::state::{Gateway, Registry};
 use hyper::body::Incoming;
 use hyper::header::HOST;
 use hyper::{Method, Request, Response, StatusCode};
@@ -96,10 +96,19 @@
             });
             continue;
         };
-        let (registry, view) = (beat.registry, beat.view);
+        let now = Instant::now();
+        let read = now
+            .checked_sub(Duration::from_millis(beat.registry_ms.into()))
+            .map(|read_at| Registry {
+                version: beat.registry,
+                read_at,
+                view: beat.view,
+            });
         let mut peers = gateway.peers();
-        if peers.hear(from.ip(), beat, &mut gateway.fleet(), Instant::now()) {
-            gateway.confirm_registry(registry, view);
+        if peers.hear(from.ip(), beat, &mut gateway.fleet(), now)
+            && let Some(read) = read
+        {
+            gateway.confirm_registry(read);
         }
     }
 }
@@ -129,6 +138,7 @@
             number,
             config: gateway.config_version(),
             registry: registry.version,
+            registry_ms: registry.read_at.elapsed().as_millis() as u32,
             view: registry.view,
             loads,
         };
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -133,12 +133,12 @@
         };
     }
 
-    /// Notes that a peer has read the registry later and knows the same.
-    pub fn confirm_registry(&self, version: u64, view: u64) {
+    /// Notes a peer's read of the registry, if it is later and found the same.
+    pub fn confirm_registry(&self, read: Registry) {
         let mut registry = lock(&self.registry);
-        if view == registry.view && version > registry.version {
-            registry.version = version;
-            registry.read_at = Instant::now();
+        let is_later = read.version >= registry.version && read.read_at > registry.read_at;
+        if read.view == registry.view && is_later {
+            *registry = read;
         }
     }
 
--- a/crates/gateway/tests/peers.rs
+++ b/crates/gateway/tests/peers.rs
@@ -7,6 +7,7 @@
 use gateway::fleet::Fleet;
 use gateway::follow::{Missing, merge, merge_view};
 use gateway::peers::{Beat, Load, Peers};
+use gateway::state::Registry;
 use net::Meter;
 use platform::{Registration, Stage};
 use proptest::prelude::*;
@@ -19,6 +20,7 @@
         number,
         config: 0,
         registry: 0,
+        registry_ms: 0,
         view: 0,
         loads: loads
             .iter()
@@ -128,3 +130,27 @@
     assert!(gateway.fleet().find("i-2").is_none());
     assert!(gateway.fleet().find("i-1").is_some());
 }
+
+#[test]
+fn a_peers_later_read_counts_if_it_found_the_same() {
+    let gateway = gateway_with(&[Stage::Decode]);
+    gateway.set_registry(7);
+    let own = gateway.registry();
+    let later = own.read_at + Duration::from_secs(1);
+    let read = |version, view, read_at| Registry {
+        version,
+        read_at,
+        view,
+    };
+    let age_of = |read| {
+        gateway.confirm_registry(read);
+        gateway.registry().read_at
+    };
+    // Another view, an older version and an older read tell nothing.
+    assert_eq!(age_of(read(8, own.view + 1, later)), own.read_at);
+    assert_eq!(age_of(read(6, own.view, later)), own.read_at);
+    let before = own.read_at.checked_sub(Duration::from_millis(1)).unwrap();
+    assert_eq!(age_of(read(7, own.view, before)), own.read_at);
+    // While nothing changes, a new read has the old version.
+    assert_eq!(age_of(read(7, own.view, later)), later);
+}
--- a/crates/gateway/tests/state.rs
+++ b/crates/gateway/tests/state.rs
@@ -241,6 +241,7 @@
         number: 1,
         config: 0,
         registry: 0,
+        registry_ms: 0,
         view: 0,
         loads: Vec::new(),
     };
