A client that stops reading holds its upstream no longer than the route's timeout

Cause: the relay waited for the client without a bound; only the wait for the upstream's next bytes had the route's timeout. Noticed when it was written. Change: both have it. The test streams 64 MB to a client that reads nothing and waits for the request's end in the metrics; it waited in vain before (30 s). Ruled out: the kernel's own timeout; a client that keeps its window shut is alive.

--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -109,9 +109,13 @@
         let mut data = first;
         loop {
             if let Some(data) = data.take() {
-                match self.pass(data).await {
-                    Ok(()) => {}
-                    Err(end) => return end,
+                let passed = tokio::select! {
+                    passed = self.pass(data) => passed,
+                    // A client that stops reading must not hold its upstream's slot.
+                    () = timeout.as_mut() => return End::TimedOut,
+                };
+                if let Err(end) = passed {
+                    return end;
                 }
             }
             let frame = tokio::select! {
--- a/crates/gateway/tests/streams.rs
+++ b/crates/gateway/tests/streams.rs
@@ -3,7 +3,8 @@
 #[expect(dead_code, reason = "each test file uses a part of it")]
 mod common;
 
-use common::{Client, exchange, request, start, status};
+use common::{Client, config, exchange, request, routes, start, status, wait_for};
+use serde_json::json;
 use standin::Act;
 
 #[tokio::test]
@@ -151,3 +152,30 @@
         );
     }
 }
+
+#[tokio::test]
+async fn a_client_that_stops_reading_holds_its_worker_until_the_routes_timeout() {
+    let (bed, workers) = start(1).await;
+    let mut all = routes();
+    let all = all.as_array_mut().unwrap();
+    all.push(
+        json!({"Name": "slow-reader", "Host": "a.example", "PathPrefix": "/slow-reader/",
+        "RouteType": "streaming", "TimeoutMs": 2000, "TargetLatencyMs": 100, "Service": "plain"}),
+    );
+    bed.store.put("op", "config", &config(2, &json!(all)));
+    bed.wait_answer(&request("POST", "/slow-reader/", "id-w", "", "x"), 200)
+        .await;
+    // Far more than all buffers on the way take.
+    workers[0].script([Act::Unframed("y".repeat(64 << 20))]);
+    let mut client = Client::connect(bed.callers).await;
+    client
+        .send(&request("POST", "/slow-reader/", "id-1", "", "x"))
+        .await;
+    wait_for("the end of the stream", || async {
+        let metrics = "GET /metrics HTTP/1.1\r\nhost: x\r\n\r\n";
+        let text = exchange(bed.ready, metrics).await;
+        let mut lines = text.lines();
+        lines.any(|l| l.contains("broken_off") && l.contains("timed_out"))
+    })
+    .await;
+}
