A process that holds upstreams back tells its peers of no read

Entries lapse with the store, so it kept the upstream for 2 s, as it should, but told its peers the new version with its old view. They knew the same upstreams, took that for a confirmation, and read on from a version whose removal they had never seen: two sent requests to the leaving upstream 2.0 to 3.2 s late. Ruled out: reads that were too rare (all were under 0.7 s old). Change: what is held back is the process's own state (`missing.rs`), and while there is any, its datagrams and answers tell of no read, and it takes nobody's confirmation. A peer's view settles it. Two tests; both fail on the old code, where a version was told whatever was held back.

--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -40,9 +40,6 @@
 /// Pause after a read that failed, and the most that chance adds: processes that
 /// lose the store together mustn't come back together.
 const RETRY_PAUSE: (Duration, Duration) = (Duration::from_millis(250), Duration::from_millis(250));
-/// How long after the store's return an upstream whose entry lapsed meanwhile is
-/// still used: entries of live upstreams are back within about two seconds.
-const RETURN_GRACE: Duration = Duration::from_millis(2000);
 /// A read that failed counts as a loss of the store after this long without one.
 const LOST_AFTER: Duration = Duration::from_millis(1000);
 
@@ -176,38 +173,10 @@
     }
 }
 
-/// Upstreams whose entries were found missing just after the store's return.
-#[derive(Debug, Default)]
-pub struct Missing {
-    until: Option<Instant>,
-    ids: Vec<String>,
-}
-
-impl Missing {
-    /// The store is back: entries may have lapsed meanwhile.
-    fn open(&mut self, now: Instant) {
-        self.until = Some(now + RETURN_GRACE);
-    }
-
-    /// Whether an entry that is missing now may come back.
-    fn may_return(&self, now: Instant) -> bool {
-        self.until.is_some_and(|until| now < until)
-    }
-
-    /// The entries that haven't come back in time.
-    fn overdue(&mut self, now: Instant) -> Vec<String> {
-        if self.may_return(now) {
-            return Vec::new();
-        }
-        std::mem::take(&mut self.ids)
-    }
-}
-
 /// Follows the registry until the process ends.
 pub async fn follow_registry(gateway: Arc<Gateway>) {
     let mut client = Client::new(&gateway);
     let mut dependency = Dependency::new("store/registry");
-    let mut missing = Missing::default();
     let mut from = Feed::Start;
     // Pages of a table that is being read in full.
     let mut pages = Vec::new();
@@ -215,7 +184,7 @@
         match client.store().upstreams(&from, ANSWER_TIMEOUT).await {
             Ok(change) => {
                 if dependency.good() {
-                    missing.open(Instant::now());
+                    gateway.missing().open(Instant::now());
                 }
                 tell_malformed("registry", change.malformed);
                 pages.extend(change.items);
@@ -225,7 +194,8 @@
                     continue;
                 }
                 let changes = std::mem::take(&mut pages);
-                merge(&gateway, changes, is_whole, change.version, &mut missing);
+                let now = Instant::now();
+                merge(&gateway, changes, is_whole, change.version, now);
             }
             Err(StoreError::HistoryGone) => {
                 from = Feed::Start;
@@ -274,43 +244,63 @@
     changes: Vec<Registration>,
     is_whole: bool,
     version: u64,
-    missing: &mut Missing,
+    now: Instant,
 ) {
     if version < gateway.registry().version {
         return;
     }
-    let now = Instant::now();
-    let mut gone = Vec::new();
-    if is_whole {
-        gone = absent(gateway, &changes);
+    let gone = take_present(gateway, changes, is_whole, version);
+    let mut missing = gateway.missing();
+    let mut gone = missing.hold(gone, now);
+    gone.append(&mut missing.take_overdue(now));
+    drop(missing);
+    settle(gateway, &gone, version);
+}
+
+/// Takes a peer's view of the registry, if it is newer than ours. Peers tell of
+/// theirs only while they hold nothing back, so what is missing there is gone.
+pub fn merge_view(gateway: &Arc<Gateway>, instances: Vec<Instance>, version: u64) {
+    if version <= gateway.registry().version {
+        return;
+    }
+    let changes = instances.into_iter().map(Registration::Present).collect();
+    let gone = take_present(gateway, changes, true, version);
+    for id in &gone {
+        gateway.missing().found(id);
     }
+    settle(gateway, &gone, version);
+}
+
+/// Takes the upstreams that are present; gives those that are gone.
+fn take_present(
+    gateway: &Arc<Gateway>,
+    changes: Vec<Registration>,
+    is_whole: bool,
+    version: u64,
+) -> Vec<String> {
+    let mut gone = if is_whole {
+        absent(gateway, &changes)
+    } else {
+        Vec::new()
+    };
     for change in changes {
         match change {
             Registration::Present(instance) => {
-                missing.ids.retain(|id| *id != instance.id);
+                gateway.missing().found(&instance.id);
                 gone.retain(|id| *id != instance.id);
                 add(gateway, instance, version, &gateway.upstream_bytes);
             }
             Registration::Removed { id } => gone.push(id),
         }
     }
-    if missing.may_return(now) {
-        missing.ids.append(&mut gone);
-    }
-    gone.append(&mut missing.overdue(now));
-    for id in gone {
-        remove(gateway, &id, version);
-    }
-    gateway.set_registry(version);
+    gone
 }
 
-/// Takes a peer's view of the registry, if it is newer than ours.
-pub fn merge_view(gateway: &Arc<Gateway>, instances: Vec<Instance>, version: u64) {
-    if version <= gateway.registry().version {
-        return;
+fn settle(gateway: &Arc<Gateway>, gone: &[String], version: u64) {
+    for id in gone {
+        remove(gateway, id, version);
     }
-    let changes = instances.into_iter().map(Registration::Present).collect();
-    merge(gateway, changes, true, version, &mut Missing::default());
+    gateway.set_registry(version);
 }
 
 /// Upstreams that are known and don't stand in a whole read of the registry.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod events;
 pub mod fleet;
 pub mod follow;
+pub mod missing;
 pub mod peers;
 pub mod ready;
 pub mod relay;
--- /dev/null
+++ b/crates/gateway/src/missing.rs
@@ -0,0 +1,53 @@
+//! Upstreams whose entries were found missing just after the store's return.
+//!
+//! Entries lapse while the store is away and are written again soon after its
+//! return, so an upstream isn't taken for gone at once. Until that is settled this
+//! process knows more upstreams than the version of its last read says, and tells
+//! its peers of no read.
+
+use std::time::{Duration, Instant};
+
+/// How long after the store's return an upstream whose entry lapsed meanwhile is
+/// still used: entries of live upstreams are back within about two seconds.
+const RETURN_GRACE: Duration = Duration::from_millis(2000);
+
+/// Upstreams that are missing and may come back.
+#[derive(Debug, Default)]
+pub struct Missing {
+    until: Option<Instant>,
+    ids: Vec<String>,
+}
+
+impl Missing {
+    /// The store is back: entries may have lapsed meanwhile.
+    pub fn open(&mut self, now: Instant) {
+        self.until = Some(now + RETURN_GRACE);
+    }
+
+    /// Holds back what is gone, if it may come back; else gives it back.
+    pub fn hold(&mut self, gone: Vec<String>, now: Instant) -> Vec<String> {
+        if self.until.is_none_or(|until| now >= until) {
+            return gone;
+        }
+        self.ids.extend(gone);
+        Vec::new()
+    }
+
+    /// Notes that an upstream is there.
+    pub fn found(&mut self, id: &str) {
+        self.ids.retain(|missing| missing != id);
+    }
+
+    /// Takes out the upstreams that haven't come back in time.
+    pub fn take_overdue(&mut self, now: Instant) -> Vec<String> {
+        if self.until.is_some_and(|until| now < until) {
+            return Vec::new();
+        }
+        std::mem::take(&mut self.ids)
+    }
+
+    /// Whether any upstream is held back.
+    pub fn is_empty(&self) -> bool {
+        self.ids.is_empty()
+    }
+}
--- a/crates/gateway/src/peers/exchange.rs
+++ b/crates/gateway/src/peers/exchange.rs
@@ -132,14 +132,14 @@
             continue;
         }
         number += 1;
-        let registry = gateway.registry();
+        let settled = gateway.settled_registry();
         let beat = Beat {
             start,
             number,
             config: gateway.config_version(),
-            registry: registry.version,
-            registry_ms: registry.read_at.elapsed().as_millis() as u32,
-            view: registry.view,
+            registry: settled.map_or(0, |r| r.version),
+            registry_ms: settled.map_or(u32::MAX, |r| r.read_at.elapsed().as_millis() as u32),
+            view: settled.map_or(0, |r| r.view),
             loads,
         };
         let buf = wire::encode_compact(&beat);
@@ -233,7 +233,7 @@
 fn answer(gateway: &Gateway, req: &Request<Incoming>) -> Response<Body> {
     let known = match req.uri().path() {
         CONFIG_PATH => gateway.routes().map(|t| wire::encode(&t.config)),
-        REGISTRY_PATH => Some(wire::encode(&registry_view(gateway))),
+        REGISTRY_PATH => registry_view(gateway).map(|view| wire::encode(&view)),
         _ => None,
     };
     let Some(body) = known else {
@@ -244,11 +244,11 @@
     Response::new(full(body))
 }
 
-fn registry_view(gateway: &Gateway) -> RegistryView {
-    let version = gateway.registry().version;
+fn registry_view(gateway: &Gateway) -> Option<RegistryView> {
+    let version = gateway.settled_registry()?.version;
     let fleet = gateway.fleet();
-    RegistryView {
+    Some(RegistryView {
         version,
         instances: fleet.iter().map(|(_, u)| u.instance.clone()).collect(),
-    }
+    })
 }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -1,6 +1,7 @@
 //! What a gateway is and knows.
 
 use crate::fleet::{Fleet, ServiceKey, UpstreamKey};
+use crate::missing::Missing;
 use crate::peers::Peers;
 use crate::routes::RouteTable;
 use net::{HeadLimits, Meter, Stop};
@@ -26,6 +27,7 @@
     fleet: Mutex<Fleet>,
     budgets: Mutex<Vec<(ServiceKey, Budget)>>,
     registry: Mutex<Registry>,
+    missing: Mutex<Missing>,
     peers: Mutex<Peers>,
     live_peers: AtomicU32,
     running: AtomicU64,
@@ -69,6 +71,7 @@
                 read_at: Instant::now(),
                 view: 0,
             }),
+            missing: Mutex::default(),
             peers: Mutex::default(),
             live_peers: AtomicU32::new(0),
             running: AtomicU64::new(0),
@@ -133,8 +136,23 @@
         };
     }
 
+    /// Upstreams that are missing and may come back. Never held across an await.
+    pub fn missing(&self) -> MutexGuard<'_, Missing> {
+        lock(&self.missing)
+    }
+
+    /// What peers may take this process's word for: none while it uses upstreams
+    /// that its last read didn't find.
+    pub fn settled_registry(&self) -> Option<Registry> {
+        self.missing().is_empty().then(|| self.registry())
+    }
+
     /// Notes a peer's read of the registry, if it is later and found the same.
+    /// What this process holds back must be found or gone by its own reads.
     pub fn confirm_registry(&self, read: Registry) {
+        if !self.missing().is_empty() {
+            return;
+        }
         let mut registry = lock(&self.registry);
         let is_later = read.version >= registry.version && read.read_at > registry.read_at;
         if read.view == registry.view && is_later {
--- a/crates/gateway/tests/peers.rs
+++ b/crates/gateway/tests/peers.rs
@@ -5,11 +5,11 @@
 
 use fixtures::{gateway_with, instance, runner};
 use gateway::fleet::Fleet;
-use gateway::follow::{Missing, merge, merge_view};
+use gateway::follow::{merge, merge_view};
 use gateway::peers::{Beat, Load, Peers};
 use gateway::state::Registry;
 use net::Meter;
-use platform::{Registration, Stage};
+use platform::{Instance, Registration, Stage};
 use proptest::prelude::*;
 use std::net::{IpAddr, Ipv4Addr};
 use std::time::{Duration, Instant};
@@ -119,14 +119,14 @@
     let gateway = gateway_with(&[]);
     let (kept, removed) = (instance(1, Stage::Decode), instance(2, Stage::Decode));
     let both = || vec![kept.clone(), removed.clone()];
-    let missing = &mut Missing::default();
+    let now = Instant::now();
     let read = both().into_iter().map(Registration::Present).collect();
-    merge(&gateway, read, true, 5, missing);
+    merge(&gateway, read, true, 5, now);
     assert_eq!(gateway.fleet().len(), 2);
     // A peer has read since that one has gone; a read from before comes late.
     merge_view(&gateway, vec![kept.clone()], 9);
     let late = both().into_iter().map(Registration::Present).collect();
-    merge(&gateway, late, false, 7, missing);
+    merge(&gateway, late, false, 7, now);
     assert!(gateway.fleet().find("i-2").is_none());
     assert!(gateway.fleet().find("i-1").is_some());
 }
@@ -154,3 +154,70 @@
     // While nothing changes, a new read has the old version.
     assert_eq!(age_of(read(7, own.view, later)), later);
 }
+
+#[test]
+fn a_process_that_holds_an_upstream_back_tells_of_no_read() {
+    let gateway = gateway_with(&[]);
+    let (kept, lapsed) = (instance(1, Stage::Decode), instance(2, Stage::Decode));
+    let now = Instant::now();
+    let read = |all: &[&Instance]| {
+        let all = all.iter().map(|i| Registration::Present((*i).clone()));
+        all.collect::<Vec<_>>()
+    };
+    merge(&gateway, read(&[&kept, &lapsed]), true, 5, now);
+    assert_eq!(gateway.settled_registry().unwrap().version, 5);
+    // The store was away; its first read afterwards misses one.
+    gateway.missing().open(now);
+    merge(&gateway, read(&[&kept]), true, 9, now);
+    assert!(gateway.fleet().find("i-2").is_some(), "it may come back");
+    // What is known is more than version 9 says, and peers must not adopt it.
+    assert!(gateway.settled_registry().is_none());
+    let before = gateway.registry().version;
+    gateway.confirm_registry(Registry {
+        version: 12,
+        read_at: now + Duration::from_secs(1),
+        view: gateway.registry().view,
+    });
+    assert_eq!(gateway.registry().version, before);
+    // It is back in time.
+    merge(&gateway, read(&[&lapsed]), false, 13, now);
+    assert_eq!(gateway.settled_registry().unwrap().version, 13);
+    // It goes for good.
+    merge(
+        &gateway,
+        vec![Registration::Removed { id: "i-2".into() }],
+        false,
+        14,
+        now,
+    );
+    assert!(gateway.settled_registry().is_none());
+    merge(
+        &gateway,
+        Vec::new(),
+        false,
+        14,
+        now + Duration::from_secs(3),
+    );
+    assert!(gateway.fleet().find("i-2").is_none());
+    assert_eq!(gateway.settled_registry().unwrap().version, 14);
+}
+
+#[test]
+fn a_peers_view_settles_what_was_held_back() {
+    let gateway = gateway_with(&[]);
+    let (kept, lapsed) = (instance(1, Stage::Decode), instance(2, Stage::Decode));
+    let now = Instant::now();
+    let both = [&kept, &lapsed].map(|i| Registration::Present(i.clone()));
+    merge(&gateway, both.to_vec(), true, 5, now);
+    gateway.missing().open(now);
+    merge(
+        &gateway,
+        vec![Registration::Present(kept.clone())],
+        true,
+        9,
+        now,
+    );
+    merge_view(&gateway, vec![kept], 11);
+    assert!(gateway.fleet().find("i-2").is_none());
+    assert_eq!(gateway.settled_registry().unwrap().version, 11);
+}
