An upstream that is held back at the store's return is told in the log

Cause: tracing the broken DRAIN, nothing said that a process still used an upstream that its read had missed; it had to be inferred from three other lines. Change: event `upstream_missing` with the version.

--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -6,6 +6,7 @@
 //! process goes on with what it knows.
 
 use crate::fleet::{Merged, UpstreamKey};
+use crate::missing::Missing;
 use crate::routes::RouteTable;
 use crate::state::Gateway;
 use net::Meter;
@@ -260,7 +261,10 @@
         false => take_present(gateway, changes, is_whole, version),
     };
     let mut missing = gateway.missing();
-    let mut gone = missing.hold(gone, now);
+    let mut gone = match missing.is_open(now) {
+        true => hold_back(&mut missing, gone, version),
+        false => gone,
+    };
     gone.append(&mut missing.take_overdue(now));
     drop(missing);
     for id in &gone {
@@ -271,6 +275,18 @@
     }
 }
 
+/// Keeps upstreams that may come back; gives none, as none is gone yet.
+fn hold_back(missing: &mut Missing, gone: Vec<String>, registry: u64) -> Vec<String> {
+    for id in gone {
+        emit(&Event::UpstreamMissing {
+            upstream: &id,
+            registry,
+        });
+        missing.hold(id);
+    }
+    Vec::new()
+}
+
 /// Takes a peer's view of the registry, if it is newer than ours. Peers tell of
 /// theirs only while they hold nothing back, so what is missing there is gone.
 pub fn merge_view(gateway: &Arc<Gateway>, instances: Vec<Instance>, version: u64) {
--- a/crates/gateway/src/missing.rs
+++ b/crates/gateway/src/missing.rs
@@ -32,13 +32,14 @@
         self.until.filter(|_| !self.ids.is_empty())
     }
 
-    /// Holds back what is gone, if it may come back; else gives it back.
-    pub fn hold(&mut self, gone: Vec<String>, now: Instant) -> Vec<String> {
-        if self.until.is_none_or(|until| now >= until) {
-            return gone;
-        }
-        self.ids.extend(gone);
-        Vec::new()
+    /// Whether what is missing at a time may come back.
+    pub fn is_open(&self, now: Instant) -> bool {
+        self.until.is_some_and(|until| now < until)
+    }
+
+    /// Holds back an upstream that is missing.
+    pub fn hold(&mut self, id: String) {
+        self.ids.push(id);
     }
 
     /// Notes that an upstream is there.
@@ -48,7 +49,7 @@
 
     /// Takes out the upstreams that haven't come back in time.
     pub fn take_overdue(&mut self, now: Instant) -> Vec<String> {
-        if self.until.is_some_and(|until| now < until) {
+        if self.is_open(now) {
             return Vec::new();
         }
         std::mem::take(&mut self.ids)
--- a/crates/observe/src/event.rs
+++ b/crates/observe/src/event.rs
@@ -241,6 +241,14 @@
         /// The store's version that told of it.
         registry: u64,
     },
+    /// An upstream isn't registered just after the store's return, and is used for
+    /// a little longer, since its entry may have lapsed with the store.
+    UpstreamMissing {
+        /// Id of its start.
+        upstream: &'a str,
+        /// The store's version at which it is missing.
+        registry: u64,
+    },
     /// An upstream gets no requests for a while because of its answers.
     UpstreamSuspended {
         /// Id of its start.
