Soak: processes that end after the faults are started anew until all serve

Ruled out: a gateway that doesn't come back (it was never started), load. Change: recovery is waited for with starts in between. `build_binary` also works from a test.

--- a/crates/bench/src/procs.rs
+++ b/crates/bench/src/procs.rs
@@ -141,7 +141,9 @@
 /// Builds the shipped binary as this bench was built, and gives its path.
 pub async fn build_binary() -> io::Result<PathBuf> {
     let here = std::env::current_exe()?;
-    let dir = here.parent().ok_or_else(|| io::Error::other("no folder"))?;
+    // Tests stand one folder below the programs.
+    let dir = here.ancestors().skip(1).find(|d| !d.ends_with("deps"));
+    let dir = dir.ok_or_else(|| io::Error::other("no folder"))?;
     let release = dir.file_name().is_some_and(|n| n == "release");
     let cargo = std::env::var_os("CARGO").unwrap_or_else(|| "cargo".into());
     let mut build = Command::new(cargo);
--- a/crates/soak/src/fault.rs
+++ b/crates/soak/src/fault.rs
@@ -17,6 +17,9 @@
 /// Time without any fault before and during a notice, so that the promise holds.
 const CALM: Duration = Duration::from_secs(4);
 
+/// Longest look at whether all serve, before processes that ended are started anew.
+const LOOK: Duration = Duration::from_millis(250);
+
 /// A kind of fault.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Fault {
@@ -174,6 +177,20 @@
     revive(scene)
 }
 
+/// Waits until all gateways serve, at most for a time; says whether they do. As on
+/// the platform, a process that ends meanwhile is started anew: one that was told
+/// to stop just before the calm ends seconds after it.
+pub async fn recover(scene: &mut Scene, bound: Duration) -> io::Result<bool> {
+    let until = Instant::now() + bound;
+    while Instant::now() < until {
+        revive(scene)?;
+        if scene.all_serve(LOOK).await {
+            return Ok(true);
+        }
+    }
+    Ok(false)
+}
+
 /// Lets a worker leave in calm, and counts what it gets after its time.
 async fn leave(scene: &mut Scene, n: usize, done: &mut Done) -> io::Result<()> {
     if scene.upstreams.len() <= 2 {
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -78,7 +78,7 @@
     let until = Instant::now() + Duration::from_secs(args.seconds);
     let done = fault::run(&mut scene, args.seed, until).await?;
     fault::calm(&mut scene).await?;
-    let recovered = scene.all_serve(RECOVERY).await;
+    let recovered = fault::recover(&mut scene, RECOVERY).await?;
     stop.send_replace(true);
     for client in clients {
         // A client that hangs is ended with the runtime; its last request is open.
