The test of late claims loses the claim's answer and nobody else's

A poll or the renewal of a lease within the 800 ms of delay took the loss, so the claim was answered and the call ran, rightly, before its upstream was told to stop. The caller got `Whole`. Change: `lose_about` limits the loss to calls whose body has a text; the test names the claim's key. As strict as before.

--- a/crates/arbutusquay/tests/lifecycle.rs
+++ b/crates/arbutusquay/tests/lifecycle.rs
@@ -219,6 +219,7 @@
     let lost = Faults {
         delay_ms: 800,
         lose_answers: 1,
+        lose_about: "key/late".into(),
         ..Faults::default()
     };
     bed.site.table.gate().set(lost);
--- a/crates/fakes/src/fault.rs
+++ b/crates/fakes/src/fault.rs
@@ -16,6 +16,9 @@
     pub hang: bool,
     /// So many calls take effect, and their answers are lost.
     pub lose_answers: u32,
+    /// Only answers to calls whose body has this text are lost; empty means all.
+    /// Polls and renewals go on beside what a test is about.
+    pub lose_about: String,
     /// So many calls are answered with bytes that aren't the protocol.
     pub nonsense: u32,
     /// So many streams end without their end.
@@ -56,6 +59,13 @@
         used
     }
 
+    /// Whether the answer to a call with this body is to be lost.
+    pub fn loses(&self, body: &[u8]) -> bool {
+        let about = self.get().lose_about;
+        let is_meant = String::from_utf8_lossy(body).contains(&about);
+        is_meant && self.use_up(|f| &mut f.lose_answers)
+    }
+
     /// Waits as the faults say. Gives false if the call must be refused.
     pub async fn pass(&self) -> bool {
         let f = self.get();
--- a/crates/fakes/src/serve.rs
+++ b/crates/fakes/src/serve.rs
@@ -122,8 +122,9 @@
     if standin.gate().use_up(|f| &mut f.nonsense) {
         return Response::new(full(NONSENSE));
     }
+    let body = call.body.clone();
     let answer = standin.clone().answer(call).await;
-    if standin.gate().use_up(|f| &mut f.lose_answers) {
+    if standin.gate().loses(&body) {
         return broken();
     }
     answer
