Tests draw their loopback addresses where nothing else of ours listens

Tests drew any N from 32 to 220 of 127.N.0.0/16; 65 is the soak's, 66 and 67 have fixed users, 96 to 127 are the gateway tests'. Change: N is drawn from 128 on, which nothing else uses.

--- a/crates/bench/src/deploy.rs
+++ b/crates/bench/src/deploy.rs
@@ -18,7 +18,8 @@
 /// Port whose listener marks a part of the addresses as used.
 const LOCK_PORT: u16 = 6999;
 /// Parts of the loopback addresses that tests draw from.
-const FREE_NETS: RangeInclusive<u8> = 32..=220;
+// Below are the demo, the soak, and tests that take fixed parts of 127.0.0.0/8.
+const FREE_NETS: RangeInclusive<u8> = 128..=220;
 /// Port of the platform's services.
 const PLATFORM_PORT: u16 = 7100;
 
