The silent worker's test sends until a request meets the silence

Change: as strict for each request (200, under 3 s); at most 200 are sent, and none meeting the silence still fails.

--- a/crates/gateway/tests/relay.rs
+++ b/crates/gateway/tests/relay.rs
@@ -249,18 +249,26 @@
         "two attempts at most, and the second waits"
     );
     workers[0].script([Act::Hang]);
-    for n in 2..12 {
+    let before: usize = workers.iter().map(|w| w.seen().len()).sum();
+    // Idle workers are chosen by chance: requests are sent until one meets the
+    // silence, and so is seen by both.
+    let mut sent = 0;
+    loop {
+        sent += 1;
+        assert!(sent <= 200, "one of them meets the silence");
         let since = std::time::Instant::now();
-        let id = format!("id-{n}");
+        let id = format!("id-{}", sent + 1);
         let text = exchange(bed.callers, &request("GET", "/safe/", &id, "", "")).await;
         assert_eq!(status(&text), 200);
         assert!(
             since.elapsed() < Duration::from_secs(3),
             "its deadline is 4 s"
         );
+        let seen: usize = workers.iter().map(|w| w.seen().len()).sum();
+        if seen - before > sent {
+            break;
+        }
     }
-    let seen = workers.iter().flat_map(|w| w.seen());
-    assert!(seen.count() >= 13, "one of them met the silence");
 }
 
 #[tokio::test]
