The fleet is divided by its slots before traffic and by lasting demand after

Cause: on the further customer's site 5 of 12 engines only read prompts, and prompts that meet a busy home are refused while 448 places to generate hold some 35 answers. Reading binds there; on the earlier sites slots do.

Change: each process watches occupancy (engines with a prompt to read, answers that run). The first of those alive takes a lease in the store, timed by the store's clock, and orders what lasting demand speaks for, with report, instance, token and count of orders. Engines that change get no requests, also from peers. Where half of the engines only read, prompts go only there.

--- a/crates/gateway/src/choose.rs
+++ b/crates/gateway/src/choose.rs
@@ -169,6 +169,7 @@
         u.service == need.service
             && u.is_open()
             && !u.is_suspended(now)
+            && !u.is_changing(now)
             && !need.tried.contains(key)
     })
 }
@@ -231,7 +232,11 @@
 /// The prompt's home, if it hasn't too much to do.
 fn choose_home(fleet: &Fleet, zone: &str, need: &Need<'_>, now: Instant) -> Choice {
     let can_split = need.may_split && candidates(fleet, need, now).any(|(_, u)| generates(u));
-    let usable = |u: &Upstream| can_split || generates(u);
+    let at_readers = can_split && readers_suffice(fleet, need.service);
+    let usable = |u: &Upstream| match generates(u) {
+        true => !at_readers,
+        false => can_split,
+    };
     let key = home_key(need.parts);
     let best = candidates(fleet, need, now)
         .filter(|(_, u)| usable(u))
@@ -241,7 +246,7 @@
     };
     // All processes send a part to the same home, where it stays cached; what is
     // read anew after a change of homes shows in the engine's slowdown.
-    let reads_only = home.instance.stage == Some(Stage::Prefill);
+    let reads_only = home.reads_only();
     let task = if reads_only {
         Task::Prefill
     } else {
@@ -257,6 +262,17 @@
     Choice::Busy(plan.inputs, retry_after(plan.inputs.estimate_ms))
 }
 
+/// Whether prompts are read at engines that only read, and nowhere else: so it is
+/// once at least half of the engines do. Beside answers a prompt is read at half
+/// the speed, and each answer there waits for it.
+fn readers_suffice(fleet: &Fleet, service: ServiceKey) -> bool {
+    let engines = fleet
+        .iter()
+        .filter(|(_, u)| u.service == service && u.is_open());
+    let (readers, others): (Vec<_>, Vec<_>) = engines.partition(|(_, u)| u.reads_only());
+    readers.len() >= others.len()
+}
+
 /// The part that decides the home: the last that other requests may share.
 fn home_key(parts: &[PromptPart]) -> u64 {
     let shared = parts.len().checked_sub(2);
--- /dev/null
+++ b/crates/gateway/src/division/lease.rs
@@ -0,0 +1,70 @@
+//! Who may give orders to engines.
+//!
+//! Two hosts must not order one engine by turns, also if the engine can't tell
+//! an old order from a new one. So a host takes a lease over all of the time in
+//! which its orders may arrive, and another takes it only a while after its end.
+//! All times are of the store's steady clock; a process counts from before its
+//! read of that clock, so it gives up early, and a pause of the process shows.
+
+use platform::{LeaseRead, OrderLease};
+use std::time::{Duration, Instant};
+
+/// How long a lease is taken for: reports and orders of a change take some
+/// 20 ms each, and a dark engine half a second.
+const LASTS: Duration = Duration::from_secs(4);
+/// Time before a lease's end from which no order is sent: its connection and a
+/// lost packet take up to that.
+const STOPS_BEFORE: Duration = Duration::from_millis(1500);
+/// Added to the shortest time between orders of two hosts, for packets that were
+/// lost twice.
+const MORE_GAP: Duration = Duration::from_secs(1);
+
+/// Whether a host may take the lease.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Turn {
+    /// It may, by writing this.
+    Take(OrderLease),
+    /// Not yet; it may look again after this time.
+    Wait(Duration),
+}
+
+/// A lease that this process holds.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Held {
+    /// Its token.
+    pub token: u64,
+    /// When orders end, on this process's clock.
+    ends: Instant,
+}
+
+impl Held {
+    /// A lease that was written after a read that began at a time.
+    pub fn new(token: u64, read_from: Instant) -> Self {
+        Self {
+            token,
+            ends: read_from + LASTS - STOPS_BEFORE,
+        }
+    }
+
+    /// Whether an order may be sent now.
+    pub fn is_valid(&self, now: Instant) -> bool {
+        now < self.ends
+    }
+}
+
+/// Decides by the lease as it was read whether a host may take it. `gap` is the
+/// shortest time between orders of two hosts.
+pub fn turn(read: &LeaseRead, holder: &str, gap: Duration) -> Turn {
+    let millis = |d: Duration| d.as_millis() as u64;
+    if let Some(lease) = read.lease.as_ref().filter(|l| l.holder != holder) {
+        let free_ms = lease.until_ms + millis(gap + MORE_GAP);
+        if read.now_ms < free_ms {
+            return Turn::Wait(Duration::from_millis(free_ms - read.now_ms));
+        }
+    }
+    Turn::Take(OrderLease {
+        holder: holder.to_owned(),
+        token: read.lease.as_ref().map_or(0, |l| l.token) + 1,
+        until_ms: read.now_ms + millis(LASTS),
+    })
+}
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -19,6 +19,10 @@
 /// request must still reach another in time.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 
+/// How long after this process has read an engine's new stage its peers have read
+/// it too: they hear of a new version at once, and ask each 0.2 s.
+const REGISTRY_SPREADS: Duration = Duration::from_millis(500);
+
 /// A service by its place in the fleet's list. Services are never forgotten, so
 /// a key stays valid.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -56,6 +60,16 @@
     pub health: Health,
     /// How much slower it is than its kind.
     pub slowdown: Slowdown,
+    /// Until when it is taken to be away for a change of its stage, and the stage
+    /// that it was ordered to have, if this process ordered it.
+    change: Option<Change>,
+}
+
+/// A change of an engine's stage that is going on.
+#[derive(Debug, Clone, Copy)]
+struct Change {
+    until: Instant,
+    ordered: Option<Stage>,
 }
 
 /// Load at an upstream that comes from other processes of the system, summed.
@@ -125,6 +139,8 @@
     Added(UpstreamKey),
     /// An upstream that was known says that it will stop.
     Draining(UpstreamKey),
+    /// An engine that was known does something else with prompts.
+    Restaged(UpstreamKey),
     /// Something else changed, or nothing.
     Same,
 }
@@ -200,6 +216,37 @@
         speed.estimate(upstream.work(uncached)) * upstream.slowdown.factor()
     }
 
+    /// Services whose upstreams are model engines.
+    pub fn engine_services(&self) -> impl Iterator<Item = ServiceKey> {
+        let all = self.services.iter().enumerate();
+        all.filter(|(_, s)| s.engine.is_some())
+            .map(|(at, _)| ServiceKey(at as u16))
+    }
+
+    /// Notes that this process orders an engine to change its stage: it gets no
+    /// request until a time, unless the registry shows the new stage before.
+    pub fn set_changing(&mut self, key: UpstreamKey, until: Instant, stage: Stage) {
+        if let Some(upstream) = self.get_mut(key) {
+            let ordered = Some(stage);
+            upstream.change = Some(Change { until, ordered });
+        }
+    }
+
+    /// Notes that an engine doesn't change its stage after all.
+    pub fn clear_changing(&mut self, key: UpstreamKey) {
+        if let Some(upstream) = self.get_mut(key) {
+            upstream.change = None;
+        }
+    }
+
+    /// Hashes of the engines that this process has ordered to change and that are
+    /// away for it.
+    pub fn changing(&self, now: Instant) -> Vec<u64> {
+        let changing = self.iter().filter(|(_, u)| u.is_changing(now));
+        let ordered = changing.filter(|(_, u)| u.change.is_some_and(|c| c.ordered.is_some()));
+        ordered.map(|(_, u)| u.hash).collect()
+    }
+
     /// The upstream whose id has a hash, for changes.
     pub fn find_hash(&mut self, hash: u64) -> Option<&mut Upstream> {
         self.get_mut(self.key_of(hash)?)
@@ -240,14 +287,19 @@
             let starts_draining = instance.is_draining && !known.instance.is_draining;
             // A registration that arrives late must not call a leaving one back.
             let is_draining = instance.is_draining || known.instance.is_draining;
+            let is_restaged = instance.stage != known.instance.stage;
+            if is_restaged {
+                known.restaged(instance.stage);
+            }
             known.service = service;
             known.instance = Instance {
                 is_draining,
                 ..instance
             };
-            return match starts_draining {
-                true => Merged::Draining(key),
-                false => Merged::Same,
+            return match (starts_draining, is_restaged) {
+                (true, _) => Merged::Draining(key),
+                (false, true) => Merged::Restaged(key),
+                (false, false) => Merged::Same,
             };
         }
         Merged::Added(self.add(instance, meter))
@@ -266,6 +318,7 @@
             streams: 0,
             health: Health::default(),
             slowdown: Slowdown::default(),
+            change: None,
             instance,
         };
         let hash = upstream.hash;
@@ -325,11 +378,50 @@
         !self.instance.is_draining
     }
 
+    /// Whether it is away for a change of its stage.
+    pub fn is_changing(&self, now: Instant) -> bool {
+        self.change.is_some_and(|c| now < c.until)
+    }
+
+    /// Takes a peer's word that it is away until a time.
+    pub fn peer_says_changing(&mut self, until: Instant) {
+        if self.change.is_none_or(|c| c.ordered.is_none()) {
+            let ordered = None;
+            self.change = Some(Change { until, ordered });
+        }
+    }
+
+    /// Takes the stage that the registry shows. An ordered change is over, but for
+    /// the time in which the others read the registry.
+    fn restaged(&mut self, stage: Option<Stage>) {
+        self.slowdown = Slowdown::default();
+        if let Some(change) = &mut self.change
+            && change.ordered == stage
+        {
+            change.until = change.until.min(Instant::now() + REGISTRY_SPREADS);
+        }
+    }
+
+    /// Whether it only reads prompts.
+    pub fn reads_only(&self) -> bool {
+        self.instance.stage == Some(Stage::Prefill)
+    }
+
+    /// Requests that wait there for their first byte, of all processes.
+    pub fn all_waiting(&self) -> u32 {
+        self.waiting + self.others.waiting
+    }
+
+    /// Uncached tokens that wait there, of all processes.
+    pub fn reading_tokens(&self) -> u32 {
+        self.tokens + self.others.tokens
+    }
+
     /// What it has to do until the first byte of a prompt that is sent now.
     pub fn work(&self, uncached: u32) -> Work {
-        let tokens = self.tokens + self.others.tokens + uncached;
+        let tokens = self.reading_tokens() + uncached;
         Work {
-            prompts: f64::from(self.waiting + self.others.waiting),
+            prompts: f64::from(self.all_waiting()),
             tokens: f64::from(tokens),
             turns: self.turns(),
         }
@@ -343,7 +435,7 @@
     /// bytes at generating engines, with the turns 0.39; estimates with them earn
     /// 0.003 to 0.02 more of what is owed (one run a site).
     fn turns(&self) -> f64 {
-        if self.instance.stage == Some(Stage::Prefill) {
+        if self.reads_only() {
             return 0.0;
         }
         let slots = self.instance.slots;
@@ -375,11 +467,7 @@
 
     /// What the upstream is called in logs when it does something with prompts.
     pub fn stage_name(&self) -> Option<&'static str> {
-        self.instance.stage.map(|s| match s {
-            Stage::Prefill => "prefill",
-            Stage::Decode => "decode",
-            Stage::Both => "both",
-        })
+        self.instance.stage.map(Stage::name)
     }
 
     /// Whether its last requests failed so often that it gets none for a while.
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -358,6 +358,14 @@
             });
         }
         Merged::Draining(key) => tell_leaving(&fleet, key, "draining", registry),
+        Merged::Restaged(key) => {
+            let Some(u) = fleet.get(key) else { return };
+            emit(&Event::StageChanged {
+                upstream: &u.instance.id,
+                stage: u.stage_name(),
+                registry,
+            });
+        }
         Merged::Same => {}
     }
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod answer;
 pub mod attempt;
 pub mod choose;
+pub mod division;
 pub mod events;
 pub mod fleet;
 pub mod follow;
@@ -71,6 +72,7 @@
     tokio::spawn(follow::follow_registry(gateway.clone()));
     let exchange = peers::exchange::start(&gateway)?;
     tokio::spawn(peers::membership::follow(gateway.clone()));
+    tokio::spawn(division::orders::follow(gateway.clone()));
     tokio::spawn(reload::follow_settings(gateway.clone(), path));
     let (drain, serving) = (Stop::default(), Stop::default());
     let server = Server {
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -44,6 +44,9 @@
     pub view: u64,
     /// Its load at each upstream where it has any.
     pub loads: Vec<Load>,
+    /// Hashes of the engines that it has ordered to change their stage and that
+    /// are away for it.
+    pub changing: Vec<u64>,
 }
 
 /// A process's load at one upstream.
@@ -117,6 +120,7 @@
 
     /// Takes a datagram from an address; says whether it was new.
     pub fn hear(&mut self, ip: IpAddr, beat: Beat, fleet: &mut Fleet, now: Instant) -> bool {
+        let silent = self.silent();
         let Some(peer) = self.entry(ip) else {
             return false;
         };
@@ -133,6 +137,11 @@
                 upstream.others.add(load);
             }
         }
+        for hash in &beat.changing {
+            if let Some(upstream) = fleet.find_hash(*hash) {
+                upstream.peer_says_changing(now + silent);
+            }
+        }
         peer.beat = Some(beat);
         peer.heard_at = Some(now);
         true
--- a/crates/gateway/src/peers/exchange.rs
+++ b/crates/gateway/src/peers/exchange.rs
@@ -117,18 +117,19 @@
 async fn tell(gateway: Arc<Gateway>, socket: Arc<UdpSocket>) {
     let start = fastrand::u64(..);
     let mut number = 0;
-    let mut last = (Instant::now(), Vec::new());
+    let mut last = (Instant::now(), Vec::new(), Vec::new());
     loop {
         let (peers, live) = expire(&gateway);
         gateway.set_live_peers(live);
-        let every = SEND_EVERY.max(SEND_EVERY_PER_PEER * peers.len() as u32);
-        tokio::time::sleep(every).await;
+        tokio::time::sleep(send_every(peers.len())).await;
         let loads: Vec<Load> = gateway
             .fleet()
             .iter()
             .filter_map(|(_, u)| u.load())
             .collect();
-        if loads == last.1 && last.0.elapsed() < SEND_AT_LEAST {
+        let changing = gateway.fleet().changing(Instant::now());
+        let is_same = loads == last.1 && changing == last.2;
+        if is_same && last.0.elapsed() < SEND_AT_LEAST {
             continue;
         }
         number += 1;
@@ -141,6 +142,7 @@
             registry_ms: settled.map_or(u32::MAX, |r| r.read_at.elapsed().as_millis() as u32),
             view: settled.map_or(0, |r| r.view),
             loads,
+            changing,
         };
         let buf = wire::encode_compact(&beat);
         let port = gateway.host().peer_port;
@@ -149,10 +151,22 @@
             // one says everything anew.
             let _ = socket.try_send_to(&buf, SocketAddr::new(ip, port));
         }
-        last = (Instant::now(), beat.loads);
+        last = (Instant::now(), beat.loads, beat.changing);
     }
 }
 
+/// Shortest time between two datagrams to each of so many peers.
+fn send_every(peers: usize) -> Duration {
+    SEND_EVERY.max(SEND_EVERY_PER_PEER * peers as u32)
+}
+
+/// Time in which all live peers have heard what this process knows now: two
+/// datagrams, as one may be lost, and the way.
+pub fn time_to_tell(gateway: &Gateway) -> Duration {
+    let peers = gateway.peers().addresses().count();
+    send_every(peers) * 2 + SEND_EVERY
+}
+
 /// Takes off what peers that fell silent said. Gives the addresses of all peers
 /// and how many are alive.
 fn expire(gateway: &Gateway) -> (Vec<IpAddr>, u32) {
--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -55,6 +55,8 @@
         retry_ratio: 0.2,
         retry_window: Duration::from_secs(10),
         retry_slack: 50.0,
+        order_gap: Duration::from_secs(3),
+        is_first_start: false,
     }
 }
 
@@ -62,12 +64,11 @@
 pub fn start_bare() -> Bed {
     let ip = address();
     let store = Store::start(SocketAddr::new(IpAddr::V4(ip), 7003)).unwrap();
-    start_on(ip, store)
+    start_on(host(ip, store.addr), store)
 }
 
-/// Starts a gateway on an address for a store.
-pub fn start_on(ip: Ipv4Addr, store: Store) -> Bed {
-    let host = host(ip, store.addr);
+/// Starts a gateway on a host for a store.
+pub fn start_on(host: Host, store: Store) -> Bed {
     let stop = Stop::default();
     let (run, stopped) = (host.clone(), stop.clone());
     let task = tokio::spawn(async move {
--- /dev/null
+++ b/crates/gateway/tests/division.rs
@@ -0,0 +1,190 @@
+//! Decisions on how many engines read prompts, on patterns of load.
+//!
+//! The figures of a pattern are requests a second times the time that each keeps
+//! an engine busy: prompts of 2,900 to 3,700 uncached tokens read at 37 tokens a ms
+//! by engines with 64 slots, or at 700 and more by engines with 6 to 12.
+
+use gateway::division::lease::{Held, Turn, turn};
+use gateway::division::{Basis, Demand, Division, EngineUse, Wanted};
+use platform::{LeaseRead, OrderLease, Stage};
+use std::time::{Duration, Instant};
+
+const LOOK: Duration = Duration::from_millis(50);
+
+/// The use of engines of which so many read and so many answers are generated.
+fn uses(now: Division, readers_busy: u32, generators_busy: u32, answers: u32) -> Vec<EngineUse> {
+    let readers = (0..now.readers).map(|n| EngineUse {
+        reads_only: true,
+        is_reading: n < readers_busy,
+        generating: 0,
+    });
+    let generators = (0..now.generators).map(|n| EngineUse {
+        reads_only: false,
+        is_reading: n < generators_busy,
+        generating: answers / now.generators + u32::from(n < answers % now.generators),
+    });
+    readers.chain(generators).collect()
+}
+
+/// The demand after so many seconds of the same use.
+fn demand(uses: &[EngineUse], seconds: u32) -> Demand {
+    let mut demand = Demand::default();
+    for _ in 0..seconds * 20 {
+        demand.sample(uses.iter().copied(), LOOK);
+    }
+    demand
+}
+
+fn division(readers: u32, generators: u32, slots: u32) -> Division {
+    Division {
+        readers,
+        generators,
+        slots,
+    }
+}
+
+/// Long prompts and short answers on deep batches: 43 requests a second keep 4 of 5
+/// readers at work, and some 35 answers run where 448 would fit.
+#[test]
+fn full_readers_get_help_from_engines_that_generate_little() {
+    let now = division(5, 7, 64);
+    let demand = demand(&uses(now, 4, 2, 35), 6);
+    let wanted = demand.wanted(now, false).unwrap();
+    assert_eq!(wanted.stage, Stage::Prefill);
+    assert_eq!(wanted.basis, Basis::Reading);
+    // A quarter of the engines may be away at once, a third goes on generating.
+    assert_eq!(wanted.changes, 3);
+    let next = division(8, 4, 64);
+    let rest = demand.wanted(next, false);
+    assert_eq!(rest, None, "a third is kept");
+}
+
+/// Engines with few slots: 16 long answers in 30 slots, readers half at work. One
+/// more reader earned 0.09 less there, since answers then wait for slots.
+#[test]
+fn no_order_is_given_where_slots_bind() {
+    for (now, busy, answers) in [
+        (division(3, 5, 6), 2, 16),
+        (division(3, 6, 8), 2, 21),
+        (division(10, 18, 12), 6, 60),
+        (division(9, 16, 6), 6, 35),
+    ] {
+        let demand = demand(&uses(now, busy, now.generators / 2, answers), 20);
+        assert_eq!(demand.wanted(now, false), None, "{now:?}");
+        let start = Demand::default();
+        assert_eq!(idle(start, now).wanted(now, true), None, "{now:?}");
+    }
+}
+
+/// A demand after three seconds without a request.
+fn idle(mut demand: Demand, now: Division) -> Demand {
+    for _ in 0..60 {
+        demand.sample(uses(now, 0, 0, 0).into_iter(), LOOK);
+    }
+    demand
+}
+
+#[test]
+fn before_the_first_request_deep_batches_are_divided_by_their_slots() {
+    let now = division(5, 7, 64);
+    let demand = idle(Demand::default(), now);
+    let expected = Wanted {
+        changes: 3,
+        stage: Stage::Prefill,
+        basis: Basis::Slots,
+    };
+    assert_eq!(demand.wanted(now, true), Some(expected));
+    // A process that starts anew in a running system doesn't know that it is idle.
+    assert_eq!(demand.wanted(now, false), None);
+}
+
+#[test]
+fn engines_that_are_still_arriving_are_waited_for() {
+    let mut demand = Demand::default();
+    for engines in 1..=12 {
+        let now = division(engines / 3, engines - engines / 3, 64);
+        for _ in 0..10 {
+            demand.sample(uses(now, 0, 0, 0).into_iter(), LOOK);
+            assert_eq!(demand.wanted(now, true), None);
+        }
+    }
+    let now = division(4, 8, 64);
+    assert!(idle(demand, now).wanted(now, true).is_some());
+}
+
+#[test]
+fn a_swing_of_seconds_gives_no_order() {
+    let now = division(5, 7, 64);
+    let calm = uses(now, 1, 0, 30);
+    let mut demand = demand(&calm, 10);
+    for _ in 0..56 {
+        demand.sample(uses(now, 5, 1, 30).into_iter(), LOOK);
+        assert_eq!(demand.wanted(now, false), None);
+    }
+}
+
+/// A zone with most of the generators is lost.
+#[test]
+fn lost_generators_are_replaced_by_readers() {
+    for (now, changes) in [(division(8, 1, 64), 2), (division(7, 0, 64), 1)] {
+        let uses = match now.generators {
+            0 => uses(division(now.readers, 1, 64), 3, 0, 0)[..now.readers as usize].to_vec(),
+            _ => uses(now, 3, 0, 40),
+        };
+        let wanted = demand(&uses, 6).wanted(now, false).unwrap();
+        assert_eq!(wanted.stage, Stage::Decode);
+        assert_eq!(wanted.changes, changes);
+    }
+}
+
+#[test]
+fn a_single_engine_is_left_alone() {
+    let now = division(0, 1, 8);
+    assert_eq!(demand(&uses(now, 0, 1, 8), 20).wanted(now, false), None);
+}
+
+fn read(holder: &str, until_ms: u64, now_ms: u64) -> LeaseRead {
+    LeaseRead {
+        lease: Some(OrderLease {
+            holder: holder.into(),
+            token: 7,
+            until_ms,
+        }),
+        version: 9,
+        now_ms,
+    }
+}
+
+const GAP: Duration = Duration::from_secs(3);
+
+#[test]
+fn another_hosts_lease_is_taken_only_a_gap_after_its_end() {
+    let wait = |now| match turn(&read("a", 10_000, now), "b", GAP) {
+        Turn::Wait(pause) => Some(pause),
+        Turn::Take(_) => None,
+    };
+    // The last order leaves 1.5 s before the end, so 5.5 s lie between two hosts'.
+    assert_eq!(wait(9_000), Some(Duration::from_millis(5_000)));
+    assert_eq!(wait(13_999), Some(Duration::from_millis(1)));
+    assert_eq!(wait(14_000), None);
+}
+
+#[test]
+fn each_lease_has_a_higher_token() {
+    let Turn::Take(lease) = turn(&read("a", 10_000, 20_000), "b", GAP) else {
+        panic!("it is free");
+    };
+    assert_eq!((lease.holder.as_str(), lease.token), ("b", 8));
+    let Turn::Take(again) = turn(&read("a", 10_000, 5_000), "a", GAP) else {
+        panic!("it is its own");
+    };
+    assert_eq!(again.token, 8);
+}
+
+#[test]
+fn a_process_that_was_paused_gives_no_order() {
+    let since = Instant::now();
+    let held = Held::new(1, since);
+    assert!(held.is_valid(since + Duration::from_millis(2400)));
+    assert!(!held.is_valid(since + Duration::from_millis(2500)));
+}
--- a/crates/gateway/tests/peers.rs
+++ b/crates/gateway/tests/peers.rs
@@ -22,6 +22,7 @@
         registry: 0,
         registry_ms: 0,
         view: 0,
+        changing: Vec::new(),
         loads: loads
             .iter()
             .map(|(upstream, tokens)| Load {
--- a/crates/gateway/tests/state.rs
+++ b/crates/gateway/tests/state.rs
@@ -211,7 +211,7 @@
     let (served, _workers) = start(1).await;
     let ip = address();
     let refusing = Store::start(SocketAddr::new(IpAddr::V4(ip), 7003)).unwrap();
-    let cut = start_on(ip, refusing);
+    let cut = start_on(host(ip, refusing.addr), refusing);
     let name = |bed: &common::Bed| bed.host.name.clone();
     let row = |bed: &common::Bed| json!(bed.host.ip.to_string());
     // The rows hold plain text and not JSON, as each process writes its own.
@@ -244,6 +244,7 @@
         registry_ms: 0,
         view: 0,
         loads: Vec::new(),
+        changing: Vec::new(),
     };
     let buf = wire::encode_compact(&beat);
     for (from, to) in [(a, b), (b, a)] {
--- a/crates/observe/src/event.rs
+++ b/crates/observe/src/event.rs
@@ -230,6 +230,56 @@
         /// The store's version that told of it.
         registry: u64,
     },
+    /// An engine does something else with prompts than before.
+    StageChanged {
+        /// Id of its start.
+        upstream: &'a str,
+        /// What it does now.
+        stage: Option<&'a str>,
+        /// The store's version that told of it.
+        registry: u64,
+    },
+    /// Another number of engines should read prompts; orders follow.
+    DivisionWanted {
+        /// The service.
+        service: &'a str,
+        /// What it rests on.
+        basis: &'a str,
+        /// Engines that only read prompts.
+        readers: u32,
+        /// Engines that generate.
+        generators: u32,
+        /// Engines that are to change.
+        changes: u32,
+        /// Readers' worth of reading, averaged.
+        reading: f64,
+        /// Answers that are generated at once, averaged.
+        generating: f64,
+        /// The most of these of late.
+        peak: f64,
+        /// Token of the lease.
+        token: u64,
+    },
+    /// An engine was given an order to change its stage, or was passed over.
+    StageOrdered {
+        /// Id of its start.
+        upstream: &'a str,
+        /// The stage that it is to have.
+        stage: &'a str,
+        /// Token of the lease.
+        token: u64,
+        /// Orders that it had accepted before, by its report.
+        after_orders: Option<u64>,
+        /// What came of it.
+        outcome: &'a str,
+        /// Whether it may be carried out.
+        may_run: bool,
+    },
+    /// The lease for orders to engines can't be taken now.
+    LeaseNotTaken {
+        /// What happened.
+        why: String,
+    },
     /// An upstream gets no new requests because it leaves or has left.
     UpstreamLeaving {
         /// Id of its start.
