Admission keeps a margin in milliseconds, or by the target where that is more

Cause: 0.6 of the target as a bound refuses prompts of the further customer 320 to 600 ms before their target, though what the margin is for doesn't grow with the target.

Change: the bound is the target less 48 ms, or less 0.15 of it.

--- a/crates/gateway/src/choose.rs
+++ b/crates/gateway/src/choose.rs
@@ -19,12 +19,14 @@
 /// a weight of 2, a quarter of the prompts at generating engines was refused on
 /// loaded days, and one in fourteen at the others; 3.2 earns 0.02 to 0.03 more of what is owed.
 pub const PREFILL_WEIGHT: f64 = 3.2;
-/// Part of the latency target that the estimated time to the first event may
-/// take for a prompt to be admitted. The rest covers the way to the client, what
-/// other processes send at the same moment, and errors of the estimate.
-const ADMIT_SHARE: f64 = 0.6;
-/// The same for the rest of a broken stream: refused, it would be broken off for
-/// good. For all that is sent a second time the larger bound gained nothing.
+/// Time of the latency target that is kept for the way to the client, for what
+/// other processes send at the same moment, and for errors of the estimate: this
+/// much at least, and this part of a longer target. Targets of 120 to 1,500 ms.
+const ADMIT_MARGIN: Duration = Duration::from_millis(48);
+const ADMIT_MARGIN_SHARE: f64 = 0.15;
+/// How many times the latency target the estimate for the rest of a broken stream
+/// may take: refused, it would be broken off for good. For all that is sent a
+/// second time the larger bound gained nothing.
 const ADMIT_REST_SHARE: f64 = 2.0;
 /// What an upstream in another availability zone costs a plain request, and the
 /// most that chance adds, as load for its slots: a tenth of its slots outweighs
@@ -73,12 +75,13 @@
         self.max_output_tokens > LONG_ANSWER_TOKENS
     }
 
-    fn admit_share(&self) -> f64 {
+    /// Longest estimated time to the first event that is admitted.
+    fn bound(&self) -> Duration {
         if self.is_rest {
-            ADMIT_REST_SHARE
-        } else {
-            ADMIT_SHARE
+            return self.target.mul_f64(ADMIT_REST_SHARE);
         }
+        let margin = ADMIT_MARGIN.max(self.target.mul_f64(ADMIT_MARGIN_SHARE));
+        self.target.saturating_sub(margin)
     }
 
     /// Tokens of the prompt that no other request shares.
@@ -316,7 +319,7 @@
         is_long: need.is_long(),
         inputs: Inputs {
             estimate_ms: fleet.estimate_ms(upstream, task, uncached),
-            admit_ms: need.target.as_secs_f64() * 1000.0 * need.admit_share(),
+            admit_ms: need.bound().as_secs_f64() * 1000.0,
             uncached,
             work: upstream.work(uncached),
             running: upstream.all_running(),
