A prompt that was read is taken by another generator; further prefills are retries

Cause: a generator that refuses its connection sent the request back to the choice without its reader, so another engine read the whole prompt again. A second prefill was taken off no budget, though engines count it as a repeat.

Change: up to three generators are asked in turn for one KV cache; each prefill of a request after its first is taken off the retry budget.

--- a/crates/gateway/src/account.rs
+++ b/crates/gateway/src/account.rs
@@ -50,6 +50,8 @@
     pub upstream: Option<String>,
     /// Requests that upstreams were sent.
     pub attempts: u32,
+    /// Whether an engine was sent its prompt to read it only.
+    pub was_prefilled: bool,
     /// Whether an upstream may have run it.
     pub may_have_run: bool,
     /// What decided the last choice.
@@ -74,6 +76,7 @@
             service: None,
             upstream: None,
             attempts: 0,
+            was_prefilled: false,
             may_have_run: false,
             inputs: None,
             first: None,
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -29,6 +29,9 @@
 const IDLE_SHARE: f64 = 0.5;
 /// The same for an upstream that names no time.
 const IDLE_UNNAMED: Duration = Duration::from_millis(400);
+/// Engines that are asked in turn to generate from one KV cache: in the first
+/// second after a crash a third of the generators may refuse connections.
+const MAX_TAKERS: usize = 3;
 /// Ranks of requests at an engine, by the length of their answers.
 const LONG_PRIORITY: u8 = 2;
 const SHORT_PRIORITY: u8 = 4;
@@ -135,22 +138,56 @@
 
 /// Has the prompt read at one engine and the answer generated at another.
 async fn attempt_split(call: &Call, account: &mut Account, plan: &Plan, need: &Need<'_>) -> Tried {
-    let Some(prefilled) = prefill(call, plan).await else {
+    // The first time that a prompt is read is free, any other is a retry.
+    let is_again = std::mem::replace(&mut account.was_prefilled, true);
+    if is_again && !call.gateway.spend_retry(need.service) {
         return Tried::NotRun(NotRun::NoPrefill);
-    };
-    let Choice::Send(taker) = choose_generator(&call.gateway, need) else {
-        free(plan.pool.clone(), &prefilled);
+    }
+    let Some(prefilled) = prefill(call, plan).await else {
         return Tried::NotRun(NotRun::NoPrefill);
     };
-    account.upstream = Some(taker.instance.clone());
-    let source = prefilled.source(plan.addr);
-    let tried = attempt_at(call, account, &taker, Step::Take(&source)).await;
+    let tried = take(call, account, plan, need, &prefilled).await;
     if matches!(tried, Tried::NotRun(_)) {
         free(plan.pool.clone(), &prefilled);
     }
     tried
 }
 
+/// Has the answer generated from a KV cache. An engine that doesn't take it, as one
+/// that has just crashed, is passed over for the next: the prompt stays read.
+async fn take(
+    call: &Call,
+    account: &mut Account,
+    plan: &Plan,
+    need: &Need<'_>,
+    prefilled: &Prefilled,
+) -> Tried {
+    let source = prefilled.source(plan.addr);
+    let mut passed_over = need.tried.to_vec();
+    let mut last = Tried::NotRun(NotRun::NoPrefill);
+    for _ in 0..MAX_TAKERS {
+        let need = Need {
+            tried: &passed_over,
+            ..*need
+        };
+        let Choice::Send(taker) = choose_generator(&call.gateway, &need) else {
+            break;
+        };
+        account.upstream = Some(taker.instance.clone());
+        let since = Instant::now();
+        last = attempt_at(call, account, &taker, Step::Take(&source)).await;
+        let Tried::NotRun(why) = last else {
+            break;
+        };
+        if why == NotRun::Rejected && !call.gateway.spend_retry(need.service) {
+            break;
+        }
+        tell_failed(account, "not_run", why.name(), since.elapsed());
+        passed_over.push(taker.key);
+    }
+    last
+}
+
 /// Frees a KV cache that nobody will take. It lapses by itself if this fails.
 fn free(pool: Pool, prefilled: &Prefilled) {
     const TIMEOUT: Duration = Duration::from_millis(500);
