A retry passes over the engine that failed, and is split like the first attempt

Change: the upstream that was sent the request last is passed over; a retry without events may be split again, its prefill taken off the budget.

--- a/crates/gateway/src/account.rs
+++ b/crates/gateway/src/account.rs
@@ -1,6 +1,7 @@
 //! What is logged and counted of a request: one line at its end.
 
 use crate::answer::{Outcome, Reason};
+use crate::fleet::UpstreamKey;
 use crate::fleet::speed::{Task, Work};
 use crate::state::{Gateway, RunningGuard};
 use observe::{Event, Labels, Seconds, emit};
@@ -48,6 +49,8 @@
     pub service: Option<String>,
     /// Upstream that was tried last.
     pub upstream: Option<String>,
+    /// Key of that upstream.
+    pub tried: Option<UpstreamKey>,
     /// Requests that upstreams were sent.
     pub attempts: u32,
     /// Whether an engine was sent its prompt to read it only.
@@ -75,6 +78,7 @@
             route: None,
             service: None,
             upstream: None,
+            tried: None,
             attempts: 0,
             was_prefilled: false,
             may_have_run: false,
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -109,6 +109,7 @@
 pub async fn attempt(call: &Call, account: &mut Account, plan: &Plan, need: &Need<'_>) -> Tried {
     let since = Instant::now();
     account.upstream = Some(plan.instance.clone());
+    account.tried = Some(plan.key);
     account.inputs = call.is_engine.then_some(plan.inputs);
     let tried = if plan.task == Task::Prefill {
         attempt_split(call, account, plan, need).await
@@ -174,6 +175,7 @@
             break;
         };
         account.upstream = Some(taker.instance.clone());
+        account.tried = Some(taker.key);
         let since = Instant::now();
         last = attempt_at(call, account, &taker, Step::Take(&source)).await;
         let Tried::NotRun(why) = last else {
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -211,7 +211,7 @@
             max_output_tokens: self.incoming.max_output_tokens,
             target: route.target_latency,
             is_rest: is_again && self.last_event.is_some(),
-            may_split: !is_again && self.last_event.is_none(),
+            may_split: self.last_event.is_none(),
             tried: &self.tried,
         }
     }
@@ -249,7 +249,7 @@
                 }
             };
             let tried = self.attempt_patiently(account, &plan, &mut is_paid).await;
-            self.tried.push(plan.key);
+            self.tried.push(account.tried.unwrap_or(plan.key));
             match tried {
                 Tried::Started(started) => {
                     let may_repeat = self.target().route.kind.is_repeatable();
