--- /dev/null
+++ b/crates/gateway/tests/splits.rs
@@ -0,0 +1,87 @@
+//! Prompts that one engine reads and another answers, while engines fail.
+
+#[expect(dead_code, reason = "each test file uses some of them")]
+mod common;
+
+use common::{Bed, config, exchange, request, routes, start_bare, status};
+use standin::{Act, Worker};
+
+/// Prompts that are sent one after the other.
+const PROMPTS: u32 = 12;
+
+/// A gateway before two readers, where all prompts are read, and two generators.
+async fn start_split() -> (Bed, [Worker; 2], [Worker; 2]) {
+    let bed = start_bare();
+    let readers = [
+        bed.add_worker("i-read-0", "llm", Some("prefill")).await,
+        bed.add_worker("i-read-1", "llm", Some("prefill")).await,
+    ];
+    let generators = [
+        bed.add_worker("i-0", "llm", Some("decode")).await,
+        bed.add_worker("i-1", "llm", Some("decode")).await,
+    ];
+    for reader in &readers {
+        reader.usually(Act::Prefilled("h".into()));
+    }
+    generators[1].usually(Act::Events(1..=2));
+    bed.store.put("op", "config", &config(1, &routes()));
+    bed.wait_ready(200).await;
+    (bed, readers, generators)
+}
+
+/// Sends prompts that may go on elsewhere; all must be answered.
+async fn send_prompts(bed: &Bed) {
+    for part in 1..=PROMPTS {
+        let more =
+            format!("model: m\r\ntoken-counts: 100,9\r\nprompt-prefix: {part:x}:50,ffff:50\r\n");
+        let req = request("POST", "/prompt-again/x", &format!("id-{part}"), &more, "");
+        let text = exchange(bed.callers, &req).await;
+        assert_eq!(status(&text), 200, "id-{part}: {text}");
+    }
+}
+
+fn count(workers: &[Worker], id: &str) -> usize {
+    let seen = workers.iter().flat_map(Worker::seen);
+    seen.filter(|s| s.id() == id).count()
+}
+
+/// No generator was given a prompt to read.
+fn assert_all_taken(generators: &[Worker]) {
+    for seen in generators.iter().flat_map(Worker::seen) {
+        assert!(
+            seen.header("kv-source").is_some(),
+            "{} is read again",
+            seen.id()
+        );
+    }
+}
+
+/// One of the generators rejects all, as just after a crash.
+#[tokio::test]
+async fn a_prompt_that_was_read_is_taken_by_the_next_generator() {
+    let (bed, readers, generators) = start_split().await;
+    generators[0].usually(Act::Reject(503));
+    send_prompts(&bed).await;
+    assert!(!generators[0].seen().is_empty(), "it was asked");
+    for part in 1..=PROMPTS {
+        let id = format!("id-{part}");
+        assert_eq!(count(&readers, &id), 1, "{id} is read once");
+    }
+    assert_all_taken(&generators);
+}
+
+/// One of the generators breaks off before its first event.
+#[tokio::test]
+async fn a_retry_passes_over_the_generator_that_failed() {
+    let (bed, readers, generators) = start_split().await;
+    generators[0].usually(Act::Close);
+    send_prompts(&bed).await;
+    assert!(!generators[0].seen().is_empty(), "it was asked");
+    for part in 1..=PROMPTS {
+        let id = format!("id-{part}");
+        assert!(count(&generators[..1], &id) <= 1, "{id} is sent there once");
+        let read = count(&readers, &id);
+        assert!((1..=2).contains(&read), "{id} is read {read} times");
+    }
+    assert_all_taken(&generators);
+}
