Prompts are read by what engines hold: a second home, truthful estimates, late prompts

Cause: a prompt whose home has a queue is refused while other readers idle (the busiest gets 1.9 of the mean), estimates take cold shared parts for cached, and the largest tenth of a class is late by its own size at any engine.

Change: each process keeps what each engine was sent, bounded by its memory, and tells peers of first sends. A prompt is read at the second home where that saves more than what is read anew and more than the wait for a generator. A prompt may wait a quarter of its target however long its own reading takes.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -208,6 +208,7 @@
 async fn prefill(call: &Call, plan: &Plan) -> Option<Prefilled> {
     let gateway = &call.gateway;
     let mut placed = gateway.place(plan.key, plan.inputs.uncached, false);
+    note_parts(call, plan);
     let since = Instant::now();
     let req = request(call, plan, Step::Prefill)?;
     let answer = match plan.pool.send_once(req).await {
@@ -247,10 +248,21 @@
     }
 }
 
+/// Notes that an engine reads a request's prompt.
+fn note_parts(call: &Call, plan: &Plan) {
+    let parts = &call.incoming.parts;
+    call.gateway
+        .fleet()
+        .note_parts(plan.key, parts, Instant::now());
+}
+
 /// Sends the request itself to an upstream.
 pub async fn attempt_at(call: &Call, account: &mut Account, plan: &Plan, step: Step<'_>) -> Tried {
     let gateway = &call.gateway;
     let placed = gateway.place(plan.key, plan.inputs.uncached, plan.is_long);
+    if call.is_engine && plan.task == Task::Generate {
+        note_parts(call, plan);
+    }
     let since = Instant::now();
     let Some(req) = request(call, plan, step) else {
         return Tried::NotRun(NotRun::NotSent);
--- a/crates/gateway/src/choose.rs
+++ b/crates/gateway/src/choose.rs
@@ -24,6 +24,10 @@
 /// much at least, and this part of a longer target. Targets of 120 to 1,500 ms.
 const ADMIT_MARGIN: Duration = Duration::from_millis(48);
 const ADMIT_MARGIN_SHARE: f64 = 0.15;
+/// Part of the latency target that a prompt may wait before its own reading, however
+/// long that takes: the largest prompts of a class are late even at an idle engine,
+/// and a late answer is better for their callers than none.
+const LATE_WAIT_SHARE: f64 = 0.25;
 /// How many times the latency target the estimate for the rest of a broken stream
 /// may take: refused, it would be broken off for good. For all that is sent a
 /// second time the larger bound gained nothing.
@@ -84,6 +88,11 @@
         self.target.saturating_sub(margin)
     }
 
+    /// How long a prompt that is late by its own reading may wait besides.
+    fn late_wait_ms(&self) -> f64 {
+        self.target.as_secs_f64() * 1000.0 * LATE_WAIT_SHARE
+    }
+
     /// Tokens of the prompt that no other request shares.
     fn own_tokens(&self) -> u32 {
         let shared = self.parts.len().saturating_sub(1);
@@ -240,31 +249,96 @@
         true => !at_readers,
         false => can_split,
     };
-    let key = home_key(need.parts);
-    let best = candidates(fleet, need, now)
+    let usable: Vec<_> = candidates(fleet, need, now)
         .filter(|(_, u)| usable(u))
-        .max_by(|(_, a), (_, b)| home_score(key, a).total_cmp(&home_score(key, b)));
-    let Some((key, home)) = best else {
+        .collect();
+    let mut best: Option<Reading> = None;
+    for (at, home) in homes(need.parts, &usable).into_iter().flatten().enumerate() {
+        let reading = Reading::at(fleet, zone, need, home, at == 0, now);
+        let is_worth_while = best.as_ref().is_none_or(|b| reading.is_worth_while(b));
+        if is_worth_while {
+            best = Some(reading);
+        }
+    }
+    let Some(Reading { plan, .. }) = best else {
         return Choice::NoUpstream;
     };
-    // All processes send a part to the same home, where it stays cached; what is
-    // read anew after a change of homes shows in the engine's slowdown.
-    let reads_only = home.reads_only();
-    let task = if reads_only {
-        Task::Prefill
-    } else {
-        Task::Generate
-    };
-    let mut plan = plan(fleet, key, home, need, task, need.own_tokens());
-    if let Some((_, taker)) = best_generator(fleet, zone, need, now).filter(|_| reads_only) {
-        plan.inputs.estimate_ms += fleet.estimate_ms(taker, Task::Take, 0);
-    }
     if plan.inputs.estimate_ms <= plan.inputs.admit_ms {
         return Choice::Send(Box::new(plan));
     }
     Choice::Busy(plan.inputs, retry_after(plan.inputs.estimate_ms))
 }
 
+/// A prompt read at one of its homes.
+struct Reading {
+    plan: Plan,
+    /// Its estimate, and the time for what must be read there anew, which others
+    /// wait for.
+    cost_ms: f64,
+    /// Of the estimate, what the engine takes that generates.
+    generator_ms: f64,
+}
+
+impl Reading {
+    fn at(
+        fleet: &Fleet,
+        zone: &str,
+        need: &Need<'_>,
+        (key, home): (UpstreamKey, &Upstream),
+        is_first: bool,
+        now: Instant,
+    ) -> Self {
+        let task = match home.reads_only() {
+            true => Task::Prefill,
+            false => Task::Generate,
+        };
+        let uncached = fleet.uncached(home, need.parts, is_first);
+        let mut plan = plan(fleet, key, home, need, task, uncached);
+        let mut alone_ms = fleet.alone_ms(home, task, uncached);
+        let taker = best_generator(fleet, zone, need, now).filter(|_| home.reads_only());
+        let mut generator_ms = 0.0;
+        if let Some((_, taker)) = taker {
+            generator_ms = fleet.estimate_ms(taker, Task::Take, 0);
+            plan.inputs.estimate_ms += generator_ms;
+            alone_ms += fleet.alone_ms(taker, Task::Take, 0);
+        }
+        let late_ms = alone_ms + need.late_wait_ms();
+        plan.inputs.admit_ms = plan.inputs.admit_ms.max(late_ms);
+        let own = need.own_tokens();
+        let anew_ms = fleet.estimate_ms(home, task, uncached) - fleet.estimate_ms(home, task, own);
+        Self {
+            cost_ms: plan.inputs.estimate_ms + anew_ms,
+            generator_ms,
+            plan,
+        }
+    }
+
+    /// Whether a second home is so much sooner than the first that it is worth
+    /// while: by more than what is read anew there, and by more than the wait for a
+    /// generator, for which a prompt that is read sooner would only wait longer.
+    fn is_worth_while(&self, first: &Self) -> bool {
+        first.cost_ms - self.cost_ms > self.generator_ms
+    }
+}
+
+/// Homes of a prompt: the first, where its shared parts are read, and the second,
+/// for when the first has too much to do.
+fn homes<'a>(
+    parts: &[PromptPart],
+    usable: &[(UpstreamKey, &'a Upstream)],
+) -> [Option<(UpstreamKey, &'a Upstream)>; 2] {
+    let key = home_key(parts);
+    let mut scored: Vec<_> = usable
+        .iter()
+        .map(|(at, u)| (home_score(key, u), *at, *u))
+        .collect();
+    scored.sort_by(|a, b| b.0.total_cmp(&a.0));
+    let mut all = scored.into_iter().map(|(_, key, u)| (key, u));
+    let first = all.next();
+    let second = all.find(|(_, u)| u.reads_only());
+    [first, second]
+}
+
 /// Whether prompts are read at engines that only read, and nowhere else: so it is
 /// once at least half of the engines do. Beside answers a prompt is read at half
 /// the speed, and each answer there waits for it.
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -5,13 +5,16 @@
 //! stands what this process has seen itself: its own requests there, how long
 //! first bytes take, failures, and which prompt parts were sent there.
 
+pub mod cache;
 pub mod speed;
 
-use crate::peers::Load;
+use crate::peers::{Load, Placement};
+use cache::Cache;
 use net::{Meter, Pool};
-use platform::{Engine, Instance, Service, Stage};
+use platform::{Engine, Instance, PromptPart, Service, Stage};
 use resilience::Health;
 use speed::{Slowdown, Speed, Task, Work};
+use std::collections::VecDeque;
 use std::time::{Duration, Instant};
 
 /// Longest wait for a connection to an upstream. Within a region a connection
@@ -23,6 +26,9 @@
 /// it too: they hear of a new version at once, and ask each 0.2 s.
 const REGISTRY_SPREADS: Duration = Duration::from_millis(500);
 
+/// Most placements that one datagram tells of.
+const MAX_PLACEMENTS: usize = 32;
+
 /// A service by its place in the fleet's list. Services are never forgotten, so
 /// a key stays valid.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -63,6 +69,10 @@
     /// Until when it is taken to be away for a change of its stage, and the stage
     /// that it was ordered to have, if this process ordered it.
     change: Option<Change>,
+    /// Prompt parts that it is taken to hold.
+    cache: Cache,
+    /// Whether this process has known it since it was empty.
+    is_known_from_start: bool,
 }
 
 /// A change of an engine's stage that is going on.
@@ -130,6 +140,11 @@
     /// Keys by the hash of the upstream's id, sorted: each datagram of a peer and
     /// each heartbeat in the registry looks some up.
     by_hash: Vec<(u64, UpstreamKey)>,
+    /// Whether engines that are added now have just started.
+    sees_starts: bool,
+    /// Parts that this process was the first to send somewhere, as far as it knows,
+    /// with the time.
+    placements: VecDeque<(Instant, Placement)>,
 }
 
 /// What the registry changed.
@@ -216,6 +231,84 @@
         speed.estimate(upstream.work(uncached)) * upstream.slowdown.factor()
     }
 
+    /// Notes that engines which are added from now on have just started: so it is
+    /// once the registry was read, and all along when the whole system starts.
+    pub fn see_starts(&mut self) {
+        self.sees_starts = true;
+    }
+
+    /// Tokens of a prompt that an engine has to read. An engine that has run since
+    /// before this process is taken to hold the shared parts whose home it is.
+    pub fn uncached(&self, upstream: &Upstream, parts: &[PromptPart], is_home: bool) -> u32 {
+        let Some((own, shared)) = parts.split_last() else {
+            return 0;
+        };
+        if is_home && !upstream.is_known_from_start {
+            return own.tokens;
+        }
+        own.tokens + upstream.cache.missing(shared)
+    }
+
+    /// Notes that a prompt is sent to an engine to be read.
+    pub fn note_parts(&mut self, key: UpstreamKey, parts: &[PromptPart], now: Instant) {
+        let Some((_, shared)) = parts.split_last() else {
+            return;
+        };
+        let Some(memory) = self.memory_of(key) else {
+            return;
+        };
+        let Some(upstream) = self.get_mut(key) else {
+            return;
+        };
+        let hash = upstream.hash;
+        let mut new = Vec::new();
+        for part in shared {
+            if upstream.cache.note(*part, memory, now) {
+                new.push(Placement {
+                    upstream: hash,
+                    part: part.id,
+                    tokens: part.tokens,
+                });
+            }
+        }
+        self.placements.extend(new.into_iter().map(|p| (now, p)));
+    }
+
+    /// Takes a peer's word of a part that it has sent somewhere.
+    pub fn take_placement(&mut self, placement: &Placement, now: Instant) {
+        let Some(key) = self.key_of(placement.upstream) else {
+            return;
+        };
+        let Some(memory) = self.memory_of(key) else {
+            return;
+        };
+        let part = PromptPart {
+            id: placement.part,
+            tokens: placement.tokens,
+        };
+        if let Some(upstream) = self.get_mut(key) {
+            upstream.cache.note(part, memory, now);
+        }
+    }
+
+    /// Parts that this process has first sent somewhere within a time.
+    pub fn new_placements(&mut self, within: Duration, now: Instant) -> Vec<Placement> {
+        while let Some((at, _)) = self.placements.front() {
+            if now.saturating_duration_since(*at) <= within {
+                break;
+            }
+            self.placements.pop_front();
+        }
+        let newest = self.placements.iter().rev().take(MAX_PLACEMENTS);
+        newest.map(|(_, p)| *p).collect()
+    }
+
+    /// Tokens that an engine's memory holds; none if it isn't an engine.
+    fn memory_of(&self, key: UpstreamKey) -> Option<u32> {
+        let service = self.get(key)?.service;
+        self.info(service).engine.map(|e| e.cache_tokens)
+    }
+
     /// Services whose upstreams are model engines.
     pub fn engine_services(&self) -> impl Iterator<Item = ServiceKey> {
         let all = self.services.iter().enumerate();
@@ -247,6 +340,17 @@
         ordered.map(|(_, u)| u.hash).collect()
     }
 
+    /// Estimated time to the first byte at an idle upstream that is as fast as its
+    /// kind, in milliseconds.
+    pub fn alone_ms(&self, upstream: &Upstream, task: Task, uncached: u32) -> f64 {
+        let work = Work {
+            prompts: 0.0,
+            tokens: f64::from(uncached),
+            turns: 0.0,
+        };
+        self.info(upstream.service).speed(task).estimate(work)
+    }
+
     /// The upstream whose id has a hash, for changes.
     pub fn find_hash(&mut self, hash: u64) -> Option<&mut Upstream> {
         self.get_mut(self.key_of(hash)?)
@@ -319,6 +423,8 @@
             health: Health::default(),
             slowdown: Slowdown::default(),
             change: None,
+            cache: Cache::default(),
+            is_known_from_start: self.sees_starts,
             instance,
         };
         let hash = upstream.hash;
@@ -394,6 +500,8 @@
     /// Takes the stage that the registry shows. An ordered change is over, but for
     /// the time in which the others read the registry.
     fn restaged(&mut self, stage: Option<Stage>) {
+        self.cache.clear();
+        self.is_known_from_start = true;
         self.slowdown = Slowdown::default();
         if let Some(change) = &mut self.change
             && change.ordered == stage
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -272,6 +272,7 @@
     }
     if !is_old {
         gateway.set_registry(version);
+        gateway.fleet().see_starts();
     }
 }
 
@@ -302,6 +303,7 @@
         remove(gateway, id, version);
     }
     gateway.set_registry(version);
+    gateway.fleet().see_starts();
 }
 
 /// Takes the upstreams that are present; gives those that are gone.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -68,6 +68,9 @@
         listen: callers.to_string(),
         admin: ready.to_string(),
     });
+    if gateway.host().is_first_start {
+        gateway.fleet().see_starts();
+    }
     tokio::spawn(follow::follow_config(gateway.clone()));
     tokio::spawn(follow::follow_registry(gateway.clone()));
     let exchange = peers::exchange::start(&gateway)?;
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -47,6 +47,19 @@
     /// Hashes of the engines that it has ordered to change their stage and that
     /// are away for it.
     pub changing: Vec<u64>,
+    /// Prompt parts that it was lately the first to send to an engine.
+    pub placements: Vec<Placement>,
+}
+
+/// A prompt part that an engine was sent.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Placement {
+    /// Hash of the engine's id.
+    pub upstream: u64,
+    /// Id of the part.
+    pub part: u64,
+    /// Its length.
+    pub tokens: u32,
 }
 
 /// A process's load at one upstream.
@@ -137,6 +150,9 @@
                 upstream.others.add(load);
             }
         }
+        for placement in &beat.placements {
+            fleet.take_placement(placement, now);
+        }
         for hash in &beat.changing {
             if let Some(upstream) = fleet.find_hash(*hash) {
                 upstream.peer_says_changing(now + silent);
--- a/crates/gateway/src/peers/exchange.rs
+++ b/crates/gateway/src/peers/exchange.rs
@@ -27,6 +27,8 @@
 /// Time added for each peer, so that a process sends and takes at most some 250
 /// datagrams a second however many peers there are.
 pub const SEND_EVERY_PER_PEER: Duration = Duration::from_millis(4);
+/// Datagrams that tell of a placement, as one may be lost.
+const PLACEMENT_TOLD: u32 = 4;
 /// Longest time between two datagrams, so that a silent peer is a lost one.
 const SEND_AT_LEAST: Duration = Duration::from_millis(200);
 /// Time that the store has to bring what a peer has already before the peer is
@@ -133,6 +135,8 @@
             continue;
         }
         number += 1;
+        let told_for = send_every(peers.len()) * PLACEMENT_TOLD;
+        let placements = gateway.fleet().new_placements(told_for, Instant::now());
         let settled = gateway.settled_registry();
         let beat = Beat {
             start,
@@ -143,6 +147,7 @@
             view: settled.map_or(0, |r| r.view),
             loads,
             changing,
+            placements,
         };
         let buf = wire::encode_compact(&beat);
         let port = gateway.host().peer_port;
--- /dev/null
+++ b/crates/gateway/tests/cache.rs
@@ -0,0 +1,192 @@
+//! What engines are taken to hold, and where prompts go by it.
+
+#[expect(dead_code, reason = "each test file uses some of them")]
+mod fixtures;
+
+use fixtures::{gateway_with, runner};
+use gateway::choose::{Choice, Need, choose};
+use gateway::fleet::cache::Cache;
+use gateway::peers::Placement;
+use gateway::state::{Gateway, Placed};
+use platform::{PromptPart, Stage};
+use proptest::prelude::*;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+fn part(id: u64, tokens: u32) -> PromptPart {
+    PromptPart { id, tokens }
+}
+
+#[test]
+fn a_part_is_of_use_only_behind_the_parts_before_it() {
+    let mut cache = Cache::default();
+    let now = Instant::now();
+    assert!(cache.note(part(2, 300), 10_000, now));
+    assert_eq!(cache.missing(&[part(1, 100), part(2, 300)]), 400);
+    assert!(cache.note(part(1, 100), 10_000, now));
+    assert!(!cache.note(part(1, 100), 10_000, now));
+    assert_eq!(cache.missing(&[part(1, 100), part(2, 300)]), 0);
+    assert_eq!(cache.missing(&[part(1, 100), part(3, 70)]), 70);
+}
+
+#[test]
+fn the_least_recently_used_parts_yield_and_memory_is_bounded() {
+    let sends = proptest::collection::vec((0u64..30, 1u32..400), 1..200);
+    runner()
+        .run(&sends, |sends| {
+            let mut cache = Cache::default();
+            let since = Instant::now();
+            // A naive cache: parts in the order of their use, the latest last.
+            let mut naive: Vec<PromptPart> = Vec::new();
+            for (n, (id, tokens)) in sends.into_iter().enumerate() {
+                let known = naive.iter().position(|p| p.id == id);
+                let sent = known.map_or(part(id, tokens), |at| naive.remove(at));
+                naive.push(sent);
+                while naive.iter().map(|p| p.tokens).sum::<u32>() > 1000 && naive.len() > 1 {
+                    naive.remove(0);
+                }
+                cache.note(sent, 2000, since + Duration::from_millis(n as u64));
+                for id in 0..30 {
+                    let is_held = cache.missing(&[part(id, 1)]) == 0;
+                    prop_assert_eq!(is_held, naive.iter().any(|p| p.id == id), "part {}", id);
+                }
+            }
+            Ok(())
+        })
+        .unwrap();
+}
+
+/// Where a prompt of shared and own tokens goes, against a latency target of 0.8 s.
+fn sent_to(gateway: &Gateway, parts: &[PromptPart]) -> Option<(String, u32)> {
+    let service = gateway.fleet().service("s");
+    let need = Need {
+        service,
+        parts,
+        prompt_tokens: parts.iter().map(|p| p.tokens).sum(),
+        max_output_tokens: 60,
+        target: Duration::from_millis(800),
+        is_rest: false,
+        may_split: true,
+        tried: &[],
+    };
+    match choose(gateway, &need) {
+        Choice::Send(plan) => Some((plan.instance, plan.inputs.uncached)),
+        Choice::Busy(..) | Choice::NoUpstream => None,
+    }
+}
+
+/// Eight readers and four generators that have just started.
+fn fresh_fleet() -> Arc<Gateway> {
+    let gateway = gateway_with(&[]);
+    gateway.fleet().see_starts();
+    for n in 0..12u8 {
+        let stage = if n < 8 { Stage::Prefill } else { Stage::Decode };
+        let instance = fixtures::instance(n, stage);
+        gateway.fleet().merge(instance, &net::Meter::default());
+    }
+    gateway
+}
+
+fn place(gateway: &Arc<Gateway>, id: &str, tokens: u32) -> Placed {
+    let key = gateway.fleet().find(id).unwrap();
+    gateway.place(key, tokens, false)
+}
+
+/// Histories of 13,300 shared and 3,720 own tokens, 45 of them over eight readers: one
+/// reader often has a queue while most have none.
+#[test]
+fn a_prompt_whose_home_has_a_queue_is_read_at_its_second_home() {
+    let gateway = fresh_fleet();
+    let prompt = [part(7, 13_300), part(1 << 40, 3_720)];
+    let (home, uncached) = sent_to(&gateway, &prompt).unwrap();
+    assert_eq!(uncached, 17_020, "nothing is cached at the start");
+    let key = gateway.fleet().find(&home).unwrap();
+    gateway.fleet().note_parts(key, &prompt, Instant::now());
+    assert_eq!(sent_to(&gateway, &prompt), Some((home.clone(), 3_720)));
+    // A short queue is waited for: the shared part would have to be read anew.
+    let short = place(&gateway, &home, 4_000);
+    assert_eq!(sent_to(&gateway, &prompt), Some((home.clone(), 3_720)));
+    let long = place(&gateway, &home, 200_000);
+    let (second, uncached) = sent_to(&gateway, &prompt).unwrap();
+    assert_ne!(second, home);
+    assert_eq!(uncached, 17_020);
+    drop((short, long));
+    assert_eq!(sent_to(&gateway, &prompt), Some((home, 3_720)));
+}
+
+/// Twenty generators hold all their slots: who is read sooner waits for a slot all the
+/// same.
+#[test]
+fn a_second_home_is_left_alone_while_generators_are_what_prompts_wait_for() {
+    let gateway = fresh_fleet();
+    let prompt = [part(7, 3_000), part(1 << 40, 3_000)];
+    let (home, _) = sent_to(&gateway, &prompt).unwrap();
+    let key = gateway.fleet().find(&home).unwrap();
+    gateway.fleet().note_parts(key, &prompt, Instant::now());
+    let mut busy = Vec::new();
+    for n in 8..12 {
+        for _ in 0..48 {
+            let mut placed = place(&gateway, &format!("i-{n}"), 0);
+            placed.has_begun();
+            busy.push(placed);
+        }
+    }
+    // 60 ms of queue, against more than that until a slot is free.
+    let _queue = place(&gateway, &home, 36_000);
+    assert_eq!(sent_to(&gateway, &prompt).map(|s| s.0), Some(home));
+}
+
+/// The largest tenth of a class: its own reading takes longer than the target.
+#[test]
+fn a_prompt_that_is_late_by_its_own_size_is_read_where_it_need_not_wait() {
+    let gateway = fresh_fleet();
+    let prompt = [part(7, 1_000), part(1 << 40, 1_000_000)];
+    let (home, _) = sent_to(&gateway, &prompt).unwrap();
+    let queues: Vec<_> = (0..8)
+        .map(|n| place(&gateway, &format!("i-{n}"), 400_000))
+        .collect();
+    assert_eq!(
+        sent_to(&gateway, &prompt),
+        None,
+        "{home} and the others have queues"
+    );
+    drop(queues);
+    assert!(sent_to(&gateway, &prompt).is_some());
+}
+
+#[test]
+fn peers_tell_of_parts_and_a_new_start_or_stage_holds_none() {
+    let (a, b) = (fresh_fleet(), fresh_fleet());
+    let prompt = [part(7, 900), part(1 << 40, 100)];
+    let (home, _) = sent_to(&a, &prompt).unwrap();
+    let now = Instant::now();
+    let key = a.fleet().find(&home).unwrap();
+    a.fleet().note_parts(key, &prompt, now);
+    let told: Vec<Placement> = a.fleet().new_placements(Duration::from_secs(1), now);
+    assert_eq!(told.len(), 1);
+    for placement in &told {
+        b.fleet().take_placement(placement, now);
+    }
+    assert_eq!(sent_to(&b, &prompt), Some((home.clone(), 100)));
+    // What was told long ago is told no more.
+    let later = now + Duration::from_secs(2);
+    assert!(
+        a.fleet()
+            .new_placements(Duration::from_secs(1), later)
+            .is_empty()
+    );
+    let n: u8 = home.strip_prefix("i-").unwrap().parse().unwrap();
+    for stage in [Stage::Decode, Stage::Prefill] {
+        let instance = fixtures::instance(n, stage);
+        b.fleet().merge(instance, &net::Meter::default());
+    }
+    assert_eq!(sent_to(&b, &prompt), Some((home, 1000)));
+}
+
+/// A process that starts anew in a running system takes homes to hold their parts.
+#[test]
+fn engines_from_before_this_process_are_taken_to_hold_what_is_at_home_there() {
+    let gateway = gateway_with(&[Stage::Prefill, Stage::Prefill, Stage::Decode]);
+    let prompt = [part(7, 900), part(1 << 40, 100)];
+    assert_eq!(sent_to(&gateway, &prompt).map(|s| s.1), Some(100));
+}
--- a/crates/gateway/tests/peers.rs
+++ b/crates/gateway/tests/peers.rs
@@ -23,6 +23,7 @@
         registry_ms: 0,
         view: 0,
         changing: Vec::new(),
+        placements: Vec::new(),
         loads: loads
             .iter()
             .map(|(upstream, tokens)| Load {
--- a/crates/gateway/tests/state.rs
+++ b/crates/gateway/tests/state.rs
@@ -245,6 +245,7 @@
         view: 0,
         loads: Vec::new(),
         changing: Vec::new(),
+        placements: Vec::new(),
     };
     let buf = wire::encode_compact(&beat);
     for (from, to) in [(a, b), (b, a)] {
