--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -171,7 +171,7 @@
             tried: &passed_over,
             ..*need
         };
-        let Choice::Send(taker) = choose_generator(&call.gateway, &need) else {
+        let Choice::Send(taker) = choose_generator(&call.gateway, &need, plan.key) else {
             break;
         };
         account.upstream = Some(taker.instance.clone());
--- a/crates/gateway/src/choose.rs
+++ b/crates/gateway/src/choose.rs
@@ -44,9 +44,10 @@
 /// What an engine costs whose slots are all taken by long answers: a second or
 /// more until one ends.
 const FULL_MS: f64 = 1000.0;
-/// What an upstream in another availability zone costs, in milliseconds: twice
-/// the way between zones.
-const ZONE_MS: f64 = 2.0;
+/// What a generator in another availability zone than the engine that holds the KV
+/// cache costs, in milliseconds: a cache of 300 MB takes some 7 ms more, and moves
+/// between zones are dear.
+const ZONE_MS: f64 = 10.0;
 /// When a client may come back at the soonest and at the latest. It must find
 /// its latency target still within reach, and not all others with it.
 const RETRY_AFTER: (Duration, Duration) = (Duration::from_millis(150), Duration::from_millis(600));
@@ -141,14 +142,14 @@
     if need.is_long() {
         return choose_for_long(&fleet, need, now);
     }
-    choose_home(&fleet, &gateway.host().zone, need, now)
+    choose_home(&fleet, need, now)
 }
 
 /// Chooses an engine that generates from a KV cache that another holds.
-pub fn choose_generator(gateway: &Gateway, need: &Need<'_>) -> Choice {
+pub fn choose_generator(gateway: &Gateway, need: &Need<'_>, holder: UpstreamKey) -> Choice {
     let now = Instant::now();
     let fleet = gateway.fleet();
-    let zone = &gateway.host().zone;
+    let zone = fleet.get(holder).map_or("", |u| &u.instance.zone);
     match best_generator(&fleet, zone, need, now) {
         Some((key, upstream)) => {
             let plan = plan(&fleet, key, upstream, need, Task::Take, 0);
@@ -242,7 +243,7 @@
 }
 
 /// The prompt's home, if it hasn't too much to do.
-fn choose_home(fleet: &Fleet, zone: &str, need: &Need<'_>, now: Instant) -> Choice {
+fn choose_home(fleet: &Fleet, need: &Need<'_>, now: Instant) -> Choice {
     let can_split = need.may_split && candidates(fleet, need, now).any(|(_, u)| generates(u));
     let at_readers = can_split && readers_suffice(fleet, need.service);
     let usable = |u: &Upstream| match generates(u) {
@@ -254,7 +255,7 @@
         .collect();
     let mut best: Option<Reading> = None;
     for (at, home) in homes(need.parts, &usable).into_iter().flatten().enumerate() {
-        let reading = Reading::at(fleet, zone, need, home, at == 0, now);
+        let reading = Reading::at(fleet, need, home, at == 0, now);
         let is_worth_while = best.as_ref().is_none_or(|b| reading.is_worth_while(b));
         if is_worth_while {
             best = Some(reading);
@@ -282,7 +283,6 @@
 impl Reading {
     fn at(
         fleet: &Fleet,
-        zone: &str,
         need: &Need<'_>,
         (key, home): (UpstreamKey, &Upstream),
         is_first: bool,
@@ -295,7 +295,7 @@
         let uncached = fleet.uncached(home, need.parts, is_first);
         let mut plan = plan(fleet, key, home, need, task, uncached);
         let mut alone_ms = fleet.alone_ms(home, task, uncached);
-        let taker = best_generator(fleet, zone, need, now).filter(|_| home.reads_only());
+        let taker = best_generator(fleet, &home.instance.zone, need, now).filter(|_| home.reads_only());
         let mut generator_ms = 0.0;
         if let Some((_, taker)) = taker {
             generator_ms = fleet.estimate_ms(taker, Task::Take, 0);
