A second home fetches the shared parts that the first holds

Change: a prompt that goes to its second home names the first as the engine to fetch from, and the estimate counts the move in place of the reading.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -376,6 +376,7 @@
         deadline: left.or_else(|| Some(call.left())),
         rank: is_engine.then(|| engine_priority(plan)),
         last_event: call.last_event,
+        fetch_from: plan.fetch_from,
         step,
     };
     let mut req = Request::new(full(call.body.clone()));
--- a/crates/gateway/src/choose.rs
+++ b/crates/gateway/src/choose.rs
@@ -37,6 +37,8 @@
 /// both, and processes that know the same don't all choose the same.
 const PLAIN_ZONE_LOAD: f64 = 0.1;
 const PLAIN_CHANCE: f64 = 0.05;
+/// With three, or at any reader, more is read again than the shorter queues gain.
+const HOMES: usize = 2;
 /// Answers of more tokens than this hold their slot for seconds.
 const LONG_ANSWER_TOKENS: u32 = 1024;
 /// What a long answer costs the requests beside it, as work.
@@ -115,6 +117,8 @@
     pub pool: Pool,
     /// What it is to do.
     pub task: Task,
+    /// Engine from which it may fetch shared parts of the prompt.
+    pub fetch_from: Option<SocketAddr>,
     /// Whether the answer is long.
     pub is_long: bool,
     /// What decided.
@@ -254,8 +258,11 @@
         .filter(|(_, u)| usable(u))
         .collect();
     let mut best: Option<Reading> = None;
-    for (at, home) in homes(need.parts, &usable).into_iter().flatten().enumerate() {
-        let reading = Reading::at(fleet, need, home, at == 0, now);
+    let homes = homes(need.parts, &usable);
+    let first = homes.first().map(|(_, u)| *u);
+    for home in homes.into_iter().take(HOMES) {
+        let holder = first.filter(|f| f.hash != home.1.hash);
+        let reading = Reading::at(fleet, need, home, holder, now);
         let is_worth_while = best.as_ref().is_none_or(|b| reading.is_worth_while(b));
         if is_worth_while {
             best = Some(reading);
@@ -285,17 +292,30 @@
         fleet: &Fleet,
         need: &Need<'_>,
         (key, home): (UpstreamKey, &Upstream),
-        is_first: bool,
+        holder: Option<&Upstream>,
         now: Instant,
     ) -> Self {
         let task = match home.reads_only() {
             true => Task::Prefill,
             false => Task::Generate,
         };
-        let uncached = fleet.uncached(home, need.parts, is_first);
+        let mut uncached = fleet.uncached(home, need.parts, holder.is_none());
+        let mut fetch_ms = 0.0;
+        let mut fetch_from = None;
+        if let Some(holder) = holder {
+            let there = fleet.uncached(holder, need.parts, true);
+            if there < uncached {
+                fetch_ms = fleet.move_ms(holder, home, uncached - there);
+                uncached = there;
+                fetch_from = Some(holder.instance.addr);
+            }
+        }
         let mut plan = plan(fleet, key, home, need, task, uncached);
+        plan.inputs.estimate_ms += fetch_ms;
+        plan.fetch_from = fetch_from;
         let mut alone_ms = fleet.alone_ms(home, task, uncached);
-        let taker = best_generator(fleet, &home.instance.zone, need, now).filter(|_| home.reads_only());
+        let taker =
+            best_generator(fleet, &home.instance.zone, need, now).filter(|_| home.reads_only());
         let mut generator_ms = 0.0;
         if let Some((_, taker)) = taker {
             generator_ms = fleet.estimate_ms(taker, Task::Take, 0);
@@ -307,7 +327,7 @@
         let own = need.own_tokens();
         let anew_ms = fleet.estimate_ms(home, task, uncached) - fleet.estimate_ms(home, task, own);
         Self {
-            cost_ms: plan.inputs.estimate_ms + anew_ms,
+            cost_ms: plan.inputs.estimate_ms + anew_ms + fetch_ms,
             generator_ms,
             plan,
         }
@@ -321,22 +341,24 @@
     }
 }
 
-/// Homes of a prompt: the first, where its shared parts are read, and the second,
-/// for when the first has too much to do.
+/// Homes of a prompt, by their rank: the first, where its shared parts are read, and
+/// others that only read, for when the first has too much to do.
 fn homes<'a>(
     parts: &[PromptPart],
     usable: &[(UpstreamKey, &'a Upstream)],
-) -> [Option<(UpstreamKey, &'a Upstream)>; 2] {
+) -> Vec<(UpstreamKey, &'a Upstream)> {
     let key = home_key(parts);
     let mut scored: Vec<_> = usable
         .iter()
         .map(|(at, u)| (home_score(key, u), *at, *u))
         .collect();
     scored.sort_by(|a, b| b.0.total_cmp(&a.0));
-    let mut all = scored.into_iter().map(|(_, key, u)| (key, u));
-    let first = all.next();
-    let second = all.find(|(_, u)| u.reads_only());
-    [first, second]
+    let all = scored.into_iter().map(|(_, key, u)| (key, u));
+    let is_first = |at: usize| at == 0;
+    all.enumerate()
+        .filter(|(at, (_, u))| is_first(*at) || u.reads_only())
+        .map(|(_, home)| home)
+        .collect()
 }
 
 /// Whether prompts are read at engines that only read, and nowhere else: so it is
@@ -390,6 +412,7 @@
         addr: upstream.instance.addr,
         pool: upstream.pool.clone(),
         task,
+        fetch_from: None,
         is_long: need.is_long(),
         inputs: Inputs {
             estimate_ms: fleet.estimate_ms(upstream, task, uncached),
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -26,6 +26,8 @@
 /// it too: they hear of a new version at once, and ask each 0.2 s.
 const REGISTRY_SPREADS: Duration = Duration::from_millis(500);
 
+/// Time that a move of memory between engines takes besides its bytes.
+const MOVE_SETUP_MS: f64 = 5.0;
 /// Most placements that one datagram tells of.
 const MAX_PLACEMENTS: usize = 32;
 
@@ -351,6 +353,19 @@
         self.info(upstream.service).speed(task).estimate(work)
     }
 
+    /// Time in which so many tokens move from one engine's memory to another's.
+    pub fn move_ms(&self, from: &Upstream, to: &Upstream, tokens: u32) -> f64 {
+        let Some(engine) = self.info(from.service).engine else {
+            return 0.0;
+        };
+        let bits = f64::from(tokens) * engine.token_bytes * 8.0;
+        let ms = bits / engine.link_mbps.max(1.0) / 1000.0;
+        match from.instance.zone == to.instance.zone {
+            true => MOVE_SETUP_MS + ms,
+            false => MOVE_SETUP_MS + 2.0 * ms,
+        }
+    }
+
     /// The upstream whose id has a hash, for changes.
     pub fn find_hash(&mut self, hash: u64) -> Option<&mut Upstream> {
         self.get_mut(self.key_of(hash)?)
