The rest of a broken stream is split like its beginning, and goes elsewhere

Cause: the rest of a broken stream was read and generated at one engine that generates, at half the speed, while its answers waited; it could be the engine that had broken off.

--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -2,7 +2,7 @@
 
 use crate::account::Account;
 use crate::answer::{self, Reason};
-use crate::attempt::{self, NotRun, Tried, attempt, attempt_at};
+use crate::attempt::{self, NotRun, Tried, attempt};
 use crate::choose::{Choice, Need, Plan, choose};
 use crate::fleet::{ServiceKey, UpstreamKey};
 use crate::relay;
@@ -15,7 +15,6 @@
 use hyper::{Method, Request, Response, Uri};
 use net::Body;
 use net::server::{BodyFault, read_body};
-use platform::header::Step;
 use platform::{BadRequest, Incoming};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -211,7 +210,7 @@
             max_output_tokens: self.incoming.max_output_tokens,
             target: route.target_latency,
             is_rest: is_again && self.last_event.is_some(),
-            may_split: self.last_event.is_none(),
+            may_split: true,
             tried: &self.tried,
         }
     }
@@ -319,6 +318,8 @@
 
     /// Sends a broken stream's rest to another upstream; none if it may not.
     pub async fn retry(&mut self, account: &mut Account) -> Option<Tried> {
+        // The one that broke off has most likely crashed.
+        self.tried.extend(account.tried);
         if !self.may_retry(account) {
             return None;
         }
@@ -326,9 +327,8 @@
         let Choice::Send(plan) = choose(&self.gateway, &need) else {
             return None;
         };
-        account.upstream = Some(plan.instance.clone());
         let left = self.left();
-        let tried = attempt_at(self, account, &plan, Step::Run);
+        let tried = attempt(self, account, &plan, &need);
         tokio::time::timeout(left, tried).await.ok()
     }
 }
--- a/crates/gateway/tests/splits.rs
+++ b/crates/gateway/tests/splits.rs
@@ -85,3 +85,26 @@
     }
     assert_all_taken(&generators);
 }
+
+/// A generator breaks off in the middle of its answer: the rest comes from the other,
+/// and the prompt is read where it lies already.
+#[tokio::test]
+async fn the_rest_of_a_broken_stream_is_split_and_goes_elsewhere() {
+    let (bed, readers, generators) = start_split().await;
+    for generator in &generators {
+        generator.usually(Act::BreakOnce {
+            after: 1,
+            last: 3,
+            again: 0,
+        });
+    }
+    send_prompts(&bed).await;
+    assert_all_taken(&generators);
+    for part in 1..=PROMPTS {
+        let id = format!("id-{part}");
+        for generator in &generators {
+            assert_eq!(count(std::slice::from_ref(generator), &id), 1, "{id}");
+        }
+        assert_eq!(count(&readers, &id), 2, "{id} is read for each run");
+    }
+}
