--- a/crates/gateway/src/fleet/speed.rs
+++ b/crates/gateway/src/fleet/speed.rs
@@ -14,8 +14,8 @@
 const PRIOR: f64 = 4.0;
 /// Bounds of the time for each prompt, in milliseconds.
 const PER_PROMPT: (f64, f64) = (0.0, 50.0);
-/// Bounds of the time for each token: 20 to 5,000 tokens a millisecond.
-const PER_TOKEN: (f64, f64) = (0.0002, 0.05);
+/// Bounds of the time for each token: 5 to 5,000 tokens a millisecond.
+const PER_TOKEN: (f64, f64) = (0.0002, 0.2);
 /// Bounds of the time for each turn of the slots, in milliseconds.
 const PER_TURN: (f64, f64) = (0.0, 200.0);
 /// Weight of the newest sample in an upstream's own slowdown.
@@ -79,13 +79,14 @@
 }
 
 impl Speed {
-    /// The start values for a task. Engines that also generate read 300 tokens a
-    /// ms, a little below the slowest that the users have; others twice as fast.
-    /// A KV cache takes some 4 ms to fetch.
+    /// The start values for a task. Engines that only read are taken to read 150
+    /// tokens a ms, by the geometric mean of the slowest and the fastest that the
+    /// users have (37 and 940), others half of it. With 600, the first second
+    /// sent slow engines a queue of 2 s. A KV cache takes some 4 ms to fetch.
     pub fn of(task: Task) -> Self {
         let (fixed, per_token) = match task {
-            Task::Generate => (10.0, 1.0 / 300.0),
-            Task::Prefill => (10.0, 1.0 / 600.0),
+            Task::Generate => (10.0, 1.0 / 75.0),
+            Task::Prefill => (10.0, 1.0 / 150.0),
             Task::Take => (8.0, 1.0 / 300.0),
         };
         Self::new(Line {
