Tests of the choice say how fast engines are, in place of relying on start values

They now teach the speed that their pattern names (37 and 300 tokens a ms); what they ask is the same.

--- a/crates/gateway/tests/cache.rs
+++ b/crates/gateway/tests/cache.rs
@@ -3,9 +3,10 @@
 #[expect(dead_code, reason = "each test file uses some of them")]
 mod fixtures;
 
-use fixtures::{gateway_with, runner};
+use fixtures::{gateway_with, learn_speed, runner};
 use gateway::choose::{Choice, Need, Plan, choose};
 use gateway::fleet::cache::Cache;
+use gateway::fleet::speed::Task;
 use gateway::peers::Placement;
 use gateway::state::{Gateway, Placed};
 use platform::{PromptPart, Stage};
@@ -89,6 +90,7 @@
         let instance = fixtures::instance(n, stage);
         gateway.fleet().merge(instance, &net::Meter::default());
     }
+    learn_speed(&gateway, Task::Prefill, 37.0);
     gateway
 }
 
@@ -109,9 +111,9 @@
     gateway.fleet().note_parts(key, &prompt, Instant::now());
     assert_eq!(sent_to(&gateway, &prompt), Some((home.clone(), 3_720)));
     // A short queue is waited for: the shared part would have to be read anew.
-    let short = place(&gateway, &home, 4_000);
+    let short = place(&gateway, &home, 300);
     assert_eq!(sent_to(&gateway, &prompt), Some((home.clone(), 3_720)));
-    let long = place(&gateway, &home, 200_000);
+    let long = place(&gateway, &home, 12_000);
     // It fetches the shared part from the home, in some 10 ms in place of 360.
     let (second, uncached) = sent_to(&gateway, &prompt).unwrap();
     assert_ne!(second, home);
@@ -141,7 +143,7 @@
         }
     }
     // 60 ms of queue, against more than that until a slot is free.
-    let _queue = place(&gateway, &home, 36_000);
+    let _queue = place(&gateway, &home, 2_200);
     assert_eq!(sent_to(&gateway, &prompt).map(|s| s.0), Some(home));
 }
 
@@ -149,10 +151,10 @@
 #[test]
 fn a_prompt_that_is_late_by_its_own_size_is_read_where_it_need_not_wait() {
     let gateway = fresh_fleet();
-    let prompt = [part(7, 1_000), part(1 << 40, 1_000_000)];
+    let prompt = [part(7, 1_000), part(1 << 40, 50_000)];
     let (home, _) = sent_to(&gateway, &prompt).unwrap();
     let queues: Vec<_> = (0..8)
-        .map(|n| place(&gateway, &format!("i-{n}"), 400_000))
+        .map(|n| place(&gateway, &format!("i-{n}"), 10_000))
         .collect();
     assert_eq!(
         sent_to(&gateway, &prompt),
--- a/crates/gateway/tests/choice.rs
+++ b/crates/gateway/tests/choice.rs
@@ -3,7 +3,7 @@
 #[expect(dead_code, reason = "each test file uses some of them")]
 mod fixtures;
 
-use fixtures::{gateway_with, instance, runner};
+use fixtures::{gateway_with, instance, learn_speed, runner};
 use gateway::choose::{Choice, Need, PREFILL_WEIGHT, choose};
 use gateway::fleet::speed::{Slowdown, Speed, Task, Work};
 use gateway::fleet::{Fleet, Merged};
@@ -168,6 +168,7 @@
 #[test]
 fn a_prompt_whose_home_has_too_much_to_do_is_refused() {
     let gateway = gateway_with(&[Stage::Decode]);
+    learn_speed(&gateway, Task::Generate, 300.0);
     assert!(chosen(&gateway, 7).is_some());
     let key = gateway.fleet().find("i-0").unwrap();
     let placed: Vec<_> = (0..8).map(|_| gateway.place(key, 5000, false)).collect();
