--- a/crates/gateway/src/choose.rs
+++ b/crates/gateway/src/choose.rs
@@ -1,9 +1,11 @@
 //! The choice of an upstream for a request, and whether it is admitted at all.
 //!
-//! A prompt's shared parts are worth most where they are cached, so all
-//! processes agree, without talking, on a home for each: rendezvous hashing of
-//! the last shared part over the service's engines, weighted by what each can
-//! read. Plain requests go to the least loaded upstream.
+//! Plain requests go to the least loaded upstream, prompts to their homes, and long
+//! answers to where the fewest run.
+
+mod home;
+
+pub use home::PREFILL_WEIGHT;
 
 use crate::account::Inputs;
 use crate::fleet::speed::Task;
@@ -14,20 +16,11 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-/// Share of homes of an engine that only reads prompts, against one that also
-/// generates: it reads some 2.3 times as fast and has no long answers beside. With
-/// a weight of 2, a quarter of the prompts at generating engines was refused on
-/// loaded days, and one in fourteen at the others; 3.2 earns 0.02 to 0.03 more of what is owed.
-pub const PREFILL_WEIGHT: f64 = 3.2;
 /// Time of the latency target that is kept for the way to the client, for what
 /// other processes send at the same moment, and for errors of the estimate: this
 /// much at least, and this part of a longer target. Targets of 120 to 1,500 ms.
 const ADMIT_MARGIN: Duration = Duration::from_millis(48);
 const ADMIT_MARGIN_SHARE: f64 = 0.15;
-/// Part of the latency target that a prompt may wait before its own reading, however
-/// long that takes: the largest prompts of a class are late even at an idle engine,
-/// and a late answer is better for their callers than none.
-const LATE_WAIT_SHARE: f64 = 0.25;
 /// How many times the latency target the estimate for the rest of a broken stream
 /// may take: refused, it would be broken off for good. For all that is sent a
 /// second time the larger bound gained nothing.
@@ -37,8 +30,6 @@
 /// both, and processes that know the same don't all choose the same.
 const PLAIN_ZONE_LOAD: f64 = 0.1;
 const PLAIN_CHANCE: f64 = 0.05;
-/// With three, or at any reader, more is read again than the shorter queues gain.
-const HOMES: usize = 2;
 /// Answers of more tokens than this hold their slot for seconds.
 const LONG_ANSWER_TOKENS: u32 = 1024;
 /// What a long answer costs the requests beside it, as work.
@@ -91,11 +82,6 @@
         self.target.saturating_sub(margin)
     }
 
-    /// How long a prompt that is late by its own reading may wait besides.
-    fn late_wait_ms(&self) -> f64 {
-        self.target.as_secs_f64() * 1000.0 * LATE_WAIT_SHARE
-    }
-
     /// Tokens of the prompt that no other request shares.
     fn own_tokens(&self) -> u32 {
         let shared = self.parts.len().saturating_sub(1);
@@ -146,7 +132,7 @@
     if need.is_long() {
         return choose_for_long(&fleet, need, now);
     }
-    choose_home(&fleet, need, now)
+    home::choose_home(&fleet, need, now)
 }
 
 /// Chooses an engine that generates from a KV cache that another holds.
@@ -246,151 +232,6 @@
     }
 }
 
-/// The prompt's home, if it hasn't too much to do.
-fn choose_home(fleet: &Fleet, need: &Need<'_>, now: Instant) -> Choice {
-    let can_split = need.may_split && candidates(fleet, need, now).any(|(_, u)| generates(u));
-    let at_readers = can_split && readers_suffice(fleet, need.service);
-    let usable = |u: &Upstream| match generates(u) {
-        true => !at_readers,
-        false => can_split,
-    };
-    let usable: Vec<_> = candidates(fleet, need, now)
-        .filter(|(_, u)| usable(u))
-        .collect();
-    let mut best: Option<Reading> = None;
-    let homes = homes(need.parts, &usable);
-    let first = homes.first().map(|(_, u)| *u);
-    for home in homes.into_iter().take(HOMES) {
-        let holder = first.filter(|f| f.hash != home.1.hash);
-        let reading = Reading::at(fleet, need, home, holder, now);
-        let is_worth_while = best.as_ref().is_none_or(|b| reading.is_worth_while(b));
-        if is_worth_while {
-            best = Some(reading);
-        }
-    }
-    let Some(Reading { plan, .. }) = best else {
-        return Choice::NoUpstream;
-    };
-    if plan.inputs.estimate_ms <= plan.inputs.admit_ms {
-        return Choice::Send(Box::new(plan));
-    }
-    Choice::Busy(plan.inputs, retry_after(plan.inputs.estimate_ms))
-}
-
-/// A prompt read at one of its homes.
-struct Reading {
-    plan: Plan,
-    /// Its estimate, and the time for what must be read there anew, which others
-    /// wait for.
-    cost_ms: f64,
-    /// Of the estimate, what the engine takes that generates.
-    generator_ms: f64,
-}
-
-impl Reading {
-    fn at(
-        fleet: &Fleet,
-        need: &Need<'_>,
-        (key, home): (UpstreamKey, &Upstream),
-        holder: Option<&Upstream>,
-        now: Instant,
-    ) -> Self {
-        let task = match home.reads_only() {
-            true => Task::Prefill,
-            false => Task::Generate,
-        };
-        let mut uncached = fleet.uncached(home, need.parts, holder.is_none());
-        let mut fetch_ms = 0.0;
-        let mut fetch_from = None;
-        if let Some(holder) = holder {
-            let there = fleet.uncached(holder, need.parts, true);
-            if there < uncached {
-                fetch_ms = fleet.move_ms(holder, home, uncached - there);
-                uncached = there;
-                fetch_from = Some(holder.instance.addr);
-            }
-        }
-        let mut plan = plan(fleet, key, home, need, task, uncached);
-        plan.inputs.estimate_ms += fetch_ms;
-        plan.fetch_from = fetch_from;
-        let mut alone_ms = fleet.alone_ms(home, task, uncached);
-        let taker =
-            best_generator(fleet, &home.instance.zone, need, now).filter(|_| home.reads_only());
-        let mut generator_ms = 0.0;
-        if let Some((_, taker)) = taker {
-            generator_ms = fleet.estimate_ms(taker, Task::Take, 0);
-            plan.inputs.estimate_ms += generator_ms;
-            alone_ms += fleet.alone_ms(taker, Task::Take, 0);
-        }
-        let late_ms = alone_ms + need.late_wait_ms();
-        plan.inputs.admit_ms = plan.inputs.admit_ms.max(late_ms);
-        let own = need.own_tokens();
-        let anew_ms = fleet.estimate_ms(home, task, uncached) - fleet.estimate_ms(home, task, own);
-        Self {
-            cost_ms: plan.inputs.estimate_ms + anew_ms + fetch_ms,
-            generator_ms,
-            plan,
-        }
-    }
-
-    /// Whether a second home is so much sooner than the first that it is worth
-    /// while: by more than what is read anew there, and by more than the wait for a
-    /// generator, for which a prompt that is read sooner would only wait longer.
-    fn is_worth_while(&self, first: &Self) -> bool {
-        first.cost_ms - self.cost_ms > self.generator_ms
-    }
-}
-
-/// Homes of a prompt, by their rank: the first, where its shared parts are read, and
-/// others that only read, for when the first has too much to do.
-fn homes<'a>(
-    parts: &[PromptPart],
-    usable: &[(UpstreamKey, &'a Upstream)],
-) -> Vec<(UpstreamKey, &'a Upstream)> {
-    let key = home_key(parts);
-    let mut scored: Vec<_> = usable
-        .iter()
-        .map(|(at, u)| (home_score(key, u), *at, *u))
-        .collect();
-    scored.sort_by(|a, b| b.0.total_cmp(&a.0));
-    let all = scored.into_iter().map(|(_, key, u)| (key, u));
-    let is_first = |at: usize| at == 0;
-    all.enumerate()
-        .filter(|(at, (_, u))| is_first(*at) || u.reads_only())
-        .map(|(_, home)| home)
-        .collect()
-}
-
-/// Whether prompts are read at engines that only read, and nowhere else: so it is
-/// once at least half of the engines do. Beside answers a prompt is read at half
-/// the speed, and each answer there waits for it.
-fn readers_suffice(fleet: &Fleet, service: ServiceKey) -> bool {
-    let engines = fleet
-        .iter()
-        .filter(|(_, u)| u.service == service && u.is_open());
-    let (readers, others): (Vec<_>, Vec<_>) = engines.partition(|(_, u)| u.reads_only());
-    readers.len() >= others.len()
-}
-
-/// The part that decides the home: the last that other requests may share.
-fn home_key(parts: &[PromptPart]) -> u64 {
-    let shared = parts.len().checked_sub(2);
-    shared.map_or_else(|| fastrand::u64(..), |at| parts[at].id)
-}
-
-/// Weighted rendezvous hashing: the upstream with the highest score is the home,
-/// and each gets a share of homes by its weight.
-fn home_score(key: u64, upstream: &Upstream) -> f64 {
-    let hash = xxhash_rust::xxh3::xxh3_64_with_seed(&key.to_le_bytes(), upstream.hash);
-    // NB: 53 bits make a float between 0 and 1; the half keeps it off both ends.
-    let unit = ((hash >> 11) as f64 + 0.5) / (1u64 << 53) as f64;
-    let weight = match upstream.instance.stage {
-        Some(Stage::Prefill | Stage::Both) => PREFILL_WEIGHT,
-        Some(Stage::Decode) | None => 1.0,
-    };
-    -weight / unit.ln()
-}
-
 fn retry_after(queue_ms: f64) -> Duration {
     let (min, max) = RETRY_AFTER;
     let wait = Duration::from_secs_f64(queue_ms * 2.0 / 1000.0).max(min);
--- a/crates/gateway/src/division/orders.rs
+++ b/crates/gateway/src/division/orders.rs
@@ -142,15 +142,16 @@
     let targets = pick(&gateway.fleet(), service, wanted);
     let away = change + CHANGE_MARGIN;
     for target in &targets {
-        gateway
-            .fleet()
-            .set_changing(target.key, now + away, wanted.stage);
+        if let Some(upstream) = gateway.fleet().get_mut(target.key) {
+            upstream.set_changing(now + away, wanted.stage);
+        }
     }
     // Peers hear of it first, so that they send no request that would be refused.
     tokio::time::sleep(exchange::time_to_tell(gateway)).await;
     for target in &targets {
-        if !order(gateway, target, wanted.stage, held).await {
-            gateway.fleet().clear_changing(target.key);
+        let may_run = order(gateway, target, wanted.stage, held).await;
+        if let Some(upstream) = gateway.fleet().get_mut(target.key).filter(|_| !may_run) {
+            upstream.clear_changing();
         }
     }
     change + SETTLE
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -7,13 +7,14 @@
 
 pub mod cache;
 pub mod speed;
+mod upstream;
 
-use crate::peers::{Load, Placement};
-use cache::Cache;
+pub use upstream::{Others, Upstream};
+
+use crate::peers::Placement;
 use net::{Meter, Pool};
-use platform::{Engine, Instance, PromptPart, Service, Stage};
-use resilience::Health;
-use speed::{Slowdown, Speed, Task, Work};
+use platform::{Engine, Instance, PromptPart, Service};
+use speed::{Speed, Task, Work};
 use std::collections::VecDeque;
 use std::time::{Duration, Instant};
 
@@ -22,10 +23,6 @@
 /// request must still reach another in time.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 
-/// How long after this process has read an engine's new stage its peers have read
-/// it too: they hear of a new version at once, and ask each 0.2 s.
-const REGISTRY_SPREADS: Duration = Duration::from_millis(500);
-
 /// Time that a move of memory between engines takes besides its bytes.
 const MOVE_SETUP_MS: f64 = 5.0;
 /// Most placements that one datagram tells of.
@@ -43,78 +40,6 @@
     generation: u32,
 }
 
-/// One start of an upstream.
-#[derive(Debug)]
-pub struct Upstream {
-    /// As it registered itself.
-    pub instance: Instance,
-    /// Its service.
-    pub service: ServiceKey,
-    /// Connections to it.
-    pub pool: Pool,
-    /// Hash of its id, for the choice of homes.
-    pub hash: u64,
-    /// Requests of this process that run there.
-    pub running: u32,
-    /// Of these, those whose first byte hasn't come yet.
-    pub waiting: u32,
-    /// Uncached tokens of those that wait.
-    pub tokens: u32,
-    /// The same for all other processes of the system, as they last said.
-    pub others: Others,
-    /// Of the running requests, those that stream long answers.
-    pub streams: u32,
-    /// What came of the last requests.
-    pub health: Health,
-    /// How much slower it is than its kind.
-    pub slowdown: Slowdown,
-    /// Until when it is taken to be away for a change of its stage, and the stage
-    /// that it was ordered to have, if this process ordered it.
-    change: Option<Change>,
-    /// Prompt parts that it is taken to hold.
-    cache: Cache,
-    /// Whether this process has known it since it was empty.
-    is_known_from_start: bool,
-}
-
-/// A change of an engine's stage that is going on.
-#[derive(Debug, Clone, Copy)]
-struct Change {
-    until: Instant,
-    ordered: Option<Stage>,
-}
-
-/// Load at an upstream that comes from other processes of the system, summed.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
-pub struct Others {
-    /// Requests whose first byte hasn't come yet.
-    pub waiting: u32,
-    /// Uncached tokens of those that wait.
-    pub tokens: u32,
-    /// Requests that run.
-    pub running: u32,
-    /// Of these, long answers that are being streamed.
-    pub streams: u32,
-}
-
-impl Others {
-    /// Adds what a process says of its load.
-    pub fn add(&mut self, load: &Load) {
-        self.waiting += u32::from(load.waiting);
-        self.tokens += load.tokens;
-        self.running += u32::from(load.running);
-        self.streams += u32::from(load.streams);
-    }
-
-    /// Takes off what the process said before.
-    pub fn take_off(&mut self, load: &Load) {
-        self.waiting = self.waiting.saturating_sub(u32::from(load.waiting));
-        self.tokens = self.tokens.saturating_sub(load.tokens);
-        self.running = self.running.saturating_sub(u32::from(load.running));
-        self.streams = self.streams.saturating_sub(u32::from(load.streams));
-    }
-}
-
 /// What is known of a service as a whole.
 #[derive(Debug)]
 pub struct ServiceInfo {
@@ -318,28 +243,11 @@
             .map(|(at, _)| ServiceKey(at as u16))
     }
 
-    /// Notes that this process orders an engine to change its stage: it gets no
-    /// request until a time, unless the registry shows the new stage before.
-    pub fn set_changing(&mut self, key: UpstreamKey, until: Instant, stage: Stage) {
-        if let Some(upstream) = self.get_mut(key) {
-            let ordered = Some(stage);
-            upstream.change = Some(Change { until, ordered });
-        }
-    }
-
-    /// Notes that an engine doesn't change its stage after all.
-    pub fn clear_changing(&mut self, key: UpstreamKey) {
-        if let Some(upstream) = self.get_mut(key) {
-            upstream.change = None;
-        }
-    }
-
     /// Hashes of the engines that this process has ordered to change and that are
     /// away for it.
     pub fn changing(&self, now: Instant) -> Vec<u64> {
-        let changing = self.iter().filter(|(_, u)| u.is_changing(now));
-        let ordered = changing.filter(|(_, u)| u.change.is_some_and(|c| c.ordered.is_some()));
-        ordered.map(|(_, u)| u.hash).collect()
+        let changing = self.iter().filter(|(_, u)| u.is_changing_by_order(now));
+        changing.map(|(_, u)| u.hash).collect()
     }
 
     /// Estimated time to the first byte at an idle upstream that is as fast as its
@@ -426,22 +334,8 @@
 
     fn add(&mut self, instance: Instance, meter: &Meter) -> UpstreamKey {
         let service = self.service(&instance.service);
-        let upstream = Upstream {
-            service,
-            pool: Pool::new(instance.addr, CONNECT_TIMEOUT).metered(meter),
-            hash: id_hash(&instance.id),
-            running: 0,
-            waiting: 0,
-            tokens: 0,
-            others: Others::default(),
-            streams: 0,
-            health: Health::default(),
-            slowdown: Slowdown::default(),
-            change: None,
-            cache: Cache::default(),
-            is_known_from_start: self.sees_starts,
-            instance,
-        };
+        let pool = Pool::new(instance.addr, CONNECT_TIMEOUT).metered(meter);
+        let upstream = Upstream::new(service, instance, pool, self.sees_starts);
         let hash = upstream.hash;
         let index = self.free.pop().unwrap_or_else(|| {
             self.slots.push(Slot {
@@ -492,114 +386,3 @@
         &self.speeds[task as usize]
     }
 }
-
-impl Upstream {
-    /// Whether it may get new requests, its health aside.
-    pub fn is_open(&self) -> bool {
-        !self.instance.is_draining
-    }
-
-    /// Whether it is away for a change of its stage.
-    pub fn is_changing(&self, now: Instant) -> bool {
-        self.change.is_some_and(|c| now < c.until)
-    }
-
-    /// Takes a peer's word that it is away until a time.
-    pub fn peer_says_changing(&mut self, until: Instant) {
-        if self.change.is_none_or(|c| c.ordered.is_none()) {
-            let ordered = None;
-            self.change = Some(Change { until, ordered });
-        }
-    }
-
-    /// Takes the stage that the registry shows. An ordered change is over, but for
-    /// the time in which the others read the registry.
-    fn restaged(&mut self, stage: Option<Stage>) {
-        self.cache.clear();
-        self.is_known_from_start = true;
-        self.slowdown = Slowdown::default();
-        if let Some(change) = &mut self.change
-            && change.ordered == stage
-        {
-            change.until = change.until.min(Instant::now() + REGISTRY_SPREADS);
-        }
-    }
-
-    /// Whether it only reads prompts.
-    pub fn reads_only(&self) -> bool {
-        self.instance.stage == Some(Stage::Prefill)
-    }
-
-    /// Requests that wait there for their first byte, of all processes.
-    pub fn all_waiting(&self) -> u32 {
-        self.waiting + self.others.waiting
-    }
-
-    /// Uncached tokens that wait there, of all processes.
-    pub fn reading_tokens(&self) -> u32 {
-        self.tokens + self.others.tokens
-    }
-
-    /// What it has to do until the first byte of a prompt that is sent now.
-    pub fn work(&self, uncached: u32) -> Work {
-        let tokens = self.reading_tokens() + uncached;
-        Work {
-            prompts: f64::from(self.all_waiting()),
-            tokens: f64::from(tokens),
-            turns: self.turns(),
-        }
-    }
-
-    /// How often the slots that long answers leave change hands until one is free
-    /// for a request that is sent now. Engines that only read prompts hold no slot
-    /// after that, so the prompts ahead say it all.
-    ///
-    /// On a loaded day the work that waits explains 0.22 of the variance of first
-    /// bytes at generating engines, with the turns 0.39; estimates with them earn
-    /// 0.003 to 0.02 more of what is owed (one run a site).
-    fn turns(&self) -> f64 {
-        if self.reads_only() {
-            return 0.0;
-        }
-        let slots = self.instance.slots;
-        let without = (self.all_running() + 1).saturating_sub(slots);
-        let changing = slots.saturating_sub(self.all_streams()).max(1);
-        f64::from(without) / f64::from(changing)
-    }
-
-    /// Requests that run there, of all processes.
-    pub fn all_running(&self) -> u32 {
-        self.running + self.others.running
-    }
-
-    /// Long answers that are streamed there, to clients of all processes.
-    pub fn all_streams(&self) -> u32 {
-        self.streams + self.others.streams
-    }
-
-    /// What this process says of its load there; none if there is none.
-    pub fn load(&self) -> Option<Load> {
-        (self.running > 0).then(|| Load {
-            upstream: self.hash,
-            tokens: self.tokens,
-            waiting: small(self.waiting),
-            running: small(self.running),
-            streams: small(self.streams),
-        })
-    }
-
-    /// What the upstream is called in logs when it does something with prompts.
-    pub fn stage_name(&self) -> Option<&'static str> {
-        self.instance.stage.map(Stage::name)
-    }
-
-    /// Whether its last requests failed so often that it gets none for a while.
-    pub fn is_suspended(&self, now: Instant) -> bool {
-        self.health.is_suspended(now)
-    }
-}
-
-/// A count as it is told to peers; none of ours comes near the bound.
-fn small(count: u32) -> u16 {
-    u16::try_from(count).unwrap_or(u16::MAX)
-}
