--- a/crates/gateway/src/division/orders.rs
+++ b/crates/gateway/src/division/orders.rs
@@ -227,7 +227,10 @@
     };
     let lease = match lease::turn(&read, &holder, host.order_gap) {
         Turn::Take(lease) => lease,
-        Turn::Wait(pause) => return Err(pause),
+        Turn::Wait(pause) => {
+            no_lease(format!("another host may give orders for {pause:?}"));
+            return Err(pause);
+        }
     };
     let written = store.write_order_lease(&lease, read.version, STORE_TIMEOUT);
     match written.await {
--- a/crates/gateway/tests/orders.rs
+++ b/crates/gateway/tests/orders.rs
@@ -17,21 +17,31 @@
     }
 }
 
-/// A gateway that starts with the whole system, before twelve engines with 64 slots of
-/// which eight generate.
-async fn start_first(order_status: u16) -> (Bed, Vec<Worker>) {
+/// Four readers and eight generators.
+const TWELVE: [&str; 12] = [
+    "prefill", "prefill", "prefill", "prefill", "decode", "decode", "decode", "decode", "decode",
+    "decode", "decode", "decode",
+];
+
+/// A gateway that starts with the whole system, before engines with 64 slots that have
+/// these stages and do this with each request.
+async fn start_first(
+    stages: &[&str],
+    act: Act,
+    prepare: impl FnOnce(&Store),
+) -> (Bed, Vec<Worker>) {
     let ip = address();
     let store = Store::start(SocketAddr::new(IpAddr::V4(ip), 7003)).unwrap();
+    prepare(&store);
     let mut config = config(1, &routes());
     config["Services"][1]["Engine"]["Slots"] = json!(64);
     store.put("op", "config", &config);
     let mut workers = Vec::new();
-    for n in 0..12 {
+    for (n, stage) in stages.iter().enumerate() {
         let addr = SocketAddr::new(IpAddr::V4(address()), 7100);
         let id = format!("i-{n}");
         let worker = Worker::start(addr, &id).await.unwrap();
-        worker.usually(engine(order_status));
-        let stage = if n < 4 { "prefill" } else { "decode" };
+        worker.usually(act.clone());
         store.put("servers", &id, &row(addr, stage));
         workers.push(worker);
     }
@@ -42,6 +52,16 @@
     (bed, workers)
 }
 
+/// Lets the engines serve, and waits until a prompt is answered.
+async fn wait_served(bed: &Bed, workers: &[Worker]) {
+    for worker in workers {
+        worker.usually(Act::Echo);
+    }
+    let more = "model: m\r\ntoken-counts: 100,9\r\nprompt-prefix: 1:50,2:50\r\n";
+    let prompt = request("POST", "/prompt/x", "a", more, "");
+    bed.wait_answer(&prompt, 200).await;
+}
+
 fn row(addr: SocketAddr, stage: &str) -> Value {
     let mut row = fixture::worker("llm", addr, "ready", Some(stage));
     row["Slots"] = json!(64);
@@ -66,7 +86,7 @@
 
 #[tokio::test]
 async fn engines_are_ordered_under_a_lease_with_their_report_in_hand() {
-    let (bed, workers) = start_first(202).await;
+    let (bed, workers) = start_first(&TWELVE, engine(202), |_| {}).await;
     wait_for("orders", || async { ordered(&workers).len() == 4 }).await;
     let lease = bed.store.value("leases", "orders").unwrap();
     assert_eq!(lease["holder"], json!(bed.host.ip.to_string()));
@@ -88,48 +108,35 @@
 
 #[tokio::test]
 async fn no_order_is_given_while_another_host_may_still_give_some() {
-    let ip = address();
-    let store = Store::start(SocketAddr::new(IpAddr::V4(ip), 7003)).unwrap();
     // Another host's lease that ends long after this test.
     let lease = json!({"holder": "10.0.0.9", "token": 3, "until_ms": 3_600_000});
-    store.put("leases", "orders", &lease);
-    let mut config = config(1, &routes());
-    config["Services"][1]["Engine"]["Slots"] = json!(64);
-    store.put("op", "config", &config);
-    let mut workers = Vec::new();
-    for n in 0..4 {
-        let addr = SocketAddr::new(IpAddr::V4(address()), 7100);
-        let id = format!("i-{n}");
-        let worker = Worker::start(addr, &id).await.unwrap();
-        worker.usually(engine(202));
-        store.put("servers", &id, &row(addr, "decode"));
-        workers.push(worker);
-    }
-    let mut host = host(ip, store.addr);
-    host.is_first_start = true;
-    let bed = start_on(host, store);
-    bed.wait_ready(200).await;
+    let prepare = |store: &Store| {
+        store.put("leases", "orders", &lease);
+    };
+    let (bed, workers) = start_first(&["decode"; 4], engine(202), prepare).await;
+    let store = &bed.store;
     wait_for("a look at the lease", || async {
-        bed.store.reads("leases") > 0
+        store.reads("leases") > 0
     })
     .await;
+    wait_served(&bed, &workers).await;
     assert_eq!(bed.store.value("leases", "orders"), Some(lease));
     assert!(ordered(&workers).is_empty());
 }
 
 #[tokio::test]
 async fn an_engine_that_refuses_its_order_serves_on() {
-    let (bed, workers) = start_first(409).await;
+    let (bed, workers) = start_first(&TWELVE, engine(409), |_| {}).await;
     wait_for("orders", || async { ordered(&workers).len() == 4 }).await;
-    for worker in &workers {
-        worker.usually(Act::Echo);
-    }
-    let prompt = request(
-        "POST",
-        "/prompt/x",
-        "a",
-        "model: m\r\ntoken-counts: 100,9\r\nprompt-prefix: 1:50,2:50\r\n",
-        "",
-    );
-    bed.wait_answer(&prompt, 200).await;
+    wait_served(&bed, &workers).await;
+}
+
+#[tokio::test]
+async fn an_engine_whose_report_cant_be_decoded_gets_no_order() {
+    let act = Act::Answer(200, "{\"Busy\":\"perhaps\"}".into());
+    let (bed, workers) = start_first(&["decode"; 4], act, |_| {}).await;
+    let is_asked = |w: &Worker| w.seen().iter().any(|s| s.path == "/report");
+    wait_for("a report", || async { workers.iter().any(is_asked) }).await;
+    wait_served(&bed, &workers).await;
+    assert!(ordered(&workers).is_empty());
 }
