The takers of a read prompt keep to the attempts of their route

Cause: where generators reject, up to three were asked for one prompt whatever the route's number of attempts says: on a route of one attempt two were sent it. A retry was also taken off the budget when no generator was left.

Found by reading the change; the test fails on the code before (2 sends in place of 1).

Change: after a rejection another generator is asked only as for any retry, by the route's attempts and the budget, and only if there is one.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -166,6 +166,7 @@
     let source = prefilled.source(plan.addr);
     let mut passed_over = need.tried.to_vec();
     let mut last = Tried::NotRun(NotRun::NoPrefill);
+    let mut was_rejected = false;
     for _ in 0..MAX_TAKERS {
         let need = Need {
             tried: &passed_over,
@@ -174,6 +175,10 @@
         let Choice::Send(taker) = choose_generator(&call.gateway, &need, plan.key) else {
             break;
         };
+        // A rejected send counts against the route's attempts and the budget.
+        if was_rejected && !call.may_retry(account) {
+            break;
+        }
         account.upstream = Some(taker.instance.clone());
         account.tried = Some(taker.key);
         let since = Instant::now();
@@ -181,9 +186,7 @@
         let Tried::NotRun(why) = last else {
             break;
         };
-        if why == NotRun::Rejected && !call.gateway.spend_retry(need.service) {
-            break;
-        }
+        was_rejected = why == NotRun::Rejected;
         tell_failed(account, "not_run", why.name(), since.elapsed());
         passed_over.push(taker.key);
     }
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -311,7 +311,7 @@
     }
 
     /// Whether another upstream may be sent the request; takes it off the budget.
-    fn may_retry(&self, account: &Account) -> bool {
+    pub fn may_retry(&self, account: &Account) -> bool {
         account.attempts < self.target().route.max_attempts
             && self.gateway.spend_retry(self.service)
     }
--- a/crates/gateway/tests/splits.rs
+++ b/crates/gateway/tests/splits.rs
@@ -108,3 +108,16 @@
         assert_eq!(count(&readers, &id), 2, "{id} is read for each run");
     }
 }
+
+/// Both generators reject all, on a route of one attempt.
+#[tokio::test]
+async fn no_more_generators_are_asked_than_the_route_has_attempts() {
+    let (bed, _readers, generators) = start_split().await;
+    for generator in &generators {
+        generator.usually(Act::Reject(503));
+    }
+    let more = "model: m\r\ntoken-counts: 100,9\r\nprompt-prefix: 1:50,ffff:50\r\n";
+    let text = exchange(bed.callers, &request("POST", "/prompt/x", "once", more, "")).await;
+    assert_eq!(status(&text), 503, "{text}");
+    assert_eq!(count(&generators, "once"), 1);
+}
