--- a/crates/gateway/src/choose.rs
+++ b/crates/gateway/src/choose.rs
@@ -60,9 +60,6 @@
     pub target: Duration,
     /// Whether this is the rest of a broken stream.
     pub is_rest: bool,
-    /// Whether the prompt may be read at one engine and the answer generated at
-    /// another.
-    pub may_split: bool,
     /// Upstreams that were tried before.
     pub tried: &'a [UpstreamKey],
 }
--- a/crates/gateway/src/choose/home.rs
+++ b/crates/gateway/src/choose/home.rs
@@ -28,7 +28,7 @@
 
 /// The prompt's home, if it hasn't too much to do.
 pub(super) fn choose_home(fleet: &Fleet, need: &Need<'_>, now: Instant) -> Choice {
-    let can_split = need.may_split && candidates(fleet, need, now).any(|(_, u)| generates(u));
+    let can_split = candidates(fleet, need, now).any(|(_, u)| generates(u));
     let at_readers = can_split && readers_suffice(fleet, need.service);
     let usable = |u: &Upstream| match generates(u) {
         true => !at_readers,
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -210,7 +210,6 @@
             max_output_tokens: self.incoming.max_output_tokens,
             target: route.target_latency,
             is_rest: is_again && self.last_event.is_some(),
-            may_split: true,
             tried: &self.tried,
         }
     }
--- a/crates/gateway/tests/cache.rs
+++ b/crates/gateway/tests/cache.rs
@@ -72,7 +72,6 @@
         max_output_tokens: 60,
         target: Duration::from_millis(800),
         is_rest: false,
-        may_split: true,
         tried: &[],
     };
     match choose(gateway, &need) {
