Peers tell what has changed in the registry, and any of them is asked

Cause: on every change of the registry all processes fetched all of it (270 KB for 3,000 upstreams) from the one peer that had read it first. After all processes were killed all that had not read the store yet did the same. Links of small hosts carry 20 Mbit/s: 190 fetches fill one for half a minute. Ruled out: the store (its calls are answered in 3 to 7 ms at 300 hosts), heartbeats in the feed (a row's version changes only with more than its count). Change: a process keeps which upstreams changed by which version; a peer that is behind gets these, and checks by the hash of the whole registry that it knows the same, else it fetches the whole. Of several peers that have the newest, any is asked. The hash is kept up to date instead of being made anew at each read.

--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -67,6 +67,9 @@
     /// Keys by the hash of the upstream's id, sorted: each datagram of a peer and
     /// each heartbeat in the registry looks some up.
     by_hash: Vec<(u64, UpstreamKey)>,
+    /// Sum of the hashes of what the registry says of each upstream. The order in
+    /// which upstreams came differs between processes; a sum doesn't depend on it.
+    view: u64,
     /// Whether engines that are added now have just started.
     sees_starts: bool,
     /// Parts that this process was the first to send somewhere, as far as it knows,
@@ -292,16 +295,7 @@
     /// Hash of all that the registry says of upstreams. Two processes with the
     /// same hash know the same.
     pub fn view(&self) -> u64 {
-        let instances = self.iter().map(|(_, u)| &u.instance);
-        let hash = |i: &Instance| {
-            let text = format!(
-                "{} {} {} {:?} {}",
-                i.id, i.service, i.addr, i.stage, i.is_draining
-            );
-            xxhash_rust::xxh3::xxh3_64(text.as_bytes())
-        };
-        // The order differs between processes; a sum doesn't depend on it.
-        instances.map(hash).fold(0, u64::wrapping_add)
+        self.view
     }
 
     /// Takes an upstream's entry from the registry.
@@ -319,10 +313,13 @@
                 known.restaged(instance.stage);
             }
             known.service = service;
+            let before = instance_hash(&known.instance);
             known.instance = Instance {
                 is_draining,
                 ..instance
             };
+            let after = instance_hash(&known.instance);
+            self.view = self.view.wrapping_sub(before).wrapping_add(after);
             return match (starts_draining, is_restaged) {
                 (true, _) => Merged::Draining(key),
                 (false, true) => Merged::Restaged(key),
@@ -334,6 +331,7 @@
 
     fn add(&mut self, instance: Instance, meter: &Meter) -> UpstreamKey {
         let service = self.service(&instance.service);
+        self.view = self.view.wrapping_add(instance_hash(&instance));
         let pool = Pool::new(instance.addr, CONNECT_TIMEOUT).metered(meter);
         let upstream = Upstream::new(service, instance, pool, self.sees_starts);
         let hash = upstream.hash;
@@ -363,10 +361,22 @@
             self.by_hash.remove(at);
         }
         self.free.push(key.index);
-        self.slots[key.index as usize].upstream.take()
+        let gone = self.slots[key.index as usize].upstream.take()?;
+        self.view = self.view.wrapping_sub(instance_hash(&gone.instance));
+        Some(gone)
     }
 }
 
+/// Hash of what the registry says of an upstream, as far as requests depend on it.
+fn instance_hash(instance: &Instance) -> u64 {
+    let Instance {
+        id, service, addr, ..
+    } = instance;
+    let (stage, is_draining) = (instance.stage, instance.is_draining);
+    let text = format!("{id} {service} {addr} {stage:?} {is_draining}");
+    xxhash_rust::xxh3::xxh3_64(text.as_bytes())
+}
+
 /// Hash under which peers know an upstream.
 fn id_hash(id: &str) -> u64 {
     xxhash_rust::xxh3::xxh3_64(id.as_bytes())
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -291,11 +291,20 @@
 /// Takes a peer's view of the registry, if it is newer than ours. Peers tell of
 /// theirs only while they hold nothing back, so what is missing there is gone.
 pub fn merge_view(gateway: &Arc<Gateway>, instances: Vec<Instance>, version: u64) {
+    let changes = instances.into_iter().map(Registration::Present).collect();
+    merge_peers(gateway, changes, true, version);
+}
+
+/// Takes what a peer says has changed in the registry, if that is newer than ours.
+pub fn merge_changes(gateway: &Arc<Gateway>, changes: Vec<Registration>, version: u64) {
+    merge_peers(gateway, changes, false, version);
+}
+
+fn merge_peers(gateway: &Arc<Gateway>, changes: Vec<Registration>, is_whole: bool, version: u64) {
     if version <= gateway.registry().version {
         return;
     }
-    let changes = instances.into_iter().map(Registration::Present).collect();
-    let gone = take_present(gateway, changes, true, version);
+    let gone = take_present(gateway, changes, is_whole, version);
     for id in &gone {
         gateway.missing().found(id);
     }
@@ -347,6 +356,10 @@
 
 fn add(gateway: &Gateway, instance: Instance, registry: u64, meter: &Meter) {
     let mut fleet = gateway.fleet();
+    let known = fleet.find(&instance.id).and_then(|key| fleet.get(key));
+    if known.is_none_or(|u| u.instance != instance) {
+        gateway.history().note(registry, &instance.id);
+    }
     match fleet.merge(instance, meter) {
         Merged::Added(key) => {
             let Some(u) = fleet.get(key) else { return };
@@ -388,5 +401,6 @@
     if let Some(key) = fleet.find(id) {
         tell_leaving(&fleet, key, "not registered", registry);
         fleet.remove(key);
+        gateway.history().note(registry, id);
     }
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod events;
 pub mod fleet;
 pub mod follow;
+pub mod history;
 pub mod missing;
 pub mod peers;
 pub mod ready;
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -5,6 +5,7 @@
 //! lost one does no harm. Who the others are stands in the store, and a datagram
 //! makes its sender known too.
 
+pub mod catch_up;
 pub mod exchange;
 pub mod membership;
 
--- a/crates/gateway/src/peers/exchange.rs
+++ b/crates/gateway/src/peers/exchange.rs
@@ -1,21 +1,11 @@
 //! Tells peers of this process's load, and hears of theirs.
-//!
-//! A process that the store refuses takes the configuration and the registry
-//! from a peer that has newer ones, over HTTP on the same port.
 
 use crate::StartError;
-use crate::follow;
-use crate::peers::{Beat, Load};
+use crate::peers::{Beat, Load, catch_up};
 use crate::state::{Gateway, Registry};
-use hyper::body::Incoming;
-use hyper::header::HOST;
-use hyper::{Method, Request, Response, StatusCode};
 use net::server::bind;
-use net::{Body, CallError, HeadLimits, Pool, Protocol, Server, Stop, empty, full};
+use net::{HeadLimits, Protocol, Server, Stop};
 use observe::{Event, emit};
-use platform::{Config, Instance};
-use serde::de::DeserializeOwned;
-use serde::{Deserialize, Serialize};
 use std::net::{IpAddr, SocketAddr};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -31,31 +21,12 @@
 const PLACEMENT_TOLD: u32 = 4;
 /// Longest time between two datagrams, so that a silent peer is a lost one.
 const SEND_AT_LEAST: Duration = Duration::from_millis(200);
-/// Time that the store has to bring what a peer has already before the peer is
-/// asked: asking is for processes that the store refuses.
-const PEER_AHEAD: Duration = Duration::from_millis(250);
-/// Pause between two looks at what peers know.
-const ASK_EVERY: Duration = Duration::from_millis(200);
-/// Longest wait for a peer's answer.
-const ASK_TIMEOUT: Duration = Duration::from_millis(500);
 /// Largest datagram: 16 bytes for each of some hundred upstreams.
 const MAX_DATAGRAM: usize = 16 << 10;
-/// Largest answer of a peer: some thousand routes or upstreams.
-const MAX_ANSWER: usize = 8 << 20;
 /// Largest head, and longest idle time, of a peer's connection.
 const MAX_HEAD: usize = 8 << 10;
 const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
 
-const CONFIG_PATH: &str = "/config";
-const REGISTRY_PATH: &str = "/registry";
-
-/// The registry as a process knows it.
-#[derive(Debug, Serialize, Deserialize)]
-struct RegistryView {
-    version: u64,
-    instances: Vec<Instance>,
-}
-
 /// Starts to tell and to hear, and answers peers' questions.
 pub fn start(gateway: &Arc<Gateway>) -> Result<Stop, StartError> {
     let host = gateway.host();
@@ -74,12 +45,12 @@
     };
     let served = gateway.clone();
     tokio::spawn(server.run(listener, move |req| {
-        let res = answer(&served, &req);
+        let res = catch_up::answer(&served, &req);
         async move { res }
     }));
     tokio::spawn(hear(gateway.clone(), socket.clone()));
     tokio::spawn(tell(gateway.clone(), socket));
-    tokio::spawn(ask(gateway.clone()));
+    tokio::spawn(catch_up::ask(gateway.clone()));
     Ok(stop)
 }
 
@@ -181,93 +152,3 @@
     let live = peers.live(now).count() as u32;
     (peers.addresses().collect(), live)
 }
-
-/// Asks peers for what they know and this process doesn't, until it ends.
-async fn ask(gateway: Arc<Gateway>) {
-    let mut config_ahead = None;
-    loop {
-        tokio::time::sleep(ASK_EVERY).await;
-        let now = Instant::now();
-        match ahead(&gateway, |beat| beat.config, gateway.config_version()) {
-            None => config_ahead = None,
-            Some(ip) if now - *config_ahead.get_or_insert(now) >= PEER_AHEAD => {
-                if let Some(config) = fetch::<Config>(&gateway, ip, CONFIG_PATH).await {
-                    follow::put_in_force(&gateway, config, "peer");
-                }
-            }
-            Some(_) => {}
-        }
-        // A peer that is ahead and knows the same has been taken at its word.
-        let known = gateway.registry().version;
-        let Some(ip) = ahead(&gateway, |beat| beat.registry, known) else {
-            continue;
-        };
-        if let Some(view) = fetch::<RegistryView>(&gateway, ip, REGISTRY_PATH).await {
-            follow::merge_view(&gateway, view.instances, view.version);
-        }
-    }
-}
-
-/// The live peer with the newest version of something, if it is newer than ours.
-fn ahead(gateway: &Gateway, version: impl Fn(&Beat) -> u64, known: u64) -> Option<IpAddr> {
-    let peers = gateway.peers();
-    let live = peers.live(Instant::now());
-    let newest = live.max_by_key(|(_, beat)| version(beat))?;
-    (version(newest.1) > known).then_some(newest.0.ip)
-}
-
-async fn fetch<T: DeserializeOwned>(gateway: &Gateway, ip: IpAddr, path: &str) -> Option<T> {
-    let addr = SocketAddr::new(ip, gateway.host().peer_port);
-    let why = match get(gateway, addr, path).await {
-        Ok((StatusCode::OK, body)) => match wire::decode(&body) {
-            Some(value) => return Some(value),
-            None => "malformed answer".to_owned(),
-        },
-        Ok((status, _)) => format!("status {status}"),
-        Err(e) => e.to_string(),
-    };
-    emit(&Event::Undecodable {
-        what: "answer of a peer",
-        why: format!("{addr}{path}: {why}"),
-    });
-    None
-}
-
-async fn get(
-    gateway: &Gateway,
-    addr: SocketAddr,
-    path: &str,
-) -> Result<(StatusCode, bytes::Bytes), CallError> {
-    let req = Request::builder()
-        .method(Method::GET)
-        .uri(path)
-        .header(HOST, addr.to_string())
-        .body(empty())
-        .map_err(|e| CallError::NotSent(e.to_string()))?;
-    let pool = Pool::new(addr, ASK_TIMEOUT).metered(&gateway.peer_bytes);
-    pool.call(req, MAX_ANSWER, ASK_TIMEOUT).await
-}
-
-/// Answers a peer's question.
-fn answer(gateway: &Gateway, req: &Request<Incoming>) -> Response<Body> {
-    let known = match req.uri().path() {
-        CONFIG_PATH => gateway.routes().map(|t| wire::encode(&t.config)),
-        REGISTRY_PATH => registry_view(gateway).map(|view| wire::encode(&view)),
-        _ => None,
-    };
-    let Some(body) = known else {
-        let mut res = Response::new(empty());
-        *res.status_mut() = StatusCode::NOT_FOUND;
-        return res;
-    };
-    Response::new(full(body))
-}
-
-fn registry_view(gateway: &Gateway) -> Option<RegistryView> {
-    let version = gateway.settled_registry()?.version;
-    let fleet = gateway.fleet();
-    Some(RegistryView {
-        version,
-        instances: fleet.iter().map(|(_, u)| u.instance.clone()).collect(),
-    })
-}
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -1,8 +1,10 @@
 //! What a gateway is and knows.
 
 use crate::fleet::{Fleet, ServiceKey, UpstreamKey};
+use crate::history::History;
 use crate::missing::Missing;
 use crate::peers::Peers;
+use crate::peers::catch_up::RegistryChanges;
 use crate::routes::RouteTable;
 use net::{HeadLimits, Meter, Stop};
 use observe::Metrics;
@@ -27,6 +29,7 @@
     fleet: Mutex<Fleet>,
     budgets: Mutex<Vec<(ServiceKey, Budget)>>,
     registry: Mutex<Registry>,
+    history: Mutex<History>,
     missing: Mutex<Missing>,
     peers: Mutex<Peers>,
     live_peers: AtomicU32,
@@ -71,6 +74,7 @@
                 read_at: Instant::now(),
                 view: 0,
             }),
+            history: Mutex::default(),
             missing: Mutex::default(),
             peers: Mutex::default(),
             live_peers: AtomicU32::new(0),
@@ -129,6 +133,9 @@
     pub fn set_registry(&self, version: u64) {
         let view = self.fleet().view();
         let mut registry = lock(&self.registry);
+        if registry.version == 0 {
+            self.history().start(version);
+        }
         *registry = Registry {
             version: version.max(registry.version),
             read_at: Instant::now(),
@@ -141,6 +148,33 @@
         lock(&self.missing)
     }
 
+    /// The latest changes of the registry. Never held across an await; locked after
+    /// the fleet where both are needed.
+    pub fn history(&self) -> MutexGuard<'_, History> {
+        lock(&self.history)
+    }
+
+    /// What has changed in the registry since a version; none if that isn't known, or
+    /// peers may not take this process's word for it.
+    pub fn changes_since(&self, version: u64) -> Option<RegistryChanges> {
+        let settled = self.settled_registry()?;
+        let fleet = self.fleet();
+        let history = self.history();
+        let mut changes = RegistryChanges {
+            version: settled.version,
+            view: fleet.view(),
+            present: Vec::new(),
+            gone: Vec::new(),
+        };
+        for id in history.since(version)? {
+            match fleet.find(id).and_then(|key| fleet.get(key)) {
+                Some(upstream) => changes.present.push(upstream.instance.clone()),
+                None => changes.gone.push(id.to_owned()),
+            }
+        }
+        Some(changes)
+    }
+
     /// What peers may take this process's word for: none while it uses upstreams
     /// that its last read didn't find.
     pub fn settled_registry(&self) -> Option<Registry> {
--- a/crates/gateway/tests/peers.rs
+++ b/crates/gateway/tests/peers.rs
@@ -6,12 +6,14 @@
 use fixtures::{gateway_with, instance, runner};
 use gateway::fleet::Fleet;
 use gateway::follow::{merge, merge_view};
+use gateway::peers::catch_up::take_changes;
 use gateway::peers::{Beat, Load, Peers};
-use gateway::state::Registry;
+use gateway::state::{Gateway, Registry};
 use net::Meter;
 use platform::{Instance, Registration, Stage};
 use proptest::prelude::*;
 use std::net::{IpAddr, Ipv4Addr};
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 fn beat(start: u64, number: u64, loads: &[(u64, u32)]) -> Beat {
@@ -241,3 +243,103 @@
     assert!(gateway.fleet().find("i-2").is_none());
     assert!(gateway.missing().until().is_none());
 }
+
+/// An engine with a number beyond those of [`instance`].
+fn numbered(n: u16) -> Instance {
+    Instance {
+        id: format!("i-{n}"),
+        ..instance(0, Stage::Decode)
+    }
+}
+
+/// What a peer tells of its registry since a version, as this process takes it.
+fn take_from(peer: &Gateway, own: &Arc<Gateway>) -> bool {
+    let since = own.registry().version;
+    let changes = peer.changes_since(since).expect("the peer knows them");
+    take_changes(own, changes)
+}
+
+#[test]
+fn one_change_among_thousands_of_upstreams_is_told_alone() {
+    // The pattern is 3,000 upstreams, ten for each of 300 hosts. When every host
+    // fetched them all at each change, the host that had read the change first was
+    // asked for 190 times 270 KB, half a minute of its link of 20 Mbit/s.
+    const UPSTREAMS: u16 = 3000;
+    let all: Vec<Instance> = (0..UPSTREAMS).map(numbered).collect();
+    let read = || all.iter().cloned().map(Registration::Present).collect();
+    let (peer, own) = (gateway_with(&[]), gateway_with(&[]));
+    let now = Instant::now();
+    merge(&peer, read(), true, 5, now);
+    merge(&own, read(), true, 5, now);
+    let gone = Registration::Removed {
+        id: all[7].id.clone(),
+    };
+    let leaving = Instance {
+        is_draining: true,
+        ..all[9].clone()
+    };
+    let changes = vec![gone, Registration::Present(leaving)];
+    merge(&peer, changes, false, 8, now);
+    let told = peer.changes_since(5).expect("the peer knows them");
+    assert_eq!((told.present.len(), told.gone.len()), (1, 1));
+    // Two upstreams, whatever the number of those that didn't change.
+    assert!(wire::encode_compact(&told).len() < 256);
+    assert!(take_from(&peer, &own));
+    assert_eq!(own.registry().version, 8);
+    assert_eq!(own.fleet().view(), peer.fleet().view());
+    // What was taken is told on to the next.
+    let next = gateway_with(&[]);
+    merge(&next, read(), true, 5, now);
+    assert!(take_from(&own, &next));
+    assert_eq!(next.fleet().view(), peer.fleet().view());
+}
+
+#[test]
+fn changes_that_do_not_lead_to_the_same_registry_are_seen() {
+    let (peer, own) = (gateway_with(&[]), gateway_with(&[]));
+    let now = Instant::now();
+    let one = |n| Registration::Present(instance(n, Stage::Decode));
+    merge(&peer, vec![one(1), one(2)], true, 5, now);
+    // This process missed an upstream, by a row that couldn't be decoded.
+    merge(&own, vec![one(1)], true, 5, now);
+    merge(&peer, vec![one(3)], false, 6, now);
+    assert!(!take_from(&peer, &own));
+}
+
+#[test]
+fn changes_from_before_a_process_started_are_not_known_to_it() {
+    let peer = gateway_with(&[]);
+    let now = Instant::now();
+    let one = |n| Registration::Present(instance(n, Stage::Decode));
+    merge(&peer, vec![one(1)], true, 5, now);
+    assert!(peer.changes_since(4).is_none());
+    assert!(peer.changes_since(5).is_some());
+    // Nor are those that are longer ago than it keeps.
+    for version in 6..6000 {
+        let leaving = Instance {
+            is_draining: version % 2 == 0,
+            slots: version as u32,
+            ..instance(2, Stage::Decode)
+        };
+        merge(
+            &peer,
+            vec![Registration::Present(leaving)],
+            false,
+            version,
+            now,
+        );
+    }
+    assert!(peer.changes_since(100).is_none());
+    assert!(peer.changes_since(5990).is_some());
+}
+
+#[test]
+fn a_process_that_holds_an_upstream_back_tells_of_no_changes() {
+    let gateway = gateway_with(&[]);
+    let now = Instant::now();
+    let one = |n| Registration::Present(instance(n, Stage::Decode));
+    merge(&gateway, vec![one(1), one(2)], true, 5, now);
+    gateway.missing().open(now);
+    merge(&gateway, vec![one(1)], true, 9, now);
+    assert!(gateway.changes_since(5).is_none());
+}
