Many processes tell each other sums through a tree in each zone

Cause: each process told each other of its load. At 103 hosts each heard each every 412 ms, at 190 every 760 ms, in 250 datagrams a second sent and 250 taken, 5 of 6 of them between zones. Ruled out: one relay for each zone (it would send 50 times what the others do). Change: up to 24 peers tell each other directly as before. More form a tree in each availability zone in the order of their addresses, four to one; each tells the one above the sum of those below, and those below the sum of all others; the roots of the zones tell each other. A process whose usual one is silent asks all that stand before it which are there. Rows of processes name the zone, and a row that stands already isn't written again. Upstreams go by a tag of four bytes. What a peer has newer is asked for at once.

--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -11,7 +11,7 @@
 
 pub use upstream::{Others, Upstream};
 
-use crate::peers::Placement;
+use crate::peers::{Changing, Placement};
 use net::{Meter, Pool};
 use platform::{Engine, Instance, PromptPart, Service};
 use speed::{Speed, Task, Work};
@@ -26,7 +26,7 @@
 /// Time that a move of memory between engines takes besides its bytes.
 const MOVE_SETUP_MS: f64 = 5.0;
 /// Most placements that one datagram tells of.
-const MAX_PLACEMENTS: usize = 32;
+const MAX_PLACEMENTS: usize = 64;
 
 /// A service by its place in the fleet's list. Services are never forgotten, so
 /// a key stays valid.
@@ -190,12 +190,12 @@
         let Some(upstream) = self.get_mut(key) else {
             return;
         };
-        let hash = upstream.hash;
+        let tag = upstream.tag();
         let mut new = Vec::new();
         for part in shared {
             if upstream.cache.note(*part, memory, now) {
                 new.push(Placement {
-                    upstream: hash,
+                    upstream: tag,
                     part: part.id,
                     tokens: part.tokens,
                 });
@@ -204,21 +204,29 @@
         self.placements.extend(new.into_iter().map(|p| (now, p)));
     }
 
-    /// Takes a peer's word of a part that it has sent somewhere.
-    pub fn take_placement(&mut self, placement: &Placement, now: Instant) {
-        let Some(key) = self.key_of(placement.upstream) else {
-            return;
+    /// Takes a peer's word of parts that were sent somewhere. Those that are new here
+    /// are told on, if the peer didn't tell all processes itself.
+    pub fn take_placements(&mut self, placements: &[Placement], tell_on: bool, now: Instant) {
+        for placement in placements {
+            if self.take_placement(placement, now) && tell_on {
+                self.placements.push_back((now, *placement));
+            }
+        }
+    }
+
+    fn take_placement(&mut self, placement: &Placement, now: Instant) -> bool {
+        let Some(key) = self.key_of_tag(placement.upstream) else {
+            return false;
         };
         let Some(memory) = self.memory_of(key) else {
-            return;
+            return false;
         };
         let part = PromptPart {
             id: placement.part,
             tokens: placement.tokens,
         };
-        if let Some(upstream) = self.get_mut(key) {
-            upstream.cache.note(part, memory, now);
-        }
+        let upstream = self.get_mut(key);
+        upstream.is_some_and(|u| u.cache.note(part, memory, now))
     }
 
     /// Parts that this process has first sent somewhere within a time.
@@ -246,11 +254,15 @@
             .map(|(at, _)| ServiceKey(at as u16))
     }
 
-    /// Hashes of the engines that this process has ordered to change and that are
-    /// away for it.
-    pub fn changing(&self, now: Instant) -> Vec<u64> {
-        let changing = self.iter().filter(|(_, u)| u.is_changing_by_order(now));
-        changing.map(|(_, u)| u.hash).collect()
+    /// Engines that are away for a change that was ordered.
+    pub fn changing(&self, now: Instant) -> Vec<Changing> {
+        let changing = self.iter().filter_map(|(_, u)| {
+            Some(Changing {
+                upstream: u.tag(),
+                left_ms: u.away_for(now)?.as_millis() as u32,
+            })
+        });
+        changing.collect()
     }
 
     /// Estimated time to the first byte at an idle upstream that is as fast as its
@@ -277,9 +289,17 @@
         }
     }
 
-    /// The upstream whose id has a hash, for changes.
-    pub fn find_hash(&mut self, hash: u64) -> Option<&mut Upstream> {
-        self.get_mut(self.key_of(hash)?)
+    /// The upstream with a tag, for changes.
+    pub fn find_tag(&mut self, tag: u32) -> Option<&mut Upstream> {
+        self.get_mut(self.key_of_tag(tag)?)
+    }
+
+    fn key_of_tag(&self, tag: u32) -> Option<UpstreamKey> {
+        let at = self.by_hash.partition_point(|(h, _)| tag_of(*h) < tag);
+        let found = self.by_hash.get(at);
+        found
+            .filter(|(h, _)| tag_of(*h) == tag)
+            .map(|(_, key)| *key)
     }
 
     /// Upstreams that are known.
@@ -377,7 +397,13 @@
     xxhash_rust::xxh3::xxh3_64(text.as_bytes())
 }
 
-/// Hash under which peers know an upstream.
+/// The part of an upstream's hash by which processes tell of it. Among 600 upstreams
+/// two have the same once in 24,000 fleets; their loads would be mixed up then.
+fn tag_of(hash: u64) -> u32 {
+    (hash >> 32) as u32
+}
+
+/// Hash of an upstream's id.
 fn id_hash(id: &str) -> u64 {
     xxhash_rust::xxh3::xxh3_64(id.as_bytes())
 }
--- a/crates/gateway/src/fleet/upstream.rs
+++ b/crates/gateway/src/fleet/upstream.rs
@@ -2,7 +2,7 @@
 
 use super::cache::Cache;
 use super::speed::{Slowdown, Work};
-use super::{ServiceKey, id_hash};
+use super::{ServiceKey, id_hash, tag_of};
 use crate::peers::Load;
 use net::Pool;
 use platform::{Instance, Stage};
@@ -41,6 +41,8 @@
     /// Until when it is taken to be away for a change of its stage, and the stage
     /// that it was ordered to have, if this process ordered it.
     change: Option<Change>,
+    /// When this process last read a new stage of it.
+    restaged_at: Option<Instant>,
     /// Prompt parts that it is taken to hold.
     pub(super) cache: Cache,
     /// Whether this process has known it since it was empty.
@@ -106,6 +108,7 @@
             health: Health::default(),
             slowdown: Slowdown::default(),
             change: None,
+            restaged_at: None,
             cache: Cache::default(),
             is_known_from_start,
             instance,
@@ -124,10 +127,15 @@
         self.change = None;
     }
 
-    /// Whether it is away for a change that this process has ordered.
-    pub fn is_changing_by_order(&self, now: Instant) -> bool {
-        let is_ordered = self.change.is_some_and(|c| c.ordered.is_some());
-        is_ordered && self.is_changing(now)
+    /// For how much longer it is away for a change of its stage; none if it isn't.
+    pub fn away_for(&self, now: Instant) -> Option<Duration> {
+        let change = self.change.filter(|c| now < c.until)?;
+        Some(change.until - now)
+    }
+
+    /// The part of its hash by which processes tell of it.
+    pub fn tag(&self) -> u32 {
+        tag_of(self.hash)
     }
 
     /// Whether it may get new requests, its health aside.
@@ -137,11 +145,18 @@
 
     /// Whether it is away for a change of its stage.
     pub fn is_changing(&self, now: Instant) -> bool {
-        self.change.is_some_and(|c| now < c.until)
+        self.away_for(now).is_some()
     }
 
-    /// Takes a peer's word that it is away until a time.
-    pub fn peer_says_changing(&mut self, until: Instant) {
+    /// Takes a peer's word that it is away until a time. Just after its new stage was
+    /// read, peers that haven't read it yet still say so.
+    pub fn peer_says_changing(&mut self, until: Instant, now: Instant) {
+        let is_over = self
+            .restaged_at
+            .is_some_and(|at| now < at + REGISTRY_SPREADS * 2);
+        if is_over {
+            return;
+        }
         if self.change.is_none_or(|c| c.ordered.is_none()) {
             let ordered = None;
             self.change = Some(Change { until, ordered });
@@ -151,13 +166,15 @@
     /// Takes the stage that the registry shows. An ordered change is over, but for
     /// the time in which the others read the registry.
     pub(super) fn restaged(&mut self, stage: Option<Stage>) {
+        let now = Instant::now();
+        self.restaged_at = Some(now);
         self.cache.clear();
         self.is_known_from_start = true;
         self.slowdown = Slowdown::default();
         if let Some(change) = &mut self.change
-            && change.ordered == stage
+            && (change.ordered.is_none() || change.ordered == stage)
         {
-            change.until = change.until.min(Instant::now() + REGISTRY_SPREADS);
+            change.until = change.until.min(now + REGISTRY_SPREADS);
         }
     }
 
@@ -216,7 +233,7 @@
     /// What this process says of its load there; none if there is none.
     pub fn load(&self) -> Option<Load> {
         (self.running > 0).then(|| Load {
-            upstream: self.hash,
+            upstream: self.tag(),
             tokens: self.tokens,
             waiting: small(self.waiting),
             running: small(self.running),
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -1,81 +1,46 @@
 //! The other processes of the system.
 //!
-//! Each tells the others, in small datagrams, how much work it has sent to each
-//! upstream and which versions it knows. A datagram says everything anew, so a
-//! lost one does no harm. Who the others are stands in the store, and a datagram
-//! makes its sender known too.
+//! Each tells others, in small datagrams, how much work upstreams were sent and which
+//! versions it knows. Few processes tell each other directly. Many form a tree in each
+//! availability zone (see [`tree`]) and tell sums, so that what each sends and hears
+//! doesn't grow with their number. Who the others are stands in the store, and a
+//! datagram makes its sender known too.
 
 pub mod catch_up;
 pub mod exchange;
+mod links;
 pub mod membership;
+pub mod message;
+pub mod tree;
+
+pub use message::{Beat, Changing, Load, Placement, Scope};
 
 use crate::fleet::Fleet;
-use serde::{Deserialize, Serialize};
 use std::net::IpAddr;
 use std::time::{Duration, Instant};
 
 /// A peer that was silent for so long counts as gone, and its load with it: three
 /// times the longest pause between two datagrams.
 pub const SILENT: Duration = Duration::from_millis(600);
-/// The same for each peer. With many peers each hears less often (see
-/// [`exchange::SEND_EVERY_PER_PEER`]); without it all of 300 counted as gone by
-/// turns, and each read the store for itself.
-const SILENT_PER_PEER: Duration = Duration::from_millis(16);
+/// Most peers that each is told directly. All of 31 hear each other half as often as
+/// through the tree, and 103 a tenth; with fewer the tree's steps cost more time.
+const DIRECT_MOST: usize = 24;
 /// Most peers that are known: the aim is 350, and an unknown sender must not
 /// fill the memory.
 const MAX_PEERS: usize = 1024;
 
-/// What a process tells its peers.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Beat {
-    /// Drawn at each start of a process, so that a new one's count is not taken
-    /// for an old one's.
-    pub start: u64,
-    /// Counts the datagrams of a start; an older one that comes late is dropped.
-    pub number: u64,
-    /// Version of the configuration in force there.
-    pub config: u64,
-    /// The store's version at its last read of the registry.
-    pub registry: u64,
-    /// Age of that read, in milliseconds. While nothing changes the version stays
-    /// the same, so the version alone doesn't tell a new read from an old one: 31
-    /// processes made 1,800 calls to the store in a minute without it, 700 with it.
-    pub registry_ms: u32,
-    /// Hash of what it made of the registry; see [`Fleet::view`].
-    pub view: u64,
-    /// Its load at each upstream where it has any.
-    pub loads: Vec<Load>,
-    /// Hashes of the engines that it has ordered to change their stage and that
-    /// are away for it.
-    pub changing: Vec<u64>,
-    /// Prompt parts that it was lately the first to send to an engine.
-    pub placements: Vec<Placement>,
-}
-
-/// A prompt part that an engine was sent.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Placement {
-    /// Hash of the engine's id.
-    pub upstream: u64,
-    /// Id of the part.
-    pub part: u64,
-    /// Its length.
-    pub tokens: u32,
+/// Where a process is.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Place {
+    /// Address of its host.
+    pub ip: IpAddr,
+    /// Hash of its availability zone.
+    pub zone: u32,
 }
 
-/// A process's load at one upstream.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Load {
-    /// Hash of the upstream's id.
-    pub upstream: u64,
-    /// Requests whose first byte hasn't come yet.
-    pub waiting: u16,
-    /// Uncached tokens of those that wait.
-    pub tokens: u32,
-    /// Requests that run there.
-    pub running: u16,
-    /// Of these, long answers.
-    pub streams: u16,
+/// Hash under which an availability zone is known to peers.
+pub fn zone_hash(zone: &str) -> u32 {
+    xxhash_rust::xxh3::xxh3_64(zone.as_bytes()) as u32
 }
 
 /// A peer, as it last said.
@@ -85,24 +50,53 @@
     pub ip: IpAddr,
     /// Name of its host, if the store told of it.
     host: Option<String>,
+    /// Hash of its availability zone; 0 until it is known.
+    zone: u32,
     heard_at: Option<Instant>,
     beat: Option<Beat>,
+    /// Since when it is asked whether it is the root of its zone.
+    asked_at: Option<Instant>,
+    /// Whether it waits for an answer that this process is there.
+    waits_for_answer: bool,
+    avoided_until: Option<Instant>,
+    /// For how long it was avoided last.
+    avoided_for: Duration,
 }
 
 /// All peers, sorted by address.
 #[derive(Debug, Default)]
 pub struct Peers {
     all: Vec<Peer>,
+    /// The peer that this process reports to.
+    parent: Option<IpAddr>,
+    /// Since when it looks for one; none while it has one or is a root.
+    searches_since: Option<Instant>,
+    /// Whether it speaks for its zone to other zones.
+    is_root: bool,
+    /// When it last asked whether those are there that it may report to.
+    hello_at: Option<Instant>,
+    /// Whether the store has told of the peers.
+    is_listed: bool,
+    /// Counts what was heard that changes what is told on.
+    changes: u64,
 }
 
 impl Peers {
     /// Notes a peer that the store tells of.
-    pub fn add(&mut self, host: &str, ip: IpAddr) {
+    pub fn add(&mut self, host: &str, ip: IpAddr, zone: u32) {
         if let Some(peer) = self.entry(ip) {
             peer.host = Some(host.to_owned());
+            peer.zone = zone;
+            // It has just started, or never was avoided.
+            peer.avoided_until = None;
         }
     }
 
+    /// Notes that the store has told of the peers.
+    pub fn set_listed(&mut self) {
+        self.is_listed = true;
+    }
+
     /// Notes that the store no longer tells of a host's process.
     pub fn remove(&mut self, host: &str, fleet: &mut Fleet) {
         let at = self
@@ -111,6 +105,7 @@
             .position(|p| p.host.as_deref() == Some(host));
         if let Some(at) = at {
             self.all.remove(at).take_off(fleet);
+            self.changes += 1;
         }
     }
 
@@ -119,13 +114,7 @@
             Ok(at) => at,
             Err(_) if self.all.len() >= MAX_PEERS => return None,
             Err(at) => {
-                let peer = Peer {
-                    ip,
-                    host: None,
-                    heard_at: None,
-                    beat: None,
-                };
-                self.all.insert(at, peer);
+                self.all.insert(at, Peer::new(ip));
                 at
             }
         };
@@ -133,65 +122,134 @@
     }
 
     /// Takes a datagram from an address; says whether it was new.
-    pub fn hear(&mut self, ip: IpAddr, beat: Beat, fleet: &mut Fleet, now: Instant) -> bool {
-        let silent = self.silent();
+    pub fn hear(&mut self, ip: IpAddr, mut beat: Beat, fleet: &mut Fleet, now: Instant) -> bool {
+        let bound = self.silent();
+        let counts = self.counts(ip, beat.scope);
         let Some(peer) = self.entry(ip) else {
             return false;
         };
-        let is_old = peer
-            .beat
-            .as_ref()
-            .is_some_and(|b| b.start == beat.start && b.number >= beat.number);
-        if is_old {
+        let last = peer.beat.as_ref();
+        if last.is_some_and(|b| b.start == beat.start && b.number >= beat.number) {
             return false;
         }
+        peer.waits_for_answer |= beat.scope == Scope::Hello;
+        peer.zone = beat.zone;
+        if !beat.scope.has_load() && peer.is_live(now, bound) && peer.tells_load() {
+            // It is there, as its last word has said already.
+            return true;
+        }
+        if !counts {
+            beat.loads.clear();
+            beat.processes = 0;
+        }
+        let is_same = last.is_some_and(|b| {
+            b.loads == beat.loads && b.scope == beat.scope && b.registry == beat.registry
+        });
         peer.take_off(fleet);
         for load in &beat.loads {
-            if let Some(upstream) = fleet.find_hash(load.upstream) {
+            if let Some(upstream) = fleet.find_tag(load.upstream) {
                 upstream.others.add(load);
             }
         }
-        for placement in &beat.placements {
-            fleet.take_placement(placement, now);
-        }
-        for hash in &beat.changing {
-            if let Some(upstream) = fleet.find_hash(*hash) {
-                upstream.peer_says_changing(now + silent);
+        for changing in &beat.changing {
+            if let Some(upstream) = fleet.find_tag(changing.upstream) {
+                let left = Duration::from_millis(changing.left_ms.into());
+                upstream.peer_says_changing(now + left, now);
             }
         }
-        peer.beat = Some(beat);
+        fleet.take_placements(&beat.placements, beat.scope != Scope::Direct, now);
         peer.heard_at = Some(now);
+        peer.asked_at = None;
+        peer.avoided_until = None;
+        peer.avoided_for = Duration::ZERO;
+        let is_from_parent = beat.scope == Scope::Down && counts;
+        peer.beat = Some(beat);
+        self.changes += u64::from(!is_same);
+        if is_from_parent {
+            self.take_off_former_parents(ip, fleet);
+        }
         true
     }
 
-    /// Silence after which a peer counts as gone.
-    fn silent(&self) -> Duration {
-        SILENT.max(SILENT_PER_PEER * self.all.len() as u32)
+    /// Whether loads count that a peer tells with a scope: each process's load must
+    /// come by one way only.
+    fn counts(&self, ip: IpAddr, scope: Scope) -> bool {
+        match scope {
+            Scope::Direct | Scope::Up => true,
+            Scope::Down => self.parent == Some(ip),
+            Scope::Across => self.is_root || self.is_direct(),
+            Scope::Hello | Scope::Here => false,
+        }
+    }
+
+    /// Takes off what others than the parent said of the whole system.
+    fn take_off_former_parents(&mut self, parent: IpAddr, fleet: &mut Fleet) {
+        for peer in self.all.iter_mut().filter(|p| p.ip != parent) {
+            if matches!(peer.scope(), Some(Scope::Down | Scope::Across)) {
+                peer.take_off(fleet);
+            }
+        }
     }
 
     /// Takes the load of peers that fell silent off the upstreams. A peer that
     /// only its datagrams made known is forgotten.
     pub fn expire(&mut self, fleet: &mut Fleet, now: Instant) {
         let bound = self.silent();
+        let mut gone = 0;
         for peer in &mut self.all {
             if !peer.is_live(now, bound) {
-                peer.take_off(fleet);
+                gone += u64::from(peer.take_off(fleet));
             }
         }
+        self.changes += gone;
         self.all
             .retain(|p| p.host.is_some() || p.is_live(now, bound));
     }
 
-    /// Addresses of all peers.
-    pub fn addresses(&self) -> impl Iterator<Item = IpAddr> {
-        self.all.iter().map(|p| p.ip)
+    /// Silence after which a peer counts as gone. Where each is told directly, each
+    /// hears the less often the more there are.
+    fn silent(&self) -> Duration {
+        match self.is_direct() {
+            true => SILENT.max(exchange::direct_pause(self.all.len()) * 4),
+            false => SILENT,
+        }
     }
 
-    /// Live peers whose address is before one: the place of a process among all.
-    pub fn rank(&self, ip: IpAddr, now: Instant) -> u32 {
-        let before = self.all.iter().take_while(|p| p.ip < ip);
-        let bound = self.silent();
-        before.filter(|p| p.is_live(now, bound)).count() as u32
+    /// Whether each peer is told directly.
+    pub fn is_direct(&self) -> bool {
+        self.all.len() <= DIRECT_MOST
+    }
+
+    /// Peers that are known.
+    pub fn len(&self) -> usize {
+        self.all.len()
+    }
+
+    /// Whether no peer is known.
+    pub fn is_empty(&self) -> bool {
+        self.all.is_empty()
+    }
+
+    /// Changes when something was heard that changes what is told on.
+    pub fn changes(&self) -> u64 {
+        self.changes
+    }
+
+    /// The peer that this process reports to, if any.
+    pub fn parent(&self) -> Option<IpAddr> {
+        self.parent
+    }
+
+    /// Processes of the system besides this one: those that are alive as far as this
+    /// process hears, or those that the store tells of if these are more. All of them
+    /// share the retry budget, and one that is cut off must not take all of it.
+    pub fn processes(&self, now: Instant) -> u32 {
+        if !self.is_listed {
+            return MAX_PEERS as u32;
+        }
+        let listed = self.all.iter().filter(|p| p.host.is_some()).count() as u32;
+        let heard: u32 = self.live(now).map(|(_, beat)| beat.processes).sum();
+        listed.max(heard)
     }
 
     /// Peers that were heard of late.
@@ -203,18 +261,45 @@
 }
 
 impl Peer {
+    fn new(ip: IpAddr) -> Self {
+        Self {
+            ip,
+            host: None,
+            zone: 0,
+            heard_at: None,
+            beat: None,
+            asked_at: None,
+            waits_for_answer: false,
+            avoided_until: None,
+            avoided_for: Duration::ZERO,
+        }
+    }
+
+    fn scope(&self) -> Option<Scope> {
+        self.beat.as_ref().map(|b| b.scope)
+    }
+
+    fn tells_load(&self) -> bool {
+        self.scope().is_some_and(Scope::has_load)
+    }
+
     fn is_live(&self, now: Instant, bound: Duration) -> bool {
         let silent = self.heard_at.map(|at| now.saturating_duration_since(at));
         silent.is_some_and(|s| s < bound)
     }
 
-    /// Takes what it last said off the upstreams; only its versions are kept.
-    fn take_off(&mut self, fleet: &mut Fleet) {
-        let loads = self.beat.as_mut().map(|b| std::mem::take(&mut b.loads));
-        for load in loads.unwrap_or_default() {
-            if let Some(upstream) = fleet.find_hash(load.upstream) {
+    /// Takes what it last said off the upstreams; only its versions are kept. Says
+    /// whether there was something.
+    fn take_off(&mut self, fleet: &mut Fleet) -> bool {
+        let Some(beat) = &mut self.beat else {
+            return false;
+        };
+        let had_some = std::mem::take(&mut beat.processes) > 0 || !beat.loads.is_empty();
+        for load in std::mem::take(&mut beat.loads) {
+            if let Some(upstream) = fleet.find_tag(load.upstream) {
                 upstream.others.take_off(&load);
             }
         }
+        had_some
     }
 }
--- a/crates/gateway/src/peers/catch_up.rs
+++ b/crates/gateway/src/peers/catch_up.rs
@@ -26,7 +26,8 @@
 /// together after a loss of power, and a whole registry is long; a read of the store
 /// that works takes some 100 ms for 3,000 upstreams.
 const FIRST_READ_AHEAD: Duration = Duration::from_millis(1500);
-/// Pause between two looks at what peers know.
+/// Pause between two looks at what peers know, besides those that a datagram of a peer
+/// with a newer registry brings about.
 const ASK_EVERY: Duration = Duration::from_millis(200);
 /// Longest wait for a peer's answer: 300 KB over a link of 10 Mbit/s take 240 ms.
 const ASK_TIMEOUT: Duration = Duration::from_millis(1000);
@@ -63,7 +64,10 @@
     let started_at = Instant::now();
     let mut config_ahead = None;
     loop {
-        tokio::time::sleep(ASK_EVERY).await;
+        tokio::select! {
+            () = tokio::time::sleep(ASK_EVERY) => {}
+            () = gateway.behind.notified() => {}
+        }
         let now = Instant::now();
         match ahead(&gateway, |beat| beat.config, gateway.config_version()) {
             None => config_ahead = None,
--- a/crates/gateway/src/peers/exchange.rs
+++ b/crates/gateway/src/peers/exchange.rs
@@ -1,12 +1,12 @@
 //! Tells peers of this process's load, and hears of theirs.
 
 use crate::StartError;
-use crate::peers::{Beat, Load, catch_up};
+use crate::peers::{Beat, Load, Scope, catch_up};
 use crate::state::{Gateway, Registry};
 use net::server::bind;
 use net::{HeadLimits, Protocol, Server, Stop};
 use observe::{Event, emit};
-use std::net::{IpAddr, SocketAddr};
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 use tokio::net::UdpSocket;
@@ -14,15 +14,24 @@
 /// Shortest time between two datagrams to one peer. What a peer doesn't know yet
 /// is what it may send too much: some two prompts of 10 ms in this time.
 const SEND_EVERY: Duration = Duration::from_millis(10);
-/// Time added for each peer, so that a process sends and takes at most some 250
-/// datagrams a second however many peers there are.
-pub const SEND_EVERY_PER_PEER: Duration = Duration::from_millis(4);
+/// Time added for each peer that is told directly, so that a process sends and takes
+/// at most some 250 datagrams a second.
+const SEND_EVERY_PER_PEER: Duration = Duration::from_millis(4);
+/// Shortest time between two datagrams over a link of the tree. A word takes up to
+/// five steps and waits half of this at each.
+const TREE_EVERY: Duration = Duration::from_millis(25);
+/// Bytes a second over a link of the tree: larger datagrams are sent less often.
+const TREE_BYTES_PER_S: f64 = 20_000.0;
+/// Steps from any process to any other: up and down three levels, and across.
+const TREE_STEPS: u32 = 7;
 /// Datagrams that tell of a placement, as one may be lost.
 const PLACEMENT_TOLD: u32 = 4;
 /// Longest time between two datagrams, so that a silent peer is a lost one.
 const SEND_AT_LEAST: Duration = Duration::from_millis(200);
-/// Largest datagram: 16 bytes for each of some hundred upstreams.
+/// Largest datagram: 12 bytes for each of some thousand upstreams.
 const MAX_DATAGRAM: usize = 16 << 10;
+/// Most upstreams whose load one datagram tells of.
+const MAX_LOADS: usize = 1200;
 /// Largest head, and longest idle time, of a peer's connection.
 const MAX_HEAD: usize = 8 << 10;
 const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
@@ -70,6 +79,9 @@
             continue;
         };
         let now = Instant::now();
+        if beat.registry > gateway.registry().version {
+            gateway.behind.notify_one();
+        }
         let read = now
             .checked_sub(Duration::from_millis(beat.registry_ms.into()))
             .map(|read_at| Registry {
@@ -86,69 +98,163 @@
     }
 }
 
+/// What was told last, and when.
+struct Told {
+    at: Instant,
+    beat: Beat,
+    changes: u64,
+    /// Bytes of the longest datagram.
+    len: usize,
+}
+
 /// Tells the peers of this process's load until the process ends.
 async fn tell(gateway: Arc<Gateway>, socket: Arc<UdpSocket>) {
-    let start = fastrand::u64(..);
+    let start = fastrand::u32(..);
     let mut number = 0;
-    let mut last = (Instant::now(), Vec::new(), Vec::new());
+    let mut last: Option<Told> = None;
     loop {
-        let (peers, live) = expire(&gateway);
-        gateway.set_live_peers(live);
-        tokio::time::sleep(send_every(peers.len())).await;
-        let loads: Vec<Load> = gateway
-            .fleet()
-            .iter()
-            .filter_map(|(_, u)| u.load())
-            .collect();
-        let changing = gateway.fleet().changing(Instant::now());
-        let is_same = loads == last.1 && changing == last.2;
-        if is_same && last.0.elapsed() < SEND_AT_LEAST {
+        expire(&gateway);
+        let len = last.as_ref().map_or(0, |told| told.len);
+        let pause = pause(&gateway, len);
+        tokio::time::sleep(pause).await;
+        let mut beat = own_beat(&gateway, pause * PLACEMENT_TOLD);
+        let changes = gateway.peers().changes();
+        let is_same = last.as_ref().is_some_and(|told| {
+            let is_same = told.changes == changes && says_the_same(&told.beat, &beat);
+            is_same && told.at.elapsed() < SEND_AT_LEAST
+        });
+        if is_same {
             continue;
         }
         number += 1;
-        let told_for = send_every(peers.len()) * PLACEMENT_TOLD;
-        let placements = gateway.fleet().new_placements(told_for, Instant::now());
-        let settled = gateway.settled_registry();
-        let beat = Beat {
-            start,
-            number,
-            config: gateway.config_version(),
-            registry: settled.map_or(0, |r| r.version),
-            registry_ms: settled.map_or(u32::MAX, |r| r.read_at.elapsed().as_millis() as u32),
-            view: settled.map_or(0, |r| r.view),
-            loads,
-            changing,
-            placements,
-        };
-        let buf = wire::encode_compact(&beat);
-        let port = gateway.host().peer_port;
-        for ip in peers {
-            // NB: a datagram that can't be sent now is as good as lost; the next
-            // one says everything anew.
-            let _ = socket.try_send_to(&buf, SocketAddr::new(ip, port));
+        beat.start = start;
+        beat.number = number;
+        let len = send(&gateway, &socket, &beat);
+        let at = Instant::now();
+        last = Some(Told {
+            at,
+            beat,
+            changes,
+            len,
+        });
+    }
+}
+
+/// What this process says for itself.
+fn own_beat(gateway: &Gateway, placements_within: Duration) -> Beat {
+    let now = Instant::now();
+    let settled = gateway.settled_registry();
+    let mut fleet = gateway.fleet();
+    let mut loads: Vec<Load> = fleet.iter().filter_map(|(_, u)| u.load()).collect();
+    loads.sort_unstable_by_key(|load| load.upstream);
+    Beat {
+        start: 0,
+        number: 0,
+        scope: Scope::Direct,
+        zone: gateway.place_in_zone().zone,
+        processes: 1,
+        config: gateway.config_version(),
+        registry: settled.map_or(0, |r| r.version),
+        registry_ms: settled.map_or(u32::MAX, |r| r.read_at.elapsed().as_millis() as u32),
+        view: settled.map_or(0, |r| r.view),
+        loads,
+        changing: fleet.changing(now),
+        placements: fleet.new_placements(placements_within, now),
+    }
+}
+
+/// Whether two beats of this process tell peers the same. The age of the registry
+/// may wait for the next datagram.
+fn says_the_same(a: &Beat, b: &Beat) -> bool {
+    let tags = |beat: &Beat| -> Vec<u32> { beat.changing.iter().map(|c| c.upstream).collect() };
+    a.loads == b.loads
+        && a.config == b.config
+        && a.registry == b.registry
+        && a.placements == b.placements
+        && tags(a) == tags(b)
+}
+
+/// Sends each peer what it is to know; gives the length of the longest datagram.
+fn send(gateway: &Gateway, socket: &UdpSocket, beat: &Beat) -> usize {
+    let told = gateway
+        .peers()
+        .tell(gateway.place_in_zone(), beat, Instant::now());
+    let port = gateway.host().peer_port;
+    let mut longest = 0;
+    let mut encoded: Option<(Scope, Vec<u8>)> = None;
+    for (ip, mut beat) in told {
+        bound_loads(&mut beat);
+        // Directly all peers are told the same.
+        let is_encoded =
+            matches!(&encoded, Some((Scope::Direct, _)) if beat.scope == Scope::Direct);
+        if !is_encoded {
+            encoded = Some((beat.scope, wire::encode_compact(&beat)));
         }
-        last = (Instant::now(), beat.loads, beat.changing);
+        let Some((_, buf)) = &encoded else { continue };
+        longest = longest.max(buf.len());
+        // NB: a datagram that can't be sent now is as good as lost; the next
+        // one says everything anew.
+        let _ = socket.try_send_to(buf, SocketAddr::new(ip, port));
+    }
+    longest
+}
+
+/// Leaves out the upstreams with the least to do, if there are too many for one
+/// datagram.
+fn bound_loads(beat: &mut Beat) {
+    if beat.loads.len() <= MAX_LOADS {
+        return;
     }
+    beat.loads
+        .sort_unstable_by_key(|load| std::cmp::Reverse((load.waiting, load.running)));
+    beat.loads.truncate(MAX_LOADS);
+    beat.loads.sort_unstable_by_key(|load| load.upstream);
 }
 
-/// Shortest time between two datagrams to each of so many peers.
-fn send_every(peers: usize) -> Duration {
+/// Time until the next datagrams, of which the longest had a length lately.
+fn pause(gateway: &Gateway, len: usize) -> Duration {
+    let peers = gateway.peers();
+    match peers.is_direct() {
+        true => direct_pause(peers.len()),
+        false => {
+            let by_bytes = Duration::from_secs_f64(len as f64 / TREE_BYTES_PER_S);
+            by_bytes.clamp(TREE_EVERY, SEND_AT_LEAST)
+        }
+    }
+}
+
+/// Shortest time between two datagrams to each of so many peers that are told
+/// directly.
+pub fn direct_pause(peers: usize) -> Duration {
     SEND_EVERY.max(SEND_EVERY_PER_PEER * peers as u32)
 }
 
 /// Time in which all live peers have heard what this process knows now: two
-/// datagrams, as one may be lost, and the way.
+/// datagrams for each step, as one may be lost, and the way.
 pub fn time_to_tell(gateway: &Gateway) -> Duration {
-    let peers = gateway.peers().addresses().count();
-    send_every(peers) * 2 + SEND_EVERY
+    let peers = gateway.peers();
+    match peers.is_direct() {
+        true => direct_pause(peers.len()) * 2 + SEND_EVERY,
+        false => TREE_EVERY * 2 * TREE_STEPS,
+    }
 }
 
-/// Takes off what peers that fell silent said. Gives the addresses of all peers
-/// and how many are alive.
-fn expire(gateway: &Gateway) -> (Vec<IpAddr>, u32) {
+/// Takes off what peers that fell silent said, and looks whom to report to.
+fn expire(gateway: &Gateway) {
     let now = Instant::now();
+    let own = gateway.place_in_zone();
     let mut peers = gateway.peers();
-    peers.expire(&mut gateway.fleet(), now);
-    let live = peers.live(now).count() as u32;
-    (peers.addresses().collect(), live)
+    let mut fleet = gateway.fleet();
+    peers.expire(&mut fleet, now);
+    let before = peers.parent();
+    peers.choose_parent(own, &mut fleet, now);
+    let (parent, processes) = (peers.parent(), peers.processes(now));
+    drop((fleet, peers));
+    if parent != before {
+        emit(&Event::ReportsTo {
+            peer: parent.map(|ip| ip.to_string()),
+            before: before.map(|ip| ip.to_string()),
+        });
+    }
+    gateway.set_live_peers(processes);
 }
--- /dev/null
+++ b/crates/gateway/src/peers/links.rs
@@ -0,0 +1,208 @@
+//! Whom a process tells what, and whom it reports to.
+
+use super::message::sum;
+use super::{Beat, Peer, Peers, Place, Scope, tree};
+use crate::fleet::Fleet;
+use std::net::IpAddr;
+use std::time::{Duration, Instant};
+
+/// For how long one that may be a root and doesn't answer is left alone, at first and
+/// at most: a restart takes a second or two.
+const AVOIDED: (Duration, Duration) = (Duration::from_secs(2), Duration::from_secs(30));
+/// Processes of another zone that are asked at once whether they are its root.
+const ROOTS_ASKED: usize = 8;
+/// Pause between two questions whether those are there that a process may report to,
+/// while it reports to none.
+const HELLO_EVERY: Duration = Duration::from_millis(200);
+/// The same while it reports to another than usual.
+const HELLO_USUAL_EVERY: Duration = Duration::from_secs(2);
+/// Time in which the first of them answer. A process that hears none is a root.
+const SEARCH: Duration = Duration::from_millis(300);
+
+impl Peers {
+    /// Chooses anew whom this process reports to, among those that it hears.
+    pub fn choose_parent(&mut self, own: Place, fleet: &mut Fleet, now: Instant) {
+        let zone = self.zone_before(own);
+        let bound = self.silent();
+        let is_live = |at: usize| self.all[zone[at]].is_live(now, bound);
+        let parent = match self.is_direct() {
+            true => None,
+            false => tree::parent(zone.len(), is_live).map(|at| self.all[zone[at]].ip),
+        };
+        let may_search = !self.is_direct() && parent.is_none() && !zone.is_empty();
+        self.searches_since = match may_search {
+            true => self.searches_since.or(Some(now)),
+            false => None,
+        };
+        let is_over = |since: Instant| now.saturating_duration_since(since) >= SEARCH;
+        self.is_root = parent.is_none() && self.searches_since.is_none_or(is_over);
+        self.set_parent(parent, fleet);
+    }
+
+    /// Places of the peers of the own zone that this process may report to, in order.
+    fn zone_before(&self, own: Place) -> Vec<usize> {
+        let before = self.all.iter().take_while(|p| p.ip < own.ip).enumerate();
+        let zone = before.filter(|(_, p)| p.zone == own.zone);
+        zone.map(|(at, _)| at).collect()
+    }
+
+    fn set_parent(&mut self, parent: Option<IpAddr>, fleet: &mut Fleet) {
+        if self.parent == parent {
+            return;
+        }
+        self.parent = parent;
+        self.changes += 1;
+        if parent.is_some() {
+            // The former parent's word stands until the new one's comes.
+            return;
+        }
+        for peer in &mut self.all {
+            if peer.scope() == Some(Scope::Down) {
+                peer.take_off(fleet);
+            }
+        }
+    }
+
+    /// What each peer is to be told now, given what this process says for itself.
+    pub fn tell(&mut self, own: Place, beat: &Beat, now: Instant) -> Vec<(IpAddr, Beat)> {
+        let links = self.links(own, now);
+        let told = links.into_iter().map(|(ip, scope)| {
+            let beat = self.compose(beat, ip, scope, now);
+            (ip, beat)
+        });
+        told.collect()
+    }
+
+    fn links(&mut self, own: Place, now: Instant) -> Vec<(IpAddr, Scope)> {
+        let bound = self.silent();
+        let is_direct = self.is_direct();
+        let scope = |p: &Peer| {
+            let scope = p.scope().filter(|_| p.is_live(now, bound));
+            match scope {
+                Some(Scope::Up) => Some(Scope::Down),
+                _ if is_direct => Some(Scope::Direct),
+                _ if Some(p.ip) == self.parent => Some(Scope::Up),
+                Some(Scope::Across) if self.is_root => Some(Scope::Across),
+                _ => p.waits_for_answer.then_some(Scope::Here),
+            }
+        };
+        let all = self.all.iter();
+        let mut out: Vec<_> = all.filter_map(|p| Some((p.ip, scope(p)?))).collect();
+        for peer in &mut self.all {
+            peer.waits_for_answer = false;
+        }
+        if is_direct {
+            return out;
+        }
+        let hellos = self.say_hello(own, now);
+        out.extend(hellos.into_iter().map(|ip| (ip, Scope::Hello)));
+        if self.is_root {
+            let roots = self.ask_roots(own, now);
+            out.extend(roots.into_iter().map(|ip| (ip, Scope::Across)));
+        }
+        out
+    }
+
+    /// Peers that are asked whether they are there: all that this process may report
+    /// to while it has none, else those that it would rather report to.
+    fn say_hello(&mut self, own: Place, now: Instant) -> Vec<IpAddr> {
+        let pause = match self.parent {
+            Some(_) => HELLO_USUAL_EVERY,
+            None => HELLO_EVERY,
+        };
+        let since = self.hello_at.map(|at| now.saturating_duration_since(at));
+        if since.is_some_and(|since| since < pause) {
+            return Vec::new();
+        }
+        self.hello_at = Some(now);
+        let zone = self.zone_before(own);
+        let ip = |at: usize| self.all[zone[at]].ip;
+        match self.parent {
+            Some(parent) => tree::above(zone.len())
+                .map(ip)
+                .take_while(|ip| *ip != parent)
+                .collect(),
+            None => (0..zone.len()).map(ip).collect(),
+        }
+    }
+
+    /// Peers that may be the roots of zones whose root hasn't been heard.
+    fn ask_roots(&mut self, own: Place, now: Instant) -> Vec<IpAddr> {
+        let bound = self.silent();
+        let is_root = |p: &&Peer| p.scope() == Some(Scope::Across) && p.is_live(now, bound);
+        let mut known: Vec<u32> = self.all.iter().filter(is_root).map(|p| p.zone).collect();
+        known.push(own.zone);
+        let mut asked: Vec<u32> = Vec::new();
+        let mut out = Vec::new();
+        for peer in &mut self.all {
+            let count = asked.iter().filter(|zone| **zone == peer.zone).count();
+            if known.contains(&peer.zone) || count >= ROOTS_ASKED || !peer.is_usable(now) {
+                continue;
+            }
+            asked.push(peer.zone);
+            peer.ask(now, bound);
+            out.push(peer.ip);
+        }
+        out
+    }
+
+    fn compose(&self, own: &Beat, to: IpAddr, scope: Scope, now: Instant) -> Beat {
+        if !scope.has_load() {
+            return Beat {
+                scope,
+                processes: 0,
+                loads: Vec::new(),
+                changing: Vec::new(),
+                placements: Vec::new(),
+                ..own.clone()
+            };
+        }
+        let bound = self.silent();
+        let is_part = |p: &&Peer| match p.scope() {
+            Some(Scope::Up) => scope != Scope::Direct,
+            Some(Scope::Down | Scope::Across) => scope == Scope::Down,
+            Some(Scope::Direct | Scope::Hello | Scope::Here) | None => false,
+        };
+        let live = self.all.iter().filter(|p| p.is_live(now, bound));
+        let parts = live.filter(|p| p.ip != to).filter(is_part);
+        let parts: Vec<&Beat> = parts.filter_map(|p| p.beat.as_ref()).collect();
+        let others = parts.iter().flat_map(|b| &b.loads);
+        Beat {
+            scope,
+            processes: own.processes + parts.iter().map(|b| b.processes).sum::<u32>(),
+            loads: sum(own.loads.iter().chain(others)),
+            ..own.clone()
+        }
+    }
+
+    /// The place of a process among those that may act for all, 0 for the first. One
+    /// that reports to another is never the first or the second.
+    pub fn rank(&self, own: Place, now: Instant) -> u32 {
+        if !self.is_direct() && !self.is_root {
+            let steps = tree::above(self.zone_before(own).len()).count() as u32;
+            return 1 + steps.max(1);
+        }
+        let before = self.live(now).filter(|(peer, _)| peer.ip < own.ip);
+        let first = before.filter(|(_, b)| matches!(b.scope, Scope::Direct | Scope::Across));
+        first.count() as u32
+    }
+}
+
+impl Peer {
+    fn is_usable(&self, now: Instant) -> bool {
+        self.avoided_until.is_none_or(|until| now >= until)
+    }
+
+    /// Notes that it is asked whether it is its zone's root. If it doesn't answer
+    /// within a bound it is left alone for a while.
+    fn ask(&mut self, now: Instant, bound: Duration) {
+        let since = *self.asked_at.get_or_insert(now);
+        if now.saturating_duration_since(since) < bound {
+            return;
+        }
+        let (least, most) = AVOIDED;
+        self.avoided_for = (self.avoided_for * 2).clamp(least, most);
+        self.avoided_until = Some(now + self.avoided_for);
+        self.asked_at = None;
+    }
+}
--- a/crates/gateway/src/peers/membership.rs
+++ b/crates/gateway/src/peers/membership.rs
@@ -1,6 +1,7 @@
 //! Who the peers are: a row in the store for each process.
 
 use crate::follow::{Client, Dependency, pause};
+use crate::peers::zone_hash;
 use crate::state::Gateway;
 use observe::{Event, emit};
 use platform::{Feed, Process, StoreError};
@@ -23,10 +24,14 @@
     let mut from = Feed::Start;
     let mut is_written = false;
     loop {
-        if !is_written {
+        // Written after the first read, which tells whether it stands there already: a
+        // write wakes all that wait for changes.
+        let is_read = matches!(from, Feed::Since(_));
+        if is_read && !is_written {
             let host = gateway.host();
             let store = client.store();
-            match store.add_process(&host.name, host.ip, ANSWER_TIMEOUT).await {
+            let row = store.add_process(&host.name, host.ip, &host.zone, ANSWER_TIMEOUT);
+            match row.await {
                 Ok(()) => is_written = true,
                 Err(e) => {
                     dependency.bad(&e);
@@ -35,11 +40,8 @@
                 }
             }
         }
-        match client
-            .store()
-            .processes(&from, WAIT, WAIT + ANSWER_TIMEOUT)
-            .await
-        {
+        let timeout = WAIT + ANSWER_TIMEOUT;
+        match client.store().processes(&from, WAIT, timeout).await {
             Ok(change) => {
                 dependency.good();
                 for why in change.malformed {
@@ -47,8 +49,14 @@
                     emit(&Event::Undecodable { what, why });
                 }
                 from = change.next;
-                if !change.items.is_empty() {
-                    merge(&gateway, change.items);
+                is_written |= change.items.contains(&own_row(&gateway));
+                let has_changes = !change.items.is_empty();
+                merge(&gateway, change.items);
+                let is_whole = matches!(from, Feed::Since(_));
+                if is_whole {
+                    gateway.peers().set_listed();
+                }
+                if has_changes && is_read {
                     tokio::time::sleep(PAUSE).await;
                 }
             }
@@ -61,6 +69,16 @@
     }
 }
 
+/// The row of this process.
+fn own_row(gateway: &Gateway) -> Process {
+    let host = gateway.host();
+    Process::Started {
+        host: host.name.clone(),
+        ip: host.ip,
+        zone: host.zone.clone(),
+    }
+}
+
 fn merge(gateway: &Gateway, changes: Vec<Process>) {
     let own = gateway.host();
     let mut peers = gateway.peers();
@@ -68,7 +86,7 @@
     for change in changes {
         match change {
             Process::Started { ip, .. } if ip == own.ip => {}
-            Process::Started { host, ip } => peers.add(&host, ip),
+            Process::Started { host, ip, zone } => peers.add(&host, ip, zone_hash(&zone)),
             Process::Stopped { host } => peers.remove(&host, &mut fleet),
         }
     }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -3,8 +3,8 @@
 use crate::fleet::{Fleet, ServiceKey, UpstreamKey};
 use crate::history::History;
 use crate::missing::Missing;
-use crate::peers::Peers;
 use crate::peers::catch_up::RegistryChanges;
+use crate::peers::{Peers, Place, zone_hash};
 use crate::routes::RouteTable;
 use net::{HeadLimits, Meter, Stop};
 use observe::Metrics;
@@ -13,6 +13,7 @@
 use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, OnceLock};
 use std::time::{Duration, Instant};
+use tokio::sync::Notify;
 
 /// Tenants with histograms of their own. The platform's requests name none.
 const TENANT_METRICS: u32 = 0;
@@ -34,6 +35,8 @@
     peers: Mutex<Peers>,
     live_peers: AtomicU32,
     running: AtomicU64,
+    /// Given when a peer knows something newer than this process.
+    pub behind: Notify,
     /// Limits on clients' heads, by the configuration in force.
     pub heads: HeadLimits,
     /// Metrics.
@@ -79,6 +82,7 @@
             peers: Mutex::default(),
             live_peers: AtomicU32::new(0),
             running: AtomicU64::new(0),
+            behind: Notify::new(),
             heads: HeadLimits::new(FIRST_IDLE_TIMEOUT, FIRST_MAX_HEAD),
             metrics: Metrics::new(TENANT_METRICS),
             upstream_bytes: Meter::default(),
@@ -194,10 +198,18 @@
         }
     }
 
+    /// Where this process is.
+    pub fn place_in_zone(&self) -> Place {
+        let host = self.host();
+        Place {
+            ip: host.ip,
+            zone: zone_hash(&host.zone),
+        }
+    }
+
     /// The place of this process among all that are alive.
     pub fn rank(&self) -> u32 {
-        let ip = self.host().ip;
-        self.peers().rank(ip, Instant::now())
+        self.peers().rank(self.place_in_zone(), Instant::now())
     }
 
     /// Age of the view of the upstreams.
@@ -211,7 +223,7 @@
         lock(&self.peers)
     }
 
-    /// Takes a new number of peers that are alive, and share the retry budget.
+    /// Takes a new number of peers that share the retry budget.
     pub fn set_live_peers(&self, peers: u32) {
         if self.live_peers.swap(peers, Ordering::Relaxed) == peers {
             return;
--- a/crates/gateway/tests/state.rs
+++ b/crates/gateway/tests/state.rs
@@ -239,6 +239,9 @@
     let beat = gateway::peers::Beat {
         start: 1,
         number: 1,
+        scope: gateway::peers::Scope::Direct,
+        zone: 0,
+        processes: 1,
         config: 0,
         registry: 0,
         registry_ms: 0,
--- a/crates/observe/src/event.rs
+++ b/crates/observe/src/event.rs
@@ -299,6 +299,13 @@
         /// The store's version at which it is missing.
         registry: u64,
     },
+    /// This process reports to another peer than before.
+    ReportsTo {
+        /// Address of the peer; none if it reports to none.
+        peer: Option<String>,
+        /// Address of the one before.
+        before: Option<String>,
+    },
     /// An upstream gets no requests for a while because of its answers.
     UpstreamSuspended {
         /// Id of its start.
