Large files are split by job; the probe of a gateway stands once

Change: rows on the wire, writing of log lines, split prompts and placements have modules of their own; bench::probe serves both. No behaviour changes.

--- a/crates/agent/src/plain.rs
+++ b/crates/agent/src/plain.rs
@@ -11,7 +11,7 @@
 use hyper::{Method, Request};
 use net::h1::Answer;
 use net::{Body, CallError, full};
-use observe::event::now_ms;
+use observe::log_line::now_ms;
 use std::time::{Duration, Instant};
 use store::rows::{Claim, ClaimState, KeptAnswer, claim_key};
 use wire::{Part, PlainCall, Reason, Refusal};
--- a/crates/agent/src/run.rs
+++ b/crates/agent/src/run.rs
@@ -7,7 +7,7 @@
 use crate::plain::call_plain;
 use crate::state::Agent;
 use net::BodySender;
-use observe::event::now_ms;
+use observe::log_line::now_ms;
 use observe::{Labels, Seconds};
 use records::{Record, Side};
 use std::sync::Arc;
--- a/crates/arbutusquay/src/commands/report.rs
+++ b/crates/arbutusquay/src/commands/report.rs
@@ -4,7 +4,7 @@
 use crate::args::ReportArgs;
 use crate::exit::Exit;
 use conf::yaml::parse_duration;
-use observe::event::now_ms;
+use observe::log_line::now_ms;
 use records::read_report;
 
 /// Prints a service's report.
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod load;
 pub mod mix;
 pub mod outage;
+pub mod probe;
 pub mod procs;
 pub mod recover;
 pub mod relay;
--- /dev/null
+++ b/crates/bench/src/probe.rs
@@ -0,0 +1,29 @@
+//! Whether a gateway serves, asked as a client would.
+
+use standin::fixture::request;
+use std::io;
+use std::net::SocketAddr;
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+
+/// Pause between two questions.
+const ASK_EVERY: Duration = Duration::from_millis(50);
+
+/// Waits until a gateway takes connections and answers one with success.
+pub async fn serves(at: SocketAddr) {
+    let text = request("GET", "/safe/", "probe", "", "");
+    loop {
+        let asked = async {
+            let mut tcp = TcpStream::connect(at).await?;
+            tcp.write_all(text.as_bytes()).await?;
+            let mut buf = vec![0; 12];
+            tcp.read_exact(&mut buf).await?;
+            io::Result::Ok(buf)
+        };
+        if asked.await.is_ok_and(|buf| buf.ends_with(b"200")) {
+            return;
+        }
+        tokio::time::sleep(ASK_EVERY).await;
+    }
+}
--- a/crates/bench/src/recover.rs
+++ b/crates/bench/src/recover.rs
@@ -1,16 +1,15 @@
 //! How long a large system takes to serve again after all its processes were killed:
 //! gateways as processes, before a store in this process with many upstreams.
 
+use crate::probe::serves;
 use crate::procs::{Proc, Signal, build_binary};
 use serde::Serialize;
-use standin::fixture::{CONFIG, WORKERS, config, request, routes, settings_in, worker};
+use standin::fixture::{CONFIG, WORKERS, config, routes, settings_in, worker};
 use standin::{Act, Store, Worker};
 use std::io;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::path::{Path, PathBuf};
 use std::time::{Duration, Instant};
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::TcpStream;
 use tokio::task::JoinSet;
 
 /// Availability zones among which the hosts are spread.
@@ -19,8 +18,6 @@
 const BOUND: Duration = Duration::from_secs(60);
 /// Time for which all run before they are killed.
 const RUNS_FOR: Duration = Duration::from_secs(3);
-/// Pause between two questions whether a gateway serves.
-const ASK_EVERY: Duration = Duration::from_millis(50);
 /// Port of the worker that serves, and of the store.
 const WORKER_PORT: u16 = 7100;
 const STORE_PORT: u16 = 7003;
@@ -135,21 +132,3 @@
         store_reads: store.reads(WORKERS) - reads,
     }
 }
-
-/// Waits until a gateway answers a request with success.
-async fn serves(at: SocketAddr) {
-    let text = request("GET", "/safe/", "probe", "", "");
-    loop {
-        let asked = async {
-            let mut tcp = TcpStream::connect(at).await?;
-            tcp.write_all(text.as_bytes()).await?;
-            let mut buf = vec![0; 12];
-            tcp.read_exact(&mut buf).await?;
-            io::Result::Ok(buf)
-        };
-        if asked.await.is_ok_and(|buf| buf.ends_with(b"200")) {
-            return;
-        }
-        tokio::time::sleep(ASK_EVERY).await;
-    }
-}
--- a/crates/entry/src/account.rs
+++ b/crates/entry/src/account.rs
@@ -1,7 +1,7 @@
 //! The account of a request at its end: metrics, a log line, a record.
 
 use crate::state::Entry;
-use observe::event::now_ms;
+use observe::log_line::now_ms;
 use observe::{Event, Labels, Seconds, emit};
 use records::{Record, Side};
 use std::time::Duration;
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -6,6 +6,7 @@
 //! first bytes take, failures, and which prompt parts were sent there.
 
 pub mod cache;
+mod placements;
 pub mod speed;
 mod upstream;
 
@@ -13,7 +14,7 @@
 
 use crate::peers::{Changing, Placement};
 use net::{Meter, Pool};
-use platform::{Engine, Instance, PromptPart, Service};
+use platform::{Engine, Instance, Service};
 use speed::{Speed, Task, Work};
 use std::collections::VecDeque;
 use std::time::{Duration, Instant};
@@ -25,9 +26,6 @@
 
 /// Time that a move of memory between engines takes besides its bytes.
 const MOVE_SETUP_MS: f64 = 5.0;
-/// Most placements that one datagram tells of.
-const MAX_PLACEMENTS: usize = 64;
-
 /// A service by its place in the fleet's list. Services are never forgotten, so
 /// a key stays valid.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -167,86 +165,6 @@
         self.sees_starts = true;
     }
 
-    /// Tokens of a prompt that an engine has to read. An engine that has run since
-    /// before this process is taken to hold the shared parts whose home it is.
-    pub fn uncached(&self, upstream: &Upstream, parts: &[PromptPart], is_home: bool) -> u32 {
-        let Some((own, shared)) = parts.split_last() else {
-            return 0;
-        };
-        if is_home && !upstream.is_known_from_start {
-            return own.tokens;
-        }
-        own.tokens + upstream.cache.missing(shared)
-    }
-
-    /// Notes that a prompt is sent to an engine to be read.
-    pub fn note_parts(&mut self, key: UpstreamKey, parts: &[PromptPart], now: Instant) {
-        let Some((_, shared)) = parts.split_last() else {
-            return;
-        };
-        let Some(memory) = self.memory_of(key) else {
-            return;
-        };
-        let Some(upstream) = self.get_mut(key) else {
-            return;
-        };
-        let tag = upstream.tag();
-        let mut new = Vec::new();
-        for part in shared {
-            if upstream.cache.note(*part, memory, now) {
-                new.push(Placement {
-                    upstream: tag,
-                    part: part.id,
-                    tokens: part.tokens,
-                });
-            }
-        }
-        self.placements.extend(new.into_iter().map(|p| (now, p)));
-    }
-
-    /// Takes a peer's word of parts that were sent somewhere. Those that are new here
-    /// are told on, if the peer didn't tell all processes itself.
-    pub fn take_placements(&mut self, placements: &[Placement], tell_on: bool, now: Instant) {
-        for placement in placements {
-            if self.take_placement(placement, now) && tell_on {
-                self.placements.push_back((now, *placement));
-            }
-        }
-    }
-
-    fn take_placement(&mut self, placement: &Placement, now: Instant) -> bool {
-        let Some(key) = self.key_of_tag(placement.upstream) else {
-            return false;
-        };
-        let Some(memory) = self.memory_of(key) else {
-            return false;
-        };
-        let part = PromptPart {
-            id: placement.part,
-            tokens: placement.tokens,
-        };
-        let upstream = self.get_mut(key);
-        upstream.is_some_and(|u| u.cache.note(part, memory, now))
-    }
-
-    /// Parts that this process has first sent somewhere within a time.
-    pub fn new_placements(&mut self, within: Duration, now: Instant) -> Vec<Placement> {
-        while let Some((at, _)) = self.placements.front() {
-            if now.saturating_duration_since(*at) <= within {
-                break;
-            }
-            self.placements.pop_front();
-        }
-        let newest = self.placements.iter().rev().take(MAX_PLACEMENTS);
-        newest.map(|(_, p)| *p).collect()
-    }
-
-    /// Tokens that an engine's memory holds; none if it isn't an engine.
-    fn memory_of(&self, key: UpstreamKey) -> Option<u32> {
-        let service = self.get(key)?.service;
-        self.info(service).engine.map(|e| e.cache_tokens)
-    }
-
     /// Services whose upstreams are model engines.
     pub fn engine_services(&self) -> impl Iterator<Item = ServiceKey> {
         let all = self.services.iter().enumerate();
--- a/crates/observe/src/lib.rs
+++ b/crates/observe/src/lib.rs
@@ -1,8 +1,10 @@
 //! What operators see of a process: JSON log lines and prometheus metrics.
 
 pub mod event;
+pub mod log_line;
 pub mod metrics;
 pub mod sink;
 
-pub use event::{Event, emit, flush, init};
+pub use event::Event;
+pub use log_line::{emit, flush, init};
 pub use metrics::{Labels, Metrics, Seconds};
--- /dev/null
+++ b/crates/observe/src/log_line.rs
@@ -0,0 +1,90 @@
+//! Log lines: one event a line, in JSON, on stdout.
+//!
+//! simplelog writes the lines; it has no JSON form of its own, so its own
+//! prefixes are off and the whole line is the event.
+
+use crate::event::Event;
+use crate::sink::{Sink, SinkWriter};
+use log::{Level, LevelFilter};
+use serde::Serialize;
+use simplelog::{ConfigBuilder, WriteLogger};
+use std::sync::OnceLock;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+static PROCESS: OnceLock<String> = OnceLock::new();
+static SINK: OnceLock<&'static Sink> = OnceLock::new();
+/// Longest that a process that ends waits for its last lines to be read.
+const LAST_LINES: Duration = Duration::from_millis(500);
+
+/// Starts logging for this process. A second call changes nothing.
+pub fn init(process: &str) {
+    if PROCESS.set(process.to_owned()).is_err() {
+        return;
+    }
+    let cfg = ConfigBuilder::new()
+        .set_max_level(LevelFilter::Off)
+        .set_time_level(LevelFilter::Off)
+        .set_thread_level(LevelFilter::Off)
+        .set_target_level(LevelFilter::Off)
+        .set_location_level(LevelFilter::Off)
+        .add_filter_allow_str("observe")
+        .build();
+    let sink: &'static Sink = Box::leak(Box::default());
+    let _ = SINK.set(sink);
+    std::thread::spawn(|| sink.write_to(&mut std::io::stdout()));
+    // Another logger may be set in a test; its lines go there then.
+    let _ = WriteLogger::init(LevelFilter::Info, cfg, SinkWriter(sink));
+}
+
+/// Waits until the lines so far are written, for a bounded time.
+pub fn flush() {
+    if let Some(sink) = SINK.get() {
+        sink.flush(LAST_LINES);
+    }
+}
+
+#[derive(Serialize)]
+struct Line<'a> {
+    ts_ms: u64,
+    level: Level,
+    process: &'a str,
+    #[serde(flatten)]
+    event: &'a Event<'a>,
+}
+
+/// Writes an event to the log.
+pub fn emit(event: &Event<'_>) {
+    let level = event.level();
+    if !log::log_enabled!(level) {
+        return;
+    }
+    if let Some(sink) = SINK.get() {
+        if !sink.admit(event.kind(), Instant::now()) {
+            return;
+        }
+        for dropped in sink.take_dropped() {
+            let (kind, count) = (dropped.kind, dropped.count);
+            write(&Event::LinesDropped { kind, count });
+        }
+    }
+    write(event);
+}
+
+fn write(event: &Event<'_>) {
+    let level = event.level();
+    let process = PROCESS.get().map_or("", String::as_str);
+    let line = Line {
+        ts_ms: now_ms(),
+        level,
+        process,
+        event,
+    };
+    let text = serde_json::to_string(&line).expect("events always encode");
+    log::log!(level, "{text}");
+}
+
+/// Milliseconds since 1970, for people and records; no decision rests on it.
+pub fn now_ms() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    since.map_or(0, |d| d.as_millis() as u64)
+}
--- a/crates/records/src/writer.rs
+++ b/crates/records/src/writer.rs
@@ -1,7 +1,7 @@
 //! Writing records in batches, in bounded memory.
 
 use crate::record::{Batch, BatchName, HOUR_MS, Record};
-use observe::event::now_ms;
+use observe::log_line::now_ms;
 use observe::{Event, emit};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
--- a/crates/soak/src/scene.rs
+++ b/crates/soak/src/scene.rs
@@ -1,6 +1,7 @@
 //! What a soak runs: gateways as processes, a store and workers behind relays.
 
 use crate::judge::PIECES;
+use bench::probe::serves;
 use bench::procs::Proc;
 use bench::relay::Relay;
 use serde_json::json;
@@ -166,23 +167,3 @@
 fn address(net: u8, host: u8, port: u16) -> SocketAddr {
     SocketAddr::new(IpAddr::V4(Ipv4Addr::new(127, 65, net, host)), port)
 }
-
-/// Waits until a gateway takes connections and answers one with success.
-async fn serves(at: SocketAddr) {
-    use tokio::io::{AsyncReadExt, AsyncWriteExt};
-    const PAUSE: Duration = Duration::from_millis(50);
-    loop {
-        let text = standin::fixture::request("GET", "/safe/", "probe", "", "");
-        let asked = async {
-            let mut tcp = tokio::net::TcpStream::connect(at).await?;
-            tcp.write_all(text.as_bytes()).await?;
-            let mut buf = vec![0; 12];
-            tcp.read_exact(&mut buf).await?;
-            io::Result::Ok(buf)
-        };
-        if asked.await.is_ok_and(|buf| buf.ends_with(b"200")) {
-            return;
-        }
-        tokio::time::sleep(PAUSE).await;
-    }
-}
