A peer of another version is logged once, not with each of its datagrams

Cause: a hundred unreadable datagrams a second from each process of a former version would push other lines out of the bounded log during a rolling stop. Change: senders are kept in a bounded sorted list; one that is read again may be told again. Test with it.

--- a/crates/gateway/src/peers/exchange.rs
+++ b/crates/gateway/src/peers/exchange.rs
@@ -6,7 +6,7 @@
 use net::server::bind;
 use net::{HeadLimits, Protocol, Server, Stop};
 use observe::{Event, emit};
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 use tokio::net::UdpSocket;
@@ -35,6 +35,8 @@
 const MAX_DATAGRAM: usize = 16 << 10;
 /// Most upstreams whose load one datagram tells of.
 const MAX_LOADS: usize = 1200;
+/// Most senders of unreadable datagrams that are logged.
+const MAX_UNREADABLE: usize = 1024;
 /// Largest head, and longest idle time, of a peer's connection.
 const MAX_HEAD: usize = 8 << 10;
 const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
@@ -66,21 +68,54 @@
     Ok(stop)
 }
 
+/// Senders whose datagrams can't be read, as processes of another version. Each is
+/// logged once: they send a hundred a second.
+#[derive(Debug, Default)]
+pub struct Unreadable {
+    /// Sorted.
+    senders: Vec<IpAddr>,
+}
+
+impl Unreadable {
+    /// Notes a sender; says whether it is to be logged.
+    pub fn is_new(&mut self, sender: IpAddr) -> bool {
+        let Err(at) = self.senders.binary_search(&sender) else {
+            return false;
+        };
+        let has_room = self.senders.len() < MAX_UNREADABLE;
+        if has_room {
+            self.senders.insert(at, sender);
+        }
+        has_room
+    }
+
+    /// Notes that a sender's datagram was read: it has another version now.
+    pub fn is_read(&mut self, sender: IpAddr) {
+        if let Ok(at) = self.senders.binary_search(&sender) {
+            self.senders.remove(at);
+        }
+    }
+}
+
 /// Hears datagrams until the process ends.
 async fn hear(gateway: Arc<Gateway>, socket: Arc<UdpSocket>) {
     let mut buf = vec![0; MAX_DATAGRAM];
+    let mut unreadable = Unreadable::default();
     loop {
         // An error here means that an earlier datagram met a closed port.
         let Ok((len, from)) = socket.recv_from(&mut buf).await else {
             continue;
         };
         let Some(beat) = wire::decode::<Beat>(&buf[..len]) else {
-            emit(&Event::Undecodable {
-                what: "datagram of a peer",
-                why: format!("{len} bytes from {from}"),
-            });
+            if unreadable.is_new(from.ip()) {
+                emit(&Event::Undecodable {
+                    what: "datagram of a peer",
+                    why: format!("{len} bytes from {from}; told once for each peer"),
+                });
+            }
             continue;
         };
+        unreadable.is_read(from.ip());
         let now = Instant::now();
         if beat.registry > gateway.registry().version {
             gateway.behind.notify_one();
--- a/crates/gateway/tests/peers.rs
+++ b/crates/gateway/tests/peers.rs
@@ -7,6 +7,7 @@
 use gateway::fleet::Fleet;
 use gateway::follow::{merge, merge_peers, retry_pause};
 use gateway::peers::catch_up::take_changes;
+use gateway::peers::exchange::Unreadable;
 use gateway::peers::{Beat, Load, Peers, Scope};
 use gateway::state::{Gateway, Registry};
 use net::Meter;
@@ -379,3 +380,19 @@
     // The others are back within the time in which bounds don't count yet.
     assert!(retry_pause(1000, false, 1.0) <= Duration::from_secs(2));
 }
+
+#[test]
+fn a_peer_of_another_version_is_logged_once() {
+    let mut unreadable = Unreadable::default();
+    let ip = |n: u32| IpAddr::V4(Ipv4Addr::from(n));
+    assert!(unreadable.is_new(ip(1)));
+    assert!(!unreadable.is_new(ip(1)));
+    assert!(unreadable.is_new(ip(2)));
+    // It was started anew with this version, and later with the former one.
+    unreadable.is_read(ip(1));
+    assert!(unreadable.is_new(ip(1)));
+    assert!(!unreadable.is_new(ip(2)));
+    // Whoever sends from many addresses fills neither memory nor log.
+    let told = (10..10_000).filter(|n| unreadable.is_new(ip(*n))).count();
+    assert!(told < 1024);
+}
