A process that the store refuses at its start is found by those above it

Cause: found by reading the change. A process in a tree is told by those that it reports to, which it knows by the store's list. One that started while the store refused it knew nobody; if nobody reported to it either, it heard of no configuration and served nobody until the store took it back. Before the trees every process told all in the list. Change: each asks every two seconds those that usually report to it and that it doesn't hear. A process that hears a peer in a tree takes part in it, however few it knows. Test: a_process_that_the_store_refuses_at_its_start_is_found_by_the_others; without the question the last of its zone hears nobody.

--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -74,8 +74,12 @@
     searches_since: Option<Instant>,
     /// Whether it speaks for its zone to other zones.
     is_root: bool,
+    /// Whether the processes form trees, as far as this one knows.
+    is_tree: bool,
     /// When it last asked whether those are there that it may report to.
     hello_at: Option<Instant>,
+    /// When it last asked whether those are there that usually report to it.
+    hello_below_at: Option<Instant>,
     /// Whether the store has told of the peers.
     is_listed: bool,
     /// Counts what was heard that changes what is told on.
@@ -223,7 +227,14 @@
 
     /// Whether each peer is told directly.
     pub fn is_direct(&self) -> bool {
-        self.all.len() <= DIRECT_MOST
+        !self.is_tree
+    }
+
+    /// Looks anew whether the processes form trees: where many are known, or a peer
+    /// speaks so. One that has just started may know few while the store refuses it.
+    fn look_for_trees(&mut self, now: Instant) {
+        let is_told_so = self.live(now).any(|(_, b)| b.scope != Scope::Direct);
+        self.is_tree = is_told_so || self.all.len() > DIRECT_MOST;
     }
 
     /// Peers that are known.
--- a/crates/gateway/src/peers/links.rs
+++ b/crates/gateway/src/peers/links.rs
@@ -24,6 +24,7 @@
 impl Peers {
     /// Chooses anew whom this process reports to, among those that it hears.
     pub fn choose_parent(&mut self, own: Location, fleet: &mut Fleet, now: Instant) {
+        self.look_for_trees(now);
         let zone = self.zone_before(own);
         let bound = self.silent();
         let is_live = |at: usize| self.all[zone[at]].is_live(now, bound);
@@ -96,7 +97,8 @@
         if is_direct {
             return out;
         }
-        let hellos = self.say_hello(own, now);
+        let mut hellos = self.say_hello(own, now);
+        hellos.extend(self.say_hello_below(own, now));
         out.extend(hellos.into_iter().map(|ip| (ip, Scope::Hello)));
         if self.is_root {
             let roots = self.ask_roots(own, now);
@@ -128,6 +130,28 @@
         }
     }
 
+    /// Peers that usually report to this process and that it doesn't hear. One that
+    /// started while the store refuses it knows nobody, and serves nobody until a peer
+    /// tells it the configuration.
+    fn say_hello_below(&mut self, own: Location, now: Instant) -> Vec<IpAddr> {
+        let since = self.hello_below_at;
+        let since = since.map(|at| now.saturating_duration_since(at));
+        if since.is_some_and(|since| since < HELLO_USUAL_EVERY) {
+            return Vec::new();
+        }
+        self.hello_below_at = Some(now);
+        let position = self.zone_before(own).len();
+        let after = self
+            .all
+            .iter()
+            .filter(|p| p.zone == own.zone && p.ip > own.ip);
+        let after: Vec<&Peer> = after.collect();
+        let bound = self.silent();
+        let below = tree::below(position).filter_map(|at| after.get(at - position - 1));
+        let silent = below.filter(|p| !p.is_live(now, bound));
+        silent.map(|p| p.ip).collect()
+    }
+
     /// Peers that may be the roots of zones whose root hasn't been heard.
     fn ask_roots(&mut self, own: Location, now: Instant) -> Vec<IpAddr> {
         let bound = self.silent();
--- a/crates/gateway/src/peers/tree.rs
+++ b/crates/gateway/src/peers/tree.rs
@@ -15,6 +15,11 @@
     std::iter::successors(next(&position), next)
 }
 
+/// Positions of those that usually report to one.
+pub fn below(position: usize) -> std::ops::RangeInclusive<usize> {
+    position * FANOUT + 1..=position * FANOUT + FANOUT
+}
+
 /// The process that one at a position reports to, of those that are alive: the
 /// nearest on the way to the root, or else the first of all. None for a root.
 pub fn parent(position: usize, is_live: impl Fn(usize) -> bool) -> Option<usize> {
--- a/crates/gateway/tests/tree.rs
+++ b/crates/gateway/tests/tree.rs
@@ -281,3 +281,28 @@
     // One that knows nothing of its peers yet takes less still.
     assert!(Peers::default().processes(now) >= 1000);
 }
+
+#[test]
+fn a_process_that_the_store_refuses_at_its_start_is_found_by_the_others() {
+    let mut system = System::new(120);
+    system.draw_loads();
+    system.ticks(SPREAD);
+    // The last of its zone, to which nobody reports, and one in the middle.
+    for n in [119, 20] {
+        let at = usize::from(n);
+        let own = system.all[at].own.clone();
+        system.all[at] = Process::new(n, 120);
+        system.all[at].peers = Peers::default();
+        system.all[at].own = own;
+    }
+    // Those that it usually reports to ask each two seconds.
+    system.ticks(80 + REPLACED);
+    let now = system.now;
+    for n in [119, 20] {
+        assert!(
+            system.all[n].peers.live(now).count() > 0,
+            "{n} hears nobody"
+        );
+    }
+    assert_eq!(system.wrong(), 0);
+}
