--- a/crates/gateway/src/peers/catch_up.rs
+++ b/crates/gateway/src/peers/catch_up.rs
@@ -79,14 +79,19 @@
         if may_wait && now - started_at < FIRST_READ_AHEAD {
             continue;
         }
-        if let Some(ip) = ahead(&gateway, |beat| beat.registry, known) {
-            take_registry(&gateway, ip, known).await;
+        let Some(ip) = ahead(&gateway, |beat| beat.registry, known) else {
+            continue;
+        };
+        if !take_registry(&gateway, ip, known).await {
+            // Its datagrams go on telling of it, a hundred a second.
+            tokio::time::sleep(ASK_EVERY).await;
         }
     }
 }
 
-/// Takes a peer's registry: what has changed, or all of it if that isn't enough.
-async fn take_registry(gateway: &Arc<Gateway>, ip: IpAddr, known: u64) {
+/// Takes a peer's registry: what has changed, or all of it if that isn't enough. Says
+/// whether this process knows the same as the peer then.
+async fn take_registry(gateway: &Arc<Gateway>, ip: IpAddr, known: u64) -> bool {
     // What is held back is settled by a whole registry only.
     let since = match gateway.missing().is_empty() {
         true => known,
@@ -94,11 +99,14 @@
     };
     for since in [since, 0] {
         let path = format!("{REGISTRY_PATH}{since}");
-        let changes = fetch::<RegistryChanges>(gateway, ip, &path).await;
-        if changes.is_none_or(|changes| take_changes(gateway, changes)) {
-            return;
+        let Some(changes) = fetch::<RegistryChanges>(gateway, ip, &path).await else {
+            return false;
+        };
+        if take_changes(gateway, changes) {
+            return true;
         }
     }
+    false
 }
 
 /// Takes changes of the registry; says whether this process knows the same as the
