--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -22,15 +22,15 @@
 /// A peer that was silent for so long counts as gone, and its load with it: three
 /// times the longest pause between two datagrams.
 pub const SILENT: Duration = Duration::from_millis(600);
-/// Most peers that each is told directly. As many hear each other every 64 ms, and by
-/// the tree within some 50 ms; with 30 in trees two of the users' sites earn 0.015 and
-/// 0.03 more than with 30 that are told directly.
+/// Most peers that are each told directly. So many hear each other every 64 ms, and by
+/// the tree within some 50 ms. With 30 processes in trees two of the users' deployments
+/// earn 0.015 and 0.03 more of what is owed than with 30 that tell each other directly.
 const DIRECT_MOST: usize = 16;
 /// Most peers that are known: the aim is 350, and an unknown sender must not
 /// fill the memory.
 const MAX_PEERS: usize = 1024;
 
-/// Where a process is.
+/// The host of a process and its availability zone.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Location {
     /// Address of its host.
@@ -92,7 +92,7 @@
         if let Some(peer) = self.entry(ip) {
             peer.host = Some(host.to_owned());
             peer.zone = zone;
-            // It has just started, or never was avoided.
+            // Its row is written when it starts, so it may answer now.
             peer.avoided_until = None;
         }
     }
--- a/crates/gateway/src/peers/exchange.rs
+++ b/crates/gateway/src/peers/exchange.rs
@@ -17,10 +17,10 @@
 /// Time added for each peer that is told directly, so that a process sends and takes
 /// at most some 250 datagrams a second.
 const SEND_EVERY_PER_PEER: Duration = Duration::from_millis(4);
-/// Shortest time between two datagrams over a link of the tree. A word waits half of it
-/// at each of up to seven steps. With 103 processes that choose among the same engines,
+/// Shortest time between two datagrams over a link of the tree. News waits half of it
+/// at each of up to seven steps. Where 103 processes choose among the same engines,
 /// estimates explain 0.55 of the variance of reading times in a burst with this and none
-/// with 25 to 40 ms, and of the users' worth 0.03 to 0.09 more is earned.
+/// with 25 to 40 ms, and 0.03 to 0.09 more of what is owed is earned.
 const TREE_EVERY: Duration = Duration::from_millis(10);
 /// Bytes a second over a link of the tree, so that what is told of 600 upstreams doesn't
 /// take more than a tenth of a link of 10 Mbit/s: larger datagrams are sent less often.
--- a/crates/gateway/src/peers/links.rs
+++ b/crates/gateway/src/peers/links.rs
@@ -18,7 +18,8 @@
 const HELLO_USUAL_EVERY: Duration = Duration::from_secs(2);
 /// Processes that share a place behind the roots.
 const SHARE_A_PLACE: usize = 4;
-/// Time in which the first of them answer. A process that hears none is a root.
+/// Time in which the first of those that are asked answer. A process that hears none of
+/// them takes itself for the root of its zone.
 const SEARCH: Duration = Duration::from_millis(300);
 
 impl Peers {
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -205,7 +205,7 @@
         }
     }
 
-    /// Where this process is.
+    /// The host of this process and its zone.
     pub fn location(&self) -> Location {
         let host = self.host();
         Location {
