--- a/crates/gateway/src/account.rs
+++ b/crates/gateway/src/account.rs
@@ -61,6 +61,10 @@
     pub may_have_run: bool,
     /// What decided the last choice.
     pub inputs: Option<Inputs>,
+    /// How long before the request came the stop signal did; none if it came later.
+    pub stopping_for: Option<Duration>,
+    /// Most tokens of the answer; none if the request isn't for an engine.
+    pub max_output_tokens: Option<u32>,
     /// Time until its prompt was read by an engine that only reads.
     pub read: Option<Duration>,
     /// Time to the first byte.
@@ -87,6 +91,11 @@
             was_prefilled: false,
             may_have_run: false,
             inputs: None,
+            stopping_for: gateway
+                .stopping_since
+                .get()
+                .and_then(|at| since.checked_duration_since(*at)),
+            max_output_tokens: None,
             read: None,
             first: None,
             status: 0,
@@ -130,6 +139,8 @@
             long_ahead: self.inputs.map(|i| i.long),
             tokens_ahead: self.inputs.map(|i| i.work.tokens as u32 - i.uncached),
             slowdown: self.inputs.map(|i| i.slowdown),
+            max_tokens: self.max_output_tokens,
+            stopping_ms: self.stopping_for.map(millis),
             is_prefill: self.inputs.map(|i| i.task == Task::Prefill),
             read_ms: self.read.map(millis),
             first_ms: self.first.map(millis),
--- a/crates/gateway/src/answer.rs
+++ b/crates/gateway/src/answer.rs
@@ -36,6 +36,8 @@
     UpstreamLost,
     /// The time is up before an answer came.
     TimedOut,
+    /// The process ends before the answer did.
+    ProcessEnds,
     /// The client went away.
     ClientGone,
 }
@@ -81,6 +83,7 @@
             Self::Rejected => "rejected",
             Self::UpstreamLost => "upstream_lost",
             Self::TimedOut => "timed_out",
+            Self::ProcessEnds => "process_ends",
             Self::ClientGone => "client_gone",
         }
     }
@@ -90,7 +93,7 @@
     pub fn status(self, outcome: Outcome) -> StatusCode {
         let may_have_run = outcome != Outcome::NotRun;
         match self {
-            Self::TimedOut if may_have_run => StatusCode::GATEWAY_TIMEOUT,
+            Self::TimedOut | Self::ProcessEnds if may_have_run => StatusCode::GATEWAY_TIMEOUT,
             _ if may_have_run => StatusCode::BAD_GATEWAY,
             Self::Malformed(_) | Self::BrokenBody => StatusCode::BAD_REQUEST,
             Self::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
@@ -114,6 +117,7 @@
             Self::Rejected => "the upstreams rejected the request".into(),
             Self::UpstreamLost => "the connection to the upstream was lost".into(),
             Self::TimedOut => "no answer came in time".into(),
+            Self::ProcessEnds => "the process ends before the answer came".into(),
             Self::ClientGone => "the client went away".into(),
         }
     }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -88,7 +88,7 @@
     let served = gateway.clone();
     let server = tokio::spawn(server.run(listener, move |req| serve::serve(served.clone(), req)));
     stop.stopped().await;
-    let since = Instant::now();
+    let since = *gateway.stopping_since.get_or_init(Instant::now);
     emit(&Event::Stopping { why: "signal" });
     tokio::time::sleep(LEAVE_DELAY).await;
     let grace = gateway.host().stop_grace.mul_f64(GRACE_SHARE);
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -64,7 +64,7 @@
     Broken(String),
     /// The client has gone.
     Gone,
-    /// The route's timeout or the client's deadline is up.
+    /// The route's timeout or the client's deadline is up, or the process ends.
     TimedOut,
 }
 
@@ -89,8 +89,8 @@
                     return;
                 }
                 End::TimedOut => {
-                    self.account
-                        .close(Outcome::BrokenOff, Some(Reason::TimedOut));
+                    let why = self.call.why_over();
+                    self.account.close(Outcome::BrokenOff, Some(why));
                     return;
                 }
                 End::Broken(why) => next = self.resume(why).await,
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -142,6 +142,7 @@
         account.service = Some(info.name.clone());
         info.engine.is_some()
     };
+    account.max_output_tokens = is_engine.then_some(incoming.max_output_tokens);
     gateway.earn_retry(service);
     let body = match body.is_end_stream() {
         true => Bytes::new(),
@@ -200,6 +201,14 @@
         ends_at.map_or(left, |ends| left.min(ends))
     }
 
+    /// Why its time is up.
+    pub fn why_over(&self) -> Reason {
+        match self.ends_at {
+            Some(at) if at <= Instant::now() => Reason::ProcessEnds,
+            _ => Reason::TimedOut,
+        }
+    }
+
     fn need(&self, account: &Account) -> Need<'_> {
         let route = &self.target().route;
         let is_again = account.attempts > 0;
@@ -219,7 +228,7 @@
         let left = self.left();
         match tokio::time::timeout(left, self.run_untimed(account)).await {
             Ok(done) => done,
-            Err(_) => Err(Reason::TimedOut.into()),
+            Err(_) => Err(self.why_over().into()),
         }
     }
 
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -49,6 +49,8 @@
     pub store_bytes: Meter,
     /// Given when the process should end.
     pub stop: Stop,
+    /// When the stop signal came.
+    pub stopping_since: OnceLock<Instant>,
     /// When the process ends whatever still runs, once it is stopping.
     pub ends_at: OnceLock<Instant>,
 }
@@ -89,6 +91,7 @@
             peer_bytes: Meter::default(),
             store_bytes: Meter::default(),
             stop,
+            stopping_since: OnceLock::new(),
             ends_at: OnceLock::new(),
         })
     }
--- a/crates/observe/src/event.rs
+++ b/crates/observe/src/event.rs
@@ -331,6 +331,11 @@
         long_ahead: Option<u32>,
         /// How much slower than its kind the upstream was.
         slowdown: Option<f64>,
+        /// Most tokens of the answer; none if it isn't an engine's.
+        max_tokens: Option<u32>,
+        /// How long before the request came its process was told to stop, in
+        /// milliseconds; none if that was later or never.
+        stopping_ms: Option<u64>,
         /// Whether the prompt was read at an engine that only reads prompts.
         is_prefill: Option<bool>,
         /// Time until its prompt was read by an engine that only reads, in milliseconds.
