A body that is still read when the process ends gets an answer; times of a request apart

Cause: the wait for a body didn't end with the process, so its client's connection closed without a word. Found by looking for the same cause elsewhere, not seen.

Change: the wait ends when the process answers what has no answer: 503, not run, with a time to come back.

Gateway's tests pass.

The wait for a body has no test of its own yet.

--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -4,7 +4,7 @@
 use crate::answer::{Outcome, Reason};
 use crate::attempt::{Rest, Started, Tried, tell_failed};
 use crate::events::EventCutter;
-use crate::serve::Call;
+use crate::serve::{Answer, Call};
 use crate::state::LoadGuard;
 use bytes::Bytes;
 use http_body_util::BodyExt;
@@ -112,7 +112,7 @@
 
     /// Copies one upstream's bytes until they end or the time is up.
     async fn copy(&mut self, first: Option<Bytes>, mut rest: Rest) -> End {
-        let up = self.call.time_up(true);
+        let up = self.call.time_up(Answer::Begun);
         self.unsent = match first.map(|data| self.cut(data)) {
             None => None,
             Some(Ok(data)) => Some(data),
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -1,5 +1,9 @@
 //! The way of a request: receive, route, choose, attempt, relay, account.
 
+mod time;
+
+pub use time::Answer;
+
 use crate::account::Account;
 use crate::answer::{self, Reason};
 use crate::attempt::{self, NotRun, Tried, attempt};
@@ -90,7 +94,8 @@
     fn from(reason: Reason) -> Self {
         let retry_after = match reason {
             Reason::NoConfig => Some(NO_CONFIG_RETRY),
-            Reason::NoUpstream | Reason::Rejected | Reason::Stopping => Some(NO_UPSTREAM_RETRY),
+            Reason::NoUpstream | Reason::Rejected => Some(NO_UPSTREAM_RETRY),
+            Reason::Stopping | Reason::ProcessEnds => Some(NO_UPSTREAM_RETRY),
             _ => None,
         };
         Self {
@@ -144,7 +149,14 @@
     gateway.earn_retry(service);
     let body = match body.is_end_stream() {
         true => Bytes::new(),
-        false => read_whole(body, table.limits.body_bytes, left).await?,
+        false => {
+            let up = time::time_up(gateway.clone(), left, Answer::Awaited);
+            tokio::select! {
+                biased;
+                body = read_whole(body, table.limits.body_bytes, left) => body?,
+                why = up => return Err(why.into()),
+            }
+        }
     };
     Ok(Call {
         since: account.since,
@@ -187,80 +199,6 @@
             .expect("the route was found when the request came")
     }
 
-    /// Time that is left of it, by the client's deadline and the route's timeout.
-    fn own_left(&self) -> Duration {
-        let elapsed = self.since.elapsed();
-        self.target().left(self.incoming.deadline, elapsed)
-    }
-
-    /// Time that an upstream has for it: its own, and that of a process that is stopping.
-    pub fn left(&self) -> Duration {
-        let left = self.own_left();
-        let ending = self.gateway.ending();
-        let process = ending.map(|e| e.cut_at.saturating_duration_since(Instant::now()));
-        process.map_or(left, |process| left.min(process))
-    }
-
-    /// Waits until its time is up, and says why it is. An answer that has begun may go on
-    /// until the last moment of the process.
-    pub fn time_up(&self, has_begun: bool) -> impl Future<Output = Reason> + use<> {
-        let own_left = self.own_left();
-        let gateway = self.gateway.clone();
-        async move {
-            let process_ends = async {
-                let ending = gateway.stopping().await;
-                let at = match has_begun {
-                    true => ending.cut_at,
-                    false => ending.answers_by,
-                };
-                tokio::time::sleep_until(at.into()).await;
-            };
-            tokio::select! {
-                () = tokio::time::sleep(own_left) => Reason::TimedOut,
-                () = process_ends => Reason::ProcessEnds,
-            }
-        }
-    }
-
-    /// Whether its answer, with a first byte after an estimated time, will have ended before
-    /// this process does. What can't be ended is refused as not run while it hasn't: in a
-    /// drain that clients could not avoid, 67 answers were cut off in 16 plays without it.
-    pub fn ends_in_time(&self, account: &mut Account, estimate_ms: f64) -> bool {
-        let Some(ending) = self.gateway.ending() else {
-            return true;
-        };
-        let longest = {
-            let fleet = self.gateway.fleet();
-            let durations = fleet.info(self.service).durations();
-            durations.longest(self.expected_tokens())
-        };
-        let estimate = Duration::from_secs_f64(estimate_ms.max(0.0) / 1000.0);
-        // Its own time may be up before.
-        let ends_in = (estimate + longest).min(self.own_left());
-        let now = Instant::now();
-        account.ends_in = Some(ends_in);
-        account.process_left = Some(ending.work_by.saturating_duration_since(now));
-        ending.leaves_time_for(ends_in, now)
-    }
-
-    /// Tokens that its answer is expected to have; none for a plain one.
-    fn expected_tokens(&self) -> u32 {
-        match self.is_engine {
-            true => self.incoming.expected_tokens(),
-            false => 0,
-        }
-    }
-
-    /// Learns from a whole answer how long such answers take.
-    pub fn note_duration(&self, account: &Account) {
-        let estimate_ms = account.inputs.map_or(0.0, |i| i.estimate_ms);
-        let estimate = Duration::from_secs_f64(estimate_ms.max(0.0) / 1000.0);
-        let beyond = account.since.elapsed().saturating_sub(estimate);
-        let mut fleet = self.gateway.fleet();
-        let durations = fleet.durations_mut(self.service);
-        durations.note(self.expected_tokens(), beyond);
-    }
-
     fn need(&self, account: &Account) -> Need<'_> {
         let route = &self.target().route;
         let is_again = account.attempts > 0;
@@ -277,7 +215,7 @@
 
     /// Finds an upstream whose answer begins, or the reason why there is none.
     async fn run(&mut self, account: &mut Account) -> Result<attempt::Started, Refusal> {
-        let up = self.time_up(false);
+        let up = self.time_up(Answer::Awaited);
         tokio::pin!(up);
         tokio::select! {
             biased;
@@ -394,7 +332,7 @@
         if !self.ends_in_time(account, plan.inputs.estimate_ms) {
             return None;
         }
-        let up = self.time_up(false);
+        let up = self.time_up(Answer::Awaited);
         tokio::select! {
             biased;
             tried = attempt(self, account, &plan, &need) => Some(tried),
