--- a/crates/gateway/tests/stops.rs
+++ b/crates/gateway/tests/stops.rs
@@ -230,3 +230,20 @@
     assert_eq!(runs("late"), 1, "it was sent on again, in vain");
     ends(&mut bed).await;
 }
+
+#[tokio::test]
+async fn a_request_whose_body_never_ends_is_answered_before_the_process_ends() {
+    let (mut bed, _workers) = start(1).await;
+    let engine = bed.add_worker("i-llm", "llm", Some("decode")).await;
+    let probe = request("POST", "/prompt/", "probe", FEW_TOKENS, "x");
+    bed.wait_answer(&probe, 200).await;
+    let _held = stop_and_wait(&bed, &engine).await;
+    let whole = request("POST", "/unsafe/", "late", "", "half of it");
+    let mut client = Client::connect(bed.callers).await;
+    client.send(whole.strip_suffix(" of it").unwrap()).await;
+    let (text, _) = client.read_to_end().await;
+    assert_eq!(status(&text), 503, "{text}");
+    assert!(text.contains("\"error\":\"process_ends\""), "{text}");
+    assert!(text.contains("retry-after"), "{text}");
+    ends(&mut bed).await;
+}
