Entry and agent: a stop has one end, and nothing is begun that lasts past it

Cause: an entry took requests through its linger, and sent retries and resumed streams at any time of its stop, without comparing what the answer takes with what the process has left; a request's deadline bounds only the start of its answer. What still ran at the end was broken off by the process's exit: the caller saw a broken connection, no record and no log line said so. The bound was counted anew for requests, claims and server (up to three times), so that nobody knew when the process ends, and the line `stopped` counted requests as unfinished that ended later.

Change: a stop has one end (linger + drain bound; of an agent the drain bound). A stopping entry tells agents with each request what it has left; an agent refuses what will last longer by what it has measured, else by the deadline, as not run, reason `leaving`, with a time to come back. At the end what runs gets `unknown`, reason `process-ends` (also from an agent, whose idempotent work then goes on elsewhere); tokens that are there go out first. Requests count as running from their receipt, not only once their body is read. Refusals of a leaving agent have a time to come back. `request` lines have `stopping_ms`.

Conclusion: what a stopping entry admits is bounded by time; an estimate is a mean, so some answers will still be cut, and say so.

--- a/crates/agent/src/admission.rs
+++ b/crates/agent/src/admission.rs
@@ -21,7 +21,7 @@
 use wire::{Reason, Refusal};
 
 /// Shortest time after which a refused caller is asked back, in milliseconds.
-const MIN_RETRY_MS: u64 = 100;
+pub const MIN_RETRY_MS: u64 = 100;
 
 /// The queue and slots of one upstream.
 #[derive(Debug)]
@@ -42,6 +42,8 @@
     pub cost: Cost,
     /// When it must have begun to be answered.
     pub deadline: Instant,
+    /// When its answer must have ended, as the entry ends then.
+    pub end: Option<Instant>,
 }
 
 /// A slot at the upstream, free again when this is dropped.
@@ -92,7 +94,7 @@
     pub fn close(&self, reason: Reason) {
         for tx in self.lock().close(reason) {
             // A waiter that went away needs no answer.
-            let _ = tx.send(Err(Refusal::not_run(reason)));
+            let _ = tx.send(Err(Refusal::not_run(reason).retry_in(MIN_RETRY_MS)));
         }
     }
 
--- a/crates/agent/src/admission/queue.rs
+++ b/crates/agent/src/admission/queue.rs
@@ -1,7 +1,7 @@
 //! The queue's state: what waits, what runs, and for whom.
 
 use super::pick::{ClassUse, Pick, TenantUse, Waiter, pick};
-use super::{Ask, Ticket, ms_until, retry_ms};
+use super::{Ask, MIN_RETRY_MS, Ticket, ms_until, retry_ms};
 use crate::rates::Cost;
 use std::time::Instant;
 use tokio::sync::oneshot;
@@ -22,6 +22,7 @@
     tx: Reply,
     cost: Cost,
     deadline: Instant,
+    end: Option<Instant>,
 }
 
 #[derive(Debug)]
@@ -104,7 +105,7 @@
         now: Instant,
     ) -> Result<(u64, Vec<Grant>), Refusal> {
         if let Some(reason) = self.closed {
-            return Err(Refusal::not_run(reason));
+            return Err(Refusal::not_run(reason).retry_in(MIN_RETRY_MS));
         }
         let wait = self.expected_wait_ms(ask.class.urgency, now);
         if self.class_waiting(&ask.class.name) >= ask.class.queue {
@@ -118,6 +119,12 @@
         if begins > ms_until(ask.deadline, now) && !self.running.is_empty() {
             return Err(Refusal::not_run(Reason::DeadlineUnreachable).retry_in(retry_ms(wait)));
         }
+        // Of an answer of unknown length its deadline is all that is known.
+        let known = (ask.cost.total_ms > 0.0).then_some(wait + ask.cost.total_ms);
+        let ends = known.unwrap_or_else(|| ms_until(ask.deadline, now));
+        if is_past(ask.end, ends, now) {
+            return Err(Refusal::not_run(Reason::Leaving).retry_in(MIN_RETRY_MS));
+        }
         self.next_id += 1;
         let id = self.next_id;
         let class = self.class_place(&ask.class.name, ask.class.share);
@@ -136,6 +143,7 @@
             tx,
             cost: ask.cost,
             deadline: ask.deadline,
+            end: ask.end,
         });
         Ok((id, self.dispatch(now)))
     }
@@ -168,8 +176,8 @@
             let Some(at) = chosen else { break };
             let w = self.waiters[at].clone();
             let Some(p) = self.remove(w.id) else { break };
-            if self.refuse_hopeless(&p, now) {
-                let refusal = Refusal::not_run(Reason::DeadlineUnreachable).retry_in(retry_ms(0.0));
+            if let Some(reason) = self.hopeless(&p, now) {
+                let refusal = Refusal::not_run(reason).retry_in(MIN_RETRY_MS);
                 // A waiter that went away needs no answer.
                 let _ = p.tx.send(Err(refusal));
                 continue;
@@ -180,9 +188,14 @@
         grants
     }
 
-    /// Whether a request's answer can't begin in time any more, while others run.
-    fn refuse_hopeless(&self, p: &Pending, now: Instant) -> bool {
-        p.cost.first_ms > ms_until(p.deadline, now) && !self.running.is_empty()
+    /// Why a request's answer can't begin or end in time any more: the one while
+    /// others run, the other as its entry ends before.
+    fn hopeless(&self, p: &Pending, now: Instant) -> Option<Reason> {
+        if is_past(p.end, p.cost.total_ms, now) {
+            return Some(Reason::Leaving);
+        }
+        let is_late = p.cost.first_ms > ms_until(p.deadline, now) && !self.running.is_empty();
+        is_late.then_some(Reason::DeadlineUnreachable)
     }
 
     fn start(&mut self, w: &Waiter, p: &Pending, now: Instant) {
@@ -286,3 +299,8 @@
         }
     }
 }
+
+/// Whether something that takes so many milliseconds from now on lasts past an end.
+fn is_past(end: Option<Instant>, ms: f64, now: Instant) -> bool {
+    end.is_some_and(|end| ms > ms_until(end, now))
+}
--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -71,7 +71,7 @@
     // The server's task ends once its last connection has. All requests have
     // ended; what is left is for their last frames to be taken, which a peer that
     // is paused or cut off never does.
-    let _ = tokio::time::timeout(node.settings.limits.drain_bound, server).await;
+    let _ = tokio::time::timeout(node.last_answers(), server).await;
     node.close_records().await;
     Ok(())
 }
@@ -82,9 +82,10 @@
         why: "signal or leaving host",
     });
     agent.leave();
-    let bound = agent.node.settings.limits.drain_bound;
-    let unfinished = agent.node.drained(bound).await;
-    agent.claims.settled(bound).await;
+    let node = &agent.node;
+    node.begin_stop(node.settings.limits.drain_bound);
+    let unfinished = node.drained(std::future::ready(())).await;
+    agent.claims.settled(node.last_answers()).await;
     serving.stop();
     emit(&Event::Stopped { unfinished });
 }
--- a/crates/agent/src/run.rs
+++ b/crates/agent/src/run.rs
@@ -1,6 +1,6 @@
 //! One try of a request, from its receipt to its last frame.
 
-use crate::admission::{Ask, Ticket};
+use crate::admission::{Ask, MIN_RETRY_MS, Ticket};
 use crate::attempt::{End, Times, Try};
 use crate::complete::complete;
 use crate::frames::Frames;
@@ -73,7 +73,7 @@
     match agent.state() {
         AgentState::Ready => agent.doc().ok_or(Refusal::not_run(Reason::NotReady)),
         AgentState::Starting => Err(Refusal::not_run(Reason::NotReady)),
-        AgentState::Leaving => Err(Refusal::not_run(Reason::Leaving)),
+        AgentState::Leaving => Err(Refusal::not_run(Reason::Leaving).retry_in(MIN_RETRY_MS)),
     }
 }
 
@@ -95,15 +95,16 @@
     if t.frames.send(Part::Started { queue_ms }).await.is_err() {
         return End::Gone;
     }
-    // A non-idempotent call that has begun goes on without its caller: its
-    // answer is kept for a repeat of the key.
-    let end = if t.class.idempotent {
-        tokio::select! {
-            end = run(&mut t, &call) => end,
-            () = gone.closed() => End::Gone,
-        }
-    } else {
-        run(&mut t, &call).await
+    let node = &t.agent.node;
+    let is_idempotent = t.class.idempotent;
+    let end = tokio::select! {
+        // First: what has come is passed on, also at the end.
+        biased;
+        end = run(&mut t, &call) => end,
+        // A non-idempotent call that has begun goes on without its caller: its
+        // answer is kept for a repeat of the key.
+        () = gone.closed(), if is_idempotent => End::Gone,
+        () = node.ended() => End::Refused(Refusal::unknown(Reason::ProcessEnds)),
     };
     drop(ticket);
     end
@@ -123,6 +124,7 @@
         limits: t.doc.doc.tenants,
         cost: t.agent.rates.cost(t.class, call, cached),
         deadline: t.since + Duration::from_millis(t.cx.deadline_ms),
+        end: t.cx.ends_ms.map(|ms| t.since + Duration::from_millis(ms)),
     };
     t.agent.admission.admit(ask).await
 }
--- a/crates/agent/tests/admission.rs
+++ b/crates/agent/tests/admission.rs
@@ -34,6 +34,7 @@
         limits: LIMITS,
         cost,
         deadline: Instant::now() + SOON,
+        end: None,
     }
 }
 
@@ -106,7 +107,9 @@
     assert_eq!(a.admit(full).await.unwrap_err().reason, Reason::TenantLimit);
     a.close(Reason::Leaving);
     for w in waiting {
-        assert_eq!(w.await.unwrap().unwrap_err().reason, Reason::Leaving);
+        let refusal = w.await.unwrap().unwrap_err();
+        assert_eq!(refusal.reason, Reason::Leaving);
+        assert!(refusal.retry_ms.is_some());
     }
     assert_eq!(
         a.admit(ask(&c, "t", cost(1.0))).await.unwrap_err().reason,
@@ -130,6 +133,48 @@
     assert!(a.admit(hopeless()).await.is_ok());
 }
 
+#[tokio::test]
+async fn what_its_entry_cannot_end_is_refused_also_with_nothing_running() {
+    let a = Admission::new();
+    a.set_slots(1);
+    let c = class("c", 0, 10);
+    let ends_soon = |cost| Ask {
+        end: Some(Instant::now() + Duration::from_secs(20)),
+        ..ask(&c, "t", cost)
+    };
+    let long = a.admit(ends_soon(cost(9e6))).await.unwrap_err();
+    assert_eq!(long.reason, Reason::Leaving);
+    assert!(long.retry_ms.is_some());
+    // Of unknown cost, with a deadline past the end; then with one before it.
+    let unknown = a.admit(ends_soon(cost(0.0))).await.unwrap_err();
+    assert_eq!(unknown.reason, Reason::Leaving);
+    let bounded = Ask {
+        deadline: Instant::now() + Duration::from_secs(10),
+        ..ends_soon(cost(0.0))
+    };
+    let ticket = a.admit(bounded).await.unwrap();
+    drop(ticket);
+    let ticket = a.admit(ends_soon(cost(10.0))).await.unwrap();
+    // What waits is looked at again as its turn comes.
+    let waiter = {
+        let (a, c) = (a.clone(), c.clone());
+        tokio::spawn(async move {
+            let end = Some(Instant::now() + Duration::from_millis(200));
+            let ask = Ask {
+                end,
+                ..ask(&c, "t", cost(100.0))
+            };
+            a.admit(ask).await.map(drop)
+        })
+    };
+    settle(&a, 1).await;
+    tokio::time::sleep(Duration::from_millis(200)).await;
+    drop(ticket);
+    let late = waiter.await.unwrap().unwrap_err();
+    assert_eq!(late.reason, Reason::Leaving);
+    assert_eq!(a.counts(), (0, 0));
+}
+
 #[tokio::test]
 async fn a_wait_that_is_dropped_or_times_out_leaves_no_trace() {
     let a = Admission::new();
--- /dev/null
+++ b/crates/arbutusquay/tests/stopping.rs
@@ -0,0 +1,122 @@
+//! What a stopping process takes on, and what becomes of what it can't end.
+
+use bench::bed::{Bed, LOOK, bed_with, is_whole, notice, reply, until};
+use bench::caller::{Got, Sent};
+use bench::deploy::admin_of;
+use bench::procs::Signal;
+use std::net::SocketAddr;
+use std::time::Duration;
+use wire::Outcome;
+
+/// The shipped binary.
+const BINARY: &str = env!("CARGO_BIN_EXE_arbutusquay");
+/// Time of one token.
+const STEP: Duration = Duration::from_millis(20);
+/// Tokens of a stream that lasts longer than any stop here.
+const LONG: u32 = 900;
+/// Time of a plain call that lasts longer than any stop here.
+const LONG_CALL: Duration = Duration::from_secs(12);
+/// Tokens from which an agent learns how long one takes.
+const LEARN: u32 = 20;
+
+/// A site whose processes stop within `linger` and a drain bound of 2 s.
+async fn slow_bed(workers: usize, linger: &str) -> Bed {
+    bed_with(BINARY, workers, |o| {
+        o.rates.step = STEP;
+        o.plain_work = LONG_CALL;
+        let limits = o.limits.replace("linger: 100ms", linger);
+        o.limits = limits.replace('}', ", drain_bound: 2s}");
+    })
+    .await
+}
+
+async fn not_ready(admin: SocketAddr) {
+    let pool = net::Pool::new(admin, Duration::from_secs(5));
+    loop {
+        let req = hyper::Request::builder().uri("/health").header("host", "t");
+        let req = req.body(net::empty()).unwrap();
+        match pool.call(req, 1024, Duration::from_secs(5)).await {
+            Ok((status, _)) if status.is_success() => tokio::time::sleep(LOOK).await,
+            _ => return,
+        }
+    }
+}
+
+fn refused(sent: &Sent) -> (Outcome, &str) {
+    match &sent.got {
+        Got::Refused { outcome, reason } => (*outcome, reason),
+        other => panic!("{other:?}"),
+    }
+}
+
+/// The log lines of a process about one event.
+fn lines(bed: &Bed, process: &str, event: &str) -> Vec<serde_json::Value> {
+    let log = bed.site.dir().join(format!("{process}.log"));
+    let text = std::fs::read_to_string(log).unwrap();
+    let parse = |l| serde_json::from_str::<serde_json::Value>(l).ok();
+    let all = text.lines().filter_map(parse);
+    all.filter(|l| l["event"] == event).collect()
+}
+
+/// Starts a stream and waits until an engine runs it.
+async fn long_stream(bed: &Bed, entry: usize) -> tokio::task::JoinHandle<Sent> {
+    let caller = bed.caller(entry);
+    let task = tokio::spawn(async move { caller.send(reply("long", LONG)).await });
+    let runs = || bed.engines().iter().any(|e| e.open_requests() > 0);
+    until("the stream", runs).await;
+    task
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stopping_entry_refuses_what_it_can_t_end_and_answers_the_rest() {
+    let mut bed = slow_bed(1, "linger: 6s").await;
+    assert!(is_whole(&bed.caller(0).send(reply("learn", LEARN)).await));
+    bed.site.entries[0].process.signal(Signal::Term);
+    not_ready(admin_of(bed.site.entries[0].addr)).await;
+    let long = bed.caller(0).send(reply("long", LONG)).await;
+    let short = bed.caller(0).send(reply("short", 3)).await;
+    assert_eq!(refused(&long), (Outcome::NotRun, "leaving"));
+    assert!(is_whole(&short), "{:?}", short.got);
+    assert!(bed.site.entries[0].process.ended().await.unwrap().success());
+    let told = lines(&bed, "entry-1", "request");
+    let line = told.iter().find(|l| l["reason"] == "leaving").unwrap();
+    assert!(line["stopping_ms"].is_u64(), "{line}");
+    assert!(told[0]["stopping_ms"].is_null(), "{}", told[0]);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_that_outlasts_its_entry_ends_with_a_reason_of_its_own() {
+    let mut bed = slow_bed(1, "linger: 100ms").await;
+    let stream = long_stream(&bed, 0).await;
+    bed.site.entries[0].process.signal(Signal::Term);
+    let sent = stream.await.unwrap();
+    assert_eq!(refused(&sent), (Outcome::Unknown, "process-ends"));
+    assert!(bed.site.entries[0].process.ended().await.unwrap().success());
+    let told = lines(&bed, "entry-1", "request");
+    let line = told.iter().find(|l| l["reason"] == "process-ends").unwrap();
+    assert!(line["stopping_ms"].is_null(), "{line}");
+    assert_eq!(lines(&bed, "entry-1", "stopped")[0]["unfinished"], 1);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_call_that_outlasts_its_agent_is_unknown_for_a_reason_of_its_own() {
+    let bed = slow_bed(1, "linger: 100ms").await;
+    let caller = bed.caller(0);
+    let call = tokio::spawn(async move { caller.send(notice("k", "x")).await });
+    until("the call", || bed.runs_of("k") == 1).await;
+    let plain = bed.site.workers.iter();
+    let plain = plain.filter(|w| w.upstream.name == "portaal-1");
+    plain.for_each(|w| w.agent.signal(Signal::Term));
+    let sent = call.await.unwrap();
+    assert_eq!(refused(&sent), (Outcome::Unknown, "process-ends"));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_that_outlasts_its_agent_goes_on_elsewhere() {
+    let mut bed = slow_bed(2, "linger: 100ms").await;
+    let stream = long_stream(&bed, 0).await;
+    let at = usize::from(bed.engine(0).open_requests() == 0);
+    assert!(bed.site.workers[at].agent.stop().await.unwrap().success());
+    let sent = stream.await.unwrap();
+    assert!(is_whole(&sent), "{:?}", sent.got);
+}
--- a/crates/entry/src/account.rs
+++ b/crates/entry/src/account.rs
@@ -4,7 +4,7 @@
 use observe::log_line::now_ms;
 use observe::{Event, Labels, Seconds, emit};
 use records::{Record, Side};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use wire::{Outcome, Reason, RequestId};
 
 /// A request at its end.
@@ -30,8 +30,8 @@
     pub queue_ms: u64,
     /// Time to the first byte.
     pub first: Option<Duration>,
-    /// Time to the end.
-    pub total: Duration,
+    /// When it was received.
+    pub since: Instant,
     /// Its deadline.
     pub deadline: Duration,
     /// Tokens that the caller has.
@@ -40,7 +40,8 @@
 
 /// Writes a request's account.
 pub fn close(entry: &Entry, e: &Ended<'_>) {
-    measure(entry, e);
+    let total = e.since.elapsed();
+    measure(entry, e, total);
     emit(&Event::Request {
         request: e.id.to_string(),
         service: e.service,
@@ -52,7 +53,8 @@
         attempts: e.attempts,
         queue_ms: e.queue_ms,
         first_ms: e.first.map(millis),
-        total_ms: millis(e.total),
+        total_ms: millis(total),
+        stopping_ms: entry.node.since_stop(e.since).map(millis),
     });
     entry.node.recorder.record(Record {
         request: e.id,
@@ -66,14 +68,14 @@
         attempts: e.attempts,
         queue_ms: e.queue_ms,
         first_ms: e.first.map(millis),
-        total_ms: millis(e.total),
+        total_ms: millis(total),
         deadline_ms: millis(e.deadline),
         count: e.count,
         ended_ms: now_ms(),
     });
 }
 
-fn measure(entry: &Entry, e: &Ended<'_>) {
+fn measure(entry: &Entry, e: &Ended<'_>, total: Duration) {
     let who = Labels {
         service: e.service,
         class: e.class,
@@ -82,7 +84,7 @@
     let metrics = &entry.node.metrics;
     let reason = e.reason.map(|r| r.to_string()).unwrap_or_default();
     metrics.count(who, &e.outcome.to_string(), &reason);
-    metrics.time(who, Seconds::Total, e.total.as_secs_f64());
+    metrics.time(who, Seconds::Total, total.as_secs_f64());
     metrics.time(who, Seconds::Queue, e.queue_ms as f64 / 1000.0);
     if let Some(first) = e.first {
         metrics.time(who, Seconds::First, first.as_secs_f64());
--- a/crates/entry/src/api.rs
+++ b/crates/entry/src/api.rs
@@ -45,10 +45,16 @@
 pub async fn serve(entry: Arc<Entry>, req: Request<Incoming>) -> Response<Body> {
     let since = Instant::now();
     let id = RequestId(fastrand::u128(..));
+    let running = entry.node.begin();
     let (head, body) = req.into_parts();
-    match prepare(&entry, &head, body, id).await {
+    let prepared = tokio::select! {
+        biased;
+        prepared = prepare(&entry, &head, body, id) => prepared,
+        () = entry.node.ended() => Err(Reason::ProcessEnds),
+    };
+    match prepared {
         Ok((req, how)) => {
-            let session = Session::new(entry, req, since);
+            let session = Session::new(entry, req, since, running);
             match how {
                 How::Whole(form) => completion::serve_whole(form, session).await,
                 How::Stream(form) => completion::serve_stream(form, session).await,
@@ -87,7 +93,7 @@
             attempts: 0,
             queue_ms: 0,
             first: None,
-            total: since.elapsed(),
+            since,
             deadline: class.map_or(Duration::ZERO, |c| c.deadline),
             count: 0,
         },
--- a/crates/entry/src/completion.rs
+++ b/crates/entry/src/completion.rs
@@ -286,9 +286,13 @@
             // A caller that takes nothing for that long would hold an engine's slot.
             Ok(Part::Token(text)) => {
                 let send = tx.send(style.chunk(&text, None));
-                tokio::time::timeout(session.patience(), send)
-                    .await
-                    .unwrap_or(Err(Gone))
+                tokio::select! {
+                    biased;
+                    sent = tokio::time::timeout(session.patience(), send) => {
+                        sent.unwrap_or(Err(Gone))
+                    }
+                    () = session.process_ends() => Err(Gone),
+                }
             }
             Ok(Part::End { count }) => {
                 let mut last = style.chunk("", Some(count)).to_vec();
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -58,20 +58,27 @@
         stop: serving.clone(),
     };
     let handler = entry.clone();
-    let server = tokio::spawn(server.run(listener, move |req| api::serve(handler.clone(), req)));
+    let mut server =
+        tokio::spawn(server.run(listener, move |req| api::serve(handler.clone(), req)));
     stop.stopped().await;
+    let limits = &node.settings.limits;
+    node.begin_stop(limits.linger + limits.drain_bound);
     emit(&Event::Stopping {
         why: "signal or leaving host",
     });
     // Health says no at once; callers that the balancer still sends are served
     // until it has noticed.
-    tokio::time::sleep(node.settings.limits.linger).await;
+    tokio::time::sleep(limits.linger).await;
     serving.stop();
-    let unfinished = node.drained(node.settings.limits.drain_bound).await;
+    // The server's task ends once its last connection has, which may bring one more
+    // request until then.
+    let unfinished = node.drained(&mut server).await;
     emit(&Event::Stopped { unfinished });
-    // The tasks end by themselves; a panic in one was reported already. A caller
-    // that never takes its answer doesn't hold the process for ever.
-    let _ = tokio::time::timeout(node.settings.limits.drain_bound, server).await;
+    // A panic in a task was reported already. A caller that never takes its answer
+    // doesn't hold the process for ever.
+    if !server.is_finished() {
+        let _ = tokio::time::timeout(node.last_answers(), server).await;
+    }
     for duty in duties {
         let _ = duty.await;
     }
--- a/crates/entry/src/refusal.rs
+++ b/crates/entry/src/refusal.rs
@@ -91,5 +91,6 @@
         Reason::UpstreamBroken => "the upstream broke off or answered nonsense",
         Reason::PeerLost => "the connection to the agent was lost",
         Reason::CallerGone => "the caller hung up",
+        Reason::ProcessEnds => "the process stopped before the answer was whole",
     }
 }
--- a/crates/entry/src/session.rs
+++ b/crates/entry/src/session.rs
@@ -66,10 +66,14 @@
 }
 
 impl Session {
-    /// A request that was received at `since`.
-    pub fn new(entry: Arc<Entry>, req: RoutedRequest, since: Instant) -> Self {
+    /// A request that was received at `since` and counts as running since then.
+    pub fn new(
+        entry: Arc<Entry>,
+        req: RoutedRequest,
+        since: Instant,
+        running: RunningGuard,
+    ) -> Self {
         entry.earn_retry();
-        let running = entry.node.begin();
         Self {
             entry,
             req,
@@ -105,6 +109,35 @@
     /// Waits for the next part of the answer: tokens and an end, or a head, a
     /// body and an end. A second head means that the answer begins anew.
     pub async fn next(&mut self) -> Result<Part, Refusal> {
+        let node = self.entry.node.clone();
+        tokio::select! {
+            // First: what has come is passed on, also at the end.
+            biased;
+            next = self.follow() => next,
+            () = node.ended() => self.cut(),
+        }
+    }
+
+    /// Ends an answer that its process can't end, in a way that shows.
+    fn cut(&mut self) -> Result<Part, Refusal> {
+        self.current = None;
+        if self.has_all_tokens() {
+            return Ok(self.whole());
+        }
+        if self.attempts == 0 {
+            return Err(self.give_up_as(Reason::ProcessEnds));
+        }
+        // A try that was on its way may have run.
+        self.none_has_run = false;
+        Err(self.give_up(Refusal::unknown(Reason::ProcessEnds)))
+    }
+
+    /// Waits until the process has no more time for running requests.
+    pub async fn process_ends(&self) {
+        self.entry.node.ended().await;
+    }
+
+    async fn follow(&mut self) -> Result<Part, Refusal> {
         loop {
             if self.current.is_none() {
                 self.open().await?;
@@ -126,14 +159,19 @@
             }
             if self.has_all_tokens() {
                 // It broke after its last token: there is nothing to resume.
-                self.note(Outcome::Answered, None);
-                return Ok(Part::End {
-                    count: self.delivered,
-                });
+                return Ok(self.whole());
             }
         }
     }
 
+    /// The end of an answer whose last token the caller has.
+    fn whole(&mut self) -> Part {
+        self.note(Outcome::Answered, None);
+        Part::End {
+            count: self.delivered,
+        }
+    }
+
     /// Opens the next try.
     async fn open(&mut self) -> Result<(), Refusal> {
         let spent = self.attempts >= self.entry.node.settings.limits.attempts
@@ -179,6 +217,12 @@
         self.req.deadline.saturating_sub(self.since.elapsed())
     }
 
+    /// What is left of the process's time, if it is stopping.
+    fn process_left(&self) -> Option<Duration> {
+        let ends = self.entry.node.ends()?;
+        Some(ends.saturating_duration_since(Instant::now()))
+    }
+
     fn probe(&self) -> Probe {
         let (prompt_len, prefixes) = match &self.req.call {
             Call::Completion(c) => (c.prompt.len() as u64, prefix::hashes(c.prompt.as_bytes())),
@@ -206,6 +250,7 @@
             tenant: self.req.tenant.clone(),
             class: self.req.class.name.clone(),
             deadline_ms: self.left().as_millis() as u64,
+            ends_ms: self.process_left().map(|left| left.as_millis() as u64),
             doc_version: self.req.doc.version,
             entry: self.entry.node.settings.name.clone(),
         };
@@ -258,6 +303,10 @@
     /// A try was refused: another may be made if no upstream has run it.
     fn refused(&mut self, refusal: Refusal) -> Result<(), Refusal> {
         self.current = None;
+        if refusal.reason == Reason::ProcessEnds {
+            // The agent stopped in the middle: another may go on with it.
+            return self.lost(Reason::ProcessEnds);
+        }
         if refusal.outcome == Outcome::NotRun && may_go_elsewhere(refusal.reason) {
             self.refusal = Some(refusal);
             return Ok(());
@@ -303,7 +352,7 @@
                 attempts: self.attempts,
                 queue_ms: self.queue_ms,
                 first: self.first,
-                total: self.since.elapsed(),
+                since: self.since,
                 deadline: self.req.deadline,
                 count: self.delivered,
             },
@@ -312,14 +361,19 @@
 }
 
 impl Drop for Session {
-    /// A session that is dropped before its end has lost its caller.
+    /// A session that is dropped before its end has lost its caller or its process.
     fn drop(&mut self) {
         let outcome = if self.attempts == 0 {
             Outcome::NotRun
         } else {
             Outcome::Unknown
         };
-        self.note(outcome, Some(Reason::CallerGone));
+        let reason = if self.entry.node.has_ended() {
+            Reason::ProcessEnds
+        } else {
+            Reason::CallerGone
+        };
+        self.note(outcome, Some(reason));
     }
 }
 
@@ -342,6 +396,7 @@
         | Reason::DeadlinePassed
         | Reason::ClaimUnavailable
         | Reason::KeyInUse
-        | Reason::CallerGone => false,
+        | Reason::CallerGone
+        | Reason::ProcessEnds => false,
     }
 }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -11,9 +11,9 @@
 use quick_error::quick_error;
 use records::Recorder;
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::time::Duration;
+use std::sync::{Arc, OnceLock};
+use std::time::{Duration, Instant};
 use store::poll::{AlsoRows, DocPoll, LeavingHosts, poll_hosts};
 use store::{Documents, HttpPlatform};
 use tokio::net::TcpListener;
@@ -25,6 +25,9 @@
 const ADMIN_TIMEOUT: Duration = Duration::from_secs(10);
 /// Time between looks at whether running requests have ended.
 const DRAIN_LOOK: Duration = Duration::from_millis(20);
+/// Longest wait, once the time of running requests is up, for callers and peers to take
+/// what was sent and for the last claims. An answer that nobody takes holds no process.
+const LAST_ANSWERS: Duration = Duration::from_secs(5);
 /// Longest wait for the last records when a process ends.
 const LAST_RECORDS: Duration = Duration::from_secs(5);
 
@@ -65,6 +68,16 @@
     /// Given when the process should end: by a signal, or as its host leaves.
     pub stop: Stop,
     running: AtomicU64,
+    stopping: OnceLock<Stopping>,
+    /// Given when the time of running requests is up.
+    ended: Stop,
+}
+
+/// A stop that has begun.
+#[derive(Debug, Clone, Copy)]
+struct Stopping {
+    since: Instant,
+    ends: Instant,
 }
 
 /// Counts a request as running until it is dropped.
@@ -101,6 +114,8 @@
             recorder,
             stop,
             running: AtomicU64::new(0),
+            stopping: OnceLock::new(),
+            ended: Stop::default(),
             platform,
             settings,
         });
@@ -148,16 +163,60 @@
         self.running.load(Ordering::SeqCst)
     }
 
-    /// Waits until nothing runs, for at most `bound`. Gives what still runs.
-    pub async fn drained(&self, bound: Duration) -> u64 {
+    /// Notes that the process stops from now on, and may run requests for so long yet.
+    pub fn begin_stop(&self, within: Duration) {
+        let since = Instant::now();
+        let ends = since + within;
+        // A second call changes nothing: the end stands once it was told.
+        let _ = self.stopping.set(Stopping { since, ends });
+    }
+
+    /// When requests that still run are ended, if the process is stopping.
+    pub fn ends(&self) -> Option<Instant> {
+        self.stopping.get().map(|s| s.ends)
+    }
+
+    /// How long after the stop began something came, if it came after.
+    pub fn since_stop(&self, came: Instant) -> Option<Duration> {
+        came.checked_duration_since(self.stopping.get()?.since)
+    }
+
+    /// Waits until the time of running requests is up; for ever if it never is.
+    pub async fn ended(&self) {
+        self.ended.stopped().await;
+    }
+
+    /// Whether the time of running requests is up.
+    pub fn has_ended(&self) -> bool {
+        self.ended.is_stopped()
+    }
+
+    /// Waits until `idle` is over and nothing runs, or the time of a stop is up, and
+    /// ends what runs then. Gives how many that were.
+    pub async fn drained(&self, idle: impl Future) -> u64 {
         let done = async {
+            idle.await;
             while self.running() > 0 {
                 tokio::time::sleep(DRAIN_LOOK).await;
             }
         };
-        // Past the bound the count below tells what is left.
-        let _ = tokio::time::timeout(bound, done).await;
-        self.running()
+        // Past the end the count below tells what is left.
+        let _ = tokio::time::timeout(self.left(), done).await;
+        let unfinished = self.running();
+        self.ended.stop();
+        unfinished
+    }
+
+    /// Longest wait for what comes after a stop's last request.
+    pub fn last_answers(&self) -> Duration {
+        self.left() + LAST_ANSWERS
+    }
+
+    /// What is left until a stop's end.
+    fn left(&self) -> Duration {
+        let now = Instant::now();
+        let ends = self.ends().unwrap_or(now);
+        ends.saturating_duration_since(now)
     }
 
     /// Writes the last records, within a bounded time.
--- a/crates/observe/src/event.rs
+++ b/crates/observe/src/event.rs
@@ -48,6 +48,8 @@
         first_ms: Option<u64>,
         /// Time to the end, in milliseconds.
         total_ms: u64,
+        /// How long after its process began to stop it came, if it came after.
+        stopping_ms: Option<u64>,
     },
     /// A document is in force in this process.
     DocInForce {
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -81,6 +81,8 @@
     PeerLost,
     /// The caller hung up.
     CallerGone,
+    /// A stopping process's time for running requests was up.
+    ProcessEnds,
 }
 
 impl fmt::Display for Reason {
@@ -103,6 +105,7 @@
             Self::UpstreamBroken => "upstream-broken",
             Self::PeerLost => "peer-lost",
             Self::CallerGone => "caller-gone",
+            Self::ProcessEnds => "process-ends",
         })
     }
 }
@@ -202,6 +205,10 @@
     pub class: String,
     /// What is left of the deadline, in milliseconds.
     pub deadline_ms: u64,
+    /// Time that the entry has left, in milliseconds, if it is stopping. What will
+    /// last longer must not begin.
+    #[serde(default)]
+    pub ends_ms: Option<u64>,
     /// Version of the document that the entry goes by.
     pub doc_version: u64,
     /// The entry's name, for records.
