A stream that outlasts agents in turn goes back to a restarted one

Cause: a try that ended with its agent's process counted like one that failed: against the tries of a request (three), the retry budget, and by leaving that upstream out for the rest of the request. As all agents are restarted in turn, a stream longer than their drain bounds was given up at the second stop of a fleet of two, and at the third of any fleet, though upstreams took work.

Change: an agent's end is told by a reason of its own (`process-ends`), so the entry knows that the request is not to blame: such a try counts against nothing, and its upstream may be chosen again once it takes work. The tries' numbers go on rising, since they tell late chunks of earlier tries apart.

Conclusion: planned stops alone no longer give up an idempotent stream.

--- a/crates/arbutusquay/tests/stopping.rs
+++ b/crates/arbutusquay/tests/stopping.rs
@@ -13,7 +13,7 @@
 /// Time of one token.
 const STEP: Duration = Duration::from_millis(20);
 /// Tokens of a stream that lasts longer than any stop here.
-const LONG: u32 = 900;
+const LONG: u32 = 1200;
 /// Time of a plain call that lasts longer than any stop here.
 const LONG_CALL: Duration = Duration::from_secs(12);
 /// Tokens from which an agent learns how long one takes.
@@ -120,3 +120,20 @@
     let sent = stream.await.unwrap();
     assert!(is_whole(&sent), "{:?}", sent.got);
 }
+
+/// As all agents are restarted one after the other, on a small fleet back to the first.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_that_outlasts_agents_in_turn_goes_back_to_a_restarted_one() {
+    let mut bed = slow_bed(2, "linger: 100ms").await;
+    let stream = long_stream(&bed, 0).await;
+    let first = usize::from(bed.engine(0).open_requests() == 0);
+    for at in [first, 1 - first, first] {
+        assert!(bed.site.workers[at].agent.stop().await.unwrap().success());
+        let moved = || bed.engine(1 - at).open_requests() > 0;
+        until("the stream at the other engine", moved).await;
+        bed.site.restart_agent(at).unwrap();
+        bed.site.ready().await.unwrap();
+    }
+    let sent = stream.await.unwrap();
+    assert!(is_whole(&sent), "{:?}", sent.got);
+}
--- a/crates/entry/src/refusal.rs
+++ b/crates/entry/src/refusal.rs
@@ -94,3 +94,27 @@
         Reason::ProcessEnds => "the process stopped before the answer was whole",
     }
 }
+
+/// Whether another upstream may help. What the caller did wrong is wrong there too.
+pub fn may_go_elsewhere(reason: Reason) -> bool {
+    match reason {
+        Reason::QueueFull
+        | Reason::TenantLimit
+        | Reason::DeadlineUnreachable
+        | Reason::Leaving
+        | Reason::NotReady
+        | Reason::NoUpstream
+        | Reason::UpstreamBroken
+        | Reason::PeerLost => true,
+        Reason::BadRequest
+        | Reason::TooLarge
+        | Reason::SlowRequest
+        | Reason::UnknownService
+        | Reason::UnknownClass
+        | Reason::DeadlinePassed
+        | Reason::ClaimUnavailable
+        | Reason::KeyInUse
+        | Reason::CallerGone
+        | Reason::ProcessEnds => false,
+    }
+}
--- a/crates/entry/src/session.rs
+++ b/crates/entry/src/session.rs
@@ -3,6 +3,7 @@
 use crate::account::{self, Ended};
 use crate::attempt::Attempt;
 use crate::choose::{Chosen, choose};
+use crate::refusal::may_go_elsewhere;
 use crate::state::Entry;
 use conf::Class;
 use hyper::Method;
@@ -43,8 +44,13 @@
     req: RoutedRequest,
     since: Instant,
     current: Option<Attempt>,
+    /// Upstreams that aren't tried again.
     tried: Vec<String>,
     attempts: u32,
+    /// Tries that ended with their agent's process, by no fault of the request.
+    cuts: u32,
+    /// The upstream that was tried last.
+    upstream: Option<String>,
     /// Whether every try so far came back as not run.
     none_has_run: bool,
     /// The last refusal of an agent, to be passed on if no other serves.
@@ -81,6 +87,8 @@
             current: None,
             tried: Vec::new(),
             attempts: 0,
+            cuts: 0,
+            upstream: None,
             none_has_run: true,
             refusal: None,
             delivered: 0,
@@ -174,8 +182,9 @@
 
     /// Opens the next try.
     async fn open(&mut self) -> Result<(), Refusal> {
-        let spent = self.attempts >= self.entry.node.settings.limits.attempts
-            || (self.attempts > 0 && !self.entry.spend_retry());
+        let counted = self.attempts - self.cuts;
+        let spent = counted >= self.entry.node.settings.limits.attempts
+            || (counted > 0 && !self.entry.spend_retry());
         if spent {
             return Err(self.give_up_as(Reason::NoUpstream));
         }
@@ -256,6 +265,7 @@
         };
         let body = wire::encode(&(&cx, &self.req.call));
         self.tried.push(chosen.name.clone());
+        self.upstream = Some(chosen.name.clone());
         let req = chosen.peer.request(Method::POST, PATH_RUN, body);
         let wait = self.left() + SLACK;
         match tokio::time::timeout(wait, chosen.peer.send(req)).await {
@@ -304,7 +314,10 @@
     fn refused(&mut self, refusal: Refusal) -> Result<(), Refusal> {
         self.current = None;
         if refusal.reason == Reason::ProcessEnds {
-            // The agent stopped in the middle: another may go on with it.
+            // The agent stopped in the middle: another may go on with it, or that one
+            // once it is back.
+            self.cuts += 1;
+            self.tried.pop();
             return self.lost(Reason::ProcessEnds);
         }
         if refusal.outcome == Outcome::NotRun && may_go_elsewhere(refusal.reason) {
@@ -348,7 +361,7 @@
                 class: &self.req.class.name,
                 outcome,
                 reason,
-                upstream: self.tried.last().map(String::as_str),
+                upstream: self.upstream.as_deref(),
                 attempts: self.attempts,
                 queue_ms: self.queue_ms,
                 first: self.first,
@@ -376,27 +389,3 @@
         self.note(outcome, Some(reason));
     }
 }
-
-/// Whether another upstream may help. What the caller did wrong is wrong there too.
-fn may_go_elsewhere(reason: Reason) -> bool {
-    match reason {
-        Reason::QueueFull
-        | Reason::TenantLimit
-        | Reason::DeadlineUnreachable
-        | Reason::Leaving
-        | Reason::NotReady
-        | Reason::NoUpstream
-        | Reason::UpstreamBroken
-        | Reason::PeerLost => true,
-        Reason::BadRequest
-        | Reason::TooLarge
-        | Reason::SlowRequest
-        | Reason::UnknownService
-        | Reason::UnknownClass
-        | Reason::DeadlinePassed
-        | Reason::ClaimUnavailable
-        | Reason::KeyInUse
-        | Reason::CallerGone
-        | Reason::ProcessEnds => false,
-    }
-}
