Entry and agent: SIGHUP stops gracefully, HTTP/1 connections end in the linger

Cause: (1) entry and agent had no handler of SIGHUP, which is a reload to the gateway: its default ended them at once and cut off all that ran. (2) While an entry lingers it kept HTTP/1 connections open and closed the idle ones as the linger was over: a request that a caller had just sent on one got no answer.

Change: SIGHUP stops them like SIGTERM. Answers over HTTP/1 of a stopping entry say `connection: close`.

Connections that the kernel has taken and the process hasn't, or whose first request hasn't come as the linger ends, are still closed without an answer (PROMISES).

--- a/crates/arbutusquay/src/commands/process.rs
+++ b/crates/arbutusquay/src/commands/process.rs
@@ -9,13 +9,23 @@
 use std::path::Path;
 use tokio::signal::unix::{SignalKind, signal};
 
+/// Signals that stop a process gracefully.
+const SIGNALS: [SignalKind; 2] = [SignalKind::terminate(), SignalKind::interrupt()];
+/// The same for entry and agent, which read their settings once: as SIGHUP isn't a
+/// reload to them, it would end them at once and cut off what they run.
+const OWN_SIGNALS: [SignalKind; 3] = [
+    SignalKind::terminate(),
+    SignalKind::interrupt(),
+    SignalKind::hangup(),
+];
+
 /// Runs an entry.
 pub async fn entry(path: &Path) -> Exit {
     let settings = match start(path) {
         Ok(settings) => settings,
         Err(exit) => return exit,
     };
-    end(entry::run(settings, stop_on_signal()).await)
+    end(entry::run(settings, stop_on(&OWN_SIGNALS)).await)
 }
 
 /// Runs an agent.
@@ -24,7 +34,7 @@
         Ok(settings) => settings,
         Err(exit) => return exit,
     };
-    end(agent::run(settings, stop_on_signal()).await)
+    end(agent::run(settings, stop_on(&OWN_SIGNALS)).await)
 }
 
 /// Runs a gateway.
@@ -38,7 +48,7 @@
         }
     };
     observe::init(&host.name);
-    let ended = gateway::run(path, host, stop_on_signal()).await;
+    let ended = gateway::run(path, host, stop_on(&SIGNALS)).await;
     observe::flush();
     match ended {
         Ok(()) => Exit::Done,
@@ -70,10 +80,10 @@
     }
 }
 
-/// A stop that SIGTERM and SIGINT give.
-fn stop_on_signal() -> Stop {
+/// A stop that signals give. Later ones change nothing.
+fn stop_on(kinds: &[SignalKind]) -> Stop {
     let stop = Stop::default();
-    for kind in [SignalKind::terminate(), SignalKind::interrupt()] {
+    for kind in kinds.iter().copied() {
         let mut signal = signal(kind).expect("a handler for a plain signal can be set");
         let stop = stop.clone();
         tokio::spawn(async move {
--- a/crates/arbutusquay/tests/stopping.rs
+++ b/crates/arbutusquay/tests/stopping.rs
@@ -137,3 +137,37 @@
     let sent = stream.await.unwrap();
     assert!(is_whole(&sent), "{:?}", sent.got);
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn no_signal_but_a_kill_cuts_off_a_stream() {
+    let mut bed = slow_bed(1, "linger: 100ms").await;
+    let caller = bed.caller(0);
+    let stream = tokio::spawn(async move { caller.send(reply("short", LEARN)).await });
+    let runs = || bed.engine(0).open_requests() > 0;
+    until("the stream", runs).await;
+    let entry = &mut bed.site.entries[0].process;
+    for signal in [Signal::Hangup, Signal::Term, Signal::Term, Signal::Hangup] {
+        entry.signal(signal);
+        tokio::time::sleep(LOOK).await;
+    }
+    let sent = stream.await.unwrap();
+    assert!(is_whole(&sent), "{:?}", sent.got);
+    assert!(entry.ended().await.unwrap().success());
+}
+
+/// A request that is sent on a kept connection just as the server ends gets no answer.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stopping_entry_asks_callers_to_leave_its_connections() {
+    let bed = slow_bed(1, "linger: 5s").await;
+    let addr = bed.site.entries[0].addr;
+    let pool = net::Pool::new(addr, Duration::from_secs(5));
+    let answer = || async {
+        let req = bench::caller::request(&reply("short", 3));
+        let answer = pool.send_fresh(req).await.unwrap();
+        answer.response.headers().get("connection").cloned()
+    };
+    assert_eq!(answer().await, None);
+    bed.site.entries[0].process.signal(Signal::Term);
+    not_ready(admin_of(addr)).await;
+    assert_eq!(answer().await.unwrap(), "close");
+}
--- a/crates/entry/src/api.rs
+++ b/crates/entry/src/api.rs
@@ -13,9 +13,9 @@
 use conf::yaml::is_name;
 use conf::{Class, Doc};
 use hyper::body::Incoming;
-use hyper::header::CONTENT_TYPE;
+use hyper::header::{CONNECTION, CONTENT_TYPE, HeaderValue};
 use hyper::http::request::Parts;
-use hyper::{Method, Request, Response};
+use hyper::{Method, Request, Response, Version};
 use net::Body;
 use net::server::{BodyFault, read_body};
 use std::sync::Arc;
@@ -41,8 +41,19 @@
 /// Longest wait of a request for the service's first document.
 const DOC_WAIT: Duration = Duration::from_secs(2);
 
-/// Answers a caller.
+/// Answers a caller. While the process stops its connection ends with the answer: a
+/// request that is on its way just as the server ends would get none.
 pub async fn serve(entry: Arc<Entry>, req: Request<Incoming>) -> Response<Body> {
+    let is_single = req.version() < Version::HTTP_2;
+    let mut res = answer(entry.clone(), req).await;
+    if is_single && entry.node.ends().is_some() {
+        let close = HeaderValue::from_static("close");
+        res.headers_mut().insert(CONNECTION, close);
+    }
+    res
+}
+
+async fn answer(entry: Arc<Entry>, req: Request<Incoming>) -> Response<Body> {
     let since = Instant::now();
     let id = RequestId(fastrand::u128(..));
     let running = entry.node.begin();
