--- a/crates/arbutusquay/tests/stopping.rs
+++ b/crates/arbutusquay/tests/stopping.rs
@@ -1,11 +1,13 @@
 //! What a stopping process takes on, and what becomes of what it can't end.
 
-use bench::bed::{Bed, LOOK, bed_with, is_whole, notice, reply, until};
+use bench::bed::{Bed, LOOK, MODEL, bed_with, is_whole, notice, reply, until};
 use bench::caller::{Got, Sent};
 use bench::deploy::admin_of;
 use bench::procs::Signal;
 use std::net::SocketAddr;
 use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
 use wire::Outcome;
 
 /// The shipped binary.
@@ -171,3 +173,31 @@
     not_ready(admin_of(addr)).await;
     assert_eq!(answer().await.unwrap(), "close");
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_whose_body_never_comes_is_answered_before_the_end() {
+    let mut bed = bed_with(BINARY, 1, |o| {
+        let limits = o.limits.replace("read_timeout: 2s", "read_timeout: 30s");
+        o.limits = limits.replace('}', ", drain_bound: 2s}");
+    })
+    .await;
+    let mut caller = TcpStream::connect(bed.site.entries[0].addr).await.unwrap();
+    let head = format!("POST /{MODEL}/v1/completions HTTP/1.1\r\nhost: e\r\ncontent-length: 9\r\n");
+    caller.write_all(head.as_bytes()).await.unwrap();
+    caller
+        .write_all(b"expect: 100-continue\r\n\r\n")
+        .await
+        .unwrap();
+    // The server asks for the body as it begins to read it.
+    let mut begun = [0; 12];
+    caller.read_exact(&mut begun).await.unwrap();
+    assert_eq!(&begun, b"HTTP/1.1 100");
+    bed.site.entries[0].process.signal(Signal::Term);
+    let mut answer = String::new();
+    // How the connection ends after the answer is of no matter here.
+    let _ = caller.read_to_string(&mut answer).await;
+    assert!(answer.contains("HTTP/1.1 503"), "{answer}");
+    assert!(answer.contains("process-ends"), "{answer}");
+    assert!(bed.site.entries[0].process.ended().await.unwrap().success());
+    assert_eq!(lines(&bed, "entry-1", "stopped")[0]["unfinished"], 1);
+}
