--- a/crates/entry/src/api.rs
+++ b/crates/entry/src/api.rs
@@ -13,9 +13,9 @@
 use conf::yaml::is_name;
 use conf::{Class, Doc};
 use hyper::body::Incoming;
-use hyper::header::CONTENT_TYPE;
+use hyper::header::{CONNECTION, CONTENT_TYPE, HeaderValue};
 use hyper::http::request::Parts;
-use hyper::{Method, Request, Response};
+use hyper::{Method, Request, Response, Version};
 use net::Body;
 use net::server::{BodyFault, read_body};
 use std::sync::Arc;
@@ -41,14 +41,31 @@
 /// Longest wait of a request for the service's first document.
 const DOC_WAIT: Duration = Duration::from_secs(2);
 
-/// Answers a caller.
+/// Answers a caller. While the process stops its connection ends with the answer: a
+/// request that is on its way just as the server ends would get none.
 pub async fn serve(entry: Arc<Entry>, req: Request<Incoming>) -> Response<Body> {
+    let is_single = req.version() < Version::HTTP_2;
+    let mut res = answer(entry.clone(), req).await;
+    if is_single && entry.node.ends().is_some() {
+        let close = HeaderValue::from_static("close");
+        res.headers_mut().insert(CONNECTION, close);
+    }
+    res
+}
+
+async fn answer(entry: Arc<Entry>, req: Request<Incoming>) -> Response<Body> {
     let since = Instant::now();
     let id = RequestId(fastrand::u128(..));
+    let running = entry.node.begin();
     let (head, body) = req.into_parts();
-    match prepare(&entry, &head, body, id).await {
+    let prepared = tokio::select! {
+        biased;
+        prepared = prepare(&entry, &head, body, id) => prepared,
+        () = entry.node.ended() => Err(Reason::ProcessEnds),
+    };
+    match prepared {
         Ok((req, how)) => {
-            let session = Session::new(entry, req, since);
+            let session = Session::new(entry, req, since, running);
             match how {
                 How::Whole(form) => completion::serve_whole(form, session).await,
                 How::Stream(form) => completion::serve_stream(form, session).await,
@@ -87,7 +104,7 @@
             attempts: 0,
             queue_ms: 0,
             first: None,
-            total: since.elapsed(),
+            since,
             deadline: class.map_or(Duration::ZERO, |c| c.deadline),
             count: 0,
         },
--- a/crates/entry/src/refusal.rs
+++ b/crates/entry/src/refusal.rs
@@ -91,5 +91,30 @@
         Reason::UpstreamBroken => "the upstream broke off or answered nonsense",
         Reason::PeerLost => "the connection to the agent was lost",
         Reason::CallerGone => "the caller hung up",
+        Reason::ProcessEnds => "the process stopped before the answer was whole",
+    }
+}
+
+/// Whether another upstream may help. What the caller did wrong is wrong there too.
+pub fn may_go_elsewhere(reason: Reason) -> bool {
+    match reason {
+        Reason::QueueFull
+        | Reason::TenantLimit
+        | Reason::DeadlineUnreachable
+        | Reason::Leaving
+        | Reason::NotReady
+        | Reason::NoUpstream
+        | Reason::UpstreamBroken
+        | Reason::PeerLost => true,
+        Reason::BadRequest
+        | Reason::TooLarge
+        | Reason::SlowRequest
+        | Reason::UnknownService
+        | Reason::UnknownClass
+        | Reason::DeadlinePassed
+        | Reason::ClaimUnavailable
+        | Reason::KeyInUse
+        | Reason::CallerGone
+        | Reason::ProcessEnds => false,
     }
 }
