The soak stops processes in series, and judges what they cut

Cause: the soak couldn't see answers that a stop cuts. One process was stopping at a time, two or three stops a run. Its judge passed over each answer that didn't come whole, and knew neither of stops nor of when and where a request was sent. Its clients took a break for one of the faults.

Change: clients whose answers take up to 2.5 s, in pieces (`Act::ServeOver`); `--stops`: all processes are told to stop in turn, faster than they end, twice, after SIGHUP, after a start, paused or just going on, and meanwhile configurations, workers and the store change; the platform's SIGKILL after the grace; a client whose process takes no connection goes to one that does; `cut_by_stop`, which counts what a planned stop alone cut or answered with the gateway's own 502 or 504, and `in_stops`, how many requests the rule was held against.

--- a/crates/soak/src/client.rs
+++ b/crates/soak/src/client.rs
@@ -1,10 +1,11 @@
 //! Clients that keep their connections as long as these live.
 
+use crate::cut::Way;
 use crate::judge::{Asked, End, Kind};
 use standin::fixture::request;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::sync::watch;
@@ -14,19 +15,33 @@
 /// Longest pause between two requests of a client, in milliseconds.
 const MAX_PAUSE_MS: u64 = 40;
 
+/// Longest time that a slow client's answer takes: with a second try after the gateway's
+/// patience it is within the deadline.
+const MAX_ANSWER_MS: u64 = 2500;
+
+/// How long the answers take that a client asks for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Pace {
+    /// None at all.
+    Quick,
+    /// Up to seconds, in pieces.
+    Slow,
+}
+
 /// What all clients got.
 pub type History = Arc<Mutex<Vec<Asked>>>;
 
 /// A client that sends requests until it is told to stop.
 pub async fn run(
     name: u32,
+    pace: Pace,
     gateways: Vec<SocketAddr>,
     history: History,
     mut stop: watch::Receiver<bool>,
     seed: u64,
 ) {
     let mut rng = fastrand::Rng::with_seed(seed);
-    let mut kept: Option<TcpStream> = None;
+    let mut kept = None;
     for n in 0u64.. {
         let pause = Duration::from_millis(rng.u64(..MAX_PAUSE_MS));
         tokio::select! {
@@ -39,38 +54,72 @@
             _ => (Kind::Resumable, "POST", "/resumable/"),
         };
         let id = format!("c{name}-{n}");
-        let text = request(method, path, &id, "", "x");
-        let at = gateways[rng.usize(..gateways.len())];
-        let asked = tokio::time::timeout(TIMEOUT, ask(&mut kept, at, &text)).await;
-        let end = asked.unwrap_or(None);
-        if end.is_none() {
-            kept = None;
-        }
+        let takes = match pace {
+            Pace::Quick => 0,
+            // Most take far less than the longest.
+            Pace::Slow => rng.u64(..MAX_ANSWER_MS) * rng.u64(1..=4) / 4,
+        };
+        let text = request(method, &format!("{path}{takes}"), &id, "", "x");
+        let mut way = Way {
+            gateway: rng.usize(..gateways.len()),
+            sent: None,
+            ended: Instant::now(),
+            has_begun: false,
+        };
+        let asked = ask(&mut kept, &gateways, &text, &mut way);
+        let end = tokio::time::timeout(TIMEOUT, asked).await.unwrap_or(None);
+        way.ended = Instant::now();
         let end = end.unwrap_or(End::Broken);
-        let asked = Asked { id, kind, end };
+        let asked = Asked { id, kind, end, way };
         history.lock().expect("no panic while locked").push(asked);
     }
 }
 
-/// Sends a request on the kept connection, or on a new one; none if it broke.
-async fn ask(kept: &mut Option<TcpStream>, at: SocketAddr, text: &str) -> Option<End> {
-    let mut tcp = match kept.take() {
-        Some(tcp) => tcp,
-        None => TcpStream::connect(at).await.ok()?,
+/// A connection that is kept, and the number of its gateway.
+struct Kept {
+    tcp: TcpStream,
+    gateway: usize,
+}
+
+/// Sends a request on the kept connection, whether or not its process is stopping, or on
+/// a new one; none if it broke, or nobody takes one.
+async fn ask(
+    kept: &mut Option<Kept>,
+    gateways: &[SocketAddr],
+    text: &str,
+    way: &mut Way,
+) -> Option<End> {
+    let mut to = match kept.take() {
+        Some(to) => to,
+        None => connect(gateways, way.gateway).await?,
     };
-    tcp.write_all(text.as_bytes()).await.ok()?;
+    way.gateway = to.gateway;
+    to.tcp.write_all(text.as_bytes()).await.ok()?;
+    way.sent = Some(Instant::now());
     let mut buf = Vec::new();
     loop {
         if let Some((end, may_keep)) = whole(&buf) {
             if may_keep {
-                *kept = Some(tcp);
+                *kept = Some(to);
             }
             return Some(end);
         }
-        if tcp.read_buf(&mut buf).await.ok()? == 0 {
+        if to.tcp.read_buf(&mut buf).await.ok()? == 0 {
             return None;
         }
+        way.has_begun = true;
+    }
+}
+
+/// Connects to the first that takes a connection, as a balancer does where none is ready.
+async fn connect(gateways: &[SocketAddr], first: usize) -> Option<Kept> {
+    for n in 0..gateways.len() {
+        let gateway = (first + n) % gateways.len();
+        if let Ok(tcp) = TcpStream::connect(gateways[gateway]).await {
+            return Some(Kept { tcp, gateway });
+        }
     }
+    None
 }
 
 /// The answer in a buffer once it is whole, and whether the connection goes on.
--- a/crates/soak/src/fault.rs
+++ b/crates/soak/src/fault.rs
@@ -79,14 +79,17 @@
     Ok(done)
 }
 
-/// Starts processes anew that have ended.
-fn revive(scene: &mut Scene) -> io::Result<()> {
+/// Starts processes anew that have ended, as the platform does; gives their numbers.
+pub(crate) fn revive(scene: &mut Scene) -> io::Result<Vec<usize>> {
+    scene.end_grace();
+    let mut started = Vec::new();
     for n in 0..scene.gateways.len() {
         if scene.gateways[n].proc.has_ended() {
             scene.restart(n)?;
+            started.push(n);
         }
     }
-    Ok(())
+    Ok(started)
 }
 
 async fn act(
@@ -97,17 +100,16 @@
 ) -> io::Result<()> {
     let gateway = rng.usize(..scene.gateways.len());
     let worker = rng.usize(..scene.upstreams.len());
-    let proc = &scene.gateways[gateway].proc;
     match fault {
-        Fault::Kill => proc.signal(Signal::Kill),
-        Fault::Stop => proc.signal(Signal::Term),
-        // A process that is paused when it is told to stop goes on at once.
-        Fault::Pause if rng.bool() => proc.signal(Signal::Pause),
-        Fault::Pause => proc.signal(Signal::Resume),
-        Fault::Hangup => proc.signal(Signal::Hangup),
+        Fault::Kill => scene.signal(gateway, Signal::Kill),
+        Fault::Stop => scene.signal(gateway, Signal::Term),
+        // A process that is paused when it is told to stop hears of it when it goes on.
+        Fault::Pause if rng.bool() => scene.signal(gateway, Signal::Pause),
+        Fault::Pause => scene.signal(gateway, Signal::Resume),
+        Fault::Hangup => scene.signal(gateway, Signal::Hangup),
         Fault::Store => scene.store.set_mode(mode(rng)),
         Fault::StoreLink => scene.gateways[gateway].store.set(link(rng)),
-        Fault::WorkerLink => scene.upstreams[worker].relay.set(link(rng)),
+        Fault::WorkerLink => scene.set_worker_link(worker, link(rng)),
         Fault::Answers => {
             let acts: Vec<Act> = (0..rng.usize(1..6)).map(|_| answer(rng)).collect();
             scene.upstreams[worker].worker.script(acts);
@@ -121,7 +123,7 @@
     Ok(())
 }
 
-fn mode(rng: &mut fastrand::Rng) -> Mode {
+pub(crate) fn mode(rng: &mut fastrand::Rng) -> Mode {
     match rng.u32(..5) {
         0 => Mode::Refuse(503),
         1 => Mode::Refuse(429),
@@ -166,15 +168,16 @@
 /// Ends all faults.
 pub async fn calm(scene: &mut Scene) -> io::Result<()> {
     scene.store.set_mode(Mode::Serve);
-    for gateway in &scene.gateways {
-        gateway.proc.signal(Signal::Resume);
-        gateway.store.set(Link::Open);
+    for n in 0..scene.gateways.len() {
+        scene.signal(n, Signal::Resume);
+        scene.gateways[n].store.set(Link::Open);
     }
-    for upstream in &scene.upstreams {
-        upstream.relay.set(Link::Open);
+    for n in 0..scene.upstreams.len() {
+        scene.set_worker_link(n, Link::Open);
     }
     tokio::time::sleep(Duration::from_millis(200)).await;
-    revive(scene)
+    revive(scene)?;
+    Ok(())
 }
 
 /// Waits until all gateways serve, at most for a time; says whether they do. As on
--- a/crates/soak/src/judge.rs
+++ b/crates/soak/src/judge.rs
@@ -1,5 +1,6 @@
 //! The promises, checked over what clients got and workers saw.
 
+use crate::cut::{Record, Way, is_cut};
 use serde::Serialize;
 use std::time::Instant;
 
@@ -32,6 +33,8 @@
     pub kind: Kind,
     /// How it ended.
     pub end: End,
+    /// Where it went, and when.
+    pub way: Way,
 }
 
 /// A request as a worker saw it.
@@ -41,6 +44,8 @@
     pub id: String,
     /// Event after which it went on.
     pub resumed_after: Option<u64>,
+    /// Whether the worker was told to do something else with it than to serve it.
+    pub by_script: bool,
 }
 
 /// A time in which a worker should have got no new request.
@@ -67,6 +72,9 @@
     pub disordered: usize,
     /// Requests that reached a worker long after it said that it leaves.
     pub late_at_leaving: usize,
+    /// Requests that a planned stop alone had, and that got no whole answer though
+    /// they could have been refused as not run.
+    pub cut_by_stop: usize,
     /// Nothing was served after the last fault.
     pub not_recovered: usize,
 }
@@ -82,9 +90,8 @@
 pub const PIECES: u64 = 4;
 
 /// Compares what clients got with what workers saw.
-pub fn judge(asked: &[Asked], ran: &[Ran], left: &[Left]) -> Verdict {
-    let mut runs: Vec<&Ran> = ran.iter().collect();
-    runs.sort_by(|a, b| a.id.cmp(&b.id));
+pub fn judge(asked: &[Asked], ran: &[Ran], left: &[Left], record: &Record) -> Verdict {
+    let runs = sorted(ran);
     let mut ids: Vec<&str> = asked.iter().map(|a| a.id.as_str()).collect();
     ids.sort_unstable();
     let is_unasked = |r: &&Ran| ids.binary_search(&r.id.as_str()).is_err();
@@ -94,13 +101,28 @@
         ..Verdict::default()
     };
     for asked in asked {
-        let from = runs.partition_point(|r| r.id < asked.id);
-        let own = runs[from..].iter().take_while(|r| r.id == asked.id);
-        check(asked, own.count(), &mut out);
+        let own = own(&runs, &asked.id);
+        check(asked, own.len(), &mut out);
+        let is_stopped = || record.stop_of(asked, own).is_some();
+        out.cut_by_stop += usize::from(is_cut(asked, own) && is_stopped());
     }
     out
 }
 
+/// Runs in the order of their requests' ids.
+pub fn sorted(ran: &[Ran]) -> Vec<&Ran> {
+    let mut runs: Vec<&Ran> = ran.iter().collect();
+    runs.sort_by(|a, b| a.id.cmp(&b.id));
+    runs
+}
+
+/// The runs of a request, of all in the order of their ids.
+pub fn own<'a, 'b>(runs: &'b [&'a Ran], id: &str) -> &'b [&'a Ran] {
+    let from = runs.partition_point(|r| r.id.as_str() < id);
+    let len = runs[from..].iter().take_while(|r| r.id == id).count();
+    &runs[from..from + len]
+}
+
 fn check(asked: &Asked, runs: usize, out: &mut Verdict) {
     if asked.kind == Kind::NonIdempotent && runs > 1 {
         out.twice += 1;
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -2,6 +2,8 @@
 //! them, and promises checked from what clients and workers see.
 
 pub mod client;
+pub mod cut;
 pub mod fault;
 pub mod judge;
 pub mod scene;
+pub mod stops;
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -4,10 +4,11 @@
 use argh::FromArgs;
 use bench::procs::build_binary;
 use serde::Serialize;
-use soak::client::{self, History};
-use soak::fault;
-use soak::judge::{Ran, Verdict, is_foreign, judge};
+use soak::client::{self, History, Pace};
+use soak::cut::{Record, is_cut};
+use soak::judge::{Asked, End, Ran, Verdict, is_foreign, judge, own, sorted};
 use soak::scene::{Scene, Upstream};
+use soak::{fault, stops};
 use std::process::ExitCode;
 use std::time::{Duration, Instant};
 use tokio::sync::watch;
@@ -29,6 +30,12 @@
     /// clients
     #[argh(option, default = "12")]
     clients: u32,
+    /// clients beside them whose answers take up to seconds
+    #[argh(option, default = "8")]
+    slow: u32,
+    /// planned stops in series that overlap, in place of faults of all kinds
+    #[argh(switch)]
+    stops: bool,
     /// third byte of the addresses, so that several soaks can run side by side
     #[argh(option, default = "1")]
     net: u8,
@@ -43,6 +50,9 @@
     runs: usize,
     faults: usize,
     leaves: usize,
+    stops: usize,
+    /// Requests that a planned stop alone had, and that came after its signal.
+    in_stops: usize,
     #[serde(flatten)]
     verdict: Verdict,
 }
@@ -68,15 +78,22 @@
     let history = History::default();
     let stop = watch::Sender::new(false);
     let addresses: Vec<_> = scene.gateways.iter().map(|g| g.callers).collect();
-    let clients: Vec<_> = (0..args.clients)
+    let clients: Vec<_> = (0..args.clients + args.slow)
         .map(|n| {
+            let pace = match n < args.clients {
+                true => Pace::Quick,
+                false => Pace::Slow,
+            };
             let seed = args.seed.wrapping_mul(1000) + u64::from(n);
             let (to, history) = (addresses.clone(), history.clone());
-            tokio::spawn(client::run(n, to, history, stop.subscribe(), seed))
+            tokio::spawn(client::run(n, pace, to, history, stop.subscribe(), seed))
         })
         .collect();
     let until = Instant::now() + Duration::from_secs(args.seconds);
-    let done = fault::run(&mut scene, args.seed, until).await?;
+    let done = match args.stops {
+        true => stops::run(&mut scene, args.seed, until).await?,
+        false => fault::run(&mut scene, args.seed, until).await?,
+    };
     fault::calm(&mut scene).await?;
     let recovered = fault::recover(&mut scene, RECOVERY).await?;
     stop.send_replace(true);
@@ -89,9 +106,9 @@
         println!("not its own body: {asked:?}");
     }
     let ran = runs(scene.upstreams.iter().chain(&scene.gone));
-    let mut verdict = judge(&asked, &ran, &done.left);
+    let mut verdict = judge(&asked, &ran, &done.left, &scene.record);
     verdict.not_recovered = usize::from(!recovered);
-    let is_served = |a: &&soak::judge::Asked| matches!(a.end, soak::judge::End::Whole(200, _));
+    let is_served = |a: &&Asked| matches!(a.end, End::Whole(200, _));
     Ok(Summary {
         seed: args.seed,
         seconds: args.seconds,
@@ -100,16 +117,40 @@
         runs: ran.len(),
         faults: done.faults,
         leaves: done.left.len(),
+        stops: scene.record.stops.len(),
+        in_stops: in_stops(&asked, &ran, &scene.record),
         verdict,
     })
 }
 
+/// Counts requests that came to a process under a planned stop alone; prints what was
+/// cut, with the times since the signal at which it was sent and ended.
+fn in_stops(asked: &[Asked], ran: &[Ran], record: &Record) -> usize {
+    let runs = sorted(ran);
+    let mut count = 0;
+    for asked in asked {
+        let own = own(&runs, &asked.id);
+        let (Some(stop), Some(sent)) = (record.stop_of(asked, own), asked.way.sent) else {
+            continue;
+        };
+        count += usize::from(sent > stop.signal);
+        if is_cut(asked, own) {
+            let sent = sent.saturating_duration_since(stop.signal);
+            let ended = asked.way.ended.duration_since(stop.signal);
+            let (id, end, to) = (&asked.id, &asked.end, stop.gateway);
+            println!("cut by a stop of {to}: {id}, sent {sent:?}, ended {ended:?}: {end:?}");
+        }
+    }
+    count
+}
+
 /// What workers saw, but for the soak's own probes.
 fn runs<'a>(upstreams: impl Iterator<Item = &'a Upstream>) -> Vec<Ran> {
     let seen = upstreams.flat_map(|u| u.worker.seen());
     let ran = seen.filter(|s| s.ran).map(|s| Ran {
         id: s.id().to_owned(),
         resumed_after: s.resumed_after(),
+        by_script: s.by_script,
     });
     ran.filter(|r| r.id != "probe").collect()
 }
--- a/crates/soak/src/scene.rs
+++ b/crates/soak/src/scene.rs
@@ -1,16 +1,17 @@
 //! What a soak runs: gateways as processes, a store and workers behind relays.
 
+use crate::cut::{GRACE, Record, Stopped, Trouble};
 use crate::judge::PIECES;
 use bench::probe::serves;
-use bench::procs::Proc;
-use bench::relay::Relay;
+use bench::procs::{Proc, Signal};
+use bench::relay::{Link, Relay};
 use serde_json::json;
 use standin::fixture::{CONFIG, WORKERS, config, route, routes, settings, worker};
 use standin::{Act, Store, Worker};
 use std::io;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::path::{Path, PathBuf};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// Gateways of a soak.
 pub const GATEWAYS: u8 = 3;
@@ -41,6 +42,8 @@
     pub relay: Relay,
     /// That address.
     pub addr: SocketAddr,
+    /// What the relay does.
+    link: Link,
 }
 
 /// All of it.
@@ -54,6 +57,8 @@
     pub upstreams: Vec<Upstream>,
     /// Workers that have left; their histories still count.
     pub gone: Vec<Upstream>,
+    /// Planned stops, and what excuses a cut answer.
+    pub record: Record,
     net: u8,
     binary: PathBuf,
     started: u32,
@@ -69,6 +74,7 @@
             gateways: Vec::new(),
             upstreams: Vec::new(),
             gone: Vec::new(),
+            record: Record::default(),
             net,
             binary: binary.to_owned(),
             started: 0,
@@ -103,11 +109,80 @@
 
     /// Starts a gateway's process anew, once the old one has ended.
     pub fn restart(&mut self, n: usize) -> io::Result<()> {
+        let now = Instant::now();
+        if let Some(stop) = self.stop_under_way(n) {
+            stop.until = Some(now);
+        }
+        self.end_trouble(Some(n), now);
         let gateway = &mut self.gateways[n];
         gateway.proc = Proc::start_gateway(&self.binary, &gateway.name, &gateway.settings)?;
         Ok(())
     }
 
+    /// Sends a gateway's process a signal, and notes what it excuses.
+    pub fn signal(&mut self, n: usize, signal: Signal) {
+        let now = Instant::now();
+        match signal {
+            Signal::Term if self.stop_under_way(n).is_none() => self.record.stops.push(Stopped {
+                gateway: n,
+                signal: now,
+                until: None,
+            }),
+            Signal::Kill | Signal::Pause => self.begin_trouble(Some(n), now),
+            Signal::Resume => self.end_trouble(Some(n), now),
+            Signal::Term | Signal::Hangup => {}
+        }
+        self.gateways[n].proc.signal(signal);
+    }
+
+    /// Kills what hasn't ended within the grace, as the platform does. It excuses nothing.
+    pub fn end_grace(&self) {
+        let is_over = |s: &&Stopped| s.until.is_none() && s.signal.elapsed() >= GRACE;
+        for stop in self.record.stops.iter().filter(is_over) {
+            self.gateways[stop.gateway].proc.signal(Signal::Kill);
+        }
+    }
+
+    /// Changes the link to a worker, and notes what it excuses.
+    pub fn set_worker_link(&mut self, n: usize, link: Link) {
+        self.upstreams[n].link = link;
+        self.upstreams[n].relay.set(link);
+        self.note_links();
+    }
+
+    fn note_links(&mut self) {
+        let now = Instant::now();
+        match self.upstreams.iter().any(|u| u.link != Link::Open) {
+            true => self.begin_trouble(None, now),
+            false => self.end_trouble(None, now),
+        }
+    }
+
+    fn stop_under_way(&mut self, n: usize) -> Option<&mut Stopped> {
+        let mut stops = self.record.stops.iter_mut();
+        stops.find(|s| s.gateway == n && s.until.is_none())
+    }
+
+    /// Notes a fault, unless one of the same is under way.
+    fn begin_trouble(&mut self, gateway: Option<usize>, from: Instant) {
+        let mut troubles = self.record.troubles.iter();
+        if troubles.any(|t| t.gateway == gateway && t.until.is_none()) {
+            return;
+        }
+        self.record.troubles.push(Trouble {
+            gateway,
+            from,
+            until: None,
+        });
+    }
+
+    fn end_trouble(&mut self, gateway: Option<usize>, until: Instant) {
+        let troubles = self.record.troubles.iter_mut();
+        for open in troubles.filter(|t| t.gateway == gateway && t.until.is_none()) {
+            open.until = Some(until);
+        }
+    }
+
     /// Starts a worker and registers it.
     pub async fn add_worker(&mut self) -> io::Result<()> {
         let n = self.started;
@@ -115,13 +190,14 @@
         let (high, low) = ((n / 200) as u8, (n % 200) as u8);
         let port = 7000 + u16::from(high);
         let worker = Worker::start(address(self.net, 50 + low, port), &format!("i-{n}")).await?;
-        worker.usually(Act::Serve(PIECES));
+        worker.usually(Act::ServeOver(PIECES));
         let addr = address(self.net, 50 + low, port + 100);
         let upstream = Upstream {
             relay: Relay::start(addr, worker.addr)?,
             worker,
             id: format!("i-{n}"),
             addr,
+            link: Link::Open,
         };
         self.register(&upstream, "ready");
         self.upstreams.push(upstream);
@@ -139,6 +215,7 @@
         let upstream = self.upstreams.remove(n);
         self.store.remove(WORKERS, &upstream.id);
         self.gone.push(upstream);
+        self.note_links();
     }
 
     /// Writes a new version of the configuration, with a route more each time.
