The soak's slow clients ask for streams and prompts that may run once, too

Cause: what the incident cut was a prompt at an engine, and the soak had no engine and no stream that can't go on elsewhere.

Change: two engines, routes `stream` and `prompt` for the slow clients, judged as requests that run once and as streams whose pieces are in order; twelve slow clients in place of eight.

--- a/crates/soak/src/client.rs
+++ b/crates/soak/src/client.rs
@@ -19,6 +19,9 @@
 /// patience it is within the deadline.
 const MAX_ANSWER_MS: u64 = 2500;
 
+/// Headers of a prompt for an engine: a short answer, and a beginning that is shared.
+const TOKENS: &str = "token-counts: 100,300\r\nprompt-prefix: a:50,b:50\r\n";
+
 /// How long the answers take that a client asks for.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Pace {
@@ -48,18 +51,8 @@
             () = tokio::time::sleep(pause) => {}
             _ = stop.wait_for(|s| *s) => return,
         }
-        let (kind, method, path) = match rng.u32(..10) {
-            0..4 => (Kind::Idempotent, "GET", "/safe/"),
-            4..8 => (Kind::NonIdempotent, "POST", "/twice/"),
-            _ => (Kind::Resumable, "POST", "/resumable/"),
-        };
         let id = format!("c{name}-{n}");
-        let takes = match pace {
-            Pace::Quick => 0,
-            // Most take far less than the longest.
-            Pace::Slow => rng.u64(..MAX_ANSWER_MS) * rng.u64(1..=4) / 4,
-        };
-        let text = request(method, &format!("{path}{takes}"), &id, "", "x");
+        let (kind, text) = draw(pace, &id, &mut rng);
         let mut way = Way {
             gateway: rng.usize(..gateways.len()),
             sent: None,
@@ -75,6 +68,30 @@
     }
 }
 
+/// A request's kind and text.
+fn draw(pace: Pace, id: &str, rng: &mut fastrand::Rng) -> (Kind, String) {
+    let (kind, method, path) = match (pace, rng.u32(..10)) {
+        (Pace::Quick, 0..4) | (Pace::Slow, 0..2) => (Kind::Idempotent, "GET", "/safe/"),
+        (Pace::Quick, 4..8) | (Pace::Slow, 2..4) => (Kind::NonIdempotent, "POST", "/twice/"),
+        (Pace::Slow, 6..8) => (Kind::Stream, "POST", "/stream/"),
+        (Pace::Slow, 8..) => (Kind::Stream, "POST", "/prompt/"),
+        _ => (Kind::Resumable, "POST", "/resumable/"),
+    };
+    let takes = match pace {
+        Pace::Quick => 0,
+        // Most take far less than the longest.
+        Pace::Slow => rng.u64(..MAX_ANSWER_MS) * rng.u64(1..=4) / 4,
+    };
+    let more = match path {
+        "/prompt/" => TOKENS,
+        _ => "",
+    };
+    (
+        kind,
+        request(method, &format!("{path}{takes}"), id, more, "x"),
+    )
+}
+
 /// A connection that is kept, and the number of its gateway.
 struct Kept {
     tcp: TcpStream,
--- a/crates/soak/src/judge.rs
+++ b/crates/soak/src/judge.rs
@@ -13,6 +13,19 @@
     NonIdempotent,
     /// A stream that may go on elsewhere.
     Resumable,
+    /// A stream that may run once.
+    Stream,
+}
+
+impl Kind {
+    /// Whether it may run once at most.
+    fn is_once(self) -> bool {
+        matches!(self, Self::NonIdempotent | Self::Stream)
+    }
+
+    fn is_stream(self) -> bool {
+        matches!(self, Self::Resumable | Self::Stream)
+    }
 }
 
 /// How a request ended for its client.
@@ -124,23 +137,23 @@
 }
 
 fn check(asked: &Asked, runs: usize, out: &mut Verdict) {
-    if asked.kind == Kind::NonIdempotent && runs > 1 {
+    if asked.kind.is_once() && runs > 1 {
         out.twice += 1;
     }
     let End::Whole(status, body) = &asked.end else {
         return;
     };
     match (*status, asked.kind) {
-        (200, Kind::Resumable) if !is_ordered(body) => out.disordered += 1,
+        (200, kind) if kind.is_stream() && !is_ordered(body) => out.disordered += 1,
         (200, _) if is_foreign(asked) => out.mixed += 1,
-        (429 | 503 | 408 | 421, Kind::NonIdempotent) if runs > 0 => out.refused_but_ran += 1,
+        (429 | 503 | 408 | 421, kind) if kind.is_once() && runs > 0 => out.refused_but_ran += 1,
         _ => {}
     }
 }
 
 /// Whether a plain request was answered with success and another body than its own.
 pub fn is_foreign(asked: &Asked) -> bool {
-    let is_plain = asked.kind != Kind::Resumable;
+    let is_plain = !asked.kind.is_stream();
     is_plain && matches!(&asked.end, End::Whole(200, body) if *body != asked.id)
 }
 
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -9,6 +9,7 @@
 use soak::judge::{Asked, End, Ran, Verdict, is_foreign, judge, own, sorted};
 use soak::scene::{Scene, Upstream};
 use soak::{fault, stops};
+use standin::Seen;
 use std::process::ExitCode;
 use std::time::{Duration, Instant};
 use tokio::sync::watch;
@@ -31,7 +32,7 @@
     #[argh(option, default = "12")]
     clients: u32,
     /// clients beside them whose answers take up to seconds
-    #[argh(option, default = "8")]
+    #[argh(option, default = "12")]
     slow: u32,
     /// planned stops in series that overlap, in place of faults of all kinds
     #[argh(switch)]
@@ -105,7 +106,8 @@
     for asked in asked.iter().filter(|a| is_foreign(a)) {
         println!("not its own body: {asked:?}");
     }
-    let ran = runs(scene.upstreams.iter().chain(&scene.gone));
+    let all = scene.upstreams.iter().chain(&scene.engines);
+    let ran = runs(all.chain(&scene.gone));
     let mut verdict = judge(&asked, &ran, &done.left, &scene.record);
     verdict.not_recovered = usize::from(!recovered);
     let is_served = |a: &&Asked| matches!(a.end, End::Whole(200, _));
@@ -144,10 +146,11 @@
     count
 }
 
-/// What workers saw, but for the soak's own probes.
+/// What workers saw, but for the soak's own probes and what gateways ask engines.
 fn runs<'a>(upstreams: impl Iterator<Item = &'a Upstream>) -> Vec<Ran> {
     let seen = upstreams.flat_map(|u| u.worker.seen());
-    let ran = seen.filter(|s| s.ran).map(|s| Ran {
+    let is_asked = |s: &Seen| !matches!(s.path.as_str(), "/report" | "/order");
+    let ran = seen.filter(|s| s.ran && is_asked(s)).map(|s| Ran {
         id: s.id().to_owned(),
         resumed_after: s.resumed_after(),
         by_script: s.by_script,
--- a/crates/soak/src/scene.rs
+++ b/crates/soak/src/scene.rs
@@ -17,6 +17,8 @@
 pub const GATEWAYS: u8 = 3;
 /// Workers of a soak.
 pub const WORKERS_COUNT: u8 = 4;
+/// Engines of a soak.
+pub const ENGINES_COUNT: u8 = 2;
 
 /// A gateway: its process, and where clients reach it.
 #[derive(Debug)]
@@ -55,6 +57,8 @@
     pub gateways: Vec<Gateway>,
     /// Workers that are registered.
     pub upstreams: Vec<Upstream>,
+    /// Engines. Nothing happens to them; they answer as workers do.
+    pub engines: Vec<Upstream>,
     /// Workers that have left; their histories still count.
     pub gone: Vec<Upstream>,
     /// Planned stops, and what excuses a cut answer.
@@ -73,6 +77,7 @@
             store,
             gateways: Vec::new(),
             upstreams: Vec::new(),
+            engines: Vec::new(),
             gone: Vec::new(),
             record: Record::default(),
             net,
@@ -84,6 +89,9 @@
         for _ in 0..WORKERS_COUNT {
             scene.add_worker().await?;
         }
+        for _ in 0..ENGINES_COUNT {
+            scene.add_engine().await?;
+        }
         for n in 0..GATEWAYS {
             scene.add_gateway(n, dir)?;
         }
@@ -185,6 +193,23 @@
 
     /// Starts a worker and registers it.
     pub async fn add_worker(&mut self) -> io::Result<()> {
+        let upstream = self.start_upstream().await?;
+        self.register(&upstream, "ready");
+        self.upstreams.push(upstream);
+        Ok(())
+    }
+
+    /// Starts an engine and registers it.
+    async fn add_engine(&mut self) -> io::Result<()> {
+        let engine = self.start_upstream().await?;
+        let row = worker("llm", engine.addr, "ready", Some("decode"));
+        self.store.put(WORKERS, &engine.id, &row);
+        self.engines.push(engine);
+        Ok(())
+    }
+
+    /// Starts an upstream behind a relay, under an id of its own.
+    async fn start_upstream(&mut self) -> io::Result<Upstream> {
         let n = self.started;
         self.started += 1;
         let (high, low) = ((n / 200) as u8, (n % 200) as u8);
@@ -192,16 +217,13 @@
         let worker = Worker::start(address(self.net, 50 + low, port), &format!("i-{n}")).await?;
         worker.usually(Act::ServeOver(PIECES));
         let addr = address(self.net, 50 + low, port + 100);
-        let upstream = Upstream {
+        Ok(Upstream {
             relay: Relay::start(addr, worker.addr)?,
             worker,
             id: format!("i-{n}"),
             addr,
             link: Link::Open,
-        };
-        self.register(&upstream, "ready");
-        self.upstreams.push(upstream);
-        Ok(())
+        })
     }
 
     /// Writes a worker's row.
--- a/crates/soak/tests/judge.rs
+++ b/crates/soak/tests/judge.rs
@@ -120,6 +120,30 @@
             },
         ),
     ];
+    let stream = |body| asked("x", Kind::Stream, 200, body);
+    let cases = cases.into_iter().chain([
+        (
+            stream("id: 1\nid: 3\nid: 4\n"),
+            vec![ran("x")],
+            Verdict {
+                disordered: 1,
+                ..none
+            },
+        ),
+        (
+            stream(STREAM),
+            vec![ran("x"), ran("x")],
+            Verdict { twice: 1, ..none },
+        ),
+        (
+            asked("x", Kind::Stream, 503, ""),
+            vec![ran("x")],
+            Verdict {
+                refused_but_ran: 1,
+                ..none
+            },
+        ),
+    ]);
     for (bad, runs, expected) in cases {
         let (mut asked, mut all) = good();
         asked.push(bad.clone());
