Upstreams that start again under their id; entries that name none to use

Cause: an upstream was known by its id alone. One that drained, stopped and started again under its id was never used again, what it held was still counted on, and a row that no longer parsed left what was known of its id in use.

The row's version decides which of two rows of an id is newer, never a clock; a start that was replaced never comes back; draining stays within one start whatever row tells it. Another start is another upstream under another arena key; tags, views and changes for peers tell starts apart, homes don't. An unreadable row takes its upstream out at once, is logged once for each version and counted by reason. A report of another start than the row's is of use for no order.

--- a/crates/arbutusquay/src/commands/explain.rs
+++ b/crates/arbutusquay/src/commands/explain.rs
@@ -71,7 +71,9 @@
     let upstream = line.field("upstream");
     let is_upstream = upstream.is_some() && own.iter().any(|o| o.field("upstream") == upstream);
     match line.event.as_str() {
-        "upstream_suspended" | "upstream_leaving" => is_process && is_upstream,
+        "upstream_suspended" | "upstream_leaving" | "upstream_restarted" => {
+            is_process && is_upstream
+        }
         "dependency_lost" | "dependency_back" | "config_in_force" | "stopping" | "reloaded"
         | "lines_dropped" => is_process,
         _ => false,
--- a/crates/gateway/src/division/lease.rs
+++ b/crates/gateway/src/division/lease.rs
@@ -57,14 +57,14 @@
 pub fn turn(read: &LeaseRead, holder: &str, gap: Duration) -> Turn {
     let millis = |d: Duration| d.as_millis() as u64;
     if let Some(lease) = read.lease.as_ref().filter(|l| l.holder != holder) {
-        let free_ms = lease.until_ms + millis(gap + MORE_GAP);
+        let free_ms = lease.until_ms.saturating_add(millis(gap + MORE_GAP));
         if read.now_ms < free_ms {
             return Turn::Wait(Duration::from_millis(free_ms - read.now_ms));
         }
     }
     Turn::Take(OrderLease {
         holder: holder.to_owned(),
-        token: read.lease.as_ref().map_or(0, |l| l.token) + 1,
-        until_ms: read.now_ms + millis(LASTS),
+        token: read.lease.as_ref().map_or(0, |l| l.token).saturating_add(1),
+        until_ms: read.now_ms.saturating_add(millis(LASTS)),
     })
 }
--- a/crates/gateway/src/division/orders.rs
+++ b/crates/gateway/src/division/orders.rs
@@ -13,7 +13,7 @@
 use hyper::StatusCode;
 use net::{Body, CallError, Pool};
 use observe::{Event, emit};
-use platform::{LeaseWrite, Order, OrderAnswer, Report, Stage};
+use platform::{LeaseWrite, Order, OrderAnswer, Report, Stage, Start};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -41,6 +41,7 @@
     key: UpstreamKey,
     instance: String,
     addr: SocketAddr,
+    start: Option<Start>,
 }
 
 /// A service whose engines are watched.
@@ -210,6 +211,7 @@
             key,
             instance: upstream.instance.id.clone(),
             addr: upstream.instance.addr,
+            start: upstream.instance.start,
         });
     }
     out
@@ -259,6 +261,10 @@
         Ok(report) => report,
         Err(why) => return told(target, stage, held, None, &why, false),
     };
+    if target.start.is_some() && report.start != target.start {
+        // Its counts are of the one start, what the registry says is of the other.
+        return told(target, stage, held, Some(report), "another start", false);
+    }
     if report.is_busy {
         return told(target, stage, held, Some(report), "busy", false);
     }
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -6,16 +6,19 @@
 //! first bytes take, failures, and which prompt parts were sent there.
 
 pub mod cache;
+mod merge;
 mod placements;
 pub mod speed;
+mod starts;
 mod upstream;
 
+pub use merge::Merged;
 pub use upstream::{Others, Upstream};
 
 use crate::peers::{Changing, Placement};
-use net::{Meter, Pool};
-use platform::{Engine, Instance, Service};
+use platform::{Engine, Service, Start};
 use speed::{Speed, Task, Work};
+use starts::Starts;
 use std::collections::VecDeque;
 use std::time::{Duration, Instant};
 
@@ -62,9 +65,14 @@
     slots: Vec<Slot>,
     /// Slots without an upstream.
     free: Vec<u32>,
-    /// Keys by the hash of the upstream's id, sorted: each datagram of a peer and
-    /// each heartbeat in the registry looks some up.
+    /// Keys by the hash of the upstream's id, sorted: each heartbeat in the registry
+    /// looks one up.
     by_hash: Vec<(u64, UpstreamKey)>,
+    /// Keys by the tag of the upstream's start, sorted: each datagram of a peer looks
+    /// some up.
+    by_tag: Vec<(u32, UpstreamKey)>,
+    /// Starts of ids, to tell one that was replaced.
+    starts: Starts,
     /// Sum of the hashes of what the registry says of each upstream. The order in
     /// which upstreams came differs between processes; a sum doesn't depend on it.
     view: u64,
@@ -75,19 +83,6 @@
     placements: VecDeque<(Instant, Placement)>,
 }
 
-/// What the registry changed.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Merged {
-    /// An upstream is new, and may get requests.
-    Added(UpstreamKey),
-    /// An upstream that was known says that it will stop.
-    Draining(UpstreamKey),
-    /// An engine that was known does something else with prompts.
-    Restaged(UpstreamKey),
-    /// Something else changed, or nothing.
-    Same,
-}
-
 impl Fleet {
     /// The key of a service; one that is new gets a key.
     pub fn service(&mut self, name: &str) -> ServiceKey {
@@ -213,11 +208,8 @@
     }
 
     fn key_of_tag(&self, tag: u32) -> Option<UpstreamKey> {
-        let at = self.by_hash.partition_point(|(h, _)| tag_of(*h) < tag);
-        let found = self.by_hash.get(at);
-        found
-            .filter(|(h, _)| tag_of(*h) == tag)
-            .map(|(_, key)| *key)
+        let at = self.by_tag.binary_search_by_key(&tag, |(t, _)| *t);
+        at.ok().map(|at| self.by_tag[at].1)
     }
 
     /// Upstreams that are known.
@@ -235,89 +227,14 @@
     pub fn view(&self) -> u64 {
         self.view
     }
-
-    /// Takes an upstream's entry from the registry.
-    pub fn merge(&mut self, instance: Instance, meter: &Meter) -> Merged {
-        if let Some(key) = self.find(&instance.id) {
-            let service = self.service(&instance.service);
-            let Some(known) = self.get_mut(key) else {
-                return Merged::Same;
-            };
-            let starts_draining = instance.is_draining && !known.instance.is_draining;
-            // A registration that arrives late must not call a leaving one back.
-            let is_draining = instance.is_draining || known.instance.is_draining;
-            let is_restaged = instance.stage != known.instance.stage;
-            if is_restaged {
-                known.restaged(instance.stage);
-            }
-            known.service = service;
-            let before = instance_hash(&known.instance);
-            known.instance = Instance {
-                is_draining,
-                ..instance
-            };
-            let after = instance_hash(&known.instance);
-            self.view = self.view.wrapping_sub(before).wrapping_add(after);
-            return match (starts_draining, is_restaged) {
-                (true, _) => Merged::Draining(key),
-                (false, true) => Merged::Restaged(key),
-                (false, false) => Merged::Same,
-            };
-        }
-        Merged::Added(self.add(instance, meter))
-    }
-
-    fn add(&mut self, instance: Instance, meter: &Meter) -> UpstreamKey {
-        let service = self.service(&instance.service);
-        self.view = self.view.wrapping_add(instance_hash(&instance));
-        let pool = Pool::new(instance.addr, CONNECT_TIMEOUT).metered(meter);
-        let upstream = Upstream::new(service, instance, pool, self.sees_starts);
-        let hash = upstream.hash;
-        let index = self.free.pop().unwrap_or_else(|| {
-            self.slots.push(Slot {
-                generation: 0,
-                upstream: None,
-            });
-            self.slots.len() as u32 - 1
-        });
-        let slot = &mut self.slots[index as usize];
-        slot.generation += 1;
-        slot.upstream = Some(upstream);
-        let key = UpstreamKey {
-            index,
-            generation: slot.generation,
-        };
-        let at = self.by_hash.partition_point(|(h, _)| *h < hash);
-        self.by_hash.insert(at, (hash, key));
-        key
-    }
-
-    /// Forgets an upstream that is gone from the registry.
-    pub fn remove(&mut self, key: UpstreamKey) -> Option<Upstream> {
-        let hash = self.get(key)?.hash;
-        if let Ok(at) = self.by_hash.binary_search_by_key(&hash, |(h, _)| *h) {
-            self.by_hash.remove(at);
-        }
-        self.free.push(key.index);
-        let gone = self.slots[key.index as usize].upstream.take()?;
-        self.view = self.view.wrapping_sub(instance_hash(&gone.instance));
-        Some(gone)
-    }
-}
-
-/// Hash of what the registry says of an upstream, as far as requests depend on it.
-fn instance_hash(instance: &Instance) -> u64 {
-    let Instance {
-        id, service, addr, ..
-    } = instance;
-    let (stage, is_draining) = (instance.stage, instance.is_draining);
-    let text = format!("{id} {service} {addr} {stage:?} {is_draining}");
-    xxhash_rust::xxh3::xxh3_64(text.as_bytes())
 }
 
-/// The part of an upstream's hash by which processes tell of it. Among 600 upstreams
-/// two have the same once in 24,000 fleets; their loads would be mixed up then.
-fn tag_of(hash: u64) -> u32 {
+/// Part of the hash of an upstream's id and start by which processes tell of it, so that
+/// what a peer says of an earlier start counts for none. Among 600 upstreams two have the
+/// same once in 24,000 fleets; their loads would be mixed up then.
+fn tag_of(id: &str, start: Option<Start>) -> u32 {
+    let seed = start.map_or(0, |Start(ms)| ms);
+    let hash = xxhash_rust::xxh3::xxh3_64_with_seed(id.as_bytes(), seed);
     (hash >> 32) as u32
 }
 
--- a/crates/gateway/src/fleet/upstream.rs
+++ b/crates/gateway/src/fleet/upstream.rs
@@ -22,8 +22,11 @@
     pub service: ServiceKey,
     /// Connections to it.
     pub pool: Pool,
-    /// Hash of its id, for the choice of homes.
+    /// Hash of its id alone, for the choice of homes: an upstream that starts again
+    /// keeps its homes, so that no other engine's prompts move.
     pub hash: u64,
+    /// Tag of its start.
+    tag: u32,
     /// Requests of this process that run there.
     pub running: u32,
     /// Of these, those whose first byte hasn't come yet.
@@ -72,10 +75,11 @@
 impl Others {
     /// Adds what a process says of its load.
     pub fn add(&mut self, load: &Load) {
-        self.waiting += u32::from(load.waiting);
-        self.tokens += load.tokens;
-        self.running += u32::from(load.running);
-        self.streams += u32::from(load.streams);
+        // A peer may say anything.
+        self.waiting = self.waiting.saturating_add(u32::from(load.waiting));
+        self.tokens = self.tokens.saturating_add(load.tokens);
+        self.running = self.running.saturating_add(u32::from(load.running));
+        self.streams = self.streams.saturating_add(u32::from(load.streams));
     }
 
     /// Takes off what the process said before.
@@ -100,6 +104,7 @@
             service,
             pool,
             hash: id_hash(&instance.id),
+            tag: tag_of(&instance.id, instance.start),
             running: 0,
             waiting: 0,
             tokens: 0,
@@ -133,9 +138,9 @@
         Some(change.until - now)
     }
 
-    /// The part of its hash by which processes tell of it.
+    /// By what processes tell of this start of it.
     pub fn tag(&self) -> u32 {
-        tag_of(self.hash)
+        self.tag
     }
 
     /// Whether it may get new requests, its health aside.
@@ -185,17 +190,17 @@
 
     /// Requests that wait there for their first byte, of all processes.
     pub fn all_waiting(&self) -> u32 {
-        self.waiting + self.others.waiting
+        self.waiting.saturating_add(self.others.waiting)
     }
 
     /// Uncached tokens that wait there, of all processes.
     pub fn reading_tokens(&self) -> u32 {
-        self.tokens + self.others.tokens
+        self.tokens.saturating_add(self.others.tokens)
     }
 
     /// What it has to do until the first byte of a prompt that is sent now.
     pub fn work(&self, uncached: u32) -> Work {
-        let tokens = self.reading_tokens() + uncached;
+        let tokens = self.reading_tokens().saturating_add(uncached);
         Work {
             prompts: f64::from(self.all_waiting()),
             tokens: f64::from(tokens),
@@ -215,19 +220,19 @@
             return 0.0;
         }
         let slots = self.instance.slots;
-        let without = (self.all_running() + 1).saturating_sub(slots);
+        let without = self.all_running().saturating_add(1).saturating_sub(slots);
         let changing = slots.saturating_sub(self.all_streams()).max(1);
         f64::from(without) / f64::from(changing)
     }
 
     /// Requests that run there, of all processes.
     pub fn all_running(&self) -> u32 {
-        self.running + self.others.running
+        self.running.saturating_add(self.others.running)
     }
 
     /// Long answers that are streamed there, to clients of all processes.
     pub fn all_streams(&self) -> u32 {
-        self.streams + self.others.streams
+        self.streams.saturating_add(self.others.streams)
     }
 
     /// What this process says of its load there; none if there is none.
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -4,6 +4,7 @@
 //! While the store doesn't answer, the process goes on with what it knows.
 
 pub mod registry;
+pub mod unreadable;
 
 pub use registry::{follow_registry, merge, merge_peers};
 
--- a/crates/gateway/src/follow/registry.rs
+++ b/crates/gateway/src/follow/registry.rs
@@ -9,7 +9,7 @@
 use crate::state::Gateway;
 use net::Meter;
 use observe::{Event, emit};
-use platform::{Feed, Instance, Registration, StoreError};
+use platform::{Feed, Instance, Registration, Start, StoreError, Unreadable, UnreadableRow};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -32,6 +32,9 @@
 /// Pause between two looks whether one has.
 const FIRST_LOOK_EVERY: Duration = Duration::from_millis(20);
 
+/// Why an upstream is out whose entry was removed, in the log.
+const GONE: &str = "not registered";
+
 /// Follows the registry until the process ends.
 pub async fn follow_registry(gateway: Arc<Gateway>) {
     let mut client = Client::new(&gateway);
@@ -149,7 +152,7 @@
     gone.append(&mut missing.take_overdue(now));
     drop(missing);
     for id in &gone {
-        remove(gateway, id, version);
+        remove(gateway, id, GONE, version);
     }
     if !is_old {
         gateway.set_registry(version);
@@ -186,7 +189,7 @@
         gateway.missing().found(id);
     }
     for id in &gone {
-        remove(gateway, id, version);
+        remove(gateway, id, GONE, version);
     }
     gateway.set_registry(version);
     gateway.fleet().see_starts();
@@ -212,6 +215,12 @@
                 add(gateway, instance, version, &gateway.upstream_bytes);
             }
             Registration::Removed { id } => gone.push(id),
+            Registration::Unreadable(row) => {
+                // Its entry is there, so it can't come back as one that lapsed may.
+                gateway.missing().found(&row.id);
+                gone.retain(|id| *id != row.id);
+                take_out(gateway, &row, version);
+            }
         }
     }
     gone
@@ -221,7 +230,7 @@
 fn absent(gateway: &Gateway, read: &[Registration]) -> Vec<String> {
     let present = read.iter().filter_map(|r| match r {
         Registration::Present(instance) => Some(instance.id.as_str()),
-        Registration::Removed { .. } => None,
+        Registration::Removed { .. } | Registration::Unreadable(_) => None,
     });
     let mut present: Vec<&str> = present.collect();
     present.sort_unstable();
@@ -232,23 +241,13 @@
 }
 
 fn add(gateway: &Gateway, instance: Instance, registry: u64, meter: &Meter) {
+    let (id, row) = (instance.id.clone(), instance.row);
+    let start = instance.start;
     let mut fleet = gateway.fleet();
-    let known = fleet.find(&instance.id).and_then(|key| fleet.get(key));
-    if known.is_none_or(|u| u.instance != instance) {
-        gateway.history().note(registry, &instance.id);
-    }
-    match fleet.merge(instance, meter) {
-        Merged::Added(key) => {
-            let Some(u) = fleet.get(key) else { return };
-            emit(&Event::UpstreamAdded {
-                upstream: &u.instance.id,
-                service: &u.instance.service,
-                addr: u.instance.addr.to_string(),
-                zone: &u.instance.zone,
-                stage: u.stage_name(),
-                registry,
-            });
-        }
+    let merged = fleet.merge(instance, meter);
+    match merged {
+        Merged::Added(key) => tell_added(&fleet, key, registry),
+        Merged::Restarted { key, before } => tell_restarted(&fleet, key, before, registry),
         Merged::Draining(key) => tell_leaving(&fleet, key, "draining", registry),
         Merged::Restaged(key) => {
             let Some(u) = fleet.get(key) else { return };
@@ -258,8 +257,49 @@
                 registry,
             });
         }
-        Merged::Same => {}
+        Merged::Changed => {}
+        Merged::Same => return,
+        Merged::Replaced => {
+            emit(&Event::UpstreamRowLate {
+                upstream: &id,
+                start: start.map(|Start(ms)| ms),
+                row,
+            });
+            return;
+        }
+        Merged::Startless => {
+            drop(fleet);
+            let why = Unreadable::Start;
+            take_out(gateway, &UnreadableRow { id, row, why }, registry);
+            return;
+        }
     }
+    gateway.history().note(registry, &id);
+}
+
+fn tell_added(fleet: &Fleet, key: UpstreamKey, registry: u64) {
+    let Some(u) = fleet.get(key) else { return };
+    emit(&Event::UpstreamAdded {
+        upstream: &u.instance.id,
+        service: &u.instance.service,
+        addr: u.instance.addr.to_string(),
+        zone: &u.instance.zone,
+        stage: u.stage_name(),
+        start: u.instance.start.map(|Start(ms)| ms),
+        registry,
+    });
+}
+
+fn tell_restarted(fleet: &Fleet, key: UpstreamKey, before: Option<Start>, registry: u64) {
+    let Some(u) = fleet.get(key) else { return };
+    emit(&Event::UpstreamRestarted {
+        upstream: &u.instance.id,
+        start: u.instance.start.map(|Start(ms)| ms),
+        before: before.map(|Start(ms)| ms),
+        addr: u.instance.addr.to_string(),
+        stage: u.stage_name(),
+        registry,
+    });
 }
 
 fn tell_leaving(fleet: &Fleet, key: UpstreamKey, why: &str, registry: u64) {
@@ -273,10 +313,24 @@
     });
 }
 
-fn remove(gateway: &Gateway, id: &str, registry: u64) {
+/// Takes out the upstream of a row that names none, unless a newer row does.
+fn take_out(gateway: &Gateway, row: &UnreadableRow, registry: u64) {
+    let metrics = &gateway.metrics;
+    gateway.unreadable().tell(row, metrics, Instant::now());
+    let is_newer = {
+        let fleet = gateway.fleet();
+        let known = fleet.find(&row.id).and_then(|key| fleet.get(key));
+        known.is_some_and(|u| u.instance.row < row.row)
+    };
+    if is_newer {
+        remove(gateway, &row.id, "unreadable entry", registry);
+    }
+}
+
+fn remove(gateway: &Gateway, id: &str, why: &str, registry: u64) {
     let mut fleet = gateway.fleet();
     if let Some(key) = fleet.find(id) {
-        tell_leaving(&fleet, key, "not registered", registry);
+        tell_leaving(&fleet, key, why, registry);
         fleet.remove(key);
         gateway.history().note(registry, id);
     }
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -148,6 +148,8 @@
             // It is there, as its last word has said already.
             return true;
         }
+        // A peer may say anything; the sum of all must stay a number.
+        beat.processes = beat.processes.min(MAX_PEERS as u32);
         if !counts {
             beat.loads.clear();
             beat.processes = 0;
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -1,6 +1,7 @@
 //! What a gateway is and knows.
 
 use crate::fleet::{Fleet, ServiceKey, UpstreamKey};
+use crate::follow;
 use crate::history::History;
 use crate::missing::Missing;
 use crate::peers::catch_up::RegistryChanges;
@@ -32,6 +33,7 @@
     registry: Mutex<Registry>,
     history: Mutex<History>,
     missing: Mutex<Missing>,
+    unreadable: Mutex<follow::unreadable::Told>,
     peers: Mutex<Peers>,
     live_peers: AtomicU32,
     running: AtomicU64,
@@ -81,6 +83,7 @@
             }),
             history: Mutex::default(),
             missing: Mutex::default(),
+            unreadable: Mutex::default(),
             peers: Mutex::default(),
             live_peers: AtomicU32::new(0),
             running: AtomicU64::new(0),
@@ -189,6 +192,11 @@
         Some(changes)
     }
 
+    /// Rows of the registry that can't be decoded and were told.
+    pub fn unreadable(&self) -> MutexGuard<'_, follow::unreadable::Told> {
+        lock(&self.unreadable)
+    }
+
     /// What peers may take this process's word for: none while it uses upstreams
     /// that its last read didn't find.
     pub fn settled_registry(&self) -> Option<Registry> {
--- a/crates/gateway/tests/peers.rs
+++ b/crates/gateway/tests/peers.rs
@@ -331,6 +331,7 @@
         let leaving = Instance {
             is_draining: version % 2 == 0,
             slots: version as u32,
+            row: version,
             ..instance(2, Stage::Decode)
         };
         merge(
--- /dev/null
+++ b/crates/gateway/tests/restarts.rs
@@ -0,0 +1,123 @@
+//! Upstreams that start again under their id, and entries that name none to use, against
+//! stand-ins of the store and the workers.
+
+#[expect(dead_code, reason = "each test file uses some of them")]
+mod common;
+
+use common::{Bed, address, config, exchange, host, request, routes, start, start_bare, start_on};
+use common::{status, wait_for};
+use serde_json::json;
+use standin::{Act, Store, Worker, fixture};
+use std::net::{IpAddr, SocketAddr};
+
+/// A start of a worker, and a later one by its clock.
+const FIRST: u64 = 1_700_000_000_000;
+const SECOND: u64 = FIRST + 5000;
+
+async fn worker_since(bed: &Bed, id: &str, born: u64, state: &str) -> Worker {
+    let addr = SocketAddr::new(IpAddr::V4(address()), 7100);
+    let worker = Worker::start_since(addr, id, born).await.unwrap();
+    put_since(bed, &worker, id, born, state);
+    worker
+}
+
+fn put_since(bed: &Bed, worker: &Worker, id: &str, born: u64, state: &str) {
+    let row = fixture::worker_since(born, "plain", worker.addr, state);
+    bed.store.put("servers", id, &row);
+}
+
+fn get(id: &str) -> String {
+    request("GET", "/safe/", id, "", "")
+}
+
+#[tokio::test]
+async fn an_upstream_that_drained_and_started_again_is_used() {
+    for born in [SECOND, FIRST - 5000] {
+        let bed = start_bare();
+        let mut worker = worker_since(&bed, "i-0", FIRST, "ready").await;
+        bed.store.put("op", "config", &config(1, &routes()));
+        bed.wait_answer(&get("before"), 200).await;
+        put_since(&bed, &worker, "i-0", FIRST, "draining");
+        bed.wait_answer(&get("drains"), 503).await;
+        worker.restart(born).await.unwrap();
+        put_since(&bed, &worker, "i-0", born, "ready");
+        bed.wait_answer(&get("again"), 200).await;
+    }
+}
+
+#[tokio::test]
+async fn an_entry_that_cant_be_read_takes_its_upstream_out_and_no_other() {
+    let (bed, kept) = start(1).await;
+    let good = fixture::worker_since(FIRST, "plain", kept[0].addr, "ready");
+    let kinds = fixture::unreadable_rows(&good);
+    let mut workers = Vec::new();
+    for (kind, _) in &kinds {
+        workers.push(worker_since(&bed, kind, FIRST, "ready").await);
+    }
+    let callers = bed.callers;
+    wait_for("requests at all", || async {
+        exchange(callers, &get("before")).await;
+        workers.iter().all(|w| !w.seen().is_empty())
+    })
+    .await;
+    for (kind, value) in &kinds {
+        bed.store.put_raw("servers", kind, value);
+    }
+    wait_for("requests at the readable one alone", || async {
+        let before: Vec<usize> = workers.iter().map(|w| w.seen().len()).collect();
+        for n in 0..3 * workers.len() {
+            let text = exchange(callers, &get(&format!("id-{n}"))).await;
+            assert_eq!(status(&text), 200);
+        }
+        before.iter().eq(workers
+            .iter()
+            .map(|w| w.seen().len())
+            .collect::<Vec<_>>()
+            .iter())
+    })
+    .await;
+    // Each comes back with a row that can be read.
+    let seen: Vec<usize> = workers.iter().map(|w| w.seen().len()).collect();
+    for ((kind, _), worker) in kinds.iter().zip(&workers) {
+        put_since(&bed, worker, kind, FIRST, "ready");
+    }
+    wait_for("requests at all again", || async {
+        exchange(callers, &get("after")).await;
+        workers.iter().zip(&seen).all(|(w, n)| w.seen().len() > *n)
+    })
+    .await;
+}
+
+#[tokio::test]
+async fn a_report_of_another_start_is_of_use_for_no_order() {
+    let ip = address();
+    let store = Store::start(SocketAddr::new(IpAddr::V4(ip), 7003)).unwrap();
+    let mut config = config(1, &routes());
+    config["Services"][1]["Engine"]["Slots"] = json!(64);
+    store.put("op", "config", &config);
+    let mut workers = Vec::new();
+    for n in 0..12 {
+        let addr = SocketAddr::new(IpAddr::V4(address()), 7100);
+        let id = format!("i-{n}");
+        let worker = Worker::start_since(addr, &id, SECOND).await.unwrap();
+        worker.usually(Act::Engine {
+            stage: "decode",
+            orders: 4,
+            order_status: 202,
+        });
+        let mut row = fixture::worker_since(FIRST, "llm", addr, "ready");
+        row["Stage"] = json!(if n < 4 { "prefill" } else { "decode" });
+        row["Slots"] = json!(64);
+        store.put("servers", &id, &row);
+        workers.push(worker);
+    }
+    let mut host = host(ip, store.addr);
+    host.is_first_start = true;
+    let _bed = start_on(host, store);
+    let asked = |w: &Worker| w.seen().iter().filter(|s| s.path == "/report").count();
+    // Each that is asked twice was passed over once.
+    wait_for("reports", || async { workers.iter().any(|w| asked(w) > 1) }).await;
+    for worker in &workers {
+        assert!(worker.seen().iter().all(|s| s.path != "/order"));
+    }
+}
--- /dev/null
+++ b/crates/gateway/tests/starts.rs
@@ -0,0 +1,376 @@
+//! What stays and what goes when an upstream starts again under its id, and which of two
+//! rows of an id counts.
+
+#[expect(dead_code, reason = "each test file uses some of them")]
+mod fixtures;
+
+use fixtures::{gateway_with, instance};
+use gateway::choose::{Choice, Need, choose};
+use gateway::fleet::{Fleet, Merged};
+use gateway::follow::{merge, merge_peers};
+use gateway::peers::catch_up::{RegistryChanges, take_changes};
+use gateway::peers::{Beat, Load, Peers, Scope};
+use gateway::state::Gateway;
+use net::Meter;
+use platform::{Instance, PromptPart, Registration, Stage, Start, Unreadable, UnreadableRow};
+use std::net::{IpAddr, Ipv4Addr};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+/// A row of the upstream `i-1`.
+fn row(start: Option<u64>, row: u64) -> Instance {
+    Instance {
+        start: start.map(Start),
+        row,
+        ..instance(1, Stage::Decode)
+    }
+}
+
+fn draining(start: Option<u64>, version: u64) -> Instance {
+    Instance {
+        is_draining: true,
+        ..row(start, version)
+    }
+}
+
+fn unreadable(id: &str, row: u64) -> Registration {
+    let why = Unreadable::Field("missing field `State`".into());
+    let id = id.to_owned();
+    Registration::Unreadable(UnreadableRow { id, row, why })
+}
+
+/// A fleet that has taken rows in order, with what came of the last.
+fn fleet_of(rows: impl IntoIterator<Item = Instance>) -> (Fleet, Merged) {
+    let mut fleet = Fleet::default();
+    let mut last = Merged::Same;
+    for row in rows {
+        last = fleet.merge(row, &Meter::default());
+    }
+    (fleet, last)
+}
+
+/// The start of `i-1` in a fleet and whether it drains.
+fn known(fleet: &Fleet) -> Option<(Option<u64>, bool)> {
+    let upstream = fleet.get(fleet.find("i-1")?)?;
+    let start = upstream.instance.start.map(|Start(ms)| ms);
+    Some((start, upstream.instance.is_draining))
+}
+
+#[test]
+fn the_rows_version_decides_and_never_the_clock() {
+    // Either start's clock may be ahead.
+    for (first, second) in [(100, 200), (200, 100)] {
+        let (fleet, merged) = fleet_of([row(Some(first), 1), row(Some(second), 2)]);
+        let before = Some(Start(first));
+        assert!(matches!(merged, Merged::Restarted { before: b, .. } if b == before));
+        assert_eq!(known(&fleet), Some((Some(second), false)));
+        // The same rows the other way round.
+        let (fleet, merged) = fleet_of([row(Some(second), 2), row(Some(first), 1)]);
+        assert_eq!(merged, Merged::Same);
+        assert_eq!(known(&fleet), Some((Some(second), false)));
+    }
+}
+
+#[test]
+fn a_start_that_was_replaced_never_comes_back() {
+    let (mut fleet, _) = fleet_of([row(Some(1), 1), row(Some(2), 2)]);
+    // A heartbeat of the earlier start that reached the store late.
+    assert_eq!(
+        fleet.merge(row(Some(1), 3), &Meter::default()),
+        Merged::Replaced
+    );
+    assert_eq!(known(&fleet), Some((Some(2), false)));
+    // Nor when the later one is gone meanwhile.
+    let key = fleet.find("i-1").unwrap();
+    fleet.remove(key);
+    assert_eq!(
+        fleet.merge(row(Some(1), 4), &Meter::default()),
+        Merged::Replaced
+    );
+    assert_eq!(known(&fleet), None);
+    // The later one itself does, as after its entry lapsed.
+    let merged = fleet.merge(row(Some(2), 5), &Meter::default());
+    assert!(matches!(merged, Merged::Added(_)));
+}
+
+#[test]
+fn starts_of_many_ids_are_remembered_within_a_bound() {
+    let mut fleet = Fleet::default();
+    let meter = Meter::default();
+    for n in 0..6000u64 {
+        let id = format!("i-{n}");
+        for start in [1, 2] {
+            let row = Instance {
+                id: id.clone(),
+                ..row(Some(start), start)
+            };
+            fleet.merge(row, &meter);
+        }
+        let key = fleet.find(&id).unwrap();
+        fleet.remove(key);
+    }
+    let late = |n: u64| Instance {
+        id: format!("i-{n}"),
+        ..row(Some(1), 9)
+    };
+    // The first are forgotten, the last are not.
+    assert!(matches!(fleet.merge(late(0), &meter), Merged::Added(_)));
+    assert_eq!(fleet.merge(late(5999), &meter), Merged::Replaced);
+}
+
+#[test]
+fn within_one_start_draining_stays_whatever_row_tells_it() {
+    for start in [None, Some(7)] {
+        let (fleet, _) = fleet_of([draining(start, 1), row(start, 2)]);
+        assert_eq!(known(&fleet), Some((start, true)));
+        let (fleet, merged) = fleet_of([row(start, 2), draining(start, 1)]);
+        assert!(matches!(merged, Merged::Draining(_)));
+        assert_eq!(known(&fleet), Some((start, true)));
+    }
+    let (fleet, _) = fleet_of([draining(Some(7), 1), row(Some(8), 2)]);
+    assert_eq!(known(&fleet), Some((Some(8), false)));
+    // An older row of an earlier start says nothing of this one.
+    let (fleet, merged) = fleet_of([row(Some(8), 2), draining(Some(7), 1)]);
+    assert_eq!(merged, Merged::Same);
+    assert_eq!(known(&fleet), Some((Some(8), false)));
+}
+
+#[test]
+fn an_unknown_start_serves_until_one_is_told_and_names_none_after() {
+    let (mut fleet, merged) = fleet_of([row(None, 1), row(Some(1), 2)]);
+    assert!(matches!(merged, Merged::Restarted { before: None, .. }));
+    assert_eq!(fleet.merge(row(None, 2), &Meter::default()), Merged::Same);
+    assert_eq!(
+        fleet.merge(row(None, 3), &Meter::default()),
+        Merged::Startless
+    );
+}
+
+fn sent_uncached(gateway: &Gateway, parts: &[PromptPart]) -> Option<u32> {
+    let service = gateway.fleet().service("s");
+    let need = Need {
+        service,
+        parts,
+        prompt_tokens: parts.iter().map(|p| p.tokens).sum(),
+        max_output_tokens: 10,
+        target: Duration::from_secs(10),
+        is_rest: false,
+        tried: &[],
+    };
+    match choose(gateway, &need) {
+        Choice::Send(plan) => Some(plan.inputs.uncached),
+        Choice::Busy(..) | Choice::NoUpstream => None,
+    }
+}
+
+/// A gateway that knows `i-1` in its first start, and all that a start may leave behind.
+fn gateway_with_a_worn_start() -> Arc<Gateway> {
+    let gateway = gateway_with(&[]);
+    gateway.fleet().see_starts();
+    let now = Instant::now();
+    merge(
+        &gateway,
+        vec![Registration::Present(row(Some(1), 1))],
+        true,
+        1,
+        now,
+    );
+    let mut fleet = gateway.fleet();
+    let key = fleet.find("i-1").unwrap();
+    fleet.note_parts(key, &prompt(), now);
+    let upstream = fleet.get_mut(key).unwrap();
+    for _ in 0..20 {
+        upstream.health.failed(1.0, now);
+    }
+    upstream.set_changing(now + Duration::from_secs(600), Stage::Prefill);
+    upstream.running = 3;
+    upstream.waiting = 2;
+    upstream.tokens = 5000;
+    drop(fleet);
+    gateway
+}
+
+fn prompt() -> [PromptPart; 2] {
+    [(7, 900), (1 << 40, 100)].map(|(id, tokens)| PromptPart { id, tokens })
+}
+
+#[test]
+fn nothing_of_the_earlier_start_is_left() {
+    let gateway = gateway_with_a_worn_start();
+    let before = gateway.fleet().find("i-1").unwrap();
+    assert_eq!(sent_uncached(&gateway, &prompt()), None, "it is suspended");
+    let again = vec![Registration::Present(row(Some(2), 2))];
+    merge(&gateway, again, false, 2, Instant::now());
+    // It is used at once, holds nothing, and has nothing to do.
+    assert_eq!(sent_uncached(&gateway, &prompt()), Some(1000));
+    let fleet = gateway.fleet();
+    assert!(
+        fleet.get(before).is_none(),
+        "the key is of the earlier start"
+    );
+    let upstream = fleet.get(fleet.find("i-1").unwrap()).unwrap();
+    assert_eq!((upstream.all_running(), upstream.reading_tokens()), (0, 0));
+    assert!(upstream.load().is_none());
+    assert!(!upstream.is_suspended(Instant::now()) && !upstream.is_changing(Instant::now()));
+}
+
+#[test]
+fn what_a_peer_tells_of_the_earlier_start_counts_for_none() {
+    let (mut fleet, _) = fleet_of([row(Some(1), 1)]);
+    let tag = |fleet: &Fleet| fleet.get(fleet.find("i-1").unwrap()).unwrap().tag();
+    let homes = |fleet: &Fleet| fleet.get(fleet.find("i-1").unwrap()).unwrap().hash;
+    let (earlier, home, view) = (tag(&fleet), homes(&fleet), fleet.view());
+    let beat = |number, upstream| Beat {
+        start: 1,
+        number,
+        scope: Scope::Direct,
+        zone: 0,
+        processes: 1,
+        config: 0,
+        registry: 0,
+        registry_ms: 0,
+        view: 0,
+        loads: vec![Load {
+            upstream,
+            waiting: 1,
+            tokens: 800,
+            running: 1,
+            streams: 0,
+        }],
+        changing: Vec::new(),
+        placements: Vec::new(),
+    };
+    let (mut peers, now) = (Peers::default(), Instant::now());
+    let ip = IpAddr::V4(Ipv4Addr::new(10, 0, 0, 1));
+    peers.hear(ip, beat(1, earlier), &mut fleet, now);
+    let tokens = |fleet: &Fleet| fleet.get(fleet.find("i-1").unwrap()).unwrap().others.tokens;
+    assert_eq!(tokens(&fleet), 800);
+    fleet.merge(row(Some(2), 2), &Meter::default());
+    assert_eq!(tokens(&fleet), 0);
+    peers.hear(ip, beat(2, earlier), &mut fleet, now);
+    assert_eq!(tokens(&fleet), 0);
+    let later = tag(&fleet);
+    peers.hear(ip, beat(3, later), &mut fleet, now);
+    assert_eq!(tokens(&fleet), 800);
+    // Homes stay, what processes compare differs.
+    assert_eq!(homes(&fleet), home);
+    assert_ne!(fleet.view(), view);
+}
+
+#[test]
+fn a_peer_that_knows_the_earlier_start_calls_it_not_back() {
+    let gateway = gateway_with(&[]);
+    let now = Instant::now();
+    let rows = [row(Some(1), 1), row(Some(2), 5)].map(Registration::Present);
+    for (version, row) in [1, 5].into_iter().zip(rows) {
+        merge(&gateway, vec![row], false, version, now);
+    }
+    let earlier = vec![Registration::Present(draining(Some(1), 4))];
+    merge_peers(&gateway, earlier, false, 9);
+    assert_eq!(known(&gateway.fleet()), Some((Some(2), false)));
+}
+
+#[test]
+fn a_restart_is_told_to_peers_as_a_change() {
+    let (a, b) = (gateway_with(&[]), gateway_with(&[]));
+    let first = || vec![Registration::Present(row(Some(1), 3))];
+    for gateway in [&a, &b] {
+        merge(gateway, first(), true, 3, Instant::now());
+    }
+    let again = vec![Registration::Present(row(Some(2), 4))];
+    merge(&a, again, false, 4, Instant::now());
+    let told: RegistryChanges = a.changes_since(3).unwrap();
+    assert_eq!((told.is_whole, told.present.len()), (false, 1));
+    assert!(take_changes(&b, told), "both know the same");
+    assert_eq!(known(&b.fleet()), Some((Some(2), false)));
+    // Heartbeats change no more than the row's version, and aren't told.
+    let beat = vec![Registration::Present(row(Some(2), 6))];
+    merge(&a, beat, false, 6, Instant::now());
+    assert!(a.changes_since(4).unwrap().present.is_empty());
+    assert_eq!(a.fleet().view(), b.fleet().view());
+}
+
+#[test]
+fn an_unreadable_entry_takes_its_upstream_out_at_once_and_peers_hear_of_it() {
+    let (a, b) = (gateway_with(&[]), gateway_with(&[]));
+    let now = Instant::now();
+    let other = Instance {
+        row: 1,
+        ..instance(2, Stage::Decode)
+    };
+    let both = || vec![row(Some(1), 1), other.clone()];
+    for gateway in [&a, &b] {
+        let read = both().into_iter().map(Registration::Present).collect();
+        merge(gateway, read, true, 1, now);
+        // What is missing now may come back; what can't be read isn't missing.
+        gateway.missing().open(now);
+    }
+    let read = vec![unreadable("i-1", 2), Registration::Present(other.clone())];
+    merge(&a, read, true, 2, now);
+    assert_eq!(known(&a.fleet()), None);
+    assert!(a.fleet().find("i-2").is_some());
+    assert!(a.missing().is_empty());
+    assert!(take_changes(&b, a.changes_since(1).unwrap()));
+    assert_eq!(known(&b.fleet()), None);
+    assert!(b.fleet().find("i-2").is_some());
+    // A row of a version that isn't newer takes nothing out.
+    let back = vec![Registration::Present(row(Some(1), 3))];
+    merge(&a, back, false, 3, now);
+    merge(&a, vec![unreadable("i-1", 2)], false, 4, now);
+    assert_eq!(known(&a.fleet()), Some((Some(1), false)));
+}
+
+#[test]
+fn an_upstream_that_is_held_back_is_out_once_its_entry_cant_be_read() {
+    let gateway = gateway_with(&[]);
+    let now = Instant::now();
+    merge(
+        &gateway,
+        vec![Registration::Present(row(Some(1), 1))],
+        true,
+        1,
+        now,
+    );
+    gateway.missing().open(now);
+    merge(&gateway, Vec::new(), true, 2, now);
+    assert!(known(&gateway.fleet()).is_some(), "it may come back");
+    merge(&gateway, vec![unreadable("i-1", 3)], false, 3, now);
+    assert_eq!(known(&gateway.fleet()), None);
+    assert!(gateway.missing().is_empty());
+}
+
+#[test]
+fn a_row_without_a_start_after_one_with_takes_the_upstream_out() {
+    let gateway = gateway_with(&[]);
+    let now = Instant::now();
+    for (version, start) in [(1, Some(1)), (2, None), (3, None)] {
+        let read = vec![Registration::Present(row(start, version))];
+        merge(&gateway, read, false, version, now);
+        assert_eq!(known(&gateway.fleet()).is_some(), start.is_some());
+    }
+    let read = vec![Registration::Present(row(Some(1), 4))];
+    merge(&gateway, read, false, 4, now);
+    assert!(known(&gateway.fleet()).is_some());
+}
+
+#[test]
+fn each_version_of_an_unreadable_entry_counts_once() {
+    let gateway = gateway_with(&[]);
+    let counted = || {
+        let text = String::from_utf8(gateway.metrics.text()).unwrap();
+        let line = text
+            .lines()
+            .find(|l| l.starts_with("arbutusquay_unreadable_entries_total"));
+        line.and_then(|l| l.split(' ').next_back())
+            .map_or(0, |n| n.parse().unwrap())
+    };
+    for (version, expected) in [(1, 1), (1, 1), (2, 2), (2, 2)] {
+        let read = vec![unreadable("bad", version)];
+        merge(&gateway, read, true, version, Instant::now());
+        assert_eq!(counted(), expected);
+    }
+    // A flood of keys and versions is counted, and what is remembered is bounded.
+    let flood = (0..20_000).map(|n| unreadable(&format!("bad-{n}"), 3));
+    merge(&gateway, flood.collect(), false, 3, Instant::now());
+    assert_eq!(counted(), 20_002);
+}
--- a/crates/observe/src/event.rs
+++ b/crates/observe/src/event.rs
@@ -178,7 +178,7 @@
     },
     /// An upstream may get requests.
     UpstreamAdded {
-        /// Id of its start.
+        /// Its id.
         upstream: &'a str,
         /// Its service.
         service: &'a str,
@@ -188,12 +188,51 @@
         zone: &'a str,
         /// What it does with prompts; none for a plain service.
         stage: Option<&'a str>,
+        /// When it started, in milliseconds by its own clock; none if it doesn't tell.
+        start: Option<u64>,
         /// The store's version that told of it.
         registry: u64,
     },
+    /// An upstream has started again under its id. Whatever was known of the start
+    /// before is dropped.
+    UpstreamRestarted {
+        /// Its id.
+        upstream: &'a str,
+        /// When it started, in milliseconds by its own clock.
+        start: Option<u64>,
+        /// The same of the start before; none if that wasn't known.
+        before: Option<u64>,
+        /// Where it takes requests.
+        addr: String,
+        /// What it does with prompts; none for a plain service.
+        stage: Option<&'a str>,
+        /// The store's version that told of it.
+        registry: u64,
+    },
+    /// A row of a start that another has replaced was left out: a late heartbeat.
+    UpstreamRowLate {
+        /// Its id.
+        upstream: &'a str,
+        /// The start that it tells of, in milliseconds by the upstream's clock.
+        start: Option<u64>,
+        /// The store's version of the row.
+        row: u64,
+    },
+    /// A row names no upstream to use: it was written by others, or is broken. The rest
+    /// of what was read holds.
+    EntryUnreadable {
+        /// Its key, cut to what is logged.
+        entry: String,
+        /// What is wrong with it, as metrics count it.
+        reason: &'a str,
+        /// The same in words.
+        why: String,
+        /// The store's version of the row.
+        row: u64,
+    },
     /// An engine does something else with prompts than before.
     StageChanged {
-        /// Id of its start.
+        /// Its id.
         upstream: &'a str,
         /// What it does now.
         stage: Option<&'a str>,
@@ -223,7 +262,7 @@
     },
     /// An engine was given an order to change its stage, or was passed over.
     StageOrdered {
-        /// Id of its start.
+        /// Its id.
         upstream: &'a str,
         /// The stage that it is to have.
         stage: &'a str,
@@ -243,7 +282,7 @@
     },
     /// An upstream gets no new requests because it leaves or has left.
     UpstreamLeaving {
-        /// Id of its start.
+        /// Its id.
         upstream: &'a str,
         /// What the registry says.
         why: &'a str,
@@ -255,7 +294,7 @@
     /// An upstream isn't registered just after the store's return, and is used for
     /// a little longer, since its entry may have lapsed with the store.
     UpstreamMissing {
-        /// Id of its start.
+        /// Its id.
         upstream: &'a str,
         /// The store's version at which it is missing.
         registry: u64,
@@ -269,7 +308,7 @@
     },
     /// An upstream gets no requests for a while because of its answers.
     UpstreamSuspended {
-        /// Id of its start.
+        /// Its id.
         upstream: &'a str,
         /// Failures among the last requests, as a share.
         failures: f64,
@@ -358,6 +397,7 @@
             | Self::ClaimGivenUp { .. } => Level::Warn,
             Self::DependencyLost { .. }
             | Self::Undecodable { .. }
+            | Self::EntryUnreadable { .. }
             | Self::UpstreamSuspended { .. }
             | Self::AttemptFailed { .. } => Level::Warn,
             Self::RecordsDropped { .. } | Self::LinesDropped { .. } => Level::Error,
--- a/crates/observe/src/metrics.rs
+++ b/crates/observe/src/metrics.rs
@@ -45,6 +45,7 @@
     tenants: HistogramVec,
     docs: IntGaugeVec,
     bytes: IntGaugeVec,
+    unreadable: IntCounterVec,
     known: Mutex<Vec<String>>,
     most_tenants: usize,
 }
@@ -95,6 +96,12 @@
                 "Bytes of control traffic so far, in both directions, by other side.",
                 &["link"],
             ),
+            unreadable: counter(
+                &registry,
+                "unreadable_entries_total",
+                "Versions of entries in the registry that name no upstream to use.",
+                &["reason"],
+            ),
             known: Mutex::default(),
             most_tenants: most_tenants as usize,
             registry,
@@ -134,6 +141,11 @@
         self.bytes.with_label_values(&[link]).set(bytes as i64);
     }
 
+    /// Counts an entry of the registry that names no upstream to use.
+    pub fn unreadable(&self, reason: &str) {
+        self.unreadable.with_label_values(&[reason]).inc();
+    }
+
     /// The text that prometheus reads.
     pub fn text(&self) -> Vec<u8> {
         let mut buf = Vec::new();
