Any bytes that others write are a value or refused

Cause: sums of what peers say could overflow (tokens and processes are 32 bits each, a panic in debug builds and a wrong sum else), so could the times and the token of a lease row; decoders of process and lease rows couldn't be reached by a test.

Property tests with fixed seeds for worker rows, reports, process rows, leases, datagrams and registry changes: random bytes, and valid messages with some bytes changed or cut off.

--- /dev/null
+++ b/crates/gateway/tests/decoders.rs
@@ -0,0 +1,215 @@
+//! What peers and rows of leases say: any bytes are decoded or refused, and what was
+//! decoded is no larger than its message allows.
+
+#[expect(dead_code, reason = "each test file uses some of them")]
+mod fixtures;
+
+use fixtures::{gateway_with, instance, runner};
+use gateway::division::lease::turn;
+use gateway::peers::catch_up::{RegistryChanges, take_changes};
+use gateway::peers::{Beat, Changing, Load, Peers, Placement, Scope};
+use platform::{LeaseRead, OrderLease, Stage, Start};
+use proptest::prelude::*;
+use std::net::{IpAddr, Ipv4Addr};
+use std::time::{Duration, Instant};
+
+fn beat(upstream: u32) -> Beat {
+    Beat {
+        start: 1,
+        number: 1,
+        scope: Scope::Direct,
+        zone: 3,
+        processes: 1,
+        config: 1,
+        registry: 1,
+        registry_ms: 20,
+        view: 7,
+        loads: vec![Load {
+            upstream,
+            waiting: 1,
+            tokens: 800,
+            running: 1,
+            streams: 0,
+        }],
+        changing: vec![Changing {
+            upstream,
+            left_ms: 500,
+        }],
+        placements: vec![Placement {
+            upstream,
+            part: 9,
+            tokens: 300,
+        }],
+    }
+}
+
+fn changes() -> RegistryChanges {
+    let mut present = instance(1, Stage::Decode);
+    present.start = Some(Start(1_700_000_000_000));
+    RegistryChanges {
+        version: 9,
+        view: 1,
+        is_whole: false,
+        present: vec![present, instance(2, Stage::Prefill)],
+        gone: vec!["i-3".into()],
+    }
+}
+
+/// Bytes of all kinds, and such as were a message before some of them changed.
+fn bytes(good: Vec<u8>) -> impl Strategy<Value = Vec<u8>> {
+    let any_bytes = proptest::collection::vec(any::<u8>(), 0..200);
+    let changes = proptest::collection::vec((any::<usize>(), any::<u8>()), 0..4);
+    let changed = (changes, any::<usize>()).prop_map(move |(changes, cut)| {
+        let mut bytes = good.clone();
+        for (at, byte) in changes {
+            let at = at % bytes.len();
+            bytes[at] = byte;
+        }
+        if cut % 3 == 0 {
+            bytes.truncate(cut % bytes.len());
+        }
+        bytes
+    });
+    prop_oneof![1 => any_bytes, 3 => changed]
+}
+
+#[test]
+fn any_datagram_is_taken_or_refused_and_leaves_sums_whole() {
+    let gateway = gateway_with(&[Stage::Decode]);
+    let tag = gateway.fleet().iter().next().unwrap().1.tag();
+    let good = wire::encode_compact(&beat(tag));
+    assert!(wire::decode::<Beat>(&good).is_some());
+    let datagrams = proptest::collection::vec(bytes(good), 1..30);
+    runner()
+        .run(&datagrams, |datagrams| {
+            let mut peers = Peers::default();
+            let now = Instant::now();
+            for (n, bytes) in datagrams.iter().enumerate() {
+                let Some(beat) = wire::decode::<Beat>(bytes) else {
+                    continue;
+                };
+                let told = beat.loads.len() + beat.changing.len() + beat.placements.len();
+                prop_assert!(told <= bytes.len());
+                let ip = IpAddr::V4(Ipv4Addr::new(10, 0, 0, n as u8));
+                let mut fleet = gateway.fleet();
+                peers.hear(ip, beat, &mut fleet, now);
+                peers.choose_parent(gateway.location(), &mut fleet, now);
+                drop(fleet);
+                peers.processes(now);
+                let own = self::beat(tag);
+                peers.tell(gateway.location(), &own, now);
+            }
+            let mut fleet = gateway.fleet();
+            for (_, upstream) in fleet.iter() {
+                upstream.work(u32::MAX);
+            }
+            peers.expire(&mut fleet, now + Duration::from_secs(60));
+            Ok(())
+        })
+        .unwrap();
+}
+
+#[test]
+fn the_most_that_peers_may_say_adds_up() {
+    let gateway = gateway_with(&[Stage::Decode]);
+    let tag = gateway.fleet().iter().next().unwrap().1.tag();
+    let mut peers = Peers::default();
+    let now = Instant::now();
+    for n in 0..4 {
+        let mut beat = beat(tag);
+        beat.processes = u32::MAX;
+        beat.scope = match n {
+            0 | 1 => Scope::Direct,
+            _ => Scope::Up,
+        };
+        let load = &mut beat.loads[0];
+        (load.waiting, load.tokens) = (u16::MAX, u32::MAX);
+        (load.running, load.streams) = (u16::MAX, u16::MAX);
+        let ip = IpAddr::V4(Ipv4Addr::new(10, 0, 0, n));
+        peers.hear(ip, beat, &mut gateway.fleet(), now);
+    }
+    gateway.set_live_peers(peers.processes(now));
+    peers.tell(gateway.location(), &beat(tag), now);
+    let fleet = gateway.fleet();
+    let (_, upstream) = fleet.iter().next().unwrap();
+    assert_eq!(upstream.reading_tokens(), u32::MAX);
+    upstream.work(u32::MAX);
+}
+
+#[test]
+fn any_changes_of_the_registry_are_taken_or_refused() {
+    let good = wire::encode_compact(&changes());
+    assert!(wire::decode::<RegistryChanges>(&good).is_some());
+    runner()
+        .run(&bytes(good), |bytes| {
+            let Some(changes) = wire::decode::<RegistryChanges>(&bytes) else {
+                return Ok(());
+            };
+            prop_assert!(changes.present.len() + changes.gone.len() <= bytes.len());
+            take_changes(&gateway_with(&[Stage::Decode]), changes);
+            Ok(())
+        })
+        .unwrap();
+}
+
+#[test]
+fn a_message_that_announces_more_than_it_has_is_refused() {
+    // A list of 4 billion entries, as the last field that follows whole ones.
+    let huge = [0xdd, 0xff, 0xff, 0xff, 0xff];
+    let mut beat = wire::encode_compact(&beat(1));
+    let loads = beat.len() - wire::encode_compact(&beat_lists()).len() + 1;
+    beat.truncate(loads);
+    beat.extend(huge);
+    assert!(wire::decode::<Beat>(&beat).is_none());
+    let mut changes = wire::encode_compact(&RegistryChanges {
+        present: Vec::new(),
+        gone: Vec::new(),
+        ..changes()
+    });
+    changes.truncate(changes.len() - 2);
+    changes.extend(huge);
+    assert!(wire::decode::<RegistryChanges>(&changes).is_none());
+}
+
+/// The lists at the end of a beat, as one message.
+fn beat_lists() -> (Vec<Load>, Vec<Changing>, Vec<Placement>) {
+    let Beat {
+        loads,
+        changing,
+        placements,
+        ..
+    } = beat(1);
+    (loads, changing, placements)
+}
+
+#[test]
+fn any_lease_is_taken_or_waited_for() {
+    let lease = (any::<u64>(), any::<u64>(), any::<u64>());
+    runner()
+        .run(&lease, |(token, until_ms, now_ms)| {
+            let read = |holder: &str| LeaseRead {
+                lease: Some(OrderLease {
+                    holder: holder.into(),
+                    token,
+                    until_ms,
+                }),
+                version: 1,
+                now_ms,
+            };
+            for holder in ["10.0.0.1", "10.0.0.2"] {
+                turn(&read(holder), "10.0.0.1", Duration::from_secs(3));
+            }
+            Ok(())
+        })
+        .unwrap();
+    let most = LeaseRead {
+        lease: Some(OrderLease {
+            holder: "10.0.0.2".into(),
+            token: u64::MAX,
+            until_ms: u64::MAX,
+        }),
+        version: 1,
+        now_ms: u64::MAX,
+    };
+    turn(&most, "10.0.0.1", Duration::from_secs(3));
+}
