--- a/crates/gateway/src/follow/unreadable.rs
+++ b/crates/gateway/src/follow/unreadable.rs
@@ -16,6 +16,17 @@
 /// Characters of a key that are logged.
 const MAX_KEY: usize = 64;
 
+/// What is to be done with a row that can't be decoded.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Telling {
+    /// Nothing: this version of it was told before.
+    Known,
+    /// It is counted; the log has had enough of them for now.
+    Count,
+    /// It is counted and logged.
+    CountAndLog,
+}
+
 /// Which rows were told.
 #[derive(Debug, Default)]
 pub struct Told {
@@ -28,12 +39,13 @@
 impl Told {
     /// Counts a row that can't be decoded and logs it, once for each of its versions.
     pub fn tell(&mut self, row: &UnreadableRow, metrics: &Metrics, now: Instant) {
-        if !self.is_new(row) {
+        let telling = self.note(row, now);
+        if telling == Telling::Known {
             return;
         }
         let reason = row.why.name();
         metrics.unreadable(reason);
-        if !self.has_room(now) {
+        if telling == Telling::Count {
             return;
         }
         emit(&Event::EntryUnreadable {
@@ -44,6 +56,18 @@
         });
     }
 
+    /// Notes a row; says what is to be done with it.
+    pub fn note(&mut self, row: &UnreadableRow, now: Instant) -> Telling {
+        match (self.is_new(row), self.has_room(now)) {
+            (false, _) => Telling::Known,
+            (true, false) => Telling::Count,
+            (true, true) => {
+                self.lines += 1;
+                Telling::CountAndLog
+            }
+        }
+    }
+
     fn is_new(&mut self, row: &UnreadableRow) -> bool {
         let key = xxhash_rust::xxh3::xxh3_64(row.id.as_bytes());
         match self.rows.binary_search_by_key(&key, |(k, _)| *k) {
@@ -76,7 +100,6 @@
             self.window = Some(now);
             self.lines = 0;
         }
-        self.lines += 1;
-        self.lines <= MAX_LINES
+        self.lines < MAX_LINES
     }
 }
--- a/crates/gateway/tests/restarts.rs
+++ b/crates/gateway/tests/restarts.rs
@@ -45,6 +45,24 @@
     }
 }
 
+#[tokio::test]
+async fn an_upstream_whose_row_names_another_address_is_called_there() {
+    let (bed, workers) = start(1).await;
+    bed.wait_answer(&get("before"), 200).await;
+    let addr = SocketAddr::new(IpAddr::V4(address()), 7100);
+    let moved = Worker::start(addr, "i-0").await.unwrap();
+    bed.register("i-0", "plain", addr, "ready", None);
+    let callers = bed.callers;
+    wait_for("a request at the new address", || async {
+        exchange(callers, &get("after")).await;
+        !moved.seen().is_empty()
+    })
+    .await;
+    let before = workers[0].seen().len();
+    bed.wait_answer(&get("later"), 200).await;
+    assert_eq!(workers[0].seen().len(), before);
+}
+
 #[tokio::test]
 async fn an_entry_that_cant_be_read_takes_its_upstream_out_and_no_other() {
     let (bed, kept) = start(1).await;
--- a/crates/gateway/tests/starts.rs
+++ b/crates/gateway/tests/starts.rs
@@ -7,6 +7,7 @@
 use fixtures::{gateway_with, instance};
 use gateway::choose::{Choice, Need, choose};
 use gateway::fleet::{Fleet, Merged};
+use gateway::follow::unreadable::{Telling, Told};
 use gateway::follow::{merge, merge_peers};
 use gateway::peers::catch_up::{RegistryChanges, take_changes};
 use gateway::peers::{Beat, Load, Peers, Scope};
@@ -373,4 +374,31 @@
     let flood = (0..20_000).map(|n| unreadable(&format!("bad-{n}"), 3));
     merge(&gateway, flood.collect(), false, 3, Instant::now());
     assert_eq!(counted(), 20_002);
+    // What was told of old versions is forgotten by then.
+    merge(
+        &gateway,
+        vec![unreadable("bad", 2)],
+        false,
+        4,
+        Instant::now(),
+    );
+    assert_eq!(counted(), 20_003);
+}
+
+#[test]
+fn a_flood_of_unreadable_entries_leaves_the_log_to_others() {
+    let mut told = Told::default();
+    let now = Instant::now();
+    let mut logged = |versions: std::ops::Range<u64>, now| {
+        let rows = versions.map(|version| UnreadableRow {
+            id: "bad".into(),
+            row: version,
+            why: Unreadable::Start,
+        });
+        let told = rows.map(|row| told.note(&row, now));
+        told.filter(|t| *t == Telling::CountAndLog).count()
+    };
+    assert_eq!(logged(1..5000, now), 20);
+    assert_eq!(logged(1..5000, now + Duration::from_secs(2)), 0);
+    assert_eq!(logged(5000..5003, now + Duration::from_secs(2)), 3);
 }
