--- a/crates/gateway/src/attempt/split.rs
+++ b/crates/gateway/src/attempt/split.rs
@@ -36,12 +36,19 @@
     };
     account.read = Some(account.since.elapsed());
     let tried = take(call, account, plan, need, &prefilled).await;
-    if matches!(tried, Tried::NotRun(_)) {
+    if matches!(tried, Tried::NotRun(_)) && !has_started_again(call, plan) {
         free(plan.pool.clone(), &prefilled);
     }
     tried
 }
 
+/// Whether the engine that read a prompt has started again since. What it kept is gone,
+/// and the new start may have given the same handle to another prompt.
+fn has_started_again(call: &Call, plan: &Plan) -> bool {
+    let fleet = call.gateway.fleet();
+    fleet.has_started_again(plan.key, &plan.instance)
+}
+
 /// Has the answer generated from a KV cache. An engine that doesn't take it, as one
 /// that has just crashed, is passed over for the next: the prompt stays read.
 async fn take(
@@ -56,6 +63,9 @@
     let mut last = Tried::NotRun(NotRun::NoPrefill);
     let mut was_rejected = false;
     for _ in 0..MAX_TAKERS {
+        if has_started_again(call, plan) {
+            break;
+        }
         let need = Need {
             tried: &passed_over,
             ..*need
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -142,6 +142,11 @@
         self.key_of(id_hash(id))
     }
 
+    /// Whether an id stands for another start now than the one with a key.
+    pub fn has_started_again(&self, key: UpstreamKey, id: &str) -> bool {
+        self.find(id).is_some_and(|now| now != key)
+    }
+
     fn key_of(&self, hash: u64) -> Option<UpstreamKey> {
         let at = self.by_hash.binary_search_by_key(&hash, |(h, _)| *h);
         at.ok().map(|at| self.by_hash[at].1)
--- a/crates/gateway/tests/restarts.rs
+++ b/crates/gateway/tests/restarts.rs
@@ -7,8 +7,10 @@
 use common::{Bed, address, config, exchange, host, request, routes, start, start_bare, start_on};
 use common::{status, wait_for};
 use serde_json::json;
-use standin::{Act, Store, Worker, fixture};
+use standin::{Act, Seen, Store, Worker, fixture};
 use std::net::{IpAddr, SocketAddr};
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
 
 /// A start of a worker, and a later one by its clock.
 const FIRST: u64 = 1_700_000_000_000;
@@ -139,3 +141,54 @@
         assert!(worker.seen().iter().all(|s| s.path != "/order"));
     }
 }
+
+#[tokio::test]
+async fn what_the_earlier_start_has_read_is_taken_by_no_engine() {
+    let bed = start_bare();
+    let reader = engine(&bed, "i-read", "prefill").await;
+    let generator = engine(&bed, "i-0", "decode").await;
+    generator.usually(Act::Events(1..=2));
+    bed.store.put("op", "config", &config(1, &routes()));
+    bed.wait_ready(200).await;
+    let more = "model: m\r\ntoken-counts: 100,9\r\nprompt-prefix: 1:50,2:50\r\n";
+    let prompt = |id: &str| request("POST", "/prompt/x", id, more, "");
+    reader.usually(Act::Prefilled("later".into()));
+    bed.wait_answer(&prompt("before"), 200).await;
+    // The new start is told while the earlier one reads. A busy machine may hear of it
+    // only after the prompt was read, so this is tried until it is heard in time.
+    let rounds = AtomicU64::new(0);
+    wait_for("a prompt that isn't taken", || async {
+        let round = rounds.fetch_add(1, Ordering::Relaxed);
+        let answer = Act::Prefilled("earlier".into());
+        reader.script([Act::After(Duration::from_secs(2), Box::new(answer))]);
+        let (callers, id) = (bed.callers, format!("id-{round}"));
+        let req = prompt(&id);
+        let asked = tokio::spawn(async move { exchange(callers, &req).await });
+        let is_read = || reader.seen().iter().any(|s| s.id() == id);
+        wait_for("the prompt to be read", || async {
+            is_read() || asked.is_finished()
+        })
+        .await;
+        put_engine(&bed, &reader, "i-read", SECOND + round, "prefill");
+        asked.await.unwrap();
+        let is_taken = |s: &Seen| {
+            let source = s.header("kv-source");
+            s.id() == id && source.is_some_and(|h| h.ends_with("/earlier"))
+        };
+        is_read() && !generator.seen().iter().any(is_taken)
+    })
+    .await;
+}
+
+async fn engine(bed: &Bed, id: &str, stage: &str) -> Worker {
+    let addr = SocketAddr::new(IpAddr::V4(address()), 7100);
+    let worker = Worker::start_since(addr, id, FIRST).await.unwrap();
+    put_engine(bed, &worker, id, FIRST, stage);
+    worker
+}
+
+fn put_engine(bed: &Bed, worker: &Worker, id: &str, born: u64, stage: &str) {
+    let mut row = fixture::worker_since(born, "llm", worker.addr, "ready");
+    row["Stage"] = json!(stage);
+    bed.store.put("servers", id, &row);
+}
