explain tells that a failed request's upstream started again

Cause: a worker that crashes fails its requests before its new row is read, so the line upstream_restarted lay behind the request's last line and explain left it out.

Change: that line is shown within five seconds after the request.

--- a/crates/arbutusquay/src/commands/explain.rs
+++ b/crates/arbutusquay/src/commands/explain.rs
@@ -14,6 +14,10 @@
 /// milliseconds: a lost dependency is told of within a second, and bounds on what
 /// a process believes are a few seconds.
 const BEFORE_MS: u64 = 5000;
+/// How long after its last line the line may stand that its upstream has started again,
+/// in milliseconds: the upstream's connections end first, then it starts, writes its row,
+/// and that is read.
+const RESTART_WITHIN_MS: u64 = 5000;
 /// Fields that stand at the beginning of a line or are the same on all.
 const LEADING: [&str; 5] = ["ts_ms", "level", "process", "event", "request"];
 
@@ -44,6 +48,10 @@
     let from = first.at_ms.saturating_sub(BEFORE_MS);
     let until = last.at_ms;
     let shown = lines.iter().filter(|l| {
+        let until = match l.event.as_str() {
+            "upstream_restarted" => until.saturating_add(RESTART_WITHIN_MS),
+            _ => until,
+        };
         let is_near = (from..=until).contains(&l.at_ms);
         l.is_about(&args.id) || (is_near && explains(l, &own))
     });
--- a/crates/arbutusquay/tests/explain.rs
+++ b/crates/arbutusquay/tests/explain.rs
@@ -1,7 +1,7 @@
 //! From a failed request's id to its cause, by the logs of a real process.
 
 use bench::procs::{Proc, command};
-use standin::fixture::{CONFIG, WORKERS, config, request, routes, settings, worker};
+use standin::fixture::{CONFIG, WORKERS, config, request, routes, settings, worker, worker_since};
 use standin::{Act, Store, Worker};
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::path::{Path, PathBuf};
@@ -101,6 +101,20 @@
     }
 }
 
+impl Bed {
+    /// What `explain` prints once a word is in it, or after some time without.
+    async fn wait_explained(&self, id: &str, word: &str) -> String {
+        let until = Instant::now() + PATIENCE / 4;
+        loop {
+            let told = self.explain(id).await;
+            if told.contains(word) || Instant::now() > until {
+                return told;
+            }
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+    }
+}
+
 async fn run(binary: &Path, id: &str, log: &Path) -> String {
     let out = command(binary, &["explain", id, &log.display().to_string()])
         .await
@@ -134,6 +148,42 @@
     assert!(why.contains("why=") && why.contains("attempt=1"), "{why}");
 }
 
+#[tokio::test]
+async fn a_request_whose_upstream_started_again_is_explained() {
+    let bed = start(6).await;
+    let SocketAddr::V4(callers) = bed.callers else {
+        panic!("an IPv4 address");
+    };
+    let at = SocketAddr::new(IpAddr::V4(*callers.ip()), 7100);
+    let mut worker = Worker::start_since(at, "i-again", 1000).await.unwrap();
+    let register = |born| {
+        let row = worker_since(born, "plain", at, "ready");
+        bed.store.put(WORKERS, "i-again", &row);
+    };
+    register(1000);
+    let until = Instant::now() + PATIENCE;
+    // On a busy machine the new row may be read too late to explain the failure; then
+    // the upstream fails and starts again once more.
+    for born in (2000..).step_by(1000) {
+        worker.usually(Act::Close);
+        // Ids are made of paths.
+        let path = format!("/unsafe/{born}");
+        let (id, text) = bed.ask("POST", &path, "").await;
+        assert!(text.starts_with("HTTP/1.1 502"), "{text}");
+        worker.restart(born).await.unwrap();
+        register(born);
+        let told = bed.wait_explained(&id, "upstream_restarted").await;
+        if told.contains("upstream_restarted") {
+            let before = format!("before={}", born - 1000);
+            let start = format!("start={born}");
+            let words = ["attempt_failed", "upstream=i-again", &start, &before];
+            assert_told(&told, &words);
+            return;
+        }
+        assert!(Instant::now() < until, "{told}");
+    }
+}
+
 #[tokio::test]
 async fn a_broken_off_answer_is_explained() {
     let bed = start(2).await;
