--- a/crates/soak/src/client.rs
+++ b/crates/soak/src/client.rs
@@ -2,7 +2,7 @@
 
 use crate::cut::Way;
 use crate::judge::{Asked, End, Kind};
-use standin::fixture::request;
+use standin::fixture::{PROMPT, request};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
@@ -19,9 +19,6 @@
 /// patience it is within the deadline.
 const MAX_ANSWER_MS: u64 = 2500;
 
-/// Headers of a prompt for an engine: a short answer, and a beginning that is shared.
-const TOKENS: &str = "token-counts: 100,300\r\nprompt-prefix: a:50,b:50\r\n";
-
 /// How long the answers take that a client asks for.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Pace {
@@ -83,7 +80,7 @@
         Pace::Slow => rng.u64(..MAX_ANSWER_MS) * rng.u64(1..=4) / 4,
     };
     let more = match path {
-        "/prompt/" => TOKENS,
+        "/prompt/" => PROMPT,
         _ => "",
     };
     (
