How long answers take: the slowest of five minutes, second attempts included

Of a route's 128 latest answers quick ones displaced the slow; answers after a second attempt, which are the slow ones, didn't count.

Change: ten windows of 30 s, of each the slowest and the count; only rests that a client asks for and failures are left out. What a stop may cut is then bounded by its last seconds against five minutes, whatever the rate.

--- a/crates/gateway/src/fleet/durations.rs
+++ b/crates/gateway/src/fleet/durations.rs
@@ -2,19 +2,22 @@
 //!
 //! A process that is stopping takes a request only if its answer will end before the
 //! process does. The mean doesn't help there: each answer that takes longer is cut off. So
-//! the slowest of the latest answers of about the same length stands for the next one.
+//! the slowest answer of about the same length in the last minutes stands for the next one.
+//! What a stop may cut off then are the answers of its last seconds that are slower than all
+//! of these minutes, which is rare whatever the rate.
 
+use std::collections::VecDeque;
 use std::time::{Duration, Instant};
 
-/// Answers of about one length that are kept: half a minute of them on a host that serves
-/// four a second.
-const KEPT: usize = 128;
+/// Time in which answers count, in windows that are forgotten one by one: long against the
+/// seconds of a stop, and no longer than load and fleet stay about the same.
+const WINDOW: Duration = Duration::from_secs(30);
+const WINDOWS: usize = 10;
 /// Answers from which a bound is taken, at least: of fewer the slowest tells little. Rare
 /// lengths borrow those of the lengths next to them.
 const ENOUGH: usize = 16;
 /// What is added to the slowest answer, as a share: clients' estimates of lengths are often
-/// far off, and the next answer may be slower still. One answer in 100 takes over 1.25 times
-/// the bound, one in 400 over twice it (50,000 answers of hosts that were stopped in turn).
+/// far off, and the next answer may be slower still.
 const MARGIN: f64 = 0.4;
 /// Time taken for granted while too few answers were seen: a part for each, and one for each
 /// token that an answer may have, the pace that the product promises for 95 in 100 tokens.
@@ -63,15 +66,21 @@
 /// Answers of one class.
 #[derive(Debug, Default)]
 struct Class {
-    /// How long the latest took.
-    latest: Vec<Duration>,
-    /// Where the next one goes once all places are taken.
-    next: usize,
+    /// The last windows, the newest first.
+    windows: VecDeque<Window>,
     /// When those came that are being streamed now: a process that has just started has
     /// seen the end of short answers only.
     running: Vec<Instant>,
 }
 
+/// Answers that ended in a span of time.
+#[derive(Debug, Clone, Copy)]
+struct Window {
+    since: Instant,
+    count: usize,
+    slowest: Duration,
+}
+
 /// A class that tells something of another.
 #[derive(Debug, Clone, Copy)]
 struct Neighbour {
@@ -81,9 +90,9 @@
 }
 
 impl Durations {
-    /// Notes a whole answer that ended so long after the estimate of its first byte.
-    pub fn note(&mut self, length: Length, took: Duration) {
-        self.class_mut(length).push(took);
+    /// Notes a whole answer that ended now, so long after the estimate of its first byte.
+    pub fn note(&mut self, length: Length, took: Duration, now: Instant) {
+        self.class_mut(length).push(took, now);
     }
 
     /// Notes that an answer is streamed whose request came at a time.
@@ -105,7 +114,7 @@
         let mut count = 0;
         let mut slowest = Duration::ZERO;
         for (near, times) in self.nearest(length) {
-            count += near.latest.len();
+            count += near.count(now);
             slowest = slowest.max(near.slowest(now).saturating_mul(times));
             if count >= ENOUGH {
                 return slowest.mul_f64(1.0 + MARGIN);
@@ -161,20 +170,40 @@
 }
 
 impl Class {
-    fn push(&mut self, took: Duration) {
-        if self.latest.len() < KEPT {
-            self.latest.push(took);
-            return;
+    fn push(&mut self, took: Duration, now: Instant) {
+        let newest = self.windows.front_mut();
+        match newest.filter(|w| now.saturating_duration_since(w.since) < WINDOW) {
+            Some(window) => {
+                window.count += 1;
+                window.slowest = window.slowest.max(took);
+            }
+            None => {
+                self.windows.truncate(WINDOWS - 1);
+                self.windows.push_front(Window {
+                    since: now,
+                    count: 1,
+                    slowest: took,
+                });
+            }
         }
-        self.latest[self.next] = took;
-        self.next = (self.next + 1) % KEPT;
+    }
+
+    /// The windows that still count.
+    fn latest(&self, now: Instant) -> impl Iterator<Item = &Window> {
+        let oldest = WINDOW * WINDOWS as u32;
+        let age = move |w: &Window| now.saturating_duration_since(w.since);
+        self.windows.iter().filter(move |w| age(w) < oldest)
+    }
+
+    fn count(&self, now: Instant) -> usize {
+        self.latest(now).map(|w| w.count).sum()
     }
 
     /// The slowest of the latest answers and of those that still run.
     fn slowest(&self, now: Instant) -> Duration {
         let ages = self.running.iter();
         let ages = ages.map(|since| now.saturating_duration_since(*since));
-        let all = self.latest.iter().copied().chain(ages);
+        let all = self.latest(now).map(|w| w.slowest).chain(ages);
         all.max().unwrap_or_default()
     }
 }
--- a/crates/gateway/src/serve/time.rs
+++ b/crates/gateway/src/serve/time.rs
@@ -121,19 +121,20 @@
         }
     }
 
-    /// Learns from a whole answer how long such answers take: from the first attempt of a
-    /// request from its beginning, as rests and failures come sooner, and second attempts
-    /// later. Time in which it waited for its client doesn't count.
+    /// Learns from a whole answer how long such answers take, further attempts included.
+    /// Rests that a client asks for and failures come sooner, and tell nothing. Time in which
+    /// it waited for its client doesn't count.
     pub fn note_duration(&self, account: &Account, waited_for_client: Duration) {
-        let is_first = account.attempts == 1 && self.last_event.is_none();
-        if !is_first || !(200..300).contains(&account.status) {
+        let is_rest = self.incoming.last_event.is_some();
+        if is_rest || !(200..300).contains(&account.status) {
             return;
         }
         let estimate = millis(account.inputs.map_or(0.0, |i| i.estimate_ms));
         let took = self.since.elapsed().saturating_sub(waited_for_client);
         let mut fleet = self.gateway.fleet();
         let durations = fleet.durations_mut(self.service);
-        durations.note(self.length(), took.saturating_sub(estimate));
+        let took = took.saturating_sub(estimate);
+        durations.note(self.length(), took, Instant::now());
     }
 
     /// Counts its answer as being streamed until the guard is dropped.
--- a/crates/gateway/tests/durations.rs
+++ b/crates/gateway/tests/durations.rs
@@ -14,10 +14,11 @@
 
 /// Answers of a length, of which one took 800 ms and the others 100.
 fn seen(length: Length, count: u32) -> Durations {
+    let now = Instant::now();
     let mut durations = Durations::default();
-    durations.note(length, ms(800));
+    durations.note(length, ms(800), now);
     for _ in 1..count {
-        durations.note(length, ms(100));
+        durations.note(length, ms(100), now);
     }
     durations
 }
@@ -27,15 +28,25 @@
 }
 
 #[test]
-fn the_slowest_of_the_latest_counts_with_a_margin() {
+fn the_slowest_of_the_last_minutes_counts_with_a_margin() {
     let mut durations = seen(tokens(100), 40);
-    let before = longest(&durations, tokens(100));
+    let mut now = Instant::now();
+    // However many quick ones come beside it.
+    for _ in 0..10_000 {
+        durations.note(tokens(100), ms(100), now);
+    }
+    let before = durations.longest(tokens(100), now);
     assert!((ms(900)..ms(1200)).contains(&before), "{before:?}");
     // Long after it, the slow one counts no more.
-    for _ in 0..500 {
-        durations.note(tokens(100), ms(100));
+    for _ in 0..60 {
+        now += Duration::from_secs(10);
+        durations.note(tokens(100), ms(100), now);
     }
-    assert!(longest(&durations, tokens(100)) < ms(200));
+    assert!(durations.longest(tokens(100), now) < ms(200));
+    // Nor does any after a quiet hour.
+    let later = now + Duration::from_secs(3600);
+    let unknown = Durations::default().longest(tokens(100), later);
+    assert_eq!(durations.longest(tokens(100), later), unknown);
 }
 
 #[test]
@@ -57,7 +68,7 @@
     assert!(longest(&seen(tokens(100), 3), tokens(100)) > ms(1200));
     // Slower than the start value as it may be, what was seen counts, with its margin.
     let mut slow = Durations::default();
-    slow.note(tokens(1), Duration::from_secs(30));
+    slow.note(tokens(1), Duration::from_secs(30), Instant::now());
     assert!(longest(&slow, tokens(1)) > Duration::from_secs(40));
     // A client's estimate of nothing says nothing.
     let length = Length::Tokens {
@@ -100,7 +111,7 @@
 fn of_ever_new_routes_only_some_are_kept() {
     let mut durations = Durations::default();
     for route in 0..10_000 {
-        durations.note(Length::Plain { route }, ms(5000));
+        durations.note(Length::Plain { route }, ms(5000), Instant::now());
     }
     let known = |route| longest(&durations, Length::Plain { route }) > ms(5000);
     let kept = (0..10_000).filter(|route| known(*route)).count();
--- a/crates/gateway/tests/stop_estimates.rs
+++ b/crates/gateway/tests/stop_estimates.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 const SECOND: Duration = Duration::from_secs(1);
-/// More answers than are kept of one length.
+/// Answers that are many more than the slow ones before them.
 const MANY: usize = 130;
 
 /// An answer that comes after a time.
