Answers that were watched for seconds only make a stopping host less sure

Change: the margin is 0.3 and 5 s over the time that answers were watched, at most 1.3; it was 0.4. Young processes refuse more, old ones a little less.

Conclusion: kept; a cut costs callers of what may not be repeated more than a refusal.

--- a/crates/gateway/src/fleet/durations.rs
+++ b/crates/gateway/src/fleet/durations.rs
@@ -18,7 +18,11 @@
 const ENOUGH: usize = 16;
 /// What is added to the slowest answer, as a share: clients' estimates of lengths are often
 /// far off, and the next answer may be slower still.
-const MARGIN: f64 = 0.4;
+const MARGIN: f64 = 0.3;
+/// The same for answers that were watched for a short time only, divided by that time: the
+/// seconds of a stop in which an answer slower than all before would be cut off. A process
+/// that has just started adds up to the whole; after a minute it is next to nothing.
+const RISKY: Duration = Duration::from_secs(5);
 /// Time taken for granted while too few answers were seen: a part for each, and one for each
 /// token that an answer may have, the pace that the product promises for 95 in 100 tokens.
 const START: Duration = Duration::from_secs(1);
@@ -54,6 +58,8 @@
     classes: Vec<Class>,
     /// Others, sorted by route.
     routes: Vec<Route>,
+    /// When the first answer was noted.
+    watched_since: Option<Instant>,
 }
 
 /// Answers of one route.
@@ -92,6 +98,7 @@
 impl Durations {
     /// Notes a whole answer that ended now, so long after the estimate of its first byte.
     pub fn note(&mut self, length: Length, took: Duration, now: Instant) {
+        self.watched_since.get_or_insert(now);
         self.class_mut(length).push(took, now);
     }
 
@@ -117,10 +124,17 @@
             count += near.count(now);
             slowest = slowest.max(near.slowest(now).saturating_mul(times));
             if count >= ENOUGH {
-                return slowest.mul_f64(1.0 + MARGIN);
+                return slowest.mul_f64(self.factor(now));
             }
         }
-        slowest.mul_f64(1.0 + MARGIN).max(length.start())
+        slowest.mul_f64(self.factor(now)).max(length.start())
+    }
+
+    /// How many times longer than the slowest the next answer may take.
+    fn factor(&self, now: Instant) -> f64 {
+        let since = self.watched_since.unwrap_or(now);
+        let watched = now.saturating_duration_since(since).max(RISKY);
+        1.0 + MARGIN + RISKY.as_secs_f64() / watched.as_secs_f64()
     }
 
     /// The answers that tell most of one, from the nearest on, and how many times longer than
