--- a/crates/gateway/tests/relay.rs
+++ b/crates/gateway/tests/relay.rs
@@ -169,6 +169,16 @@
     assert!(text.ends_with("its words"));
 }
 
+#[tokio::test]
+async fn a_workers_own_failure_is_passed_on_if_there_is_no_other() {
+    let (bed, workers) = start(1).await;
+    workers[0].script([Act::Answer(500, "its words".into())]);
+    // The route allows two attempts.
+    let text = exchange(bed.callers, &request("GET", "/safe/", "id-1", "", "")).await;
+    assert_eq!(status(&text), 500);
+    assert!(text.ends_with("its words"));
+}
+
 #[tokio::test]
 async fn an_answer_without_length_is_whole_if_it_ends_in_order() {
     let (bed, workers) = start(1).await;
