A plain answer of an unknown route is taken to last 3 s

Change: 3 s for answers of which the route alone is known; engines' as before.

Measured: gateway's tests of stops, estimates and durations pass.

--- a/crates/gateway/src/fleet/durations.rs
+++ b/crates/gateway/src/fleet/durations.rs
@@ -26,6 +26,9 @@
 /// Time taken for granted while too few answers were seen: a part for each, and one for each
 /// token that an answer may have, the pace that the product promises for 95 in 100 tokens.
 const START: Duration = Duration::from_secs(1);
+/// The same for an answer of which the route alone is known: longer than most services take.
+/// Where callers wait for a second or so anyway, it binds nothing.
+const START_PLAIN: Duration = Duration::from_secs(3);
 const START_PER_TOKEN: Duration = Duration::from_millis(25);
 /// Longest answers that have a class of their own: 2^16 tokens.
 const MAX_BITS: u32 = 17;
@@ -225,11 +228,12 @@
 impl Length {
     /// What is taken for granted of it while too little is known.
     fn start(self) -> Duration {
-        let most = match self {
-            Self::Plain { .. } => 0,
-            Self::Tokens { expected, most } => expected.max(most),
-        };
-        START + START_PER_TOKEN.saturating_mul(most)
+        match self {
+            Self::Plain { .. } => START_PLAIN,
+            Self::Tokens { expected, most } => {
+                START + START_PER_TOKEN.saturating_mul(expected.max(most))
+            }
+        }
     }
 }
 
