Failing tests of a common request that crashes nothing, beside others that do

That two hosts took one trial (0.006 s apart) is ruled out as a cause: both gave it back, as no upstream was usable. The tests fix these moments without chance: refused for good (400), 503 for over 5 s, 503 at a host that starts later. The stand-in store can refuse writes to one table.

--- a/crates/gateway/tests/common/crashing.rs
+++ b/crates/gateway/tests/common/crashing.rs
@@ -112,6 +112,19 @@
         self.workers.push(worker);
     }
 
+    /// What all workers do with requests that don't crash them.
+    pub fn workers_usually(&self, act: &Act) {
+        for worker in &self.workers {
+            worker.usually(act.clone());
+        }
+    }
+
+    /// How often workers were sent a body.
+    pub fn sent(&self, body: &str) -> usize {
+        let seen = self.workers.iter().flat_map(Worker::seen);
+        seen.filter(|s| s.body == body.as_bytes()).count()
+    }
+
     /// How often workers have ended so far.
     pub fn ends(&self) -> u64 {
         self.workers.iter().map(Worker::crashes).sum()
--- /dev/null
+++ b/crates/gateway/tests/common_requests.rs
@@ -0,0 +1,167 @@
+//! A common request that crashes nothing, beside others that crash their upstreams.
+//!
+//! Seen in a soak: a request that every client sends was there when four others ended three
+//! upstreams, and was held back. For 13 s no host served it; then two hosts refused it for good,
+//! 88 times, though nothing was wrong with it.
+//!
+//! How it came about, by the hosts' lines: `work_tried`, trial 1, met an upstream that another
+//! such request ended 0.1 s later (`connection_broke`, ends 4). Trial 2 went to an upstream that
+//! gave no sign of life (`answered`, `no first byte in time`): no end, no answer, and nobody
+//! tried again for a minute. An upstream that ended 6 s later under the same request, at a host
+//! that had just started and knew nothing of it, counted as the proof (`work_held_back`, source
+//! store, then `crashes_upstreams`). A host that had an answer at last couldn't remove the rows,
+//! as it had lost the store; one that started after it read them and refused anew.
+
+#[expect(dead_code, reason = "each test file uses some of them")]
+mod common;
+
+use common::crashing::{DEADLY, System};
+use common::wait_for;
+use standin::{Act, Mode};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+use tokio::task::JoinHandle;
+
+/// The common request's body and path.
+const COMMON: &str = "common";
+const PATH: &str = "/unsafe/";
+/// How long an answer takes: longer than three others take to crash three workers.
+const ANSWER: Duration = Duration::from_millis(600);
+/// Time in which a common request must be served again, and a host that has just started must
+/// know of it.
+const SECONDS: Duration = Duration::from_secs(5);
+/// An answer of the host's own is there by then.
+const AT_ONCE: Duration = Duration::from_millis(250);
+
+/// Hosts before three workers whose answers take a while, and what is sent there.
+struct Scene {
+    system: Arc<System>,
+    next: usize,
+}
+
+impl Scene {
+    async fn start(hosts: usize) -> Self {
+        let system = Arc::new(System::start(hosts, 3).await);
+        system.workers_usually(&Act::After(ANSWER, Box::new(Act::Echo)));
+        Self { system, next: 0 }
+    }
+
+    /// Sends the common request to a host.
+    fn send(&mut self, host: usize) -> JoinHandle<u16> {
+        let id = self.next * self.system.hosts.len() + host;
+        self.next += 1;
+        let system = self.system.clone();
+        tokio::spawn(async move { system.send(PATH, id, COMMON).await })
+    }
+
+    /// Three other requests end the three workers, the busier ones last.
+    async fn crash_all(&self) {
+        let before = self.system.ends();
+        for other in 0..3 {
+            let body = format!("{DEADLY} {other}");
+            let mut id = 1;
+            while self.system.ends() < before + 1 + other {
+                self.system.send(PATH, id, &body).await;
+                id += self.system.hosts.len();
+            }
+        }
+    }
+
+    /// Has it held back: it runs at each worker when that ends.
+    async fn hold(&mut self) {
+        let running: Vec<_> = (0..3).map(|_| self.send(0)).collect();
+        tokio::time::sleep(AT_ONCE).await;
+        self.crash_all().await;
+        for one in running {
+            assert_eq!(one.await.unwrap(), 502);
+        }
+        let system = self.system.clone();
+        wait_for("what is held back", || async {
+            let answer = system.exchange(PATH, 100_000, COMMON).await;
+            answer.contains("crash") || answer.contains("no_upstream")
+        })
+        .await;
+    }
+
+    /// Sends it to all hosts until one of them tries it; gives that one. Nobody may refuse it
+    /// for good meanwhile.
+    async fn tried(&mut self) -> JoinHandle<u16> {
+        let until = Instant::now() + SECONDS;
+        loop {
+            assert!(Instant::now() < until, "not tried again within seconds");
+            for host in 0..self.system.hosts.len() {
+                let mut sent = self.send(host);
+                match tokio::time::timeout(AT_ONCE, &mut sent).await {
+                    Ok(status) => assert_eq!(status.unwrap(), 503),
+                    Err(_) => return sent,
+                }
+            }
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+    }
+
+    /// Sends it to all hosts until each has served it; none may refuse it for good.
+    async fn is_served(&mut self) {
+        let until = Instant::now() + SECONDS;
+        for host in 0..self.system.hosts.len() {
+            loop {
+                let status = self.send(host).await.unwrap();
+                assert_ne!(status, 400, "host {host}");
+                if status == 200 {
+                    break;
+                }
+                assert!(Instant::now() < until, "host {host} says {status}");
+                tokio::time::sleep(Duration::from_millis(50)).await;
+            }
+        }
+    }
+}
+
+#[tokio::test]
+async fn a_trial_that_meets_another_requests_crash_proves_nothing() {
+    let mut scene = Scene::start(3).await;
+    scene.hold().await;
+    for _ in 0..2 {
+        let trial = scene.tried().await;
+        scene.crash_all().await;
+        assert_eq!(trial.await.unwrap(), 502);
+    }
+    scene.is_served().await;
+}
+
+#[tokio::test]
+async fn a_trial_that_gets_no_answer_is_followed_by_another() {
+    let mut scene = Scene::start(2).await;
+    scene.hold().await;
+    scene.system.workers_usually(&Act::Hang);
+    let before = scene.system.sent(COMMON);
+    for _ in 0..2 {
+        scene.tried().await;
+    }
+    let system = scene.system.clone();
+    wait_for("both trials at workers", || async {
+        system.sent(COMMON) == before + 2
+    })
+    .await;
+    system.workers_usually(&Act::Echo);
+    scene.is_served().await;
+}
+
+#[tokio::test]
+async fn an_answer_outlasts_rows_that_could_not_be_removed() {
+    let mut scene = Scene::start(2).await;
+    scene.hold().await;
+    let store = scene.system.store.clone();
+    wait_for("rows of the ends", || async {
+        store.keys("crashes").len() >= 3
+    })
+    .await;
+    store.set_mode(Mode::RefuseWritesTo("crashes"));
+    scene.is_served().await;
+    // By then it was last told as news.
+    tokio::time::sleep(SECONDS).await;
+    let mut system = Arc::into_inner(scene.system).expect("nothing is being sent");
+    system.add_host(7002).await;
+    scene.system = Arc::new(system);
+    scene.is_served().await;
+}
