Only an end under a trial proves work guilty; a trial without an answer is followed by another

What callers saw: a common request that crashes nothing was answered by no host for 13 s, 503, and then refused for good (400) by two, 88 times, after four others had ended the upstreams that ran it. (2) Both trials could meet other such requests. (3) A trial that got neither an end nor an answer (an upstream behind a cut link) counted as taken, the next one came a minute later, and the one after that never. Change: words, datagrams and rows of ends say whether they came under a trial; two such ends prove, unless other work that was there at several ends was there too. Suspects pass by upstreams where requests wait and none was answered for 1 s. Why it holds: no end outside of a trial is read for the proof any more, and no state is left in which nobody tries again.

--- a/crates/entry/src/crashes.rs
+++ b/crates/entry/src/crashes.rs
@@ -80,13 +80,14 @@
         self.lock().is_empty()
     }
 
-    /// Notes that an upstream ended under work.
-    pub fn ended(&self, work: Fingerprint, end: u32) {
+    /// Notes that an upstream ended under work, and whether that was a trial.
+    pub fn ended(&self, work: Fingerprint, end: u32, in_trial: bool) {
         let at = Instant::now();
         let word = Word::End {
             work,
             upstream: end,
             at,
+            in_trial,
         };
         self.take(word, Source::Own);
     }
@@ -141,14 +142,13 @@
 
     /// Takes a trial for all entries; says whether it is this one's.
     async fn take_trial(&self, work: Fingerprint, number: usize) -> bool {
-        let key = trial_key(work.0, number);
-        let txn = Txn::new().check(key.clone(), 0);
-        let written = self
-            .platform
-            .commit(&txn.put(key, self.row(now_ms())))
-            .await;
+        let written = match number < TRIALS {
+            true => self.write_trial(work, number).await,
+            // Each entry takes one of these a minute.
+            false => Ok(()),
+        };
         let outcome = match &written {
-            Ok(_) => "taken".to_owned(),
+            Ok(()) => "taken".to_owned(),
             Err(e) => e.to_string(),
         };
         emit(&Event::WorkTried {
@@ -156,16 +156,24 @@
             trial: number + 1,
             outcome,
         });
-        if matches!(written, Ok(_) | Err(WriteError::Refused(_))) {
+        if matches!(written, Ok(()) | Err(WriteError::Refused(_))) {
             self.lock().trial_taken(work, number, Instant::now());
         }
         written.is_ok()
     }
 
-    fn row(&self, at_ms: u64) -> String {
+    async fn write_trial(&self, work: Fingerprint, number: usize) -> Result<(), WriteError> {
+        let key = trial_key(work.0, number);
+        let txn = Txn::new().check(key.clone(), 0);
+        let txn = txn.put(key, self.row(now_ms(), false));
+        self.platform.commit(&txn).await.map(|_| ())
+    }
+
+    fn row(&self, at_ms: u64, in_trial: bool) -> String {
         encode(&Crash {
             entry: self.entry.clone(),
             at_ms,
+            in_trial,
         })
     }
 
@@ -195,7 +203,7 @@
         let mut txn = Txn::new();
         for record in &due {
             let ago = record.at.elapsed().as_millis() as u64;
-            let row = self.row(now_ms().saturating_sub(ago));
+            let row = self.row(now_ms().saturating_sub(ago), record.in_trial);
             txn = txn.put(crash_key(record.work.0, record.upstream), row);
         }
         for record in &answered {
@@ -268,6 +276,7 @@
                     work: Fingerprint(work),
                     upstream: end,
                     at,
+                    in_trial: crash.in_trial,
                 };
                 self.take(word, Source::Store);
             }
--- a/crates/entry/src/session.rs
+++ b/crates/entry/src/session.rs
@@ -175,7 +175,8 @@
                 Step::Refused(refusal) => self.refused(refusal)?,
                 Step::Lost(reason) => self.lost(reason)?,
                 Step::Ended(reason, end) => {
-                    self.entry.crashes.ended(self.work(), end);
+                    let in_trial = self.trial.is_some();
+                    self.entry.crashes.ended(self.work(), end, in_trial);
                     self.lost(reason)?;
                 }
             }
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -5,6 +5,7 @@
 use crate::account::Account;
 use crate::choose::{Need, Plan};
 use crate::crashes::broken::connection_broke;
+use crate::crashes::unanswered;
 use crate::fleet::speed::Task;
 use crate::serve::Call;
 use crate::state::{Gateway, LoadGuard};
@@ -162,9 +163,11 @@
         return Tried::NotRun(NotRun::NotSent);
     };
     let had_run = std::mem::replace(&mut account.may_have_run, true);
+    let watch = unanswered::watch(call, account);
     let answer = match plan.pool.send_once(req).await {
         Ok(answer) => answer,
         Err(CallError::NotSent(_)) => {
+            watch.cancel();
             account.may_have_run = had_run;
             failed(gateway, plan, LOST_WEIGHT);
             return Tried::NotRun(NotRun::NotSent);
@@ -194,6 +197,7 @@
         if body.is_end_stream() {
             conn.keep(Some(idle));
         }
+        watch.cancel();
         account.may_have_run = had_run;
         failed(gateway, plan, LOST_WEIGHT);
         return Tried::NotRun(NotRun::Rejected);
--- a/crates/gateway/src/choose.rs
+++ b/crates/gateway/src/choose.rs
@@ -232,11 +232,11 @@
 }
 
 /// Where the least else runs, whatever it costs the request: if the upstream ends by it, the
-/// fewest others end with it. A prompt is read where its answer is generated, so that it
-/// is sent once.
+/// fewest others end with it. One that is cut off has little to do, and would tell nothing of
+/// the request. A prompt is read where its answer is generated, so that it is sent once.
 fn choose_idlest(fleet: &Fleet, need: &Need<'_>, now: Instant) -> Choice {
     let all = candidates(fleet, need, now).filter(|(_, u)| generates(u));
-    match all.min_by_key(|(_, u)| u.all_running()) {
+    match all.min_by_key(|(_, u)| (u.is_silent(now), u.all_running())) {
         Some((key, upstream)) => {
             let uncached = need.prompt_tokens;
             let plan = plan(fleet, key, upstream, need, Task::Generate, uncached);
--- a/crates/gateway/src/crashes.rs
+++ b/crates/gateway/src/crashes.rs
@@ -10,6 +10,7 @@
 pub mod broken;
 mod fingerprint;
 pub mod rows;
+pub mod unanswered;
 
 pub use admit::{Admission, admit, end_trial};
 pub use fingerprint::fingerprint;
@@ -132,15 +133,22 @@
 }
 
 fn to_peer(word: &Word, now: Instant) -> CrashWord {
-    let (Fingerprint(work), upstream, at) = match word {
-        Word::End { work, upstream, at } => (*work, Some(*upstream), *at),
-        Word::Answer { work, at } => (*work, None, *at),
+    let (at, upstream, in_trial) = match *word {
+        Word::End {
+            upstream,
+            at,
+            in_trial,
+            ..
+        } => (at, Some(upstream), in_trial),
+        Word::Answer { at, .. } => (at, None, false),
     };
+    let Fingerprint(work) = word.work();
     let ago = now.saturating_duration_since(at).as_millis();
     CrashWord {
         work: [(work >> 64) as u64, work as u64],
         upstream,
         ago_ms: u32::try_from(ago).unwrap_or(u32::MAX),
+        in_trial,
     }
 }
 
@@ -149,7 +157,12 @@
     let work = Fingerprint(high << 64 | low);
     let at = now.checked_sub(Duration::from_millis(word.ago_ms.into()))?;
     Some(match word.upstream {
-        Some(upstream) => Word::End { work, upstream, at },
+        Some(upstream) => Word::End {
+            work,
+            upstream,
+            at,
+            in_trial: word.in_trial,
+        },
         None => Word::Answer { work, at },
     })
 }
--- a/crates/gateway/src/crashes/broken.rs
+++ b/crates/gateway/src/crashes/broken.rs
@@ -23,6 +23,7 @@
     key: UpstreamKey,
     tag: u32,
     instance: String,
+    in_trial: bool,
     at: Instant,
 }
 
@@ -41,6 +42,7 @@
         key,
         tag,
         instance,
+        in_trial: account.trial.is_some(),
         at: Instant::now(),
     };
     tokio::spawn(broken.judge());
@@ -55,6 +57,7 @@
                 work: self.work,
                 upstream: self.tag,
                 at: self.at,
+                in_trial: self.in_trial,
             };
             super::take(&self.gateway, word, Source::Own, true);
         }
@@ -63,6 +66,7 @@
             work: self.work.to_string(),
             upstream: &self.instance,
             upstream_ended: has_ended,
+            in_trial: self.in_trial,
             ends: self.gateway.crashes.lock().counted(self.work),
         });
     }
--- a/crates/gateway/src/crashes/rows.rs
+++ b/crates/gateway/src/crashes/rows.rs
@@ -142,7 +142,12 @@
     let at = clock.instant(row.at_ms).unwrap_or(now);
     match row.key.mark {
         CrashMark::End(upstream) => {
-            let word = Word::End { work, upstream, at };
+            let word = Word::End {
+                work,
+                upstream,
+                at,
+                in_trial: row.in_trial,
+            };
             take(gateway, word, Source::Store, false);
         }
         CrashMark::Trial(number) => {
@@ -216,6 +221,7 @@
             key: end_key(record),
             host: host.clone(),
             at_ms: clock.at_ms(record.at),
+            in_trial: record.in_trial,
         };
         let rows: Vec<CrashRow> = ends.iter().map(row).collect();
         client.store().write_crashes(&rows, ANSWER_TIMEOUT).await?;
@@ -249,15 +255,22 @@
 /// The ends that are to be written now: the first end of any work by a host that hears no
 /// peer.
 fn to_record(gateway: &Gateway) -> Vec<Record> {
-    let (hears_nobody, is_writer) = (hears_nobody(gateway), gateway.rank() < WRITERS);
+    let (hears_nobody, others) = (hears_nobody(gateway), left_by_others(gateway));
     let crashes = gateway.crashes.lock();
     let from_ends = match crashes.recorded().len() {
         rows if rows >= MAX_ROWS => LIMIT,
         _ if hears_nobody => 1,
         _ => RECORD_FROM,
     };
-    let left_until = Instant::now().checked_sub(LEFT_TO_OWNER);
-    crashes.to_record(from_ends, left_until.filter(|_| is_writer), MAX_AT_ONCE)
+    crashes.to_record(from_ends, others, MAX_AT_ONCE)
+}
+
+/// Before when what others saw is this host's to write; none if it writes its own only.
+fn left_by_others(gateway: &Gateway) -> Option<Instant> {
+    let is_writer = gateway.rank() < WRITERS;
+    Instant::now()
+        .checked_sub(LEFT_TO_OWNER)
+        .filter(|_| is_writer)
 }
 
 fn end_key(record: &Record) -> CrashKey {
@@ -281,38 +294,61 @@
 }
 
 /// Takes a trial of held work for all hosts; says whether it is this host's. The store tells
-/// whose it is; while it doesn't answer, the first of the processes takes them.
+/// whose it is; while it doesn't answer, the first of the processes takes them, and those that
+/// have no row.
 pub async fn take_trial(gateway: &Arc<Gateway>, work: Fingerprint, number: usize) -> bool {
     let Some(clock) = gateway.crashes.clock() else {
         return false;
     };
-    let row = CrashRow {
-        key: trial_key(work, number),
-        host: gateway.host().name.clone(),
-        at_ms: clock.at_ms(Instant::now()),
-    };
-    let mut client = Client::new(gateway);
-    let written = client.store().take_trial(&row, TRIAL_TIMEOUT).await;
     let is_first = gateway.rank() == 0;
-    let (is_ours, outcome) = match &written {
-        Ok(TrialWrite::Taken) => (true, "taken".to_owned()),
-        Ok(TrialWrite::Refused) => (false, "another host has taken it".to_owned()),
-        // Its row may be written now or later, and then counts as a trial.
-        Err(e) if is_first => (true, format!("taken without the store: {e}")),
-        Err(e) => (false, e.to_string()),
+    let (is_ours, outcome) = match number < TRIALS {
+        true => match write_trial(gateway, clock, work, number).await {
+            Ok(TrialWrite::Taken) => (true, "taken".to_owned()),
+            Ok(TrialWrite::Refused) => {
+                // Its row says when, but may be read only later.
+                trial_taken(gateway, work, number);
+                (false, "another host has taken it".to_owned())
+            }
+            // Its row may be written now or later, and then counts as a trial.
+            Err(e) if is_first => (true, format!("taken without the store: {e}")),
+            Err(e) => (false, e.to_string()),
+        },
+        false if is_first => (true, "taken without a row".to_owned()),
+        false => (false, "left to the first host".to_owned()),
     };
     emit(&Event::WorkTried {
         work: work.to_string(),
         trial: number + 1,
         outcome,
     });
-    if is_ours || written.is_ok() {
-        let mut crashes = gateway.crashes.lock();
-        crashes.trial_taken(work, number, Instant::now());
+    if is_ours {
+        trial_taken(gateway, work, number);
     }
     is_ours
 }
 
+fn trial_taken(gateway: &Gateway, work: Fingerprint, number: usize) {
+    let mut crashes = gateway.crashes.lock();
+    crashes.trial_taken(work, number, Instant::now());
+}
+
+/// Writes a trial's row, unless another host has.
+async fn write_trial(
+    gateway: &Arc<Gateway>,
+    clock: StoreClock,
+    work: Fingerprint,
+    number: usize,
+) -> Result<TrialWrite, StoreError> {
+    let row = CrashRow {
+        key: trial_key(work, number),
+        host: gateway.host().name.clone(),
+        at_ms: clock.at_ms(Instant::now()),
+        in_trial: false,
+    };
+    let mut client = Client::new(gateway);
+    client.store().take_trial(&row, TRIAL_TIMEOUT).await
+}
+
 /// Gives back a trial that reached no upstream.
 pub fn return_trial(gateway: &Arc<Gateway>, work: Fingerprint, number: usize) {
     gateway.crashes.lock().trial_returned(work, number);
--- a/crates/gateway/src/fleet/upstream.rs
+++ b/crates/gateway/src/fleet/upstream.rs
@@ -13,6 +13,9 @@
 /// it too: they hear of a new version at once, and ask each 0.2 s.
 const REGISTRY_SPREADS: Duration = Duration::from_millis(500);
 
+/// Time without an answer after which an upstream where requests wait may be cut off.
+const SILENT: Duration = Duration::from_secs(1);
+
 /// One start of an upstream.
 #[derive(Debug)]
 pub struct Upstream {
@@ -228,6 +231,13 @@
         f64::from(without) / f64::from(changing)
     }
 
+    /// Whether requests of this process wait there, and none that was sent lately was
+    /// answered.
+    pub fn is_silent(&self, now: Instant) -> bool {
+        let is_long_ago = |at: Instant| now.saturating_duration_since(at) >= SILENT;
+        self.waiting > 0 && self.lived_at.is_none_or(is_long_ago)
+    }
+
     /// Requests that run there, of all processes.
     pub fn all_running(&self) -> u32 {
         self.running.saturating_add(self.others.running)
--- a/crates/gateway/src/peers/message.rs
+++ b/crates/gateway/src/peers/message.rs
@@ -95,6 +95,9 @@
     pub upstream: Option<u32>,
     /// How long ago, in milliseconds.
     pub ago_ms: u32,
+    /// Of an end: whether it came under a trial. Processes of an earlier version don't say.
+    #[serde(default)]
+    pub in_trial: bool,
 }
 
 /// An engine that is away for a change of its stage.
--- a/crates/gateway/tests/common/crashing.rs
+++ b/crates/gateway/tests/common/crashing.rs
@@ -112,6 +112,16 @@
         self.workers.push(worker);
     }
 
+    /// Registers all workers as if they had started again, for the time with this number.
+    pub fn register_anew(&self, time: u64) {
+        for worker in &self.workers {
+            let mut row = fixture::worker("plain", worker.addr, "ready", None);
+            let id = worker.id();
+            row["born"] = (BORN + 1_000_000 * time).into();
+            self.store.put("servers", id, &row);
+        }
+    }
+
     /// What all workers do with requests that don't crash them.
     pub fn workers_usually(&self, act: &Act) {
         for worker in &self.workers {
--- a/crates/gateway/tests/common_requests.rs
+++ b/crates/gateway/tests/common_requests.rs
@@ -147,6 +147,24 @@
     scene.is_served().await;
 }
 
+/// As an upstream that goes dark when it crashes: its connections stay open, and it is back
+/// under a new start seconds later.
+#[tokio::test]
+async fn trials_that_end_upstreams_without_a_sign_count_as_ends() {
+    let mut scene = Scene::start(2).await;
+    scene.hold().await;
+    scene.system.workers_usually(&Act::Hang);
+    for start in 1..=2 {
+        scene.tried().await;
+        scene.system.register_anew(start);
+    }
+    let system = scene.system.clone();
+    wait_for("proof", || async {
+        system.send(PATH, 1_000_000, COMMON).await == 400
+    })
+    .await;
+}
+
 #[tokio::test]
 async fn an_answer_outlasts_rows_that_could_not_be_removed() {
     let mut scene = Scene::start(2).await;
--- a/crates/gateway/tests/decoders.rs
+++ b/crates/gateway/tests/decoders.rs
@@ -44,6 +44,7 @@
         crashes: vec![CrashWord {
             work: [u64::MAX, 5],
             upstream: Some(upstream),
+            in_trial: true,
             ago_ms: 90,
         }],
     }
--- a/crates/observe/src/event.rs
+++ b/crates/observe/src/event.rs
@@ -327,6 +327,8 @@
         upstream: &'a str,
         /// Whether the upstream has ended, as far as can be told.
         upstream_ended: bool,
+        /// Whether it was a trial of work that is held back.
+        in_trial: bool,
         /// Ends of upstreams under that work since its last whole answer, at all hosts.
         ends: usize,
     },
--- a/crates/resilience/src/crashes.rs
+++ b/crates/resilience/src/crashes.rs
@@ -7,13 +7,18 @@
 //!
 //! Being there at many ends at once, as when half of a fleet is lost or reset, proves little:
 //! a common request runs everywhere. So one that is held back is tried again at once, alone,
-//! by one host for all, and soon once more. An answer clears it; if the upstream ends both
-//! times, that proves it. Later it is tried a last time, as what crashed may be mended.
+//! by one host for all, and soon once more ([`trials`]). An answer clears it; if the upstream
+//! ends both times, that proves it, unless work that is known to be there at several ends was
+//! there too. A trial without an end and without an answer proves nothing, so another follows
+//! soon. What is proven is tried a last time later, as what crashed may be mended.
 //!
 //! All hosts count together. What one learns it tells the others ([`Crashes::news`]), and
 //! rows in a store keep what has come twice ([`Crashes::to_record`]).
 
 mod news;
+mod trials;
+
+pub use trials::TRIALS;
 
 use crate::Fingerprint;
 use news::Queue;
@@ -34,23 +39,6 @@
 /// How long work that was cleared is remembered, so that a word that is told again doesn't
 /// make it a suspect anew.
 const CLEARED_REMEMBERED: Duration = Duration::from_secs(10);
-/// How often held work is tried, by all hosts together.
-pub const TRIALS: usize = 3;
-/// How long after the last end, or the last trial, held work is tried: at once, so that what
-/// was there by chance is refused for a moment only; soon again, as the first may have met
-/// another's crash; then when upstreams have had time to be mended.
-const TRIAL_AFTER: [Duration; TRIALS] = [
-    Duration::ZERO,
-    Duration::from_millis(1500),
-    Duration::from_secs(60),
-];
-/// Trials after which an upstream's end proves that the work does it.
-const PROVEN_FROM: usize = 2;
-/// Pause of a host after it asked for a trial, whether or not it got it.
-const TRIAL_RETRY: Duration = Duration::from_secs(1);
-/// How far off a time may be that another host told: rows and words have whole
-/// milliseconds, and were some on their way.
-const CLOCK_ERROR: Duration = Duration::from_millis(20);
 /// Time between two looks for what is too old.
 const LOOK_EVERY: Duration = Duration::from_secs(1);
 /// Works that are remembered: those that were on all engines of a large fleet that ended at
@@ -92,6 +80,8 @@
         upstream: u32,
         /// When it ended.
         at: Instant,
+        /// Whether it ended under a trial of the work.
+        in_trial: bool,
     },
     /// Work has had its whole answer.
     Answer {
@@ -133,6 +123,8 @@
     pub upstream: u32,
     /// When it ended.
     pub at: Instant,
+    /// Whether it ended under a trial of the work.
+    pub in_trial: bool,
 }
 
 /// Who told of an end.
@@ -151,6 +143,8 @@
 struct End {
     upstream: u32,
     at: Instant,
+    /// Whether it ended under a trial.
+    in_trial: bool,
     /// Whether this host saw it.
     is_own: bool,
     /// Whether a row in the store keeps it.
@@ -177,50 +171,53 @@
 }
 
 impl Suspect {
-    /// Ends since the last answer.
-    fn counted(&self) -> usize {
-        let is_counted = |end: &&End| self.answered_at.is_none_or(|at| end.at > at);
-        self.ends.iter().filter(is_counted).count()
+    /// The work, of which nothing is known yet.
+    fn new(work: Fingerprint, now: Instant) -> Self {
+        Self {
+            work,
+            ends: Vec::new(),
+            answered_at: None,
+            is_answered_here: false,
+            trials: 0,
+            tried_at: None,
+            asked_at: None,
+            touched_at: now,
+        }
     }
 
-    /// How long it is remembered after it was last heard of.
-    fn remembered(&self) -> Duration {
-        match self.counted() {
-            0 if !self.ends.iter().any(|end| end.is_recorded) => CLEARED_REMEMBERED,
-            1 => ONCE_REMEMBERED,
-            _ => REMEMBERED,
-        }
+    /// The ends since the last answer.
+    fn counting(&self) -> impl Iterator<Item = &End> {
+        let is_counted = |end: &&End| self.answered_at.is_none_or(|at| end.at > at);
+        self.ends.iter().filter(is_counted)
     }
 
-    fn last_end(&self) -> Option<Instant> {
-        self.ends.iter().map(|end| end.at).max()
+    /// Ends since the last answer.
+    fn counted(&self) -> usize {
+        self.counting().count()
     }
 
-    fn verdict(&self, now: Instant) -> Verdict {
-        match self.counted() {
-            0 => Verdict::Free,
-            n if n < LIMIT => Verdict::Suspect,
-            _ if self.is_trial_due(now) => Verdict::Trial(self.trials, self.proof()),
-            _ => Verdict::Held(self.proof()),
-        }
+    /// Ends whose rows are kept though the work was answered since.
+    fn outdated(&self) -> impl Iterator<Item = &End> {
+        let is_outdated = |end: &&End| end.is_recorded && Some(end.at) <= self.answered_at;
+        self.ends.iter().filter(is_outdated)
     }
 
-    fn proof(&self) -> Proof {
-        let last_end = self.last_end().map(|at| at + CLOCK_ERROR);
-        match self.trials >= PROVEN_FROM && last_end >= self.tried_at {
-            true => Proof::Proven,
-            false => Proof::Open,
+    fn record(&self, end: &End) -> Record {
+        Record {
+            work: self.work,
+            upstream: end.upstream,
+            at: end.at,
+            in_trial: end.in_trial,
         }
     }
 
-    fn is_trial_due(&self, now: Instant) -> bool {
-        let Some(after) = TRIAL_AFTER.get(self.trials) else {
-            return false;
-        };
-        let since = |at: Instant| now.saturating_duration_since(at);
-        let last = self.last_end().max(self.tried_at);
-        let may_ask = self.asked_at.is_none_or(|at| since(at) >= TRIAL_RETRY);
-        may_ask && last.is_some_and(|at| since(at) >= *after)
+    /// How long it is remembered after it was last heard of.
+    fn remembered(&self) -> Duration {
+        match self.counted() {
+            0 if !self.ends.iter().any(|end| end.is_recorded) => CLEARED_REMEMBERED,
+            1 => ONCE_REMEMBERED,
+            _ => REMEMBERED,
+        }
     }
 }
 
@@ -247,8 +244,14 @@
 
     /// Whether and how a request may be sent.
     pub fn verdict(&self, work: Fingerprint, now: Instant) -> Verdict {
-        self.find(work)
-            .map_or(Verdict::Free, |suspect| suspect.verdict(now))
+        let Some(suspect) = self.find(work) else {
+            return Verdict::Free;
+        };
+        match suspect.counted() {
+            0 => Verdict::Free,
+            n if n < LIMIT => Verdict::Suspect,
+            _ => self.held(suspect, now),
+        }
     }
 
     /// Ends since the last answer.
@@ -259,8 +262,22 @@
     /// Takes a word; what is new is told on if `tells_on`.
     pub fn take(&mut self, word: Word, source: Source, tells_on: bool, now: Instant) -> Change {
         let (change, is_new) = match word {
-            Word::End { work, upstream, at } => self.take_end(work, upstream, at, source, now),
-            Word::Answer { work, at } => self.take_answer(work, at, source),
+            Word::End {
+                work,
+                upstream,
+                at,
+                in_trial,
+            } => {
+                let end = End {
+                    upstream,
+                    at,
+                    in_trial,
+                    is_own: source == Source::Own,
+                    is_recorded: source == Source::Store,
+                };
+                self.take_end(work, end, now)
+            }
+            Word::Answer { work, at } => self.take_answer(work, at, source, now),
         };
         if is_new && tells_on {
             self.news.push(word, now);
@@ -268,36 +285,28 @@
         change
     }
 
-    fn take_end(
-        &mut self,
-        work: Fingerprint,
-        upstream: u32,
-        at: Instant,
-        source: Source,
-        now: Instant,
-    ) -> (Change, bool) {
+    fn take_end(&mut self, work: Fingerprint, new: End, now: Instant) -> (Change, bool) {
         let Some(suspect) = self.entry(work, now) else {
             return (Change::Same, false);
         };
         suspect.touched_at = now;
         let before = suspect.counted();
-        let (is_own, is_recorded) = (source == Source::Own, source == Source::Store);
-        if let Some(end) = suspect.ends.iter_mut().find(|e| e.upstream == upstream) {
-            end.is_own |= is_own;
-            end.is_recorded |= is_recorded;
-            return (Change::Same, false);
+        let mut known = suspect.ends.iter_mut();
+        if let Some(end) = known.find(|end| end.upstream == new.upstream) {
+            end.is_own |= new.is_own;
+            end.is_recorded |= new.is_recorded;
+            // Seen under another request of the same work first: told and kept anew.
+            let is_news = new.in_trial && !end.in_trial;
+            end.in_trial |= new.in_trial;
+            end.is_recorded &= new.is_recorded || !is_news;
+            return (Change::Same, is_news);
         }
         if suspect.ends.len() >= MAX_ENDS {
             // What is recorded must be known, so that its row can be removed.
             let oldest = suspect.ends.iter().position(|e| !e.is_recorded);
             suspect.ends.remove(oldest.unwrap_or(0));
         }
-        suspect.ends.push(End {
-            upstream,
-            at,
-            is_own,
-            is_recorded,
-        });
+        suspect.ends.push(new);
         let after = suspect.counted();
         let change = match after {
             n if n <= before => Change::Same,
@@ -308,10 +317,17 @@
         (change, after > before)
     }
 
-    fn take_answer(&mut self, work: Fingerprint, at: Instant, source: Source) -> (Change, bool) {
+    fn take_answer(
+        &mut self,
+        work: Fingerprint,
+        at: Instant,
+        source: Source,
+        now: Instant,
+    ) -> (Change, bool) {
         let Some(suspect) = self.find_mut(work) else {
             return (Change::Same, false);
         };
+        suspect.touched_at = now;
         let before = suspect.counted();
         suspect.answered_at = suspect.answered_at.max(Some(at));
         let after = suspect.counted();
@@ -327,35 +343,6 @@
         }
     }
 
-    /// Notes that a trial is asked for, so that no other request of this host asks as well.
-    pub fn ask_trial(&mut self, work: Fingerprint, now: Instant) {
-        if let Some(suspect) = self.find_mut(work) {
-            suspect.asked_at = Some(now);
-        }
-    }
-
-    /// Notes that a trial was taken, by this host or another.
-    pub fn trial_taken(&mut self, work: Fingerprint, number: usize, at: Instant) {
-        let Some(suspect) = self.entry(work, at) else {
-            return;
-        };
-        if suspect.trials <= number {
-            suspect.trials = number + 1;
-            suspect.tried_at = Some(at);
-        }
-    }
-
-    /// Notes that a trial was given back: the work didn't reach any upstream.
-    pub fn trial_returned(&mut self, work: Fingerprint, number: usize) {
-        let Some(suspect) = self.find_mut(work) else {
-            return;
-        };
-        if suspect.trials == number + 1 {
-            suspect.trials = number;
-            suspect.tried_at = None;
-        }
-    }
-
     /// Ends that the store is to keep, of works with so many ends: those that this host saw,
     /// and those of others that were known before a time, and whose hosts have had time to
     /// write them.
@@ -366,31 +353,19 @@
         most: usize,
     ) -> Vec<Record> {
         let works = self.suspects.iter().filter(|s| s.counted() >= from_ends);
-        let ends = works.flat_map(|s| s.ends.iter().map(move |end| (s, end)));
-        let due = ends.filter(|(s, end)| {
-            let is_counted = s.answered_at.is_none_or(|at| end.at > at);
+        let ends = works.flat_map(|s| s.counting().map(move |end| (s, end)));
+        let due = ends.filter(|(_, end)| {
             let is_due = end.is_own || of_others.is_some_and(|before| end.at < before);
-            is_counted && is_due && !end.is_recorded
-        });
-        let records = due.map(|(s, end)| Record {
-            work: s.work,
-            upstream: end.upstream,
-            at: end.at,
+            is_due && !end.is_recorded
         });
-        records.take(most).collect()
+        due.map(|(s, end)| s.record(end)).take(most).collect()
     }
 
     /// Ends that the store keeps of works that this host saw answered since: their rows may go.
     pub fn to_remove(&self, most: usize) -> Vec<Record> {
         let works = self.suspects.iter().filter(|s| s.is_answered_here);
-        let ends = works.flat_map(|s| s.ends.iter().map(move |end| (s, end)));
-        let gone = ends.filter(|(s, end)| end.is_recorded && Some(end.at) <= s.answered_at);
-        let records = gone.map(|(s, end)| Record {
-            work: s.work,
-            upstream: end.upstream,
-            at: end.at,
-        });
-        records.take(most).collect()
+        let ends = works.flat_map(|s| s.outdated().map(move |end| s.record(end)));
+        ends.take(most).collect()
     }
 
     /// Notes that the store keeps an end, or no longer does.
@@ -424,15 +399,10 @@
     /// Ends that the store kept at the last look; those that a whole read doesn't find any
     /// more are gone.
     pub fn recorded(&self) -> Vec<Record> {
-        let ends = self.suspects.iter();
-        let ends = ends.flat_map(|s| s.ends.iter().map(move |end| (s.work, end)));
+        let works = self.suspects.iter();
+        let ends = works.flat_map(|s| s.ends.iter().map(move |end| (s, end)));
         let recorded = ends.filter(|(_, end)| end.is_recorded);
-        let records = recorded.map(|(work, end)| Record {
-            work,
-            upstream: end.upstream,
-            at: end.at,
-        });
-        records.collect()
+        recorded.map(|(s, end)| s.record(end)).collect()
     }
 
     /// Forgets what is too old. It may be called with each datagram that is sent; a look a
@@ -485,19 +455,7 @@
             Err(_) if self.suspects.len() >= MAX_SUSPECTS && !self.make_room() => return None,
             Err(_) => {
                 let at = self.suspects.partition_point(|s| s.work < work);
-                self.suspects.insert(
-                    at,
-                    Suspect {
-                        work,
-                        ends: Vec::new(),
-                        answered_at: None,
-                        is_answered_here: false,
-                        trials: 0,
-                        tried_at: None,
-                        asked_at: None,
-                        touched_at: now,
-                    },
-                );
+                self.suspects.insert(at, Suspect::new(work, now));
                 at
             }
         };
--- a/crates/store/src/rows.rs
+++ b/crates/store/src/rows.rs
@@ -88,6 +88,9 @@
     pub entry: String,
     /// When, in milliseconds since the epoch.
     pub at_ms: u64,
+    /// Of an end: whether it came under a trial.
+    #[serde(default)]
+    pub in_trial: bool,
 }
 
 /// A lease on a duty.
