An answer outlasts the rows of ends from before it

Cause: a release was told for 4 s and then only by the rows' removal, which the host that saw the answer couldn't do, having lost the store; a host that knew nothing of the work dropped the word; and nobody else removed the rows if that host was gone. Change: an answer that a peer tells is kept for 10 s also where the work isn't known; as long as rows from before it are kept, all who know both tell it once a second, four works at most; the first two processes remove what its host hasn't within 0.7 s. Why it holds: whoever reads the rows has heard the answer, or hears it within a second, as long as one host that saw or heard it lives; after that the rows are removed or tried again.

--- a/crates/entry/src/crashes.rs
+++ b/crates/entry/src/crashes.rs
@@ -195,7 +195,7 @@
         let (due, answered) = {
             let known = self.lock();
             let due = known.to_record(RECORD_FROM, None, MAX_AT_ONCE);
-            (due, known.to_remove(MAX_AT_ONCE))
+            (due, known.to_remove(None, MAX_AT_ONCE))
         };
         if due.is_empty() && answered.is_empty() {
             return;
--- a/crates/gateway/src/crashes/rows.rs
+++ b/crates/gateway/src/crashes/rows.rs
@@ -228,7 +228,7 @@
         set_recorded(&gateway.crashes, &ends, true);
         return Ok(true);
     }
-    let answered = gateway.crashes.lock().to_remove(MAX_AT_ONCE);
+    let answered = to_remove(gateway);
     if answered.is_empty() {
         return Ok(false);
     }
@@ -265,6 +265,12 @@
     crashes.to_record(from_ends, others, MAX_AT_ONCE)
 }
 
+/// The ends whose rows are to be removed now.
+fn to_remove(gateway: &Gateway) -> Vec<Record> {
+    let others = left_by_others(gateway);
+    gateway.crashes.lock().to_remove(others, MAX_AT_ONCE)
+}
+
 /// Before when what others saw is this host's to write; none if it writes its own only.
 fn left_by_others(gateway: &Gateway) -> Option<Instant> {
     let is_writer = gateway.rank() < WRITERS;
--- a/crates/resilience/src/crashes.rs
+++ b/crates/resilience/src/crashes.rs
@@ -13,7 +13,8 @@
 //! soon. What is proven is tried a last time later, as what crashed may be mended.
 //!
 //! All hosts count together. What one learns it tells the others ([`Crashes::news`]), and
-//! rows in a store keep what has come twice ([`Crashes::to_record`]).
+//! rows in a store keep what has come twice ([`Crashes::to_record`]). An answer is told again
+//! as long as rows from before it are kept: who starts meanwhile reads them.
 
 mod news;
 mod trials;
@@ -41,6 +42,10 @@
 const CLEARED_REMEMBERED: Duration = Duration::from_secs(10);
 /// Time between two looks for what is too old.
 const LOOK_EVERY: Duration = Duration::from_secs(1);
+/// Time between two reminders that work was answered whose rows are still kept, and how many
+/// works one has.
+const REMIND_EVERY: Duration = Duration::from_secs(1);
+const MAX_REMINDERS: usize = 4;
 /// Works that are remembered: those that were on all engines of a large fleet that ended at
 /// once, 130 bytes each. The one with the fewest ends yields first.
 const MAX_SUSPECTS: usize = 1024;
@@ -227,6 +232,8 @@
     /// Sorted by work.
     suspects: Vec<Suspect>,
     news: Queue,
+    /// When peers were last reminded of answers.
+    reminded_at: Option<Instant>,
     /// When it was last looked for what is too old.
     looked_at: Option<Instant>,
 }
@@ -324,7 +331,12 @@
         source: Source,
         now: Instant,
     ) -> (Change, bool) {
-        let Some(suspect) = self.find_mut(work) else {
+        // What a peer tells of is a suspect elsewhere, and its ends may be read or heard later.
+        let suspect = match source {
+            Source::Peer => self.entry(work, now),
+            Source::Own | Source::Store => self.find_mut(work),
+        };
+        let Some(suspect) = suspect else {
             return (Change::Same, false);
         };
         suspect.touched_at = now;
@@ -361,9 +373,14 @@
         due.map(|(s, end)| s.record(end)).take(most).collect()
     }
 
-    /// Ends that the store keeps of works that this host saw answered since: their rows may go.
-    pub fn to_remove(&self, most: usize) -> Vec<Record> {
-        let works = self.suspects.iter().filter(|s| s.is_answered_here);
+    /// Ends that the store keeps of works that were answered since: their rows may go. Those
+    /// that this host saw answered, and those that were answered at others before a time, as
+    /// these have had time to remove them.
+    pub fn to_remove(&self, of_others: Option<Instant>, most: usize) -> Vec<Record> {
+        let works = self.suspects.iter().filter(|s| {
+            let is_due = |at| of_others.is_some_and(|before| at < before);
+            s.is_answered_here || s.answered_at.is_some_and(is_due)
+        });
         let ends = works.flat_map(|s| s.outdated().map(move |end| s.record(end)));
         ends.take(most).collect()
     }
@@ -421,8 +438,28 @@
     /// by chance can wait.
     pub fn news(&mut self, now: Instant) -> Vec<Word> {
         let mut news = std::mem::take(&mut self.news);
-        let words = news.due(now, |word| self.weight(word));
+        let mut words = news.due(now, |word| self.weight(word));
         self.news = news;
+        words.extend(self.reminders(now));
+        words
+    }
+
+    /// Answers of works whose ends the store still keeps, as it couldn't be written since.
+    fn reminders(&mut self, now: Instant) -> Vec<Word> {
+        let since = |at: Instant| now.saturating_duration_since(at);
+        if self.reminded_at.is_some_and(|at| since(at) < REMIND_EVERY) {
+            return Vec::new();
+        }
+        let works = self.suspects.iter();
+        let answered = works.filter(|s| s.outdated().next().is_some());
+        let words: Vec<Word> = answered
+            .filter_map(|s| Some((s.work, s.answered_at?)))
+            .map(|(work, at)| Word::Answer { work, at })
+            .take(MAX_REMINDERS)
+            .collect();
+        if !words.is_empty() {
+            self.reminded_at = Some(now);
+        }
         words
     }
 
--- a/crates/resilience/tests/crashes.rs
+++ b/crates/resilience/tests/crashes.rs
@@ -279,6 +279,59 @@
     assert_eq!(late, 3);
 }
 
+#[test]
+fn an_answer_outlasts_rows_that_are_read_after_it() {
+    let (mut crashes, now) = (Crashes::default(), Instant::now());
+    // A host that has just started hears it from a peer before it reads the rows.
+    let word = Word::Answer {
+        work: WORK,
+        at: now,
+    };
+    crashes.take(word, Source::Peer, true, now);
+    for upstream in 1..=3 {
+        let row = end(WORK, upstream, now - S);
+        crashes.take(row, Source::Store, false, now + 5 * S);
+    }
+    assert_eq!(crashes.verdict(WORK, now + 5 * S), Verdict::Free);
+}
+
+#[test]
+fn an_answer_is_told_as_long_as_rows_from_before_it_are_kept() {
+    let (mut crashes, now) = (Crashes::default(), Instant::now());
+    for upstream in 1..=3 {
+        let row = end(WORK, upstream, now);
+        crashes.take(row, Source::Store, false, now);
+    }
+    answer(&mut crashes, now + MS);
+    for second in 10..100 {
+        let words = crashes.news(now + second * S);
+        let is_told = words.iter().any(|word| matches!(word, Word::Answer { .. }));
+        assert!(is_told, "not told after {second} s");
+    }
+    let records = crashes.recorded();
+    for record in &records {
+        crashes.set_recorded(record, false);
+    }
+    assert_eq!(crashes.news(now + 101 * S), []);
+}
+
+#[test]
+fn rows_that_a_host_should_have_removed_are_removed_by_others() {
+    let (mut crashes, now) = (Crashes::default(), Instant::now());
+    for upstream in 1..=3 {
+        let row = end(WORK, upstream, now);
+        crashes.take(row, Source::Store, false, now);
+    }
+    let word = Word::Answer {
+        work: WORK,
+        at: now + MS,
+    };
+    crashes.take(word, Source::Peer, true, now + MS);
+    assert_eq!(crashes.to_remove(None, 9), []);
+    assert_eq!(crashes.to_remove(Some(now), 9), []);
+    assert_eq!(crashes.to_remove(Some(now + S), 9).len(), 3);
+}
+
 #[test]
 fn what_came_twice_is_recorded_and_what_was_answered_is_removed() {
     let (mut crashes, now) = (Crashes::default(), Instant::now());
@@ -296,9 +349,9 @@
         crashes.set_recorded(record, true);
     }
     assert_eq!(crashes.to_record(RECORD_FROM, None, 9), []);
-    assert_eq!(crashes.to_remove(9), []);
+    assert_eq!(crashes.to_remove(None, 9), []);
     answer(&mut crashes, now + MS);
-    assert_eq!(crashes.to_remove(9), due);
+    assert_eq!(crashes.to_remove(None, 9), due);
 }
 
 #[test]
