Answers of a length that were watched for seconds say nothing yet, however many they are

Cause: sixteen answers were taken as enough for a bound, however short the time in which they came; the caution for a host that has just started went by when it, or any one of its peers, had first seen an answer of the service, not of the route. Change: how long answers were watched is counted by length and route, from the windows that are kept; watched for less than 5 s, the seconds of a stop in which a slower one would be cut off, they say nothing, and what is taken for granted holds. Of a plain route of which nothing is known that is the request's own time, no longer 3 s: an answer slower than a guess is not cut. A stopping process asks its peers at once, not one after another: one that doesn't answer held up the rest for 1 s a round. Why it holds: a bound below the first guess needs 16 answers of the same length, of this process or of peers, the first of them 5 s or more ago. A slow answer whose like nobody has seen in all the time that was watched is still possible, and gets rarer with it (margin 1.3 down to 0.3).

--- a/crates/gateway/src/fleet/durations.rs
+++ b/crates/gateway/src/fleet/durations.rs
@@ -24,15 +24,16 @@
 /// far off, and the next answer may be slower still.
 const MARGIN: f64 = 0.3;
 /// The same for answers that were watched for a short time only, divided by that time: the
-/// seconds of a stop in which an answer slower than all before would be cut off. A process
-/// that has just started adds up to the whole; after a minute it is next to nothing.
+/// seconds of a stop in which an answer slower than all before would be cut off. Answers of a
+/// length that were watched for less say nothing, however many they are; just past it the
+/// whole is added, after a minute next to nothing.
 const RISKY: Duration = Duration::from_secs(5);
 /// Time taken for granted while too few answers were seen: a part for each, and one for each
 /// token that an answer may have, the pace that the product promises for 95 in 100 tokens.
 const START: Duration = Duration::from_secs(1);
-/// The same for an answer of which the route alone is known: longer than most services take.
-/// Where callers wait for a second or so anyway, it binds nothing.
-const START_PLAIN: Duration = Duration::from_secs(3);
+/// The same for an answer of which the route alone is known: until its request's own time is
+/// over.
+const START_PLAIN: Duration = Duration::MAX;
 const START_PER_TOKEN: Duration = Duration::from_millis(25);
 /// Longest answers that have a class of their own: 2^16 tokens.
 const MAX_BITS: u32 = 17;
@@ -65,8 +66,6 @@
     classes: Vec<Class>,
     /// Others, sorted by route.
     routes: Vec<Route>,
-    /// When the first answer was noted.
-    watched_since: Option<Instant>,
 }
 
 /// Answers of one route.
@@ -105,7 +104,6 @@
 impl Durations {
     /// Notes a whole answer that ended now, so long after the estimate of its first byte.
     pub fn note(&mut self, length: Length, took: Duration, now: Instant) {
-        self.watched_since.get_or_insert(now);
         self.class_mut(length).push(took, now);
     }
 
@@ -127,21 +125,16 @@
     pub fn longest(&self, length: Length, now: Instant) -> Duration {
         let mut count = 0;
         let mut slowest = Duration::ZERO;
+        let mut watched = Duration::ZERO;
         for (near, times) in self.nearest(length) {
             count += near.count(now);
             slowest = slowest.max(near.slowest(now).saturating_mul(times));
-            if count >= ENOUGH {
-                return slowest.mul_f64(self.factor(now));
+            watched = watched.max(near.watched(now));
+            if count >= ENOUGH && watched >= RISKY {
+                return slowest.mul_f64(factor(watched));
             }
         }
-        slowest.mul_f64(self.factor(now)).max(length.start())
-    }
-
-    /// How many times longer than the slowest the next answer may take.
-    fn factor(&self, now: Instant) -> f64 {
-        let since = self.watched_since.unwrap_or(now);
-        let watched = now.saturating_duration_since(since).max(RISKY);
-        1.0 + MARGIN + RISKY.as_secs_f64() / watched.as_secs_f64()
+        slowest.mul_f64(factor(watched)).max(length.start())
     }
 
     /// The answers that tell most of one, from the nearest on, and how many times longer than
@@ -216,6 +209,12 @@
         self.windows.iter().filter(move |w| age(w) < oldest)
     }
 
+    /// For how long they were watched.
+    fn watched(&self, now: Instant) -> Duration {
+        let first = self.latest(now).last();
+        first.map_or(Duration::ZERO, |w| now.saturating_duration_since(w.since))
+    }
+
     fn count(&self, now: Instant) -> usize {
         self.latest(now).map(|w| w.count).sum()
     }
@@ -241,6 +240,12 @@
     }
 }
 
+/// How many times longer than the slowest answer the next may take, where they were watched for
+/// a time.
+fn factor(watched: Duration) -> f64 {
+    1.0 + MARGIN + RISKY.as_secs_f64() / watched.max(RISKY).as_secs_f64()
+}
+
 /// Class of an engine's answer: those of one class differ in their expected length by less
 /// than a factor of two.
 fn class(tokens: u32) -> usize {
--- a/crates/gateway/src/fleet/durations/told.rs
+++ b/crates/gateway/src/fleet/durations/told.rs
@@ -14,8 +14,6 @@
 pub struct Told {
     /// Name of the service.
     pub service: String,
-    /// For how long answers were watched, in milliseconds.
-    pub watched_ms: u32,
     /// Engines' answers, the shortest class first.
     pub classes: Vec<Vec<WindowTold>>,
     /// Others.
@@ -45,26 +43,22 @@
 impl Durations {
     /// What others may take of it; none if no answer was seen.
     pub fn told(&self, service: &str, now: Instant) -> Option<Told> {
-        let watched = now.saturating_duration_since(self.watched_since?);
         let routes = self.routes.iter().map(|route| RouteTold {
             route: route.name,
             windows: route.answers.told(now),
         });
-        Some(Told {
+        let told = Told {
             service: service.to_owned(),
-            watched_ms: millis(watched),
             classes: self.classes.iter().map(|class| class.told(now)).collect(),
             routes: routes.collect(),
-        })
+        };
+        let routes = told.routes.iter().map(|route| &route.windows);
+        let mut all = told.classes.iter().chain(routes);
+        all.any(|windows| !windows.is_empty()).then_some(told)
     }
 
     /// Takes what another has seen beside its own.
     pub fn take(&mut self, told: &Told, now: Instant) {
-        let watched_since = ago(now, told.watched_ms);
-        self.watched_since = Some(
-            self.watched_since
-                .map_or(watched_since, |own| own.min(watched_since)),
-        );
         let classes = told.classes.iter().take(super::CLASSES);
         for (class, windows) in classes.enumerate() {
             if self.classes.len() <= class {
--- a/crates/gateway/src/peers/catch_up.rs
+++ b/crates/gateway/src/peers/catch_up.rs
@@ -19,6 +19,7 @@
 use std::net::{IpAddr, SocketAddr};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
+use tokio::task::JoinSet;
 
 /// Time that the store has to bring what a peer has already before the peer is
 /// asked: asking is for processes that the store refuses.
@@ -117,9 +118,12 @@
 pub async fn take_all_durations(gateway: Arc<Gateway>) {
     let ending = gateway.stopping().await;
     while Instant::now() < ending.closed_at {
-        for ip in live(&gateway) {
-            take_durations_of(&gateway, ip).await;
-        }
+        // At once: one that doesn't answer must not hold up what the others know.
+        let asked = live(&gateway)
+            .into_iter()
+            .map(|ip| (gateway.clone(), ip))
+            .map(|(gateway, ip)| async move { take_durations_of(&gateway, ip).await });
+        asked.collect::<JoinSet<bool>>().join_all().await;
         tokio::time::sleep(DURATIONS_PAUSE).await;
     }
 }
--- a/crates/gateway/src/serve/time.rs
+++ b/crates/gateway/src/serve/time.rs
@@ -86,7 +86,7 @@
             true => millis(estimate_ms),
             false => Duration::ZERO,
         };
-        let takes = (estimate + longest).min(self.own_left());
+        let takes = estimate.saturating_add(longest).min(self.own_left());
         let process_left = ending.work_by.saturating_duration_since(now);
         Some(Outlook {
             takes,
--- a/crates/gateway/tests/durations.rs
+++ b/crates/gateway/tests/durations.rs
@@ -119,8 +119,8 @@
     for route in 0..10_000 {
         durations.note(Length::Plain { route }, ms(5000), Instant::now());
     }
-    let known = |route| longest(&durations, Length::Plain { route }) > ms(5000);
-    let kept = (0..10_000).filter(|route| known(*route)).count();
+    let told = durations.told("s", Instant::now()).unwrap();
+    let kept = told.routes.len();
     assert!((1..2000).contains(&kept), "{kept}");
 }
 
