--- a/crates/soak/src/client.rs
+++ b/crates/soak/src/client.rs
@@ -15,9 +15,8 @@
 /// Longest pause between two requests of a client, in milliseconds.
 const MAX_PAUSE_MS: u64 = 40;
 
-/// Longest time that a slow client's answer takes: with a second try after the gateway's
-/// patience it is within the deadline.
-const MAX_ANSWER_MS: u64 = 2500;
+/// Longest time that the other answers of a slow client take where long ones are rare.
+const QUICK_MS: u64 = 60;
 
 /// How long the answers take that a client asks for.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -25,7 +24,25 @@
     /// None at all.
     Quick,
     /// Up to seconds, in pieces.
-    Slow,
+    Slow(Slow),
+}
+
+/// How long the answers of a slow client take.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Slow {
+    /// The longest, in milliseconds.
+    pub longest_ms: u64,
+    /// One in so many takes up to that; the others take a moment.
+    pub one_in: u64,
+}
+
+impl Slow {
+    fn draw_ms(self, rng: &mut fastrand::Rng) -> u64 {
+        if self.one_in > 1 && rng.u64(..self.one_in) > 0 {
+            return rng.u64(..QUICK_MS);
+        }
+        rng.u64(..self.longest_ms) * rng.u64(1..=4) / 4
+    }
 }
 
 /// What all clients got.
@@ -68,16 +85,16 @@
 /// A request's kind and text.
 fn draw(pace: Pace, id: &str, rng: &mut fastrand::Rng) -> (Kind, String) {
     let (kind, method, path) = match (pace, rng.u32(..10)) {
-        (Pace::Quick, 0..4) | (Pace::Slow, 0..2) => (Kind::Idempotent, "GET", "/safe/"),
-        (Pace::Quick, 4..8) | (Pace::Slow, 2..4) => (Kind::NonIdempotent, "POST", "/twice/"),
-        (Pace::Slow, 6..8) => (Kind::Stream, "POST", "/stream/"),
-        (Pace::Slow, 8..) => (Kind::Stream, "POST", "/prompt/"),
+        (Pace::Quick, 0..4) | (Pace::Slow(_), 0..2) => (Kind::Idempotent, "GET", "/safe/"),
+        (Pace::Quick, 4..8) | (Pace::Slow(_), 2..4) => (Kind::NonIdempotent, "POST", "/twice/"),
+        (Pace::Slow(_), 6..8) => (Kind::Stream, "POST", "/stream/"),
+        (Pace::Slow(_), 8..) => (Kind::Stream, "POST", "/prompt/"),
         _ => (Kind::Resumable, "POST", "/resumable/"),
     };
     let takes = match pace {
         Pace::Quick => 0,
         // Most take far less than the longest.
-        Pace::Slow => rng.u64(..MAX_ANSWER_MS) * rng.u64(1..=4) / 4,
+        Pace::Slow(slow) => slow.draw_ms(rng),
     };
     let more = match path {
         "/prompt/" => PROMPT,
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -4,7 +4,7 @@
 use argh::FromArgs;
 use bench::procs::build_binary;
 use serde::Serialize;
-use soak::client::{self, History, Pace};
+use soak::client::{self, History, Pace, Slow};
 use soak::cut::{Record, is_cut};
 use soak::judge::{Asked, End, Ran, Verdict, is_foreign, judge, own, sorted};
 use soak::scene::{DEADLY, Scene, Upstream};
@@ -34,6 +34,13 @@
     /// clients beside them whose answers take up to seconds
     #[argh(option, default = "12")]
     slow: u32,
+    /// longest time that the answers of these clients take, in milliseconds; with a second try
+    /// after the gateway's patience the default is within the deadline
+    #[argh(option, default = "2500")]
+    longest_ms: u64,
+    /// one in so many of them takes up to that, the others a moment
+    #[argh(option, default = "1")]
+    one_in: u64,
     /// planned stops in series that overlap, in place of faults of all kinds
     #[argh(switch)]
     stops: bool,
@@ -80,11 +87,15 @@
     let history = History::default();
     let stop = watch::Sender::new(false);
     let addresses: Vec<_> = scene.gateways.iter().map(|g| g.callers).collect();
+    let slow = Slow {
+        longest_ms: args.longest_ms,
+        one_in: args.one_in,
+    };
     let clients: Vec<_> = (0..args.clients + args.slow)
         .map(|n| {
             let pace = match n < args.clients {
                 true => Pace::Quick,
-                false => Pace::Slow,
+                false => Pace::Slow(slow),
             };
             let seed = args.seed.wrapping_mul(1000) + u64::from(n);
             let (to, history) = (addresses.clone(), history.clone());
