--- a/crates/gateway/tests/common/crashing.rs
+++ b/crates/gateway/tests/common/crashing.rs
@@ -122,6 +122,15 @@
         }
     }
 
+    /// Writes the row of an end under a request, as another host does.
+    pub fn put_end(&self, path: &str, body: &str, upstream: u32) {
+        let parts = ["POST", fixture::HOST, path, "", body];
+        let work = resilience::Fingerprint::of(parts.map(str::as_bytes));
+        let key = format!("{work}/end/{upstream:08x}");
+        let row = serde_json::json!({"host": "edge-other", "at_ms": 0});
+        self.store.put("crashes", &key, &row);
+    }
+
     /// What all workers do with requests that don't crash them.
     pub fn workers_usually(&self, act: &Act) {
         for worker in &self.workers {
--- a/crates/gateway/tests/common_requests.rs
+++ b/crates/gateway/tests/common_requests.rs
@@ -147,6 +147,33 @@
     scene.is_served().await;
 }
 
+/// Seen by reading: a call that removed the rows of 32 ends, with those of their trials, had more
+/// entries than the store takes, so it was refused each time, and none of them ever went.
+#[tokio::test]
+async fn rows_of_many_answered_requests_are_removed() {
+    let system = Arc::new(System::start(1, 3).await);
+    let bodies: Vec<String> = (0..20).map(|n| format!("{COMMON} {n}")).collect();
+    for body in &bodies {
+        for upstream in 1..=2 {
+            system.put_end(PATH, body, upstream);
+        }
+    }
+    // Without an answer they stand.
+    tokio::time::sleep(SECONDS).await;
+    assert_eq!(system.store.keys("crashes").len(), 40);
+    let send = |body: String| {
+        let system = system.clone();
+        tokio::spawn(async move { system.send(PATH, 0, &body).await })
+    };
+    for sent in bodies.into_iter().map(send).collect::<Vec<_>>() {
+        assert_eq!(sent.await.unwrap(), 200);
+    }
+    wait_for("no rows", || async {
+        system.store.keys("crashes").is_empty()
+    })
+    .await;
+}
+
 /// As an upstream that goes dark when it crashes: its connections stay open, and it is back
 /// under a new start seconds later.
 #[tokio::test]
