A call to the store removes no more rows than it takes

What callers saw: a request that was answered long ago was held back again by each host that started later, as the rows of its ends stood for an hour. Cause: one call removed the rows of up to 32 ends with those of their work's trials; the store takes 100 entries and refused the whole, again and again. Change: the store's bound stands in platform/; so many ends a call as fit with their trials, 11. Looked for elsewhere: writes of ends have 32 entries, removals of old rows 32, leases and processes one or two. The product's own table service has no such bound on its pages.

--- a/crates/gateway/src/crashes/rows.rs
+++ b/crates/gateway/src/crashes/rows.rs
@@ -7,6 +7,7 @@
 use crate::follow::{Client, Dependency, held_for};
 use crate::state::Gateway;
 use observe::{Event, emit};
+use platform::store::MAX_ENTRIES;
 use platform::{CrashChange, CrashKey, CrashMark, CrashRow, Feed, StoreError, TrialWrite};
 use resilience::Fingerprint;
 use resilience::crashes::{LIMIT, RECORD_FROM, REMEMBERED, Record, Source, TRIALS, Word};
@@ -35,6 +36,9 @@
 const WRITERS: u32 = 2;
 /// Rows that one call writes or removes.
 const MAX_AT_ONCE: usize = 32;
+/// Ends whose rows one call removes, with those of their work's trials: the store takes no
+/// more entries in one.
+const MAX_ENDS_AT_ONCE: usize = MAX_ENTRIES / (1 + TRIALS);
 /// Rows from which on only ends of work that is held back are written: a table of them is
 /// read in two pages.
 const MAX_ROWS: usize = 256;
@@ -268,7 +272,7 @@
 /// The ends whose rows are to be removed now.
 fn to_remove(gateway: &Gateway) -> Vec<Record> {
     let others = left_by_others(gateway);
-    gateway.crashes.lock().to_remove(others, MAX_AT_ONCE)
+    gateway.crashes.lock().to_remove(others, MAX_ENDS_AT_ONCE)
 }
 
 /// Before when what others saw is this host's to write; none if it writes its own only.
