Soak: the faults of a run are kept as a file that plays them again

Each seed draws the same as before. Steps of planned stops (--stops) aren't kept yet: their draws go by a clock. A file fixes the faults, not the run: processes and clients go on as the machine lets them. Tests: a file plays what its seed drew, and names that aren't known are refused.

--- a/crates/soak/src/fault.rs
+++ b/crates/soak/src/fault.rs
@@ -3,8 +3,10 @@
 use crate::deadly;
 use crate::judge::{Left, PIECES};
 use crate::scene::Scene;
+use crate::schedule::{Schedule, Step};
 use bench::procs::Signal;
 use bench::relay::Link;
+use serde::{Deserialize, Serialize};
 use standin::fixture::DRAIN_BOUND;
 use standin::{Act, Mode};
 use std::io;
@@ -22,24 +24,47 @@
 const LOOK: Duration = Duration::from_millis(250);
 
 /// A kind of fault.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Fault {
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Fault {
+    /// A process is killed.
     Kill,
+    /// A process is told to stop.
     Stop,
+    /// A process is paused, or goes on.
     Pause,
+    /// A process is told to read its settings again.
     Hangup,
+    /// The store refuses, is silent, or serves again.
     Store,
+    /// The link between a process and the store changes.
     StoreLink,
+    /// The link to a worker changes.
     WorkerLink,
+    /// A worker answers wrongly for some requests.
     Answers,
+    /// The configuration changes.
     Config,
+    /// A worker comes or goes.
     Scale,
+    /// A worker leaves in calm.
     Leave,
+    /// The store forgets its history.
     Forget,
+    /// A request that crashes workers comes.
     Deadly,
+    /// Another writer spoils a worker's row.
     BadRow,
 }
 
+impl Fault {
+    /// Draws one, with the pause before it in milliseconds.
+    pub fn draw(rng: &mut fastrand::Rng) -> (u64, Self) {
+        let pause_ms = rng.u64(50..700);
+        (pause_ms, ALL[rng.usize(..ALL.len())])
+    }
+}
+
 const ALL: [Fault; 14] = [
     Fault::Kill,
     Fault::Stop,
@@ -64,22 +89,26 @@
     pub faults: usize,
     /// Workers that left in calm, and what they got after their time.
     pub left: Vec<Left>,
+    /// What was done, one after another.
+    pub steps: Vec<Step>,
 }
 
 /// Does faults until a time.
-pub async fn run(scene: &mut Scene, seed: u64, until: Instant) -> io::Result<Done> {
-    let mut rng = fastrand::Rng::with_seed(seed);
+pub async fn run(scene: &mut Scene, mut schedule: Schedule, until: Instant) -> io::Result<Done> {
     let mut done = Done::default();
     while Instant::now() < until {
-        let pause = Duration::from_millis(rng.u64(50..700));
-        tokio::time::sleep(pause).await;
+        let Some((step, mut rng)) = schedule.next_step() else {
+            break;
+        };
+        done.steps.push(step);
+        tokio::time::sleep(Duration::from_millis(step.pause_ms)).await;
         revive(scene)?;
-        let fault = ALL[rng.usize(..ALL.len())];
-        if fault == Fault::Leave && rng.u32(..LEAVE_ONE_IN) > 0 {
-            continue;
+        let is_left_out = step.fault == Fault::Leave && rng.u32(..LEAVE_ONE_IN) > 0;
+        if !is_left_out {
+            done.faults += 1;
+            act(scene, step.fault, &mut rng, &mut done).await?;
         }
-        done.faults += 1;
-        act(scene, fault, &mut rng, &mut done).await?;
+        schedule.drew(rng);
     }
     Ok(done)
 }
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -7,4 +7,5 @@
 pub mod fault;
 pub mod judge;
 pub mod scene;
+pub mod schedule;
 pub mod stops;
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -8,8 +8,10 @@
 use soak::cut::{Record, is_cut};
 use soak::judge::{Asked, End, Ran, Verdict, is_foreign, judge, own, sorted};
 use soak::scene::{DEADLY, Scene, Upstream};
+use soak::schedule::{self, Schedule};
 use soak::{deadly, fault, stops};
 use standin::Seen;
+use std::path::PathBuf;
 use std::process::ExitCode;
 use std::time::{Duration, Instant};
 use tokio::sync::watch;
@@ -44,6 +46,9 @@
     /// planned stops in series that overlap, in place of faults of all kinds
     #[argh(switch)]
     stops: bool,
+    /// file with the faults, as a run writes it beside its logs, in place of those of the seed
+    #[argh(option)]
+    schedule: Option<PathBuf>,
     /// third byte of the addresses, so that several soaks can run side by side
     #[argh(option, default = "1")]
     net: u8,
@@ -105,8 +110,15 @@
     let until = Instant::now() + Duration::from_secs(args.seconds);
     let done = match args.stops {
         true => stops::run(&mut scene, args.seed, until).await?,
-        false => fault::run(&mut scene, args.seed, until).await?,
+        false => {
+            let schedule = match &args.schedule {
+                Some(path) => Schedule::read(path)?,
+                None => Schedule::drawn(args.seed),
+            };
+            fault::run(&mut scene, schedule, until).await?
+        }
     };
+    schedule::write(&dir.join("schedule.jsonl"), &done.steps)?;
     fault::calm(&mut scene).await?;
     let recovered = fault::recover(&mut scene, RECOVERY).await?;
     stop.send_replace(true);
--- /dev/null
+++ b/crates/soak/tests/schedule.rs
@@ -0,0 +1,57 @@
+//! The faults of a run, kept in a file.
+
+use soak::fault::Fault;
+use soak::schedule::{Schedule, Step, write};
+use std::path::PathBuf;
+
+fn file(name: &str) -> PathBuf {
+    std::env::temp_dir().join(format!("soak-schedule-{}-{name}", std::process::id()))
+}
+
+/// Steps as a run takes them, with some numbers drawn for each; gives these too.
+fn play(mut schedule: Schedule, most: usize) -> (Vec<Step>, Vec<u64>) {
+    let (mut steps, mut drawn) = (Vec::new(), Vec::new());
+    while steps.len() < most {
+        let Some((step, mut rng)) = schedule.next_step() else {
+            break;
+        };
+        // Each kind draws as many as it needs.
+        for _ in 0..steps.len() % 4 {
+            drawn.push(rng.u64(..));
+        }
+        schedule.drew(rng);
+        steps.push(step);
+    }
+    (steps, drawn)
+}
+
+#[test]
+fn a_file_plays_what_a_seed_drew() {
+    let (steps, drawn) = play(Schedule::drawn(7), 200);
+    let path = file("seed-7");
+    write(&path, &steps).unwrap();
+    let (again, drawn_again) = play(Schedule::read(&path).unwrap(), 1000);
+    std::fs::remove_file(&path).unwrap();
+    assert_eq!(steps, again);
+    assert_eq!(drawn, drawn_again);
+    let kinds = [Fault::Deadly, Fault::BadRow, Fault::Kill];
+    assert!(kinds.iter().all(|k| steps.iter().any(|s| s.fault == *k)));
+}
+
+/// What a file names stays, whatever kinds are added; one that can't be read is refused.
+#[test]
+fn a_file_names_each_fault() {
+    let path = file("names");
+    let line = r#"{"pause_ms":120,"fault":"store-link","state":42}"#;
+    std::fs::write(&path, format!("{line}\n")).unwrap();
+    let (steps, _) = play(Schedule::read(&path).unwrap(), 10);
+    let step = Step {
+        pause_ms: 120,
+        fault: Fault::StoreLink,
+        state: 42,
+    };
+    assert_eq!(steps, [step]);
+    std::fs::write(&path, line.replace("store-link", "of-tomorrow")).unwrap();
+    assert!(Schedule::read(&path).is_err());
+    std::fs::remove_file(&path).unwrap();
+}
