--- a/crates/gateway/tests/crashes.rs
+++ b/crates/gateway/tests/crashes.rs
@@ -311,6 +311,33 @@
     assert_eq!(send("last".into(), "same").await, 200);
 }
 
+/// As upstreams that go dark when they crash: their connections stay open, no answer comes, and
+/// each is back under a new start. Seen by reading: such an end counted for nothing, so the
+/// request was sent on without end.
+#[tokio::test]
+async fn a_request_under_which_upstreams_go_dark_is_stopped_too() {
+    let system = System::start(2, 4).await;
+    system.workers_usually(&Act::Hang);
+    let mut id = 0;
+    let mut send = async |pause: Duration| {
+        id += 1;
+        let status = system.send("/short/", id, "dark").await;
+        system.register_anew(id as u64);
+        tokio::time::sleep(pause).await;
+        status
+    };
+    for _ in 0..3 {
+        assert_eq!(send(Duration::from_millis(1500)).await, 504);
+    }
+    tokio::time::sleep(SETTLED).await;
+    let before = system.sent("dark");
+    for _ in 0..16 {
+        send(Duration::from_millis(300)).await;
+    }
+    let more = (system.sent("dark") - before) as u64;
+    assert!(more <= MORE, "{more} more sends");
+}
+
 #[tokio::test]
 async fn a_prompt_that_crashes_generators_is_neither_read_nor_run_any_more() {
     for path in ["/prompt/", "/prompt-again/"] {
