An upstream that goes dark under a request counts as ended once the registry says so

What callers saw: nothing at first; a request whose upstreams end without closing their connections (504 each time) was sent on without end, by all hosts, and ended one more upstream each time. Cause: an end was seen by a broken connection only. Change: the upstream of a request that was not answered in time is watched for 15 s, 64 at once: gone without draining, or started again, without an answer to anything sent since, it counts as ended under that request, as a broken connection does. Such an end has a line of its own, upstream_went_dark, which explain prints. Why it holds: each send of the work either breaks its connection, is answered, or is watched; what can be missed is a restart that the registry tells later than 15 s, and more than 64 at once.

--- a/crates/arbutusquay/src/commands/explain.rs
+++ b/crates/arbutusquay/src/commands/explain.rs
@@ -95,7 +95,11 @@
 fn tells_of_work(line: &Line, own: &[&Line]) -> bool {
     let is_told = matches!(
         line.event.as_str(),
-        "connection_broke" | "work_held_back" | "work_released" | "work_tried"
+        "connection_broke"
+            | "upstream_went_dark"
+            | "work_held_back"
+            | "work_released"
+            | "work_tried"
     );
     let work = line.field("work");
     let until = own.last().map_or(0, |last| last.at_ms);
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -163,7 +163,7 @@
         return Tried::NotRun(NotRun::NotSent);
     };
     let had_run = std::mem::replace(&mut account.may_have_run, true);
-    let watch = unanswered::watch(call, account);
+    let watch = unanswered::watch_trial(call, account);
     let answer = match plan.pool.send_once(req).await {
         Ok(answer) => answer,
         Err(CallError::NotSent(_)) => {
--- a/crates/gateway/src/crashes.rs
+++ b/crates/gateway/src/crashes.rs
@@ -32,6 +32,7 @@
     clock: Mutex<Option<StoreClock>>,
     /// Given when there may be rows to write or to remove.
     to_write: Notify,
+    room: unanswered::Room,
 }
 
 /// The store's steady clock, as it was at a read.
@@ -73,7 +74,7 @@
 }
 
 /// Takes a word, logs what it changes, and has it written where the store is to keep it.
-fn take(gateway: &Gateway, word: Word, source: Source, tells_on: bool) {
+fn take(gateway: &Gateway, word: Word, source: Source, tells_on: bool) -> Change {
     let change = gateway
         .crashes
         .lock()
@@ -82,6 +83,7 @@
     if change != Change::Same {
         gateway.crashes.to_write.notify_one();
     }
+    change
 }
 
 /// Logs what has become of work.
--- a/crates/gateway/src/crashes/unanswered.rs
+++ b/crates/gateway/src/crashes/unanswered.rs
@@ -1,16 +1,18 @@
-//! Trials whose answer doesn't come: has their upstream ended?
+//! Requests whose answer doesn't come: has their upstream ended?
 //!
-//! An upstream that ends without closing its connections leaves a trial without an end and
-//! without an answer. Taken for nothing, each trial of guilty work would be followed soon by
-//! another and end one more. What the registry says of the upstream tells.
+//! An upstream that ends without closing its connections leaves a request without an end and
+//! without an answer. Taken for nothing, guilty work would be sent on and end one more each
+//! time. What the registry says of the upstream tells.
 
 use crate::account::{Account, SentTo};
 use crate::serve::Call;
 use crate::state::Gateway;
+use observe::{Event, emit};
 use resilience::Fingerprint;
-use resilience::crashes::{Source, Word};
+use resilience::crashes::{Change, Source, Word};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
+use tokio::sync::Semaphore;
 use tokio::task::AbortHandle;
 
 /// Time between two looks.
@@ -18,15 +20,32 @@
 /// How long it is looked: the entry of an upstream that is gone lapses within some seconds.
 const LOOK_FOR: Duration = Duration::from_secs(15);
 
-/// A trial that was sent.
+/// Requests whose upstreams are watched at once, trials aside: when many upstreams are cut off
+/// some tell as much as all.
+const MAX_WATCHED: usize = 64;
+
+/// Room for requests whose upstreams are watched.
+#[derive(Debug, Clone)]
+pub(super) struct Room(Arc<Semaphore>);
+
+impl Default for Room {
+    fn default() -> Self {
+        Self(Arc::new(Semaphore::new(MAX_WATCHED)))
+    }
+}
+
+/// A request that was sent.
 struct Sent {
     gateway: Arc<Gateway>,
+    request: String,
     work: Fingerprint,
     to: SentTo,
+    upstream: String,
+    in_trial: bool,
     at: Instant,
 }
 
-/// What is known of a trial's upstream.
+/// What is known of its upstream.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Fate {
     /// Nothing yet, or its connection broke, which is judged elsewhere.
@@ -51,44 +70,82 @@
 }
 
 /// Watches the upstream that a request is sent to, if this is a trial.
-pub fn watch(call: &Call, account: &Account) -> Watch {
-    let (Some(to), Some(_)) = (account.tried, account.trial) else {
+pub fn watch_trial(call: &Call, account: &Account) -> Watch {
+    if account.trial.is_none() {
+        return Watch::default();
+    }
+    let Some(sent) = Sent::new(call, account) else {
         return Watch::default();
-    };
-    let sent = Sent {
-        gateway: call.gateway.clone(),
-        work: call.fingerprint(),
-        to,
-        at: Instant::now(),
     };
     Watch(Some(tokio::spawn(sent.watch()).abort_handle()))
 }
 
+/// Watches the upstream of a request that it has not answered in time. Trials are watched from
+/// the time on at which they are sent.
+pub fn timed_out(call: &Call, account: &mut Account) {
+    if account.trial.is_some() || !account.may_have_run {
+        return;
+    }
+    let room = call.gateway.crashes.room.0.clone();
+    let (Some(sent), Ok(permit)) = (Sent::new(call, account), room.try_acquire_owned()) else {
+        return;
+    };
+    account.work = Some(sent.work);
+    tokio::spawn(async move {
+        sent.watch().await;
+        drop(permit);
+    });
+}
+
 impl Sent {
+    /// What was sent just now, or went unanswered until now.
+    fn new(call: &Call, account: &Account) -> Option<Self> {
+        Some(Self {
+            gateway: call.gateway.clone(),
+            request: account.id.clone(),
+            work: call.fingerprint(),
+            to: account.tried?,
+            upstream: account.upstream.clone()?,
+            in_trial: account.trial.is_some(),
+            at: Instant::now(),
+        })
+    }
+
     async fn watch(self) {
         while self.at.elapsed() < LOOK_FOR {
             tokio::time::sleep(LOOK_EVERY).await;
             // Cleared meanwhile, it was answered.
-            if self.gateway.crashes.lock().counted(self.work) == 0 {
+            if self.in_trial && self.gateway.crashes.lock().counted(self.work) == 0 {
                 return;
             }
             match self.fate() {
                 Fate::Open => {}
                 Fate::Lives => return,
-                Fate::Ended => {
-                    let word = Word::End {
-                        work: self.work,
-                        upstream: self.to.tag,
-                        at: self.at,
-                        in_trial: true,
-                    };
-                    // One that is known already changes nothing.
-                    return super::take(&self.gateway, word, Source::Own, true);
-                }
+                Fate::Ended => return self.ended(),
             }
         }
     }
 
+    /// Counts the end, unless it is known by a connection that broke.
+    fn ended(&self) {
+        let word = Word::End {
+            work: self.work,
+            upstream: self.to.tag,
+            at: self.at,
+            in_trial: self.in_trial,
+        };
+        if super::take(&self.gateway, word, Source::Own, true) == Change::Same {
+            return;
+        }
+        emit(&Event::UpstreamWentDark {
+            request: &self.request,
+            work: self.work.to_string(),
+            upstream: &self.upstream,
+            in_trial: self.in_trial,
+            ends: self.gateway.crashes.lock().counted(self.work),
+        });
+    }
+
     fn fate(&self) -> Fate {
         let fleet = self.gateway.fleet();
         let Some(upstream) = fleet.get(self.to.key) else {
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -5,6 +5,7 @@
 use crate::attempt::{Rest, Started, Tried, tell_failed};
 use crate::crashes;
 use crate::crashes::broken::connection_broke;
+use crate::crashes::unanswered;
 use crate::events::EventCutter;
 use crate::serve::{Answer, Call, StreamedGuard};
 use crate::state::LoadGuard;
@@ -121,6 +122,7 @@
                     return;
                 }
                 End::TimeOver(why) => {
+                    unanswered::timed_out(&self.call, &mut self.account);
                     self.account.close(Outcome::BrokenOff, Some(why));
                     return;
                 }
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -8,7 +8,7 @@
 use crate::answer::{self, Reason};
 use crate::attempt::{self, NotRun, Tried, attempt};
 use crate::choose::{Choice, Need, Plan, choose};
-use crate::crashes::{self, Admission, fingerprint};
+use crate::crashes::{self, Admission, fingerprint, unanswered};
 use crate::fleet::{ServiceKey, UpstreamKey};
 use crate::relay;
 use crate::routes::{RouteTable, Target};
@@ -241,7 +241,10 @@
         let done = tokio::select! {
             biased;
             done = self.run_untimed(account) => done,
-            why = over => Err(why.into()),
+            why = over => {
+                unanswered::timed_out(self, account);
+                Err(why.into())
+            }
         };
         match (done, self.failure.take()) {
             (Err(_), Some(failure)) => Ok(*failure),
@@ -342,6 +345,7 @@
             }
         }
         *is_paid = true;
+        unanswered::timed_out(self, account);
         account.attempts += 1;
         attempt::failed(&self.gateway, plan, attempt::LOST_WEIGHT);
         let why = "no first byte in time";
--- a/crates/observe/src/event.rs
+++ b/crates/observe/src/event.rs
@@ -332,6 +332,20 @@
         /// Ends of upstreams under that work since its last whole answer, at all hosts.
         ends: usize,
     },
+    /// An upstream that left a request without an answer is gone or has started again, and
+    /// no connection to it had closed.
+    UpstreamWentDark {
+        /// The request's id.
+        request: &'a str,
+        /// Hash of what it asks for and of who asks.
+        work: String,
+        /// The upstream.
+        upstream: &'a str,
+        /// Whether it was a trial of work that is held back.
+        in_trial: bool,
+        /// Ends of upstreams under that work since its last whole answer, at all hosts.
+        ends: usize,
+    },
     /// Too many upstreams have ended under some work: it is sent to none any more.
     WorkHeldBack {
         /// Hash of what it asks for and of who asks.
@@ -462,6 +476,7 @@
             | Self::UpstreamSuspended { .. }
             | Self::AttemptFailed { .. }
             | Self::ConnectionBroke { .. }
+            | Self::UpstreamWentDark { .. }
             | Self::WorkHeldBack { .. }
             | Self::CrashRowsNotWritten { .. } => Level::Warn,
             Self::RecordsDropped { .. } | Self::LinesDropped { .. } => Level::Error,
