--- a/crates/arbutusquay/tests/explain.rs
+++ b/crates/arbutusquay/tests/explain.rs
@@ -222,6 +222,29 @@
     }
 }
 
+/// No connection closed; the registry tells that the upstream has started again.
+#[tokio::test]
+async fn an_upstream_that_went_dark_is_explained() {
+    let bed = start(8).await;
+    let SocketAddr::V4(callers) = bed.callers else {
+        panic!("an IPv4 address");
+    };
+    let at = SocketAddr::new(IpAddr::V4(*callers.ip()), 7100);
+    let worker = Worker::start_since(at, "i-dark", 1000).await.unwrap();
+    worker.usually(Act::Hang);
+    let register = |born| {
+        let row = worker_since(born, "plain", at, "ready");
+        bed.store.put(WORKERS, "i-dark", &row);
+    };
+    register(1000);
+    let (id, text) = bed.ask("POST", "/short/", "").await;
+    assert!(text.starts_with("HTTP/1.1 504"), "{text}");
+    register(2000);
+    let told = bed.wait_explained(&id, "upstream_went_dark").await;
+    let words = ["upstream_went_dark", "upstream=i-dark", "in_trial=false"];
+    assert_told(&told, &words);
+}
+
 #[tokio::test]
 async fn a_broken_off_answer_is_explained() {
     let bed = start(2).await;
