--- a/crates/arbutusquay/tests/explain.rs
+++ b/crates/arbutusquay/tests/explain.rs
@@ -87,6 +87,19 @@
         String::from_utf8_lossy(&buf).into_owned()
     }
 
+    /// Sends a request and waits for the first bytes of its answer, however late; none if
+    /// nobody takes connections yet.
+    async fn wait_sent(&self, text: &str) -> String {
+        let Ok(mut tcp) = TcpStream::connect(self.callers).await else {
+            return String::new();
+        };
+        tcp.write_all(text.as_bytes()).await.unwrap();
+        let mut buf = Vec::new();
+        let read = tokio::time::timeout(PATIENCE, tcp.read_buf(&mut buf)).await;
+        assert!(read.is_ok_and(|n| n.is_ok()), "no answer");
+        String::from_utf8_lossy(&buf).into_owned()
+    }
+
     /// What `explain` prints once the request's last line is written.
     async fn explain(&self, id: &str) -> String {
         let until = Instant::now() + PATIENCE;
@@ -237,8 +250,21 @@
         bed.store.put(WORKERS, "i-dark", &row);
     };
     register(1000);
-    let (id, text) = bed.ask("POST", "/short/", "").await;
-    assert!(text.starts_with("HTTP/1.1 504"), "{text}");
+    let until = Instant::now() + PATIENCE;
+    // Refused until the row is read; the first that is passed on waits for the route's timeout.
+    let mut count = 0;
+    let id = loop {
+        count += 1;
+        let id = format!("dark-{count}");
+        let text = bed
+            .wait_sent(&request("POST", "/short/", &id, "", "x"))
+            .await;
+        if text.starts_with("HTTP/1.1 504") {
+            break id;
+        }
+        assert!(Instant::now() < until, "{text}");
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    };
     register(2000);
     let told = bed.wait_explained(&id, "upstream_went_dark").await;
     let words = ["upstream_went_dark", "upstream=i-dark", "in_trial=false"];
