Tenants' keys decide what a request may do, and upstreams are told the tenant

With tenants in force a closed route answers 401 before the body is read, 503 where a peer has a newer configuration; the upstream gets the tenant's name in place of both headers. Each send asks the newest configuration again: a first one, a retry, the generation of a read prompt, the rest of a stream.

Where no tenants are configured headers and admission are as before.

--- a/crates/gateway/src/account.rs
+++ b/crates/gateway/src/account.rs
@@ -5,7 +5,7 @@
 use crate::fleet::speed::{Task, Work};
 use crate::serve::Outlook;
 use crate::state::{Gateway, RunningGuard};
-use observe::{Event, Labels, Seconds, emit};
+use observe::{Event, Labels, Seconds, UnderConfig, emit};
 use resilience::Fingerprint;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -56,6 +56,10 @@
     pub id: String,
     /// Version of the configuration that decided.
     pub config: u64,
+    /// Name of the tenant.
+    pub tenant: Option<Arc<str>>,
+    /// Version of the configuration that took its key away, if one did.
+    pub key_removed_by: Option<u64>,
     /// The route.
     pub route: Option<String>,
     /// The service.
@@ -103,6 +107,8 @@
             since,
             id: id.to_owned(),
             config: 0,
+            tenant: None,
+            key_removed_by: None,
             route: None,
             service: None,
             upstream: None,
@@ -145,7 +151,12 @@
             work: self.work.map(|work| work.to_string()),
             route: self.route.as_deref(),
             service: self.service.as_deref(),
-            config: self.config,
+            under: &UnderConfig {
+                tenant: self.tenant.as_deref(),
+                key_removed_by: self.key_removed_by,
+                config: self.config,
+                config_ms: millis(self.gateway.config_age()),
+            },
             registry_ms: millis(self.gateway.registry_age()),
             outcome: outcome.name(),
             reason,
@@ -178,7 +189,7 @@
         let who = Labels {
             service: self.service.as_deref().unwrap_or(NONE),
             class: self.route.as_deref().unwrap_or(NONE),
-            tenant: NONE,
+            tenant: self.tenant.as_deref().unwrap_or(NONE),
         };
         let metrics = &self.gateway.metrics;
         metrics.count(who, outcome.name(), reason.unwrap_or(NONE));
--- a/crates/gateway/src/answer.rs
+++ b/crates/gateway/src/answer.rs
@@ -1,5 +1,6 @@
 //! Answers of the system's own, and what each says.
 
+use crate::routes::Denied;
 use hyper::header::{CONNECTION, HeaderValue};
 use hyper::{Response, StatusCode};
 use net::{Body, full};
@@ -22,6 +23,10 @@
     BrokenBody,
     /// No route matches.
     NoRoute,
+    /// The route needs a key that a tenant holds, and the request bears none or another.
+    NoTenant(Denied),
+    /// The request's key is unknown, but a peer has a newer configuration than this process.
+    ConfigBehind,
     /// No configuration has been read yet.
     NoConfig,
     /// No upstream of the service is usable.
@@ -80,6 +85,10 @@
             Self::SlowBody => "slow_body",
             Self::BrokenBody => "broken_body",
             Self::NoRoute => "no_route",
+            Self::NoTenant(Denied::NoKey) => "no_key",
+            Self::NoTenant(Denied::UnknownKey) => "unknown_key",
+            Self::NoTenant(Denied::RemovedKey) => "removed_key",
+            Self::ConfigBehind => "config_behind",
             Self::NoConfig => "no_config",
             Self::NoUpstream => "no_upstream",
             Self::Stopping => "stopping",
@@ -108,6 +117,7 @@
             Self::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Self::SlowBody => StatusCode::REQUEST_TIMEOUT,
             Self::NoRoute => StatusCode::NOT_FOUND,
+            Self::NoTenant(_) => StatusCode::UNAUTHORIZED,
             _ => StatusCode::SERVICE_UNAVAILABLE,
         }
     }
@@ -119,6 +129,9 @@
             Self::SlowBody => "the body took too long to arrive".into(),
             Self::BrokenBody => "the body is malformed or incomplete".into(),
             Self::NoRoute => "no route matches the host and path".into(),
+            Self::NoTenant(Denied::NoKey) => "the route needs a key".into(),
+            Self::NoTenant(_) => "no tenant holds the key".into(),
+            Self::ConfigBehind => "a newer configuration is on its way".into(),
             Self::NoConfig => "no configuration has been read yet".into(),
             Self::NoUpstream => "no upstream of the service is usable".into(),
             Self::Stopping => "the process is stopping".into(),
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -3,6 +3,7 @@
 mod split;
 
 use crate::account::Account;
+use crate::answer::Reason;
 use crate::choose::{Need, Plan};
 use crate::crashes::broken::connection_broke;
 use crate::crashes::unanswered;
@@ -18,7 +19,6 @@
 use net::{Body, CallError, full};
 use observe::{Event, emit};
 use platform::header::{self, Step, ToWorker};
-use resilience::crashes::Proof;
 use split::attempt_split;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -95,8 +95,8 @@
     NoPrefill,
     /// The prompt was read, but the process ends before an answer would.
     NoTime,
-    /// Upstreams ended under it.
-    Held(Proof),
+    /// It may be sent to none any more.
+    Held(Reason),
 }
 
 impl NotRun {
@@ -106,7 +106,7 @@
             Self::Rejected => "rejected",
             Self::NoPrefill => "prompt not read",
             Self::NoTime => "no time left for the answer",
-            Self::Held(_) => "upstreams ended under it",
+            Self::Held(why) => why.name(),
         }
     }
 }
@@ -279,6 +279,7 @@
         deadline: left.or_else(|| Some(call.left())),
         rank: is_engine.then(|| engine_priority(plan)),
         last_event: call.last_event,
+        tenancy: call.tenancy(),
         fetch_from: plan.fetch_from,
         step,
     };
--- a/crates/gateway/src/attempt/split.rs
+++ b/crates/gateway/src/attempt/split.rs
@@ -76,8 +76,8 @@
         let Choice::Send(taker) = choose_generator(&call.gateway, &need, plan.key) else {
             break;
         };
-        if let Admission::Held(proof) = crashes::admit(call, account).await {
-            return Tried::NotRun(NotRun::Held(proof));
+        if let Admission::Held(why) = crashes::admit(call, account).await {
+            return Tried::NotRun(NotRun::Held(why));
         }
         // A rejected send counts against the route's attempts and the budget.
         if was_rejected && !call.may_retry(account) {
--- a/crates/gateway/src/crashes/admit.rs
+++ b/crates/gateway/src/crashes/admit.rs
@@ -1,4 +1,5 @@
-//! Whether a request may be sent to an upstream, for each send anew.
+//! Whether a request may be sent to an upstream, for each send anew: its key must still be
+//! in force, and upstreams must not end by it.
 
 use super::rows;
 use crate::account::Account;
@@ -16,7 +17,7 @@
     /// Where the least else runs, as an upstream may end by it.
     Alone,
     /// Not at all.
-    Held(Proof),
+    Held(Reason),
 }
 
 impl From<Proof> for Reason {
@@ -31,6 +32,9 @@
 /// Decides how a request may be sent now. Asked before each send: first ones, retries, the
 /// generation of a prompt that was read, the rest of a broken stream.
 pub async fn admit(call: &Call, account: &mut Account) -> Admission {
+    if let Err(why) = call.check_key(account) {
+        return Admission::Held(why);
+    }
     let crashes = &call.gateway.crashes;
     if crashes.lock().is_empty() {
         return Admission::Usual;
@@ -55,14 +59,14 @@
     match verdict {
         Verdict::Free => Admission::Usual,
         Verdict::Suspect => Admission::Alone,
-        Verdict::Held(proof) => Admission::Held(proof),
+        Verdict::Held(proof) => Admission::Held(proof.into()),
         Verdict::Trial(number, proof) => {
             match rows::take_trial(&call.gateway, work, number).await {
                 true => {
                     account.trial = Some(number);
                     Admission::Alone
                 }
-                false => Admission::Held(proof),
+                false => Admission::Held(proof.into()),
             }
         }
     }
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -182,13 +182,20 @@
     if version <= over {
         return;
     }
-    let table = RouteTable::new(config, &mut gateway.fleet());
+    let before = gateway.routes();
+    let table = RouteTable::new(config, &mut gateway.fleet(), before.as_deref());
     let routes = table.len();
+    let tenants = table.tenants();
+    let (keys, removed) = tenants.map_or((0, 0), |t| (t.keys(), t.removed_by(version)));
+    let tenants = tenants.map(|t| t.len());
     gateway.set_routes(table);
     emit(&Event::ConfigInForce {
         version,
         over,
         routes,
+        tenants,
+        keys,
+        keys_removed: removed,
         source,
     });
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod serve;
 pub mod state;
 pub mod stop;
+pub mod tenants;
 
 use net::server::bind;
 use net::{Protocol, Server, Stop};
--- a/crates/gateway/src/routes.rs
+++ b/crates/gateway/src/routes.rs
@@ -1,7 +1,8 @@
 //! The routes of one version of the configuration, ready for lookup.
 
 use crate::fleet::{Fleet, ServiceKey};
-use platform::{Config, Limits, Route};
+use crate::tenants::{TenantInfo, TenantKey, TenantTable};
+use platform::{ApiKey, Config, Limits, Route};
 use std::time::Duration;
 
 /// A route with its services resolved.
@@ -24,11 +25,36 @@
     pub config: Config,
     /// Sorted by host, then by prefix.
     targets: Vec<Target>,
+    /// None if requests need no key.
+    tenants: Option<TenantTable>,
+}
+
+/// Whose a request is.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Caller {
+    /// No tenants are in force.
+    Any,
+    /// Nobody's that is known, on a route that is open to all.
+    Unnamed,
+    /// A tenant's.
+    Tenant(TenantKey),
+}
+
+/// Why a request isn't admitted to a route.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Denied {
+    /// It bears no key, or several.
+    NoKey,
+    /// No tenant holds its key.
+    UnknownKey,
+    /// Its key was taken away.
+    RemovedKey,
 }
 
 impl RouteTable {
-    /// Prepares a configuration for lookup.
-    pub fn new(config: Config, fleet: &mut Fleet) -> Self {
+    /// Prepares a configuration for lookup. The table before tells which keys it takes
+    /// away.
+    pub fn new(config: Config, fleet: &mut Fleet, before: Option<&Self>) -> Self {
         for service in &config.services {
             fleet.configure(service);
         }
@@ -45,11 +71,48 @@
             })
             .collect();
         targets.sort_unstable_by(|a, b| a.key().cmp(&b.key()));
+        let before = before.and_then(|table| table.tenants.as_ref());
+        let tenants = config
+            .tenants
+            .as_ref()
+            .map(|tenants| TenantTable::new(config.version, tenants, before));
         Self {
             version: config.version,
             limits: config.limits,
             config,
             targets,
+            tenants,
+        }
+    }
+
+    /// The tenants in force; none if requests need no key.
+    pub fn tenants(&self) -> Option<&TenantTable> {
+        self.tenants.as_ref()
+    }
+
+    /// Whose a request with a key is, if it may go to a route.
+    pub fn admit(&self, target: &Target, key: Option<ApiKey>) -> Result<Caller, Denied> {
+        let Some(tenants) = &self.tenants else {
+            return Ok(Caller::Any);
+        };
+        if let Some(tenant) = key.and_then(|key| tenants.holder(key)) {
+            return Ok(Caller::Tenant(tenant));
+        }
+        if target.route.is_open {
+            return Ok(Caller::Unnamed);
+        }
+        Err(match key {
+            None => Denied::NoKey,
+            Some(key) if tenants.removed(key).is_some() => Denied::RemovedKey,
+            Some(_) => Denied::UnknownKey,
+        })
+    }
+
+    /// What is known of a request's tenant, if it has one.
+    pub fn tenant(&self, caller: Caller) -> Option<&TenantInfo> {
+        match caller {
+            Caller::Tenant(tenant) => Some(self.tenants.as_ref()?.get(tenant)),
+            Caller::Any | Caller::Unnamed => None,
         }
     }
 
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -11,7 +11,7 @@
 use crate::crashes::{self, Admission, fingerprint, unanswered};
 use crate::fleet::{ServiceKey, UpstreamKey};
 use crate::relay;
-use crate::routes::{RouteTable, Target};
+use crate::routes::{Caller, Denied, RouteTable, Target};
 use crate::state::Gateway;
 use bytes::Bytes;
 use hyper::body::{Body as _, Incoming as IncomingBody};
@@ -20,7 +20,8 @@
 use hyper::{Method, Request, Response, Uri};
 use net::Body;
 use net::server::{BodyFault, read_body};
-use platform::{BadRequest, Incoming};
+use platform::header::Tenancy;
+use platform::{BadRequest, Incoming, header};
 use resilience::Fingerprint;
 use std::sync::{Arc, OnceLock};
 use std::time::{Duration, Instant};
@@ -65,6 +66,7 @@
     /// Whether the service's upstreams are model engines.
     pub is_engine: bool,
     table: Arc<RouteTable>,
+    caller: Caller,
     service: ServiceKey,
     tried: Vec<UpstreamKey>,
     /// What an upstream said that failed, while another is tried.
@@ -75,7 +77,8 @@
 /// Answers a client.
 pub async fn serve(gateway: Arc<Gateway>, req: Request<IncomingBody>) -> Response<Body> {
     let since = Instant::now();
-    let (head, body) = req.into_parts();
+    let (mut head, body) = req.into_parts();
+    header::hide_key(&mut head.headers);
     let authority = head.uri.authority().map(|a| a.as_str());
     let incoming = match Incoming::read(&head.headers, authority) {
         Ok(incoming) => incoming,
@@ -104,7 +107,7 @@
 impl From<Reason> for Refusal {
     fn from(reason: Reason) -> Self {
         let retry_after = match reason {
-            Reason::NoConfig => Some(NO_CONFIG_RETRY),
+            Reason::NoConfig | Reason::ConfigBehind => Some(NO_CONFIG_RETRY),
             Reason::NoUpstream | Reason::Rejected => Some(NO_UPSTREAM_RETRY),
             Reason::Stopping | Reason::ProcessEnds => Some(NO_UPSTREAM_RETRY),
             Reason::CrashSuspected => Some(SUSPECT_RETRY),
@@ -146,6 +149,7 @@
         .find(&incoming.host, head.uri.path())
         .ok_or(Reason::NoRoute)?;
     account.route = Some(target.route.name.clone());
+    let caller = admit_caller(&gateway, &table, target, &incoming, account)?;
     let left = target.left(incoming.deadline, account.since.elapsed());
     let service = target.draw().ok_or(Reason::NoUpstream)?;
     let is_engine = {
@@ -184,10 +188,45 @@
         body,
         is_engine,
         table,
+        caller,
         service,
     })
 }
 
+/// Whose a request is, before anything is read of its body. A key that this process doesn't
+/// know may stand in a configuration that is on its way: 401 would be final.
+fn admit_caller(
+    gateway: &Gateway,
+    table: &RouteTable,
+    target: &Target,
+    incoming: &Incoming,
+    account: &mut Account,
+) -> Result<Caller, Refusal> {
+    match table.admit(target, incoming.key) {
+        Ok(caller) => {
+            account.tenant = table.tenant(caller).map(|t| t.name.clone());
+            Ok(caller)
+        }
+        Err(Denied::UnknownKey) if gateway.is_config_behind() => Err(Reason::ConfigBehind.into()),
+        Err(denied) => {
+            note_removed_key(table, incoming, account);
+            Err(Reason::NoTenant(denied).into())
+        }
+    }
+}
+
+/// Notes whose a request's key was and which version took it away, if that is known.
+fn note_removed_key(table: &RouteTable, incoming: &Incoming, account: &mut Account) {
+    let removed = table
+        .tenants()
+        .zip(incoming.key)
+        .and_then(|(tenants, key)| tenants.removed(key));
+    if let Some(removed) = removed {
+        account.tenant = Some(removed.tenant.clone());
+        account.key_removed_by = Some(removed.version);
+    }
+}
+
 async fn read_whole(body: IncomingBody, limit: usize, left: Duration) -> Result<Bytes, Reason> {
     read_body(body, limit, left).await.map_err(|e| match e {
         BodyFault::TooLarge => Reason::TooLarge,
@@ -213,6 +252,56 @@
             .expect("the route was found when the request came")
     }
 
+    /// Whose request it is, as its upstream is told.
+    pub fn tenancy(&self) -> Tenancy<'_> {
+        match self.caller {
+            Caller::Any => Tenancy::Unused,
+            Caller::Unnamed | Caller::Tenant(_) => Tenancy::Of(self.tenant_name()),
+        }
+    }
+
+    /// Name of its tenant, if it has one.
+    pub fn tenant_name(&self) -> Option<&str> {
+        let tenant = self.table.tenant(self.caller)?;
+        Some(&tenant.name)
+    }
+
+    /// Whether the configuration in force still lets it go to an upstream: its key may have
+    /// been taken away while it waited, or since it was sent before.
+    pub fn check_key(&self, account: &mut Account) -> Result<(), Reason> {
+        let reason = match self.key_in_force() {
+            Ok(()) => return Ok(()),
+            Err(reason) => reason,
+        };
+        if let Some(newest) = self.gateway.routes() {
+            account.config = newest.version;
+            note_removed_key(&newest, &self.incoming, account);
+        }
+        Err(reason)
+    }
+
+    fn key_in_force(&self) -> Result<(), Reason> {
+        if self.gateway.config_version() == self.table.version {
+            return Ok(());
+        }
+        let Some(newest) = self.gateway.routes() else {
+            return Ok(());
+        };
+        let Some(target) = newest.find(&self.incoming.host, self.path.path()) else {
+            return Ok(());
+        };
+        let caller = newest
+            .admit(target, self.incoming.key)
+            .map_err(Reason::NoTenant)?;
+        // What upstreams are told is made by the table that the request came under.
+        let is_same = match (self.caller, caller) {
+            (_, Caller::Any) => true,
+            (Caller::Any, _) => false,
+            _ => self.tenant_name() == newest.tenant(caller).map(|t| &*t.name),
+        };
+        is_same.then_some(()).ok_or(Reason::ConfigBehind)
+    }
+
     /// What it asks for and who asks, hashed when it is first needed: only requests under
     /// which an upstream ended, and those that come while such are known, pay for it.
     pub fn fingerprint(&self) -> Fingerprint {
@@ -257,10 +346,10 @@
         // Whether the next attempt has been taken off the budget.
         let mut is_paid = false;
         loop {
-            let admission = crashes::admit(self, account).await;
-            if let Admission::Held(proof) = admission {
-                return Err(Reason::from(proof).into());
-            }
+            let admission = match crashes::admit(self, account).await {
+                Admission::Held(why) => return Err(why.into()),
+                admission => admission,
+            };
             let is_again = account.attempts > 0 && !std::mem::take(&mut is_paid);
             if is_again && !self.may_retry(account) {
                 return Err(last);
@@ -306,7 +395,7 @@
                     }
                 }
                 Tried::NotRun(NotRun::NoTime) => return Err(Reason::Stopping.into()),
-                Tried::NotRun(NotRun::Held(proof)) => return Err(Reason::from(proof).into()),
+                Tried::NotRun(NotRun::Held(why)) => return Err(why.into()),
                 Tried::NotRun(NotRun::Rejected) => last = Reason::Rejected.into(),
                 Tried::Unknown(_) => {
                     last = Reason::UpstreamLost.into();
@@ -328,7 +417,11 @@
         is_paid: &mut bool,
     ) -> Tried {
         let route = &self.target().route;
-        let may_switch = route.kind.is_repeatable() && account.attempts + 1 < route.max_attempts;
+        let attempts = account.attempts;
+        let may_switch = || {
+            let has_attempts = attempts + 1 < route.max_attempts;
+            route.kind.is_repeatable() && has_attempts && self.key_in_force().is_ok()
+        };
         let patience = route.target_latency.mul_f64(PATIENCE).max(MIN_PATIENCE);
         {
             let need = self.need(account);
@@ -337,7 +430,7 @@
             match tokio::time::timeout(patience, tried.as_mut()).await {
                 Ok(tried) => return tried,
                 // Another one's answer must still come before this process ends.
-                Err(_) if !may_switch || !self.could_end() || !self.spend_retry() => {
+                Err(_) if !may_switch() || !self.could_end() || !self.spend_retry() => {
                     return tried.await;
                 }
                 // What is dropped here is cancelled at the upstream.
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -18,8 +18,8 @@
 use std::time::{Duration, Instant};
 use tokio::sync::Notify;
 
-/// Tenants with histograms of their own. The platform's requests name none.
-const TENANT_METRICS: u32 = 0;
+/// Tenants with histograms of their own: each takes some 2 KB of memory and of a scrape.
+const TENANT_METRICS: u32 = 100;
 
 /// Limits on clients' heads until a configuration is read: the users' own.
 const FIRST_IDLE_TIMEOUT: Duration = Duration::from_secs(15);
@@ -30,6 +30,8 @@
 pub struct Gateway {
     host: Mutex<Arc<Host>>,
     routes: Mutex<Option<Arc<RouteTable>>>,
+    /// Since when these routes are in force.
+    config_since: Mutex<Option<Instant>>,
     fleet: Mutex<Fleet>,
     budgets: Mutex<Vec<(ServiceKey, Budget)>>,
     registry: Mutex<Registry>,
@@ -76,6 +78,7 @@
         Arc::new(Self {
             host: Mutex::new(Arc::new(host)),
             routes: Mutex::default(),
+            config_since: Mutex::default(),
             fleet: Mutex::default(),
             budgets: Mutex::default(),
             registry: Mutex::new(Registry {
@@ -122,6 +125,23 @@
         lock(&self.routes).as_ref().map_or(0, |t| t.version)
     }
 
+    /// How long the configuration has been in force.
+    pub fn config_age(&self) -> Duration {
+        let since = *lock(&self.config_since);
+        since.map_or(Duration::ZERO, |since| since.elapsed())
+    }
+
+    /// Whether a peer has a newer configuration in force.
+    pub fn is_config_behind(&self) -> bool {
+        let known = self.config_version();
+        let peers = self.peers();
+        let newest = peers
+            .live(Instant::now())
+            .map(|(_, beat)| beat.config)
+            .max();
+        newest.is_some_and(|newest| newest > known)
+    }
+
     /// Puts a configuration in force.
     pub fn set_routes(&self, table: RouteTable) {
         // One timer covers a connection's idle time and a head's own, so the longer
@@ -129,6 +149,7 @@
         self.heads
             .set(table.limits.idle_timeout, table.limits.head_bytes);
         *lock(&self.routes) = Some(Arc::new(table));
+        *lock(&self.config_since) = Some(Instant::now());
     }
 
     /// The upstreams. Never held across an await.
--- /dev/null
+++ b/crates/gateway/src/tenants.rs
@@ -0,0 +1,118 @@
+//! The tenants of one version of the configuration, ready for lookup by key.
+
+use platform::{ApiKey, Tenant};
+use std::sync::Arc;
+
+/// Most keys that are remembered after they were taken away, so that a refusal can be
+/// explained.
+const MAX_REMOVED: usize = 1024;
+
+/// A tenant, in the table that gave it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub struct TenantKey(u32);
+
+/// What requests of a tenant need to know of it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct TenantInfo {
+    /// Name.
+    pub name: Arc<str>,
+    /// Rank of its requests, 0 for the most urgent; none if their route's holds.
+    pub priority: Option<u32>,
+}
+
+/// A key that was taken away.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct RemovedKey {
+    key: ApiKey,
+    /// Name of the tenant that had it.
+    pub tenant: Arc<str>,
+    /// Version of the configuration without it.
+    pub version: u64,
+}
+
+/// The tenants of one version of the configuration.
+#[derive(Debug, Default)]
+pub struct TenantTable {
+    tenants: Vec<TenantInfo>,
+    /// Sorted by key.
+    keys: Vec<(ApiKey, TenantKey)>,
+    /// The latest last.
+    removed: Vec<RemovedKey>,
+}
+
+impl TenantTable {
+    /// Prepares a version's tenants for lookup, and notes which keys the table before had
+    /// and this one hasn't. A key that two tenants have is the first one's.
+    pub fn new(version: u64, tenants: &[Tenant], before: Option<&Self>) -> Self {
+        let mut table = Self {
+            tenants: Vec::with_capacity(tenants.len()),
+            keys: Vec::with_capacity(tenants.iter().map(|t| t.keys.len()).sum()),
+            removed: Vec::new(),
+        };
+        for tenant in tenants {
+            let holder = TenantKey(table.tenants.len() as u32);
+            table.tenants.push(TenantInfo {
+                name: tenant.name.as_str().into(),
+                priority: tenant.priority,
+            });
+            table.keys.extend(tenant.keys.iter().map(|k| (*k, holder)));
+        }
+        table.keys.sort_unstable();
+        table.keys.dedup_by_key(|(key, _)| *key);
+        if let Some(before) = before {
+            table.removed = table.removed_since(version, before);
+        }
+        table
+    }
+
+    fn removed_since(&self, version: u64, before: &Self) -> Vec<RemovedKey> {
+        let former = before.removed.iter().cloned();
+        let gone = before.keys.iter().map(|(key, holder)| RemovedKey {
+            key: *key,
+            tenant: before.get(*holder).name.clone(),
+            version,
+        });
+        let all = former.chain(gone).filter(|r| self.holder(r.key).is_none());
+        let mut removed: Vec<RemovedKey> = all.collect();
+        let over = removed.len().saturating_sub(MAX_REMOVED);
+        removed.drain(..over);
+        removed
+    }
+
+    /// The tenant that holds a key.
+    pub fn holder(&self, key: ApiKey) -> Option<TenantKey> {
+        let at = self.keys.binary_search_by_key(&key, |(k, _)| *k).ok()?;
+        Some(self.keys[at].1)
+    }
+
+    /// What is known of a tenant of this table.
+    pub fn get(&self, tenant: TenantKey) -> &TenantInfo {
+        &self.tenants[tenant.0 as usize]
+    }
+
+    /// When and from whom a key was taken away, if that is remembered.
+    pub fn removed(&self, key: ApiKey) -> Option<&RemovedKey> {
+        self.removed.iter().rev().find(|r| r.key == key)
+    }
+
+    /// Tenants in the table.
+    pub fn len(&self) -> usize {
+        self.tenants.len()
+    }
+
+    /// Whether the table has no tenants.
+    pub fn is_empty(&self) -> bool {
+        self.tenants.is_empty()
+    }
+
+    /// Keys in the table.
+    pub fn keys(&self) -> usize {
+        self.keys.len()
+    }
+
+    /// Keys that were taken away by a version.
+    pub fn removed_by(&self, version: u64) -> usize {
+        let removed = self.removed.iter().rev();
+        removed.take_while(|r| r.version == version).count()
+    }
+}
--- a/crates/gateway/tests/decisions.rs
+++ b/crates/gateway/tests/decisions.rs
@@ -35,7 +35,7 @@
             let expected = matching
                 .max_by_key(|r| r.path_prefix.len())
                 .map(|r| r.name.clone());
-            let table = RouteTable::new(configuration(all), &mut Fleet::default());
+            let table = RouteTable::new(configuration(all), &mut Fleet::default(), None);
             let found = table.find(&host, &path).map(|t| t.route.name.clone());
             prop_assert_eq!(found, expected);
             Ok(())
--- a/crates/observe/src/event.rs
+++ b/crates/observe/src/event.rs
@@ -168,6 +168,12 @@
         over: u64,
         /// Its routes.
         routes: usize,
+        /// Its tenants; none if requests need no key.
+        tenants: Option<usize>,
+        /// Keys of its tenants.
+        keys: usize,
+        /// Keys that the version before had and it hasn't.
+        keys_removed: usize,
         /// Where it came from: the store, or a peer.
         source: &'a str,
     },
@@ -405,8 +411,9 @@
         route: Option<&'a str>,
         /// The service that was chosen.
         service: Option<&'a str>,
-        /// Version of the configuration that decided.
-        config: u64,
+        /// By what it was admitted or refused.
+        #[serde(flatten)]
+        under: &'a UnderConfig<'a>,
         /// Age of what is known of upstreams, in milliseconds.
         registry_ms: u64,
         /// What became of it.
@@ -461,6 +468,21 @@
     },
 }
 
+/// What the configuration said of a request.
+#[derive(Debug, Clone, Serialize)]
+pub struct UnderConfig<'a> {
+    /// The tenant; none if none is configured or its key names none.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub tenant: Option<&'a str>,
+    /// Version of the configuration that took its key away, if one did.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub key_removed_by: Option<u64>,
+    /// Version of the configuration that decided.
+    pub config: u64,
+    /// How long the newest version has been in force in this process, in milliseconds.
+    pub config_ms: u64,
+}
+
 impl Event<'_> {
     /// How much attention it asks for.
     pub(crate) fn level(&self) -> Level {
--- a/crates/observe/src/lib.rs
+++ b/crates/observe/src/lib.rs
@@ -5,6 +5,6 @@
 pub mod metrics;
 pub mod sink;
 
-pub use event::Event;
+pub use event::{Event, UnderConfig};
 pub use log_line::{emit, flush, init};
 pub use metrics::{Labels, Metrics, Seconds};
