--- a/crates/gateway/src/account.rs
+++ b/crates/gateway/src/account.rs
@@ -1,6 +1,7 @@
 //! What is logged and counted of a request: one line at its end.
 
 use crate::answer::{Outcome, Reason};
+use crate::duty::usage::Begin;
 use crate::fleet::UpstreamKey;
 use crate::fleet::speed::{Task, Work};
 use crate::serve::Outlook;
@@ -74,6 +75,8 @@
     pub was_prefilled: bool,
     /// Whether an upstream may have run it.
     pub may_have_run: bool,
+    /// Whether it has begun to run, as its tenant's usage counts it.
+    pub begin: Begin,
     /// What decided the last choice.
     pub inputs: Option<Inputs>,
     /// How long before the request came the stop signal did; none if it came later.
@@ -116,6 +119,7 @@
             attempts: 0,
             was_prefilled: false,
             may_have_run: false,
+            begin: Begin::NotSent,
             inputs: None,
             stopping_for: stopping_for(gateway, since),
             expected_tokens: None,
@@ -138,11 +142,22 @@
         }
     }
 
+    /// Counts the request once in its tenant's usage, as one that began at a time.
+    pub fn has_begun(&mut self, at: Instant) {
+        let before = std::mem::replace(&mut self.begin, Begin::Counted);
+        if let Some(tenant) = self.tenant.as_ref().filter(|_| before != Begin::Counted) {
+            self.gateway.usage.note(at, tenant);
+        }
+    }
+
     /// Writes the request's line and counts it.
     pub fn close(&mut self, outcome: Outcome, reason: Option<Reason>) {
         if std::mem::replace(&mut self.is_closed, true) {
             return;
         }
+        if let Begin::Sent(at) = self.begin {
+            self.has_begun(at);
+        }
         let total = self.since.elapsed();
         let reason = reason.map(Reason::name);
         let millis = |d: Duration| d.as_millis() as u64;
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -7,6 +7,7 @@
 use crate::choose::{Need, Plan};
 use crate::crashes::broken::connection_broke;
 use crate::crashes::unanswered;
+use crate::duty::usage::Begin;
 use crate::fleet::speed::Task;
 use crate::serve::Call;
 use crate::state::{Gateway, LoadGuard};
@@ -163,12 +164,14 @@
         return Tried::NotRun(NotRun::NotSent);
     };
     let had_run = std::mem::replace(&mut account.may_have_run, true);
+    let begin = account.begin;
+    note_sent(call, account, since);
     let watch = unanswered::watch_trial(call, account);
     let answer = match plan.pool.send_once(req).await {
         Ok(answer) => answer,
         Err(CallError::NotSent(_)) => {
             watch.cancel();
-            account.may_have_run = had_run;
+            (account.may_have_run, account.begin) = (had_run, begin);
             failed(gateway, plan, LOST_WEIGHT);
             return Tried::NotRun(NotRun::NotSent);
         }
@@ -198,7 +201,7 @@
             conn.keep(Some(idle));
         }
         watch.cancel();
-        account.may_have_run = had_run;
+        (account.may_have_run, account.begin) = (had_run, begin);
         failed(gateway, plan, LOST_WEIGHT);
         return Tried::NotRun(NotRun::Rejected);
     }
@@ -224,6 +227,7 @@
     }
     let mut load = load;
     load.has_begun();
+    note_begun(call, account, since);
     Tried::Started(Box::new(Started {
         status: head.status,
         headers: head.headers,
@@ -233,6 +237,24 @@
     }))
 }
 
+/// Notes that an upstream was sent a request: a plain one begins there about then, also if
+/// nobody hears its answer. A stream's first event shows that it has begun.
+fn note_sent(call: &Call, account: &mut Account, at: Instant) {
+    if !call.target().route.kind.is_stream() && account.begin == Begin::NotSent {
+        account.begin = Begin::Sent(at);
+    }
+}
+
+/// Notes that an upstream's answer has begun.
+fn note_begun(call: &Call, account: &mut Account, sent_at: Instant) {
+    let at = match (call.target().route.kind.is_stream(), account.begin) {
+        (true, _) => Instant::now(),
+        (false, Begin::Sent(first)) => first,
+        (false, _) => sent_at,
+    };
+    account.has_begun(at);
+}
+
 /// Reads the beginning of a stream, or the whole of a plain answer.
 async fn read_first(call: &Call, mut rest: Rest) -> Result<(Option<Bytes>, Option<Rest>), String> {
     let is_large = rest.body.size_hint().lower() > MAX_GATHERED;
--- a/crates/gateway/src/division.rs
+++ b/crates/gateway/src/division.rs
@@ -6,7 +6,6 @@
 //! An engine that changes its stage is away for seconds, so the division follows
 //! lasting demand only; short swings are left to routing.
 
-pub mod lease;
 pub mod orders;
 
 use platform::Stage;
--- a/crates/gateway/src/division/orders.rs
+++ b/crates/gateway/src/division/orders.rs
@@ -4,8 +4,9 @@
 //! outcome is what the registry shows later: an answer that is lost, or an order
 //! that is carried out late, changes nothing of that.
 
-use super::lease::{self, Held, Turn};
 use super::{Demand, Division, EngineUse, Wanted};
+use crate::duty::lease::Held;
+use crate::duty::take_lease;
 use crate::fleet::{Fleet, ServiceKey, Upstream, UpstreamKey};
 use crate::follow::Client;
 use crate::peers::exchange;
@@ -13,7 +14,7 @@
 use hyper::StatusCode;
 use net::{Body, CallError, Pool};
 use observe::{Event, emit};
-use platform::{LeaseWrite, Order, OrderAnswer, Report, Stage, Start};
+use platform::{Duty, Order, OrderAnswer, Report, Stage, Start};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -21,8 +22,7 @@
 /// Time between two looks at the engines' use: a prompt is read for some 100 ms
 /// where reading binds.
 const LOOK_EVERY: Duration = Duration::from_millis(50);
-/// Longest wait for the store, and for an engine's answer.
-const STORE_TIMEOUT: Duration = Duration::from_millis(800);
+/// Longest wait for an engine's answer.
 const ENGINE_TIMEOUT: Duration = Duration::from_millis(500);
 /// Largest answer of an engine to a report or an order.
 const MAX_ANSWER: usize = 64 << 10;
@@ -32,8 +32,6 @@
 const CHANGE_MARGIN: Duration = Duration::from_secs(5);
 /// Pause after orders, besides the change itself, in which the new division shows.
 const SETTLE: Duration = Duration::from_secs(3);
-/// Pause after a lease that couldn't be taken or read.
-const RETRY: Duration = Duration::from_millis(500);
 
 /// An engine that should change its stage.
 #[derive(Debug, Clone)]
@@ -135,7 +133,7 @@
     let Some(wanted) = wanted else {
         return LOOK_EVERY;
     };
-    let held = match take_lease(gateway, client).await {
+    let held = match take_lease(gateway, client, Duty::Orders).await {
         Ok(held) => held,
         Err(pause) => return pause,
     };
@@ -217,43 +215,6 @@
     out
 }
 
-/// Takes the lease for orders; else the time until the next try.
-async fn take_lease(gateway: &Arc<Gateway>, client: &mut Client) -> Result<Held, Duration> {
-    let host = gateway.host();
-    let holder = host.ip.to_string();
-    let since = Instant::now();
-    let store = client.store();
-    let read = match store.order_lease(STORE_TIMEOUT).await {
-        Ok(read) => read,
-        Err(e) => return Err(no_lease(e.to_string())),
-    };
-    let lease = match lease::turn(&read, &holder, host.order_gap) {
-        Turn::Take(lease) => lease,
-        Turn::Wait(pause) => {
-            no_lease(format!("another host may give orders for {pause:?}"));
-            return Err(pause);
-        }
-    };
-    let written = store.write_order_lease(&lease, read.version, STORE_TIMEOUT);
-    match written.await {
-        Ok(LeaseWrite::Written) => {
-            emit(&Event::LeaseTaken {
-                service: "orders",
-                epoch: lease.token,
-            });
-            Ok(Held::new(lease.token, since))
-        }
-        Ok(LeaseWrite::Refused) => Err(no_lease("another host wrote it first".into())),
-        // It may be written now or later. The next read tells.
-        Err(e) => Err(no_lease(e.to_string())),
-    }
-}
-
-fn no_lease(why: String) -> Duration {
-    emit(&Event::LeaseNotTaken { why });
-    RETRY
-}
-
 /// Gives one engine its order; says whether it may be carried out.
 async fn order(gateway: &Arc<Gateway>, target: &Target, stage: Stage, held: Held) -> bool {
     let pool = Pool::new(target.addr, ENGINE_TIMEOUT).metered(&gateway.upstream_bytes);
--- a/crates/gateway/src/division/lease.rs
+++ b/crates/gateway/src/duty/lease.rs
@@ -1,21 +1,24 @@
-//! Who may give orders to engines.
+//! Who may do what one host does for all.
 //!
-//! Two hosts must not order one engine by turns, also if the engine can't tell
-//! an old order from a new one. So a host takes a lease over all of the time in
-//! which its orders may arrive, and another takes it only a while after its end.
+//! Two hosts must not act by turns, also if who is called can't tell an old call from a
+//! new one. So a host takes a lease over all of the time in which its calls may arrive,
+//! and another takes it only a while after its end.
 //! All times are of the store's steady clock; a process counts from before its
 //! read of that clock, so it gives up early, and a pause of the process shows.
 
-use platform::{LeaseRead, OrderLease};
+use platform::{Duty, Lease, LeaseRead};
 use std::time::{Duration, Instant};
 
-/// How long a lease is taken for: reports and orders of a change take some
+/// How long a lease for orders is taken for: reports and orders of a change take some
 /// 20 ms each, and a dark engine half a second.
-const LASTS: Duration = Duration::from_secs(4);
-/// Time before a lease's end from which no order is sent: its connection and a
+const ORDERS_LAST: Duration = Duration::from_secs(4);
+/// The same where one call is made. It is short so that another host takes over before
+/// the report is due of which the holder was lost.
+const CALL_LASTS: Duration = Duration::from_millis(2500);
+/// Time before a lease's end from which no call is sent: its connection and a
 /// lost packet take up to that.
 const STOPS_BEFORE: Duration = Duration::from_millis(1500);
-/// Added to the shortest time between orders of two hosts, for packets that were
+/// Added to the shortest time between calls of two hosts, for packets that were
 /// lost twice.
 const MORE_GAP: Duration = Duration::from_secs(1);
 
@@ -23,7 +26,7 @@
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Turn {
     /// It may, by writing this.
-    Take(OrderLease),
+    Take(Lease),
     /// Not yet; it may look again after this time.
     Wait(Duration),
 }
@@ -33,28 +36,36 @@
 pub struct Held {
     /// Its token.
     pub token: u64,
-    /// When orders end, on this process's clock.
+    /// When calls end, on this process's clock.
     ends: Instant,
 }
 
 impl Held {
     /// A lease that was written after a read that began at a time.
-    pub fn new(token: u64, read_from: Instant) -> Self {
+    pub fn new(duty: Duty, token: u64, read_from: Instant) -> Self {
         Self {
             token,
-            ends: read_from + LASTS - STOPS_BEFORE,
+            ends: read_from + lasts(duty) - STOPS_BEFORE,
         }
     }
 
-    /// Whether an order may be sent now.
+    /// Whether a call may be sent now.
     pub fn is_valid(&self, now: Instant) -> bool {
         now < self.ends
     }
 }
 
+/// How long a lease is taken for.
+fn lasts(duty: Duty) -> Duration {
+    match duty {
+        Duty::Orders => ORDERS_LAST,
+        Duty::Usage | Duty::Scaling => CALL_LASTS,
+    }
+}
+
 /// Decides by the lease as it was read whether a host may take it. `gap` is the
-/// shortest time between orders of two hosts.
-pub fn turn(read: &LeaseRead, holder: &str, gap: Duration) -> Turn {
+/// shortest time between calls of two hosts.
+pub fn turn(duty: Duty, read: &LeaseRead, holder: &str, gap: Duration) -> Turn {
     let millis = |d: Duration| d.as_millis() as u64;
     if let Some(lease) = read.lease.as_ref().filter(|l| l.holder != holder) {
         let free_ms = lease.until_ms.saturating_add(millis(gap + MORE_GAP));
@@ -62,9 +73,9 @@
             return Turn::Wait(Duration::from_millis(free_ms - read.now_ms));
         }
     }
-    Turn::Take(OrderLease {
+    Turn::Take(Lease {
         holder: holder.to_owned(),
         token: read.lease.as_ref().map_or(0, |l| l.token).saturating_add(1),
-        until_ms: read.now_ms.saturating_add(millis(LASTS)),
+        until_ms: read.now_ms.saturating_add(millis(lasts(duty))),
     })
 }
--- /dev/null
+++ b/crates/gateway/src/duty/usage/ledger.rs
@@ -0,0 +1,187 @@
+//! Requests of all processes that began to run, as a collector knows them.
+
+use super::begun::{Entry, KEPT};
+use super::message::Told;
+use platform::usage::TenantCount;
+use std::net::IpAddr;
+use std::sync::Arc;
+use std::time::Instant;
+
+/// Most starts of processes that are kept, as any sender may claim to be one.
+const MAX_LOGS: usize = 2048;
+
+/// What one start of a process has told.
+#[derive(Debug)]
+struct Log {
+    ip: IpAddr,
+    start: u32,
+    /// Number of the next request that isn't known.
+    next: u64,
+    /// When it last told all that it had.
+    whole_at: Option<Instant>,
+    heard_at: Instant,
+    entries: Vec<Entry>,
+    /// Requests that it had dropped before they were asked for.
+    missed: u64,
+}
+
+/// Where a process stands, to be asked for what follows.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Position {
+    /// Its start; 0 if it is unknown.
+    pub start: u32,
+    /// Number of the next request that isn't known.
+    pub next: u64,
+}
+
+/// Requests of all processes.
+#[derive(Debug, Default)]
+pub struct Ledger {
+    /// Sorted by address and start.
+    logs: Vec<Log>,
+    /// Sorted; the entries share them.
+    names: Vec<Arc<str>>,
+}
+
+/// Counts of a span of time, and how far they can be trusted.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Counted {
+    /// Requests by tenant, sorted by name.
+    pub counts: Vec<TenantCount>,
+    /// Requests in all.
+    pub requests: u64,
+    /// Processes that told of all of it.
+    pub hosts: usize,
+    /// Processes that were heard of and haven't told of all of it.
+    pub silent: usize,
+}
+
+impl Ledger {
+    /// Where a process stands.
+    pub fn position(&self, ip: IpAddr) -> Position {
+        let logs = self.logs.iter().filter(|log| log.ip == ip);
+        let newest = logs.max_by_key(|log| log.heard_at);
+        newest.map_or_else(Position::default, |log| Position {
+            start: log.start,
+            next: log.next,
+        })
+    }
+
+    /// Takes what a process told, as of a time by this process's clock. Says whether it has
+    /// more to tell.
+    pub fn take(&mut self, ip: IpAddr, told: &Told, at: Instant) -> bool {
+        let Some(slot) = self.slot(ip, told.start, at) else {
+            return false;
+        };
+        let known = self.logs[slot].next;
+        if told.from > known {
+            self.logs[slot].missed += told.from - known;
+            self.logs[slot].next = told.from;
+        }
+        let is_known = self.logs[slot].next.saturating_sub(told.from) as usize;
+        for begun in told.begun.iter().skip(is_known) {
+            let Some(name) = told.tenants.get(usize::from(begun.tenant)) else {
+                continue;
+            };
+            let tenant = self.name(name);
+            let ago = std::time::Duration::from_millis(begun.ago_ms.into());
+            let at = at.checked_sub(ago).unwrap_or(at);
+            self.logs[slot].entries.push(Entry { at, tenant });
+        }
+        let log = &mut self.logs[slot];
+        log.next = log.next.max(told.from + told.begun.len() as u64);
+        log.heard_at = log.heard_at.max(at);
+        let has_more = log.next < told.next;
+        if !has_more {
+            log.whole_at = log.whole_at.max(Some(at));
+        }
+        has_more
+    }
+
+    fn slot(&mut self, ip: IpAddr, start: u32, at: Instant) -> Option<usize> {
+        let found = self
+            .logs
+            .binary_search_by_key(&(ip, start), |log| (log.ip, log.start));
+        match found {
+            Ok(slot) => Some(slot),
+            Err(_) if self.logs.len() >= MAX_LOGS => None,
+            Err(slot) => {
+                let log = Log {
+                    ip,
+                    start,
+                    next: 0,
+                    whole_at: None,
+                    heard_at: at,
+                    entries: Vec::new(),
+                    missed: 0,
+                };
+                self.logs.insert(slot, log);
+                Some(slot)
+            }
+        }
+    }
+
+    fn name(&mut self, name: &str) -> Arc<str> {
+        match self.names.binary_search_by(|known| (**known).cmp(name)) {
+            Ok(at) => self.names[at].clone(),
+            Err(at) => {
+                self.names.insert(at, name.into());
+                self.names[at].clone()
+            }
+        }
+    }
+
+    /// Counts the requests that began from one time until before another.
+    pub fn count(&self, from: Instant, until: Instant) -> Counted {
+        let entries = self.logs.iter().flat_map(|log| &log.entries);
+        let within = entries.filter(|e| e.at >= from && e.at < until);
+        let mut names: Vec<&Arc<str>> = within.map(|e| &e.tenant).collect();
+        names.sort_unstable();
+        let mut counts: Vec<TenantCount> = Vec::new();
+        for name in &names {
+            match counts.last_mut().filter(|last| *last.tenant == ***name) {
+                Some(last) => last.requests += 1,
+                None => counts.push(TenantCount {
+                    tenant: name.to_string(),
+                    requests: 1,
+                }),
+            }
+        }
+        let is_whole = |log: &&Log| log.whole_at.is_some_and(|at| at >= until);
+        let hosts = self.logs.iter().filter(is_whole).count();
+        // Who was last heard before the span had no part in it.
+        let heard = self.logs.iter().filter(|log| log.heard_at >= from).count();
+        Counted {
+            counts,
+            requests: names.len() as u64,
+            hosts,
+            silent: heard.saturating_sub(hosts),
+        }
+    }
+
+    /// When the earliest request began that is known.
+    pub fn earliest(&self) -> Option<Instant> {
+        let entries = self.logs.iter().flat_map(|log| &log.entries);
+        entries.map(|e| e.at).min()
+    }
+
+    /// When a process was last heard.
+    pub fn heard_at(&self, ip: IpAddr) -> Option<Instant> {
+        let logs = self.logs.iter().filter(|log| log.ip == ip);
+        logs.map(|log| log.heard_at).max()
+    }
+
+    /// Drops what is too old to be reported; gives how many requests had been dropped by
+    /// their processes before this one heard of them.
+    pub fn forget(&mut self, now: Instant) -> u64 {
+        let is_kept = |at: Instant| now.saturating_duration_since(at) <= KEPT;
+        let mut missed = 0;
+        for log in &mut self.logs {
+            log.entries.retain(|e| is_kept(e.at));
+            missed += std::mem::take(&mut log.missed);
+        }
+        self.logs.retain(|log| is_kept(log.heard_at));
+        self.names.retain(|name| Arc::strong_count(name) > 1);
+        missed
+    }
+}
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -18,7 +18,7 @@
 
 use crate::peers::{Changing, Placement};
 use durations::{Durations, Told};
-use platform::{Engine, Service, Start};
+use platform::{Engine, Scaling, Service, Start};
 use speed::{Speed, Task, Work};
 use starts::Starts;
 use std::collections::VecDeque;
@@ -50,6 +50,8 @@
     pub name: String,
     /// Figures of its engines; none for a plain service.
     pub engine: Option<Engine>,
+    /// Bounds on the number of its upstreams, if that is ours to choose.
+    pub scaling: Option<Scaling>,
     /// Measured speeds of its upstreams, by task.
     speeds: [Speed; 3],
     /// How long its answers take.
@@ -103,6 +105,7 @@
         let key = self.service(&service.name);
         let info = &mut self.services[usize::from(key.0)];
         info.engine = service.engine;
+        info.scaling = service.scaling;
     }
 
     /// A service by its key.
@@ -199,6 +202,13 @@
             .map(|(at, _)| ServiceKey(at as u16))
     }
 
+    /// Services whose number of upstreams is ours to choose, with its bounds.
+    pub fn scaled_services(&self) -> Vec<(ServiceKey, Scaling)> {
+        let all = self.services.iter().enumerate();
+        all.filter_map(|(at, s)| Some((ServiceKey(at as u16), s.scaling?)))
+            .collect()
+    }
+
     /// Engines that are away for a change that was ordered.
     pub fn changing(&self, now: Instant) -> Vec<Changing> {
         let changing = self.iter().filter_map(|(_, u)| {
@@ -284,6 +294,7 @@
         Self {
             name: name.to_owned(),
             engine: None,
+            scaling: None,
             speeds: [Task::Generate, Task::Prefill, Task::Take].map(Speed::of),
             durations: Durations::default(),
         }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod choose;
 pub mod crashes;
 pub mod division;
+pub mod duty;
 pub mod events;
 pub mod fleet;
 pub mod follow;
@@ -72,6 +73,9 @@
     let exchange = peers::exchange::start(&gateway)?;
     tokio::spawn(peers::membership::follow(gateway.clone()));
     tokio::spawn(division::orders::follow(gateway.clone()));
+    duty::usage::exchange::start(&gateway)?;
+    tokio::spawn(duty::usage::follow(gateway.clone()));
+    tokio::spawn(duty::scaling::follow(gateway.clone()));
     tokio::spawn(reload::follow_settings(gateway.clone(), path));
     let (drain, serving) = (Stop::default(), Stop::default());
     let server = Server {
@@ -88,6 +92,7 @@
     drain.stop();
     wait_until_idle(&gateway, ending.closed_at).await;
     serving.stop();
+    duty::usage::hand_on(&gateway).await;
     let leave = peers::membership::leave(&gateway);
     if tokio::time::timeout_at(ending.ends_at.into(), leave)
         .await
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -239,6 +239,16 @@
         self.is_tree = is_told_so || self.all.len() > DIRECT_MOST;
     }
 
+    /// Addresses of all peers that are known.
+    pub fn addresses(&self) -> Vec<IpAddr> {
+        self.all.iter().map(|p| p.ip).collect()
+    }
+
+    /// Whether a peer is known.
+    pub fn knows(&self, ip: IpAddr) -> bool {
+        self.all.binary_search_by_key(&ip, |p| p.ip).is_ok()
+    }
+
     /// Peers that are known.
     pub fn len(&self) -> usize {
         self.all.len()
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -1,6 +1,7 @@
 //! What a gateway is and knows.
 
 use crate::crashes::Shared;
+use crate::duty::usage::Usage;
 use crate::fleet::{Fleet, ServiceKey, UpstreamKey};
 use crate::follow;
 use crate::history::History;
@@ -43,6 +44,8 @@
     running: AtomicU64,
     /// Work under which upstreams end.
     pub crashes: Shared,
+    /// Requests of tenants that began to run.
+    pub usage: Usage,
     /// Given when a peer knows something newer than this process.
     pub behind: Notify,
     /// Limits on clients' heads, by the configuration in force.
@@ -93,6 +96,7 @@
             live_peers: AtomicU32::new(0),
             running: AtomicU64::new(0),
             crashes: Shared::default(),
+            usage: Usage::default(),
             behind: Notify::new(),
             heads: HeadLimits::new(FIRST_IDLE_TIMEOUT, FIRST_MAX_HEAD),
             metrics: Metrics::new(TENANT_METRICS),
--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -59,6 +59,8 @@
         retry_slack: 50.0,
         order_gap: Duration::from_secs(3),
         is_first_start: false,
+        usage_port: 7004,
+        cloud: None,
     }
 }
 
--- a/crates/gateway/tests/decoders.rs
+++ b/crates/gateway/tests/decoders.rs
@@ -5,11 +5,11 @@
 mod fixtures;
 
 use fixtures::{gateway_with, instance, runner};
-use gateway::division::lease::turn;
+use gateway::duty::lease::turn;
 use gateway::fleet::durations::{Durations, Length, Told};
 use gateway::peers::catch_up::{RegistryChanges, take_changes};
 use gateway::peers::{Beat, Changing, CrashWord, Load, Peers, Placement, Scope};
-use platform::{LeaseRead, OrderLease, Stage, Start};
+use platform::{Duty, Lease, LeaseRead, Stage, Start};
 use proptest::prelude::*;
 use std::net::{IpAddr, Ipv4Addr};
 use std::time::{Duration, Instant};
@@ -227,7 +227,7 @@
     runner()
         .run(&lease, |(token, until_ms, now_ms)| {
             let read = |holder: &str| LeaseRead {
-                lease: Some(OrderLease {
+                lease: Some(Lease {
                     holder: holder.into(),
                     token,
                     until_ms,
@@ -236,13 +236,18 @@
                 now_ms,
             };
             for holder in ["10.0.0.1", "10.0.0.2"] {
-                turn(&read(holder), "10.0.0.1", Duration::from_secs(3));
+                turn(
+                    Duty::Orders,
+                    &read(holder),
+                    "10.0.0.1",
+                    Duration::from_secs(3),
+                );
             }
             Ok(())
         })
         .unwrap();
     let most = LeaseRead {
-        lease: Some(OrderLease {
+        lease: Some(Lease {
             holder: "10.0.0.2".into(),
             token: u64::MAX,
             until_ms: u64::MAX,
@@ -250,5 +255,5 @@
         version: 1,
         now_ms: u64::MAX,
     };
-    turn(&most, "10.0.0.1", Duration::from_secs(3));
+    turn(Duty::Orders, &most, "10.0.0.1", Duration::from_secs(3));
 }
--- a/crates/gateway/tests/division.rs
+++ b/crates/gateway/tests/division.rs
@@ -4,9 +4,9 @@
 //! an engine busy: prompts of 2,900 to 3,700 uncached tokens read at 37 tokens a ms
 //! by engines with 64 slots, or at 700 and more by engines with 6 to 12.
 
-use gateway::division::lease::{Held, Turn, turn};
 use gateway::division::{Basis, Demand, Division, EngineUse, Wanted};
-use platform::{LeaseRead, OrderLease, Stage};
+use gateway::duty::lease::{Held, Turn, turn};
+use platform::{Duty, Lease, LeaseRead, Stage};
 use std::time::{Duration, Instant};
 
 const LOOK: Duration = Duration::from_millis(50);
@@ -145,7 +145,7 @@
 
 fn read(holder: &str, until_ms: u64, now_ms: u64) -> LeaseRead {
     LeaseRead {
-        lease: Some(OrderLease {
+        lease: Some(Lease {
             holder: holder.into(),
             token: 7,
             until_ms,
@@ -159,7 +159,7 @@
 
 #[test]
 fn another_hosts_lease_is_taken_only_a_gap_after_its_end() {
-    let wait = |now| match turn(&read("a", 10_000, now), "b", GAP) {
+    let wait = |now| match turn(Duty::Orders, &read("a", 10_000, now), "b", GAP) {
         Turn::Wait(pause) => Some(pause),
         Turn::Take(_) => None,
     };
@@ -171,11 +171,11 @@
 
 #[test]
 fn each_lease_has_a_higher_token() {
-    let Turn::Take(lease) = turn(&read("a", 10_000, 20_000), "b", GAP) else {
+    let Turn::Take(lease) = turn(Duty::Orders, &read("a", 10_000, 20_000), "b", GAP) else {
         panic!("it is free");
     };
     assert_eq!((lease.holder.as_str(), lease.token), ("b", 8));
-    let Turn::Take(again) = turn(&read("a", 10_000, 5_000), "a", GAP) else {
+    let Turn::Take(again) = turn(Duty::Orders, &read("a", 10_000, 5_000), "a", GAP) else {
         panic!("it is its own");
     };
     assert_eq!(again.token, 8);
@@ -184,7 +184,7 @@
 #[test]
 fn a_process_that_was_paused_gives_no_order() {
     let since = Instant::now();
-    let held = Held::new(1, since);
+    let held = Held::new(Duty::Orders, 1, since);
     assert!(held.is_valid(since + Duration::from_millis(2400)));
     assert!(!held.is_valid(since + Duration::from_millis(2500)));
 }
--- /dev/null
+++ b/crates/gateway/tests/scaling.rs
@@ -0,0 +1,98 @@
+//! How many upstreams a zone is to have, by the load that asks for them.
+
+#[expect(dead_code, reason = "each test file uses a part of it")]
+mod common;
+
+use common::{address, config, routes, start_on, wait_for};
+use gateway::duty::scaling::{Demand, ZoneUse};
+use platform::{CloudBounds, Scaling};
+use serde_json::json;
+use standin::{Act, Cloud, Store, Worker, fixture};
+use std::net::{IpAddr, SocketAddr};
+use std::time::{Duration, Instant};
+
+const BOUNDS: Scaling = Scaling {
+    least: 2,
+    most: 8,
+    start: Duration::from_secs(2),
+};
+
+fn seen(running: u32, upstreams: u32) -> ZoneUse {
+    ZoneUse {
+        running,
+        upstreams,
+        slots: 10,
+    }
+}
+
+#[test]
+fn a_rise_is_answered_at_once_and_within_the_bounds() {
+    let now = Instant::now();
+    let mut demand = Demand::new(now);
+    demand.sample(seen(30, 2), BOUNDS, now);
+    assert_eq!(demand.wanted(seen(30, 2), BOUNDS), Some(5));
+    demand.sample(seen(900, 2), BOUNDS, now);
+    assert_eq!(demand.wanted(seen(900, 2), BOUNDS), Some(8));
+    assert_eq!(Demand::new(now).wanted(seen(0, 1), BOUNDS), Some(2));
+    assert_eq!(Demand::new(now).wanted(seen(0, 2), BOUNDS), None);
+}
+
+#[test]
+fn waves_of_seconds_start_and_stop_nothing() {
+    let begins = Instant::now();
+    let mut demand = Demand::new(begins);
+    let mut orders = Vec::new();
+    for step in 0..1200u32 {
+        // Ten seconds of load and ten of none, for five minutes.
+        let now = begins + Duration::from_millis(250) * step;
+        let running = if (step / 40) % 2 == 0 { 28 } else { 1 };
+        demand.sample(seen(running, 5), BOUNDS, now);
+        orders.extend(demand.wanted(seen(running, 5), BOUNDS));
+    }
+    assert_eq!(orders, Vec::<u32>::new());
+}
+
+#[test]
+fn a_lasting_fall_is_followed_one_by_one_and_never_below_what_runs() {
+    let begins = Instant::now();
+    let mut demand = Demand::new(begins);
+    demand.sample(seen(40, 7), BOUNDS, begins);
+    assert_eq!(demand.wanted(seen(11, 7), BOUNDS), None);
+    let later = begins + Duration::from_secs(60);
+    for n in 0..3 {
+        demand.sample(seen(11, 7), BOUNDS, later + Duration::from_secs(20) * n);
+    }
+    assert_eq!(demand.wanted(seen(11, 7), BOUNDS), Some(6));
+    assert_eq!(demand.wanted(seen(11, 3), BOUNDS), Some(2));
+    assert_eq!(demand.wanted(seen(59, 7), BOUNDS), Some(8));
+}
+
+#[tokio::test]
+async fn upstreams_are_ordered_under_a_lease_for_the_zone_that_needs_them() {
+    let at = |port| SocketAddr::new(IpAddr::V4(address()), port);
+    let store = Store::start(at(7003)).unwrap();
+    let cloud = Cloud::start(at(7005)).unwrap();
+    let worker = Worker::start(at(7100), "i-1").await.unwrap();
+    worker.usually(Act::After(Duration::from_millis(400), Box::new(Act::Echo)));
+    let row = fixture::worker("plain", worker.addr, "ready", None);
+    store.put("servers", "i-1", &row);
+    let mut config = config(1, &routes());
+    config["Services"][0]["Autoscale"] = json!({"Min": 1, "Max": 4, "BootS": 0.5});
+    store.put("op", "config", &config);
+    let mut host = common::host(address(), store.addr);
+    host.cloud = Some(CloudBounds {
+        addr: cloud.addr,
+        usage: None,
+        scales: true,
+    });
+    let bed = start_on(host, store);
+    bed.wait_ready(200).await;
+    bed.exchange_many("/unsafe/", "many", "", 12).await;
+    wait_for("an order", || async { !cloud.calls().is_empty() }).await;
+    let call = &cloud.calls()[0];
+    assert_eq!(call.path, "/scale");
+    assert_eq!((&*call.holder, call.token), (&*bed.host.name, 1));
+    // Twelve at once at eight slots each, of which 0.6 are to be in use.
+    let order = json!({"Service": "plain", "Zone": "zone-a", "DesiredCount": 3});
+    assert_eq!(call.body, order);
+}
--- /dev/null
+++ b/crates/gateway/tests/usage.rs
@@ -0,0 +1,269 @@
+//! Reports of usage by gateways in this process, against the stand-ins.
+
+#[expect(dead_code, reason = "each test file uses a part of it")]
+mod common;
+
+use common::{Bed, address, exchange, host, request, routes, start_on, status, wait_for};
+use platform::{CloudBounds, Host, UsageBounds};
+use serde_json::{Value, json};
+use standin::{Act, Cloud, CloudCall, CloudMode, Mode, Store, Worker};
+use std::collections::BTreeMap;
+use std::net::{IpAddr, SocketAddr};
+use std::time::Duration;
+
+const WINDOW: Duration = Duration::from_secs(1);
+const TENANTS: [&str; 3] = ["one", "two", "idle"];
+
+fn configuration(version: u64) -> Value {
+    let mut config = common::config(version, &routes());
+    let tenants = TENANTS.map(|name| json!({"Name": name, "ApiKeys": [format!("key-{name}")]}));
+    config["Tenants"] = json!(tenants);
+    config
+}
+
+/// So many gateways before one store, one platform and two workers.
+struct Fleet {
+    beds: Vec<Bed>,
+    store: Store,
+    cloud: Cloud,
+    _workers: Vec<Worker>,
+}
+
+fn at(port: u16) -> SocketAddr {
+    SocketAddr::new(IpAddr::V4(address()), port)
+}
+
+async fn start(gateways: usize) -> Fleet {
+    let store = Store::start(at(7003)).unwrap();
+    let cloud = Cloud::start(at(7005)).unwrap();
+    let mut workers = Vec::new();
+    for n in 0..2 {
+        let worker = Worker::start(at(7100), &format!("i-{n}")).await.unwrap();
+        let row = standin::fixture::worker("plain", worker.addr, "ready", None);
+        store.put("servers", &format!("i-{n}"), &row);
+        workers.push(worker);
+    }
+    store.put("op", "config", &configuration(1));
+    let mut fleet = Fleet {
+        beds: Vec::new(),
+        store,
+        cloud,
+        _workers: workers,
+    };
+    for _ in 0..gateways {
+        fleet.add().await;
+    }
+    fleet
+}
+
+impl Fleet {
+    fn host(&self, ip: std::net::Ipv4Addr) -> Host {
+        let mut host = host(ip, self.store.addr);
+        host.order_gap = Duration::from_millis(500);
+        host.cloud = Some(CloudBounds {
+            addr: self.cloud.addr,
+            usage: Some(UsageBounds {
+                window: WINDOW,
+                due: Duration::from_secs(10),
+            }),
+            scales: false,
+        });
+        host
+    }
+
+    async fn add(&mut self) {
+        let host = self.host(address());
+        // A bed holds a store of its own, which these don't use.
+        let unused = Store::start(at(7003)).unwrap();
+        let bed = start_on(host, unused);
+        bed.wait_ready(200).await;
+        self.beds.push(bed);
+    }
+
+    /// Sends requests of a tenant to a gateway, one after the other.
+    async fn send(&self, gateway: usize, tenant: &str, count: usize) {
+        for n in 0..count {
+            let key = format!("key: key-{tenant}\r\n");
+            let req = request(
+                "GET",
+                "/safe/",
+                &format!("{tenant}-{gateway}-{n}"),
+                &key,
+                "",
+            );
+            let res = exchange(self.beds[gateway].callers, &req).await;
+            assert_eq!(status(&res), 200, "{res}");
+        }
+    }
+
+    /// Counts of all windows that were reported, by tenant; each window once.
+    fn reported(&self) -> BTreeMap<String, u64> {
+        let mut windows: BTreeMap<u64, CloudCall> = BTreeMap::new();
+        for call in self.cloud.calls() {
+            assert_eq!(call.path, "/usage");
+            let window = call.body["WindowId"].as_u64().unwrap();
+            if let Some(before) = windows.get(&window) {
+                assert_eq!(before.text, call.text, "two reports of window {window}");
+            }
+            windows.insert(window, call);
+        }
+        let mut sums = BTreeMap::new();
+        for call in windows.values() {
+            for (tenant, count) in call.body["Counts"].as_object().unwrap() {
+                *sums.entry(tenant.clone()).or_default() += count.as_u64().unwrap();
+            }
+        }
+        sums
+    }
+
+    async fn wait_reported(&self, expected: &[(&str, u64)]) {
+        let expected: BTreeMap<String, u64> = expected
+            .iter()
+            .map(|(t, n)| ((*t).to_owned(), *n))
+            .collect();
+        wait_for("the reports", || async { self.reported() == expected }).await;
+        // Nothing more comes of the same requests.
+        let windows = self.windows();
+        wait_for("two more windows", || async {
+            self.windows() >= windows + 2
+        })
+        .await;
+        assert_eq!(self.reported(), expected);
+        self.assert_fenced();
+    }
+
+    fn windows(&self) -> usize {
+        let mut all: Vec<u64> = self
+            .cloud
+            .calls()
+            .iter()
+            .map(|c| c.body["WindowId"].as_u64().unwrap())
+            .collect();
+        all.sort_unstable();
+        all.dedup();
+        all.len()
+    }
+
+    /// Tokens never fall, two holders never share one, and holders don't alternate.
+    fn assert_fenced(&self) {
+        let calls = self.cloud.calls();
+        for pair in calls.windows(2) {
+            assert!(pair[0].token <= pair[1].token, "{pair:?}");
+            if pair[0].holder != pair[1].holder {
+                assert!(pair[0].token < pair[1].token, "{pair:?}");
+                assert!(
+                    pair[1].at - pair[0].at >= Duration::from_millis(500),
+                    "{pair:?}"
+                );
+            }
+        }
+    }
+}
+
+#[tokio::test]
+async fn each_request_that_ran_is_reported_once_for_its_tenant() {
+    let fleet = start(3).await;
+    fleet.send(0, "one", 5).await;
+    fleet.send(1, "one", 2).await;
+    fleet.send(2, "two", 4).await;
+    // Not run: no report tells of them.
+    let refused = request("GET", "/safe/", "no", "key: key-none\r\n", "");
+    assert_eq!(
+        status(&exchange(fleet.beds[0].callers, &refused).await),
+        401
+    );
+    fleet.wait_reported(&[("one", 7), ("two", 4)]).await;
+}
+
+#[tokio::test]
+async fn a_request_that_was_sent_twice_counts_once() {
+    let fleet = start(1).await;
+    for worker in &fleet._workers {
+        worker.script([Act::Answer(500, "failed".into())]);
+    }
+    let req = request("GET", "/safe/", "again", "key: key-one\r\n", "");
+    let _ = exchange(fleet.beds[0].callers, &req).await;
+    let sends: usize = fleet._workers.iter().map(|w| w.seen().len()).sum();
+    assert_eq!(sends, 2);
+    fleet.wait_reported(&[("one", 1)]).await;
+}
+
+#[tokio::test]
+async fn a_report_whose_answer_was_lost_is_sent_again_as_it_was() {
+    let fleet = start(2).await;
+    fleet.cloud.set_mode(CloudMode::TakeSilently);
+    fleet.send(0, "one", 3).await;
+    wait_for("two sends of it", || async {
+        let calls = fleet.cloud.calls();
+        calls.len() >= 2 && calls[0].body["WindowId"] == calls[1].body["WindowId"]
+    })
+    .await;
+    fleet.cloud.set_mode(CloudMode::Serve);
+    fleet.wait_reported(&[("one", 3)]).await;
+}
+
+#[tokio::test]
+async fn reports_wait_for_a_platform_that_refuses_and_a_store_that_is_away() {
+    let fleet = start(2).await;
+    fleet.cloud.set_mode(CloudMode::Refuse(429));
+    fleet.store.set_mode(Mode::Refuse(503));
+    fleet.send(0, "one", 3).await;
+    fleet.send(1, "two", 1).await;
+    tokio::time::sleep(WINDOW * 4).await;
+    assert!(fleet.cloud.calls().is_empty());
+    fleet.store.set_mode(Mode::Serve);
+    fleet.cloud.set_mode(CloudMode::Serve);
+    fleet.wait_reported(&[("one", 3), ("two", 1)]).await;
+}
+
+#[tokio::test]
+async fn a_host_that_stops_hands_its_requests_on() {
+    let mut fleet = start(3).await;
+    fleet.beds.sort_by_key(|bed| bed.host.ip);
+    // The last in order is no collector.
+    fleet.send(2, "one", 6).await;
+    let bed = fleet.beds.remove(2);
+    bed.stop.stop();
+    wait_for("its end", || async { bed.task.is_finished() }).await;
+    fleet.send(0, "two", 1).await;
+    fleet.wait_reported(&[("one", 6), ("two", 1)]).await;
+}
+
+#[tokio::test]
+async fn another_host_goes_on_when_the_holder_is_lost() {
+    let mut fleet = start(2).await;
+    // The first in order of addresses is the holder; its process is lost with all its tasks.
+    let first = fleet.beds.iter().map(|bed| bed.host.ip).min().unwrap();
+    let IpAddr::V4(first) = first else {
+        panic!("tests have IPv4 addresses");
+    };
+    let ip = std::net::Ipv4Addr::from(u32::from(first) - (1 << 16));
+    let host = fleet.host(ip);
+    let (name, callers) = (host.name.clone(), host.callers.unwrap());
+    let process = tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(1)
+        .enable_all()
+        .build()
+        .unwrap();
+    process.spawn(gateway::run(
+        std::path::PathBuf::from("/nonexistent/settings"),
+        host,
+        net::Stop::default(),
+    ));
+    let by = |fleet: &Fleet, name: &str| {
+        let calls = fleet.cloud.calls();
+        calls.iter().filter(|c| c.holder == name).count()
+    };
+    wait_for("its reports", || async { by(&fleet, &name) > 1 }).await;
+    fleet.beds.sort_by_key(|bed| bed.host.ip);
+    for n in 0..2 {
+        let req = request("GET", "/safe/", &format!("own-{n}"), "key: key-one\r\n", "");
+        assert_eq!(status(&exchange(callers, &req).await), 200);
+    }
+    fleet.send(0, "two", 3).await;
+    // It has been asked for them by then.
+    tokio::time::sleep(Duration::from_millis(600)).await;
+    process.shutdown_background();
+    fleet.wait_reported(&[("one", 2), ("two", 3)]).await;
+    assert!(fleet.cloud.calls().last().unwrap().holder != name);
+}
--- /dev/null
+++ b/crates/gateway/tests/usage_decisions.rs
@@ -0,0 +1,458 @@
+//! Who reports what, without a network: any order of holders, losses and late writes, of
+//! lost and doubled datagrams, and clocks that jump.
+
+use gateway::duty::usage::begun::Begun;
+use gateway::duty::usage::clock::{ROUND_EVERY, TrueTime};
+use gateway::duty::usage::holder::{Action, Holder};
+use gateway::duty::usage::ledger::Ledger;
+use platform::usage::{TenantCount, UsageRead, UsageReport};
+use platform::{Lease, Written};
+use proptest::collection::vec;
+use proptest::prelude::*;
+use proptest::test_runner::{Config as Cases, RngAlgorithm, TestRng, TestRunner};
+use std::collections::BTreeMap;
+use std::net::{IpAddr, Ipv4Addr};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+fn runner(cases: u32) -> TestRunner {
+    let rng = TestRng::deterministic_rng(RngAlgorithm::ChaCha);
+    TestRunner::new_with_rng(Cases::with_cases(cases), rng)
+}
+
+const GAP: Duration = Duration::from_secs(3);
+const WINDOW_MS: u64 = 5000;
+const HOLDERS: usize = 3;
+
+/// The rows of the store, and writes that are still on their way.
+#[derive(Debug, Default)]
+struct Rows {
+    lease: Option<Lease>,
+    version: u64,
+    counter: u64,
+    report: Option<UsageReport>,
+    late: Vec<Write>,
+}
+
+#[derive(Debug, Clone)]
+struct Write {
+    lease: Lease,
+    over: u64,
+    report: Option<UsageReport>,
+}
+
+impl Rows {
+    /// Carries a write out, if the lease's row still has the version.
+    fn write(&mut self, write: &Write) -> bool {
+        if write.over != self.version {
+            return false;
+        }
+        self.counter += 1;
+        self.version = self.counter;
+        self.lease = Some(write.lease.clone());
+        if let Some(report) = &write.report {
+            self.report = Some(report.clone());
+        }
+        true
+    }
+}
+
+/// A report that reached the platform.
+#[derive(Debug, Clone)]
+struct Sent {
+    holder: usize,
+    token: u64,
+    at_ms: u64,
+    report: UsageReport,
+}
+
+/// What one step of a holder meets.
+#[derive(Debug, Clone, Copy)]
+struct Step {
+    holder: usize,
+    /// Time that passes before it.
+    pause_ms: u64,
+    /// Whether the holder's process starts anew before it.
+    restarts: bool,
+    fate: Fate,
+}
+
+/// What happens to the call of a step.
+#[derive(Debug, Clone, Copy)]
+enum Fate {
+    /// It is done and answered.
+    Answered,
+    /// It is done, and its answer is lost.
+    AnswerLost,
+    /// It isn't done.
+    Lost,
+    /// It is done later, if its condition still holds.
+    Late,
+}
+
+/// Holders that each count differently, as those do that were cut off from some hosts.
+struct World {
+    begins: Instant,
+    now_ms: u64,
+    rows: Rows,
+    holders: Vec<Holder>,
+    sent: Vec<Sent>,
+}
+
+impl World {
+    fn new() -> Self {
+        Self {
+            begins: Instant::now(),
+            now_ms: 0,
+            rows: Rows::default(),
+            holders: (0..HOLDERS).map(holder).collect(),
+            sent: Vec::new(),
+        }
+    }
+
+    fn step(&mut self, step: Step) {
+        self.now_ms += step.pause_ms;
+        if step.restarts {
+            self.holders[step.holder] = holder(step.holder);
+        }
+        if let (Fate::Late, Some(write)) = (step.fate, self.rows.late.pop()) {
+            self.rows.write(&write);
+        }
+        let now = self.begins + Duration::from_millis(self.now_ms);
+        let ready = (self.now_ms / WINDOW_MS).checked_sub(1);
+        match self.holders[step.holder].next(0, ready, now) {
+            Action::Rest => {}
+            Action::Wait(_) => self.holders[step.holder].forget(),
+            Action::Read => self.read(step, now),
+            Action::Write {
+                lease,
+                over,
+                window,
+            } => {
+                let report = window.map(|w| counted_by(step.holder, self.now_ms, w));
+                let write = Write {
+                    lease,
+                    over,
+                    report,
+                };
+                self.write(step, write, now);
+            }
+            Action::Send { token, report } => self.send(step, token, report),
+        }
+    }
+
+    fn read(&mut self, step: Step, now: Instant) {
+        if !matches!(step.fate, Fate::Answered) {
+            return;
+        }
+        let read = UsageRead {
+            lease: self.rows.lease.clone(),
+            version: self.rows.version,
+            report: self.rows.report.clone(),
+            now_ms: self.now_ms,
+        };
+        self.holders[step.holder].was_read(read, now);
+    }
+
+    fn write(&mut self, step: Step, write: Write, now: Instant) {
+        let holder = &mut self.holders[step.holder];
+        match step.fate {
+            Fate::Answered => match self.rows.write(&write) {
+                true => {
+                    let written = Written {
+                        version: self.rows.version,
+                        now_ms: self.now_ms,
+                    };
+                    holder.was_written(write.lease, write.report, written, now);
+                }
+                false => holder.forget(),
+            },
+            Fate::AnswerLost => {
+                self.rows.write(&write);
+                holder.forget();
+            }
+            Fate::Lost => holder.forget(),
+            Fate::Late => {
+                self.rows.late.push(write);
+                holder.forget();
+            }
+        }
+    }
+
+    fn send(&mut self, step: Step, token: u64, report: UsageReport) {
+        let window = report.window;
+        if !matches!(step.fate, Fate::Lost) {
+            self.sent.push(Sent {
+                holder: step.holder,
+                token,
+                at_ms: self.now_ms,
+                report,
+            });
+        }
+        if matches!(step.fate, Fate::Answered) {
+            self.holders[step.holder].set_done(window);
+        }
+    }
+}
+
+fn holder(n: usize) -> Holder {
+    Holder::new(format!("10.0.0.{n}"), GAP)
+}
+
+/// A report that differs by who makes it, and when.
+fn counted_by(holder: usize, at_ms: u64, window: u64) -> UsageReport {
+    let count = TenantCount {
+        tenant: "one".into(),
+        requests: at_ms * 10 + holder as u64,
+    };
+    UsageReport::new(window, &[count])
+}
+
+fn steps() -> impl Strategy<Value = Vec<Step>> {
+    let fate = prop_oneof![
+        6 => Just(Fate::Answered),
+        1 => Just(Fate::AnswerLost),
+        1 => Just(Fate::Lost),
+        1 => Just(Fate::Late),
+    ];
+    let pause = prop_oneof![6 => 0u64..300, 2 => 300u64..3000, 1 => 3000u64..12_000];
+    let step = (0..HOLDERS, pause, prop::bool::weighted(0.05), fate);
+    let step = step.prop_map(|(holder, pause_ms, restarts, fate)| Step {
+        holder,
+        pause_ms,
+        restarts,
+        fate,
+    });
+    vec(step, 1..400)
+}
+
+#[test]
+fn no_two_reports_of_a_window_differ_and_holders_never_alternate() {
+    let reported = std::cell::Cell::new(0);
+    runner(400)
+        .run(&steps(), |steps| {
+            let mut world = World::new();
+            steps.into_iter().for_each(|step| world.step(step));
+            let mut bodies: BTreeMap<u64, String> = BTreeMap::new();
+            for sent in &world.sent {
+                let body = bodies
+                    .entry(sent.report.window)
+                    .or_insert_with(|| sent.report.body.clone());
+                prop_assert_eq!(&*body, &sent.report.body, "window {}", sent.report.window);
+            }
+            for pair in world.sent.windows(2) {
+                prop_assert!(pair[0].token <= pair[1].token, "{pair:?}");
+                if pair[0].holder != pair[1].holder {
+                    prop_assert!(pair[0].token < pair[1].token, "{pair:?}");
+                    let apart = pair[1].at_ms - pair[0].at_ms;
+                    prop_assert!(apart >= GAP.as_millis() as u64, "{pair:?}");
+                }
+            }
+            reported.set(reported.get() + bodies.len());
+            Ok(())
+        })
+        .unwrap();
+    // Else the cases above show nothing.
+    assert!(reported.get() > 1000, "{} windows", reported.get());
+}
+
+fn ip(n: u8) -> IpAddr {
+    IpAddr::V4(Ipv4Addr::new(10, 0, 0, n))
+}
+
+/// What happens to one question of the collector.
+#[derive(Debug, Clone, Copy)]
+enum Asked {
+    Answered,
+    Lost,
+    /// Its answer comes twice.
+    Twice,
+    /// Its answer comes after that of the next question.
+    Late,
+}
+
+#[test]
+fn each_request_is_counted_once_whatever_happens_to_datagrams() {
+    let asked = prop_oneof![
+        Just(Asked::Answered),
+        Just(Asked::Lost),
+        Just(Asked::Twice),
+        Just(Asked::Late)
+    ];
+    // Requests of each of three processes between the questions, and what these meet.
+    let rounds = vec(((0u64..9, 0u64..1500, 0u64..3), vec(asked, 3)), 1..24);
+    runner(200)
+        .run(&rounds, |rounds| {
+            let begins = Instant::now();
+            let mut now = begins;
+            let mut processes: Vec<Begun> = (1..=3).map(|n| Begun::new(n, || 0)).collect();
+            let mut ledger = Ledger::default();
+            let mut held_up = Vec::new();
+            let names: [Arc<str>; 3] = ["a".into(), "b".into(), "c".into()];
+            let mut truth = [0u64; 3];
+            for (begun, fates) in &rounds {
+                now += Duration::from_millis(100);
+                let counts = [begun.0, begun.1, begun.2];
+                for (n, count) in counts.into_iter().enumerate() {
+                    for _ in 0..count {
+                        processes[n].note(now, names[n].clone());
+                    }
+                    truth[n] += count;
+                }
+                for (n, fate) in fates.iter().enumerate() {
+                    let from = ledger.position(ip(n as u8));
+                    let told = processes[n].since(from.start, from.next, 1, now);
+                    let at = ip(n as u8);
+                    match fate {
+                        Asked::Lost => {}
+                        Asked::Late => held_up.push((at, told)),
+                        Asked::Answered | Asked::Twice => {
+                            ledger.take(at, &told, now);
+                            if matches!(fate, Asked::Twice) {
+                                ledger.take(at, &told, now);
+                            }
+                            for (at, told) in held_up.drain(..) {
+                                ledger.take(at, &told, now);
+                            }
+                        }
+                    }
+                }
+            }
+            for (n, process) in processes.iter().enumerate() {
+                let at = ip(n as u8);
+                loop {
+                    let from = ledger.position(at);
+                    let told = process.since(from.start, from.next, 1, now);
+                    if !ledger.take(at, &told, now) {
+                        break;
+                    }
+                }
+            }
+            let counted = ledger.count(begins, now + Duration::from_secs(1));
+            for (n, name) in names.iter().enumerate() {
+                let found = counted.counts.iter().find(|c| *c.tenant == **name);
+                prop_assert_eq!(found.map_or(0, |c| c.requests), truth[n], "{}", name);
+            }
+            Ok(())
+        })
+        .unwrap();
+}
+
+#[test]
+fn a_new_start_of_a_process_is_counted_beside_the_one_before() {
+    let now = Instant::now();
+    let mut ledger = Ledger::default();
+    for start in [7, 3] {
+        let mut begun = Begun::new(start, || 0);
+        (0..5).for_each(|_| begun.note(now, "a".into()));
+        let from = ledger.position(ip(1));
+        ledger.take(ip(1), &begun.since(from.start, from.next, 1, now), now);
+    }
+    let counted = ledger.count(now - Duration::from_secs(1), now + Duration::from_secs(1));
+    assert_eq!(counted.requests, 10);
+}
+
+#[test]
+fn what_was_dropped_before_it_was_asked_for_is_told_as_lost() {
+    let now = Instant::now();
+    let mut begun = Begun::new(1, || 0);
+    begun.note(now, "a".into());
+    let mut ledger = Ledger::default();
+    ledger.take(ip(1), &begun.since(0, 0, 1, now), now);
+    let later = now + Duration::from_secs(300);
+    (0..4).for_each(|_| begun.note(now, "a".into()));
+    begun.forget(later);
+    begun.note(later, "a".into());
+    let from = ledger.position(ip(1));
+    ledger.take(ip(1), &begun.since(from.start, from.next, 2, later), later);
+    assert_eq!(ledger.forget(later), 4);
+    let counted = ledger.count(later, later + Duration::from_secs(1));
+    assert_eq!(counted.requests, 1);
+}
+
+#[test]
+fn a_span_is_whole_once_each_process_has_told_of_what_came_before_its_end() {
+    let begins = Instant::now();
+    let until = begins + Duration::from_secs(5);
+    let mut ledger = Ledger::default();
+    let (mut one, mut two) = (Begun::new(1, || 0), Begun::new(2, || 0));
+    one.note(begins, "a".into());
+    two.note(begins, "a".into());
+    ledger.take(ip(1), &one.since(0, 0, 1, until), until);
+    ledger.take(ip(2), &two.since(0, 0, 1, begins), begins);
+    let counted = ledger.count(begins, until);
+    assert_eq!((counted.hosts, counted.silent), (1, 1));
+    ledger.take(ip(2), &two.since(2, 1, 1, until), until);
+    assert_eq!(ledger.count(begins, until).silent, 0);
+}
+
+/// True time of a clock of which some hosts' times of day jump, after each of so many
+/// rounds, as errors in milliseconds. `jump` gives the error of a host in a round.
+fn errors(rounds: u64, hosts: u64, jump: impl Fn(u64, u64) -> i64) -> Vec<i64> {
+    let base = Instant::now();
+    let mut clock = TrueTime::new(base);
+    let mut out = Vec::new();
+    for round in 0..rounds {
+        let now = base + ROUND_EVERY * round as u32;
+        let true_ms = 1_000_000 + now.duration_since(base).as_millis() as i64;
+        let beliefs = (0..hosts).map(|host| clock.belief(true_ms + jump(host, round), now));
+        let beliefs = beliefs.collect();
+        clock.round(beliefs, now);
+        if let Some(ms) = clock.unix_ms(now) {
+            out.push(ms - true_ms);
+        }
+    }
+    out
+}
+
+#[test]
+fn clocks_that_jump_on_a_third_of_all_hosts_change_nothing() {
+    // Each host is a few milliseconds off besides.
+    let small = |host: u64| host as i64 % 7 - 3;
+    let jumped = errors(40, 21, |host, round| match round >= 10 && host < 7 {
+        true => 2000,
+        false => small(host),
+    });
+    assert!(jumped.iter().all(|e| e.abs() <= 3), "{jumped:?}");
+    // Also if the first rounds see it, and on two thirds of all hosts for a while.
+    let first = errors(20, 21, |host, _| if host < 7 { -2000 } else { small(host) });
+    assert!(first.iter().all(|e| e.abs() <= 3), "{first:?}");
+    let most = errors(40, 21, |host, round| {
+        let is_hit = (20..30).contains(&round) && host < 14;
+        if is_hit { 2000 } else { small(host) }
+    });
+    assert!(most.iter().all(|e| e.abs() <= 3), "{most:?}");
+}
+
+#[test]
+fn one_hosts_own_clock_would_follow_its_jump() {
+    let alone = errors(80, 1, |_, round| if round >= 10 { 2000 } else { 0 });
+    assert_eq!(alone.last(), Some(&2000));
+}
+
+#[test]
+fn instants_and_true_times_are_each_others() {
+    let base = Instant::now() + Duration::from_secs(100);
+    let mut clock = TrueTime::new(base);
+    assert_eq!(clock.unix_ms(base), None);
+    for round in 0..2 {
+        let now = base + ROUND_EVERY * round;
+        let belief = clock.belief(5_000_000 + i64::from(round) * 1000, now);
+        clock.round(vec![belief], now);
+    }
+    for ms in [4_990_000, 5_000_000, 5_012_345] {
+        let at = clock.instant(ms).unwrap();
+        assert_eq!(clock.unix_ms(at), Some(ms));
+    }
+}
+
+#[test]
+fn a_report_is_sent_in_the_platforms_form() {
+    let counts = ["b", "a"].map(|tenant| TenantCount {
+        tenant: tenant.into(),
+        requests: 412,
+    });
+    let report = UsageReport::new(353_445_120, &counts);
+    let text = r#"{"WindowId":353445120,"Counts":{"a":412,"b":412}}"#;
+    assert_eq!(report.body, text);
+}
--- a/crates/observe/src/event.rs
+++ b/crates/observe/src/event.rs
@@ -283,11 +283,68 @@
         /// Whether it may be carried out.
         may_run: bool,
     },
-    /// The lease for orders to engines can't be taken now.
+    /// A lease can't be taken now.
     LeaseNotTaken {
+        /// What it is for.
+        duty: &'a str,
         /// What happened.
         why: String,
     },
+    /// The report of a window of usage was decided: it is written, and is sent as it is.
+    UsageDecided {
+        /// Number of the window.
+        window: u64,
+        /// Tenants that it tells of.
+        tenants: usize,
+        /// Requests that it tells of.
+        requests: u64,
+        /// Processes that have told all of their requests.
+        hosts: usize,
+        /// Processes that have told some and not all: theirs are missing.
+        silent: usize,
+        /// Time since the window's end, in milliseconds.
+        after_ms: u64,
+        /// Token of the lease.
+        token: u64,
+    },
+    /// A report of usage was sent.
+    UsageReported {
+        /// Number of the window.
+        window: u64,
+        /// Time since the window's end, in milliseconds.
+        after_ms: Option<u64>,
+        /// Token of the lease.
+        token: u64,
+        /// What came of it.
+        outcome: String,
+    },
+    /// A window of usage is not reported.
+    UsageMissed {
+        /// Number of the window.
+        window: u64,
+        /// Why.
+        why: String,
+    },
+    /// Requests that began to run are in no report of usage.
+    UsageLost {
+        /// How many.
+        requests: u64,
+        /// Why.
+        why: &'a str,
+    },
+    /// A number of upstreams was ordered.
+    UpstreamsOrdered {
+        /// The service.
+        service: &'a str,
+        /// The availability zone.
+        zone: &'a str,
+        /// How many it is to have there.
+        upstreams: u32,
+        /// Token of the lease.
+        token: u64,
+        /// What came of it.
+        outcome: String,
+    },
     /// An upstream gets no new requests because it leaves or has left.
     UpstreamLeaving {
         /// Its id.
@@ -500,6 +557,8 @@
             | Self::ConnectionBroke { .. }
             | Self::UpstreamWentDark { .. }
             | Self::WorkHeldBack { .. }
+            | Self::UsageMissed { .. }
+            | Self::UsageLost { .. }
             | Self::CrashRowsNotWritten { .. } => Level::Warn,
             Self::RecordsDropped { .. } | Self::LinesDropped { .. } => Level::Error,
             _ => Level::Info,
