explain tells of keys that were taken away and of windows that were not reported

Cause: an operator who is asked why a good key got 401, or why a window of usage is missing, had the lines and no way through them.

Change: a request's lines show the tenant, the version that took its key away and how long the newest version had been in force; the versions that follow within 10 s are shown too. 'explain window:N' prints what became of a window, with the lease and what it depends on, and for one without a line what lies between its neighbours. Windows that nobody can report any more are logged.

Two tests on real processes; one looks for the key in the log.

--- a/crates/arbutusquay/src/args.rs
+++ b/crates/arbutusquay/src/args.rs
@@ -133,11 +133,12 @@
 }
 
 /// print a request's way through the logs of several processes, in order of time,
-/// with what they believed of its upstreams and of their dependencies meanwhile
+/// with what they believed of its upstreams and of their dependencies meanwhile; or
+/// what became of a window of usage
 #[derive(Debug, FromArgs)]
 #[argh(subcommand, name = "explain")]
 pub struct ExplainArgs {
-    /// the request's id
+    /// the request's id, or window:NUMBER
     #[argh(positional)]
     pub id: String,
     /// files with the processes' logs
--- a/crates/arbutusquay/src/commands/explain.rs
+++ b/crates/arbutusquay/src/commands/explain.rs
@@ -33,6 +33,12 @@
     fields: Map<String, Value>,
 }
 
+/// How long after its last line a configuration may come into force that explains it, in
+/// milliseconds: a key that was taken away is refused from then on.
+const CONFIG_WITHIN_MS: u64 = 10_000;
+/// Begins an id that is the number of a window of usage.
+const WINDOW: &str = "window:";
+
 /// Runs the command.
 pub fn run(args: &ExplainArgs) -> Exit {
     let mut lines = Vec::new();
@@ -43,6 +49,9 @@
         }
     }
     lines.sort_by_key(|l| l.at_ms);
+    if let Some(window) = args.id.strip_prefix(WINDOW) {
+        return run_window(window, &lines);
+    }
     let own: Vec<&Line> = lines.iter().filter(|l| l.is_about(&args.id)).collect();
     let (Some(first), Some(last)) = (own.first(), own.last()) else {
         eprintln!("no line about request {}", args.id);
@@ -53,6 +62,7 @@
     let shown = lines.iter().filter(|l| {
         let until = match l.event.as_str() {
             "upstream_restarted" => until.saturating_add(RESTART_WITHIN_MS),
+            "config_in_force" => until.saturating_add(CONFIG_WITHIN_MS),
             _ => until,
         };
         let is_near = (from..=until).contains(&l.at_ms);
@@ -64,6 +74,51 @@
     Exit::Done
 }
 
+/// Prints what became of a window of usage: its lines and, meanwhile, who held the duty and
+/// what that depends on. One that has no line lies between those before and after it.
+fn run_window(text: &str, lines: &[Line]) -> Exit {
+    let Ok(window) = text.parse::<u64>() else {
+        eprintln!("{text}: not the number of a window");
+        return Exit::Usage;
+    };
+    let told: Vec<(u64, u64)> = lines
+        .iter()
+        .filter_map(|l| Some((l.fields.get("window")?.as_u64()?, l.at_ms)))
+        .collect();
+    let at = |is_near: &dyn Fn(u64) -> bool| {
+        let near = told.iter().filter(|(w, _)| is_near(*w));
+        near.map(|(_, at)| *at).collect::<Vec<_>>()
+    };
+    let own = at(&|w| w == window);
+    let before = at(&|w| w < window).into_iter().max();
+    let after = at(&|w| w > window).into_iter().min();
+    let from = own.iter().min().map(|at| at.saturating_sub(BEFORE_MS));
+    let until = own.iter().max().copied();
+    let (Some(from), Some(until)) = (from.or(before), until.or(after)) else {
+        eprintln!("no line about window {window}");
+        return Exit::Refused;
+    };
+    let shown = lines
+        .iter()
+        .filter(|l| (from..=until).contains(&l.at_ms))
+        .filter(|l| l.is_of_window(window) || tells_of_usage(l));
+    for line in shown {
+        println!("{}", line.text(from));
+    }
+    Exit::Done
+}
+
+/// Whether a line tells who held the duty to report usage, or what that depends on.
+fn tells_of_usage(line: &Line) -> bool {
+    match line.event.as_str() {
+        "lease_taken" => line.field("service") == Some("usage"),
+        "lease_not_taken" => line.field("duty") == Some("usage"),
+        "usage_lost" | "dependency_lost" | "dependency_back" | "stopping" | "stopped"
+        | "started" => true,
+        _ => false,
+    }
+}
+
 fn read(path: &Path, out: &mut Vec<Line>) -> std::io::Result<()> {
     for text in BufReader::new(File::open(path)?).lines() {
         // What isn't one of our lines, such as a note of the supervisor's, is
@@ -129,6 +184,10 @@
         self.field("request") == Some(id)
     }
 
+    fn is_of_window(&self, window: u64) -> bool {
+        self.fields.get("window").and_then(Value::as_u64) == Some(window)
+    }
+
     /// The line as it is printed, with the time since the request's first line.
     fn text(&self, first_ms: u64) -> String {
         let offset = self.at_ms as f64 - first_ms as f64;
--- a/crates/arbutusquay/tests/explain.rs
+++ b/crates/arbutusquay/tests/explain.rs
@@ -401,3 +401,81 @@
     };
     asked.await.is_ok_and(|buf| buf.ends_with(b"200"))
 }
+
+/// Settings of a process that reports usage of windows of a second.
+fn reporting(ip: Ipv4Addr, store: SocketAddr, cloud: SocketAddr) -> String {
+    settings("edge", ip, store).replace(
+        "ConfigApplyMs = 2000",
+        "ConfigApplyMs = 2000\nReportWindowS = 1\nUsageLateS = 10\nLeaseMs = 500",
+    ) + &format!("[Cloud]\nAddress = \"{cloud}\"\nDuties = [\"usage_report\"]\n")
+}
+
+const SECRET: &str = "k-secret-and-long";
+
+fn with_tenants(version: u64, keys: &[&str]) -> serde_json::Value {
+    let mut config = config(version, &routes());
+    config["Tenants"] = serde_json::json!([{"Name": "one", "ApiKeys": keys}]);
+    config
+}
+
+#[tokio::test]
+async fn a_key_that_was_taken_away_is_explained_and_shown_nowhere() {
+    let bed = start(18).await;
+    let _worker = bed.add("i-1", "plain", None).await;
+    let more = format!("key: {SECRET}\r\n");
+    bed.store
+        .put(CONFIG.0, CONFIG.1, &with_tenants(2, &[SECRET, "other"]));
+    let (served, text) = bed.ask("GET", "/safe/", &more).await;
+    assert!(text.starts_with("HTTP/1.1 200"), "{text}");
+    bed.store
+        .put(CONFIG.0, CONFIG.1, &with_tenants(3, &["other"]));
+    let until = Instant::now() + PATIENCE;
+    let id = loop {
+        assert!(Instant::now() < until);
+        let (id, text) = bed.ask("GET", "/safe/", &more).await;
+        if text.starts_with("HTTP/1.1 401") {
+            break id;
+        }
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    };
+    let told = bed.wait_explained(&id, "removed_key").await;
+    let words = ["status=401", "tenant=one", "key_removed_by=3", "config_ms="];
+    assert_told(&told, &words);
+    // One that ran with it shows since when the version was in force that allowed it.
+    let told = bed.explain(&served).await;
+    assert_told(&told, &["config=2", "config_ms=", "tenant=one"]);
+    let log = std::fs::read_to_string(&bed.log).unwrap();
+    assert!(!log.contains(SECRET), "the key is in the log");
+}
+
+#[tokio::test]
+async fn a_window_that_was_not_reported_is_explained() {
+    let net = (std::process::id() % 200 + 20) as u8;
+    let ip = Ipv4Addr::new(127, 66, net, 19);
+    let at = |port| SocketAddr::new(IpAddr::V4(ip), port);
+    let store = Store::start(at(7003)).unwrap();
+    let cloud = standin::Cloud::start(at(7005)).unwrap();
+    cloud.set_mode(standin::CloudMode::Refuse(400));
+    store.put(CONFIG.0, CONFIG.1, &with_tenants(2, &["other"]));
+    let dir = std::env::temp_dir().join(format!("explain-{}-usage", std::process::id()));
+    std::fs::create_dir_all(&dir).unwrap();
+    let file = dir.join("edge.toml");
+    std::fs::write(&file, reporting(ip, store.addr, cloud.addr)).unwrap();
+    let binary = PathBuf::from(BINARY);
+    let _proc = Proc::start_gateway(&binary, "edge", &file).unwrap();
+    let log = file.with_extension("log");
+    let until = Instant::now() + PATIENCE;
+    let window = loop {
+        assert!(Instant::now() < until);
+        let text = std::fs::read_to_string(&log).unwrap_or_default();
+        let line = text.lines().find(|l| l.contains("usage_missed"));
+        let line = line.and_then(|l| serde_json::from_str::<serde_json::Value>(l).ok());
+        if let Some(line) = line {
+            break line["window"].as_u64().unwrap();
+        }
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    };
+    let told = run(&binary, &format!("window:{window}"), &log).await;
+    let words = ["lease_taken", "usage_decided", "usage_missed", "status 400"];
+    assert_told(&told, &words);
+}
--- a/crates/gateway/src/duty/usage/holder.rs
+++ b/crates/gateway/src/duty/usage/holder.rs
@@ -84,12 +84,19 @@
         self.done = self.done.max(window);
     }
 
+    /// The last window whose report is decided, as far as the rows are known; none if none
+    /// ever was.
+    pub fn decided(&self) -> Option<u64> {
+        let report = self.rows.as_ref()?.report.as_ref();
+        report.map(|r| r.window)
+    }
+
     /// The window whose report is to be decided next, given the first that can be; none
     /// before the rows are known.
     pub fn next_window(&self, first: u64) -> Option<u64> {
         let rows = self.rows.as_ref()?;
-        let decided = rows.report.as_ref().map_or(0, |r| r.window).max(self.done);
-        Some(first.max(decided.saturating_add(1)))
+        let decided = rows.report.as_ref().map_or(0, |r| r.window);
+        Some(first.max(decided.max(self.done).saturating_add(1)))
     }
 
     /// The report that is written and not through.
--- a/crates/gateway/src/duty/usage/reports.rs
+++ b/crates/gateway/src/duty/usage/reports.rs
@@ -32,6 +32,8 @@
 /// How long after its due time a report is still sent: a late one is better than none.
 const LATE_USE: Duration = Duration::from_secs(20);
 
+/// Most skipped windows that are logged one by one: the nearest.
+const MAX_SKIPPED_TOLD: usize = 12;
 /// Name in logs of what takes the reports.
 const CLOUD: &str = "cloud/usage";
 
@@ -205,6 +207,7 @@
         let report = decided
             .zip(counted.as_ref())
             .map(|((number, _), counted)| UsageReport::new(number, &counted.counts));
+        let before = self.holder.decided();
         let asked_at = Instant::now();
         let store = client.store();
         let written = store.write_usage(&lease, over, report.as_ref(), STORE_TIMEOUT);
@@ -212,6 +215,7 @@
             Ok(LeaseWrite::Written(written)) => {
                 taken(Duty::Usage, lease.token);
                 if let Some(((number, seen), counted)) = decided.zip(counted) {
+                    tell_skipped(before, number);
                     self.tell_decided(number, seen, &counted, lease.token);
                 }
                 self.holder.was_written(lease, report, written, asked_at);
@@ -301,6 +305,17 @@
     }
 }
 
+/// Logs the windows between two that were decided: nobody has their requests any more.
+fn tell_skipped(before: Option<u64>, number: u64) {
+    let first = before.map_or(number, |before| before + 1);
+    for window in (first..number).rev().take(MAX_SKIPPED_TOLD) {
+        emit(&Event::UsageMissed {
+            window,
+            why: "no process that holds the duty has its requests any more".into(),
+        });
+    }
+}
+
 fn lost(requests: u64, why: &'static str) {
     emit(&Event::UsageLost { requests, why });
 }
