Soak: keys that come and go, the platform's calls that fail, and what is reported

Cause: nothing outside the unit tests showed that a key which was taken away runs nothing, or that reports of usage never differ, beside kills, pauses, cuts and restarts.

Change: tenants are in force in the soak; a second key of each comes and goes, the platform refuses, takes silently or is silent. Judged: the tenant that workers are told, no run for a key out of force longer than the bound at hosts in touch (by the store, or by peers where one host alone is cut off), no 401 for a good key, one report a window, tokens that rise, usage after the last fault within 0.05, no key in any log.

--- a/crates/bench/src/probe.rs
+++ b/crates/bench/src/probe.rs
@@ -11,8 +11,8 @@
 const ASK_EVERY: Duration = Duration::from_millis(50);
 
 /// Waits until a gateway takes connections and answers one with success.
-pub async fn serves(at: SocketAddr) {
-    let text = request("GET", "/safe/", "probe", "", "");
+pub async fn serves(at: SocketAddr, more: &str) {
+    let text = request("GET", "/safe/", "probe", more, "");
     loop {
         let asked = async {
             let mut tcp = TcpStream::connect(at).await?;
--- a/crates/bench/src/recover.rs
+++ b/crates/bench/src/recover.rs
@@ -117,7 +117,7 @@
     for host in hosts {
         let at = SocketAddr::new(IpAddr::V4(host.ip), 7000);
         asked.spawn(async move {
-            let served = tokio::time::timeout(BOUND, serves(at)).await;
+            let served = tokio::time::timeout(BOUND, serves(at, "")).await;
             served.ok().map(|()| since.elapsed().as_millis() as u64)
         });
     }
--- a/crates/soak/src/client.rs
+++ b/crates/soak/src/client.rs
@@ -2,6 +2,7 @@
 
 use crate::cut::Way;
 use crate::judge::{Asked, End, Kind};
+use crate::keys::Key;
 use standin::fixture::{PROMPT, request};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
@@ -45,6 +46,17 @@
     }
 }
 
+/// How far a soak has come.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Phase {
+    /// Faults may happen.
+    Faults,
+    /// The last fault is over, and usage must be right from now on.
+    Last,
+    /// Clients end.
+    Over,
+}
+
 /// What all clients got.
 pub type History = Arc<Mutex<Vec<Asked>>>;
 
@@ -54,7 +66,7 @@
     pace: Pace,
     gateways: Vec<SocketAddr>,
     history: History,
-    mut stop: watch::Receiver<bool>,
+    mut stop: watch::Receiver<Phase>,
     seed: u64,
 ) {
     let mut rng = fastrand::Rng::with_seed(seed);
@@ -63,10 +75,12 @@
         let pause = Duration::from_millis(rng.u64(..MAX_PAUSE_MS));
         tokio::select! {
             () = tokio::time::sleep(pause) => {}
-            _ = stop.wait_for(|s| *s) => return,
+            _ = stop.wait_for(|phase| *phase == Phase::Over) => return,
         }
         let id = format!("c{name}-{n}");
-        let (kind, text) = draw(pace, &id, &mut rng);
+        let is_last = *stop.borrow() == Phase::Last;
+        let key = Key::draw(name, is_last, &mut rng);
+        let (kind, text) = draw(pace, &id, key, &mut rng);
         let mut way = Way {
             gateway: rng.usize(..gateways.len()),
             sent: None,
@@ -77,13 +91,19 @@
         let end = tokio::time::timeout(TIMEOUT, asked).await.unwrap_or(None);
         way.ended = Instant::now();
         let end = end.unwrap_or(End::Broken);
-        let asked = Asked { id, kind, end, way };
+        let asked = Asked {
+            id,
+            kind,
+            end,
+            way,
+            key,
+        };
         history.lock().expect("no panic while locked").push(asked);
     }
 }
 
 /// A request's kind and text.
-fn draw(pace: Pace, id: &str, rng: &mut fastrand::Rng) -> (Kind, String) {
+fn draw(pace: Pace, id: &str, key: Key, rng: &mut fastrand::Rng) -> (Kind, String) {
     let (kind, method, path) = match (pace, rng.u32(..10)) {
         (Pace::Quick, 0..4) | (Pace::Slow(_), 0..2) => (Kind::Idempotent, "GET", "/safe/"),
         (Pace::Quick, 4..8) | (Pace::Slow(_), 2..4) => (Kind::NonIdempotent, "POST", "/twice/"),
@@ -96,13 +116,14 @@
         // Most take far less than the longest.
         Pace::Slow(slow) => slow.draw_ms(rng),
     };
-    let more = match path {
+    let prompt = match path {
         "/prompt/" => PROMPT,
         _ => "",
     };
+    let more = format!("{prompt}{}", key.header());
     (
         kind,
-        request(method, &format!("{path}{takes}"), id, more, "x"),
+        request(method, &format!("{path}{takes}"), id, &more, "x"),
     )
 }
 
--- a/crates/soak/src/deadly.rs
+++ b/crates/soak/src/deadly.rs
@@ -1,6 +1,7 @@
 //! Requests that crash the worker that runs them, and come again to any gateway.
 
 use crate::cut::Trouble;
+use crate::keys::Key;
 use crate::scene::{DEADLY, Scene};
 use resilience::Fingerprint;
 use resilience::crashes::LIMIT;
@@ -10,6 +11,8 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 
+/// The key that they bear.
+const KEY: Key = Key::Own(0);
 /// Times that one comes.
 const TIMES: usize = 10;
 /// Longest pause between two times, in milliseconds.
@@ -84,7 +87,8 @@
 /// Whether the store keeps so many ends that it isn't to be sent.
 fn is_kept(scene: &Scene, deadly: &Deadly) -> bool {
     let Deadly { path, body } = deadly;
-    let parts = ["POST", HOST, path, "", body];
+    let tenant = KEY.tenant();
+    let parts = ["POST", HOST, path, &tenant, body];
     let work = Fingerprint::of(parts.map(str::as_bytes));
     let rows = scene.store.keys("crashes");
     let ends = rows
@@ -101,7 +105,8 @@
 async fn send(to: SocketAddr, deadly: &Deadly, n: usize) {
     let Deadly { path, body } = deadly;
     let id = format!("{}-{n}", body.replace(' ', "-"));
-    let text = request("POST", path, &id, "connection: close\r\n", body);
+    let more = format!("connection: close\r\n{}", KEY.header());
+    let text = request("POST", path, &id, &more, body);
     let asked = async {
         let mut tcp = TcpStream::connect(to).await?;
         tcp.write_all(text.as_bytes()).await?;
--- a/crates/soak/src/fault.rs
+++ b/crates/soak/src/fault.rs
@@ -2,13 +2,14 @@
 
 use crate::deadly;
 use crate::judge::{Left, PIECES};
+use crate::keys::TENANTS;
 use crate::scene::Scene;
 use crate::schedule::{Schedule, Step};
 use bench::procs::Signal;
 use bench::relay::Link;
 use serde::{Deserialize, Serialize};
 use standin::fixture::DRAIN_BOUND;
-use standin::{Act, Mode};
+use standin::{Act, CloudMode, Mode};
 use std::io;
 use std::time::{Duration, Instant};
 
@@ -55,6 +56,10 @@
     Deadly,
     /// Another writer spoils a worker's row.
     BadRow,
+    /// A tenant's second key is taken away, or given back.
+    Key,
+    /// The platform's calls are refused or not answered, or are again.
+    Cloud,
 }
 
 impl Fault {
@@ -65,7 +70,7 @@
     }
 }
 
-const ALL: [Fault; 14] = [
+const ALL: [Fault; 16] = [
     Fault::Kill,
     Fault::Stop,
     Fault::Pause,
@@ -80,6 +85,8 @@
     Fault::Forget,
     Fault::Deadly,
     Fault::BadRow,
+    Fault::Key,
+    Fault::Cloud,
 ];
 
 /// Counts of what was done.
@@ -141,8 +148,8 @@
         Fault::Pause if rng.bool() => scene.signal(gateway, Signal::Pause),
         Fault::Pause => scene.signal(gateway, Signal::Resume),
         Fault::Hangup => scene.signal(gateway, Signal::Hangup),
-        Fault::Store => scene.store.set_mode(mode(rng)),
-        Fault::StoreLink => scene.gateways[gateway].store.set(link(rng)),
+        Fault::Store => scene.set_store(mode(rng)),
+        Fault::StoreLink => scene.set_store_link(gateway, link(rng)),
         Fault::WorkerLink => scene.set_worker_link(worker, link(rng)),
         Fault::Answers => {
             let acts: Vec<Act> = (0..rng.usize(1..6)).map(|_| answer(rng)).collect();
@@ -155,6 +162,8 @@
         Fault::Leave => leave(scene, worker, done).await?,
         Fault::Deadly => deadly::begin(scene, rng),
         Fault::BadRow => scene.spoil_row(worker, rng),
+        Fault::Key => scene.toggle_key(rng.usize(..TENANTS)),
+        Fault::Cloud => scene.cloud.set_mode(cloud_mode(rng)),
     }
     Ok(())
 }
@@ -168,6 +177,16 @@
     }
 }
 
+fn cloud_mode(rng: &mut fastrand::Rng) -> CloudMode {
+    match rng.u32(..6) {
+        0 => CloudMode::Refuse(429),
+        1 => CloudMode::Refuse(503),
+        2 => CloudMode::Silent,
+        3 => CloudMode::TakeSilently,
+        _ => CloudMode::Serve,
+    }
+}
+
 fn link(rng: &mut fastrand::Rng) -> Link {
     match rng.u32(..6) {
         0 => Link::Held,
@@ -203,10 +222,11 @@
 
 /// Ends all faults.
 pub async fn calm(scene: &mut Scene) -> io::Result<()> {
-    scene.store.set_mode(Mode::Serve);
+    scene.set_store(Mode::Serve);
+    scene.cloud.set_mode(CloudMode::Serve);
     for n in 0..scene.gateways.len() {
         scene.signal(n, Signal::Resume);
-        scene.gateways[n].store.set(Link::Open);
+        scene.set_store_link(n, Link::Open);
     }
     for n in 0..scene.upstreams.len() {
         scene.set_worker_link(n, Link::Open);
--- a/crates/soak/src/judge.rs
+++ b/crates/soak/src/judge.rs
@@ -1,6 +1,7 @@
 //! The promises, checked over what clients got and workers saw.
 
 use crate::cut::{Record, Way, is_cut};
+use crate::keys::{Key, Keys, judge_keys};
 use serde::Serialize;
 use std::time::Instant;
 
@@ -48,6 +49,8 @@
     pub end: End,
     /// Where it went, and when.
     pub way: Way,
+    /// The key that it bore.
+    pub key: Key,
 }
 
 /// A request as a worker saw it.
@@ -59,6 +62,10 @@
     pub resumed_after: Option<u64>,
     /// Whether the worker was told to do something else with it than to serve it.
     pub by_script: bool,
+    /// The tenant that the worker was told.
+    pub tenant: Option<String>,
+    /// Whether the worker was shown the key.
+    pub shows_key: bool,
 }
 
 /// A time in which a worker should have got no new request.
@@ -94,6 +101,20 @@
     pub held_wrongly: usize,
     /// Nothing was served after the last fault.
     pub not_recovered: usize,
+    /// Runs under another tenant than the key's, or that were shown the key.
+    pub told_wrongly: usize,
+    /// Requests that ran though their key had been out of force for longer than the bound.
+    pub ran_without_key: usize,
+    /// Requests with a good key that were refused as if it weren't.
+    pub denied: usize,
+    /// Windows of usage with two reports that differ.
+    pub reported_twice: usize,
+    /// Reports under a token that was past, or by holders in turn.
+    pub badly_fenced: usize,
+    /// The usage after the last fault is off.
+    pub usage_off: usize,
+    /// Keys that stand in a log.
+    pub keys_logged: usize,
 }
 
 impl Verdict {
@@ -107,21 +128,27 @@
 pub const PIECES: u64 = 4;
 
 /// Compares what clients got with what workers saw.
-pub fn judge(asked: &[Asked], ran: &[Ran], left: &[Left], record: &Record) -> Verdict {
+pub fn judge(asked: &[Asked], ran: &[Ran], left: &[Left], record: &Record, keys: &Keys) -> Verdict {
     let runs = sorted(ran);
+    let of_keys = judge_keys(asked, &runs, keys, record);
     let mut ids: Vec<&str> = asked.iter().map(|a| a.id.as_str()).collect();
     ids.sort_unstable();
     let is_unasked = |r: &&Ran| ids.binary_search(&r.id.as_str()).is_err();
     let mut out = Verdict {
         unasked: ran.iter().filter(is_unasked).count(),
         late_at_leaving: left.iter().map(|l| l.late).sum(),
+        told_wrongly: of_keys.told_wrongly,
+        ran_without_key: of_keys.ran_without_key,
+        denied: of_keys.denied,
         ..Verdict::default()
     };
     for asked in asked {
         let own = own(&runs, &asked.id);
         check(asked, own.len(), &mut out);
         let is_stopped = || record.stop_of(asked, own).is_some();
-        out.cut_by_stop += usize::from(is_cut(asked, own) && is_stopped());
+        // What runs nowhere any more as its key was taken away isn't cut by the stop.
+        let is_cut = is_cut(asked, own) && !keys.changed_under(asked);
+        out.cut_by_stop += usize::from(is_cut && is_stopped());
     }
     out
 }
--- /dev/null
+++ b/crates/soak/src/keys.rs
@@ -0,0 +1,261 @@
+//! Tenants' keys in a soak, and the promises about them and about usage.
+
+use crate::cut::{Record, Trouble};
+use crate::judge::{Asked, Ran};
+use serde_json::{Value, json};
+use standin::CloudCall;
+use std::time::{Duration, Instant};
+
+/// Tenants whose second key is taken away and given back.
+pub const TENANTS: usize = 4;
+/// The tenant of the requests after the last fault, whose usage must be right.
+pub const LAST_TENANT: &str = "last";
+/// Length of a window of usage.
+pub const WINDOW: Duration = Duration::from_secs(1);
+/// Shortest time between two holders' reports.
+pub const HOLDER_GAP: Duration = Duration::from_millis(500);
+/// Time after which a key that was taken away must run nothing: the bound of the settings,
+/// and room for a busy machine.
+const BOUND: Duration = Duration::from_millis(2500);
+/// Time without disturbance before a request for which the bound holds: the bound, and the
+/// time in which a process may still be out of touch.
+const IN_TOUCH: Duration = Duration::from_secs(7);
+/// Part by which usage may be off.
+const TOLERANCE: f64 = 0.05;
+
+/// The key that a request bears.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Key {
+    /// A tenant's own, always in force.
+    Own(usize),
+    /// A tenant's second one, which comes and goes.
+    Second(usize),
+    /// That of the requests after the last fault.
+    Last,
+}
+
+impl Key {
+    /// Draws one of a client's tenant.
+    pub fn draw(client: u32, is_last: bool, rng: &mut fastrand::Rng) -> Self {
+        let tenant = client as usize % TENANTS;
+        match (is_last, rng.u32(..4)) {
+            (true, _) => Self::Last,
+            (false, 0) => Self::Second(tenant),
+            (false, _) => Self::Own(tenant),
+        }
+    }
+
+    /// The header line of a request.
+    pub fn header(self) -> String {
+        format!("key: {}\r\n", self.text())
+    }
+
+    /// The key itself.
+    pub fn text(self) -> String {
+        match self {
+            Self::Own(tenant) => format!("own-key-{tenant}"),
+            Self::Second(tenant) => format!("second-key-{tenant}"),
+            Self::Last => "last-key".into(),
+        }
+    }
+
+    /// Name of the tenant that holds it.
+    pub fn tenant(self) -> String {
+        match self {
+            Self::Own(tenant) | Self::Second(tenant) => tenant_name(tenant),
+            Self::Last => LAST_TENANT.into(),
+        }
+    }
+}
+
+fn tenant_name(tenant: usize) -> String {
+    format!("tenant-{tenant}")
+}
+
+/// A time in which a second key was out of force.
+#[derive(Debug, Clone)]
+pub struct Removed {
+    /// Its tenant.
+    pub tenant: usize,
+    /// Since when.
+    pub from: Instant,
+    /// When it was given back; none if it wasn't.
+    pub until: Option<Instant>,
+}
+
+/// The keys in force, and when they weren't.
+#[derive(Debug, Default)]
+pub struct Keys {
+    /// Times in which second keys were out of force.
+    pub removed: Vec<Removed>,
+    /// Times in which the store didn't serve a gateway, or none of them.
+    pub store_troubles: Vec<Trouble>,
+}
+
+impl Keys {
+    /// Takes a tenant's second key away, or gives it back.
+    pub fn toggle(&mut self, tenant: usize, now: Instant) {
+        let mut removed = self.removed.iter_mut();
+        match removed.find(|r| r.tenant == tenant && r.until.is_none()) {
+            Some(removed) => removed.until = Some(now),
+            None => self.removed.push(Removed {
+                tenant,
+                from: now,
+                until: None,
+            }),
+        }
+    }
+
+    /// The tenants as a configuration has them.
+    pub fn configured(&self) -> Value {
+        let is_removed = |tenant| {
+            let mut removed = self.removed.iter();
+            removed.any(|r| r.tenant == tenant && r.until.is_none())
+        };
+        let tenant = |tenant| {
+            let mut keys = vec![Key::Own(tenant).text()];
+            if !is_removed(tenant) {
+                keys.push(Key::Second(tenant).text());
+            }
+            json!({"Name": tenant_name(tenant), "ApiKeys": keys})
+        };
+        let mut all: Vec<Value> = (0..TENANTS).map(tenant).collect();
+        all.push(json!({"Name": LAST_TENANT, "ApiKeys": [Key::Last.text()]}));
+        json!(all)
+    }
+
+    /// Notes that the store serves a gateway, or all of them, or that it doesn't.
+    pub fn note_store(&mut self, gateway: Option<usize>, serves: bool, now: Instant) {
+        let troubles = self.store_troubles.iter_mut();
+        let mut open = troubles.filter(|t| t.gateway == gateway && t.until.is_none());
+        match (open.next(), serves) {
+            (Some(trouble), true) => trouble.until = Some(now),
+            (None, false) => self.store_troubles.push(Trouble {
+                gateway,
+                from: now,
+                until: None,
+            }),
+            (Some(_), false) | (None, true) => {}
+        }
+    }
+
+    /// Whether a request was sent with a key that had been out of force for longer than the
+    /// bound, to a gateway in touch: by the store, or by peers that are.
+    fn is_too_late(&self, asked: &Asked, record: &Record) -> bool {
+        let (Key::Second(tenant), Some(sent)) = (asked.key, asked.way.sent) else {
+            return false;
+        };
+        let is_out = |r: &Removed| {
+            r.tenant == tenant && r.from + BOUND <= sent && r.until.is_none_or(|u| sent < u)
+        };
+        self.removed.iter().any(is_out) && self.is_in_touch(asked.way.gateway, sent, record)
+    }
+
+    fn is_in_touch(&self, gateway: usize, at: Instant, record: &Record) -> bool {
+        let since = at.checked_sub(IN_TOUCH).unwrap_or(at);
+        let is_near = |t: &&Trouble| t.from <= at && t.until.is_none_or(|u| u >= since);
+        let store: Vec<&Trouble> = self.store_troubles.iter().filter(is_near).collect();
+        let processes = record.troubles.iter().filter(|t| t.gateway.is_some());
+        let processes: Vec<&Trouble> = processes.filter(is_near).collect();
+        let is_own = |t: &&&Trouble| t.gateway == Some(gateway);
+        if store.iter().any(|t| t.gateway.is_none()) || processes.iter().any(|t| is_own(&t)) {
+            return false;
+        }
+        // Cut off from the store alone, it hears from its peers, if these are well.
+        let others_are_well = processes.is_empty() && store.iter().all(|t| is_own(&t));
+        others_are_well || !store.iter().any(|t| is_own(&t))
+    }
+
+    /// Whether a request's key was taken away while it was under way, or just before.
+    pub fn changed_under(&self, asked: &Asked) -> bool {
+        let (Key::Second(tenant), Some(sent)) = (asked.key, asked.way.sent) else {
+            return false;
+        };
+        let since = sent.checked_sub(IN_TOUCH).unwrap_or(sent);
+        let near = |r: &&Removed| r.tenant == tenant && r.from <= asked.way.ended;
+        let mut removed = self.removed.iter().filter(near);
+        removed.any(|r| r.until.is_none_or(|u| u >= since))
+    }
+}
+
+/// Counts of broken promises about keys.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct KeyFaults {
+    /// Runs under another tenant than the key's, or that were shown the key.
+    pub told_wrongly: usize,
+    /// Requests that ran though their key had been out of force for longer than the bound.
+    pub ran_without_key: usize,
+    /// Requests with a key that was always in force and that were refused as if it weren't.
+    pub denied: usize,
+}
+
+/// Judges requests with their runs, these in the order of their requests' ids.
+pub fn judge_keys(asked: &[Asked], runs: &[&Ran], keys: &Keys, record: &Record) -> KeyFaults {
+    let mut out = KeyFaults::default();
+    for asked in asked {
+        let own = crate::judge::own(runs, &asked.id);
+        let tenant = asked.key.tenant();
+        let is_wrong = |r: &&&Ran| r.shows_key || r.tenant.as_deref() != Some(&tenant);
+        out.told_wrongly += own.iter().filter(is_wrong).count();
+        if !own.is_empty() && keys.is_too_late(asked, record) {
+            println!("ran without its key: {asked:?}");
+            out.ran_without_key += 1;
+        }
+        let is_denied = matches!(asked.end, crate::judge::End::Whole(401, _));
+        out.denied += usize::from(is_denied && !matches!(asked.key, Key::Second(_)));
+    }
+    out
+}
+
+/// Counts of broken promises about reports of usage.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct UsageFaults {
+    /// Windows with two reports that differ.
+    pub reported_twice: usize,
+    /// Reports under a token that is lower than one before, or that two holders used.
+    pub badly_fenced: usize,
+    /// Whether the usage after the last fault is off.
+    pub usage_off: usize,
+}
+
+/// Judges the reports that reached the platform; `last` is how many requests of the last
+/// tenant ran.
+pub fn judge_usage(calls: &[CloudCall], last: usize) -> UsageFaults {
+    let mut out = UsageFaults::default();
+    let mut bodies: Vec<(u64, &str)> = calls
+        .iter()
+        .map(|c| (c.body["WindowId"].as_u64().unwrap_or(0), c.text.as_str()))
+        .collect();
+    bodies.sort_unstable();
+    bodies.dedup();
+    let differ = bodies.windows(2).filter(|pair| pair[0].0 == pair[1].0);
+    out.reported_twice = differ.count();
+    let is_bad = |pair: &&[CloudCall]| {
+        let is_other = pair[0].holder != pair[1].holder;
+        let is_early = pair[1].at.duration_since(pair[0].at) < HOLDER_GAP;
+        let falls = pair[1].token < pair[0].token;
+        falls || (is_other && (is_early || pair[1].token == pair[0].token))
+    };
+    out.badly_fenced = calls.windows(2).filter(is_bad).count();
+    let reported = reported_last(calls) as f64;
+    let off = (reported - last as f64).abs();
+    if off > last as f64 * TOLERANCE {
+        println!("{reported} of {last} requests of the last tenant were reported");
+        out.usage_off = 1;
+    }
+    out
+}
+
+/// Requests of the last tenant that were reported, each window once.
+pub fn reported_last(calls: &[CloudCall]) -> u64 {
+    let mut windows: Vec<(u64, u64)> = calls
+        .iter()
+        .map(|c| {
+            let count = c.body["Counts"][LAST_TENANT].as_u64().unwrap_or(0);
+            (c.body["WindowId"].as_u64().unwrap_or(0), count)
+        })
+        .collect();
+    windows.sort_unstable();
+    windows.dedup_by_key(|(window, _)| *window);
+    windows.iter().map(|(_, count)| count).sum()
+}
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod deadly;
 pub mod fault;
 pub mod judge;
+pub mod keys;
 pub mod scene;
 pub mod schedule;
 pub mod stops;
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -4,20 +4,25 @@
 use argh::FromArgs;
 use bench::procs::build_binary;
 use serde::Serialize;
-use soak::client::{self, History, Pace, Slow};
+use soak::client::{self, History, Pace, Phase, Slow};
 use soak::cut::{Record, is_cut};
 use soak::judge::{Asked, End, Ran, Verdict, is_foreign, judge, own, sorted};
+use soak::keys::{Key, LAST_TENANT, TENANTS, judge_usage, reported_last};
 use soak::scene::{DEADLY, Scene, Upstream};
 use soak::schedule::{self, Schedule};
 use soak::{deadly, fault, stops};
 use standin::Seen;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::time::{Duration, Instant};
 use tokio::sync::watch;
 
 /// Longest time after the last fault until all gateways serve.
 const RECOVERY: Duration = Duration::from_secs(12);
+/// Time with requests after the last fault, whose usage must be right.
+const LAST_PHASE: Duration = Duration::from_secs(3);
+/// Longest wait for its reports: their due time.
+const REPORTS: Duration = Duration::from_secs(13);
 /// Longest wait for requests that are under way at the end.
 const LAST_REQUESTS: Duration = Duration::from_secs(7);
 
@@ -90,7 +95,7 @@
     let mut scene = Scene::start(args.net, &binary, &dir).await?;
     scene.all_serve(RECOVERY).await;
     let history = History::default();
-    let stop = watch::Sender::new(false);
+    let stop = watch::Sender::new(Phase::Faults);
     let addresses: Vec<_> = scene.gateways.iter().map(|g| g.callers).collect();
     let slow = Slow {
         longest_ms: args.longest_ms,
@@ -121,7 +126,9 @@
     schedule::write(&dir.join("schedule.jsonl"), &done.steps)?;
     fault::calm(&mut scene).await?;
     let recovered = fault::recover(&mut scene, RECOVERY).await?;
-    stop.send_replace(true);
+    stop.send_replace(Phase::Last);
+    tokio::time::sleep(LAST_PHASE).await;
+    stop.send_replace(Phase::Over);
     for client in clients {
         // A client that hangs is ended with the runtime; its last request is open.
         let _ = tokio::time::timeout(LAST_REQUESTS, client).await;
@@ -133,7 +140,14 @@
     }
     let all = scene.upstreams.iter().chain(&scene.engines);
     let ran = runs(all.chain(&scene.gone));
-    let mut verdict = judge(&asked, &ran, &done.left, &scene.record);
+    let mut verdict = judge(&asked, &ran, &done.left, &scene.record, &scene.keys);
+    let last = last_requests(&ran);
+    wait_reported(&scene, last).await;
+    let of_usage = judge_usage(&scene.cloud.calls(), last);
+    verdict.reported_twice = of_usage.reported_twice;
+    verdict.badly_fenced = of_usage.badly_fenced;
+    verdict.usage_off = of_usage.usage_off;
+    verdict.keys_logged = keys_logged(&dir)?;
     verdict.sent_again = sent_again;
     verdict.not_recovered = usize::from(!recovered);
     let is_served = |a: &&Asked| matches!(a.end, End::Whole(200, _));
@@ -152,6 +166,40 @@
     })
 }
 
+/// Requests of the last tenant that ran, each once.
+fn last_requests(ran: &[Ran]) -> usize {
+    let last = ran
+        .iter()
+        .filter(|r| r.tenant.as_deref() == Some(LAST_TENANT));
+    let mut ids: Vec<&str> = last.map(|r| r.id.as_str()).collect();
+    ids.sort_unstable();
+    ids.dedup();
+    ids.len()
+}
+
+/// Waits until so many requests of the last tenant are reported, at most for a time.
+async fn wait_reported(scene: &Scene, last: usize) {
+    let until = Instant::now() + REPORTS;
+    while Instant::now() < until && reported_last(&scene.cloud.calls()) < last as u64 {
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    }
+}
+
+/// Logs of processes in a folder in which some key stands.
+fn keys_logged(dir: &Path) -> std::io::Result<usize> {
+    let keys = (0..TENANTS).flat_map(|n| [Key::Own(n), Key::Second(n)]);
+    let texts: Vec<String> = keys.chain([Key::Last]).map(Key::text).collect();
+    let mut found = 0;
+    for entry in std::fs::read_dir(dir)? {
+        let path = entry?.path();
+        if path.extension().is_some_and(|e| e == "log") {
+            let log = std::fs::read_to_string(&path)?;
+            found += usize::from(texts.iter().any(|key| log.contains(key)));
+        }
+    }
+    Ok(found)
+}
+
 /// Counts requests that came to a process under a planned stop alone; prints what was
 /// cut, with the times since the signal at which it was sent and ended.
 fn in_stops(asked: &[Asked], ran: &[Ran], record: &Record) -> usize {
@@ -182,6 +230,8 @@
         id: s.id().to_owned(),
         resumed_after: s.resumed_after(),
         by_script: s.by_script,
+        tenant: s.header("tenant").map(str::to_owned),
+        shows_key: s.header("key").is_some(),
     });
     let is_own = |r: &Ran| r.id == "probe" || r.id.starts_with(DEADLY);
     ran.filter(|r| !is_own(r)).collect()
--- a/crates/soak/src/scene.rs
+++ b/crates/soak/src/scene.rs
@@ -3,6 +3,7 @@
 use crate::cut::{GRACE, Record, Stopped, Trouble};
 use crate::deadly::Deadly;
 use crate::judge::PIECES;
+use crate::keys::{HOLDER_GAP, Key, Keys, WINDOW};
 use bench::probe::serves;
 use bench::procs::{Proc, Signal};
 use bench::relay::{Link, Relay};
@@ -10,7 +11,7 @@
 use standin::fixture::{
     CONFIG, WORKERS, config, route, routes, settings, unreadable_rows, worker, worker_since,
 };
-use standin::{Act, Crash, Store, Worker};
+use standin::{Act, Cloud, Crash, Mode, Store, Worker};
 use std::io;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::path::{Path, PathBuf};
@@ -66,6 +67,10 @@
 pub struct Scene {
     /// The store.
     pub store: Arc<Store>,
+    /// The platform's calls that one host makes for all.
+    pub cloud: Cloud,
+    /// Tenants' keys.
+    pub keys: Keys,
     /// Requests that were sent to crash workers.
     pub deadly: Vec<Deadly>,
     /// The gateways.
@@ -90,6 +95,8 @@
         let store = Arc::new(Store::start(address(net, 1, 7000))?);
         let mut scene = Self {
             store,
+            cloud: Cloud::start(address(net, 2, 7000))?,
+            keys: Keys::default(),
             deadly: Vec::new(),
             gateways: Vec::new(),
             upstreams: Vec::new(),
@@ -120,7 +127,7 @@
         let store = Relay::start(front, self.store.addr)?;
         let name = format!("edge-{n}");
         let path = dir.join(format!("{name}.toml"));
-        std::fs::write(&path, settings(&name, ip, front))?;
+        std::fs::write(&path, self.settings(&name, ip, front))?;
         self.gateways.push(Gateway {
             proc: Proc::start_gateway(&self.binary, &name, &path)?,
             callers: SocketAddr::new(IpAddr::V4(ip), 7000),
@@ -131,6 +138,39 @@
         Ok(())
     }
 
+    /// Settings of a gateway that reports usage.
+    fn settings(&self, name: &str, ip: Ipv4Addr, store: SocketAddr) -> String {
+        let bounds = format!(
+            "[Bounds]\nReportWindowS = {}\nUsageLateS = 10\nLeaseMs = {}\n",
+            WINDOW.as_secs_f64(),
+            HOLDER_GAP.as_millis()
+        );
+        let cloud = self.cloud.addr;
+        let duties = format!("[Cloud]\nAddress = \"{cloud}\"\nDuties = [\"usage_report\"]\n");
+        settings(name, ip, store).replace("[Bounds]\n", &bounds) + &duties
+    }
+
+    /// Changes how the store treats calls.
+    pub fn set_store(&mut self, mode: Mode) {
+        self.store.set_mode(mode);
+        self.keys
+            .note_store(None, mode == Mode::Serve, Instant::now());
+    }
+
+    /// Changes the link between a gateway and the store.
+    pub fn set_store_link(&mut self, n: usize, link: Link) {
+        self.gateways[n].store.set(link);
+        self.keys
+            .note_store(Some(n), link == Link::Open, Instant::now());
+    }
+
+    /// Takes a tenant's second key away, or gives it back.
+    pub fn toggle_key(&mut self, tenant: usize) {
+        // Out of force from the store's answer on, in force again before it.
+        self.keys.toggle(tenant, Instant::now());
+        self.change_config();
+    }
+
     /// Starts a gateway's process anew, once the old one has ended.
     pub fn restart(&mut self, n: usize) -> io::Result<()> {
         let now = Instant::now();
@@ -300,13 +340,15 @@
         if let Some(all) = all.as_array_mut() {
             all.push(route(&format!("v{}", self.version), "idempotent", 2));
         }
-        self.store
-            .put(CONFIG.0, CONFIG.1, &config(self.version, &json!(all)));
+        let mut config = config(self.version, &json!(all));
+        config["Tenants"] = self.keys.configured();
+        self.store.put(CONFIG.0, CONFIG.1, &config);
     }
 
     /// Waits until each gateway serves, at most for a time; says whether all do.
     pub async fn all_serve(&self, bound: Duration) -> bool {
-        let all = self.gateways.iter().map(|g| serves(g.callers));
+        let key = Key::Own(0).header();
+        let all = self.gateways.iter().map(|g| serves(g.callers, &key));
         let served = async {
             for one in all {
                 one.await;
--- a/crates/soak/src/stops.rs
+++ b/crates/soak/src/stops.rs
@@ -133,9 +133,9 @@
         4..6 => scene.signal(gateway, Signal::Hangup),
         6 if scene.upstreams.len() > 2 => scene.retire(worker),
         6..8 => scene.add_worker().await?,
-        8..10 => scene.store.set_mode(mode(rng)),
-        10 => scene.gateways[gateway].store.set(Link::Held),
-        11..14 => scene.gateways[gateway].store.set(Link::Open),
+        8..10 => scene.set_store(mode(rng)),
+        10 => scene.set_store_link(gateway, Link::Held),
+        11..14 => scene.set_store_link(gateway, Link::Open),
         14 => scene.store.forget_history(),
         _ if rng.u32(..4) == 0 => scene.signal(gateway, Signal::Kill),
         _ => {}
--- a/crates/soak/tests/judge.rs
+++ b/crates/soak/tests/judge.rs
@@ -2,6 +2,7 @@
 
 use soak::cut::{GRACE, Record, Stopped, Trouble, Way};
 use soak::judge::{Asked, End, Kind, Left, Ran, Verdict, judge};
+use soak::keys::{Key, Keys, judge_usage};
 use std::time::{Duration, Instant};
 
 fn asked(id: &str, kind: Kind, status: u16, body: &str) -> Asked {
@@ -10,6 +11,7 @@
         kind,
         end: End::Whole(status, body.into()),
         way: way(),
+        key: Key::Own(0),
     }
 }
 
@@ -28,6 +30,8 @@
         id: id.into(),
         resumed_after: None,
         by_script: false,
+        tenant: Some(Key::Own(0).tenant()),
+        shows_key: false,
     }
 }
 
@@ -44,6 +48,7 @@
             kind: Kind::NonIdempotent,
             end: End::Broken,
             way: way(),
+            key: Key::Own(0),
         },
     ];
     (
@@ -55,7 +60,7 @@
 #[test]
 fn a_good_history_is_clean() {
     let (asked, ran) = good();
-    assert!(judge(&asked, &ran, &[], &Record::default()).is_clean());
+    assert!(judge(&asked, &ran, &[], &Record::default(), &Keys::default()).is_clean());
 }
 
 #[test]
@@ -157,7 +162,7 @@
         asked.push(bad.clone());
         all.extend(runs);
         assert_eq!(
-            judge(&asked, &all, &[], &Record::default()),
+            judge(&asked, &all, &[], &Record::default(), &Keys::default()),
             expected,
             "{bad:?}"
         );
@@ -168,7 +173,7 @@
         since: Instant::now(),
     };
     assert_eq!(
-        judge(&asked, &ran, &[late], &Record::default()).late_at_leaving,
+        judge(&asked, &ran, &[late], &Record::default(), &Keys::default()).late_at_leaving,
         2
     );
 }
@@ -201,6 +206,7 @@
                 ended: self.at(ended),
                 has_begun: true,
             },
+            key: Key::Own(0),
         }
     }
 
@@ -223,7 +229,14 @@
             stops: vec![stop],
             troubles,
         };
-        judge(std::slice::from_ref(asked), ran, &[], &record).cut_by_stop
+        judge(
+            std::slice::from_ref(asked),
+            ran,
+            &[],
+            &record,
+            &Keys::default(),
+        )
+        .cut_by_stop
     }
 }
 
@@ -310,3 +323,106 @@
         assert_eq!(stop.judged(&cut, &done, vec![trouble]), 0, "{why}");
     }
 }
+
+/// A request with a tenant's second key, sent so many seconds after a time.
+fn second(after: f64, begins: Instant) -> Asked {
+    let mut asked = asked("s", Kind::Idempotent, 200, "s");
+    asked.key = Key::Second(1);
+    asked.way.sent = Some(begins + Duration::from_secs_f64(after));
+    asked.way.ended = begins + Duration::from_secs_f64(after + 0.1);
+    asked
+}
+
+fn ran_for(id: &str, key: Key) -> Ran {
+    Ran {
+        tenant: Some(key.tenant()),
+        ..ran(id)
+    }
+}
+
+#[test]
+fn a_key_that_was_taken_away_runs_nothing_after_the_bound() {
+    let begins = Instant::now();
+    let at = |s| begins + Duration::from_secs_f64(s);
+    let late = |sent, keys: &Keys, record: &Record| {
+        let asked = [second(sent, begins)];
+        judge(&asked, &[ran_for("s", Key::Second(1))], &[], record, keys).ran_without_key
+    };
+    let mut keys = Keys::default();
+    keys.toggle(1, at(10.0));
+    keys.toggle(1, at(30.0));
+    let calm = Record::default();
+    for (sent, expected) in [(9.0, 0), (12.0, 0), (13.0, 1), (29.0, 1), (30.5, 0)] {
+        assert_eq!(late(sent, &keys, &calm), expected, "sent at {sent}");
+    }
+    // Cut off from the store alone, its peers tell it; with another that is cut off too,
+    // or while the store serves nobody, it may not know.
+    keys.note_store(Some(0), false, at(9.0));
+    assert_eq!(late(20.0, &keys, &calm), 1);
+    keys.note_store(Some(1), false, at(15.0));
+    assert_eq!(late(20.0, &keys, &calm), 0);
+    let mut keys = Keys::default();
+    keys.toggle(1, at(10.0));
+    keys.note_store(None, false, at(11.0));
+    keys.note_store(None, true, at(14.0));
+    assert_eq!(late(20.0, &keys, &calm), 0);
+    assert_eq!(late(21.5, &keys, &calm), 1);
+}
+
+#[test]
+fn a_wrong_tenant_a_shown_key_and_a_denied_one_are_found() {
+    let keys = Keys::default();
+    let record = Record::default();
+    let plain = [asked("a", Kind::Idempotent, 200, "a")];
+    let found = |ran: Ran| judge(&plain, &[ran], &[], &record, &keys).told_wrongly;
+    assert_eq!(found(ran("a")), 0);
+    assert_eq!(found(ran_for("a", Key::Own(1))), 1);
+    assert_eq!(
+        found(Ran {
+            shows_key: true,
+            ..ran("a")
+        }),
+        1
+    );
+    let denied = [asked("a", Kind::Idempotent, 401, "{}")];
+    assert_eq!(judge(&denied, &[], &[], &record, &keys).denied, 1);
+}
+
+fn report(window: u64, last: u64, holder: &str, token: u64, after: f64) -> standin::CloudCall {
+    let body = serde_json::json!({"WindowId": window, "Counts": {"last": last}});
+    standin::CloudCall {
+        at: far() + Duration::from_secs_f64(after),
+        path: "/usage".into(),
+        holder: holder.into(),
+        token,
+        text: body.to_string(),
+        body,
+    }
+}
+
+/// One instant, the same at each call.
+fn far() -> Instant {
+    static AT: std::sync::OnceLock<Instant> = std::sync::OnceLock::new();
+    *AT.get_or_init(Instant::now)
+}
+
+#[test]
+fn reports_that_differ_alternate_or_are_off_are_found() {
+    let good = [
+        report(1, 40, "a", 1, 0.0),
+        report(1, 40, "a", 1, 0.1),
+        report(2, 58, "b", 2, 3.0),
+    ];
+    let found = judge_usage(&good, 100);
+    assert_eq!(found, soak::keys::UsageFaults::default());
+    assert_eq!(judge_usage(&good, 120).usage_off, 1);
+    assert_eq!(judge_usage(&good, 90).usage_off, 1);
+    let differs = [report(1, 40, "a", 1, 0.0), report(1, 41, "a", 1, 1.0)];
+    assert_eq!(judge_usage(&differs, 40).reported_twice, 1);
+    let falls = [report(1, 40, "a", 2, 0.0), report(2, 0, "a", 1, 1.0)];
+    assert_eq!(judge_usage(&falls, 40).badly_fenced, 1);
+    let shared = [report(1, 40, "a", 2, 0.0), report(2, 0, "b", 2, 9.0)];
+    assert_eq!(judge_usage(&shared, 40).badly_fenced, 1);
+    let early = [report(1, 40, "a", 1, 0.0), report(2, 0, "b", 2, 0.2)];
+    assert_eq!(judge_usage(&early, 40).badly_fenced, 1);
+}
