--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod gather;
 pub mod inforce;
 pub mod judge;
+pub mod keys;
 pub mod load;
 pub mod mix;
 pub mod outage;
--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -25,6 +25,7 @@
     Outage(OutageArgs),
     Gateway(GatewayArgs),
     Recover(RecoverArgs),
+    Keys(KeysArgs),
 }
 
 /// run both deployments under a mixed load, kill and drain agents, and judge what callers got
@@ -44,6 +45,15 @@
     upstreams: usize,
 }
 
+/// measure what tenants' keys cost a gateway
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "keys")]
+struct KeysArgs {
+    /// tenants, with two keys each; the default is 28,000
+    #[argh(option, default = "28_000")]
+    tenants: usize,
+}
+
 /// measure what a gateway costs a request, against calling its worker straight
 #[derive(Debug, FromArgs)]
 #[argh(subcommand, name = "gateway")]
@@ -183,6 +193,11 @@
             }
             Ok(true)
         }
+        Command::Keys(a) => {
+            let measured = bench::keys::run(a.tenants)?;
+            println!("{}", serde_json::to_string(&measured)?);
+            Ok(true)
+        }
         Command::Capacity(_) => bench::capacity::renew().map(|()| true),
         Command::Inforce(a) => {
             let measured = bench::inforce::run(a.changes).await?;
--- a/crates/gateway/src/tenants.rs
+++ b/crates/gateway/src/tenants.rs
@@ -67,13 +67,19 @@
 
     fn removed_since(&self, version: u64, before: &Self) -> Vec<RemovedKey> {
         let former = before.removed.iter().cloned();
-        let gone = before.keys.iter().map(|(key, holder)| RemovedKey {
+        let mut removed: Vec<RemovedKey> =
+            former.filter(|r| self.holder(r.key).is_none()).collect();
+        // Both are sorted, so one walk through them finds what is gone.
+        let mut own = self.keys.iter().map(|(key, _)| key).peekable();
+        let gone = before.keys.iter().filter(|(key, _)| {
+            while own.next_if(|k| *k < key).is_some() {}
+            own.peek() != Some(&key)
+        });
+        removed.extend(gone.map(|(key, holder)| RemovedKey {
             key: *key,
             tenant: before.get(*holder).name.clone(),
             version,
-        });
-        let all = former.chain(gone).filter(|r| self.holder(r.key).is_none());
-        let mut removed: Vec<RemovedKey> = all.collect();
+        }));
         let over = removed.len().saturating_sub(MAX_REMOVED);
         removed.drain(..over);
         removed
