A read of the registry grows old also when it is told in a circle

Cause: two faults that were there before. Peers tell the age of their last read; who hears it counts back from its arrival, and took what came out for a later read. Told in a circle each 10 ms, the same read lost some 8 ms of its age at each step, so that with both readers frozen nobody else read (ages stood at 0.1 to 0.4 s for 2 s). And a read counted from its answer's arrival, which a process that thaws sees seconds late.

Change: a read bears the store's clock, by which alone one is later than another; its age counts from when it was asked for, also through a peer's registry.

Ruled out: the keys and duties of today (the path doesn't touch them); a read that failed (no dependency was lost in the log).

Tests: a circle of 200 datagrams leaves the age as it was; an answer that was overtaken changes nothing. The test of a peer's later read says which read is later by the store's clock now, and asks for the same refusals.

--- a/crates/gateway/src/follow/registry.rs
+++ b/crates/gateway/src/follow/registry.rs
@@ -40,13 +40,16 @@
     let mut client = Client::new(&gateway);
     let mut dependency = Dependency::new("store/registry");
     let mut from = Feed::Start;
-    // Pages of a table that is being read in full.
+    // Pages of a table that is being read in full, and when the first was asked for.
     let mut pages = Vec::new();
+    let mut first_asked: Option<(Instant, u64)> = None;
     // Whether peers were given time to tell a long registry at the start.
     let mut has_waited = false;
     loop {
+        let asked_at = Instant::now();
         match client.store().upstreams(&from, ANSWER_TIMEOUT).await {
             Ok(change) => {
+                let (asked_at, store_ms) = *first_asked.get_or_insert((asked_at, change.now_ms));
                 if let Some(last_bad) = dependency.good() {
                     gateway.missing().open(last_bad);
                 }
@@ -58,6 +61,7 @@
                     let is_first = gateway.registry().version == 0 && !has_waited;
                     if is_first && wait_for_peers(&gateway).await {
                         pages.clear();
+                        first_asked = None;
                         from = Feed::Since(gateway.registry().version);
                     }
                     has_waited = true;
@@ -66,10 +70,13 @@
                 let changes = std::mem::take(&mut pages);
                 let now = Instant::now();
                 merge(&gateway, changes, is_whole, change.version, now);
+                gateway.note_read(change.version, asked_at, store_ms);
+                first_asked = None;
             }
             Err(StoreError::HistoryGone) => {
                 from = Feed::Start;
                 pages.clear();
+                first_asked = None;
                 continue;
             }
             Err(e) => {
--- a/crates/gateway/src/peers/catch_up.rs
+++ b/crates/gateway/src/peers/catch_up.rs
@@ -52,6 +52,10 @@
 pub struct RegistryChanges {
     /// The version that these changes lead to.
     pub version: u64,
+    /// Age of the read that they come from, in milliseconds.
+    pub read_ms_ago: u32,
+    /// The store's clock at that read, in milliseconds.
+    pub store_ms: u64,
     /// Hash of the whole registry then; see [`crate::fleet::Fleet::view`].
     pub view: u64,
     /// Whether all upstreams are told, so that others are gone.
@@ -153,29 +157,36 @@
     };
     for since in [since, 0] {
         let path = format!("{REGISTRY_PATH}{since}");
+        let asked_at = Instant::now();
         let Some(changes) = fetch::<RegistryChanges>(gateway, ip, &path).await else {
             return false;
         };
-        if take_changes(gateway, changes) {
+        if take_changes(gateway, changes, asked_at) {
             return true;
         }
     }
     false
 }
 
-/// Takes changes of the registry; says whether this process knows the same as the
-/// peer then.
-pub fn take_changes(gateway: &Arc<Gateway>, changes: RegistryChanges) -> bool {
+/// Takes changes of the registry that a peer was asked for at a time; says whether this
+/// process knows the same as the peer then.
+pub fn take_changes(gateway: &Arc<Gateway>, changes: RegistryChanges, asked_at: Instant) -> bool {
     let RegistryChanges {
         version,
         view,
         is_whole,
+        read_ms_ago,
+        store_ms,
         ..
     } = changes;
     let present = changes.present.into_iter().map(Registration::Present);
     let gone = changes.gone.into_iter();
     let gone = gone.map(|id| Registration::Removed { id });
     follow::merge_peers(gateway, present.chain(gone).collect(), is_whole, version);
+    let ago = Duration::from_millis(read_ms_ago.into());
+    if let Some(read_at) = asked_at.checked_sub(ago) {
+        gateway.note_read(version, read_at, store_ms);
+    }
     let known = gateway.registry();
     let is_same = known.version > version || known.view == view;
     if !is_same {
--- a/crates/gateway/src/peers/exchange.rs
+++ b/crates/gateway/src/peers/exchange.rs
@@ -129,6 +129,7 @@
             .map(|read_at| Registry {
                 version: beat.registry,
                 read_at,
+                store_ms: beat.registry_at_ms,
                 view: beat.view,
             });
         let mut peers = gateway.peers();
@@ -199,6 +200,7 @@
         config: gateway.config_version(),
         registry: settled.map_or(0, |r| r.version),
         registry_ms: settled.map_or(u32::MAX, |r| r.read_at.elapsed().as_millis() as u32),
+        registry_at_ms: settled.map_or(0, |r| r.store_ms),
         view: settled.map_or(0, |r| r.view),
         loads,
         changing: fleet.changing(now),
--- a/crates/gateway/src/peers/message.rs
+++ b/crates/gateway/src/peers/message.rs
@@ -72,6 +72,9 @@
     /// the same, so the version alone doesn't tell a new read from an old one: 31
     /// processes made 1,800 calls to the store in a minute without it, 700 with it.
     pub registry_ms: u32,
+    /// The store's clock at that read, in milliseconds: tells a later read from the same one
+    /// that was told by another way.
+    pub registry_at_ms: u64,
     /// Hash of what the sender made of the registry; see
     /// [`crate::fleet::Fleet::view`].
     pub view: u64,
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -71,6 +71,8 @@
     pub version: u64,
     /// When that was, by this process or by a peer that knows the same.
     pub read_at: Instant,
+    /// The same by the store's clock, in milliseconds: which of two reads is later.
+    pub store_ms: u64,
     /// Hash of what it told; see [`Fleet::view`].
     pub view: u64,
 }
@@ -87,6 +89,7 @@
             registry: Mutex::new(Registry {
                 version: 0,
                 read_at: Instant::now(),
+                store_ms: 0,
                 view: 0,
             }),
             history: Mutex::default(),
@@ -166,7 +169,7 @@
         *lock(&self.registry)
     }
 
-    /// Notes a read of the registry. Its version never goes back, since a peer's
+    /// Notes a version of the registry that was read. It never goes back, since a peer's
     /// later read may have been taken while ours was on its way.
     pub fn set_registry(&self, version: u64) {
         let view = self.fleet().view();
@@ -174,11 +177,18 @@
         if registry.version == 0 {
             self.history().start(version);
         }
-        *registry = Registry {
-            version: version.max(registry.version),
-            read_at: Instant::now(),
-            view,
-        };
+        registry.version = version.max(registry.version);
+        registry.view = view;
+    }
+
+    /// Notes when a read of the version in use was asked for: what came before it is known.
+    /// An answer may wait for a process that stands still, so its arrival says nothing.
+    pub fn note_read(&self, version: u64, asked_at: Instant, store_ms: u64) {
+        let mut registry = lock(&self.registry);
+        if version == registry.version && store_ms >= registry.store_ms {
+            registry.read_at = asked_at;
+            registry.store_ms = store_ms;
+        }
     }
 
     /// Upstreams that are missing and may come back. Never held across an await.
@@ -200,6 +210,8 @@
         let history = self.history();
         let mut changes = RegistryChanges {
             version: settled.version,
+            read_ms_ago: settled.read_at.elapsed().as_millis() as u32,
+            store_ms: settled.store_ms,
             view: fleet.view(),
             is_whole: false,
             present: Vec::new(),
@@ -238,7 +250,9 @@
             return;
         }
         let mut registry = lock(&self.registry);
-        let is_later = read.version >= registry.version && read.read_at > registry.read_at;
+        // By the store's clock: by those of processes the same read, told in a circle, would
+        // be the later the longer it was on its way.
+        let is_later = read.version >= registry.version && read.store_ms > registry.store_ms;
         if read.view == registry.view && is_later {
             *registry = read;
         }
--- a/crates/gateway/tests/decoders.rs
+++ b/crates/gateway/tests/decoders.rs
@@ -24,6 +24,7 @@
         config: 1,
         registry: 1,
         registry_ms: 20,
+        registry_at_ms: 0,
         view: 7,
         loads: vec![Load {
             upstream,
@@ -54,6 +55,8 @@
     let mut present = instance(1, Stage::Decode);
     present.start = Some(Start(1_700_000_000_000));
     RegistryChanges {
+        read_ms_ago: 20,
+        store_ms: 1000,
         version: 9,
         view: 1,
         is_whole: false,
@@ -153,7 +156,11 @@
                 return Ok(());
             };
             prop_assert!(changes.present.len() + changes.gone.len() <= bytes.len());
-            take_changes(&gateway_with(&[Stage::Decode]), changes);
+            take_changes(
+                &gateway_with(&[Stage::Decode]),
+                changes,
+                Instant::now(),
+            );
             Ok(())
         })
         .unwrap();
--- a/crates/gateway/tests/peers.rs
+++ b/crates/gateway/tests/peers.rs
@@ -37,6 +37,7 @@
         config: 0,
         registry: 0,
         registry_ms: 0,
+        registry_at_ms: 0,
         view: 0,
         changing: Vec::new(),
         placements: Vec::new(),
@@ -149,11 +150,13 @@
 fn a_peers_later_read_counts_if_it_found_the_same() {
     let gateway = gateway_with(&[Stage::Decode]);
     gateway.set_registry(7);
+    gateway.note_read(7, Instant::now(), 1000);
     let own = gateway.registry();
     let later = own.read_at + Duration::from_secs(1);
-    let read = |version, view, read_at| Registry {
+    let read = |version, view, store_ms| Registry {
         version,
-        read_at,
+        read_at: later,
+        store_ms,
         view,
     };
     let age_of = |read| {
@@ -161,12 +164,50 @@
         gateway.registry().read_at
     };
     // Another view, an older version and an older read tell nothing.
-    assert_eq!(age_of(read(8, own.view + 1, later)), own.read_at);
-    assert_eq!(age_of(read(6, own.view, later)), own.read_at);
-    let before = own.read_at.checked_sub(Duration::from_millis(1)).unwrap();
-    assert_eq!(age_of(read(7, own.view, before)), own.read_at);
+    assert_eq!(age_of(read(8, own.view + 1, 2000)), own.read_at);
+    assert_eq!(age_of(read(6, own.view, 2000)), own.read_at);
+    assert_eq!(age_of(read(7, own.view, 999)), own.read_at);
     // While nothing changes, a new read has the old version.
-    assert_eq!(age_of(read(7, own.view, later)), later);
+    assert_eq!(age_of(read(7, own.view, 2000)), later);
+}
+
+/// Two readers were frozen for 3 s. The others told each other of the last read, which took
+/// some ms each time, so that it never grew old: nobody read for 4.4 s, and an upstream that
+/// left got requests for too long.
+#[test]
+fn a_read_that_is_told_in_a_circle_grows_old() {
+    let both = [gateway_with(&[]), gateway_with(&[])];
+    let begins = Instant::now();
+    for gateway in &both {
+        gateway.set_registry(7);
+        gateway.note_read(7, begins, 1000);
+    }
+    let way = Duration::from_millis(8);
+    for n in 0..200u32 {
+        // A datagram each 10 ms; it tells the age that the read had when it was sent.
+        let (from, to) = (&both[n as usize % 2], &both[(n as usize + 1) % 2]);
+        let sent_at = begins + Duration::from_millis(10) * n;
+        let told = from.registry();
+        let age = sent_at.saturating_duration_since(told.read_at);
+        to.confirm_registry(Registry {
+            read_at: sent_at + way - age,
+            ..told
+        });
+    }
+    assert!(both.iter().all(|g| g.registry().read_at == begins));
+}
+
+/// A process that stood still has the answers and the datagrams of before in its queues.
+#[test]
+fn a_read_counts_from_when_it_was_asked_for() {
+    let gateway = gateway_with(&[]);
+    let asked_at = Instant::now();
+    gateway.set_registry(7);
+    gateway.note_read(7, asked_at, 1000);
+    assert_eq!(gateway.registry().read_at, asked_at);
+    // An answer that a later one has overtaken changes nothing.
+    gateway.note_read(7, asked_at + Duration::from_secs(3), 900);
+    assert_eq!(gateway.registry().read_at, asked_at);
 }
 
 #[test]
@@ -190,6 +231,7 @@
     gateway.confirm_registry(Registry {
         version: 12,
         read_at: now + Duration::from_secs(1),
+        store_ms: u64::MAX,
         view: gateway.registry().view,
     });
     assert_eq!(gateway.registry().version, before);
@@ -267,7 +309,7 @@
 fn take_from(peer: &Gateway, own: &Arc<Gateway>) -> bool {
     let since = own.registry().version;
     let changes = peer.changes_since(since).expect("the peer knows them");
-    take_changes(own, changes)
+    take_changes(own, changes, Instant::now())
 }
 
 #[test]
--- a/crates/gateway/tests/starts.rs
+++ b/crates/gateway/tests/starts.rs
@@ -231,6 +231,7 @@
         config: 0,
         registry: 0,
         registry_ms: 0,
+        registry_at_ms: 0,
         view: 0,
         loads: vec![Load {
             upstream,
@@ -284,7 +285,7 @@
     merge(&a, again, false, 4, Instant::now());
     let told: RegistryChanges = a.changes_since(3).unwrap();
     assert_eq!((told.is_whole, told.present.len()), (false, 1));
-    assert!(take_changes(&b, told), "both know the same");
+    assert!(take_changes(&b, told, Instant::now()), "both know the same");
     assert_eq!(known(&b.fleet()), Some((Some(2), false)));
     // Heartbeats change no more than the row's version, and aren't told.
     let beat = vec![Registration::Present(row(Some(2), 6))];
@@ -313,7 +314,11 @@
     assert_eq!(known(&a.fleet()), None);
     assert!(a.fleet().find("i-2").is_some());
     assert!(a.missing().is_empty());
-    assert!(take_changes(&b, a.changes_since(1).unwrap()));
+    assert!(take_changes(
+        &b,
+        a.changes_since(1).unwrap(),
+        Instant::now()
+    ));
     assert_eq!(known(&b.fleet()), None);
     assert!(b.fleet().find("i-2").is_some());
     // A row of a version that isn't newer takes nothing out.
--- a/crates/gateway/tests/state.rs
+++ b/crates/gateway/tests/state.rs
@@ -246,6 +246,7 @@
         config: 0,
         registry: 0,
         registry_ms: 0,
+        registry_at_ms: 0,
         view: 0,
         loads: Vec::new(),
         changing: Vec::new(),
--- a/crates/gateway/tests/tree.rs
+++ b/crates/gateway/tests/tree.rs
@@ -174,6 +174,7 @@
             config: 0,
             registry: 0,
             registry_ms: 0,
+            registry_at_ms: 0,
             view: 0,
             loads: self.own.clone(),
             changing: Vec::new(),
