What waited in a queue while a process stood still tells no age

Cause: a frozen host has datagrams of before its freeze in its queue when it thaws.

Change: the stall detector knows whether what is taken now may have waited: the timers had no turn for half a second, or have just had one. Such a datagram confirms no read, and an answer about usage is asked for again.

--- a/crates/gateway/src/duty/usage/exchange.rs
+++ b/crates/gateway/src/duty/usage/exchange.rs
@@ -171,7 +171,13 @@
 fn take(gateway: &Gateway, exchange: &Exchange, ip: IpAddr, told: &Told, now: Instant) {
     let is_known = gateway.peers().knows(ip);
     let mut questions = exchange.questions();
-    let asked_at = questions.answered(ip, told.number);
+    // One that waited while this process stood still is asked for again: nobody knows when
+    // it was made.
+    let is_timely = |at: &Instant| {
+        let took = now.saturating_duration_since(*at);
+        took < ANSWER_WITHIN && !gateway.may_have_waited(now)
+    };
+    let asked_at = questions.answered(ip, told.number).filter(is_timely);
     let is_last = told.number == 0 && is_known;
     let at = match asked_at {
         // The answer was made between the question and now.
--- a/crates/gateway/src/peers/exchange.rs
+++ b/crates/gateway/src/peers/exchange.rs
@@ -135,6 +135,8 @@
         let mut peers = gateway.peers();
         if peers.hear(from.ip(), beat, &mut gateway.fleet(), now)
             && let Some(read) = read
+            // The ages that it tells are of when it was sent.
+            && !gateway.may_have_waited(now)
         {
             gateway.confirm_registry(read);
         }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -364,6 +364,11 @@
         lock(&self.stalls).tick(Instant::now());
     }
 
+    /// Whether a datagram that is taken now may have waited while this process stood still.
+    pub fn may_have_waited(&self, now: Instant) -> bool {
+        lock(&self.stalls).may_have_waited(now)
+    }
+
     /// Counts a request as running until the guard is dropped.
     pub fn begin(self: &Arc<Self>) -> RunningGuard {
         self.running.fetch_add(1, Ordering::Relaxed);
--- a/crates/gateway/src/stop.rs
+++ b/crates/gateway/src/stop.rs
@@ -38,6 +38,9 @@
 /// Time after a stall within which a signal that came during it is seen.
 const SIGNAL_DELAY: Duration = Duration::from_millis(300);
 
+/// Time after a stall within which datagrams from before it are taken.
+const QUEUES_EMPTY: Duration = Duration::from_millis(200);
+
 /// The moments of a process's end.
 #[derive(Debug, Clone, Copy)]
 pub struct Ending {
@@ -116,6 +119,14 @@
         self.last_tick = now;
     }
 
+    /// Whether what is taken from a queue now may have waited there while the process stood
+    /// still.
+    pub fn may_have_waited(&self, now: Instant) -> bool {
+        let is_still = now.saturating_duration_since(self.last_tick) > STALL;
+        let was_still = |s: Stall| now.saturating_duration_since(s.until) <= QUEUES_EMPTY;
+        is_still || self.last_stall.is_some_and(was_still)
+    }
+
     /// When a signal that is seen now may have come at the earliest.
     pub fn earliest_signal(&mut self, now: Instant) -> Instant {
         self.tick(now);
--- a/crates/gateway/tests/decoders.rs
+++ b/crates/gateway/tests/decoders.rs
@@ -156,11 +156,7 @@
                 return Ok(());
             };
             prop_assert!(changes.present.len() + changes.gone.len() <= bytes.len());
-            take_changes(
-                &gateway_with(&[Stage::Decode]),
-                changes,
-                Instant::now(),
-            );
+            take_changes(&gateway_with(&[Stage::Decode]), changes, Instant::now());
             Ok(())
         })
         .unwrap();
--- a/crates/gateway/tests/ending.rs
+++ b/crates/gateway/tests/ending.rs
@@ -63,3 +63,19 @@
     }
     assert_eq!(stalls.earliest_signal(beat), beat);
 }
+
+/// A host that was frozen for 3 s took datagrams from before for news.
+#[test]
+fn what_waited_while_a_process_stood_still_is_known() {
+    let start = Instant::now();
+    let at = |ms| start + Duration::from_millis(ms);
+    let mut stalls = StallDetector::new(start);
+    stalls.tick(at(200));
+    assert!(!stalls.may_have_waited(at(400)));
+    // Before its timers have had a turn, and shortly after.
+    assert!(stalls.may_have_waited(at(3200)));
+    stalls.tick(at(3200));
+    assert!(stalls.may_have_waited(at(3390)));
+    stalls.tick(at(3400));
+    assert!(!stalls.may_have_waited(at(3450)));
+}
