--- a/crates/bench/src/keys.rs
+++ b/crates/bench/src/keys.rs
@@ -1,9 +1,12 @@
-//! What tenants' keys cost a gateway: decoding a version of the configuration, preparing
-//! it for lookup, and looking a key up.
+//! What tenants cost a gateway: decoding a version of the configuration, preparing it for
+//! lookup, looking a key up, and telling and reporting usage.
 
 use crate::usage;
+use gateway::duty::usage::begun::Begun;
+use gateway::duty::usage::message::Message;
 use gateway::fleet::Fleet;
 use gateway::routes::RouteTable;
+use platform::usage::{TenantCount, UsageReport};
 use platform::{ApiKey, Config};
 use serde::Serialize;
 use serde_json::json;
@@ -14,6 +17,8 @@
 const KEYS_EACH: usize = 2;
 /// Lookups that are timed.
 const LOOKUPS: usize = 1_000_000;
+/// Tenants of the answer about usage that is measured.
+const ANSWER_TENANTS: usize = 100;
 /// Versions that are put in force one after the other.
 const RELOADS: u32 = 20;
 
@@ -34,6 +39,13 @@
     pub lookup_ns: f64,
     /// Memory that one version takes.
     pub memory_mb: f64,
+    /// Bytes of an answer about usage without any request, and with one for each of so many
+    /// tenants.
+    pub answer_bytes: [usize; 2],
+    /// Tenants of that answer.
+    pub answer_tenants: usize,
+    /// Bytes of a report of usage for each tenant that it tells of.
+    pub report_bytes_each: f64,
 }
 
 /// Measures with so many tenants.
@@ -75,15 +87,43 @@
         prepare_ms: each_ms(prepare),
         lookup_ns: lookup.as_secs_f64() * 1e9 / LOOKUPS as f64,
         memory_mb,
+        answer_bytes: [answer_bytes(0), answer_bytes(ANSWER_TENANTS)],
+        answer_tenants: ANSWER_TENANTS,
+        report_bytes_each: report_bytes_each(tenants),
     })
 }
 
+/// Bytes of an answer with one request for each of so many tenants.
+fn answer_bytes(tenants: usize) -> usize {
+    let now = Instant::now();
+    let mut begun = Begun::new(u32::MAX, || 1_800_000_000_000);
+    for n in 0..tenants {
+        begun.note(now, name(n).into());
+    }
+    let told = begun.since(0, 0, u32::MAX, now + Duration::from_millis(500));
+    wire::encode_compact(&Message::Told(told)).len()
+}
+
+fn report_bytes_each(tenants: usize) -> f64 {
+    let counts: Vec<TenantCount> = (0..tenants)
+        .map(|n| TenantCount {
+            tenant: name(n),
+            requests: 1,
+        })
+        .collect();
+    UsageReport::new(0, &counts).body.len() as f64 / tenants as f64
+}
+
+fn name(n: usize) -> String {
+    format!("tenant-{n}")
+}
+
 /// A configuration in which the first key of one tenant differs from that of the first
 /// version.
 fn configuration(version: u64, tenants: usize, changed: usize) -> String {
     let tenant = |n: usize| {
         let epoch = if n == changed { version } else { 0 };
-        json!({"Name": format!("tenant-{n}"), "ApiKeys": [key(n, 0, epoch), key(n, 1, 0)], "Priority": 1})
+        json!({"Name": name(n), "ApiKeys": [key(n, 0, epoch), key(n, 1, 0)], "Priority": 1})
     };
     let all: Vec<_> = (0..tenants).map(tenant).collect();
     let config = json!({
