--- a/crates/arbutusquay/tests/explain.rs
+++ b/crates/arbutusquay/tests/explain.rs
@@ -1,7 +1,10 @@
 //! From a failed request's id to its cause, by the logs of a real process.
 
 use bench::procs::{Proc, command};
-use standin::fixture::{CONFIG, WORKERS, config, request, routes, settings, worker, worker_since};
+use standin::fixture::{
+    CONFIG, WORKERS, config, reporting, request, routes, settings, tenant, with_tenants, worker,
+    worker_since,
+};
 use standin::{Act, Crash, Store, Worker};
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::path::{Path, PathBuf};
@@ -402,20 +405,11 @@
     asked.await.is_ok_and(|buf| buf.ends_with(b"200"))
 }
 
-/// Settings of a process that reports usage of windows of a second.
-fn reporting(ip: Ipv4Addr, store: SocketAddr, cloud: SocketAddr) -> String {
-    settings("edge", ip, store).replace(
-        "ConfigApplyMs = 2000",
-        "ConfigApplyMs = 2000\nReportWindowS = 1\nUsageLateS = 10\nLeaseMs = 500",
-    ) + &format!("[Cloud]\nAddress = \"{cloud}\"\nDuties = [\"usage_report\"]\n")
-}
-
 const SECRET: &str = "k-secret-and-long";
 
-fn with_tenants(version: u64, keys: &[&str]) -> serde_json::Value {
-    let mut config = config(version, &routes());
-    config["Tenants"] = serde_json::json!([{"Name": "one", "ApiKeys": keys}]);
-    config
+fn one_tenant(version: u64, keys: &[&str]) -> serde_json::Value {
+    let keys: Vec<String> = keys.iter().map(|key| (*key).to_owned()).collect();
+    with_tenants(config(version, &routes()), vec![tenant("one", &keys)])
 }
 
 #[tokio::test]
@@ -424,11 +418,11 @@
     let _worker = bed.add("i-1", "plain", None).await;
     let more = format!("key: {SECRET}\r\n");
     bed.store
-        .put(CONFIG.0, CONFIG.1, &with_tenants(2, &[SECRET, "other"]));
+        .put(CONFIG.0, CONFIG.1, &one_tenant(2, &[SECRET, "other"]));
     let (served, text) = bed.ask("GET", "/safe/", &more).await;
     assert!(text.starts_with("HTTP/1.1 200"), "{text}");
     bed.store
-        .put(CONFIG.0, CONFIG.1, &with_tenants(3, &["other"]));
+        .put(CONFIG.0, CONFIG.1, &one_tenant(3, &["other"]));
     let until = Instant::now() + PATIENCE;
     let id = loop {
         assert!(Instant::now() < until);
@@ -456,11 +450,13 @@
     let store = Store::start(at(7003)).unwrap();
     let cloud = standin::Cloud::start(at(7005)).unwrap();
     cloud.set_mode(standin::CloudMode::Refuse(400));
-    store.put(CONFIG.0, CONFIG.1, &with_tenants(2, &["other"]));
+    store.put(CONFIG.0, CONFIG.1, &one_tenant(2, &["other"]));
     let dir = std::env::temp_dir().join(format!("explain-{}-usage", std::process::id()));
     std::fs::create_dir_all(&dir).unwrap();
     let file = dir.join("edge.toml");
-    std::fs::write(&file, reporting(ip, store.addr, cloud.addr)).unwrap();
+    let text = settings("edge", ip, store.addr);
+    let (window, gap) = (Duration::from_secs(1), Duration::from_millis(500));
+    std::fs::write(&file, reporting(&text, cloud.addr, window, gap)).unwrap();
     let binary = PathBuf::from(BINARY);
     let _proc = Proc::start_gateway(&binary, "edge", &file).unwrap();
     let log = file.with_extension("log");
--- a/crates/bench/src/keys.rs
+++ b/crates/bench/src/keys.rs
@@ -9,7 +9,7 @@
 use platform::usage::{TenantCount, UsageReport};
 use platform::{ApiKey, Config};
 use serde::Serialize;
-use serde_json::json;
+use standin::fixture;
 use std::hint::black_box;
 use std::time::{Duration, Instant};
 
@@ -123,13 +123,10 @@
 fn configuration(version: u64, tenants: usize, changed: usize) -> String {
     let tenant = |n: usize| {
         let epoch = if n == changed { version } else { 0 };
-        json!({"Name": name(n), "ApiKeys": [key(n, 0, epoch), key(n, 1, 0)], "Priority": 1})
+        fixture::tenant(&name(n), &[key(n, 0, epoch), key(n, 1, 0)])
     };
-    let all: Vec<_> = (0..tenants).map(tenant).collect();
-    let config = json!({
-        "Version": version, "Routes": [], "Services": [], "Tenants": all,
-        "Limits": {"MaxHeaderBytes": 16384, "MaxBodyBytes": 65536, "IdleTimeoutMs": 15000},
-    });
+    let config = fixture::config(version, &fixture::routes());
+    let config = fixture::with_tenants(config, (0..tenants).map(tenant).collect());
     config.to_string()
 }
 
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -21,6 +21,7 @@
 use observe::{Event, emit};
 use platform::header::{self, Step, ToWorker};
 use split::attempt_split;
+use std::cmp::Ordering;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -280,11 +281,17 @@
 }
 
 /// Rank of a request among an engine's own. Engines preempt what is less urgent
-/// whenever their slots are full, and a preempted answer is late for good.
-fn engine_priority(plan: &Plan) -> u8 {
-    match plan.is_long {
+/// whenever their slots are full, and a preempted answer is late for good. A tenant whose
+/// requests are more or less urgent than their route's goes before or behind its like.
+fn engine_priority(call: &Call, plan: &Plan) -> u8 {
+    let rank = match plan.is_long {
         true => LONG_PRIORITY,
         false => SHORT_PRIORITY,
+    };
+    match call.priority().cmp(&call.target().route.priority) {
+        Ordering::Less => rank - 1,
+        Ordering::Equal => rank,
+        Ordering::Greater => rank + 1,
     }
 }
 
@@ -299,7 +306,7 @@
     let say = ToWorker {
         instance: &plan.instance,
         deadline: left.or_else(|| Some(call.left())),
-        rank: is_engine.then(|| engine_priority(plan)),
+        rank: is_engine.then(|| engine_priority(call, plan)),
         last_event: call.last_event,
         tenancy: call.tenancy(),
         fetch_from: plan.fetch_from,
--- a/crates/gateway/src/duty/usage.rs
+++ b/crates/gateway/src/duty/usage.rs
@@ -13,7 +13,7 @@
 mod reports;
 
 use crate::state::Gateway;
-use begun::{Begun, Entry};
+use begun::Begun;
 use clock::TrueTime;
 use ledger::Ledger;
 use observe::{Event, emit};
@@ -163,13 +163,3 @@
     /// It has been counted.
     Counted,
 }
-
-impl Entry {
-    /// A request of a tenant.
-    pub fn new(at: Instant, tenant: &Arc<str>) -> Self {
-        Self {
-            at,
-            tenant: tenant.clone(),
-        }
-    }
-}
--- a/crates/gateway/src/duty/usage/begun.rs
+++ b/crates/gateway/src/duty/usage/begun.rs
@@ -73,6 +73,13 @@
         self.first += 1;
     }
 
+    /// Requests that are kept and began at a time or later; all that are kept if none is
+    /// given.
+    pub fn kept_since(&self, at: Option<Instant>) -> u64 {
+        let kept = self.entries.iter();
+        kept.filter(|e| at.is_none_or(|at| e.at >= at)).count() as u64
+    }
+
     /// Number of the next request.
     pub fn next(&self) -> u64 {
         self.first + self.entries.len() as u64
--- a/crates/gateway/src/duty/usage/exchange.rs
+++ b/crates/gateway/src/duty/usage/exchange.rs
@@ -127,14 +127,15 @@
         };
         let now = Instant::now();
         match wire::decode::<Message>(&buf[..len]) {
-            Some(Message::Ask(ask)) => {
+            // Others may not know what tenants there are, nor say which windows are through.
+            Some(Message::Ask(ask)) if gateway.peers().knows(from.ip()) => {
                 let told = answer(&gateway.usage, from.ip(), ask, now);
                 send(&exchange.socket, from, &Message::Told(told));
             }
             Some(Message::Told(told)) => take(&gateway, &exchange, from.ip(), &told, now),
             // Any sender may send anything; peers of another version are logged by the
             // exchange of loads.
-            None => {}
+            Some(Message::Ask(_)) | None => {}
         }
     }
 }
@@ -269,10 +270,10 @@
 /// Gives how many requests no collector has asked for.
 pub async fn tell_last(gateway: &Arc<Gateway>) -> u64 {
     let host = gateway.host();
+    let now = Instant::now();
     let Ok(socket) = UdpSocket::bind(SocketAddr::new(host.ip, 0)).await else {
-        return gateway.usage.begun().next();
+        return unreported(gateway, now);
     };
-    let now = Instant::now();
     let collectors: Vec<Collector> = {
         let asked = gateway.usage.asked();
         let of_late = asked
@@ -291,7 +292,22 @@
         tokio::time::sleep(LAST_PAUSE).await;
     }
     match collectors.is_empty() {
-        true => gateway.usage.begun().next(),
+        true => unreported(gateway, now),
         false => 0,
     }
 }
+
+/// Requests of this process that began in windows whose report isn't through.
+fn unreported(gateway: &Gateway, now: Instant) -> u64 {
+    let host = gateway.host();
+    let length = host.cloud.as_ref().and_then(|c| c.usage).map(|u| u.window);
+    let usage = &gateway.usage;
+    let begins = length.and_then(|length| {
+        let next = usage.done().checked_add(1)?;
+        let unix_ms = next.checked_mul(length.as_millis() as u64)?;
+        usage.clock().instant(i64::try_from(unix_ms).ok()?)
+    });
+    let mut begun = usage.begun();
+    begun.forget(now);
+    begun.kept_since(begins)
+}
--- a/crates/gateway/src/duty/usage/ledger.rs
+++ b/crates/gateway/src/duty/usage/ledger.rs
@@ -3,9 +3,10 @@
 use super::begun::{Entry, KEPT};
 use super::message::Told;
 use platform::usage::TenantCount;
+use std::collections::VecDeque;
 use std::net::IpAddr;
 use std::sync::Arc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 /// Most starts of processes that are kept, as any sender may claim to be one.
 const MAX_LOGS: usize = 2048;
@@ -20,7 +21,8 @@
     /// When it last told all that it had.
     whole_at: Option<Instant>,
     heard_at: Instant,
-    entries: Vec<Entry>,
+    /// In the order in which they were told.
+    entries: VecDeque<Entry>,
     /// Requests that it had dropped before they were asked for.
     missed: u64,
 }
@@ -84,9 +86,9 @@
                 continue;
             };
             let tenant = self.name(name);
-            let ago = std::time::Duration::from_millis(begun.ago_ms.into());
+            let ago = Duration::from_millis(begun.ago_ms.into());
             let at = at.checked_sub(ago).unwrap_or(at);
-            self.logs[slot].entries.push(Entry { at, tenant });
+            self.logs[slot].entries.push_back(Entry { at, tenant });
         }
         let log = &mut self.logs[slot];
         log.next = log.next.max(told.from + told.begun.len() as u64);
@@ -112,7 +114,7 @@
                     next: 0,
                     whole_at: None,
                     heard_at: at,
-                    entries: Vec::new(),
+                    entries: VecDeque::new(),
                     missed: 0,
                 };
                 self.logs.insert(slot, log);
@@ -147,18 +149,25 @@
                 }),
             }
         }
-        let is_whole = |log: &&Log| log.whole_at.is_some_and(|at| at >= until);
-        let hosts = self.logs.iter().filter(is_whole).count();
-        // Who was last heard before the span had no part in it.
-        let heard = self.logs.iter().filter(|log| log.heard_at >= from).count();
+        let (hosts, silent) = self.heard(from, until);
         Counted {
             counts,
             requests: names.len() as u64,
             hosts,
-            silent: heard.saturating_sub(hosts),
+            silent,
         }
     }
 
+    /// Processes that have told all of a span of time, and those that were heard in it and
+    /// haven't.
+    pub fn heard(&self, from: Instant, until: Instant) -> (usize, usize) {
+        let is_whole = |log: &&Log| log.whole_at.is_some_and(|at| at >= until);
+        let whole = self.logs.iter().filter(is_whole).count();
+        // Who was last heard before the span had no part in it.
+        let heard = self.logs.iter().filter(|log| log.heard_at >= from).count();
+        (whole, heard.saturating_sub(whole))
+    }
+
     /// When the earliest request began that is known.
     pub fn earliest(&self) -> Option<Instant> {
         let entries = self.logs.iter().flat_map(|log| &log.entries);
@@ -177,7 +186,9 @@
         let is_kept = |at: Instant| now.saturating_duration_since(at) <= KEPT;
         let mut missed = 0;
         for log in &mut self.logs {
-            log.entries.retain(|e| is_kept(e.at));
+            while log.entries.front().is_some_and(|e| !is_kept(e.at)) {
+                log.entries.pop_front();
+            }
             missed += std::mem::take(&mut log.missed);
         }
         self.logs.retain(|log| is_kept(log.heard_at));
--- a/crates/gateway/src/duty/usage/reports.rs
+++ b/crates/gateway/src/duty/usage/reports.rs
@@ -25,6 +25,8 @@
 /// that are told apart.
 const SETTLE_PER_PLACE: Duration = Duration::from_millis(2500);
 const PLACES: u32 = 3;
+/// Time between two looks for what is too old to be reported.
+const FORGET_EVERY: Duration = Duration::from_secs(1);
 /// Longest wait for an answer to a report.
 const CALL_TIMEOUT: Duration = Duration::from_millis(900);
 /// Pause after a call that wasn't done, doubled each time up to the longest.
@@ -57,6 +59,7 @@
     gateway: Arc<Gateway>,
     holder: Holder,
     since: Instant,
+    forgot_at: Instant,
     retry: Duration,
     /// Where the last window ended that this process decided, so that none is counted
     /// twice when true time is corrected.
@@ -78,6 +81,7 @@
             holder: Holder::new(host.ip.to_string(), host.order_gap),
             gateway,
             since: now,
+            forgot_at: now,
             retry: RETRY.0,
             counted_until: None,
             cloud_lost_at: None,
@@ -86,16 +90,17 @@
 
     /// Does the next thing; gives the pause after it.
     async fn step(&mut self, client: &mut Client, now: Instant) -> Duration {
-        let missed = self.gateway.usage.ledger().forget(now);
-        if missed > 0 {
-            lost(missed, "they were dropped before they were asked for");
-        }
+        self.forget(now);
         self.holder.set_done(self.gateway.usage.done());
         self.drop_useless(now);
+        let ready = self.ready(now);
+        let is_through = ready.is_none_or(|ready| ready <= self.holder.done());
+        if is_through && self.holder.pending().is_none() {
+            return Duration::ZERO;
+        }
         let Some(first) = self.first_window(now) else {
             return Duration::ZERO;
         };
-        let ready = self.ready(now);
         match self.holder.next(first, ready, now) {
             Action::Rest => Duration::ZERO,
             Action::Wait(pause) => {
@@ -112,6 +117,21 @@
         }
     }
 
+    /// Drops now and then what is too old to be reported.
+    fn forget(&mut self, now: Instant) {
+        if now.saturating_duration_since(self.forgot_at) < FORGET_EVERY {
+            return;
+        }
+        self.forgot_at = now;
+        let missed = self.gateway.usage.ledger().forget(now);
+        if missed > 0 {
+            emit(&Event::UsageLost {
+                requests: missed,
+                why: "they were dropped before they were asked for",
+            });
+        }
+    }
+
     /// The first window of which this process could know anything.
     fn first_window(&self, now: Instant) -> Option<u64> {
         let earliest = self.gateway.usage.ledger().earliest();
@@ -152,10 +172,13 @@
         let places = SETTLE_PER_PLACE * self.gateway.rank().min(PLACES);
         let settled = now.checked_sub(SETTLE + places)?;
         let ready = self.window_at(settled)?.checked_sub(1)?;
+        if ready <= self.holder.done() {
+            return Some(ready);
+        }
         let window = self.window(ready)?;
-        let counted = self.gateway.usage.ledger().count(window.from, window.until);
+        let (_, silent) = self.gateway.usage.ledger().heard(window.from, window.until);
         let waited = now.saturating_duration_since(window.until);
-        match counted.silent > 0 && waited < SETTLE_SILENT + places {
+        match silent > 0 && waited < SETTLE_SILENT + places {
             true => ready.checked_sub(1),
             false => Some(ready),
         }
@@ -315,7 +338,3 @@
         });
     }
 }
-
-fn lost(requests: u64, why: &'static str) {
-    emit(&Event::UsageLost { requests, why });
-}
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -1,17 +1,20 @@
 //! The way of a request: receive, route, choose, attempt, relay, account.
 
+mod caller;
+mod refusal;
 mod time;
 
+pub use refusal::Refusal;
 pub use time::{Answer, Outlook, StreamedGuard};
 
 use crate::account::Account;
-use crate::answer::{self, Reason};
+use crate::answer::Reason;
 use crate::attempt::{self, NotRun, Tried, attempt};
 use crate::choose::{Choice, Need, Plan, choose};
 use crate::crashes::{self, Admission, fingerprint, unanswered};
 use crate::fleet::{ServiceKey, UpstreamKey};
 use crate::relay;
-use crate::routes::{Caller, Denied, RouteTable, Target};
+use crate::routes::{Caller, RouteTable, Target};
 use crate::state::Gateway;
 use bytes::Bytes;
 use hyper::body::{Body as _, Incoming as IncomingBody};
@@ -20,19 +23,11 @@
 use hyper::{Method, Request, Response, Uri};
 use net::Body;
 use net::server::{BodyFault, read_body};
-use platform::header::Tenancy;
-use platform::{BadRequest, Incoming, header};
+use platform::{Incoming, header};
 use resilience::Fingerprint;
 use std::sync::{Arc, OnceLock};
 use std::time::{Duration, Instant};
 
-/// When a client may come back while this process knows no configuration.
-const NO_CONFIG_RETRY: Duration = Duration::from_millis(500);
-/// The same while no upstream is usable, or those that were tried rejected it.
-const NO_UPSTREAM_RETRY: Duration = Duration::from_millis(300);
-/// The same while it is tried whether upstreams end by the request: a trial takes as long
-/// as an answer does.
-const SUSPECT_RETRY: Duration = Duration::from_millis(500);
 /// How much longer than the latency target a first byte may take before another
 /// upstream is tried. Admitted prompts are estimated at 0.6 of it; on two loaded
 /// days 1 and 5 in 1,000 first bytes took longer than twice the target, at an
@@ -82,7 +77,7 @@
     let authority = head.uri.authority().map(|a| a.as_str());
     let incoming = match Incoming::read(&head.headers, authority) {
         Ok(incoming) => incoming,
-        Err(e) => return malformed(&gateway, since, e),
+        Err(e) => return refusal::malformed(&gateway, since, e),
     };
     let mut account = Account::open(&gateway, &incoming.id, since);
     match receive(gateway, incoming, head, body, &mut account).await {
@@ -90,51 +85,13 @@
             Ok(started) => relay::pass_on(call, account, started),
             Err(refusal) => {
                 crashes::end_trial(&call, &account);
-                refuse(account, refusal)
+                refusal::refuse(account, refusal)
             }
         },
-        Err(refusal) => refuse(account, refusal),
+        Err(refusal) => refusal::refuse(account, refusal),
     }
 }
 
-/// Why a request gets an answer of the system's own.
-#[derive(Debug, Clone, Copy)]
-pub struct Refusal {
-    reason: Reason,
-    retry_after: Option<Duration>,
-}
-
-impl From<Reason> for Refusal {
-    fn from(reason: Reason) -> Self {
-        let retry_after = match reason {
-            Reason::NoConfig | Reason::ConfigBehind => Some(NO_CONFIG_RETRY),
-            Reason::NoUpstream | Reason::Rejected => Some(NO_UPSTREAM_RETRY),
-            Reason::Stopping | Reason::ProcessEnds => Some(NO_UPSTREAM_RETRY),
-            Reason::CrashSuspected => Some(SUSPECT_RETRY),
-            _ => None,
-        };
-        Self {
-            reason,
-            retry_after,
-        }
-    }
-}
-
-fn malformed(gateway: &Arc<Gateway>, since: Instant, e: BadRequest) -> Response<Body> {
-    refuse(
-        Account::open(gateway, "", since),
-        Reason::Malformed(e).into(),
-    )
-}
-
-fn refuse(mut account: Account, refusal: Refusal) -> Response<Body> {
-    let outcome = account.outcome();
-    let res = answer::own(&account.id, outcome, refusal.reason, refusal.retry_after);
-    account.status = res.status().as_u16();
-    account.close(outcome, Some(refusal.reason));
-    res
-}
-
 /// Routes a request and reads its body.
 async fn receive(
     gateway: Arc<Gateway>,
@@ -149,7 +106,7 @@
         .find(&incoming.host, head.uri.path())
         .ok_or(Reason::NoRoute)?;
     account.route = Some(target.route.name.clone());
-    let caller = admit_caller(&gateway, &table, target, &incoming, account)?;
+    let caller = caller::admit(&gateway, &table, target, &incoming, account)?;
     let left = target.left(incoming.deadline, account.since.elapsed());
     let service = target.draw().ok_or(Reason::NoUpstream)?;
     let is_engine = {
@@ -193,40 +150,6 @@
     })
 }
 
-/// Whose a request is, before anything is read of its body. A key that this process doesn't
-/// know may stand in a configuration that is on its way: 401 would be final.
-fn admit_caller(
-    gateway: &Gateway,
-    table: &RouteTable,
-    target: &Target,
-    incoming: &Incoming,
-    account: &mut Account,
-) -> Result<Caller, Refusal> {
-    match table.admit(target, incoming.key) {
-        Ok(caller) => {
-            account.tenant = table.tenant(caller).map(|t| t.name.clone());
-            Ok(caller)
-        }
-        Err(Denied::UnknownKey) if gateway.is_config_behind() => Err(Reason::ConfigBehind.into()),
-        Err(denied) => {
-            note_removed_key(table, incoming, account);
-            Err(Reason::NoTenant(denied).into())
-        }
-    }
-}
-
-/// Notes whose a request's key was and which version took it away, if that is known.
-fn note_removed_key(table: &RouteTable, incoming: &Incoming, account: &mut Account) {
-    let removed = table
-        .tenants()
-        .zip(incoming.key)
-        .and_then(|(tenants, key)| tenants.removed(key));
-    if let Some(removed) = removed {
-        account.tenant = Some(removed.tenant.clone());
-        account.key_removed_by = Some(removed.version);
-    }
-}
-
 async fn read_whole(body: IncomingBody, limit: usize, left: Duration) -> Result<Bytes, Reason> {
     read_body(body, limit, left).await.map_err(|e| match e {
         BodyFault::TooLarge => Reason::TooLarge,
@@ -252,56 +175,6 @@
             .expect("the route was found when the request came")
     }
 
-    /// Whose request it is, as its upstream is told.
-    pub fn tenancy(&self) -> Tenancy<'_> {
-        match self.caller {
-            Caller::Any => Tenancy::Unused,
-            Caller::Unnamed | Caller::Tenant(_) => Tenancy::Of(self.tenant_name()),
-        }
-    }
-
-    /// Name of its tenant, if it has one.
-    pub fn tenant_name(&self) -> Option<&str> {
-        let tenant = self.table.tenant(self.caller)?;
-        Some(&tenant.name)
-    }
-
-    /// Whether the configuration in force still lets it go to an upstream: its key may have
-    /// been taken away while it waited, or since it was sent before.
-    pub fn check_key(&self, account: &mut Account) -> Result<(), Reason> {
-        let reason = match self.key_in_force() {
-            Ok(()) => return Ok(()),
-            Err(reason) => reason,
-        };
-        if let Some(newest) = self.gateway.routes() {
-            account.config = newest.version;
-            note_removed_key(&newest, &self.incoming, account);
-        }
-        Err(reason)
-    }
-
-    fn key_in_force(&self) -> Result<(), Reason> {
-        if self.gateway.config_version() == self.table.version {
-            return Ok(());
-        }
-        let Some(newest) = self.gateway.routes() else {
-            return Ok(());
-        };
-        let Some(target) = newest.find(&self.incoming.host, self.path.path()) else {
-            return Ok(());
-        };
-        let caller = newest
-            .admit(target, self.incoming.key)
-            .map_err(Reason::NoTenant)?;
-        // What upstreams are told is made by the table that the request came under.
-        let is_same = match (self.caller, caller) {
-            (_, Caller::Any) => true,
-            (Caller::Any, _) => false,
-            _ => self.tenant_name() == newest.tenant(caller).map(|t| &*t.name),
-        };
-        is_same.then_some(()).ok_or(Reason::ConfigBehind)
-    }
-
     /// What it asks for and who asks, hashed when it is first needed: only requests under
     /// which an upstream ended, and those that come while such are known, pay for it.
     pub fn fingerprint(&self) -> Fingerprint {
@@ -363,10 +236,7 @@
                 Choice::NoUpstream => return Err(last),
                 Choice::Busy(inputs, retry_after) => {
                     account.inputs = Some(inputs);
-                    return Err(Refusal {
-                        reason: Reason::Overloaded,
-                        retry_after: Some(retry_after),
-                    });
+                    return Err(Refusal::until(Reason::Overloaded, retry_after));
                 }
             };
             if !self.ends_in_time(account, plan.inputs.estimate_ms) {
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -1,5 +1,9 @@
 //! What a gateway is and knows.
 
+mod guards;
+
+pub use guards::{LoadGuard, RunningGuard};
+
 use crate::crashes::Shared;
 use crate::duty::usage::Usage;
 use crate::fleet::{Fleet, ServiceKey, UpstreamKey};
@@ -372,7 +376,12 @@
     /// Counts a request as running until the guard is dropped.
     pub fn begin(self: &Arc<Self>) -> RunningGuard {
         self.running.fetch_add(1, Ordering::Relaxed);
-        RunningGuard(self.clone())
+        RunningGuard::new(self.clone())
+    }
+
+    /// Counts a request as no longer running.
+    fn end(&self) {
+        self.running.fetch_sub(1, Ordering::Relaxed);
     }
 
     /// Requests that run.
@@ -388,59 +397,10 @@
             upstream.tokens += tokens;
             upstream.streams += u32::from(is_long);
         }
-        LoadGuard {
-            gateway: self.clone(),
-            key,
-            tokens,
-            is_waiting: true,
-            is_long,
-        }
+        LoadGuard::new(self.clone(), key, tokens, is_long)
     }
 }
 
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().expect("no panic while locked")
 }
-
-/// Counts a request as running until it is dropped.
-#[derive(Debug)]
-pub struct RunningGuard(Arc<Gateway>);
-
-impl Drop for RunningGuard {
-    fn drop(&mut self) {
-        self.0.running.fetch_sub(1, Ordering::Relaxed);
-    }
-}
-
-/// A request's load at an upstream, taken off when it is dropped.
-#[derive(Debug)]
-pub struct LoadGuard {
-    gateway: Arc<Gateway>,
-    key: UpstreamKey,
-    tokens: u32,
-    is_waiting: bool,
-    is_long: bool,
-}
-
-impl LoadGuard {
-    /// The first byte has come: the prompt has been read.
-    pub fn has_begun(&mut self) {
-        if !std::mem::take(&mut self.is_waiting) {
-            return;
-        }
-        if let Some(upstream) = self.gateway.fleet().get_mut(self.key) {
-            upstream.waiting = upstream.waiting.saturating_sub(1);
-            upstream.tokens = upstream.tokens.saturating_sub(self.tokens);
-        }
-    }
-}
-
-impl Drop for LoadGuard {
-    fn drop(&mut self) {
-        self.has_begun();
-        if let Some(upstream) = self.gateway.fleet().get_mut(self.key) {
-            upstream.running = upstream.running.saturating_sub(1);
-            upstream.streams = upstream.streams.saturating_sub(u32::from(self.is_long));
-        }
-    }
-}
--- /dev/null
+++ b/crates/gateway/src/state/guards.rs
@@ -0,0 +1,64 @@
+//! Guards that count a request until they are dropped.
+
+use super::Gateway;
+use crate::fleet::UpstreamKey;
+use std::sync::Arc;
+
+/// Counts a request as running until it is dropped.
+#[derive(Debug)]
+pub struct RunningGuard(Arc<Gateway>);
+
+impl RunningGuard {
+    pub(super) fn new(gateway: Arc<Gateway>) -> Self {
+        Self(gateway)
+    }
+}
+
+impl Drop for RunningGuard {
+    fn drop(&mut self) {
+        self.0.end();
+    }
+}
+
+/// A request's load at an upstream, taken off when it is dropped.
+#[derive(Debug)]
+pub struct LoadGuard {
+    gateway: Arc<Gateway>,
+    key: UpstreamKey,
+    tokens: u32,
+    is_waiting: bool,
+    is_long: bool,
+}
+
+impl LoadGuard {
+    pub(super) fn new(gateway: Arc<Gateway>, key: UpstreamKey, tokens: u32, is_long: bool) -> Self {
+        Self {
+            gateway,
+            key,
+            tokens,
+            is_waiting: true,
+            is_long,
+        }
+    }
+
+    /// The first byte has come: the prompt has been read.
+    pub fn has_begun(&mut self) {
+        if !std::mem::take(&mut self.is_waiting) {
+            return;
+        }
+        if let Some(upstream) = self.gateway.fleet().get_mut(self.key) {
+            upstream.waiting = upstream.waiting.saturating_sub(1);
+            upstream.tokens = upstream.tokens.saturating_sub(self.tokens);
+        }
+    }
+}
+
+impl Drop for LoadGuard {
+    fn drop(&mut self) {
+        self.has_begun();
+        if let Some(upstream) = self.gateway.fleet().get_mut(self.key) {
+            upstream.running = upstream.running.saturating_sub(1);
+            upstream.streams = upstream.streams.saturating_sub(u32::from(self.is_long));
+        }
+    }
+}
--- a/crates/gateway/tests/keys.rs
+++ b/crates/gateway/tests/keys.rs
@@ -180,3 +180,34 @@
     let res = exchange(bed.callers, &request("GET", "/safe/", "p", KEY, "")).await;
     assert_eq!(status(&res), 200, "{res}");
 }
+
+#[tokio::test]
+async fn a_tenants_priority_goes_before_its_routes() {
+    let bed = common::start_bare();
+    let engine = bed.add_worker("i-llm", "llm", Some("decode")).await;
+    engine.usually(Act::Events(1..=2));
+    // The route's own is 1.
+    let mut config = config(2, &routes());
+    let tenants = [
+        ("urgent", json!(0)),
+        ("usual", json!(null)),
+        ("late", json!(5)),
+    ];
+    let tenants = tenants.map(|(name, priority)| {
+        json!({"Name": name, "ApiKeys": [format!("k-{name}")], "Priority": priority})
+    });
+    config["Tenants"] = json!(tenants);
+    bed.store.put("op", "config", &config);
+    bed.wait_ready(200).await;
+    let mut ranks = Vec::new();
+    for name in ["urgent", "usual", "late"] {
+        let more = format!("{}key: k-{name}\r\n", common::FEW_TOKENS);
+        let req = request("POST", "/prompt/", name, &more, "x");
+        bed.wait_answer(&req, 200).await;
+        let seen = engine.seen();
+        let ours = seen.iter().find(|s| s.id() == name).unwrap();
+        let rank = ours.header("request-priority").unwrap();
+        ranks.push(rank.parse::<u8>().unwrap());
+    }
+    assert!(ranks[0] < ranks[1] && ranks[1] < ranks[2], "{ranks:?}");
+}
--- a/crates/gateway/tests/usage.rs
+++ b/crates/gateway/tests/usage.rs
@@ -101,7 +101,7 @@
         let mut windows: BTreeMap<u64, CloudCall> = BTreeMap::new();
         for call in self.cloud.calls() {
             assert_eq!(call.path, "/usage");
-            let window = call.body["WindowId"].as_u64().unwrap();
+            let window = call.window();
             if let Some(before) = windows.get(&window) {
                 assert_eq!(before.text, call.text, "two reports of window {window}");
             }
@@ -133,12 +133,7 @@
     }
 
     fn windows(&self) -> usize {
-        let mut all: Vec<u64> = self
-            .cloud
-            .calls()
-            .iter()
-            .map(|c| c.body["WindowId"].as_u64().unwrap())
-            .collect();
+        let mut all: Vec<u64> = self.cloud.calls().iter().map(CloudCall::window).collect();
         all.sort_unstable();
         all.dedup();
         all.len()
--- a/crates/soak/src/keys.rs
+++ b/crates/soak/src/keys.rs
@@ -2,8 +2,8 @@
 
 use crate::cut::{Record, Trouble};
 use crate::judge::{Asked, Ran};
-use serde_json::{Value, json};
-use standin::CloudCall;
+use serde_json::Value;
+use standin::{CloudCall, fixture};
 use std::time::{Duration, Instant};
 
 /// Tenants whose second key is taken away and given back.
@@ -107,7 +107,7 @@
     }
 
     /// The tenants as a configuration has them.
-    pub fn configured(&self) -> Value {
+    pub fn configured(&self) -> Vec<Value> {
         let is_removed = |tenant| {
             let mut removed = self.removed.iter();
             removed.any(|r| r.tenant == tenant && r.until.is_none())
@@ -117,11 +117,11 @@
             if !is_removed(tenant) {
                 keys.push(Key::Second(tenant).text());
             }
-            json!({"Name": tenant_name(tenant), "ApiKeys": keys})
+            fixture::tenant(&tenant_name(tenant), &keys)
         };
         let mut all: Vec<Value> = (0..TENANTS).map(tenant).collect();
-        all.push(json!({"Name": LAST_TENANT, "ApiKeys": [Key::Last.text()]}));
-        json!(all)
+        all.push(fixture::tenant(LAST_TENANT, &[Key::Last.text()]));
+        all
     }
 
     /// Notes that the store serves a gateway, or all of them, or that it doesn't.
@@ -224,7 +224,7 @@
     let mut out = UsageFaults::default();
     let mut bodies: Vec<(u64, &str)> = calls
         .iter()
-        .map(|c| (c.body["WindowId"].as_u64().unwrap_or(0), c.text.as_str()))
+        .map(|c| (c.window(), c.text.as_str()))
         .collect();
     bodies.sort_unstable();
     bodies.dedup();
@@ -250,10 +250,7 @@
 pub fn reported_last(calls: &[CloudCall]) -> u64 {
     let mut windows: Vec<(u64, u64)> = calls
         .iter()
-        .map(|c| {
-            let count = c.body["Counts"][LAST_TENANT].as_u64().unwrap_or(0);
-            (c.body["WindowId"].as_u64().unwrap_or(0), count)
-        })
+        .map(|c| (c.window(), c.count(LAST_TENANT)))
         .collect();
     windows.sort_unstable();
     windows.dedup_by_key(|(window, _)| *window);
--- a/crates/soak/src/scene.rs
+++ b/crates/soak/src/scene.rs
@@ -9,7 +9,8 @@
 use bench::relay::{Link, Relay};
 use serde_json::json;
 use standin::fixture::{
-    CONFIG, WORKERS, config, route, routes, settings, unreadable_rows, worker, worker_since,
+    CONFIG, WORKERS, config, reporting, route, routes, settings, unreadable_rows, with_tenants,
+    worker, worker_since,
 };
 use standin::{Act, Cloud, Crash, Mode, Store, Worker};
 use std::io;
@@ -127,7 +128,9 @@
         let store = Relay::start(front, self.store.addr)?;
         let name = format!("edge-{n}");
         let path = dir.join(format!("{name}.toml"));
-        std::fs::write(&path, self.settings(&name, ip, front))?;
+        let text = settings(&name, ip, front);
+        let text = reporting(&text, self.cloud.addr, WINDOW, HOLDER_GAP);
+        std::fs::write(&path, text)?;
         self.gateways.push(Gateway {
             proc: Proc::start_gateway(&self.binary, &name, &path)?,
             callers: SocketAddr::new(IpAddr::V4(ip), 7000),
@@ -138,18 +141,6 @@
         Ok(())
     }
 
-    /// Settings of a gateway that reports usage.
-    fn settings(&self, name: &str, ip: Ipv4Addr, store: SocketAddr) -> String {
-        let bounds = format!(
-            "[Bounds]\nReportWindowS = {}\nUsageLateS = 10\nLeaseMs = {}\n",
-            WINDOW.as_secs_f64(),
-            HOLDER_GAP.as_millis()
-        );
-        let cloud = self.cloud.addr;
-        let duties = format!("[Cloud]\nAddress = \"{cloud}\"\nDuties = [\"usage_report\"]\n");
-        settings(name, ip, store).replace("[Bounds]\n", &bounds) + &duties
-    }
-
     /// Changes how the store treats calls.
     pub fn set_store(&mut self, mode: Mode) {
         self.store.set_mode(mode);
@@ -340,8 +331,8 @@
         if let Some(all) = all.as_array_mut() {
             all.push(route(&format!("v{}", self.version), "idempotent", 2));
         }
-        let mut config = config(self.version, &json!(all));
-        config["Tenants"] = self.keys.configured();
+        let config = config(self.version, &json!(all));
+        let config = with_tenants(config, self.keys.configured());
         self.store.put(CONFIG.0, CONFIG.1, &config);
     }
 
