Tests wait until a gateway has its share of retries

Cause: a process that hasn't read yet who the others are takes 1 of 1,025 of the retries, which is none; it is ready when it knows routes and upstreams. Shown by a store that never answers reads of that table: the same test gives the same 502 each time, two others of the file fail too.

Change: the bed waits for the process's row, which is written after that read, and some looks more. Nothing is asked less of the gateway.

--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -99,6 +99,7 @@
     }
     bed.store.put("op", "config", &config(1, &routes()));
     bed.wait_ready(200).await;
+    bed.wait_retries(&bed.store).await;
     (bed, out)
 }
 
@@ -134,6 +135,16 @@
         .await;
     }
 
+    /// Waits until the gateway has its share of the retries: it takes the least until it has
+    /// read who the others are, after which it writes its own row, and looks at them again
+    /// and again. It may be ready before, and then sends nothing a second time.
+    pub async fn wait_retries(&self, store: &Store) {
+        const LOOKS: Duration = Duration::from_millis(300);
+        let name = &self.host.name;
+        wait_for("its row", || async { store.has("processes", name) }).await;
+        tokio::time::sleep(LOOKS).await;
+    }
+
     /// Waits until a request is answered with a status.
     pub async fn wait_answer(&self, req: &str, status: u16) {
         let callers = self.callers;
--- a/crates/gateway/tests/splits.rs
+++ b/crates/gateway/tests/splits.rs
@@ -26,6 +26,7 @@
     generators[1].usually(Act::Events(1..=2));
     bed.store.put("op", "config", &config(1, &routes()));
     bed.wait_ready(200).await;
+    bed.wait_retries(&bed.store).await;
     (bed, readers, generators)
 }
 
