Enforce tenant quotas across all hosts

Cause: no component enforced a tenant's quota.

Change: each of N hosts owns a share of 1/N of every quota and leases it for 0.5 s to the grantor of its zone. A request's cost is taken from its host's own pool, or else from the zone's grantor, or else from the grantors of other zones. If all have too few units left, the request gets 429 with Retry-After; if none answers, it gets 503. The grantor counts a lease from when it sent the request for the share and the lender from when it answered, so a share is never in two pools, except for up to one lease after a host restarts. The cost of a request that didn't run is refunded. The logic is in the new crate `quota`, which does no network I/O.

Tests: in a fleet simulated in virtual time, with hosts partitioned, paused, killed and stopped and datagrams lost, delayed and duplicated, usage never exceeds (rate x 8 s + burst) x 1.1 + slack in any 8 s; without restarts no share is used twice (fails when a host lends to two grantors at once). Overload at six times the quota on few hosts, on all hosts and on changing hosts is served at least 0.95 of the quota. Demand within the quota is never refused. After all hosts are killed, 0.95 of the demand is admitted.

--- a/crates/gateway/src/account.rs
+++ b/crates/gateway/src/account.rs
@@ -4,6 +4,7 @@
 use crate::duty::usage::Begin;
 use crate::fleet::UpstreamKey;
 use crate::fleet::speed::{Task, Work};
+use crate::quota::Grant;
 use crate::serve::Outlook;
 use crate::state::{Gateway, RunningGuard};
 use observe::{Event, Labels, Seconds, UnderConfig, emit};
@@ -90,6 +91,8 @@
     pub max_output_tokens: Option<u32>,
     /// What it asks for and who asks, if that was needed.
     pub work: Option<Fingerprint>,
+    /// Units taken from its tenant's quota.
+    pub grant: Option<Grant>,
     /// The trial that it is, of work that is held back.
     pub trial: Option<usize>,
     /// Time until its prompt was read by an engine that only reads.
@@ -126,6 +129,7 @@
             outlook: None,
             max_output_tokens: None,
             work: None,
+            grant: None,
             trial: None,
             read: None,
             first: None,
@@ -158,6 +162,11 @@
         if let Begin::Sent(at) = self.begin {
             self.has_begun(at);
         }
+        if let Some(mut grant) = self.grant.take()
+            && (self.may_have_run || outcome != Outcome::NotRun)
+        {
+            grant.commit();
+        }
         let total = self.since.elapsed();
         let reason = reason.map(Reason::name);
         let millis = |d: Duration| d.as_millis() as u64;
--- a/crates/gateway/src/answer.rs
+++ b/crates/gateway/src/answer.rs
@@ -27,6 +27,10 @@
     NoTenant(Denied),
     /// The request's key is unknown, but a peer has a newer configuration than this process.
     ConfigBehind,
+    /// The request's tenant has used up its quota.
+    OverQuota,
+    /// No grantor of the tenant's quota can be reached, and this host has no share.
+    QuotaUnknown,
     /// No configuration has been read yet.
     NoConfig,
     /// No upstream of the service is usable.
@@ -89,6 +93,8 @@
             Self::NoTenant(Denied::UnknownKey) => "unknown_key",
             Self::NoTenant(Denied::RemovedKey) => "removed_key",
             Self::ConfigBehind => "config_behind",
+            Self::OverQuota => "over_quota",
+            Self::QuotaUnknown => "quota_unknown",
             Self::NoConfig => "no_config",
             Self::NoUpstream => "no_upstream",
             Self::Stopping => "stopping",
@@ -118,6 +124,7 @@
             Self::SlowBody => StatusCode::REQUEST_TIMEOUT,
             Self::NoRoute => StatusCode::NOT_FOUND,
             Self::NoTenant(_) => StatusCode::UNAUTHORIZED,
+            Self::OverQuota => StatusCode::TOO_MANY_REQUESTS,
             _ => StatusCode::SERVICE_UNAVAILABLE,
         }
     }
@@ -132,6 +139,8 @@
             Self::NoTenant(Denied::NoKey) => "the route needs a key".into(),
             Self::NoTenant(_) => "no tenant holds the key".into(),
             Self::ConfigBehind => "a newer configuration is on its way".into(),
+            Self::OverQuota => "the tenant's quota is used up".into(),
+            Self::QuotaUnknown => "what is left of the tenant's quota is unknown".into(),
             Self::NoConfig => "no configuration has been read yet".into(),
             Self::NoUpstream => "no upstream of the service is usable".into(),
             Self::Stopping => "the process is stopping".into(),
@@ -171,7 +180,10 @@
     });
     let text = text.expect("a struct of texts always encodes");
     let status = reason.status(outcome);
-    let may_return = status == StatusCode::SERVICE_UNAVAILABLE;
+    let may_return = matches!(
+        status,
+        StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS
+    );
     let mut res = Response::new(full(text));
     *res.status_mut() = status;
     *res.headers_mut() = header::own_answer(id, retry_after.filter(|_| may_return));
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod history;
 pub mod missing;
 pub mod peers;
+pub mod quota;
 pub mod ready;
 pub mod relay;
 pub mod reload;
@@ -74,6 +75,7 @@
     tokio::spawn(peers::membership::follow(gateway.clone()));
     tokio::spawn(division::orders::follow(gateway.clone()));
     duty::usage::exchange::start(&gateway)?;
+    quota::start(&gateway)?;
     tokio::spawn(duty::usage::follow(gateway.clone()));
     tokio::spawn(duty::scaling::follow(gateway.clone()));
     tokio::spawn(reload::follow_settings(gateway.clone(), path));
@@ -88,6 +90,7 @@
     let server = tokio::spawn(server.run(listener, move |req| serve::serve(served.clone(), req)));
     let ending = gateway.stopping().await;
     emit(&Event::Stopping { why: "signal" });
+    quota::release_shares(&gateway);
     tokio::time::sleep_until(ending.drain_at.into()).await;
     drain.stop();
     wait_until_idle(&gateway, ending.closed_at).await;
--- a/crates/gateway/src/peers/links.rs
+++ b/crates/gateway/src/peers/links.rs
@@ -3,6 +3,7 @@
 use super::message::sum;
 use super::{Beat, Location, Peer, Peers, Scope, tree};
 use crate::fleet::Fleet;
+use quota::lending::Zone;
 use std::net::IpAddr;
 use std::time::{Duration, Instant};
 
@@ -203,6 +204,45 @@
         }
     }
 
+    /// Addresses of the other hosts of the own zone, live or not, in ascending order.
+    pub fn zone_hosts(&self, own: Location) -> Vec<IpAddr> {
+        let zone = self.all.iter().filter(|p| p.zone == own.zone);
+        zone.map(|p| p.ip).filter(|ip| *ip != own.ip).collect()
+    }
+
+    /// Addresses of the hosts of each other zone, live or not, in ascending order.
+    pub fn hosts_by_zone(&self, own: Location) -> Vec<(u32, Vec<IpAddr>)> {
+        let mut out: Vec<(u32, Vec<IpAddr>)> = Vec::new();
+        for peer in self
+            .all
+            .iter()
+            .filter(|p| p.zone != own.zone && p.zone != 0)
+        {
+            match out.iter_mut().find(|(zone, _)| *zone == peer.zone) {
+                Some((_, hosts)) => hosts.push(peer.ip),
+                None => out.push((peer.zone, vec![peer.ip])),
+            }
+        }
+        out
+    }
+
+    /// The zone of a host; 0 if it is unknown.
+    pub fn zone_of(&self, ip: IpAddr) -> u32 {
+        let at = self.all.binary_search_by_key(&ip, |p| p.ip);
+        at.map_or(0, |at| self.all[at].zone)
+    }
+
+    /// The number of hosts in the own zone, live or not, and the own place counted from the
+    /// last host.
+    pub fn own_zone(&self, own: Location) -> Zone {
+        let hosts = self.zone_hosts(own);
+        let place = hosts.iter().filter(|ip| **ip > own.ip).count();
+        Zone {
+            hosts: hosts.len() as u32 + 1,
+            place: place as u32,
+        }
+    }
+
     /// The place of a process in its zone, whoever of it is alive.
     pub fn place_in_zone(&self, own: Location) -> u32 {
         self.zone_before(own).len() as u32
--- a/crates/gateway/src/peers/membership.rs
+++ b/crates/gateway/src/peers/membership.rs
@@ -55,6 +55,10 @@
                 let has_changes = !change.items.is_empty();
                 merge(&gateway, change.items);
                 let is_whole = matches!(from, Feed::Since(_));
+                if is_whole && !is_read {
+                    let has_others = !gateway.peers().is_empty();
+                    gateway.quotas.set_new_host(has_others && !is_written);
+                }
                 if is_whole {
                     gateway.peers().set_listed();
                 }
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -107,6 +107,8 @@
         .ok_or(Reason::NoRoute)?;
     account.route = Some(target.route.name.clone());
     let caller = caller::admit(&gateway, &table, target, &incoming, account)?;
+    let acquired = caller::acquire_quota(&gateway, &table, caller, &incoming, account);
+    account.grant = acquired.await?;
     let left = target.left(incoming.deadline, account.since.elapsed());
     let service = target.draw().ok_or(Reason::NoUpstream)?;
     let is_engine = {
--- a/crates/gateway/src/serve/caller.rs
+++ b/crates/gateway/src/serve/caller.rs
@@ -3,10 +3,17 @@
 use super::{Call, Refusal};
 use crate::account::Account;
 use crate::answer::Reason;
+use crate::quota::{self, Grant};
 use crate::routes::{Caller, Denied, RouteTable, Target};
 use crate::state::Gateway;
+use observe::{Event, emit};
 use platform::Incoming;
 use platform::header::Tenancy;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Minimum time after which a client may retry a request over its tenant's quota.
+const MIN_QUOTA_RETRY: Duration = Duration::from_millis(200);
 
 /// Whose a request is, before anything is read of its body. A key that this process doesn't
 /// know may stand in a configuration that is on its way: 401 would be final.
@@ -30,6 +37,43 @@
     }
 }
 
+/// Takes a request's cost from its tenant's quota, if it has one.
+pub(super) async fn acquire_quota(
+    gateway: &Arc<Gateway>,
+    table: &RouteTable,
+    caller: Caller,
+    incoming: &Incoming,
+    account: &Account,
+) -> Result<Option<Grant>, Refusal> {
+    let Some(tenant) = table.tenant(caller) else {
+        return Ok(None);
+    };
+    let Some(quota) = tenant.quota else {
+        return Ok(None);
+    };
+    let cost = quota.unit.cost(incoming.tokens);
+    match quota::acquire(gateway, tenant.id, quota, cost).await {
+        Ok(grant) => Ok(Some(grant)),
+        Err(quota::AcquireError::Unavailable) => Err(Reason::QuotaUnknown.into()),
+        Err(quota::AcquireError::OverQuota(refusal)) => {
+            // Adds jitter, so that clients refused at the same time retry at different times.
+            let wait = refusal.wait.max(MIN_QUOTA_RETRY);
+            let wait = wait.mul_f64(1.0 + fastrand::f64());
+            emit(&Event::QuotaExceeded {
+                request: &account.id,
+                tenant: &tenant.name,
+                cost,
+                left: refusal.left as i64,
+                share: refusal.share,
+                by: refusal.grantor.to_string(),
+                age_ms: refusal.at.elapsed().as_millis() as u64,
+                retry_ms: wait.as_millis() as u64,
+            });
+            Err(Refusal::until(Reason::OverQuota, wait))
+        }
+    }
+}
+
 /// Notes whose a request's key was and which version took it away, if that is known.
 fn note_removed_key(table: &RouteTable, incoming: &Incoming, account: &mut Account) {
     let removed = table
--- a/crates/gateway/src/serve/refusal.rs
+++ b/crates/gateway/src/serve/refusal.rs
@@ -13,6 +13,8 @@
 const NO_CONFIG_RETRY: Duration = Duration::from_millis(500);
 /// The same while no upstream is usable, or those that were tried rejected it.
 const NO_UPSTREAM_RETRY: Duration = Duration::from_millis(300);
+/// The same while no grantor of a quota can be reached.
+const NO_QUOTA_RETRY: Duration = Duration::from_millis(400);
 /// The same while it is tried whether upstreams end by the request: a trial takes as long
 /// as an answer does.
 const SUSPECT_RETRY: Duration = Duration::from_millis(500);
@@ -39,6 +41,7 @@
             Reason::NoConfig | Reason::ConfigBehind => Some(NO_CONFIG_RETRY),
             Reason::NoUpstream | Reason::Rejected => Some(NO_UPSTREAM_RETRY),
             Reason::Stopping | Reason::ProcessEnds => Some(NO_UPSTREAM_RETRY),
+            Reason::QuotaUnknown => Some(NO_QUOTA_RETRY),
             Reason::CrashSuspected => Some(SUSPECT_RETRY),
             _ => None,
         };
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -12,6 +12,7 @@
 use crate::missing::Missing;
 use crate::peers::catch_up::RegistryChanges;
 use crate::peers::{Location, Peers, zone_hash};
+use crate::quota::Quotas;
 use crate::routes::RouteTable;
 use crate::stop::{Ending, StallDetector};
 use net::{HeadLimits, Meter, Stop};
@@ -50,6 +51,8 @@
     pub crashes: Shared,
     /// Requests of tenants that began to run.
     pub usage: Usage,
+    /// Quotas of tenants.
+    pub quotas: Quotas,
     /// Given when a peer knows something newer than this process.
     pub behind: Notify,
     /// Limits on clients' heads, by the configuration in force.
@@ -85,6 +88,7 @@
     /// A gateway that has yet to read its configuration.
     pub fn new(host: Host, stop: Stop) -> Arc<Self> {
         Arc::new(Self {
+            quotas: Quotas::new(host.ip),
             host: Mutex::new(Arc::new(host)),
             routes: Mutex::default(),
             config_since: Mutex::default(),
--- a/crates/gateway/src/tenants.rs
+++ b/crates/gateway/src/tenants.rs
@@ -1,6 +1,7 @@
 //! The tenants of one version of the configuration, ready for lookup by key.
 
-use platform::{ApiKey, Tenant};
+use platform::{ApiKey, Quota, Tenant};
+use quota::TenantId;
 use std::sync::Arc;
 
 /// Most keys that are remembered after they were taken away, so that a refusal can be
@@ -12,12 +13,21 @@
 pub struct TenantKey(u32);
 
 /// What requests of a tenant need to know of it.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq)]
 pub struct TenantInfo {
     /// Name.
     pub name: Arc<str>,
     /// Rank of its requests, 0 for the most urgent; none if their route's holds.
     pub priority: Option<u32>,
+    /// Quota over all hosts; none if usage is unlimited.
+    pub quota: Option<Quota>,
+    /// Identifier in messages between hosts.
+    pub id: TenantId,
+}
+
+/// Identifier of a tenant in messages between hosts.
+pub fn tenant_id(name: &str) -> TenantId {
+    TenantId(xxhash_rust::xxh3::xxh3_64(name.as_bytes()))
 }
 
 /// A key that was taken away.
@@ -34,6 +44,9 @@
 #[derive(Debug, Default)]
 pub struct TenantTable {
     tenants: Vec<TenantInfo>,
+    /// Sorted by id.
+    ids: Vec<(TenantId, TenantKey)>,
+    has_quotas: bool,
     /// Sorted by key.
     keys: Vec<(ApiKey, TenantKey)>,
     /// The latest last.
@@ -46,17 +59,24 @@
     pub fn new(version: u64, tenants: &[Tenant], before: Option<&Self>) -> Self {
         let mut table = Self {
             tenants: Vec::with_capacity(tenants.len()),
+            ids: Vec::with_capacity(tenants.len()),
+            has_quotas: tenants.iter().any(|t| t.quota.is_some()),
             keys: Vec::with_capacity(tenants.iter().map(|t| t.keys.len()).sum()),
             removed: Vec::new(),
         };
         for tenant in tenants {
             let holder = TenantKey(table.tenants.len() as u32);
+            let id = tenant_id(&tenant.name);
             table.tenants.push(TenantInfo {
                 name: tenant.name.as_str().into(),
                 priority: tenant.priority,
+                quota: tenant.quota,
+                id,
             });
+            table.ids.push((id, holder));
             table.keys.extend(tenant.keys.iter().map(|k| (*k, holder)));
         }
+        table.ids.sort_unstable();
         table.keys.sort_unstable();
         table.keys.dedup_by_key(|(key, _)| *key);
         if let Some(before) = before {
@@ -96,6 +116,17 @@
         &self.tenants[tenant.0 as usize]
     }
 
+    /// The tenant with an id, if there is one.
+    pub fn by_id(&self, id: TenantId) -> Option<&TenantInfo> {
+        let at = self.ids.binary_search_by_key(&id, |(id, _)| *id).ok()?;
+        Some(self.get(self.ids[at].1))
+    }
+
+    /// Whether any tenant has a quota.
+    pub fn has_quotas(&self) -> bool {
+        self.has_quotas
+    }
+
     /// When and from whom a key was taken away, if that is remembered.
     pub fn removed(&self, key: ApiKey) -> Option<&RemovedKey> {
         self.removed.iter().rev().find(|r| r.key == key)
--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -60,6 +60,8 @@
         order_gap: Duration::from_secs(3),
         is_first_start: false,
         usage_port: 7004,
+        quota_port: 7005,
+        quota: platform::QuotaBounds::default(),
         cloud: None,
     }
 }
--- a/crates/gateway/tests/tenants.rs
+++ b/crates/gateway/tests/tenants.rs
@@ -20,6 +20,7 @@
         name: format!("t{n}"),
         keys: keys.iter().map(|k| key(*k)).collect(),
         priority,
+        quota: None,
     }
 }
 
--- a/crates/observe/src/event.rs
+++ b/crates/observe/src/event.rs
@@ -132,6 +132,32 @@
         /// How many.
         count: u64,
     },
+    /// A request was refused, as its tenant has used up its quota.
+    QuotaExceeded {
+        /// The request's id.
+        request: &'a str,
+        /// The tenant.
+        tenant: &'a str,
+        /// Cost of the request, in units.
+        cost: u32,
+        /// Units left for the tenant.
+        left: i64,
+        /// Fraction of every quota held by the host that refused.
+        share: f64,
+        /// Address of that host.
+        by: String,
+        /// Age of the refusal, which may be cached.
+        age_ms: u64,
+        /// Time after which the client may retry.
+        retry_ms: u64,
+    },
+    /// This process has become its zone's grantor of quotas, or has ceased to be.
+    QuotaGrantor {
+        /// Number of hosts in the zone.
+        hosts: u32,
+        /// Fraction of every quota held by this process.
+        share: f64,
+    },
     /// Log lines were dropped: too many came, or nobody reads them.
     LinesDropped {
         /// Name of the event that they told of.
