Limit store feed readers to 32 hosts and load startup state from peers

Cause: every host held a read of the processes, the configuration and the crashes at the store, so every host read every change (hosts x changes), and each start read every table.

Change: 32 hosts, chosen by a hash of their addresses, and the zone roots hold reads at the store. The others fetch a new configuration from a neighbour as soon as a datagram announces it, and the processes at most every 15 s. A host that has heard no peer for a second, or that has to read the registry itself, reads the store. A host that starts when there is more than one page of rows requests all tables at once from a peer, for a random time of at most 0.8 s (4 s at the first start), and then reads the store. A row is written only if it is absent or has another address. At the first start the writes are spread over 3.2 s. The metric store_calls counts calls to the store by table, kind and end.

Fleets of 32 or fewer hosts hold reads as before.

--- a/crates/gateway/src/crashes.rs
+++ b/crates/gateway/src/crashes.rs
@@ -67,7 +67,8 @@
         *self.clock.lock().expect("no panic while locked")
     }
 
-    fn set_clock(&self, now_ms: u64) {
+    /// Records the current time of the store's clock.
+    pub fn set_clock(&self, now_ms: u64) {
         let read_at = Instant::now();
         *self.clock.lock().expect("no panic while locked") = Some(StoreClock { now_ms, read_at });
     }
@@ -134,6 +135,27 @@
     words.iter().map(|word| to_peer(word, now)).collect()
 }
 
+/// Upstream ends that are recorded in the store, for a peer that is starting.
+pub fn recorded(gateway: &Gateway, now: Instant) -> Vec<CrashWord> {
+    let recorded = gateway.crashes.lock().recorded();
+    let words = recorded.iter().map(|r| Word::End {
+        work: r.work,
+        upstream: r.upstream,
+        at: r.at,
+        in_trial: r.in_trial,
+    });
+    words.map(|word| to_peer(&word, now)).collect()
+}
+
+/// Applies the recorded upstream ends received from a peer.
+pub fn take_recorded(gateway: &Gateway, words: &[CrashWord], now: Instant) {
+    for word in words {
+        if let Some(word) = from_peer(word, now) {
+            take(gateway, word, Source::Peer, false);
+        }
+    }
+}
+
 fn to_peer(word: &Word, now: Instant) -> CrashWord {
     let (at, upstream, in_trial) = match *word {
         Word::End {
--- a/crates/gateway/src/crashes/rows.rs
+++ b/crates/gateway/src/crashes/rows.rs
@@ -4,7 +4,7 @@
 //! all processes; what was answered since, or is too old, is removed.
 
 use super::{Shared, StoreClock, take, tell};
-use crate::follow::{Client, Dependency, held_for};
+use crate::follow::{Client, Dependency, held_for, wait_until_reader};
 use crate::state::Gateway;
 use observe::{Event, emit};
 use platform::store::MAX_ENTRIES;
@@ -46,6 +46,10 @@
 /// Follows the rows until the process ends.
 pub async fn follow(gateway: Arc<Gateway>) {
     tokio::time::sleep(FIRST_READ_WITHIN.mul_f64(fastrand::f64())).await;
+    gateway
+        .startup_load
+        .finished(gateway.host().is_first_start)
+        .await;
     let mut client = Client::new(&gateway);
     let mut dependency = Dependency::new("store/crashes");
     let mut from = Feed::Start;
@@ -53,6 +57,8 @@
     let mut pages = Vec::new();
     loop {
         let is_whole = !matches!(from, Feed::Since(_));
+        let is_initial = is_whole && !gateway.startup_load.has_loaded();
+        wait_until_reader(&gateway, is_initial).await;
         let longest = match hears_nobody(&gateway) {
             true => WAIT_ALONE,
             false => WAIT,
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -37,6 +37,8 @@
 /// 1 s; it hears from the readers when the store is back. 103 processes that all tried
 /// each 0.4 s made 6,000 of 9,500 calls in an outage of 8 s.
 const RETRY_DOUBLINGS: u32 = 2;
+/// Interval at which a process checks whether it has become a feed reader.
+const READER_CHECK_EVERY: Duration = Duration::from_millis(500);
 /// A read that failed counts as a loss of the store after this long without one.
 const LOST_AFTER: Duration = Duration::from_millis(1000);
 
@@ -117,7 +119,7 @@
     pub(crate) fn new(gateway: &Arc<Gateway>) -> Self {
         let addr = gateway.host().store;
         Self {
-            store: Store::new(addr, &gateway.store_bytes),
+            store: Store::new(addr, &gateway.store_bytes, &gateway.store_calls),
             gateway: gateway.clone(),
             addr,
         }
@@ -136,7 +138,12 @@
     let mut client = Client::new(&gateway);
     let mut dependency = Dependency::new("store/configuration");
     let mut from = Feed::Start;
+    gateway
+        .startup_load
+        .finished(gateway.host().is_first_start)
+        .await;
     loop {
+        wait_until_reader(&gateway, gateway.config_version() == 0).await;
         let wait = held_for(&from, config_wait(&gateway));
         let timeout = wait + ANSWER_TIMEOUT;
         match client.store().config(&from, wait, timeout).await {
@@ -157,6 +164,17 @@
     }
 }
 
+/// Waits until this process should read a table from the store: it is a feed reader, this is
+/// its initial read of the table, or it had to read the registry from the store itself.
+pub(crate) async fn wait_until_reader(gateway: &Gateway, is_initial: bool) {
+    while !is_initial && !gateway.is_feed_reader() {
+        tokio::select! {
+            () = gateway.registry_fallback.notified() => return,
+            () = tokio::time::sleep(READER_CHECK_EVERY) => {}
+        }
+    }
+}
+
 /// How long the store may hold a read from where a reader stands. One of a whole table isn't
 /// held: taken for held, a host that started while the store was silent waited 30.8 s for an
 /// answer that never came, and knew nothing for so long after the store's return.
--- a/crates/gateway/src/follow/registry.rs
+++ b/crates/gateway/src/follow/registry.rs
@@ -45,6 +45,14 @@
     let mut first_asked: Option<(Instant, u64)> = None;
     // Whether peers were given time to tell a long registry at the start.
     let mut has_waited = false;
+    gateway
+        .startup_load
+        .finished(gateway.host().is_first_start)
+        .await;
+    if gateway.registry().version > 0 {
+        from = Feed::Since(gateway.registry().version);
+        wait_until_old(&gateway).await;
+    }
     loop {
         let asked_at = Instant::now();
         match client.store().upstreams(&from, ANSWER_TIMEOUT).await {
@@ -72,6 +80,9 @@
                 merge(&gateway, changes, is_whole, change.version, now);
                 gateway.note_read(change.version, asked_at, store_ms);
                 first_asked = None;
+                if gateway.rank() >= READERS {
+                    gateway.registry_fallback.notify_waiters();
+                }
             }
             Err(StoreError::HistoryGone) => {
                 from = Feed::Start;
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -8,6 +8,7 @@
 
 pub mod catch_up;
 pub mod exchange;
+pub mod first_look;
 mod links;
 pub mod membership;
 pub mod message;
@@ -16,6 +17,7 @@
 pub use message::{Beat, Changing, CrashWord, Load, Placement, Scope};
 
 use crate::fleet::Fleet;
+use serde::{Deserialize, Serialize};
 use std::net::IpAddr;
 use std::time::{Duration, Instant};
 
@@ -26,9 +28,15 @@
 /// the tree within some 50 ms. With 30 processes in trees two of the users' deployments
 /// earn 0.015 and 0.03 more of what is owed than with 30 that tell each other directly.
 const DIRECT_MOST: usize = 16;
-/// Most peers that are known: the aim is 350, and an unknown sender must not
-/// fill the memory.
-const MAX_PEERS: usize = 1024;
+/// Most peers that are known. Bounds the memory that unknown senders can take.
+const MAX_PEERS: usize = 4096;
+/// A process that has heard no peer for this long reads the store itself.
+const ALONE_AFTER: Duration = Duration::from_secs(1);
+/// Processes, besides the roots, that hold reads of whole tables at the store. The others
+/// receive changes from peers, so the calls for a change don't grow with the number of
+/// processes. They are spread over all zones, so that some reach the store while it refuses
+/// others.
+const FEED_READERS: usize = 32;
 
 /// The host of a process and its availability zone.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -39,6 +47,25 @@
     pub zone: u32,
 }
 
+/// A process that is listed in the store.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Member {
+    /// Name of its host.
+    pub host: String,
+    /// Address of its host.
+    pub ip: IpAddr,
+    /// Hash of its availability zone.
+    pub zone: u32,
+}
+
+/// Hash by which feed readers are chosen, so that they come from all zones.
+fn address_hash(ip: IpAddr) -> u64 {
+    match ip {
+        IpAddr::V4(ip) => xxhash_rust::xxh3::xxh3_64(&ip.octets()),
+        IpAddr::V6(ip) => xxhash_rust::xxh3::xxh3_64(&ip.octets()),
+    }
+}
+
 /// Hash under which an availability zone is known to peers.
 pub fn zone_hash(zone: &str) -> u32 {
     xxhash_rust::xxh3::xxh3_64(zone.as_bytes()) as u32
@@ -82,6 +109,8 @@
     hello_below_at: Option<Instant>,
     /// Whether the store has told of the peers.
     is_listed: bool,
+    /// When this process was first found to hear no peer; `None` while it hears one.
+    alone_since: Option<Instant>,
     /// Counts what was heard that changes what is told on.
     changes: u64,
 }
@@ -214,6 +243,11 @@
             }
         }
         self.changes += gone;
+        let has_live_peer = self.live(now).next().is_some();
+        self.alone_since = match has_live_peer {
+            true => None,
+            false => self.alone_since.or(Some(now)),
+        };
         self.all
             .retain(|p| p.host.is_some() || p.is_live(now, bound));
     }
@@ -227,6 +261,52 @@
         }
     }
 
+    /// Whether the process on this host holds reads of whole tables at the store. Roots always
+    /// do, as does every process until the members are listed.
+    pub fn is_feed_reader(&self, own: IpAddr) -> bool {
+        if self.is_direct() || !self.is_listed || self.is_root {
+            return true;
+        }
+        let own = address_hash(own);
+        let before = self.all.iter().filter(|p| address_hash(p.ip) < own);
+        before.take(FEED_READERS).count() < FEED_READERS
+    }
+
+    /// Whether no peer has been heard for `ALONE_AFTER`.
+    pub fn is_alone(&self, now: Instant) -> bool {
+        let alone = self.alone_since.map(|at| now.saturating_duration_since(at));
+        alone.is_some_and(|alone| alone >= ALONE_AFTER)
+    }
+
+    /// The other processes that are listed in the store.
+    pub fn members(&self) -> Vec<Member> {
+        let listed = self.all.iter().filter_map(|p| {
+            Some(Member {
+                host: p.host.clone()?,
+                ip: p.ip,
+                zone: p.zone,
+            })
+        });
+        listed.collect()
+    }
+
+    /// Replaces the listed processes by the complete list of a peer.
+    pub fn set_members(&mut self, own: IpAddr, members: &[Member], fleet: &mut Fleet) {
+        let is_member = |host: &str| members.iter().any(|m| m.host == host);
+        let listed = self.all.iter().filter_map(|p| p.host.clone());
+        let gone: Vec<String> = listed.filter(|host| !is_member(host)).collect();
+        for host in gone {
+            self.remove(&host, fleet);
+        }
+        for member in members.iter().filter(|m| m.ip != own) {
+            let is_known = self.knows(member.ip);
+            if !is_known || self.zone_of(member.ip) != member.zone {
+                self.add(&member.host, member.ip, member.zone);
+            }
+        }
+        self.is_listed = true;
+    }
+
     /// Whether each peer is told directly.
     pub fn is_direct(&self) -> bool {
         !self.is_tree
--- a/crates/gateway/src/peers/catch_up.rs
+++ b/crates/gateway/src/peers/catch_up.rs
@@ -6,7 +6,8 @@
 
 use crate::fleet::durations::Told;
 use crate::follow;
-use crate::peers::Beat;
+use crate::peers::first_look::{self, Snapshot};
+use crate::peers::{Beat, Member};
 use crate::state::Gateway;
 use hyper::body::Incoming;
 use hyper::header::HOST;
@@ -33,6 +34,8 @@
 const ASK_EVERY: Duration = Duration::from_millis(200);
 /// Longest wait for a peer's answer: 300 KB over a link of 10 Mbit/s take 240 ms.
 const ASK_TIMEOUT: Duration = Duration::from_millis(1000);
+/// Longest wait for a peer's snapshot. Shorter, as a peer that doesn't answer delays the start.
+const SNAPSHOT_TIMEOUT: Duration = Duration::from_millis(400);
 /// Largest answer of a peer: some thousand routes or upstreams.
 const MAX_ANSWER: usize = 8 << 20;
 
@@ -41,7 +44,13 @@
 const DURATIONS_ASKED: u32 = 3;
 const DURATIONS_PAUSE: Duration = Duration::from_millis(700);
 
+/// Shortest interval between two reads of the members from a peer. New members are known
+/// sooner by their datagrams.
+const MEMBERS_EVERY: Duration = Duration::from_secs(15);
+
 const CONFIG_PATH: &str = "/config";
+const SNAPSHOT_PATH: &str = "/everything";
+const MEMBERS_PATH: &str = "/members";
 const DURATIONS_PATH: &str = "/durations";
 /// Path of what has changed in the registry since a version, which stands behind it;
 /// version 0 for all of it.
@@ -70,6 +79,7 @@
 pub async fn ask(gateway: Arc<Gateway>) {
     let started_at = Instant::now();
     let mut config_ahead = None;
+    let mut members_asked_at = started_at;
     loop {
         tokio::select! {
             () = tokio::time::sleep(ASK_EVERY) => {}
@@ -78,13 +88,20 @@
         let now = Instant::now();
         match ahead(&gateway, |beat| beat.config, gateway.config_version()) {
             None => config_ahead = None,
-            Some(ip) if now - *config_ahead.get_or_insert(now) >= PEER_AHEAD => {
+            Some(ip) if now - *config_ahead.get_or_insert(now) >= config_delay(&gateway) => {
                 if let Some(config) = fetch::<Config>(&gateway, ip, CONFIG_PATH).await {
                     follow::put_in_force(&gateway, config, "peer");
                 }
             }
             Some(_) => {}
         }
+        if now - members_asked_at >= MEMBERS_EVERY && !gateway.is_feed_reader() {
+            let known = gateway.members_version();
+            if let Some(ip) = ahead(&gateway, |beat| beat.members, known) {
+                members_asked_at = now;
+                take_members(&gateway, ip).await;
+            }
+        }
         // A peer that is ahead and knows the same has been taken at its word.
         let known = gateway.registry().version;
         let may_wait = known == 0 && gateway.peers().is_direct();
@@ -101,6 +118,38 @@
     }
 }
 
+/// How long to wait for the store to deliver a configuration before a peer is asked for it.
+/// A process that isn't a feed reader doesn't wait.
+fn config_delay(gateway: &Gateway) -> Duration {
+    match gateway.is_feed_reader() {
+        true => PEER_AHEAD,
+        false => Duration::ZERO,
+    }
+}
+
+/// Fetches the members from a peer and applies them.
+async fn take_members(gateway: &Gateway, ip: IpAddr) {
+    let told = fetch::<(u64, Vec<Member>)>(gateway, ip, MEMBERS_PATH).await;
+    let Some((version, members)) = told.filter(|(version, _)| *version > 0) else {
+        return;
+    };
+    let own = gateway.host().ip;
+    gateway
+        .peers()
+        .set_members(own, &members, &mut gateway.fleet());
+    gateway.set_members_version(version);
+}
+
+/// Fetches a peer's snapshot; `None` if the peer has no complete one or doesn't answer.
+pub async fn fetch_snapshot(gateway: &Gateway, ip: IpAddr) -> Option<Snapshot> {
+    let addr = SocketAddr::new(ip, gateway.host().peer_port);
+    match get(gateway, addr, SNAPSHOT_PATH, SNAPSHOT_TIMEOUT).await {
+        Ok((StatusCode::OK, body)) => wire::decode(&body),
+        // A peer that is starting too has no complete snapshot yet.
+        Ok(_) | Err(_) => None,
+    }
+}
+
 /// Takes from a peer how long answers take, once this process knows its services. Peers that
 /// have just started too tell nothing; then another is asked.
 pub async fn take_durations(gateway: Arc<Gateway>) {
@@ -214,7 +263,7 @@
 
 async fn fetch<T: DeserializeOwned>(gateway: &Gateway, ip: IpAddr, path: &str) -> Option<T> {
     let addr = SocketAddr::new(ip, gateway.host().peer_port);
-    let why = match get(gateway, addr, path).await {
+    let why = match get(gateway, addr, path, ASK_TIMEOUT).await {
         Ok((StatusCode::OK, body)) => match wire::decode(&body) {
             Some(value) => return Some(value),
             None => "malformed answer".to_owned(),
@@ -233,6 +282,7 @@
     gateway: &Gateway,
     addr: SocketAddr,
     path: &str,
+    timeout: Duration,
 ) -> Result<(StatusCode, bytes::Bytes), CallError> {
     let req = Request::builder()
         .method(Method::GET)
@@ -240,8 +290,8 @@
         .header(HOST, addr.to_string())
         .body(empty())
         .map_err(|e| CallError::NotSent(e.to_string()))?;
-    let pool = Pool::new(addr, ASK_TIMEOUT).metered(&gateway.peer_bytes);
-    pool.call(req, MAX_ANSWER, ASK_TIMEOUT).await
+    let pool = Pool::new(addr, timeout).metered(&gateway.peer_bytes);
+    pool.call(req, MAX_ANSWER, timeout).await
 }
 
 /// Answers a peer's question.
@@ -250,6 +300,15 @@
     let known = match path.strip_prefix(REGISTRY_PATH) {
         Some(since) => registry_since(gateway, since),
         None if path == DURATIONS_PATH => Some(durations(gateway)),
+        None if path == SNAPSHOT_PATH => {
+            let snapshot = first_look::snapshot(gateway);
+            snapshot.map(|known| wire::encode_compact(&known))
+        }
+        None if path == MEMBERS_PATH => {
+            let members = gateway.peers().members();
+            let known = (gateway.members_version(), members);
+            Some(wire::encode_compact(&known))
+        }
         None if path == CONFIG_PATH => gateway.routes().map(|t| wire::encode(&t.config)),
         None => None,
     };
--- a/crates/gateway/src/peers/exchange.rs
+++ b/crates/gateway/src/peers/exchange.rs
@@ -121,7 +121,7 @@
         unreadable.is_read(from.ip());
         let now = Instant::now();
         crashes::hear(&gateway, &beat, now);
-        if beat.registry > gateway.registry().version {
+        if beat.registry > gateway.registry().version || beat.config > gateway.config_version() {
             gateway.behind.notify_one();
         }
         let read = now
@@ -200,6 +200,7 @@
         zone: gateway.location().zone,
         processes: 1,
         config: gateway.config_version(),
+        members: gateway.members_version(),
         registry: settled.map_or(0, |r| r.version),
         registry_ms: settled.map_or(u32::MAX, |r| r.read_at.elapsed().as_millis() as u32),
         registry_at_ms: settled.map_or(0, |r| r.store_ms),
--- a/crates/gateway/src/peers/membership.rs
+++ b/crates/gateway/src/peers/membership.rs
@@ -1,12 +1,12 @@
 //! Who the peers are: a row in the store for each process.
 
-use crate::follow::{Client, Dependency, held_for};
-use crate::peers::zone_hash;
+use crate::follow::{Client, Dependency, held_for, wait_until_reader};
+use crate::peers::{first_look, zone_hash};
 use crate::state::Gateway;
 use observe::{Event, emit};
 use platform::{Feed, Process, StoreError};
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// How long the store may hold a read. Members change a few times a day, and a
 /// newcomer makes itself known by its datagrams, so this is as long as the store
@@ -15,6 +15,13 @@
 /// Pause after a read that told of changes. When all processes start together,
 /// each row that is written would else wake each of them.
 const PAUSE: Duration = Duration::from_secs(3);
+/// Pause for each known peer, as more of them start and stop in a larger fleet.
+const PAUSE_PER_PEER: Duration = Duration::from_millis(30);
+/// Time over which processes spread the writes of their rows at the first start of the
+/// system: the store accepts 200 writes of a table per second.
+const FIRST_START_WRITES: Duration = Duration::from_millis(3200);
+/// Time over which they then spread their first reads.
+const FIRST_START_READS: Duration = Duration::from_millis(800);
 /// Longest wait for an answer besides.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(800);
 
@@ -24,50 +31,65 @@
     let mut dependency = Dependency::new("store/processes");
     let mut from = Feed::Start;
     let mut is_written = false;
+    if gateway.host().is_first_start {
+        // All rows are written before the first read, so that one read finds all of them.
+        let read_at =
+            Instant::now() + FIRST_START_WRITES + FIRST_START_READS.mul_f64(fastrand::f64());
+        tokio::time::sleep(FIRST_START_WRITES.mul_f64(fastrand::f64())).await;
+        is_written = write_row(&gateway, &mut client, &mut dependency).await;
+        tokio::time::sleep_until(read_at.into()).await;
+    }
     loop {
         // Written after the first read, which tells whether it stands there already: a
         // write wakes all that wait for changes.
         let is_read = matches!(from, Feed::Since(_));
         if is_read && !is_written {
-            let host = gateway.host();
-            let store = client.store();
-            let row = store.add_process(&host.name, host.ip, &host.zone, ANSWER_TIMEOUT);
-            match row.await {
-                Ok(()) => is_written = true,
-                Err(e) => {
-                    dependency.bad(&e);
-                    dependency.pause(&gateway).await;
-                    continue;
-                }
+            is_written = write_row(&gateway, &mut client, &mut dependency).await;
+            if !is_written {
+                continue;
             }
         }
+        wait_until_reader(&gateway, !is_read).await;
         let wait = held_for(&from, WAIT);
         let timeout = wait + ANSWER_TIMEOUT;
         match client.store().processes(&from, wait, timeout).await {
             Ok(change) => {
                 dependency.good();
+                gateway.crashes.set_clock(change.now_ms);
                 for why in change.malformed {
                     let what = "processes";
                     emit(&Event::Undecodable { what, why });
                 }
+                let is_first = from == Feed::Start;
                 from = change.next;
                 is_written |= change.items.contains(&own_row(&gateway));
                 let has_changes = !change.items.is_empty();
                 merge(&gateway, change.items);
+                let has_more_pages = is_first && matches!(from, Feed::Rest { .. });
+                if has_more_pages
+                    && gateway.config_version() == 0
+                    && first_look::load_snapshot(&gateway).await
+                {
+                    from = Feed::Since(gateway.members_version());
+                }
+                gateway.startup_load.finish();
                 let is_whole = matches!(from, Feed::Since(_));
                 if is_whole && !is_read {
                     let has_others = !gateway.peers().is_empty();
                     gateway.quotas.set_new_host(has_others && !is_written);
                 }
-                if is_whole {
+                if let Feed::Since(version) = from {
+                    gateway.set_members_version(version);
                     gateway.peers().set_listed();
                 }
                 if has_changes && is_read {
-                    tokio::time::sleep(PAUSE).await;
+                    let peers = gateway.peers().len();
+                    tokio::time::sleep(pause_for(peers)).await;
                 }
             }
             Err(StoreError::HistoryGone) => from = Feed::Start,
             Err(e) => {
+                gateway.startup_load.finish();
                 dependency.bad(&e);
                 dependency.pause(&gateway).await;
             }
@@ -75,6 +97,35 @@
     }
 }
 
+/// Writes this process's row; returns whether it is in the store.
+async fn write_row(
+    gateway: &Arc<Gateway>,
+    client: &mut Client,
+    dependency: &mut Dependency,
+) -> bool {
+    let host = gateway.host();
+    let store = client.store();
+    let row = store.add_process_if_absent(&host.name, host.ip, &host.zone, ANSWER_TIMEOUT);
+    match row.await {
+        Ok(is_new) => {
+            if !is_new {
+                gateway.quotas.set_new_host(false);
+            }
+            true
+        }
+        Err(e) => {
+            dependency.bad(&e);
+            dependency.pause(gateway).await;
+            false
+        }
+    }
+}
+
+/// Pause after a read that told of changes, by the number of known peers.
+fn pause_for(peers: usize) -> Duration {
+    PAUSE.max(PAUSE_PER_PEER * peers as u32)
+}
+
 /// The row of this process.
 fn own_row(gateway: &Gateway) -> Process {
     let host = gateway.host();
--- a/crates/gateway/src/peers/message.rs
+++ b/crates/gateway/src/peers/message.rs
@@ -66,6 +66,9 @@
     pub processes: u32,
     /// Version of the configuration in force at the sender.
     pub config: u64,
+    /// The store's version up to which the sender knows the processes of the system; 0 if it
+    /// doesn't know all of them.
+    pub members: u64,
     /// The store's version at the sender's last read of the registry.
     pub registry: u64,
     /// Age of that read, in milliseconds. While nothing changes the version stays
--- a/crates/gateway/src/ready.rs
+++ b/crates/gateway/src/ready.rs
@@ -45,6 +45,9 @@
             metrics.bytes("store", gateway.store_bytes.bytes());
             metrics.bytes("peers", gateway.peer_bytes.bytes());
             metrics.bytes("upstreams", gateway.upstream_bytes.bytes());
+            for (labels, count) in gateway.store_calls.counts() {
+                metrics.store_calls(labels.table, labels.kind.name(), labels.end.name(), count);
+            }
             (StatusCode::OK, metrics.text())
         }
         _ => (StatusCode::NOT_FOUND, Vec::new()),
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -11,13 +11,14 @@
 use crate::history::History;
 use crate::missing::Missing;
 use crate::peers::catch_up::RegistryChanges;
+use crate::peers::first_look::StartupLoad;
 use crate::peers::{Location, Peers, zone_hash};
 use crate::quota::Quotas;
 use crate::routes::RouteTable;
 use crate::stop::{Ending, StallDetector};
 use net::{HeadLimits, Meter, Stop};
 use observe::Metrics;
-use platform::Host;
+use platform::{CallCounts, Host};
 use resilience::Budget;
 use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, OnceLock};
@@ -46,6 +47,12 @@
     unreadable: Mutex<follow::unreadable::Told>,
     peers: Mutex<Peers>,
     live_peers: AtomicU32,
+    members_version: AtomicU64,
+    /// Loading of the initial state from peers.
+    pub startup_load: StartupLoad,
+    /// Notified when this process has read the registry from the store because no peer
+    /// supplied it.
+    pub registry_fallback: Notify,
     running: AtomicU64,
     /// Work under which upstreams end.
     pub crashes: Shared,
@@ -65,6 +72,8 @@
     pub peer_bytes: Meter,
     /// Bytes between this process and the store.
     pub store_bytes: Meter,
+    /// Counts of the calls to the store.
+    pub store_calls: CallCounts,
     /// Given when the process should end.
     pub stop: Stop,
     stalls: Mutex<StallDetector>,
@@ -105,6 +114,9 @@
             unreadable: Mutex::default(),
             peers: Mutex::default(),
             live_peers: AtomicU32::new(0),
+            members_version: AtomicU64::new(0),
+            startup_load: StartupLoad::default(),
+            registry_fallback: Notify::new(),
             running: AtomicU64::new(0),
             crashes: Shared::default(),
             usage: Usage::default(),
@@ -114,6 +126,7 @@
             upstream_bytes: Meter::default(),
             peer_bytes: Meter::default(),
             store_bytes: Meter::default(),
+            store_calls: CallCounts::default(),
             stop,
             stalls: Mutex::new(StallDetector::new(Instant::now())),
             ending: OnceLock::new(),
@@ -300,6 +313,25 @@
         lock(&self.peers)
     }
 
+    /// The store's version up to which the processes of the system are known; 0 if they aren't
+    /// all known.
+    pub fn members_version(&self) -> u64 {
+        self.members_version.load(Ordering::Relaxed)
+    }
+
+    /// Raises the version up to which the processes are known; a lower one is ignored.
+    pub fn set_members_version(&self, version: u64) {
+        self.members_version.fetch_max(version, Ordering::Relaxed);
+    }
+
+    /// Whether this process holds reads of whole tables at the store: it is one of the feed
+    /// readers, or hears no peer.
+    pub fn is_feed_reader(&self) -> bool {
+        let own = self.host().ip;
+        let peers = self.peers();
+        peers.is_feed_reader(own) || peers.is_alone(Instant::now())
+    }
+
     /// Takes a new number of peers that share the retry budget.
     pub fn set_live_peers(&self, peers: u32) {
         if self.live_peers.swap(peers, Ordering::Relaxed) == peers {
--- a/crates/gateway/tests/decoders.rs
+++ b/crates/gateway/tests/decoders.rs
@@ -22,6 +22,7 @@
         zone: 3,
         processes: 1,
         config: 1,
+        members: 0,
         registry: 1,
         registry_ms: 20,
         registry_at_ms: 0,
--- a/crates/gateway/tests/peers.rs
+++ b/crates/gateway/tests/peers.rs
@@ -35,6 +35,7 @@
         zone: 0,
         processes: 1,
         config: 0,
+        members: 0,
         registry: 0,
         registry_ms: 0,
         registry_at_ms: 0,
--- a/crates/gateway/tests/starts.rs
+++ b/crates/gateway/tests/starts.rs
@@ -229,6 +229,7 @@
         zone: 0,
         processes: 1,
         config: 0,
+        members: 0,
         registry: 0,
         registry_ms: 0,
         registry_at_ms: 0,
--- a/crates/gateway/tests/state.rs
+++ b/crates/gateway/tests/state.rs
@@ -244,6 +244,7 @@
         zone: 0,
         processes: 1,
         config: 0,
+        members: 0,
         registry: 0,
         registry_ms: 0,
         registry_at_ms: 0,
--- a/crates/gateway/tests/tree.rs
+++ b/crates/gateway/tests/tree.rs
@@ -172,6 +172,7 @@
             zone: self.place.zone,
             processes: 1,
             config: 0,
+            members: 0,
             registry: 0,
             registry_ms: 0,
             registry_at_ms: 0,
--- a/crates/observe/src/metrics.rs
+++ b/crates/observe/src/metrics.rs
@@ -45,6 +45,7 @@
     tenants: HistogramVec,
     docs: IntGaugeVec,
     bytes: IntGaugeVec,
+    store_calls: IntGaugeVec,
     unreadable: IntCounterVec,
     known: Mutex<Vec<String>>,
     most_tenants: usize,
@@ -96,6 +97,12 @@
                 "Bytes of control traffic so far, in both directions, by other side.",
                 &["link"],
             ),
+            store_calls: gauge(
+                &registry,
+                "store_calls",
+                "Calls to the store so far, by table, kind and end.",
+                &["table", "kind", "end"],
+            ),
             unreadable: counter(
                 &registry,
                 "unreadable_entries_total",
@@ -141,6 +148,12 @@
         self.bytes.with_label_values(&[link]).set(bytes as i64);
     }
 
+    /// Sets the number of calls to the store so far for a table, kind and end.
+    pub fn store_calls(&self, table: &str, kind: &str, end: &str, count: u64) {
+        let calls = self.store_calls.with_label_values(&[table, kind, end]);
+        calls.set(count as i64);
+    }
+
     /// Counts an entry of the registry that names no upstream to use.
     pub fn unreadable(&self, reason: &str) {
         self.unreadable.with_label_values(&[reason]).inc();
--- a/crates/quota/src/lending.rs
+++ b/crates/quota/src/lending.rs
@@ -109,9 +109,7 @@
     /// Sets the number of hosts that share the limits. `is_new` is true if this host joined
     /// the fleet with this start.
     pub fn set_host_count(&mut self, hosts: u32, is_new: bool, now: Instant) {
-        if self.share.is_none() && is_new {
-            self.usable_from = Some(self.started_at + NEW_HOST_DELAY);
-        }
+        self.usable_from = is_new.then_some(self.started_at + NEW_HOST_DELAY);
         let share = 1.0 / f64::from(hosts.max(1));
         if self.share.replace(share) != Some(share) && self.holds_share(now) {
             self.pool.add_share(self.ip, share, None, now);
