Prefer hosts with more CPU as quota grantors and limit unanswered queries

Cause: a grantor answers a query for each request of its zone. Assumed, not traced: the grantors are hosts with a small CPU share, whose answers arrive too late, after which each request queries all other zones.

Change: the host with the largest CPU share has precedence as grantor, and hosts with a small CPU share wait longer before they take over. A request stops asking after two grantors that don't answer.

--- a/crates/gateway/src/quota.rs
+++ b/crates/gateway/src/quota.rs
@@ -79,6 +79,10 @@
     Unavailable,
 }
 
+/// Number of grantors that may fail to answer before a request stops asking; further queries could
+/// overload the remaining grantors.
+const MAX_SILENT_GRANTORS: u32 = 2;
+
 impl Quotas {
     /// Initial state of a process on the given host.
     pub fn new(ip: IpAddr) -> Self {
@@ -205,7 +209,11 @@
         Some(Answer::Refused(refusal)) => best = Some(refusal),
         Some(Answer::UnknownTenant) | None => {}
     }
+    let mut silent_count = 0;
     for ip in quotas.grantors_to_ask(number, now) {
+        if silent_count >= MAX_SILENT_GRANTORS {
+            break;
+        }
         let number = quotas.next_number();
         match ask_grantor(gateway, ip, number, tenant, cost).await {
             Some(Answer::Granted) => {
@@ -219,7 +227,10 @@
                 best = Some(refusal);
             }
             Some(Answer::Refused(_) | Answer::UnknownTenant) => {}
-            None => quotas.mark_silent(ip, Instant::now()),
+            None => {
+                silent_count += 1;
+                quotas.mark_silent(ip, Instant::now());
+            }
         }
     }
     let refusal = best.ok_or(AcquireError::Unavailable)?;
--- a/crates/gateway/src/quota/exchange.rs
+++ b/crates/gateway/src/quota/exchange.rs
@@ -6,6 +6,7 @@
 use crate::StartError;
 use crate::state::Gateway;
 use observe::{Event, emit};
+use platform::Host;
 use quota::lending::collect_pause;
 use quota::{Collect, TenantId};
 use std::net::{IpAddr, SocketAddr};
@@ -13,6 +14,10 @@
 use std::time::{Duration, Instant};
 use tokio::net::UdpSocket;
 
+/// Minimum CPU share, in cores, of a host that is preferred as grantor, and the highest place of
+/// such a host.
+const MIN_PREFERRED_CPU_SHARE: f64 = 0.25;
+const MAX_PREFERRED_PLACE: u32 = 4;
 /// Largest datagram.
 const MAX_DATAGRAM: usize = 4 << 10;
 /// Interval between checks whether the list of peers has been read from the store.
@@ -48,6 +53,10 @@
     Ok(())
 }
 
+fn cpu_millicores(host: &Host) -> u32 {
+    (host.cpu_share * 1000.0) as u32
+}
+
 /// Whether any tenant has a quota.
 fn is_wanted(gateway: &Gateway) -> bool {
     let routes = gateway.routes();
@@ -124,10 +133,12 @@
         round: asked.round,
         lease: Duration::from_millis(asked.lease_ms.into()),
     };
-    // The last host of a zone has precedence, as it has the least load in the peers' tree.
+    // The host with the largest CPU share has precedence, as a grantor receives queries from its
+    // whole zone. Ties go to the last host, which has the least load in the peers' tree.
+    let has_precedence = (asked.cpu, from) > (cpu_millicores(&host), host.ip);
     let share = quotas
         .lending()
-        .answer_collect(from, collect, from > host.ip, now);
+        .answer_collect(from, collect, has_precedence, now);
     lock(&quotas.remote_grantors)
         .grantors
         .clone_from(&asked.grantors);
@@ -214,12 +225,16 @@
 fn look(gateway: &Gateway) -> bool {
     let quotas = &gateway.quotas;
     let now = Instant::now();
-    let (hosts, zone) = {
+    let (hosts, mut zone) = {
         let peers = gateway.peers();
         let own = gateway.location();
         let hosts = peers.is_listed().then(|| peers.processes(now) + 1);
         (hosts, peers.own_zone(own))
     };
+    zone.place = match gateway.host().cpu_share >= MIN_PREFERRED_CPU_SHARE {
+        true => zone.place.min(MAX_PREFERRED_PLACE),
+        false => zone.place.saturating_add(MAX_PREFERRED_PLACE + 1),
+    };
     *lock(&quotas.zone) = zone;
     let is_new_host = quotas
         .is_new_host
@@ -269,7 +284,7 @@
         }
         let to = entry.ip.or_else(|| {
             entry.attempts += 1;
-            // Starts with the last host of the zone, which is its grantor while it is live.
+            // Starts with the last host of the zone.
             hosts.iter().rev().cycle().nth(entry.attempts - 1).copied()
         });
         if let Some(to) = to {
@@ -283,6 +298,7 @@
     let collect = Message::Collect(message::Collect {
         round: round.round,
         lease_ms: round.lease.as_millis() as u32,
+        cpu: cpu_millicores(&host),
         grantors,
     });
     for ip in peers {
@@ -314,6 +330,7 @@
     let message = Message::Collect(message::Collect {
         round: collect.round,
         lease_ms: 0,
+        cpu: 0,
         grantors,
     });
     let peers = gateway.peers().zone_hosts(gateway.location());
--- a/crates/gateway/src/quota/message.rs
+++ b/crates/gateway/src/quota/message.rs
@@ -45,6 +45,8 @@
     pub round: u64,
     /// Duration of the lease in milliseconds; 0 returns the share to the lender.
     pub lease_ms: u32,
+    /// CPU share of the grantor, in thousandths of a core.
+    pub cpu: u32,
     /// Grantors of other zones.
     pub grantors: Vec<IpAddr>,
 }
--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -62,6 +62,7 @@
         usage_port: 7004,
         quota_port: 7005,
         quota: platform::QuotaBounds::default(),
+        cpu_share: 1.0,
         cloud: None,
     }
 }
--- a/crates/quota/src/lending.rs
+++ b/crates/quota/src/lending.rs
@@ -25,7 +25,7 @@
 /// Rounds that a host waits for a request after its start; a live grantor sends one per round.
 const STARTUP_ROUNDS: f64 = 1.5;
 /// Highest place that adds to the takeover delay.
-const MAX_PLACES: u32 = 10;
+const MAX_PLACES: u32 = 16;
 /// Time before a new host may use its share, as the other hosts still compute their shares
 /// without it.
 const NEW_HOST_DELAY: Duration = Duration::from_secs(6);
