Log who collects usage, which peers are known, and what a window lacks

A window whose report lacked the requests of a stopping process was logged with silent 0, and no line told whether that process was known, polled or held by another one. New lines: usage_collecting (begin and end, rank, time without a poll), usage_handed_over (to whom, how many), usage_poll_ignored (polls from unknown addresses, once a sender) and peers_changed (listed, heard, unlisted, silent). usage_decided names the known processes whose requests aren't all known, and the decider's rank.

--- a/crates/gateway/src/duty/usage/exchange.rs
+++ b/crates/gateway/src/duty/usage/exchange.rs
@@ -9,6 +9,7 @@
 use super::{Collector, Usage, is_collector, is_enabled, time_of_day_ms};
 use crate::StartError;
 use crate::state::Gateway;
+use observe::{Event, emit};
 use std::net::{IpAddr, SocketAddr};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
@@ -32,6 +33,8 @@
 const MAX_DATAGRAM: usize = 16 << 10;
 /// Maximum number of collectors that are remembered.
 const MAX_COLLECTORS: usize = 8;
+/// Maximum number of senders whose ignored polls are logged.
+const MAX_IGNORED_LOGGED: usize = 64;
 /// Number of times that the last requests are sent before a process exits, and the pause between
 /// them.
 const FINAL_SENDS: u32 = 3;
@@ -121,6 +124,7 @@
 
 async fn receive(gateway: Arc<Gateway>, exchange: Arc<Exchange>) {
     let mut buf = vec![0; MAX_DATAGRAM];
+    let mut ignored = Vec::new();
     loop {
         // An error here means that an earlier datagram was sent to a closed port.
         let Ok((len, from)) = exchange.socket.recv_from(&mut buf).await else {
@@ -136,13 +140,26 @@
             Some(Message::Told(answer)) => {
                 handle_answer(&gateway, &exchange, from.ip(), &answer, now);
             }
+            Some(Message::Ask(_)) => log_ignored(&mut ignored, from.ip()),
             // Anyone can send invalid datagrams; peers of another version are logged by the
             // exchange of loads.
-            Some(Message::Ask(_)) | None => {}
+            None => {}
         }
     }
 }
 
+/// Logs an ignored poll, unless one of the same sender was logged before. `ignored` is sorted.
+fn log_ignored(ignored: &mut Vec<IpAddr>, from: IpAddr) {
+    let Err(at) = ignored.binary_search(&from) else {
+        return;
+    };
+    if ignored.len() < MAX_IGNORED_LOGGED {
+        ignored.insert(at, from);
+        let peer = from.to_string();
+        emit(&Event::UsagePollIgnored { peer });
+    }
+}
+
 /// NB: a datagram that can't be sent now counts as lost, and is queried again.
 fn send(socket: &UdpSocket, to: SocketAddr, message: &Message) {
     let _ = socket.try_send_to(&wire::encode_compact(message), to);
@@ -232,12 +249,18 @@
 /// Polls all processes while this one is a collector, until it ends.
 async fn poll_peers(gateway: Arc<Gateway>, exchange: Arc<Exchange>) {
     let mut silent_polled_at = Instant::now();
+    let mut was_collecting = false;
     loop {
         let peers = gateway.peers().addresses();
         let pause = POLL_EVERY.max(POLL_EVERY_PER_PEER * peers.len() as u32);
         tokio::time::sleep(pause.min(MAX_POLL_PAUSE)).await;
         let now = Instant::now();
-        if !is_enabled(&gateway) || !is_collector(&gateway, now) {
+        let is_collecting = is_enabled(&gateway) && is_collector(&gateway, now);
+        if is_collecting != was_collecting {
+            was_collecting = is_collecting;
+            log_collecting(&gateway, is_collecting, now);
+        }
+        if !is_collecting {
             gateway.usage.request_log().expire(now);
             continue;
         }
@@ -260,6 +283,15 @@
     }
 }
 
+fn log_collecting(gateway: &Gateway, collecting: bool, now: Instant) {
+    let last_at = gateway.usage.polls().last_at;
+    emit(&Event::UsageCollecting {
+        collecting,
+        rank: gateway.rank(),
+        unpolled_ms: now.saturating_duration_since(last_at).as_millis() as u64,
+    });
+}
+
 /// Adds this process's own requests to the ledger like any other's.
 fn add_own_requests(gateway: &Gateway, queries: &mut Queries, now: Instant) {
     let usage = &gateway.usage;
@@ -296,16 +328,20 @@
             .filter(|c| now.saturating_duration_since(c.polled_at) < SILENT_AFTER);
         recent.copied().collect()
     };
+    let mut sent = Vec::new();
     for _ in 0..FINAL_SENDS {
+        sent.clear();
         for collector in &collectors {
             let request_log = gateway.usage.request_log();
             let answer =
                 request_log.read_from(collector.start, collector.next_needed, 0, Instant::now());
+            sent.push((collector.ip.to_string(), answer.begun.len() as u64));
             let to = SocketAddr::new(collector.ip, host.usage_port);
             send(&socket, to, &Message::Told(answer));
         }
         tokio::time::sleep(FINAL_SEND_PAUSE).await;
     }
+    emit(&Event::UsageHandedOver { collectors: sent });
     match collectors.is_empty() {
         true => unreported(gateway, now),
         false => 0,
--- a/crates/gateway/src/duty/usage/ledger.rs
+++ b/crates/gateway/src/duty/usage/ledger.rs
@@ -172,6 +172,23 @@
         (complete, heard.saturating_sub(complete))
     }
 
+    /// Addresses of processes whose requests aren't known for the whole span, sorted: those of
+    /// `peers`, and others that answered since its start.
+    pub fn incomplete(&self, peers: &[IpAddr], from: Instant, until: Instant) -> Vec<IpAddr> {
+        let is_complete = |log: &ProcessLog| log.complete_at.is_some_and(|at| at >= until);
+        let complete = |ip: IpAddr| {
+            let mut logs = self.logs.iter().filter(|log| log.ip == ip);
+            logs.any(is_complete)
+        };
+        let heard = self.logs.iter().filter(|log| log.last_received_at >= from);
+        let heard = heard.filter(|log| !is_complete(log)).map(|log| log.ip);
+        let unheard = peers.iter().copied().filter(|ip| !complete(*ip));
+        let mut out: Vec<IpAddr> = heard.chain(unheard).collect();
+        out.sort_unstable();
+        out.dedup();
+        out
+    }
+
     /// Start time of the earliest known request.
     pub fn earliest(&self) -> Option<Instant> {
         let entries = self.logs.iter().flat_map(|log| &log.entries);
--- a/crates/gateway/src/duty/usage/reports.rs
+++ b/crates/gateway/src/duty/usage/reports.rs
@@ -11,6 +11,7 @@
 use platform::cloud::{Cloud, CloudAnswer, LeaseRef};
 use platform::usage::UsageReport;
 use platform::{Duty, Lease, LeaseWrite};
+use std::net::IpAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -271,13 +272,19 @@
 
     fn log_decided(&mut self, window: u64, bounds: Window, counted: &WindowCount, token: u64) {
         self.counted_until = Some((window, bounds.until));
+        let peers = self.gateway.peers().addresses();
+        let ledger = self.gateway.usage.ledger();
+        let incomplete = ledger.incomplete(&peers, bounds.from, bounds.until);
+        drop(ledger);
         emit(&Event::UsageDecided {
             window,
             tenants: counted.counts.len(),
             requests: counted.requests,
             hosts: counted.hosts,
             silent: counted.silent,
+            incomplete: incomplete.iter().map(IpAddr::to_string).collect(),
             after_ms: bounds.until.elapsed().as_millis() as u64,
+            rank: self.gateway.rank(),
             token,
         });
     }
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -90,10 +90,37 @@
     backoff: Duration,
 }
 
+/// How a peer became known or was forgotten.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum PeerChange {
+    /// Listed in the store or by a peer.
+    Listed,
+    /// Heard in a datagram.
+    Heard,
+    /// No longer listed.
+    Unlisted,
+    /// Not listed, and silent.
+    Silent,
+}
+
+impl PeerChange {
+    /// Name in the log.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Listed => "listed",
+            Self::Heard => "heard",
+            Self::Unlisted => "unlisted",
+            Self::Silent => "silent",
+        }
+    }
+}
+
 /// All known peers, sorted by address.
 #[derive(Debug, Default)]
 pub struct Peers {
     all: Vec<Peer>,
+    /// Changes that haven't been logged.
+    changes: Vec<(PeerChange, IpAddr)>,
     /// The peer to which this process reports.
     parent: Option<IpAddr>,
     /// Start of the search for a parent; `None` if this process has one, uses a full mesh, or has
@@ -118,7 +145,7 @@
 impl Peers {
     /// Adds a peer that is listed in the store.
     pub fn add(&mut self, host: &str, ip: IpAddr, zone: u32) {
-        if let Some(peer) = self.find_or_add(ip) {
+        if let Some(peer) = self.find_or_add(ip, PeerChange::Listed) {
             peer.host = Some(host.to_owned());
             peer.zone = zone;
             // A process writes its row when it starts, so it may answer now.
@@ -143,17 +170,20 @@
             .iter()
             .position(|p| p.host.as_deref() == Some(host));
         if let Some(at) = at {
-            self.all.remove(at).remove_load(fleet);
+            let mut peer = self.all.remove(at);
+            peer.remove_load(fleet);
+            self.changes.push((PeerChange::Unlisted, peer.ip));
             self.revision += 1;
         }
     }
 
-    fn find_or_add(&mut self, ip: IpAddr) -> Option<&mut Peer> {
+    fn find_or_add(&mut self, ip: IpAddr, change: PeerChange) -> Option<&mut Peer> {
         let at = match self.all.binary_search_by_key(&ip, |p| p.ip) {
             Ok(at) => at,
             Err(_) if self.all.len() >= MAX_PEERS => return None,
             Err(at) => {
                 self.all.insert(at, Peer::new(ip));
+                self.changes.push((change, ip));
                 at
             }
         };
@@ -170,7 +200,7 @@
     ) -> bool {
         let timeout = self.peer_timeout();
         let is_accepted = self.accepts_load(ip, status.scope);
-        let Some(peer) = self.find_or_add(ip) else {
+        let Some(peer) = self.find_or_add(ip, PeerChange::Heard) else {
             return false;
         };
         let last = peer.status.as_ref();
@@ -254,8 +284,19 @@
             true => None,
             false => self.isolated_since.or(Some(now)),
         };
-        self.all
-            .retain(|p| p.host.is_some() || p.is_live(now, timeout));
+        let changes = &mut self.changes;
+        self.all.retain(|p| {
+            let is_kept = p.host.is_some() || p.is_live(now, timeout);
+            if !is_kept {
+                changes.push((PeerChange::Silent, p.ip));
+            }
+            is_kept
+        });
+    }
+
+    /// Takes the changes of known peers since the last call.
+    pub fn take_changes(&mut self) -> Vec<(PeerChange, IpAddr)> {
+        std::mem::take(&mut self.changes)
     }
 
     /// Silence after which a peer counts as gone. In a full mesh, the interval between datagrams
--- a/crates/observe/src/event.rs
+++ b/crates/observe/src/event.rs
@@ -329,8 +329,12 @@
         hosts: usize,
         /// Number of processes that have sent only a part of their usage; the rest is missing.
         silent: usize,
+        /// Known processes whose usage isn't known for the whole window.
+        incomplete: Vec<String>,
         /// Time since the window's end, in milliseconds.
         after_ms: u64,
+        /// Rank of this process among those that may decide.
+        rank: u32,
         /// Fencing token of the lease.
         token: u64,
     },
@@ -359,6 +363,37 @@
         /// The reason.
         why: &'a str,
     },
+    /// This process has started or ended to collect the usage of all processes.
+    UsageCollecting {
+        /// Whether it collects now.
+        collecting: bool,
+        /// Rank of this process among those that may collect.
+        rank: u32,
+        /// Time since a collector last polled this process, in milliseconds.
+        unpolled_ms: u64,
+    },
+    /// This process stops, and sent the requests that it had started to the collectors.
+    UsageHandedOver {
+        /// Addresses of the collectors, each with the number of requests sent to it.
+        collectors: Vec<(String, u64)>,
+    },
+    /// A poll for usage was ignored, as its sender isn't known as a peer. Logged once per sender.
+    UsagePollIgnored {
+        /// Address of the sender.
+        peer: String,
+    },
+    /// Peers became known or were forgotten.
+    PeersChanged {
+        /// How: listed in the store or by a peer, heard in a datagram, no longer listed, or silent
+        /// without being listed.
+        change: &'a str,
+        /// Number of these peers.
+        count: usize,
+        /// Addresses of these peers, or of the first ones if there are many.
+        peers: Vec<String>,
+        /// Number of peers that are known now.
+        known: usize,
+    },
     /// The desired number of upstreams was sent to the platform.
     UpstreamsOrdered {
         /// The service.
