Complete a collector's requests before it decides a usage report

What tenants saw: reports of some windows lacked up to all requests of a process that had stopped.

Change: requests in the ledger have their numbers, so that they may arrive by several ways. A process that begins to collect asks each peer in a datagram whether it holds requests of others, and fetches those that it lacks over HTTP. `Collection`, which performs no I/O, lets a window be decided when each known process has answered, or has been polled for 3 s in vain, and all holders have been asked; if a process stays silent, they are asked again. A pause of the process starts this anew. A report also waits until the list of processes has been current for 2 s, and for 2 s after an outage of the store, since processes that started meanwhile become known then; no report waits for over 10 s. Requests that come after the report of their window are logged as lost, with their process, as are those dropped before a poll. All pages of the last requests are sent, not the first 800 only, and to collectors of the last 10 s. A ledger expires also in a process that collects no more.

`a_new_collector_reports_what_former_ones_hold...` fails on the code before.

--- a/crates/gateway/src/duty/usage.rs
+++ b/crates/gateway/src/duty/usage.rs
@@ -5,15 +5,18 @@
 //! also decides each window's report and sends it. See `docs/design/duties.md`.
 
 pub mod clock;
+pub mod collection;
 pub mod exchange;
 pub mod holder;
 pub mod ledger;
 pub mod message;
 mod reports;
 pub mod request_log;
+pub mod transfer;
 
 use crate::state::Gateway;
 use clock::FleetClock;
+use collection::Collection;
 use ledger::Ledger;
 use observe::{Event, emit};
 use request_log::RequestLog;
@@ -36,6 +39,7 @@
 pub struct Usage {
     request_log: Mutex<RequestLog>,
     ledger: Mutex<Ledger>,
+    collection: Mutex<Collection>,
     clock: Mutex<FleetClock>,
     polls: Mutex<Polls>,
     /// Last window whose report is done, as found by this process or learned from a collector.
@@ -66,6 +70,7 @@
         Self {
             request_log: Mutex::new(RequestLog::new(fastrand::u32(1..), time_of_day_ms)),
             ledger: Mutex::default(),
+            collection: Mutex::default(),
             clock: Mutex::new(FleetClock::new(now)),
             polls: Mutex::new(Polls {
                 last_at: now,
@@ -90,6 +95,10 @@
         lock(&self.ledger)
     }
 
+    fn collection(&self) -> MutexGuard<'_, Collection> {
+        lock(&self.collection)
+    }
+
     fn clock(&self) -> MutexGuard<'_, FleetClock> {
         lock(&self.clock)
     }
@@ -102,6 +111,11 @@
         self.done_window.load(Ordering::Relaxed)
     }
 
+    /// Address and start of this process, by which its requests are known.
+    fn own_log(&self, gateway: &Gateway) -> (IpAddr, u32) {
+        (gateway.host().ip, self.request_log().start())
+    }
+
     fn set_done_window(&self, window: u64) {
         self.done_window.fetch_max(window, Ordering::Relaxed);
     }
@@ -138,8 +152,8 @@
     rank < COLLECTORS || unpolled > POLL_TIMEOUT + POLL_TIMEOUT_PER_PLACE * rank
 }
 
-/// Sends the collectors this process's remaining requests before it exits. Requests that no
-/// collector has polled for are lost, which is logged.
+/// Sends the collectors this process's remaining requests before it exits.
+/// Requests that nobody receives are lost, which is logged.
 pub async fn hand_over(gateway: &Arc<Gateway>) {
     if !is_enabled(gateway) {
         return;
@@ -147,8 +161,9 @@
     let lost = exchange::send_remaining(gateway).await;
     if lost > 0 {
         emit(&Event::UsageLost {
+            peer: gateway.host().ip.to_string(),
             requests: lost,
-            why: "the process exits and no collector has polled it recently",
+            why: "the process exits and no other process received them",
         });
     }
 }
--- a/crates/gateway/src/duty/usage/exchange.rs
+++ b/crates/gateway/src/duty/usage/exchange.rs
@@ -29,6 +29,11 @@
 const ANSWER_TIMEOUT: Duration = Duration::from_secs(2);
 /// Validity of an estimate of the time of day.
 const ESTIMATE_LIFETIME: Duration = Duration::from_secs(3);
+/// Time since a collector's last poll for which an exiting process sends it its last requests: the
+/// longest interval between polls, and some lost ones.
+const COLLECTOR_TIMEOUT: Duration = Duration::from_secs(10);
+/// Interval between removals of requests that are too old to be reported.
+const EXPIRE_EVERY: Duration = Duration::from_secs(1);
 /// Maximum size of a datagram.
 const MAX_DATAGRAM: usize = 16 << 10;
 /// Maximum number of collectors that are remembered.
@@ -135,12 +140,22 @@
             // Other senders must not learn the tenants' names or report windows as done.
             Some(Message::Ask(query)) if gateway.peers().knows(from.ip()) => {
                 let answer = answer_query(&gateway.usage, from.ip(), query, now);
+                // Collectors hold requests of others.
+                gateway.usage.collection().record_held(from.ip(), true);
                 send(&exchange.socket, from, &Message::Told(answer));
             }
             Some(Message::Told(answer)) => {
                 handle_answer(&gateway, &exchange, from.ip(), &answer, now);
             }
-            Some(Message::Ask(_)) => log_ignored(&mut ignored, from.ip()),
+            Some(Message::AskHeld) if gateway.peers().knows(from.ip()) => {
+                let own = gateway.usage.own_log(&gateway);
+                let held = gateway.usage.ledger().other_logs(own);
+                send(&exchange.socket, from, &Message::Held(held as u32));
+            }
+            Some(Message::Held(held)) => {
+                gateway.usage.collection().record_held(from.ip(), held > 0);
+            }
+            Some(Message::Ask(_) | Message::AskHeld) => log_ignored(&mut ignored, from.ip()),
             // Anyone can send invalid datagrams; peers of another version are logged by the
             // exchange of loads.
             None => {}
@@ -250,26 +265,44 @@
 async fn poll_peers(gateway: Arc<Gateway>, exchange: Arc<Exchange>) {
     let mut silent_polled_at = Instant::now();
     let mut was_collecting = false;
+    let mut expired_at = Instant::now();
     loop {
         let peers = gateway.peers().addresses();
         let pause = POLL_EVERY.max(POLL_EVERY_PER_PEER * peers.len() as u32);
-        tokio::time::sleep(pause.min(MAX_POLL_PAUSE)).await;
+        let pause = pause.min(MAX_POLL_PAUSE);
+        tokio::time::sleep(pause).await;
         let now = Instant::now();
+        if now.saturating_duration_since(expired_at) >= EXPIRE_EVERY {
+            expired_at = now;
+            expire(&gateway.usage, now);
+        }
         let is_collecting = is_enabled(&gateway) && is_collector(&gateway, now);
         if is_collecting != was_collecting {
             was_collecting = is_collecting;
             log_collecting(&gateway, is_collecting, now);
         }
         if !is_collecting {
-            gateway.usage.request_log().expire(now);
+            gateway.usage.collection().clear();
             continue;
         }
         let may_poll_silent = now.saturating_duration_since(silent_polled_at) >= POLL_SILENT_EVERY;
         if may_poll_silent {
             silent_polled_at = now;
         }
+        let held_unknown = {
+            let mut collection = gateway.usage.collection();
+            collection.record_poll(&peers, pause, now);
+            collection.held_unknown(now)
+        };
+        let port = gateway.host().usage_port;
+        for ip in held_unknown {
+            let to = SocketAddr::new(ip, port);
+            send(&exchange.socket, to, &Message::AskHeld);
+        }
         let mut queries = exchange.queries();
-        add_own_requests(&gateway, &mut queries, now);
+        add_own_requests(&gateway, now);
+        let base_ms = gateway.usage.clock().estimate_base(time_of_day_ms(), now);
+        queries.add_estimate(gateway.host().ip, base_ms, now);
         for ip in peers {
             let last_received_at = gateway.usage.ledger().last_received_at(ip);
             let is_silent =
@@ -292,8 +325,35 @@
     });
 }
 
+/// Drops requests that are too old to be reported, and logs those that are in no report.
+fn expire(usage: &Usage, now: Instant) {
+    usage.request_log().expire(now);
+    let mut ledger = usage.ledger();
+    for lost in ledger.take_lost() {
+        let reasons = [
+            (
+                lost.missed,
+                "they were dropped before a collector queried them",
+            ),
+            (
+                lost.late,
+                "they became known after their window was decided",
+            ),
+        ];
+        for (requests, why) in reasons.into_iter().filter(|(requests, _)| *requests > 0) {
+            let peer = lost.ip.to_string();
+            emit(&Event::UsageLost {
+                peer,
+                requests,
+                why,
+            });
+        }
+    }
+    ledger.expire(now);
+}
+
 /// Adds this process's own requests to the ledger like any other's.
-fn add_own_requests(gateway: &Gateway, queries: &mut Queries, now: Instant) {
+fn add_own_requests(gateway: &Gateway, now: Instant) {
     let usage = &gateway.usage;
     let ip = gateway.host().ip;
     loop {
@@ -307,45 +367,59 @@
             break;
         }
     }
-    let base_ms = usage.clock().estimate_base(time_of_day_ms(), now);
-    queries.add_estimate(ip, base_ms, now);
 }
 
-/// Sends recent collectors the requests that they don't have yet. The messages are repeated, as
-/// no collector will query again. Returns the number of requests that no collector has polled
-/// for.
+/// Sends recent collectors the requests that they don't have yet. Returns the number of requests
+/// that no collector has polled for.
 pub async fn send_remaining(gateway: &Arc<Gateway>) -> u64 {
-    let host = gateway.host();
     let now = Instant::now();
-    let Ok(socket) = UdpSocket::bind(SocketAddr::new(host.ip, 0)).await else {
-        return unreported(gateway, now);
-    };
     let collectors: Vec<Collector> = {
         let polls = gateway.usage.polls();
         let recent = polls
             .collectors
             .iter()
-            .filter(|c| now.saturating_duration_since(c.polled_at) < SILENT_AFTER);
+            .filter(|c| now.saturating_duration_since(c.polled_at) < COLLECTOR_TIMEOUT);
         recent.copied().collect()
     };
+    let sent = send_last(gateway, &collectors).await;
+    let is_lost = sent.is_empty();
+    emit(&Event::UsageHandedOver { receivers: sent });
+    match is_lost {
+        true => unreported(gateway, now),
+        false => 0,
+    }
+}
+
+/// Sends collectors the requests that they don't have yet. The messages are repeated, as no
+/// collector may query again. Returns the collectors, each with the number of requests.
+async fn send_last(gateway: &Arc<Gateway>, collectors: &[Collector]) -> Vec<(String, u64)> {
+    let host = gateway.host();
     let mut sent = Vec::new();
+    let Ok(socket) = UdpSocket::bind(SocketAddr::new(host.ip, 0)).await else {
+        return sent;
+    };
     for _ in 0..FINAL_SENDS {
         sent.clear();
-        for collector in &collectors {
-            let request_log = gateway.usage.request_log();
-            let answer =
-                request_log.read_from(collector.start, collector.next_needed, 0, Instant::now());
-            sent.push((collector.ip.to_string(), answer.begun.len() as u64));
+        for collector in collectors {
             let to = SocketAddr::new(collector.ip, host.usage_port);
-            send(&socket, to, &Message::Told(answer));
+            let (mut next, mut requests) = (collector.next_needed, 0);
+            loop {
+                let request_log = gateway.usage.request_log();
+                let answer = request_log.read_from(collector.start, next, 0, Instant::now());
+                drop(request_log);
+                requests += answer.begun.len() as u64;
+                next = answer.from + answer.begun.len() as u64;
+                let is_last = next >= answer.next || answer.begun.is_empty();
+                send(&socket, to, &Message::Told(answer));
+                if is_last {
+                    break;
+                }
+            }
+            sent.push((collector.ip.to_string(), requests));
         }
         tokio::time::sleep(FINAL_SEND_PAUSE).await;
     }
-    emit(&Event::UsageHandedOver { collectors: sent });
-    match collectors.is_empty() {
-        true => unreported(gateway, now),
-        false => 0,
-    }
+    sent
 }
 
 /// Requests of this process that started in windows whose report isn't done.
--- a/crates/gateway/src/duty/usage/ledger.rs
+++ b/crates/gateway/src/duty/usage/ledger.rs
@@ -1,7 +1,7 @@
 //! A collector's record of the requests that started to run on all processes.
 
-use super::message::QueryAnswer;
-use super::request_log::{Entry, RETENTION};
+use super::message::{HeldLog, KnownLog, QueryAnswer, StartedRequest};
+use super::request_log::RETENTION;
 use platform::usage::TenantCount;
 use std::collections::VecDeque;
 use std::net::IpAddr;
@@ -11,6 +11,15 @@
 /// Maximum number of process starts, as any sender can claim to be a new one.
 const MAX_LOGS: usize = 2048;
 
+/// A request that started to run on some process.
+#[derive(Debug)]
+struct Entry {
+    /// Number that its process gave it.
+    number: u64,
+    at: Instant,
+    tenant: Arc<str>,
+}
+
 /// Requests received from one start of a process.
 #[derive(Debug)]
 struct ProcessLog {
@@ -21,10 +30,68 @@
     /// Time of its last answer after which nothing was left to query.
     complete_at: Option<Instant>,
     last_received_at: Instant,
-    /// In the order in which they were received.
+    /// Sorted by number.
     entries: VecDeque<Entry>,
     /// Requests that the process had dropped before they were queried.
     missed: u64,
+    /// Requests that became known after the report of their window was decided.
+    late: u64,
+}
+
+impl ProcessLog {
+    fn is_complete(&self, until: Instant) -> bool {
+        self.complete_at.is_some_and(|at| at >= until)
+    }
+
+    /// Some consecutive entries from number `from` on, for another process.
+    fn held(&self, from: u64, entries: &[&Entry], now: Instant) -> HeldLog {
+        let mut names: Vec<&Arc<str>> = entries.iter().map(|e| &e.tenant).collect();
+        names.sort_unstable();
+        names.dedup();
+        let begun = entries.iter().map(|entry| {
+            let tenant = names.partition_point(|name| **name < entry.tenant);
+            StartedRequest {
+                ago_ms: millis_since(entry.at, now),
+                tenant: tenant as u16,
+            }
+        });
+        HeldLog {
+            ip: self.ip,
+            start: self.start,
+            from,
+            received_ms_ago: millis_since(self.last_received_at, now),
+            complete_ms_ago: self.complete_at.map(|at| millis_since(at, now)),
+            begun: begun.collect(),
+            tenants: names.iter().map(ToString::to_string).collect(),
+        }
+    }
+
+    /// Adds a request unless it is known.
+    fn insert(&mut self, entry: Entry) -> bool {
+        let is_next = self.entries.back().is_none_or(|e| e.number < entry.number);
+        if is_next {
+            self.entries.push_back(entry);
+            return true;
+        }
+        let at = self
+            .entries
+            .binary_search_by_key(&entry.number, |e| e.number);
+        if let Err(at) = at {
+            self.entries.insert(at, entry);
+        }
+        at.is_err()
+    }
+}
+
+/// Requests of a process that are in no report.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct LostRequests {
+    /// Address of the process.
+    pub ip: IpAddr,
+    /// Requests that it had dropped before they were queried.
+    pub missed: u64,
+    /// Requests that became known after the report of their window was decided.
+    pub late: u64,
 }
 
 /// Position in a process's log from which to query.
@@ -43,6 +110,8 @@
     logs: Vec<ProcessLog>,
     /// Sorted; entries share these strings.
     names: Vec<Arc<str>>,
+    /// Time span of the consecutive windows whose reports this process has decided.
+    decided: Option<(Instant, Instant)>,
 }
 
 /// Request counts of a time span, and how complete they are.
@@ -61,46 +130,93 @@
 impl Ledger {
     /// Position up to which a process's requests are known.
     pub fn position(&self, ip: IpAddr) -> Position {
-        let logs = self.logs.iter().filter(|log| log.ip == ip);
-        let newest = logs.max_by_key(|log| log.last_received_at);
+        let newest = self
+            .logs_of(ip)
+            .iter()
+            .max_by_key(|log| log.last_received_at);
         newest.map_or_else(Position::default, |log| Position {
             start: log.start,
             next: log.next,
         })
     }
 
+    /// Logs of all starts of a process.
+    fn logs_of(&self, ip: IpAddr) -> &[ProcessLog] {
+        let from = self.logs.partition_point(|log| log.ip < ip);
+        let len = self.logs[from..].partition_point(|log| log.ip == ip);
+        &self.logs[from..from + len]
+    }
+
     /// Adds the requests that a process sent, where `at` is the time of its message by this
     /// process's clock. Returns whether more requests are available there.
     pub fn add(&mut self, ip: IpAddr, answer: &QueryAnswer, at: Instant) -> bool {
-        let Some(log_index) = self.log_index(ip, answer.start, at) else {
+        let Some(log_index) = self.log_index(ip, answer.start, answer.from, at) else {
             return false;
         };
-        let known = self.logs[log_index].next;
-        if answer.from > known {
-            self.logs[log_index].missed += answer.from - known;
-            self.logs[log_index].next = answer.from;
-        }
-        let known_count = self.logs[log_index].next.saturating_sub(answer.from) as usize;
-        for begun in answer.begun.iter().skip(known_count) {
-            let Some(name) = answer.tenants.get(usize::from(begun.tenant)) else {
-                continue;
-            };
-            let tenant = self.intern(name);
-            let ago = Duration::from_millis(begun.ago_ms.into());
-            let at = at.checked_sub(ago).unwrap_or(at);
-            self.logs[log_index].entries.push_back(Entry { at, tenant });
-        }
         let log = &mut self.logs[log_index];
+        if answer.from > log.next {
+            log.missed += answer.from - log.next;
+        }
         log.next = log.next.max(answer.from + answer.begun.len() as u64);
         log.last_received_at = log.last_received_at.max(at);
         let has_more = log.next < answer.next;
         if !has_more {
             log.complete_at = log.complete_at.max(Some(at));
         }
+        self.insert(log_index, answer.from, &answer.begun, &answer.tenants, at);
         has_more
     }
 
-    fn log_index(&mut self, ip: IpAddr, start: u32, at: Instant) -> Option<usize> {
+    /// Adds requests that another process holds, where `at` is the time of its message by this
+    /// process's clock. Returns the number of those that weren't known.
+    pub fn add_held(&mut self, held: &HeldLog, at: Instant) -> u64 {
+        let before = |ms: u32| at.checked_sub(Duration::from_millis(ms.into()));
+        let Some(received_at) = before(held.received_ms_ago) else {
+            return 0;
+        };
+        let Some(log_index) = self.log_index(held.ip, held.start, held.from, received_at) else {
+            return 0;
+        };
+        let log = &mut self.logs[log_index];
+        log.next = log.next.max(held.from + held.begun.len() as u64);
+        log.last_received_at = log.last_received_at.max(received_at);
+        log.complete_at = log.complete_at.max(held.complete_ms_ago.and_then(before));
+        self.insert(log_index, held.from, &held.begun, &held.tenants, at)
+    }
+
+    /// Adds consecutive requests from number `from`, which started some time before `at`. Returns
+    /// the number of those that weren't known.
+    fn insert(
+        &mut self,
+        log_index: usize,
+        from: u64,
+        begun: &[StartedRequest],
+        tenants: &[String],
+        at: Instant,
+    ) -> u64 {
+        let mut added = 0;
+        for (number, begun) in (from..).zip(begun) {
+            let Some(name) = tenants.get(usize::from(begun.tenant)) else {
+                continue;
+            };
+            let tenant = self.intern(name);
+            let ago = Duration::from_millis(begun.ago_ms.into());
+            let at = at.checked_sub(ago).unwrap_or(at);
+            let is_decided = self
+                .decided
+                .is_some_and(|(from, until)| at >= from && at < until);
+            let log = &mut self.logs[log_index];
+            if log.insert(Entry { number, at, tenant }) {
+                added += 1;
+                log.late += u64::from(is_decided);
+            }
+        }
+        added
+    }
+
+    /// Index of the log of a process's start. A new log begins with request number `from`: those
+    /// before it were dropped before this process collected.
+    fn log_index(&mut self, ip: IpAddr, start: u32, from: u64, at: Instant) -> Option<usize> {
         let found = self
             .logs
             .binary_search_by_key(&(ip, start), |log| (log.ip, log.start));
@@ -111,11 +227,12 @@
                 let log = ProcessLog {
                     ip,
                     start,
-                    next: 0,
+                    next: from,
                     complete_at: None,
                     last_received_at: at,
                     entries: VecDeque::new(),
                     missed: 0,
+                    late: 0,
                 };
                 self.logs.insert(log_index, log);
                 Some(log_index)
@@ -123,6 +240,46 @@
         }
     }
 
+    /// Records that the report of a window was decided by this process.
+    pub fn set_decided(&mut self, from: Instant, until: Instant) {
+        self.decided = match self.decided {
+            Some((first, last)) if last == from => Some((first, until)),
+            _ => Some((from, until)),
+        };
+    }
+
+    /// Number of process starts other than `own` whose requests are known.
+    pub fn other_logs(&self, own: (IpAddr, u32)) -> usize {
+        let others = self.logs.iter().filter(|log| (log.ip, log.start) != own);
+        others.count()
+    }
+
+    /// The logs that are known, each with the number of the next request.
+    pub fn known_logs(&self) -> Vec<KnownLog> {
+        let known = self.logs.iter().map(|log| KnownLog {
+            ip: log.ip,
+            start: log.start,
+            next: log.next,
+        });
+        known.collect()
+    }
+
+    /// The requests of all processes that aren't in `known`, which is sorted as the logs are.
+    pub fn held_beyond(&self, known: &[KnownLog], now: Instant) -> Vec<HeldLog> {
+        let mut out = Vec::new();
+        for log in &self.logs {
+            let at = known.binary_search_by_key(&(log.ip, log.start), |k| (k.ip, k.start));
+            let next = at.map_or(0, |at| known[at].next);
+            let first = log.entries.partition_point(|e| e.number < next);
+            let entries: Vec<&Entry> = log.entries.range(first..).collect();
+            // Numbers are missing where the process had dropped requests.
+            for run in entries.chunk_by(|a, b| a.number + 1 == b.number) {
+                out.push(log.held(run[0].number, run, now));
+            }
+        }
+        out
+    }
+
     fn intern(&mut self, name: &str) -> Arc<str> {
         match self.names.binary_search_by(|known| (**known).cmp(name)) {
             Ok(at) => self.names[at].clone(),
@@ -161,8 +318,11 @@
     /// Numbers of processes whose requests are known for the whole span, and of those that answered
     /// since its start but aren't complete.
     pub fn coverage(&self, from: Instant, until: Instant) -> (usize, usize) {
-        let is_complete = |log: &&ProcessLog| log.complete_at.is_some_and(|at| at >= until);
-        let complete = self.logs.iter().filter(is_complete).count();
+        let complete = self
+            .logs
+            .iter()
+            .filter(|log| log.is_complete(until))
+            .count();
         // A process whose last answer came before the span started no request in it.
         let heard = self
             .logs
@@ -175,20 +335,22 @@
     /// Addresses of processes whose requests aren't known for the whole span, sorted: those of
     /// `peers`, and others that answered since its start.
     pub fn incomplete(&self, peers: &[IpAddr], from: Instant, until: Instant) -> Vec<IpAddr> {
-        let is_complete = |log: &ProcessLog| log.complete_at.is_some_and(|at| at >= until);
-        let complete = |ip: IpAddr| {
-            let mut logs = self.logs.iter().filter(|log| log.ip == ip);
-            logs.any(is_complete)
-        };
         let heard = self.logs.iter().filter(|log| log.last_received_at >= from);
-        let heard = heard.filter(|log| !is_complete(log)).map(|log| log.ip);
-        let unheard = peers.iter().copied().filter(|ip| !complete(*ip));
+        let heard = heard.filter(|log| !log.is_complete(until));
+        let heard = heard.map(|log| log.ip);
+        let unheard = peers.iter().copied();
+        let unheard = unheard.filter(|ip| !self.is_complete(*ip, until));
         let mut out: Vec<IpAddr> = heard.chain(unheard).collect();
         out.sort_unstable();
         out.dedup();
         out
     }
 
+    /// Whether a process's requests are known up to a time.
+    pub fn is_complete(&self, ip: IpAddr, until: Instant) -> bool {
+        self.logs_of(ip).iter().any(|log| log.is_complete(until))
+    }
+
     /// Start time of the earliest known request.
     pub fn earliest(&self) -> Option<Instant> {
         let entries = self.logs.iter().flat_map(|log| &log.entries);
@@ -197,23 +359,39 @@
 
     /// Time of a process's last answer.
     pub fn last_received_at(&self, ip: IpAddr) -> Option<Instant> {
-        let logs = self.logs.iter().filter(|log| log.ip == ip);
+        let logs = self.logs_of(ip).iter();
         logs.map(|log| log.last_received_at).max()
     }
 
+    /// Takes the requests that were found to be in no report since the last call.
+    pub fn take_lost(&mut self) -> Vec<LostRequests> {
+        let mut lost = Vec::new();
+        for log in self.logs.iter_mut().filter(|l| l.missed + l.late > 0) {
+            lost.push(LostRequests {
+                ip: log.ip,
+                missed: std::mem::take(&mut log.missed),
+                late: std::mem::take(&mut log.late),
+            });
+        }
+        lost
+    }
+
     /// Drops entries that are too old to be reported. Returns the number of requests that
     /// processes had dropped before this collector queried them.
     pub fn expire(&mut self, now: Instant) -> u64 {
         let is_kept = |at: Instant| now.saturating_duration_since(at) <= RETENTION;
-        let mut missed = 0;
+        let missed = self.take_lost().iter().map(|lost| lost.missed).sum();
         for log in &mut self.logs {
             while log.entries.front().is_some_and(|e| !is_kept(e.at)) {
                 log.entries.pop_front();
             }
-            missed += std::mem::take(&mut log.missed);
         }
         self.logs.retain(|log| is_kept(log.last_received_at));
         self.names.retain(|name| Arc::strong_count(name) > 1);
         missed
     }
 }
+
+fn millis_since(at: Instant, now: Instant) -> u32 {
+    now.saturating_duration_since(at).as_millis() as u32
+}
--- a/crates/gateway/src/duty/usage/message.rs
+++ b/crates/gateway/src/duty/usage/message.rs
@@ -1,6 +1,8 @@
-//! Datagrams for usage reports, exchanged between processes.
+//! Messages for usage reports, exchanged between processes: datagrams, and bodies of HTTP requests
+//! for the requests that a process holds of others.
 
 use serde::{Deserialize, Serialize};
+use std::net::IpAddr;
 
 /// A datagram.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -9,6 +11,10 @@
     Ask(Query),
     /// The answer to [`Message::Ask`].
     Told(QueryAnswer),
+    /// A collector asks whether a process holds requests of other processes.
+    AskHeld,
+    /// The answer to [`Message::AskHeld`]: the number of process starts whose requests it holds.
+    Held(u32),
 }
 
 /// A collector's query.
@@ -52,3 +58,33 @@
     /// Index of its tenant in [`QueryAnswer::tenants`].
     pub tenant: u16,
 }
+
+/// The requests of one start of a process that another process knows.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct KnownLog {
+    /// Address of the process.
+    pub ip: IpAddr,
+    /// Identifier of its start.
+    pub start: u32,
+    /// Number of the first request that isn't known.
+    pub next: u64,
+}
+
+/// Consecutive requests of one start of a process, held by another process.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct HeldLog {
+    /// Address of the process that ran them.
+    pub ip: IpAddr,
+    /// Identifier of its start.
+    pub start: u32,
+    /// Number of the first request in `begun`.
+    pub from: u64,
+    /// Time since the process's last message, in milliseconds.
+    pub received_ms_ago: u32,
+    /// Time since all its requests were known, in milliseconds; `None` if they never were.
+    pub complete_ms_ago: Option<u32>,
+    /// Names of the tenants that `begun` refers to.
+    pub tenants: Vec<String>,
+    /// The requests, ordered by number.
+    pub begun: Vec<StartedRequest>,
+}
--- a/crates/gateway/src/duty/usage/reports.rs
+++ b/crates/gateway/src/duty/usage/reports.rs
@@ -1,9 +1,10 @@
 //! Decides each window's report and sends it, while this process holds the duty.
 
+use super::collection::{Readiness, Span};
 use super::holder::{Action, Holder};
 use super::ledger::WindowCount;
 use super::request_log::RETENTION;
-use super::{is_collector, is_enabled};
+use super::{is_collector, is_enabled, transfer};
 use crate::duty::{STORE_TIMEOUT, log_not_taken, log_taken};
 use crate::follow::StoreClient;
 use crate::state::Gateway;
@@ -14,6 +15,7 @@
 use std::net::IpAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
+use tokio::task::JoinSet;
 
 /// Interval between checks whether a report is due.
 const CHECK_EVERY: Duration = Duration::from_millis(100);
@@ -25,8 +27,13 @@
 /// Additional wait per place behind the first process, and the maximum number of places.
 const SETTLE_TIME_PER_PLACE: Duration = Duration::from_millis(2500);
 const MAX_PLACES: u32 = 3;
-/// Interval between removals of entries that are too old to be reported.
-const EXPIRE_EVERY: Duration = Duration::from_secs(1);
+/// Time without the store that counts as an outage.
+const STORE_OUTAGE: Duration = Duration::from_secs(1);
+/// Pause after an outage of the store, and after the first read of the list of processes: those
+/// that started meanwhile become known by the rows that they write then.
+const STORE_RETURN_PAUSE: Duration = Duration::from_secs(2);
+/// Maximum time for which a report is withheld while requests may be missing.
+const MAX_INCOMPLETE_WAIT: Duration = Duration::from_secs(10);
 /// Timeout for an answer to a report.
 const CALL_TIMEOUT: Duration = Duration::from_millis(900);
 /// Initial and maximum pause after a failed call; the pause doubles each time.
@@ -61,7 +68,12 @@
     gateway: Arc<Gateway>,
     holder: Holder,
     started_at: Instant,
-    last_expired_at: Instant,
+    /// Time of the first of the failed calls to the store since the last successful one.
+    store_lost_at: Option<Instant>,
+    /// Time of the store's return after an outage.
+    store_back_at: Option<Instant>,
+    /// Time since which a window's report is withheld.
+    withheld: Option<(u64, Instant)>,
     retry_pause: Duration,
     /// Last window that this process decided, and its end. The next window starts there, so that
     /// no request is counted twice when the agreed time is corrected.
@@ -69,13 +81,6 @@
     cloud_lost_at: Option<Instant>,
 }
 
-/// A window on this process's monotonic clock.
-#[derive(Debug, Clone, Copy)]
-struct Window {
-    from: Instant,
-    until: Instant,
-}
-
 impl Reporter {
     fn new(gateway: Arc<Gateway>, now: Instant) -> Self {
         let host = gateway.host();
@@ -83,7 +88,9 @@
             holder: Holder::new(host.ip.to_string(), host.order_gap),
             gateway,
             started_at: now,
-            last_expired_at: now,
+            store_lost_at: None,
+            store_back_at: None,
+            withheld: None,
             retry_pause: RETRY_BACKOFF.0,
             counted_until: None,
             cloud_lost_at: None,
@@ -92,7 +99,12 @@
 
     /// Performs the next step and returns the pause after it.
     async fn step(&mut self, client: &mut StoreClient, now: Instant) -> Duration {
-        self.expire(now);
+        let to_fetch = self.gateway.usage.collection().to_fetch();
+        if !to_fetch.is_empty() {
+            // The lease is checked by the time of the next step.
+            self.fetch(to_fetch).await;
+            return Duration::ZERO;
+        }
         self.holder
             .set_done_window(self.gateway.usage.done_window());
         self.drop_expired(now);
@@ -118,23 +130,72 @@
                 lease,
                 expected_version,
                 window,
-            } => self.write(client, lease, expected_version, window).await,
+            } => match window {
+                Some(window) if self.is_withheld(window).await => Duration::ZERO,
+                _ => self.write(client, lease, expected_version, window).await,
+            },
             Action::Send { token, report } => self.send(token, &report).await,
         }
     }
 
-    /// Periodically drops entries that are too old to be reported.
-    fn expire(&mut self, now: Instant) {
-        if now.saturating_duration_since(self.last_expired_at) < EXPIRE_EVERY {
-            return;
+    /// Fetches the requests that some processes hold of others.
+    async fn fetch(&self, from: Vec<IpAddr>) {
+        let calls = from.into_iter().map(|ip| {
+            let gateway = self.gateway.clone();
+            async move { (ip, transfer::fetch_held(&gateway, ip).await) }
+        });
+        for (ip, is_done) in calls.collect::<JoinSet<_>>().join_all().await {
+            let mut collection = self.gateway.usage.collection();
+            collection.record_fetch(ip, is_done, Instant::now());
+        }
+    }
+
+    /// Whether to wait with a report as requests may be missing that this process can get. Fetches
+    /// those that others hold.
+    async fn is_withheld(&mut self, window: u64) -> bool {
+        let now = Instant::now();
+        let since = match self.withheld {
+            Some((number, since)) if number == window => since,
+            _ => now,
+        };
+        self.withheld = Some((window, since));
+        match self.readiness(window, now) {
+            Readiness::Ready => false,
+            Readiness::Wait => now.saturating_duration_since(since) < MAX_INCOMPLETE_WAIT,
+            Readiness::Fetch(from) => {
+                self.fetch(from).await;
+                true
+            }
         }
-        self.last_expired_at = now;
-        let missed = self.gateway.usage.ledger().expire(now);
-        if missed > 0 {
-            emit(&Event::UsageLost {
-                requests: missed,
-                why: "they were dropped before a collector queried them",
-            });
+    }
+
+    fn readiness(&self, window: u64, now: Instant) -> Readiness {
+        let has_passed = |age: Duration| age >= STORE_RETURN_PAUSE;
+        let since_return = self.store_back_at;
+        let since_return = since_return.map(|at| now.saturating_duration_since(at));
+        let Some(span) = self.window(window) else {
+            return Readiness::Wait;
+        };
+        let (peers, membership_age) = {
+            let peers = self.gateway.peers();
+            (peers.addresses(), peers.membership_age(now))
+        };
+        if !since_return.is_none_or(has_passed) || !membership_age.is_some_and(has_passed) {
+            return Readiness::Wait;
+        }
+        let collection = self.gateway.usage.collection();
+        let ledger = self.gateway.usage.ledger();
+        collection.readiness(&ledger, &peers, span, now)
+    }
+
+    fn track_store(&mut self, is_reached: bool) {
+        let now = Instant::now();
+        if !is_reached {
+            self.store_lost_at.get_or_insert(now);
+        } else if let Some(at) = self.store_lost_at.take()
+            && now.saturating_duration_since(at) >= STORE_OUTAGE
+        {
+            self.store_back_at = Some(now);
         }
     }
 
@@ -160,7 +221,7 @@
         Some((usage.window.as_millis() as i64).max(1))
     }
 
-    fn window(&self, number: u64) -> Option<Window> {
+    fn window(&self, number: u64) -> Option<Span> {
         let length_ms = self.length_ms()?;
         let number = i64::try_from(number).ok()?;
         let clock = self.gateway.usage.clock();
@@ -170,7 +231,7 @@
             Some((last, until)) if last + 1 == number as u64 => until,
             _ => from,
         };
-        Some(Window { from, until })
+        Some(Span { from, until })
     }
 
     /// Last window whose report may be decided now.
@@ -182,13 +243,14 @@
             return Some(last_ready);
         }
         let window = self.window(last_ready)?;
-        let (_, silent) = self
-            .gateway
-            .usage
-            .ledger()
-            .coverage(window.from, window.until);
+        let live: Vec<IpAddr> = {
+            let peers = self.gateway.peers();
+            peers.live(now).map(|(peer, _)| peer.ip).collect()
+        };
+        let ledger = self.gateway.usage.ledger();
+        let incomplete = ledger.incomplete(&live, window.from, window.until);
         let waited = now.saturating_duration_since(window.until);
-        match silent > 0 && waited < SETTLE_TIME_SILENT + place_delay {
+        match !incomplete.is_empty() && waited < SETTLE_TIME_SILENT + place_delay {
             true => last_ready.checked_sub(1),
             false => Some(last_ready),
         }
@@ -219,7 +281,9 @@
     }
 
     async fn read(&mut self, client: &mut StoreClient, now: Instant) -> Duration {
-        match client.store().usage(STORE_TIMEOUT).await {
+        let read = client.store().usage(STORE_TIMEOUT).await;
+        self.track_store(read.is_ok());
+        match read {
             Ok(read) => {
                 self.holder.on_read(read, now);
                 Duration::ZERO
@@ -244,7 +308,9 @@
         let asked_at = Instant::now();
         let store = client.store();
         let written = store.write_usage(&lease, expected_version, report.as_ref(), STORE_TIMEOUT);
-        match written.await {
+        let written = written.await;
+        self.track_store(written.is_ok());
+        match written {
             Ok(LeaseWrite::Written(written)) => {
                 log_taken(Duty::Usage, lease.token);
                 if let Some(((number, bounds), counted)) = decided.zip(counted) {
@@ -270,10 +336,11 @@
         }
     }
 
-    fn log_decided(&mut self, window: u64, bounds: Window, counted: &WindowCount, token: u64) {
+    fn log_decided(&mut self, window: u64, bounds: Span, counted: &WindowCount, token: u64) {
         self.counted_until = Some((window, bounds.until));
         let peers = self.gateway.peers().addresses();
-        let ledger = self.gateway.usage.ledger();
+        let mut ledger = self.gateway.usage.ledger();
+        ledger.set_decided(bounds.from, bounds.until);
         let incomplete = ledger.incomplete(&peers, bounds.from, bounds.until);
         drop(ledger);
         emit(&Event::UsageDecided {
--- a/crates/gateway/src/duty/usage/request_log.rs
+++ b/crates/gateway/src/duty/usage/request_log.rs
@@ -50,6 +50,11 @@
         }
     }
 
+    /// Identifier of the process's start.
+    pub fn start(&self) -> u32 {
+        self.start
+    }
+
     /// Adds a request that started at `at`.
     pub fn record(&mut self, at: Instant, tenant: Arc<str>) {
         if self.entries.len() >= MAX_ENTRIES {
--- /dev/null
+++ b/crates/gateway/src/duty/usage/transfer.rs
@@ -0,0 +1,94 @@
+//! Transfers the requests that one process holds of others to another process, over HTTP on the
+//! port for peers.
+//!
+//! A collector fetches them from those that collected before.
+
+use super::message::{HeldLog, KnownLog};
+use crate::peers::catch_up;
+use crate::state::Gateway;
+use http_body_util::{BodyExt, Limited};
+use hyper::body::Incoming;
+use hyper::{Method, Request, Response, StatusCode};
+use net::{Body, empty, full};
+use observe::{Event, emit};
+use serde::Serialize;
+use std::net::{IpAddr, SocketAddr};
+use std::time::{Duration, Instant};
+
+/// Path of requests about the requests that a process holds.
+pub const PATH: &str = "/usage";
+/// Timeout of a request for what another process holds. Its answer may have some 700 KB.
+const FETCH_TIMEOUT: Duration = Duration::from_millis(1000);
+/// Maximum size of a body, enough for the requests of the whole retention.
+const MAX_BYTES: usize = 8 << 20;
+
+/// Fetches the requests that a process holds and this one doesn't. Returns whether it answered.
+pub async fn fetch_held(gateway: &Gateway, from: IpAddr) -> bool {
+    let known = gateway.usage.ledger().known_logs();
+    let asked_at = Instant::now();
+    let fetched = call::<Vec<HeldLog>>(gateway, from, Method::POST, &known, FETCH_TIMEOUT).await;
+    let now = Instant::now();
+    let added = fetched.and_then(|held| match gateway.may_have_waited(now) {
+        // The time at which the answer was made is unknown.
+        true => Err("this process was paused".to_owned()),
+        false => {
+            let at = asked_at + now.saturating_duration_since(asked_at) / 2;
+            Ok(add(gateway, &held, at))
+        }
+    });
+    let is_done = added.is_ok();
+    emit(&Event::UsageFetched {
+        peer: from.to_string(),
+        requests: added.as_ref().copied().unwrap_or(0),
+        error: added.err(),
+    });
+    is_done
+}
+
+/// Handles a request of another process.
+pub async fn handle_request(gateway: &Gateway, req: Request<Incoming>) -> Response<Body> {
+    let method = req.method().clone();
+    let body = Limited::new(req.into_body(), MAX_BYTES).collect().await;
+    let body = body.ok().map(|body| body.to_bytes());
+    let answer = match (method, body) {
+        (Method::POST, Some(body)) => wire::decode::<Vec<KnownLog>>(&body).map(|known| {
+            let held = gateway.usage.ledger().held_beyond(&known, Instant::now());
+            wire::encode_compact(&held)
+        }),
+        _ => None,
+    };
+    match answer {
+        Some(body) => Response::new(full(body)),
+        None => {
+            let mut res = Response::new(empty());
+            *res.status_mut() = StatusCode::BAD_REQUEST;
+            res
+        }
+    }
+}
+
+/// Adds requests that another process holds; returns the number of those that weren't known.
+fn add(gateway: &Gateway, held: &[HeldLog], at: Instant) -> u64 {
+    let own = gateway.usage.own_log(gateway);
+    let mut ledger = gateway.usage.ledger();
+    let others = held.iter().filter(|log| (log.ip, log.start) != own);
+    others.map(|log| ledger.add_held(log, at)).sum()
+}
+
+async fn call<T: serde::de::DeserializeOwned>(
+    gateway: &Gateway,
+    ip: IpAddr,
+    method: Method,
+    body: &impl Serialize,
+    timeout: Duration,
+) -> Result<T, String> {
+    let addr = SocketAddr::new(ip, gateway.host().peer_port);
+    let body = wire::encode_compact(body);
+    match catch_up::call(gateway, addr, method, PATH, body, timeout).await {
+        Ok((StatusCode::OK, body)) => {
+            wire::decode(&body).ok_or_else(|| "malformed answer".to_owned())
+        }
+        Ok((status, _)) => Err(format!("status {status}")),
+        Err(e) => Err(e.to_string()),
+    }
+}
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -91,6 +91,11 @@
         }
     }
 
+    /// Whether reads have failed for some time.
+    pub(crate) fn is_lost(&self) -> bool {
+        self.is_lost
+    }
+
     /// Waits before the next attempt.
     pub(crate) async fn pause(&self, gateway: &Gateway) {
         let is_reader = gateway.rank() < FREQUENT_READERS;
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -136,6 +136,8 @@
     last_child_hello_at: Option<Instant>,
     /// Whether the list of processes has been read from the store or a peer.
     is_membership_known: bool,
+    /// Time since which the list of processes is current; `None` while it can't be read.
+    current_since: Option<Instant>,
     /// Time at which it was first found that no peer is live; `None` while one is.
     isolated_since: Option<Instant>,
     /// Incremented on each change of what is forwarded to peers.
@@ -153,9 +155,22 @@
         }
     }
 
-    /// Records that the list of processes is known.
-    pub fn set_membership_known(&mut self) {
+    /// Records that the list of processes is known, and is current from `now` on unless it was so
+    /// before.
+    pub fn set_membership_known(&mut self, now: Instant) {
         self.is_membership_known = true;
+        self.current_since.get_or_insert(now);
+    }
+
+    /// Records that the list of processes can't be read from the store.
+    pub fn set_membership_lost(&mut self) {
+        self.current_since = None;
+    }
+
+    /// Time for which the list of processes has been current; `None` if it isn't.
+    pub fn membership_age(&self, now: Instant) -> Option<Duration> {
+        let since = self.current_since?;
+        Some(now.saturating_duration_since(since))
     }
 
     /// Whether the list of processes is known.
@@ -354,7 +369,7 @@
                 self.add(&member.host, member.ip, member.zone);
             }
         }
-        self.is_membership_known = true;
+        self.set_membership_known(Instant::now());
     }
 
     /// Whether the processes form a full mesh instead of trees.
--- a/crates/gateway/src/peers/catch_up.rs
+++ b/crates/gateway/src/peers/catch_up.rs
@@ -5,6 +5,7 @@
 //! registry shows whether applying the changes gave the same result; if not, the whole registry is
 //! fetched.
 
+use crate::duty::usage::transfer;
 use crate::fleet::durations::DurationSnapshot;
 use crate::follow;
 use crate::peers::startup_load::{self, Snapshot};
@@ -293,19 +294,34 @@
     addr: SocketAddr,
     path: &str,
     timeout: Duration,
+) -> Result<(StatusCode, bytes::Bytes), CallError> {
+    call(gateway, addr, Method::GET, path, Vec::new(), timeout).await
+}
+
+/// Sends a peer an HTTP request and reads its whole answer.
+pub(crate) async fn call(
+    gateway: &Gateway,
+    addr: SocketAddr,
+    method: Method,
+    path: &str,
+    body: Vec<u8>,
+    timeout: Duration,
 ) -> Result<(StatusCode, bytes::Bytes), CallError> {
     let req = Request::builder()
-        .method(Method::GET)
+        .method(method)
         .uri(path)
         .header(HOST, addr.to_string())
-        .body(empty())
+        .body(full(body))
         .map_err(|e| CallError::NotSent(e.to_string()))?;
     let pool = Pool::new(addr, timeout).metered(&gateway.peer_bytes);
     pool.call(req, MAX_RESPONSE_BYTES, timeout).await
 }
 
 /// Handles a peer's HTTP request.
-pub fn handle_request(gateway: &Gateway, req: &Request<Incoming>) -> Response<Body> {
+pub async fn handle_request(gateway: &Gateway, req: Request<Incoming>) -> Response<Body> {
+    if req.uri().path() == transfer::PATH {
+        return transfer::handle_request(gateway, req).await;
+    }
     let path = req.uri().path();
     let body = match path.strip_prefix(REGISTRY_PATH) {
         Some(since) => encode_changes_since(gateway, since),
--- a/crates/gateway/src/peers/exchange.rs
+++ b/crates/gateway/src/peers/exchange.rs
@@ -62,8 +62,8 @@
     };
     let serving = gateway.clone();
     tokio::spawn(server.run(listener, move |req| {
-        let res = catch_up::handle_request(&serving, &req);
-        async move { res }
+        let gateway = serving.clone();
+        async move { catch_up::handle_request(&gateway, req).await }
     }));
     tokio::spawn(receive(gateway.clone(), socket.clone()));
     tokio::spawn(send_updates(gateway.clone(), socket));
--- a/crates/gateway/src/peers/membership.rs
+++ b/crates/gateway/src/peers/membership.rs
@@ -80,7 +80,7 @@
                 }
                 if let Cursor::Since(version) = from {
                     gateway.set_members_version(version);
-                    gateway.peers().set_membership_known();
+                    gateway.peers().set_membership_known(Instant::now());
                 }
                 if has_changes && is_read {
                     let peers = gateway.peers().len();
@@ -91,6 +91,9 @@
             Err(e) => {
                 gateway.startup_load.finish();
                 dependency.record_failure(&e);
+                if dependency.is_lost() {
+                    gateway.peers().set_membership_lost();
+                }
                 dependency.pause(&gateway).await;
             }
         }
--- a/crates/gateway/tests/tree.rs
+++ b/crates/gateway/tests/tree.rs
@@ -147,7 +147,7 @@
             let zone = u32::from(other % ZONES) + 1;
             peers.add(&format!("edge-{other}"), ip(other), zone);
         }
-        peers.set_membership_known();
+        peers.set_membership_known(Instant::now());
         Self {
             location: Location {
                 ip: ip(n),
--- a/crates/gateway/tests/usage.rs
+++ b/crates/gateway/tests/usage.rs
@@ -8,7 +8,7 @@
 use serde_json::{Value, json};
 use standin::{Action, Cloud, CloudCall, CloudMode, Store, StoreMode, Worker};
 use std::collections::BTreeMap;
-use std::net::{IpAddr, SocketAddr};
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::time::Duration;
 
 const WINDOW: Duration = Duration::from_secs(1);
@@ -21,6 +21,41 @@
     config
 }
 
+/// A gateway in a runtime of its own.
+struct OwnProcess {
+    name: String,
+    callers: SocketAddr,
+    stop: net::Stop,
+    task: tokio::task::JoinHandle<Result<(), gateway::StartError>>,
+    runtime: tokio::runtime::Runtime,
+}
+
+impl OwnProcess {
+    /// Sends requests of a tenant sequentially.
+    async fn send(&self, tenant: &str, count: usize) {
+        for n in 0..count {
+            let key = format!("key: key-{tenant}\r\n");
+            let req = request("GET", "/safe/", &format!("own-{n}"), &key, "");
+            let res = exchange(self.callers, &req).await;
+            assert_eq!(status(&res), 200, "{res}");
+        }
+    }
+
+    /// Tells it to stop and waits until it has ended.
+    async fn stop(self) {
+        self.stop.stop();
+        wait_for("the end of its process", || async {
+            self.task.is_finished()
+        })
+        .await;
+        self.kill();
+    }
+
+    fn kill(self) {
+        self.runtime.shutdown_background();
+    }
+}
+
 /// Gateways with one store, one platform and two workers.
 struct TestFleet {
     beds: Vec<TestGateway>,
@@ -59,7 +94,7 @@
 }
 
 impl TestFleet {
-    fn host(&self, ip: std::net::Ipv4Addr) -> HostSettings {
+    fn host(&self, ip: Ipv4Addr) -> HostSettings {
         let mut host = host(ip, self.store.addr);
         host.order_gap = Duration::from_millis(500);
         host.cloud = Some(CloudSettings {
@@ -83,6 +118,42 @@
         self.beds.push(bed);
     }
 
+    /// Starts a process before the others by address, in the given place from the last, in a
+    /// runtime of its own, so that it can be ended with all its tasks.
+    async fn start_before(&self, place: u32) -> OwnProcess {
+        let first = self.beds.iter().map(|bed| bed.host.ip).min().unwrap();
+        let IpAddr::V4(first) = first else {
+            panic!("tests have IPv4 addresses");
+        };
+        let host = self.host(Ipv4Addr::from(u32::from(first) - (place << 16)));
+        let runtime = tokio::runtime::Builder::new_multi_thread()
+            .worker_threads(1)
+            .enable_all()
+            .build()
+            .unwrap();
+        let stop = net::Stop::default();
+        let path = std::path::PathBuf::from("/nonexistent/settings");
+        let task = runtime.spawn(gateway::run(path, host.clone(), stop.clone()));
+        let callers = host.client_addr.unwrap();
+        let is_serving = || async { tokio::net::TcpStream::connect(callers).await.is_ok() };
+        wait_for("the process", is_serving).await;
+        OwnProcess {
+            name: host.name,
+            callers,
+            stop,
+            task,
+            runtime,
+        }
+    }
+
+    async fn wait_reports_by(&self, name: &str, count: usize) {
+        wait_for("reports of a holder", || async {
+            let calls = self.cloud.calls();
+            calls.iter().filter(|c| c.holder == name).count() >= count
+        })
+        .await;
+    }
+
     /// Sends requests of a tenant to a gateway sequentially.
     async fn send(&self, gateway: usize, tenant: &str, count: usize) {
         for n in 0..count {
@@ -239,7 +310,7 @@
     let IpAddr::V4(first) = first else {
         panic!("tests have IPv4 addresses");
     };
-    let ip = std::net::Ipv4Addr::from(u32::from(first) - (1 << 16));
+    let ip = Ipv4Addr::from(u32::from(first) - (1 << 16));
     let host = fleet.host(ip);
     let (name, callers) = (host.name.clone(), host.client_addr.unwrap());
     let runtime = tokio::runtime::Builder::new_multi_thread()
@@ -269,3 +340,24 @@
     fleet.wait_reported(&[("one", 2), ("two", 3)]).await;
     assert!(fleet.cloud.calls().last().unwrap().holder != name);
 }
+
+/// Guards against reports without the requests of a process that is gone. A host that came to
+/// report after an outage of the store had polled nobody before; only a former collector had
+/// these requests.
+#[tokio::test]
+async fn a_new_collector_reports_what_former_ones_hold_of_a_stopped_process() {
+    let fleet = start(1).await;
+    let first = fleet.start_before(2).await;
+    let second = fleet.start_before(1).await;
+    // Long enough that the last process by address collects no more.
+    fleet.wait_reports_by(&first.name, 5).await;
+    fleet.store.set_mode(StoreMode::Refuse(503));
+    second.send("one", 6).await;
+    tokio::time::sleep(WINDOW).await;
+    second.stop().await;
+    // The last process becomes a collector before the first one is lost.
+    tokio::time::sleep(WINDOW * 2).await;
+    first.kill();
+    fleet.store.set_mode(StoreMode::Serve);
+    fleet.wait_reported(&[("one", 6)]).await;
+}
--- a/crates/observe/src/event.rs
+++ b/crates/observe/src/event.rs
@@ -358,6 +358,8 @@
     },
     /// Requests that were started are in no usage report.
     UsageLost {
+        /// Address of the process that ran them.
+        peer: String,
         /// Number of requests.
         requests: u64,
         /// The reason.
@@ -372,10 +374,19 @@
         /// Time since a collector last polled this process, in milliseconds.
         unpolled_ms: u64,
     },
-    /// This process stops, and sent the requests that it had started to the collectors.
+    /// This process stops, and sent the requests that others may not have.
     UsageHandedOver {
-        /// Addresses of the collectors, each with the number of requests sent to it.
-        collectors: Vec<(String, u64)>,
+        /// Addresses of the receivers, each with the number of requests sent to it.
+        receivers: Vec<(String, u64)>,
+    },
+    /// The requests that a process held of others were fetched from it.
+    UsageFetched {
+        /// Address of the process.
+        peer: String,
+        /// Number of requests that weren't known here.
+        requests: u64,
+        /// The error, if it didn't answer.
+        error: Option<String>,
     },
     /// A poll for usage was ignored, as its sender isn't known as a peer. Logged once per sender.
     UsagePollIgnored {
