Hand over what a stopping collector holds of other processes

What tenants saw: requests of a killed process were in no report if the collectors that had polled it stopped before their windows were decided. A stopping collector sent its own last requests only.

Change: it also sends each recent collector, or the first two live processes if there is none, the requests that those lack of all processes. A process that no collector has polled for 10 s does the same with its own, which were given up before. What can't be delivered is logged.

`a_stopping_collector_hands_over_the_requests_of_a_killed_process` fails on the code before: it waits in vain for the 4 requests. There the second collector is told to stop as the first is killed.

--- a/crates/arbutusquay/src/commands/explain.rs
+++ b/crates/arbutusquay/src/commands/explain.rs
@@ -120,8 +120,8 @@
         "lease_taken" => line.field("service") == Some("usage"),
         "lease_not_taken" => line.field("duty") == Some("usage"),
         "usage_lost" | "usage_collecting" | "usage_fetched" | "usage_handed_over"
-        | "usage_poll_ignored" | "peers_changed" | "dependency_lost" | "dependency_back"
-        | "stopping" | "stopped" | "started" => true,
+        | "usage_not_sent" | "usage_poll_ignored" | "peers_changed" | "dependency_lost"
+        | "dependency_back" | "stopping" | "stopped" | "started" => true,
         _ => false,
     }
 }
--- a/crates/gateway/src/duty/usage/exchange.rs
+++ b/crates/gateway/src/duty/usage/exchange.rs
@@ -6,7 +6,7 @@
 
 use super::ledger::Position;
 use super::message::{Message, Query, QueryAnswer};
-use super::{Collector, Usage, is_collector, is_enabled, time_of_day_ms};
+use super::{Collector, Usage, is_collector, is_enabled, time_of_day_ms, transfer};
 use crate::StartError;
 use crate::state::Gateway;
 use observe::{Event, emit};
@@ -14,6 +14,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 use tokio::net::UdpSocket;
+use tokio::task::JoinSet;
 
 /// Minimum interval between polls of one process. If a process is killed, its requests since the
 /// last poll are lost, on average those of half this interval.
@@ -32,6 +33,8 @@
 /// Time since a collector's last poll for which an exiting process sends it its last requests: the
 /// longest interval between polls, and some lost ones.
 const COLLECTOR_TIMEOUT: Duration = Duration::from_secs(10);
+/// Number of other processes that receive the last requests if no collector has polled recently.
+const SUBSTITUTES: usize = 2;
 /// Interval between removals of requests that are too old to be reported.
 const EXPIRE_EVERY: Duration = Duration::from_secs(1);
 /// Maximum size of a datagram.
@@ -369,8 +372,9 @@
     }
 }
 
-/// Sends recent collectors the requests that they don't have yet. Returns the number of requests
-/// that no collector has polled for.
+/// Sends the requests of this process that collectors may not have to recent collectors, and to
+/// other processes if there are none. A collector also sends what it holds of other processes.
+/// Returns the number of requests that nobody received.
 pub async fn send_remaining(gateway: &Arc<Gateway>) -> u64 {
     let now = Instant::now();
     let collectors: Vec<Collector> = {
@@ -381,7 +385,17 @@
             .filter(|c| now.saturating_duration_since(c.polled_at) < COLLECTOR_TIMEOUT);
         recent.copied().collect()
     };
-    let sent = send_last(gateway, &collectors).await;
+    let own = gateway.usage.own_log(gateway);
+    let holds_others = gateway.usage.ledger().other_logs(own) > 0;
+    let mut sent = send_last(gateway, &collectors).await;
+    if holds_others || sent.is_empty() {
+        add_own_requests(gateway, Instant::now());
+        let to = match collectors.is_empty() {
+            true => substitutes(gateway, now),
+            false => collectors.iter().map(|c| c.ip).collect(),
+        };
+        sent.extend(send_held(gateway, to).await);
+    }
     let is_lost = sent.is_empty();
     emit(&Event::UsageHandedOver { receivers: sent });
     match is_lost {
@@ -390,6 +404,13 @@
     }
 }
 
+/// Live processes that may become collectors, as the first ones do.
+fn substitutes(gateway: &Gateway, now: Instant) -> Vec<IpAddr> {
+    let peers = gateway.peers();
+    let live = peers.live(now).map(|(peer, _)| peer.ip);
+    live.take(SUBSTITUTES).collect()
+}
+
 /// Sends collectors the requests that they don't have yet. The messages are repeated, as no
 /// collector may query again. Returns the collectors, each with the number of requests.
 async fn send_last(gateway: &Arc<Gateway>, collectors: &[Collector]) -> Vec<(String, u64)> {
@@ -422,6 +443,27 @@
     sent
 }
 
+/// Sends processes what this one holds of all processes. Returns those that received it, each with
+/// the number of requests that it didn't have.
+async fn send_held(gateway: &Arc<Gateway>, to: Vec<IpAddr>) -> Vec<(String, u64)> {
+    let calls = to.into_iter().map(|ip| {
+        let gateway = gateway.clone();
+        async move { (ip, transfer::send_held(&gateway, ip).await) }
+    });
+    let results = calls.collect::<JoinSet<_>>().join_all().await;
+    let received = results.into_iter().filter_map(|(ip, result)| match result {
+        Ok(requests) => Some((ip.to_string(), requests)),
+        Err(why) => {
+            emit(&Event::UsageNotSent {
+                peer: ip.to_string(),
+                why,
+            });
+            None
+        }
+    });
+    received.collect()
+}
+
 /// Requests of this process that started in windows whose report isn't done.
 fn unreported(gateway: &Gateway, now: Instant) -> u64 {
     let host = gateway.host();
--- a/crates/gateway/src/duty/usage/transfer.rs
+++ b/crates/gateway/src/duty/usage/transfer.rs
@@ -1,7 +1,8 @@
 //! Transfers the requests that one process holds of others to another process, over HTTP on the
 //! port for peers.
 //!
-//! A collector fetches them from those that collected before.
+//! A collector fetches them from those that collected before. A collector that exits sends them
+//! to those that remain.
 
 use super::message::{HeldLog, KnownLog};
 use crate::peers::catch_up;
@@ -19,6 +20,8 @@
 pub const PATH: &str = "/usage";
 /// Timeout of a request for what another process holds. Its answer may have some 700 KB.
 const FETCH_TIMEOUT: Duration = Duration::from_millis(1000);
+/// Timeout of a request of a process that exits.
+const SEND_TIMEOUT: Duration = Duration::from_millis(400);
 /// Maximum size of a body, enough for the requests of the whole retention.
 const MAX_BYTES: usize = 8 << 20;
 
@@ -45,16 +48,27 @@
     is_done
 }
 
+/// Sends a process the requests of others that this process holds and that one doesn't. Returns
+/// their number.
+pub async fn send_held(gateway: &Gateway, to: IpAddr) -> Result<u64, String> {
+    let known: Vec<KnownLog> = call(gateway, to, Method::GET, &(), SEND_TIMEOUT).await?;
+    let held = gateway.usage.ledger().held_beyond(&known, Instant::now());
+    call(gateway, to, Method::PUT, &held, SEND_TIMEOUT).await
+}
+
 /// Handles a request of another process.
 pub async fn handle_request(gateway: &Gateway, req: Request<Incoming>) -> Response<Body> {
     let method = req.method().clone();
     let body = Limited::new(req.into_body(), MAX_BYTES).collect().await;
     let body = body.ok().map(|body| body.to_bytes());
     let answer = match (method, body) {
+        (Method::GET, _) => Some(wire::encode_compact(&gateway.usage.ledger().known_logs())),
         (Method::POST, Some(body)) => wire::decode::<Vec<KnownLog>>(&body).map(|known| {
             let held = gateway.usage.ledger().held_beyond(&known, Instant::now());
             wire::encode_compact(&held)
         }),
+        (Method::PUT, Some(body)) => wire::decode::<Vec<HeldLog>>(&body)
+            .map(|held| wire::encode_compact(&add(gateway, &held, Instant::now()))),
         _ => None,
     };
     match answer {
--- a/crates/gateway/tests/usage.rs
+++ b/crates/gateway/tests/usage.rs
@@ -361,3 +361,20 @@
     fleet.store.set_mode(StoreMode::Serve);
     fleet.wait_reported(&[("one", 6)]).await;
 }
+
+/// Guards against losing what only a collector knows when it stops: the requests of a process
+/// that was killed.
+#[tokio::test]
+async fn a_stopping_collector_hands_over_the_requests_of_a_killed_process() {
+    let fleet = start(1).await;
+    let first = fleet.start_before(2).await;
+    let second = fleet.start_before(1).await;
+    fleet.wait_reports_by(&first.name, 5).await;
+    fleet.store.set_mode(StoreMode::Refuse(503));
+    first.send("one", 4).await;
+    tokio::time::sleep(WINDOW).await;
+    first.kill();
+    second.stop().await;
+    fleet.store.set_mode(StoreMode::Serve);
+    fleet.wait_reported(&[("one", 4)]).await;
+}
--- a/crates/observe/src/event.rs
+++ b/crates/observe/src/event.rs
@@ -379,6 +379,13 @@
         /// Addresses of the receivers, each with the number of requests sent to it.
         receivers: Vec<(String, u64)>,
     },
+    /// A process that should have received the requests that this process holds didn't.
+    UsageNotSent {
+        /// Address of the process.
+        peer: String,
+        /// The error.
+        why: String,
+    },
     /// The requests that a process held of others were fetched from it.
     UsageFetched {
         /// Address of the process.
@@ -636,6 +643,7 @@
             | Self::WorkHeldBack { .. }
             | Self::UsageMissed { .. }
             | Self::UsageLost { .. }
+            | Self::UsageNotSent { .. }
             | Self::CrashRowsNotWritten { .. } => Level::Warn,
             Self::RecordsDropped { .. } | Self::LinesDropped { .. } => Level::Error,
             _ => Level::Info,
