Hand over usage after the last request of a stop

What tenants saw, read in the code and shown by the test, not by a run in service: a stopping process sent its last requests to the collectors before it waited for its server to end. Requests that began to run after that, on connections that stay open for up to 1.2 s more, were in no report unless a poll came between.

Change: the last requests are sent once more when the server has ended, or from 150 ms before the exit. Requests without an answer are refused 300 ms before the exit, so none begins after it. Only what nobody receives then is logged as lost.

--- a/crates/gateway/src/duty/usage.rs
+++ b/crates/gateway/src/duty/usage.rs
@@ -152,9 +152,17 @@
     rank < COLLECTORS || unpolled > POLL_TIMEOUT + POLL_TIMEOUT_PER_PLACE * rank
 }
 
-/// Sends the collectors this process's remaining requests before it exits.
-/// Requests that nobody receives are lost, which is logged.
+/// Sends the collectors the requests that they may not have, while this process stops accepting
+/// requests.
 pub async fn hand_over(gateway: &Arc<Gateway>) {
+    if is_enabled(gateway) {
+        exchange::send_remaining(gateway).await;
+    }
+}
+
+/// Sends the collectors this process's last requests, after it has stopped to accept requests.
+/// Requests that nobody receives are lost, which is logged.
+pub async fn hand_over_last(gateway: &Arc<Gateway>) {
     if !is_enabled(gateway) {
         return;
     }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -96,7 +96,9 @@
     drain.stop();
     wait_until_idle(&gateway, schedule.close_at).await;
     serving.stop();
-    duty::usage::hand_over(&gateway).await;
+    let handed_over = duty::usage::hand_over(&gateway);
+    // It is done again at the end.
+    let _ = tokio::time::timeout_at(schedule.exit_at.into(), handed_over).await;
     let leave = peers::membership::leave(&gateway);
     if tokio::time::timeout_at(schedule.exit_at.into(), leave)
         .await
@@ -108,7 +110,17 @@
         });
     }
     // On timeout, the number of unfinished requests is logged below.
-    let _ = tokio::time::timeout_at(schedule.exit_at.into(), server).await;
+    let _ = tokio::time::timeout_at(schedule.hand_over_at.into(), server).await;
+    let handed_over = duty::usage::hand_over_last(&gateway);
+    if tokio::time::timeout_at(schedule.exit_at.into(), handed_over)
+        .await
+        .is_err()
+    {
+        emit(&Event::DependencyLost {
+            dependency: "usage collectors",
+            why: "no answer before the process exits".into(),
+        });
+    }
     exchange.stop();
     emit(&Event::Stopped {
         unfinished: gateway.running(),
--- a/crates/gateway/src/stop.rs
+++ b/crates/gateway/src/stop.rs
@@ -29,6 +29,9 @@
 /// Time before the exit by which answers started after the signal must have ended, and at which
 /// requests without an answer are refused.
 const ANSWER_MARGIN: Duration = Duration::from_millis(300);
+/// Time before the exit from which the last requests are sent to the collectors of usage, which
+/// takes 60 ms if all answer at once.
+const HAND_OVER_MARGIN: Duration = Duration::from_millis(150);
 /// Time before the exit at which answers in progress are aborted, so that their last bytes still
 /// reach the client. The 250 ms between this and [`ANSWER_MARGIN`] allow for errors in the
 /// estimated end of an answer.
@@ -55,6 +58,8 @@
     pub finish_by: Instant,
     /// Requests that have no answer yet are refused.
     pub refuse_at: Instant,
+    /// The last requests are sent to the collectors of usage. None starts any more.
+    pub hand_over_at: Instant,
     /// Answers in progress are aborted.
     pub abort_at: Instant,
     /// The process exits.
@@ -84,6 +89,7 @@
             close_at: before_end(CLOSE_MARGIN).max(drain_at),
             finish_by: before_end(ANSWER_MARGIN + (signal_at - earliest_signal)),
             refuse_at: before_end(ANSWER_MARGIN),
+            hand_over_at: before_end(HAND_OVER_MARGIN),
             abort_at: before_end(ABORT_MARGIN),
             exit_at,
         }
--- a/crates/gateway/tests/usage.rs
+++ b/crates/gateway/tests/usage.rs
@@ -4,6 +4,8 @@
 mod common;
 
 use common::{TestGateway, address, exchange, host, request, routes, start_on, status, wait_for};
+use gateway::duty::usage::message::{Message, Query};
+use gateway::peers::{PeerStatus, Scope};
 use platform::{CloudSettings, HostSettings, UsageBounds};
 use serde_json::{Value, json};
 use standin::{Action, Cloud, CloudCall, CloudMode, Store, StoreMode, Worker};
@@ -110,6 +112,10 @@
 
     async fn add(&mut self) {
         let host = self.host(address());
+        self.add_host(host).await;
+    }
+
+    async fn add_host(&mut self, host: HostSettings) {
         // A bed owns a store, but these gateways use the common one.
         let unused = Store::start(new_addr(7003)).unwrap();
         let bed = start_on(host, unused);
@@ -378,3 +384,85 @@
     fleet.store.set_mode(StoreMode::Serve);
     fleet.wait_reported(&[("one", 4)]).await;
 }
+
+/// Guards against losing a request that starts to run after a stopping process has sent its
+/// requests to the collectors, while it still serves open connections.
+#[tokio::test]
+async fn a_request_that_starts_late_in_a_stop_is_handed_over() {
+    let mut fleet = start(0).await;
+    let mut host = fleet.host(address());
+    // Connections are refused from 1.7 s after the signal, and requests from 2.6 s.
+    host.stop_grace = Duration::from_secs(3);
+    fleet.add_host(host).await;
+    let bed = &fleet.beds[0];
+    let collector = IpAddr::V4(address());
+    let hello = wire::encode_compact(&peer_status());
+    let socket = tokio::net::UdpSocket::bind((collector, bed.host.peer_port));
+    let socket = socket.await.unwrap();
+    let to = (bed.host.ip, bed.host.peer_port);
+    socket.send_to(&hello, to).await.unwrap();
+    let socket = tokio::net::UdpSocket::bind((collector, bed.host.usage_port));
+    let socket = socket.await.unwrap();
+    let to = (bed.host.ip, bed.host.usage_port);
+    let query = Message::Ask(Query {
+        number: 1,
+        start: 0,
+        from: 0,
+        done: 0,
+    });
+    let mut buf = vec![0; 16 << 10];
+    loop {
+        let query = wire::encode_compact(&query);
+        socket.send_to(&query, to).await.unwrap();
+        let answered = tokio::time::timeout(Duration::from_millis(100), socket.recv(&mut buf));
+        if answered.await.is_ok() {
+            break;
+        }
+    }
+    for worker in &fleet._workers {
+        let delay = Duration::from_millis(2150);
+        worker.script([Action::Delayed(delay, Box::new(Action::Echo))]);
+    }
+    let callers = bed.callers;
+    let slow = tokio::spawn(async move {
+        let req = request("POST", "/unsafe/", "slow", "key: key-one\r\n", "");
+        exchange(callers, &req).await
+    });
+    wait_for("the request at a worker", || async {
+        fleet._workers.iter().any(|w| !w.requests().is_empty())
+    })
+    .await;
+    bed.stop.stop();
+    let mut requests = 0;
+    while !bed.task.is_finished() {
+        let received = tokio::time::timeout(Duration::from_millis(100), socket.recv(&mut buf));
+        let Ok(Ok(len)) = received.await else {
+            continue;
+        };
+        if let Some(Message::Told(answer)) = wire::decode(&buf[..len]) {
+            requests = requests.max(answer.begun.len());
+        }
+    }
+    assert_eq!(status(&slow.await.unwrap()), 200);
+    assert_eq!(requests, 1);
+}
+
+fn peer_status() -> PeerStatus {
+    PeerStatus {
+        start: 1,
+        number: 1,
+        scope: Scope::Direct,
+        zone: 0,
+        processes: 1,
+        config: 0,
+        members: 0,
+        registry: 0,
+        registry_ms: u32::MAX,
+        registry_at_ms: 0,
+        view: 0,
+        loads: Vec::new(),
+        changing: Vec::new(),
+        placements: Vec::new(),
+        crashes: Vec::new(),
+    }
+}
