Withhold usage reports after an outage only where processes may be unknown

By the log, a collector's list of processes counted as not current until a held read of up to 30 s was answered, so each window waited for the bound of 10 s; and each outage delayed all windows by 2 s, also those that had ended before it. The bound also ran out during an outage, so that the window after it was decided without waiting at all.

Change: `OutageTracker` says until when rows of all processes can be known. After a failed read of the list the next one isn't held. Time without the list doesn't count for the bound, now 6 s. Cost: one more read of the list a reader and outage.

--- a/crates/gateway/src/duty/usage/reports.rs
+++ b/crates/gateway/src/duty/usage/reports.rs
@@ -7,6 +7,7 @@
 use super::{is_collector, is_enabled, transfer};
 use crate::duty::{STORE_TIMEOUT, log_not_taken, log_taken};
 use crate::follow::StoreClient;
+use crate::follow::outage::OutageTracker;
 use crate::state::Gateway;
 use observe::{Event, emit};
 use platform::cloud::{Cloud, CloudAnswer, LeaseRef};
@@ -27,13 +28,9 @@
 /// Additional wait per place behind the first process, and the maximum number of places.
 const SETTLE_TIME_PER_PLACE: Duration = Duration::from_millis(2500);
 const MAX_PLACES: u32 = 3;
-/// Time without the store that counts as an outage.
-const STORE_OUTAGE: Duration = Duration::from_secs(1);
-/// Pause after an outage of the store, and after the first read of the list of processes: those
-/// that started meanwhile become known by the rows that they write then.
-const STORE_RETURN_PAUSE: Duration = Duration::from_secs(2);
-/// Maximum time for which a report is withheld while requests may be missing.
-const MAX_INCOMPLETE_WAIT: Duration = Duration::from_secs(10);
+/// Maximum time for which a report is withheld while requests may be missing, not counting outages
+/// of the store.
+const MAX_INCOMPLETE_WAIT: Duration = Duration::from_secs(6);
 /// Timeout for an answer to a report.
 const CALL_TIMEOUT: Duration = Duration::from_millis(900);
 /// Initial and maximum pause after a failed call; the pause doubles each time.
@@ -68,10 +65,8 @@
     gateway: Arc<Gateway>,
     holder: Holder,
     started_at: Instant,
-    /// Time of the first of the failed calls to the store since the last successful one.
-    store_lost_at: Option<Instant>,
-    /// Time of the store's return after an outage.
-    store_back_at: Option<Instant>,
+    /// Outages of the rows for reports.
+    outage: OutageTracker,
     /// Time since which a window's report is withheld.
     withheld: Option<(u64, Instant)>,
     retry_pause: Duration,
@@ -88,8 +83,7 @@
             holder: Holder::new(host.ip.to_string(), host.order_gap),
             gateway,
             started_at: now,
-            store_lost_at: None,
-            store_back_at: None,
+            outage: OutageTracker::default(),
             withheld: None,
             retry_pause: RETRY_BACKOFF.0,
             counted_until: None,
@@ -161,6 +155,10 @@
         self.withheld = Some((window, since));
         match self.readiness(window, now) {
             Readiness::Ready => false,
+            Readiness::Wait if !self.gateway.peers().membership_outage().is_available() => {
+                self.withheld = None;
+                true
+            }
             Readiness::Wait => now.saturating_duration_since(since) < MAX_INCOMPLETE_WAIT,
             Readiness::Fetch(from) => {
                 self.fetch(from).await;
@@ -170,17 +168,15 @@
     }
 
     fn readiness(&self, window: u64, now: Instant) -> Readiness {
-        let has_passed = |age: Duration| age >= STORE_RETURN_PAUSE;
-        let since_return = self.store_back_at;
-        let since_return = since_return.map(|at| now.saturating_duration_since(at));
         let Some(span) = self.window(window) else {
             return Readiness::Wait;
         };
-        let (peers, membership_age) = {
+        let (peers, are_all_known) = {
             let peers = self.gateway.peers();
-            (peers.addresses(), peers.membership_age(now))
+            let outage = peers.membership_outage();
+            (peers.addresses(), outage.covers(span.until, now))
         };
-        if !since_return.is_none_or(has_passed) || !membership_age.is_some_and(has_passed) {
+        if !are_all_known || !self.outage.covers(span.until, now) {
             return Readiness::Wait;
         }
         let collection = self.gateway.usage.collection();
@@ -189,13 +185,9 @@
     }
 
     fn track_store(&mut self, is_reached: bool) {
-        let now = Instant::now();
-        if !is_reached {
-            self.store_lost_at.get_or_insert(now);
-        } else if let Some(at) = self.store_lost_at.take()
-            && now.saturating_duration_since(at) >= STORE_OUTAGE
-        {
-            self.store_back_at = Some(now);
+        match is_reached {
+            true => self.outage.record_success(Instant::now()),
+            false => self.outage.record_failure(Instant::now()),
         }
     }
 
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -3,6 +3,7 @@
 //! The configuration is read by long polling: the store answers when it changes. While the store
 //! is unavailable, the process continues with its last known state.
 
+pub mod outage;
 pub mod registry;
 pub mod unreadable;
 
@@ -91,9 +92,9 @@
         }
     }
 
-    /// Whether reads have failed for some time.
-    pub(crate) fn is_lost(&self) -> bool {
-        self.is_lost
+    /// Whether the last read failed.
+    pub(crate) fn has_failed(&self) -> bool {
+        self.failures > 0
     }
 
     /// Waits before the next attempt.
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -17,6 +17,7 @@
 pub use message::{CrashReport, Load, PeerStatus, Placement, Scope, StageChange};
 
 use crate::fleet::Fleet;
+use crate::follow::outage::OutageTracker;
 use serde::{Deserialize, Serialize};
 use std::net::IpAddr;
 use std::time::{Duration, Instant};
@@ -136,8 +137,8 @@
     last_child_hello_at: Option<Instant>,
     /// Whether the list of processes has been read from the store or a peer.
     is_membership_known: bool,
-    /// Time since which the list of processes is current; `None` while it can't be read.
-    current_since: Option<Instant>,
+    /// Outages of the list of processes.
+    membership_outage: OutageTracker,
     /// Time at which it was first found that no peer is live; `None` while one is.
     isolated_since: Option<Instant>,
     /// Incremented on each change of what is forwarded to peers.
@@ -155,22 +156,20 @@
         }
     }
 
-    /// Records that the list of processes is known, and is current from `now` on unless it was so
-    /// before.
+    /// Records that the list of processes is known, and was read at `now`.
     pub fn set_membership_known(&mut self, now: Instant) {
         self.is_membership_known = true;
-        self.current_since.get_or_insert(now);
+        self.membership_outage.record_success(now);
     }
 
-    /// Records that the list of processes can't be read from the store.
-    pub fn set_membership_lost(&mut self) {
-        self.current_since = None;
+    /// Records that the list of processes couldn't be read from the store.
+    pub fn record_membership_failure(&mut self, now: Instant) {
+        self.membership_outage.record_failure(now);
     }
 
-    /// Time for which the list of processes has been current; `None` if it isn't.
-    pub fn membership_age(&self, now: Instant) -> Option<Duration> {
-        let since = self.current_since?;
-        Some(now.saturating_duration_since(since))
+    /// Outages of the list of processes.
+    pub fn membership_outage(&self) -> &OutageTracker {
+        &self.membership_outage
     }
 
     /// Whether the list of processes is known.
--- a/crates/gateway/src/peers/membership.rs
+++ b/crates/gateway/src/peers/membership.rs
@@ -50,7 +50,11 @@
             }
         }
         wait_until_feed_reader(&gateway, !is_read).await;
-        let wait = hold_time(&from, HOLD_TIME);
+        // A held read would show only later that the store is back.
+        let wait = match dependency.has_failed() {
+            true => Duration::ZERO,
+            false => hold_time(&from, HOLD_TIME),
+        };
         let timeout = wait + ANSWER_TIMEOUT;
         match client.store().processes(&from, wait, timeout).await {
             Ok(change) => {
@@ -91,9 +95,7 @@
             Err(e) => {
                 gateway.startup_load.finish();
                 dependency.record_failure(&e);
-                if dependency.is_lost() {
-                    gateway.peers().set_membership_lost();
-                }
+                gateway.peers().record_membership_failure(Instant::now());
                 dependency.pause(&gateway).await;
             }
         }
--- a/crates/gateway/tests/usage_collection.rs
+++ b/crates/gateway/tests/usage_collection.rs
@@ -5,6 +5,7 @@
 use gateway::duty::usage::holder::{Action, Holder};
 use gateway::duty::usage::ledger::Ledger;
 use gateway::duty::usage::request_log::RequestLog;
+use gateway::follow::outage::OutageTracker;
 use platform::usage::{UsageRead, UsageReport};
 use platform::{Lease, WriteAck};
 use proptest::collection::vec;
@@ -22,9 +23,6 @@
 const SETTLE_MS: u64 = 1600;
 const SETTLE_SILENT_MS: u64 = 3500;
 const UNPOLLED_MS: u64 = 3000;
-const STORE_RETURN_PAUSE_MS: u64 = 2000;
-/// Time without a read of the rows after which they don't count as current.
-const MEMBERS_LOST_MS: u64 = 1500;
 const STOP_MS: u64 = 1500;
 /// Time in which a process that was paused is polled.
 const ANSWERING_MS: u64 = 2000;
@@ -52,8 +50,7 @@
     collection: Collection,
     holder: Holder,
     peers: BTreeSet<usize>,
-    members_read_at: Option<u64>,
-    members_current_since: Option<u64>,
+    members: OutageTracker,
     polled_at: u64,
     collectors: BTreeSet<usize>,
     is_paused: bool,
@@ -61,8 +58,7 @@
     /// Whether it was told to stop, which it notices when it runs.
     is_stopping: bool,
     stops_at: Option<u64>,
-    store_lost_at: Option<u64>,
-    store_back_at: u64,
+    outage: OutageTracker,
 }
 
 #[derive(Default)]
@@ -118,16 +114,14 @@
             collection: Collection::default(),
             holder: Holder::new(ip(n).to_string(), Duration::from_millis(500)),
             peers: BTreeSet::new(),
-            members_read_at: None,
-            members_current_since: None,
+            members: OutageTracker::default(),
             polled_at: self.now_ms,
             collectors: BTreeSet::new(),
             is_paused: false,
             resumed_at: 0,
             is_stopping: false,
             stops_at: None,
-            store_lost_at: None,
-            store_back_at: 0,
+            outage: OutageTracker::default(),
         });
     }
 
@@ -199,7 +193,7 @@
     }
 
     fn exchange_members(&mut self, n: usize) {
-        let now_ms = self.now_ms;
+        let now = self.at(self.now_ms);
         if self.is_store_up && self.rng.u8(..5) == 0 {
             self.rows.processes.insert(n);
             let rows = self.rows.processes.clone();
@@ -207,15 +201,9 @@
             process
                 .peers
                 .extend(rows.into_iter().filter(|peer| *peer != n));
-            process.members_read_at = Some(now_ms);
-            process.members_current_since.get_or_insert(now_ms);
-        }
-        let process = self.process(n);
-        if process
-            .members_read_at
-            .is_none_or(|at| now_ms > at + MEMBERS_LOST_MS)
-        {
-            process.members_current_since = None;
+            process.members.record_success(now);
+        } else if !self.is_store_up && self.rng.u8(..5) == 0 {
+            self.process(n).members.record_failure(now);
         }
         for peer in self.process(n).peers.clone() {
             if let Some(process) = &mut self.processes[peer] {
@@ -301,12 +289,10 @@
             // The platform accepts each report at once.
             Action::Send { report, .. } => process.holder.set_done_window(report.window),
             Action::Read | Action::Write { window: None, .. } if !is_store_up => {
-                process.store_lost_at.get_or_insert(now_ms);
+                process.outage.record_failure(now);
             }
             Action::Read => {
-                if process.store_lost_at.take().is_some() {
-                    process.store_back_at = now_ms;
-                }
+                process.outage.record_success(now);
                 let read = UsageRead {
                     lease: self.rows.lease.clone(),
                     version: self.rows.version,
@@ -340,9 +326,7 @@
         let live: Vec<IpAddr> = self.live(n).into_iter().map(ip).collect();
         let now_ms = self.now_ms;
         let process = self.process(n);
-        let since = process.members_current_since;
-        let since = since.map(|since| since.max(process.store_back_at));
-        if since.is_none_or(|since| now_ms < since + STORE_RETURN_PAUSE_MS) {
+        if !process.members.covers(span.until, now) || !process.outage.covers(span.until, now) {
             return false;
         }
         let incomplete = process.ledger.incomplete(&live, span.from, span.until);
@@ -366,11 +350,11 @@
     fn write(&mut self, n: usize, lease: Lease, expected: u64, window: Option<u64>) {
         let now = self.at(self.now_ms);
         if !self.is_store_up || self.rows.version != expected {
-            let (is_lost, now_ms) = (!self.is_store_up, self.now_ms);
+            let is_lost = !self.is_store_up;
             let process = self.process(n);
             process.holder.invalidate();
             if is_lost {
-                process.store_lost_at.get_or_insert(now_ms);
+                process.outage.record_failure(now);
             }
             return;
         }
