Split handing over usage from the exchange of polls

exchange.rs had grown by what a stopping process sends. It is a module of its own now, and two names say what they are: hand_over_first, Held::Due.

--- a/crates/gateway/src/duty/usage.rs
+++ b/crates/gateway/src/duty/usage.rs
@@ -7,6 +7,7 @@
 pub mod clock;
 pub mod collection;
 pub mod exchange;
+mod hand_over;
 pub mod holder;
 pub mod ledger;
 pub mod message;
@@ -154,9 +155,9 @@
 
 /// Sends the collectors the requests that they may not have, while this process stops accepting
 /// requests.
-pub async fn hand_over(gateway: &Arc<Gateway>) {
+pub async fn hand_over_first(gateway: &Arc<Gateway>) {
     if is_enabled(gateway) {
-        exchange::send_remaining(gateway).await;
+        hand_over::send_remaining(gateway).await;
     }
 }
 
@@ -166,7 +167,7 @@
     if !is_enabled(gateway) {
         return;
     }
-    let lost = exchange::send_remaining(gateway).await;
+    let lost = hand_over::send_remaining(gateway).await;
     if lost > 0 {
         emit(&Event::UsageLost {
             peer: gateway.host().ip.to_string(),
--- a/crates/gateway/src/duty/usage/collection.rs
+++ b/crates/gateway/src/duty/usage/collection.rs
@@ -26,7 +26,7 @@
     /// It holds none.
     Nothing,
     /// It holds some, which must be fetched.
-    Some { failures: u32 },
+    Due { failures: u32 },
     /// They were fetched at this time, or couldn't be.
     Fetched(Instant),
 }
@@ -116,7 +116,7 @@
             && matches!(peer.held, Held::Unknown | Held::Nothing)
         {
             peer.held = match holds_some {
-                true => Held::Some { failures: 0 },
+                true => Held::Due { failures: 0 },
                 false => Held::Nothing,
             };
         }
@@ -128,7 +128,7 @@
             return;
         };
         peer.held = match peer.held {
-            Held::Some { failures } if !is_done && failures + 1 < MAX_FETCHES => Held::Some {
+            Held::Due { failures } if !is_done && failures + 1 < MAX_FETCHES => Held::Due {
                 failures: failures + 1,
             },
             _ => Held::Fetched(now),
@@ -137,7 +137,7 @@
 
     /// Processes whose held requests haven't been fetched yet.
     pub fn to_fetch(&self) -> Vec<IpAddr> {
-        let due = |peer: &&PolledPeer| matches!(peer.held, Held::Some { .. });
+        let due = |peer: &&PolledPeer| matches!(peer.held, Held::Due { .. });
         let due = self.peers.iter().filter(due);
         due.map(|peer| peer.ip).collect()
     }
@@ -170,7 +170,7 @@
             // Others may have heard the silent process last.
             let is_old = |peer: &&PolledPeer| match peer.held {
                 Held::Fetched(at) => now.saturating_duration_since(at) > FETCH_VALIDITY,
-                Held::Unknown | Held::Nothing | Held::Some { .. } => false,
+                Held::Unknown | Held::Nothing | Held::Due { .. } => false,
             };
             fetch.extend(self.peers.iter().filter(is_old).map(|peer| peer.ip));
         }
--- a/crates/gateway/src/duty/usage/exchange.rs
+++ b/crates/gateway/src/duty/usage/exchange.rs
@@ -6,7 +6,7 @@
 
 use super::ledger::Position;
 use super::message::{Message, Query, QueryAnswer};
-use super::{Collector, Usage, is_collector, is_enabled, time_of_day_ms, transfer};
+use super::{Collector, Usage, is_collector, is_enabled, time_of_day_ms};
 use crate::StartError;
 use crate::state::Gateway;
 use observe::{Event, emit};
@@ -14,7 +14,6 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 use tokio::net::UdpSocket;
-use tokio::task::JoinSet;
 
 /// Minimum interval between polls of one process. If a process is killed, its requests since the
 /// last poll are lost, on average those of half this interval.
@@ -30,11 +29,6 @@
 const ANSWER_TIMEOUT: Duration = Duration::from_secs(2);
 /// Validity of an estimate of the time of day.
 const ESTIMATE_LIFETIME: Duration = Duration::from_secs(3);
-/// Time since a collector's last poll for which an exiting process sends it its last requests: the
-/// longest interval between polls, and some lost ones.
-const COLLECTOR_TIMEOUT: Duration = Duration::from_secs(10);
-/// Number of other processes that receive the last requests if no collector has polled recently.
-const SUBSTITUTES: usize = 2;
 /// Interval between removals of requests that are too old to be reported.
 const EXPIRE_EVERY: Duration = Duration::from_secs(1);
 /// Maximum size of a datagram.
@@ -43,11 +37,6 @@
 const MAX_COLLECTORS: usize = 8;
 /// Maximum number of senders whose ignored polls are logged.
 const MAX_IGNORED_LOGGED: usize = 64;
-/// Number of times that the last requests are sent before a process exits, and the pause between
-/// them.
-const FINAL_SENDS: u32 = 3;
-const FINAL_SEND_PAUSE: Duration = Duration::from_millis(20);
-
 /// A query that hasn't been answered.
 #[derive(Debug, Clone, Copy)]
 struct OpenQuery {
@@ -179,7 +168,7 @@
 }
 
 /// NB: a datagram that can't be sent now counts as lost, and is queried again.
-fn send(socket: &UdpSocket, to: SocketAddr, message: &Message) {
+pub(super) fn send(socket: &UdpSocket, to: SocketAddr, message: &Message) {
     let _ = socket.try_send_to(&wire::encode_compact(message), to);
 }
 
@@ -356,7 +345,7 @@
 }
 
 /// Adds this process's own requests to the ledger like any other's.
-fn add_own_requests(gateway: &Gateway, now: Instant) {
+pub(super) fn add_own_requests(gateway: &Gateway, now: Instant) {
     let usage = &gateway.usage;
     let ip = gateway.host().ip;
     loop {
@@ -371,110 +360,3 @@
         }
     }
 }
-
-/// Sends the requests of this process that collectors may not have to recent collectors, and to
-/// other processes if there are none. A collector also sends what it holds of other processes.
-/// Returns the number of requests that nobody received.
-pub async fn send_remaining(gateway: &Arc<Gateway>) -> u64 {
-    let now = Instant::now();
-    let collectors: Vec<Collector> = {
-        let polls = gateway.usage.polls();
-        let recent = polls
-            .collectors
-            .iter()
-            .filter(|c| now.saturating_duration_since(c.polled_at) < COLLECTOR_TIMEOUT);
-        recent.copied().collect()
-    };
-    let own = gateway.usage.own_log(gateway);
-    let holds_others = gateway.usage.ledger().other_logs(own) > 0;
-    let mut sent = send_last(gateway, &collectors).await;
-    if holds_others || sent.is_empty() {
-        add_own_requests(gateway, Instant::now());
-        let to = match collectors.is_empty() {
-            true => substitutes(gateway, now),
-            false => collectors.iter().map(|c| c.ip).collect(),
-        };
-        sent.extend(send_held(gateway, to).await);
-    }
-    let is_lost = sent.is_empty();
-    emit(&Event::UsageHandedOver { receivers: sent });
-    match is_lost {
-        true => unreported(gateway, now),
-        false => 0,
-    }
-}
-
-/// Live processes that may become collectors, as the first ones do.
-fn substitutes(gateway: &Gateway, now: Instant) -> Vec<IpAddr> {
-    let peers = gateway.peers();
-    let live = peers.live(now).map(|(peer, _)| peer.ip);
-    live.take(SUBSTITUTES).collect()
-}
-
-/// Sends collectors the requests that they don't have yet. The messages are repeated, as no
-/// collector may query again. Returns the collectors, each with the number of requests.
-async fn send_last(gateway: &Arc<Gateway>, collectors: &[Collector]) -> Vec<(String, u64)> {
-    let host = gateway.host();
-    let mut sent = Vec::new();
-    let Ok(socket) = UdpSocket::bind(SocketAddr::new(host.ip, 0)).await else {
-        return sent;
-    };
-    for _ in 0..FINAL_SENDS {
-        sent.clear();
-        for collector in collectors {
-            let to = SocketAddr::new(collector.ip, host.usage_port);
-            let (mut next, mut requests) = (collector.next_needed, 0);
-            loop {
-                let request_log = gateway.usage.request_log();
-                let answer = request_log.read_from(collector.start, next, 0, Instant::now());
-                drop(request_log);
-                requests += answer.begun.len() as u64;
-                next = answer.from + answer.begun.len() as u64;
-                let is_last = next >= answer.next || answer.begun.is_empty();
-                send(&socket, to, &Message::Told(answer));
-                if is_last {
-                    break;
-                }
-            }
-            sent.push((collector.ip.to_string(), requests));
-        }
-        tokio::time::sleep(FINAL_SEND_PAUSE).await;
-    }
-    sent
-}
-
-/// Sends processes what this one holds of all processes. Returns those that received it, each with
-/// the number of requests that it didn't have.
-async fn send_held(gateway: &Arc<Gateway>, to: Vec<IpAddr>) -> Vec<(String, u64)> {
-    let calls = to.into_iter().map(|ip| {
-        let gateway = gateway.clone();
-        async move { (ip, transfer::send_held(&gateway, ip).await) }
-    });
-    let results = calls.collect::<JoinSet<_>>().join_all().await;
-    let received = results.into_iter().filter_map(|(ip, result)| match result {
-        Ok(requests) => Some((ip.to_string(), requests)),
-        Err(why) => {
-            emit(&Event::UsageNotSent {
-                peer: ip.to_string(),
-                why,
-            });
-            None
-        }
-    });
-    received.collect()
-}
-
-/// Requests of this process that started in windows whose report isn't done.
-fn unreported(gateway: &Gateway, now: Instant) -> u64 {
-    let host = gateway.host();
-    let length = host.cloud.as_ref().and_then(|c| c.usage).map(|u| u.window);
-    let usage = &gateway.usage;
-    let begins = length.and_then(|length| {
-        let next = usage.done_window().checked_add(1)?;
-        let unix_ms = next.checked_mul(length.as_millis() as u64)?;
-        usage.clock().instant(i64::try_from(unix_ms).ok()?)
-    });
-    let mut request_log = usage.request_log();
-    request_log.expire(now);
-    request_log.count_since(begins)
-}
--- /dev/null
+++ b/crates/gateway/src/duty/usage/hand_over.rs
@@ -0,0 +1,132 @@
+//! Hands over the requests of a process that exits, and what it holds of others.
+
+use super::exchange::{add_own_requests, send};
+use super::message::Message;
+use super::{Collector, POLL_TIMEOUT, transfer};
+use crate::state::Gateway;
+use observe::{Event, emit};
+use std::net::{IpAddr, SocketAddr};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+use tokio::net::UdpSocket;
+use tokio::task::JoinSet;
+
+/// Time since a collector's last poll for which an exiting process sends it its last requests: the
+/// longest interval between polls, and some lost ones.
+const COLLECTOR_TIMEOUT: Duration = Duration::from_secs(10);
+/// Number of other processes that receive the last requests if no collector polls any more.
+const SUBSTITUTES: usize = 2;
+/// Number of times that the last requests are sent before a process exits, and the pause between
+/// them.
+const FINAL_SENDS: u32 = 3;
+const FINAL_SEND_PAUSE: Duration = Duration::from_millis(20);
+
+/// Sends the requests of this process that collectors may not have to recent collectors, and to
+/// other processes if these may be gone. A collector also sends what it holds of other processes.
+/// Returns the number of requests that nobody received.
+pub async fn send_remaining(gateway: &Arc<Gateway>) -> u64 {
+    let now = Instant::now();
+    let collectors: Vec<Collector> = {
+        let polls = gateway.usage.polls();
+        let recent = polls
+            .collectors
+            .iter()
+            .filter(|c| now.saturating_duration_since(c.polled_at) < COLLECTOR_TIMEOUT);
+        recent.copied().collect()
+    };
+    let own = gateway.usage.own_log(gateway);
+    let holds_others = gateway.usage.ledger().other_logs(own) > 0;
+    let is_polling = |c: &Collector| now.saturating_duration_since(c.polled_at) < POLL_TIMEOUT;
+    let is_polled = collectors.iter().any(is_polling);
+    let mut sent = send_last(gateway, &collectors).await;
+    if holds_others || !is_polled {
+        add_own_requests(gateway, Instant::now());
+        let to = match is_polled {
+            true => collectors.iter().map(|c| c.ip).collect(),
+            // The collectors may be gone.
+            false => substitutes(gateway, now),
+        };
+        sent.extend(send_held(gateway, to).await);
+    }
+    let is_lost = sent.is_empty();
+    emit(&Event::UsageHandedOver { receivers: sent });
+    match is_lost {
+        true => unreported(gateway, now),
+        false => 0,
+    }
+}
+
+/// Live processes that may become collectors, as the first ones do.
+fn substitutes(gateway: &Gateway, now: Instant) -> Vec<IpAddr> {
+    let peers = gateway.peers();
+    let live = peers.live(now).map(|(peer, _)| peer.ip);
+    live.take(SUBSTITUTES).collect()
+}
+
+/// Sends collectors the requests that they don't have yet. The messages are repeated, as no
+/// collector may query again. Returns the collectors, each with the number of requests.
+async fn send_last(gateway: &Arc<Gateway>, collectors: &[Collector]) -> Vec<(String, u64)> {
+    let host = gateway.host();
+    let mut sent = Vec::new();
+    let Ok(socket) = UdpSocket::bind(SocketAddr::new(host.ip, 0)).await else {
+        return sent;
+    };
+    for _ in 0..FINAL_SENDS {
+        sent.clear();
+        for collector in collectors {
+            let to = SocketAddr::new(collector.ip, host.usage_port);
+            let (mut next, mut requests) = (collector.next_needed, 0);
+            loop {
+                let request_log = gateway.usage.request_log();
+                let answer = request_log.read_from(collector.start, next, 0, Instant::now());
+                drop(request_log);
+                requests += answer.begun.len() as u64;
+                next = answer.from + answer.begun.len() as u64;
+                let is_last = next >= answer.next || answer.begun.is_empty();
+                send(&socket, to, &Message::Told(answer));
+                if is_last {
+                    break;
+                }
+            }
+            sent.push((collector.ip.to_string(), requests));
+        }
+        tokio::time::sleep(FINAL_SEND_PAUSE).await;
+    }
+    sent
+}
+
+/// Sends processes what this one holds of all processes. Returns those that received it, each with
+/// the number of requests that it didn't have.
+async fn send_held(gateway: &Arc<Gateway>, to: Vec<IpAddr>) -> Vec<(String, u64)> {
+    let calls = to.into_iter().map(|ip| {
+        let gateway = gateway.clone();
+        async move { (ip, transfer::send_held(&gateway, ip).await) }
+    });
+    let results = calls.collect::<JoinSet<_>>().join_all().await;
+    let received = results.into_iter().filter_map(|(ip, result)| match result {
+        Ok(requests) => Some((ip.to_string(), requests)),
+        Err(why) => {
+            emit(&Event::UsageNotSent {
+                peer: ip.to_string(),
+                why,
+            });
+            None
+        }
+    });
+    received.collect()
+}
+
+/// Requests of this process that started in windows whose report isn't done.
+fn unreported(gateway: &Gateway, now: Instant) -> u64 {
+    let host = gateway.host();
+    let length = host.cloud.as_ref().and_then(|c| c.usage).map(|u| u.window);
+    let usage = &gateway.usage;
+    let begins = length.and_then(|length| {
+        let next = usage.done_window().checked_add(1)?;
+        let unix_ms = next.checked_mul(length.as_millis() as u64)?;
+        usage.clock().instant(i64::try_from(unix_ms).ok()?)
+    });
+    let mut request_log = usage.request_log();
+    request_log.expire(now);
+    request_log.count_since(begins)
+}
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -96,7 +96,7 @@
     drain.stop();
     wait_until_idle(&gateway, schedule.close_at).await;
     serving.stop();
-    let handed_over = duty::usage::hand_over(&gateway);
+    let handed_over = duty::usage::hand_over_first(&gateway);
     // It is done again at the end.
     let _ = tokio::time::timeout_at(schedule.exit_at.into(), handed_over).await;
     let leave = peers::membership::leave(&gateway);
