Track outages of the store for usage reports by all calls together

By the log, the store was back for 2 s between two outages: the collector's own calls succeeded 0.3 s after the list of processes was read, and the pause of 1.5 s counted from there, so the window that had ended in the first outage waited into the second one.

Change: calls for the list and for reports feed one tracker, so the pause counts from the first that succeeds; it is 1.3 s, the timeout of a read and the longest pause before the next one.

--- a/crates/gateway/src/duty/usage/reports.rs
+++ b/crates/gateway/src/duty/usage/reports.rs
@@ -7,7 +7,6 @@
 use super::{is_collector, is_enabled, transfer};
 use crate::duty::{STORE_TIMEOUT, log_not_taken, log_taken};
 use crate::follow::StoreClient;
-use crate::follow::outage::OutageTracker;
 use crate::state::Gateway;
 use observe::{Event, emit};
 use platform::cloud::{Cloud, CloudAnswer, LeaseRef};
@@ -65,8 +64,6 @@
     gateway: Arc<Gateway>,
     holder: Holder,
     started_at: Instant,
-    /// Outages of the rows for reports.
-    outage: OutageTracker,
     /// Time since which a window's report is withheld.
     withheld: Option<(u64, Instant)>,
     retry_pause: Duration,
@@ -83,7 +80,6 @@
             holder: Holder::new(host.ip.to_string(), host.order_gap),
             gateway,
             started_at: now,
-            outage: OutageTracker::default(),
             withheld: None,
             retry_pause: RETRY_BACKOFF.0,
             counted_until: None,
@@ -155,7 +151,7 @@
         self.withheld = Some((window, since));
         match self.readiness(window, now) {
             Readiness::Ready => false,
-            Readiness::Wait if !self.gateway.peers().membership_outage().is_available() => {
+            Readiness::Wait if !self.gateway.peers().store_outage().is_available() => {
                 self.withheld = None;
                 true
             }
@@ -173,10 +169,10 @@
         };
         let (peers, are_all_known) = {
             let peers = self.gateway.peers();
-            let outage = peers.membership_outage();
-            (peers.addresses(), outage.covers(span.until, now))
+            let covers = peers.store_outage().covers(span.until, now);
+            (peers.addresses(), peers.is_membership_known() && covers)
         };
-        if !are_all_known || !self.outage.covers(span.until, now) {
+        if !are_all_known {
             return Readiness::Wait;
         }
         let collection = self.gateway.usage.collection();
@@ -184,11 +180,9 @@
         collection.readiness(&ledger, &peers, span, now)
     }
 
-    fn track_store(&mut self, is_reached: bool) {
-        match is_reached {
-            true => self.outage.record_success(Instant::now()),
-            false => self.outage.record_failure(Instant::now()),
-        }
+    fn track_store(&self, is_reached: bool) {
+        let mut peers = self.gateway.peers();
+        peers.record_store_call(is_reached, Instant::now());
     }
 
     /// First window that this process can have data for.
--- a/crates/gateway/src/follow/outage.rs
+++ b/crates/gateway/src/follow/outage.rs
@@ -3,10 +3,10 @@
 use std::time::{Duration, Instant};
 
 /// Time after an outage until processes that started meanwhile have written their rows: the timeout
-/// of a read, the longest pause before the next one, and a margin.
-const RETURN_PAUSE: Duration = Duration::from_millis(1500);
+/// of a read, and the longest pause before the next one.
+const RETURN_PAUSE: Duration = Duration::from_millis(1300);
 
-/// Times of the last outage of the store, as one kind of call shows them.
+/// Times of the last outage of the store, as the calls of this process show them.
 #[derive(Debug, Default)]
 pub struct OutageTracker {
     /// First failed call of the last outage.
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -137,8 +137,8 @@
     last_child_hello_at: Option<Instant>,
     /// Whether the list of processes has been read from the store or a peer.
     is_membership_known: bool,
-    /// Outages of the list of processes.
-    membership_outage: OutageTracker,
+    /// Outages of the store, in which processes may start that aren't known.
+    store_outage: OutageTracker,
     /// Time at which it was first found that no peer is live; `None` while one is.
     isolated_since: Option<Instant>,
     /// Incremented on each change of what is forwarded to peers.
@@ -159,17 +159,20 @@
     /// Records that the list of processes is known, and was read at `now`.
     pub fn set_membership_known(&mut self, now: Instant) {
         self.is_membership_known = true;
-        self.membership_outage.record_success(now);
+        self.store_outage.record_success(now);
     }
 
-    /// Records that the list of processes couldn't be read from the store.
-    pub fn record_membership_failure(&mut self, now: Instant) {
-        self.membership_outage.record_failure(now);
+    /// Records whether a call reached the store.
+    pub fn record_store_call(&mut self, is_reached: bool, now: Instant) {
+        match is_reached {
+            true => self.store_outage.record_success(now),
+            false => self.store_outage.record_failure(now),
+        }
     }
 
-    /// Outages of the list of processes.
-    pub fn membership_outage(&self) -> &OutageTracker {
-        &self.membership_outage
+    /// Outages of the store.
+    pub fn store_outage(&self) -> &OutageTracker {
+        &self.store_outage
     }
 
     /// Whether the list of processes is known.
--- a/crates/gateway/src/peers/membership.rs
+++ b/crates/gateway/src/peers/membership.rs
@@ -95,7 +95,7 @@
             Err(e) => {
                 gateway.startup_load.finish();
                 dependency.record_failure(&e);
-                gateway.peers().record_membership_failure(Instant::now());
+                gateway.peers().record_store_call(false, Instant::now());
                 dependency.pause(&gateway).await;
             }
         }
