Count usage that was only sent to collectors that are gone as lost

Found by reading: datagrams of a stopping process counted as received, so that requests sent only to collectors that had stopped polling, with no other live process, were neither reported nor logged.

--- a/crates/gateway/src/duty/usage.rs
+++ b/crates/gateway/src/duty/usage.rs
@@ -162,10 +162,10 @@
 }
 
 /// Sends the collectors this process's last requests, after it has stopped to accept requests.
-/// Requests that nobody receives are lost, which is logged.
-pub async fn hand_over_last(gateway: &Arc<Gateway>) {
+/// Logs and returns the number of those that are lost, as nobody receives them.
+pub async fn hand_over_last(gateway: &Arc<Gateway>) -> u64 {
     if !is_enabled(gateway) {
-        return;
+        return 0;
     }
     let lost = hand_over::send_remaining(gateway).await;
     if lost > 0 {
@@ -175,6 +175,7 @@
             why: "the process exits and no other process received them",
         });
     }
+    lost
 }
 
 /// Whether a request has been counted; each is counted once, when an upstream starts to run it.
--- a/crates/gateway/src/duty/usage/hand_over.rs
+++ b/crates/gateway/src/duty/usage/hand_over.rs
@@ -23,7 +23,7 @@
 
 /// Sends the requests of this process that collectors may not have to recent collectors, and to
 /// other processes if these may be gone. A collector also sends what it holds of other processes.
-/// Returns the number of requests that nobody received.
+/// Returns the number of requests that are likely to be lost.
 pub async fn send_remaining(gateway: &Arc<Gateway>) -> u64 {
     let now = Instant::now();
     let collectors: Vec<Collector> = {
@@ -37,22 +37,23 @@
     let own = gateway.usage.own_log(gateway);
     let holds_others = gateway.usage.ledger().other_logs(own) > 0;
     let is_polling = |c: &Collector| now.saturating_duration_since(c.polled_at) < POLL_TIMEOUT;
-    let is_polled = collectors.iter().any(is_polling);
     let mut sent = send_last(gateway, &collectors).await;
-    if holds_others || !is_polled {
+    // Datagrams aren't acknowledged, and collectors that poll no more may be gone.
+    let mut is_received = !sent.is_empty() && collectors.iter().any(is_polling);
+    if holds_others || !is_received {
         add_own_requests(gateway, Instant::now());
-        let to = match is_polled {
+        let to = match is_received {
             true => collectors.iter().map(|c| c.ip).collect(),
-            // The collectors may be gone.
             false => substitutes(gateway, now),
         };
-        sent.extend(send_held(gateway, to).await);
+        let received = send_held(gateway, to).await;
+        is_received |= !received.is_empty();
+        sent.extend(received);
     }
-    let is_lost = sent.is_empty();
     emit(&Event::UsageHandedOver { receivers: sent });
-    match is_lost {
-        true => unreported(gateway, now),
-        false => 0,
+    match is_received {
+        true => 0,
+        false => unreported(gateway, now),
     }
 }
 
--- a/crates/gateway/tests/peers.rs
+++ b/crates/gateway/tests/peers.rs
@@ -3,12 +3,12 @@
 #[expect(dead_code, reason = "each test file uses some of them")]
 mod fixtures;
 
-use fixtures::{gateway_with, instance, runner};
+use fixtures::{gateway_with, instance, peer_status, runner};
 use gateway::fleet::Fleet;
 use gateway::follow::{merge_from_peer, merge_from_store, retry_pause};
+use gateway::peers::Peers;
 use gateway::peers::catch_up::apply_changes;
 use gateway::peers::exchange::UnreadableSenders;
-use gateway::peers::{Load, PeerStatus, Peers, Scope};
 use gateway::state::{Gateway, RegistryState};
 use net::Meter;
 use platform::{Instance, Registration, Stage};
@@ -17,36 +17,6 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-fn peer_status(start: u32, number: u64, loads: &[(u32, u32)]) -> PeerStatus {
-    let loads: Vec<Load> = loads
-        .iter()
-        .map(|(upstream, tokens)| Load {
-            upstream: *upstream,
-            waiting: 1,
-            tokens: *tokens,
-            running: 1,
-            streams: 0,
-        })
-        .collect();
-    PeerStatus {
-        start,
-        number,
-        scope: Scope::Direct,
-        zone: 0,
-        processes: 1,
-        config: 0,
-        members: 0,
-        registry: 0,
-        registry_ms: 0,
-        registry_at_ms: 0,
-        view: 0,
-        changing: Vec::new(),
-        placements: Vec::new(),
-        crashes: Vec::new(),
-        loads,
-    }
-}
-
 #[test]
 fn peers_that_send_at_the_full_mesh_interval_count_as_live() {
     let mut fleet = Fleet::default();
--- a/crates/gateway/tests/usage.rs
+++ b/crates/gateway/tests/usage.rs
@@ -2,16 +2,19 @@
 
 #[expect(dead_code, reason = "each test file uses a part of it")]
 mod common;
+#[expect(dead_code, reason = "each test file uses a part of it")]
+mod fixtures;
 
 use common::{TestGateway, address, exchange, host, request, routes, start_on, status, wait_for};
+use gateway::duty::usage;
 use gateway::duty::usage::message::{Message, Query};
-use gateway::peers::{PeerStatus, Scope};
+use gateway::routes::RouteTable;
 use platform::{CloudSettings, HostSettings, UsageBounds};
 use serde_json::{Value, json};
 use standin::{Action, Cloud, CloudCall, CloudMode, Store, StoreMode, Worker};
 use std::collections::BTreeMap;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 const WINDOW: Duration = Duration::from_secs(1);
 const TENANTS: [&str; 3] = ["one", "two", "idle"];
@@ -385,6 +388,39 @@
     fleet.wait_reported(&[("one", 4)]).await;
 }
 
+/// Guards against taking requests for received that were only sent, to collectors that are gone.
+#[tokio::test]
+async fn requests_sent_only_to_collectors_that_are_gone_count_as_lost() {
+    let gateway = fixtures::gateway_with(&[]);
+    let mut host = (*gateway.host()).clone();
+    host.ip = IpAddr::V4(address());
+    host.cloud = Some(CloudSettings {
+        addr: new_addr(7005),
+        usage: Some(UsageBounds {
+            window: WINDOW,
+            due: Duration::from_secs(10),
+        }),
+        is_scaling_enabled: false,
+    });
+    gateway.set_host(host.clone());
+    let mut config = fixtures::configuration(Vec::new());
+    config.tenants = Some(Vec::new());
+    let table = RouteTable::new(config, &mut gateway.fleet(), None);
+    gateway.set_routes(table);
+    usage::exchange::start(&gateway).unwrap();
+    let collector = IpAddr::V4(address());
+    gateway.peers().add("gone", collector, 0);
+    let socket = tokio::net::UdpSocket::bind((collector, host.usage_port));
+    let socket = socket.await.unwrap();
+    poll(&socket, (host.ip, host.usage_port)).await;
+    drop(socket);
+    gateway.usage.record(Instant::now(), &"one".into());
+    assert_eq!(usage::hand_over_last(&gateway).await, 0);
+    // Longer than a collector pauses between polls.
+    tokio::time::sleep(Duration::from_millis(3200)).await;
+    assert_eq!(usage::hand_over_last(&gateway).await, 1);
+}
+
 /// Guards against losing a request that starts to run after a stopping process has sent its
 /// requests to the collectors, while it still serves open connections.
 #[tokio::test]
@@ -396,29 +432,15 @@
     fleet.add_host(host).await;
     let bed = &fleet.beds[0];
     let collector = IpAddr::V4(address());
-    let hello = wire::encode_compact(&peer_status());
+    let hello = wire::encode_compact(&fixtures::peer_status(1, 1, &[]));
     let socket = tokio::net::UdpSocket::bind((collector, bed.host.peer_port));
     let socket = socket.await.unwrap();
     let to = (bed.host.ip, bed.host.peer_port);
     socket.send_to(&hello, to).await.unwrap();
     let socket = tokio::net::UdpSocket::bind((collector, bed.host.usage_port));
     let socket = socket.await.unwrap();
-    let to = (bed.host.ip, bed.host.usage_port);
-    let query = Message::Ask(Query {
-        number: 1,
-        start: 0,
-        from: 0,
-        done: 0,
-    });
     let mut buf = vec![0; 16 << 10];
-    loop {
-        let query = wire::encode_compact(&query);
-        socket.send_to(&query, to).await.unwrap();
-        let answered = tokio::time::timeout(Duration::from_millis(100), socket.recv(&mut buf));
-        if answered.await.is_ok() {
-            break;
-        }
-    }
+    poll(&socket, (bed.host.ip, bed.host.usage_port)).await;
     for worker in &fleet._workers {
         let delay = Duration::from_millis(2150);
         worker.script([Action::Delayed(delay, Box::new(Action::Echo))]);
@@ -447,22 +469,21 @@
     assert_eq!(requests, 1);
 }
 
-fn peer_status() -> PeerStatus {
-    PeerStatus {
-        start: 1,
+/// Polls a process until it answers.
+async fn poll(socket: &tokio::net::UdpSocket, to: (IpAddr, u16)) {
+    let query = Message::Ask(Query {
         number: 1,
-        scope: Scope::Direct,
-        zone: 0,
-        processes: 1,
-        config: 0,
-        members: 0,
-        registry: 0,
-        registry_ms: u32::MAX,
-        registry_at_ms: 0,
-        view: 0,
-        loads: Vec::new(),
-        changing: Vec::new(),
-        placements: Vec::new(),
-        crashes: Vec::new(),
+        start: 0,
+        from: 0,
+        done: 0,
+    });
+    let query = wire::encode_compact(&query);
+    let mut buf = vec![0; 16 << 10];
+    loop {
+        socket.send_to(&query, to).await.unwrap();
+        let answered = tokio::time::timeout(Duration::from_millis(100), socket.recv(&mut buf));
+        if answered.await.is_ok() {
+            break;
+        }
     }
 }
