Don't take a peer's list of processes for the return of the store

Found by reading: a list of processes from a peer counted as a call that reached the store, so that during an outage the pause before reports began too early at a collector that takes its list from peers, and processes that started in the outage could be missing.

Change: only the process's own calls to the store count. `a_list_of_processes_from_a_peer_ends_no_outage_of_the_store` fails on the code before. The test of the shutdown schedule also checks that the last hand-over lies between the refusals and the aborts.

--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -156,7 +156,7 @@
         }
     }
 
-    /// Records that the list of processes is known, and was read at `now`.
+    /// Records that the list of processes was read from the store.
     pub fn set_membership_known(&mut self, now: Instant) {
         self.is_membership_known = true;
         self.store_outage.record_success(now);
@@ -357,7 +357,8 @@
         listed.collect()
     }
 
-    /// Replaces the listed processes by a peer's complete list.
+    /// Replaces the listed processes by a peer's complete list. It doesn't show whether the store
+    /// can be reached.
     pub fn set_members(&mut self, own: IpAddr, members: &[Member], fleet: &mut Fleet) {
         let is_member = |host: &str| members.iter().any(|m| m.host == host);
         let listed = self.all.iter().filter_map(|p| p.host.clone());
@@ -371,7 +372,7 @@
                 self.add(&member.host, member.ip, member.zone);
             }
         }
-        self.set_membership_known(Instant::now());
+        self.is_membership_known = true;
     }
 
     /// Whether the processes form a full mesh instead of trees.
--- a/crates/gateway/tests/peers.rs
+++ b/crates/gateway/tests/peers.rs
@@ -417,3 +417,22 @@
         .count();
     assert!(logged < 1024);
 }
+
+/// Guards against ending an outage of the store by a list of processes that a peer sent. Reports
+/// would then not wait for processes that started in the outage.
+#[test]
+fn a_list_of_processes_from_a_peer_ends_no_outage_of_the_store() {
+    let now = Instant::now();
+    let at = |ms| now + Duration::from_millis(ms);
+    let mut peers = Peers::default();
+    peers.set_membership_known(now);
+    peers.record_store_call(false, at(2000));
+    let own = IpAddr::V4(Ipv4Addr::LOCALHOST);
+    peers.set_members(own, &[], &mut Fleet::default());
+    assert!(!peers.store_outage().is_available());
+    // Windows that ended before the outage needn't wait, others do for a while after it.
+    peers.record_store_call(true, at(9000));
+    assert!(peers.store_outage().covers(at(2000), at(9000)));
+    assert!(!peers.store_outage().covers(at(2001), at(9000)));
+    assert!(peers.store_outage().covers(at(2001), at(10_300)));
+}
--- a/crates/gateway/tests/shutdown_schedule.rs
+++ b/crates/gateway/tests/shutdown_schedule.rs
@@ -30,6 +30,8 @@
             schedule.refuse_at <= schedule.abort_at,
             "grace of {grace} s"
         );
+        let last = [schedule.refuse_at, schedule.hand_over_at, schedule.abort_at];
+        assert!(last.is_sorted(), "grace of {grace} s: {schedule:?}");
         assert!(schedule.drain_at <= now + secs(grace), "grace of {grace} s");
     }
 }
