--- a/crates/gateway/src/duty/usage/collection.rs
+++ b/crates/gateway/src/duty/usage/collection.rs
@@ -10,7 +10,7 @@
 
 /// Maximum time to wait for the first answers of a process, as it may be gone although it is still
 /// listed.
-pub const FIRST_ANSWER_TIMEOUT: Duration = Duration::from_secs(3);
+const FIRST_ANSWER_TIMEOUT: Duration = Duration::from_secs(3);
 /// Time beyond two intervals between polls after which a collector counts as having been paused.
 const PAUSE_MARGIN: Duration = Duration::from_millis(500);
 /// Time after a fetch from a process during which reports are decided without another one.
@@ -46,7 +46,7 @@
     Ready,
     /// The requests that these processes hold must be fetched first.
     Fetch(Vec<IpAddr>),
-    /// Answers of processes that are polled since recently are outstanding.
+    /// Requests may be missing that will be known soon.
     Wait,
 }
 
--- a/crates/gateway/src/duty/usage/transfer.rs
+++ b/crates/gateway/src/duty/usage/transfer.rs
@@ -18,7 +18,7 @@
 
 /// Path of requests about the requests that a process holds.
 pub const PATH: &str = "/usage";
-/// Timeout of a request for what another process holds. Its answer may have some 700 KB.
+/// Timeout of a request for what another process holds, whose answer may be long.
 const FETCH_TIMEOUT: Duration = Duration::from_millis(1000);
 /// Timeout of a request of a process that exits.
 const SEND_TIMEOUT: Duration = Duration::from_millis(400);
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -7,6 +7,7 @@
 //! store, and a datagram also makes its sender known.
 
 pub mod catch_up;
+pub mod changes;
 pub mod exchange;
 mod links;
 pub mod membership;
@@ -18,6 +19,7 @@
 
 use crate::fleet::Fleet;
 use crate::follow::outage::OutageTracker;
+use changes::PeerChange;
 use serde::{Deserialize, Serialize};
 use std::net::IpAddr;
 use std::time::{Duration, Instant};
@@ -91,31 +93,6 @@
     backoff: Duration,
 }
 
-/// How a peer became known or was forgotten.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum PeerChange {
-    /// Listed in the store or by a peer.
-    Listed,
-    /// Heard in a datagram.
-    Heard,
-    /// No longer listed.
-    Unlisted,
-    /// Not listed, and silent.
-    Silent,
-}
-
-impl PeerChange {
-    /// Name in the log.
-    pub fn name(self) -> &'static str {
-        match self {
-            Self::Listed => "listed",
-            Self::Heard => "heard",
-            Self::Unlisted => "unlisted",
-            Self::Silent => "silent",
-        }
-    }
-}
-
 /// All known peers, sorted by address.
 #[derive(Debug, Default)]
 pub struct Peers {
--- a/crates/gateway/src/peers/exchange.rs
+++ b/crates/gateway/src/peers/exchange.rs
@@ -2,7 +2,7 @@
 
 use crate::StartError;
 use crate::crashes;
-use crate::peers::{Load, PeerChange, PeerStatus, Scope, catch_up};
+use crate::peers::{Load, PeerStatus, Scope, catch_up, changes};
 use crate::state::{Gateway, RegistryState};
 use net::server::bind;
 use net::{HeadLimits, Protocol, Server, Stop};
@@ -38,8 +38,6 @@
 const MAX_LOADS: usize = 1200;
 /// Maximum number of senders of unreadable datagrams that are tracked and logged.
 const MAX_UNREADABLE_SENDERS: usize = 1024;
-/// Maximum number of addresses in a log line about changed peers.
-const MAX_PEERS_LOGGED: usize = 16;
 /// Maximum size of a request head, and idle timeout, of a peer's connection.
 const MAX_HEAD_BYTES: usize = 8 << 10;
 const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
@@ -303,9 +301,9 @@
     let before = peers.parent();
     peers.choose_parent(own, &mut fleet, now);
     let (parent, processes) = (peers.parent(), peers.process_count(now));
-    let (changes, known) = (peers.take_changes(), peers.len());
+    let (changed, known) = (peers.take_changes(), peers.len());
     drop((fleet, peers));
-    log_changes(&changes, known);
+    changes::log(&changed, known);
     if parent != before {
         emit(&Event::ReportsTo {
             peer: parent.map(|ip| ip.to_string()),
@@ -315,20 +313,3 @@
     gateway.set_live_peers(processes);
     gateway.crashes.lock().expire(now);
 }
-
-/// Logs peers that became known or were forgotten, in one line for each kind of change.
-fn log_changes(changes: &[(PeerChange, IpAddr)], known: usize) {
-    use PeerChange::{Heard, Listed, Silent, Unlisted};
-    for kind in [Listed, Heard, Unlisted, Silent] {
-        let of_kind = changes.iter().filter(|(change, _)| *change == kind);
-        let peers: Vec<String> = of_kind.map(|(_, ip)| ip.to_string()).collect();
-        if !peers.is_empty() {
-            emit(&Event::PeersChanged {
-                change: kind.name(),
-                count: peers.len(),
-                peers: peers.into_iter().take(MAX_PEERS_LOGGED).collect(),
-                known,
-            });
-        }
-    }
-}
