Decode the request limit of upstreams, and log it

Nothing told a limit that isn't decoded from one that is known and by-passed. The limit is decoded in the adapter before any early return, for whole requests and for prefills, and kept for the start of the upstream. It decides nothing yet. Invalid values are ignored, logged once for each start and counted.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -11,6 +11,7 @@
 use crate::fleet::latency::Task;
 use crate::serve::Call;
 use crate::state::{Gateway, LoadGuard};
+use crate::statements;
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::body::{Body as _, Incoming};
@@ -199,7 +200,9 @@
         return AttemptResult::Unknown(format!("{} without this request's id", head.status));
     }
     let idle = idle_time(&head.headers);
+    // Another upstream may have answered that the request isn't meant for it.
     if head.status != StatusCode::MISDIRECTED_REQUEST {
+        statements::record(gateway, plan, &upstream_response, since);
         record_alive(gateway, plan, since);
     }
     if upstream_response.not_executed || head.status == StatusCode::MISDIRECTED_REQUEST {
--- a/crates/gateway/src/attempt/split.rs
+++ b/crates/gateway/src/attempt/split.rs
@@ -9,6 +9,7 @@
 use crate::crashes::broken::connection_broke;
 use crate::crashes::{self, Admission};
 use crate::serve::Call;
+use crate::statements;
 use http_body_util::{BodyExt, Limited};
 use hyper::{Method, Request, StatusCode};
 use net::{CallError, Pool};
@@ -135,9 +136,12 @@
     };
     let (res, conn) = response.into_parts();
     let (head, body) = res.into_parts();
-    if head.status != StatusCode::OK
-        || !header::parse_upstream_response(&head.headers, &call.parsed_headers.id).id_matches
-    {
+    let upstream_response = header::parse_upstream_response(&head.headers, &call.parsed_headers.id);
+    // Another upstream may have answered that the request isn't meant for it.
+    if upstream_response.id_matches && head.status != StatusCode::MISDIRECTED_REQUEST {
+        statements::record(gateway, plan, &upstream_response, since);
+    }
+    if head.status != StatusCode::OK || !upstream_response.id_matches {
         record_failure(gateway, plan, CONNECTION_FAILURE_WEIGHT);
         log_bad_answer(call, plan, format!("prefill answered with {}", head.status));
         return None;
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -9,6 +9,7 @@
 pub mod durations;
 pub mod latency;
 mod merge;
+pub mod named_limit;
 mod placements;
 mod starts;
 mod upstream;
--- a/crates/gateway/src/fleet/upstream.rs
+++ b/crates/gateway/src/fleet/upstream.rs
@@ -2,6 +2,7 @@
 
 use super::cache::CacheEstimate;
 use super::latency::{Backlog, Slowdown};
+use super::named_limit::NamedLimit;
 use super::{ServiceKey, id_hash, tag_of};
 use crate::peers::Load;
 use net::Pool;
@@ -47,6 +48,10 @@
     pub health: Health,
     /// Slowdown relative to the service's model.
     pub slowdown: Slowdown,
+    /// Limit that it names in its answers.
+    pub limit: NamedLimit,
+    /// Whether an invalid statement of this start was logged.
+    pub is_invalid_logged: bool,
     /// Stage change in progress.
     change: Option<StageChange>,
     /// Time at which this process last read a new stage of the engine.
@@ -119,6 +124,8 @@
             alive_at: None,
             health: Health::default(),
             slowdown: Slowdown::default(),
+            limit: NamedLimit::default(),
+            is_invalid_logged: false,
             change: None,
             stage_changed_at: None,
             cache: CacheEstimate::default(),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod routes;
 pub mod serve;
 pub mod state;
+pub mod statements;
 pub mod stop;
 pub mod tenants;
 
--- a/crates/observe/src/event.rs
+++ b/crates/observe/src/event.rs
@@ -460,6 +460,25 @@
         /// Duration of the suspension, in milliseconds.
         for_ms: u64,
     },
+    /// An upstream has named a limit on its requests from all hosts, changed it or ended it.
+    UpstreamLimit {
+        /// Id of the upstream.
+        upstream: &'a str,
+        /// Requests per second; `None` if there is no limit any more.
+        per_s: Option<f64>,
+        /// The limit before.
+        before: Option<f64>,
+        /// Source of this information, "answer" or "peer".
+        source: &'a str,
+    },
+    /// An upstream's answer has an invalid value in a header by which it describes itself. The
+    /// value is ignored and logged once for each start of the upstream.
+    InvalidStatement {
+        /// Id of the upstream.
+        upstream: &'a str,
+        /// What the header states.
+        what: &'a str,
+    },
     /// A connection broke while the upstream was running a request.
     ConnectionBroke {
         /// The request's id.
@@ -637,6 +656,7 @@
             | Self::Undecodable { .. }
             | Self::EntryUnreadable { .. }
             | Self::UpstreamSuspended { .. }
+            | Self::InvalidStatement { .. }
             | Self::AttemptFailed { .. }
             | Self::ConnectionBroke { .. }
             | Self::UpstreamWentDark { .. }
--- a/crates/observe/src/metrics.rs
+++ b/crates/observe/src/metrics.rs
@@ -47,6 +47,7 @@
     bytes: IntGaugeVec,
     store_calls: IntGaugeVec,
     unreadable: IntCounterVec,
+    statements: IntCounterVec,
     labelled_tenants: Mutex<Vec<String>>,
     max_tenants: usize,
 }
@@ -109,6 +110,12 @@
                 "Versions of entries in the registry that name no upstream to use.",
                 &["reason"],
             ),
+            statements: counter(
+                &registry,
+                "upstream_statements_total",
+                "Changes of what upstreams state of themselves in answers, by source.",
+                &["what", "source"],
+            ),
             labelled_tenants: Mutex::default(),
             max_tenants: max_tenants as usize,
             registry,
@@ -159,6 +166,11 @@
         self.unreadable.with_label_values(&[reason]).inc();
     }
 
+    /// Counts a change of what an upstream states of itself, such as a limit.
+    pub fn count_statement(&self, what: &str, source: &str) {
+        self.statements.with_label_values(&[what, source]).inc();
+    }
+
     /// Encodes the metrics in the Prometheus text format.
     pub fn encode(&self) -> Vec<u8> {
         let mut buf = Vec::new();
