--- a/crates/gateway/tests/common/crashing.rs
+++ b/crates/gateway/tests/common/crashing.rs
@@ -141,6 +141,11 @@
         }
     }
 
+    /// Returns the workers that aren't prefill-only engines.
+    pub fn workers(&self) -> &[Worker] {
+        &self.workers
+    }
+
     /// Returns how often workers received a body.
     pub fn times_sent(&self, body: &str) -> usize {
         let seen = self.workers.iter().flat_map(Worker::requests);
