--- a/crates/gateway/src/account.rs
+++ b/crates/gateway/src/account.rs
@@ -95,6 +95,8 @@
     pub fingerprint: Option<Fingerprint>,
     /// Units taken from the tenant's quota.
     pub grant: Option<Grant>,
+    /// Request taken from the limit of the upstream that is tried next.
+    pub request_grant: Option<Grant>,
     /// Number of the trial, if the request is a trial of one that is blocked for crashing
     /// upstreams.
     pub trial: Option<usize>,
@@ -133,6 +135,7 @@
             max_output_tokens: None,
             fingerprint: None,
             grant: None,
+            request_grant: None,
             trial: None,
             prefill_after: None,
             first_byte_after: None,
@@ -141,6 +144,16 @@
         }
     }
 
+    /// Commits the request that was taken from an upstream's limit, as it is sent now. The grant
+    /// can be refunded if it wasn't sent after all.
+    pub fn commit_request(&mut self) -> Option<Grant> {
+        let mut grant = self.request_grant.take();
+        if let Some(grant) = &mut grant {
+            grant.commit();
+        }
+        grant
+    }
+
     /// Outcome of a request that gets no answer from an upstream.
     pub fn outcome(&self) -> Outcome {
         match self.may_have_run {
--- a/crates/gateway/src/answer.rs
+++ b/crates/gateway/src/answer.rs
@@ -39,6 +39,8 @@
     Stopping,
     /// All upstreams are too busy to answer in time.
     Overloaded,
+    /// All upstreams that could run the request are at the limits that they name.
+    UpstreamLimit,
     /// Each upstream that was tried reported that it didn't run the request.
     Rejected,
     /// Upstreams crashed while they ran the request, also when it ran alone. It is not sent
@@ -101,6 +103,7 @@
             Self::NoUpstream => "no_upstream",
             Self::Stopping => "stopping",
             Self::Overloaded => "overloaded",
+            Self::UpstreamLimit => "upstream_limit",
             Self::Rejected => "rejected",
             Self::CrashesUpstreams => "crashes_upstreams",
             Self::CrashSuspected => "crash_suspected",
@@ -147,6 +150,7 @@
             Self::NoUpstream => "no upstream of the service is usable".into(),
             Self::Stopping => "the process is stopping".into(),
             Self::Overloaded => "all upstreams are busy beyond the latency target".into(),
+            Self::UpstreamLimit => "all upstreams are at the limits that they name".into(),
             Self::Rejected => "the upstreams rejected the request".into(),
             Self::CrashesUpstreams => "upstreams have crashed each time they ran this".into(),
             Self::CrashSuspected => "upstreams have crashed while they ran this".into(),
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -9,6 +9,7 @@
 use crate::crashes::unanswered;
 use crate::duty::usage::UsageState;
 use crate::fleet::latency::Task;
+use crate::quota::Grant;
 use crate::serve::Call;
 use crate::state::{Gateway, LoadGuard};
 use crate::statements;
@@ -176,11 +177,13 @@
     let begin = account.begin;
     record_sent(call, account, since);
     let watch = unanswered::watch_trial(call, account);
+    let grant = account.commit_request();
     let response = match plan.pool.send_once(req).await {
         Ok(response) => response,
         Err(CallError::NotSent(_)) => {
             watch.cancel();
             (account.may_have_run, account.begin) = (could_have_run, begin);
+            grant.into_iter().for_each(Grant::refund);
             record_failure(gateway, plan, CONNECTION_FAILURE_WEIGHT);
             return AttemptResult::NotRun(NotRun::NotSent);
         }
--- a/crates/gateway/src/attempt/split.rs
+++ b/crates/gateway/src/attempt/split.rs
@@ -5,9 +5,10 @@
     log_failed_attempt, record_alive, record_failure, record_first_byte, record_parts, send_to,
 };
 use crate::account::Account;
-use crate::choose::{Choice, Plan, Requirements, choose_generator};
+use crate::choose::{Choice, Plan, Requirements, choose_generator, choose_with_room};
 use crate::crashes::broken::connection_broke;
 use crate::crashes::{self, Admission};
+use crate::quota::Grant;
 use crate::serve::Call;
 use crate::statements;
 use http_body_util::{BodyExt, Limited};
@@ -74,8 +75,11 @@
             tried: &excluded,
             ..*requirements
         };
-        let Choice::Send(generator) = choose_generator(&call.gateway, &requirements, plan.key)
-        else {
+        let choose = || choose_generator(&call.gateway, &requirements, plan.key);
+        let (choice, grant) =
+            choose_with_room(&call.gateway, &requirements, &account.id, choose).await;
+        account.request_grant = grant;
+        let Choice::Send(generator) = choice else {
             break;
         };
         if let Admission::Blocked(why) = crashes::admit(call, account).await {
@@ -123,11 +127,13 @@
     record_parts(call, plan);
     let since = Instant::now();
     let req = build_request(call, plan, Phases::Prefill)?;
+    let grant = account.commit_request();
     let response = match plan.pool.send_once(req).await {
         Ok(response) => response,
         Err(e) => {
-            if let CallError::MaybeSent(_) = e {
-                connection_broke(call, account);
+            match e {
+                CallError::MaybeSent(_) => connection_broke(call, account),
+                CallError::NotSent(_) => grant.into_iter().for_each(Grant::refund),
             }
             record_failure(gateway, plan, CONNECTION_FAILURE_WEIGHT);
             log_bad_answer(call, plan, e.to_string());
--- a/crates/gateway/src/choose.rs
+++ b/crates/gateway/src/choose.rs
@@ -3,8 +3,10 @@
 //! Requests for plain services go to the least loaded upstream, prompts to the engines that are
 //! likely to have them cached, and long answers to the engine with the fewest long answers.
 
+mod admit;
 mod home;
 
+pub use admit::choose_with_room;
 pub use home::PREFILL_WEIGHT;
 
 use crate::account::{ChoiceInputs, SentTo};
@@ -58,6 +60,8 @@
     pub prompt_tokens: u32,
     /// Maximum number of output tokens.
     pub max_output_tokens: u32,
+    /// Priority of the request, 0 for the most urgent.
+    pub rank: u32,
     /// Target for the time to the first byte.
     pub latency_target: Duration,
     /// Whether this resumes a broken stream.
@@ -131,6 +135,9 @@
     Send(Box<Plan>),
     /// All upstreams are too busy; the client may retry after the given time.
     Busy(ChoiceInputs, Duration),
+    /// No upstream is available, but some are only at the limits that they name. Contains the
+    /// earliest time at which one has room.
+    AtLimit(Instant),
     /// No upstream is available.
     NoUpstream,
 }
@@ -139,16 +146,27 @@
 pub fn choose(gateway: &Gateway, requirements: &Requirements<'_>) -> Choice {
     let now = Instant::now();
     let fleet = gateway.fleet();
-    if requirements.is_isolated {
-        return choose_isolated(&fleet, requirements, now);
-    }
-    if fleet.info(requirements.service).engine.is_none() {
-        return choose_plain(&fleet, &gateway.host().zone, requirements, now);
-    }
-    if requirements.is_long() {
-        return choose_for_long_answer(&fleet, requirements, now);
+    let choice = if requirements.is_isolated {
+        choose_isolated(&fleet, requirements, now)
+    } else if fleet.info(requirements.service).engine.is_none() {
+        choose_plain(&fleet, &gateway.host().zone, requirements, now)
+    } else if requirements.is_long() {
+        choose_for_long_answer(&fleet, requirements, now)
+    } else {
+        home::choose_home(&fleet, requirements, now)
+    };
+    match choice {
+        Choice::NoUpstream => room_at(&fleet, requirements, now).map_or(choice, Choice::AtLimit),
+        _ => choice,
     }
-    home::choose_home(&fleet, requirements, now)
+}
+
+/// Earliest time at which an upstream that is only at its limit has room; `None` if there is no
+/// such upstream.
+fn room_at(fleet: &Fleet, requirements: &Requirements<'_>, now: Instant) -> Option<Instant> {
+    let all = unlimited_candidates(fleet, requirements, now);
+    let at_limit = all.filter(|(_, u)| u.is_at_limit(requirements.rank, now));
+    at_limit.filter_map(|(_, u)| u.room_at()).min()
 }
 
 /// Selects an engine to generate from the KV cache on `holder`.
@@ -187,6 +205,16 @@
     fleet: &'a Fleet,
     requirements: &'a Requirements<'_>,
     now: Instant,
+) -> impl Iterator<Item = (UpstreamKey, &'a Upstream)> {
+    let all = unlimited_candidates(fleet, requirements, now);
+    all.filter(move |(_, u)| !u.is_at_limit(requirements.rank, now))
+}
+
+/// The same, including upstreams whose limits have no room.
+fn unlimited_candidates<'a>(
+    fleet: &'a Fleet,
+    requirements: &'a Requirements<'_>,
+    now: Instant,
 ) -> impl Iterator<Item = (UpstreamKey, &'a Upstream)> {
     fleet.iter().filter(move |(key, u)| {
         u.service == requirements.service
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -12,6 +12,7 @@
 pub mod named_limit;
 mod placements;
 mod starts;
+pub mod stated;
 mod upstream;
 
 pub use merge::MergeOutcome;
@@ -23,6 +24,7 @@
 
 use platform::{Engine, Scaling, Service, Start};
 use starts::StartHistory;
+use stated::Statements;
 use std::collections::VecDeque;
 use std::time::{Duration, Instant};
 
@@ -86,6 +88,8 @@
     /// Prompt parts that this process was the first to send to an engine, as far as it knows,
     /// with the times.
     placements: VecDeque<(Instant, Placement)>,
+    /// Statements of removed upstreams by the tag of their start, oldest first.
+    former: VecDeque<(u32, Statements)>,
 }
 
 impl Fleet {
--- a/crates/gateway/src/fleet/merge.rs
+++ b/crates/gateway/src/fleet/merge.rs
@@ -116,7 +116,8 @@
         let service = self.intern_service(&instance.service);
         self.view = self.view.wrapping_add(instance_hash(&instance));
         let pool = Pool::new(instance.addr, CONNECT_TIMEOUT).metered(meter);
-        let upstream = Upstream::new(service, instance, pool, has_just_started);
+        let mut upstream = Upstream::new(service, instance, pool, has_just_started);
+        upstream.stated = self.take_statements(upstream.tag());
         let (hash, tag) = (upstream.hash, upstream.tag());
         let index = self.free_slots.pop().unwrap_or_else(|| {
             self.arena.push(ArenaSlot {
@@ -148,7 +149,8 @@
         // Two upstreams may share a tag, so entries are compared by key.
         self.by_tag.retain(|(_, tagged)| *tagged != key);
         self.free_slots.push(key.index);
-        let removed = self.arena[key.index as usize].upstream.take()?;
+        let mut removed = self.arena[key.index as usize].upstream.take()?;
+        self.keep_statements(&mut removed);
         removed.pool.close_idle();
         self.view = self.view.wrapping_sub(instance_hash(&removed.instance));
         Some(removed)
--- a/crates/gateway/src/fleet/upstream.rs
+++ b/crates/gateway/src/fleet/upstream.rs
@@ -2,7 +2,7 @@
 
 use super::cache::CacheEstimate;
 use super::latency::{Backlog, Slowdown};
-use super::named_limit::NamedLimit;
+use super::stated::Statements;
 use super::{ServiceKey, id_hash, tag_of};
 use crate::peers::Load;
 use net::Pool;
@@ -17,6 +17,10 @@
 /// Time without an answer after which an upstream with waiting requests may be unreachable.
 const SILENT_AFTER: Duration = Duration::from_secs(1);
 
+/// Shortest and longest time after a refusal because of an upstream's limit in which no other
+/// request asks for room. Refunds and a change of the limit may make room earlier.
+const AT_LIMIT_TTL: (Duration, Duration) = (Duration::from_millis(20), Duration::from_millis(200));
+
 /// State of one start of an upstream.
 #[derive(Debug)]
 pub struct Upstream {
@@ -48,10 +52,10 @@
     pub health: Health,
     /// Slowdown relative to the service's model.
     pub slowdown: Slowdown,
-    /// Limit that it names in its answers.
-    pub limit: NamedLimit,
-    /// Whether an invalid statement of this start was logged.
-    pub is_invalid_logged: bool,
+    /// What it states of itself in its answers.
+    pub stated: Statements,
+    /// Latest refusal of a request because of its limit.
+    at_limit: Option<AtLimit>,
     /// Stage change in progress.
     change: Option<StageChange>,
     /// Time at which this process last read a new stage of the engine.
@@ -70,6 +74,17 @@
     ordered: Option<Stage>,
 }
 
+/// A refusal of a request because of an upstream's limit.
+#[derive(Debug, Clone, Copy)]
+struct AtLimit {
+    /// Rank of the request; more urgent ones may still be sent.
+    rank: u32,
+    /// Time until which no other request asks.
+    until: Instant,
+    /// Time at which there is room, if no other request takes it.
+    room_at: Instant,
+}
+
 /// Total load of an upstream from other processes of the system.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct PeerLoad {
@@ -124,8 +139,8 @@
             alive_at: None,
             health: Health::default(),
             slowdown: Slowdown::default(),
-            limit: NamedLimit::default(),
-            is_invalid_logged: false,
+            stated: Statements::default(),
+            at_limit: None,
             change: None,
             stage_changed_at: None,
             cache: CacheEstimate::default(),
@@ -167,6 +182,27 @@
         self.change_remaining(now).is_some()
     }
 
+    /// Records that the limit has no room for a request of a rank until `room_at`.
+    pub fn set_at_limit(&mut self, rank: u32, room_at: Instant, now: Instant) {
+        let until = room_at.clamp(now + AT_LIMIT_TTL.0, now + AT_LIMIT_TTL.1);
+        self.at_limit = Some(AtLimit {
+            rank,
+            until,
+            room_at,
+        });
+    }
+
+    /// Whether its limit has no room for a request of a rank, as far as is known.
+    pub fn is_at_limit(&self, rank: u32, now: Instant) -> bool {
+        let refusal = self.at_limit.filter(|_| self.stated.limit.rate().is_some());
+        refusal.is_some_and(|refusal| now < refusal.until && refusal.rank <= rank)
+    }
+
+    /// Time at which the limit has room again, according to the latest refusal.
+    pub fn room_at(&self) -> Option<Instant> {
+        self.at_limit.map(|refusal| refusal.room_at)
+    }
+
     /// Records a peer's report that the engine is unavailable until the given time. Reports are
     /// ignored just after the new stage was read, as peers may not have read it yet.
     pub fn set_changing_by_peer(&mut self, until: Instant, now: Instant) {
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -15,7 +15,7 @@
 pub mod startup_load;
 pub mod tree;
 
-pub use message::{CrashReport, Load, PeerStatus, Placement, Scope, StageChange};
+pub use message::{CrashReport, Load, PeerStatus, Placement, Scope, StageChange, UpstreamLimit};
 
 use crate::fleet::Fleet;
 use crate::follow::outage::OutageTracker;
--- a/crates/gateway/src/peers/exchange.rs
+++ b/crates/gateway/src/peers/exchange.rs
@@ -4,6 +4,7 @@
 use crate::crashes;
 use crate::peers::{Load, PeerStatus, Scope, catch_up, changes};
 use crate::state::{Gateway, RegistryState};
+use crate::statements;
 use net::server::bind;
 use net::{HeadLimits, Protocol, Server, Stop};
 use observe::{Event, emit};
@@ -121,6 +122,7 @@
         unreadable.record_success(from.ip());
         let now = Instant::now();
         crashes::receive(&gateway, &status, now);
+        statements::receive(&gateway, &status.limits, now);
         if status.registry > gateway.registry().version || status.config > gateway.config_version()
         {
             gateway.catch_up.notify_one();
@@ -210,6 +212,7 @@
         changing: fleet.changing(now),
         placements: fleet.recent_placements(placements_within, now),
         crashes: crashes::pending_reports(gateway, now),
+        limits: fleet.told_limits(now),
     }
 }
 
@@ -222,6 +225,7 @@
         && a.config == b.config
         && a.registry == b.registry
         && a.placements == b.placements
+        && a.limits == b.limits
         && tags(a) == tags(b)
         // Crash reports are sent several times, so they are never considered known.
         && b.crashes.is_empty()
--- a/crates/gateway/src/peers/message.rs
+++ b/crates/gateway/src/peers/message.rs
@@ -1,5 +1,6 @@
 //! Datagrams between the processes of the system.
 
+use crate::fleet::named_limit::LimitVersion;
 use serde::{Deserialize, Serialize};
 
 /// The processes that a datagram covers, and its recipient.
@@ -89,6 +90,19 @@
     pub placements: Vec<Placement>,
     /// Recent reports of requests that crash upstreams.
     pub crashes: Vec<CrashReport>,
+    /// Limits that upstreams name, and limits that have ended, sorted by upstream. Processes of
+    /// earlier versions don't send it, and can decode a datagram only without it.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub limits: Vec<UpstreamLimit>,
+}
+
+/// The limit on requests that an upstream names.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct UpstreamLimit {
+    /// Tag of the upstream.
+    pub upstream: u32,
+    /// The limit.
+    pub limit: LimitVersion,
 }
 
 /// Report that an upstream crashed while running a request, or that the request was answered.
--- a/crates/gateway/src/quota.rs
+++ b/crates/gateway/src/quota.rs
@@ -1,6 +1,6 @@
-//! Enforces the quotas of tenants over all hosts.
+//! Enforces the quotas of tenants and the limits of upstreams over all hosts.
 //!
-//! Each host has a share of every quota and lends it to its zone's grantor, which admits the
+//! Each host has a share of every limit and lends it to its zone's grantor, which admits the
 //! requests of the hosts that lend to it (see [`quota`]). The cost of a request is taken from
 //! its host's own pool, or else from the zone's grantor, or else from the grantors of other
 //! zones. Hosts exchange datagrams on a dedicated port. See `docs/design/quotas.md`.
@@ -8,14 +8,16 @@
 mod exchange;
 pub mod message;
 pub mod refusals;
+mod upstream;
 
 pub use exchange::{release_shares, start};
+pub use upstream::acquire_request;
 
 use crate::state::Gateway;
-use message::{Message, Spend};
+use message::{Message, Spend, SpendRequest};
 use platform::Quota;
 use quota::lending::Zone;
-use quota::{Lending, Limit, TenantId};
+use quota::{Cost, Lending, Limit, LimitKey, TenantId};
 use refusals::{QuotaRefusal, RefusalCache};
 use std::net::{IpAddr, SocketAddr};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -66,8 +68,9 @@
     gateway: Arc<Gateway>,
     /// The grantor; `None` for this host's own pool.
     grantor: Option<IpAddr>,
-    /// Number of the query; 0 if there is nothing to refund.
+    /// Number of the query.
     number: u64,
+    is_committed: bool,
 }
 
 /// Why a request was granted no units.
@@ -181,6 +184,50 @@
     )
 }
 
+/// A request for units, and the query by which other hosts are asked for them.
+#[derive(Debug, Clone, Copy)]
+struct Request {
+    key: LimitKey,
+    limit: Limit,
+    cost: Cost,
+    query: Query,
+}
+
+/// What a grantor is asked for.
+#[derive(Debug, Clone, Copy)]
+enum Query {
+    /// Units of a tenant's quota.
+    Tenant { id: TenantId, units: u32 },
+    /// A request within an upstream's limit.
+    Upstream {
+        tag: u32,
+        rate: u32,
+        reserve_percent: u8,
+    },
+}
+
+impl Query {
+    fn message(self, number: u64) -> Message {
+        match self {
+            Self::Tenant { id, units } => Message::Spend(Spend {
+                number,
+                tenant: id.0,
+                cost: units,
+            }),
+            Self::Upstream {
+                tag,
+                rate,
+                reserve_percent,
+            } => Message::SpendRequest(SpendRequest {
+                number,
+                upstream: tag,
+                rate,
+                reserve_percent,
+            }),
+        }
+    }
+}
+
 /// Takes a request's cost from its tenant's quota.
 pub async fn acquire(
     gateway: &Arc<Gateway>,
@@ -189,40 +236,44 @@
     cost: u32,
 ) -> Result<Grant, AcquireError> {
     let quotas = &gateway.quotas;
-    let now = Instant::now();
-    let cached = lock(&quotas.refusals).get(tenant, cost, now);
+    let cached = lock(&quotas.refusals).get(tenant, cost, Instant::now());
     if let Some(refusal) = cached {
         return Err(AcquireError::OverQuota(refusal));
     }
-    let own = gateway.host().ip;
-    let limit = limit(gateway, quota);
-    let mut best = None;
+    let request = Request {
+        key: tenant.into(),
+        limit: limit(gateway, quota),
+        cost: f64::from(cost).into(),
+        query: Query::Tenant {
+            id: tenant,
+            units: cost,
+        },
+    };
+    let acquired = acquire_units(gateway, &request).await;
+    if let Err(AcquireError::OverQuota(refusal)) = acquired {
+        lock(&quotas.refusals).insert(tenant, cost, refusal);
+    }
+    acquired
+}
+
+/// Takes units from this host's own pool, or else from a grantor.
+async fn acquire_units(gateway: &Arc<Gateway>, request: &Request) -> Result<Grant, AcquireError> {
+    let quotas = &gateway.quotas;
     let number = quotas.next_number();
-    match spend_from_own_pool(quotas, own, number, tenant, limit, cost) {
-        Some(Answer::Granted) => {
-            return Ok(Grant {
-                gateway: gateway.clone(),
-                grantor: None,
-                number,
-            });
-        }
+    let mut best = None;
+    match spend_from_own_pool(gateway, number, request) {
+        Some(Answer::Granted) => return Ok(Grant::new(gateway, None, number)),
         Some(Answer::Refused(refusal)) => best = Some(refusal),
         Some(Answer::UnknownTenant) | None => {}
     }
     let mut silent_count = 0;
-    for ip in quotas.grantors_to_ask(number, now) {
+    for ip in quotas.grantors_to_ask(number, Instant::now()) {
         if silent_count >= MAX_SILENT_GRANTORS {
             break;
         }
         let number = quotas.next_number();
-        match ask_grantor(gateway, ip, number, tenant, cost).await {
-            Some(Answer::Granted) => {
-                return Ok(Grant {
-                    gateway: gateway.clone(),
-                    grantor: Some(ip),
-                    number,
-                });
-            }
+        match ask_grantor(gateway, ip, number, request).await {
+            Some(Answer::Granted) => return Ok(Grant::new(gateway, Some(ip), number)),
             Some(Answer::Refused(refusal)) if best.is_none_or(|b| refusal.wait < b.wait) => {
                 best = Some(refusal);
             }
@@ -234,28 +285,22 @@
         }
     }
     let refusal = best.ok_or(AcquireError::Unavailable)?;
-    lock(&quotas.refusals).insert(tenant, cost, refusal);
     Err(AcquireError::OverQuota(refusal))
 }
 
 /// Takes a request's cost from this host's own pool; `None` if the pool has no share.
-fn spend_from_own_pool(
-    quotas: &Quotas,
-    own: IpAddr,
-    number: u64,
-    tenant: TenantId,
-    limit: Limit,
-    cost: u32,
-) -> Option<Answer> {
+fn spend_from_own_pool(gateway: &Gateway, number: u64, request: &Request) -> Option<Answer> {
     let now = Instant::now();
-    let mut lending = quotas.lending();
+    let own = gateway.host().ip;
+    let mut lending = gateway.quotas.lending();
     let share = lending.pool.share(now);
     if share <= 0.0 {
         return None;
     }
-    let spent = lending
-        .pool
-        .spend(own, number, tenant, limit, cost.into(), now);
+    let Request {
+        key, limit, cost, ..
+    } = *request;
+    let spent = lending.pool.spend(own, number, key, limit, cost, now);
     Some(match spent {
         Ok(()) => Answer::Granted,
         Err(refused) => Answer::Refused(QuotaRefusal {
@@ -273,24 +318,14 @@
     gateway: &Arc<Gateway>,
     ip: IpAddr,
     number: u64,
-    tenant: TenantId,
-    cost: u32,
+    request: &Request,
 ) -> Option<Answer> {
     let quotas = &gateway.quotas;
     let port = gateway.host().quota_port;
     let rx = quotas.register(number);
-    let spend = Spend {
-        number,
-        tenant: tenant.0,
-        cost,
-    };
     // Refunds on drop if the client disconnects or the query times out.
-    let mut grant = Grant {
-        gateway: gateway.clone(),
-        grantor: Some(ip),
-        number,
-    };
-    quotas.send(ip, port, &Message::Spend(spend));
+    let mut grant = Grant::new(gateway, Some(ip), number);
+    quotas.send(ip, port, &request.query.message(number));
     let answer = tokio::time::timeout(ANSWER_TIMEOUT, rx).await;
     quotas.unregister(number);
     let answer = answer.ok().and_then(Result::ok);
@@ -301,15 +336,29 @@
 }
 
 impl Grant {
+    fn new(gateway: &Arc<Gateway>, grantor: Option<IpAddr>, number: u64) -> Self {
+        Self {
+            gateway: gateway.clone(),
+            grantor,
+            number,
+            is_committed: false,
+        }
+    }
+
     /// Prevents the refund, as the request may have run or nothing was granted.
     pub fn commit(&mut self) {
-        self.number = 0;
+        self.is_committed = true;
+    }
+
+    /// Refunds the grant although it was committed, as nothing was sent after all.
+    pub fn refund(mut self) {
+        self.is_committed = false;
     }
 }
 
 impl Drop for Grant {
     fn drop(&mut self) {
-        if self.number == 0 {
+        if self.is_committed {
             return;
         }
         let quotas = &self.gateway.quotas;
--- a/crates/gateway/src/quota/exchange.rs
+++ b/crates/gateway/src/quota/exchange.rs
@@ -24,6 +24,8 @@
 const MEMBERSHIP_CHECK_EVERY: Duration = Duration::from_millis(20);
 /// Time without an answer after which another grantor is searched for in a zone.
 const GRANTOR_TTL: Duration = Duration::from_secs(2);
+/// Time without any limit in force after which hosts search their grantor anew.
+const RESUME_AFTER: Duration = Duration::from_secs(2);
 /// Number of times the release of shares is sent, as datagrams may be lost.
 const RELEASE_SENDS: usize = 2;
 
@@ -57,7 +59,11 @@
     (host.cpu_share * 1000.0) as u32
 }
 
-/// Whether any tenant has a quota.
+/// Whether any tenant has a quota or any upstream names a limit, so that hosts lend their shares.
+fn is_limit_in_force(gateway: &Gateway) -> bool {
+    gateway.fleet().has_limits() || has_quotas_configured(gateway)
+}
+
 fn has_quotas_configured(gateway: &Gateway) -> bool {
     let routes = gateway.routes();
     let tenants = routes.as_ref().and_then(|table| table.tenants());
@@ -119,8 +125,17 @@
                 let now = Instant::now();
                 gateway.quotas.lending().pool.refund(from, number, now);
             }
+            Message::SpendRequest(query) if gateway.peers().knows(from) => {
+                let answer = super::upstream::spend(&gateway, from, query);
+                gateway
+                    .quotas
+                    .send(from, gateway.host().quota_port, &answer);
+            }
             // Ignores hosts that aren't known as peers.
-            Message::Collect(_) | Message::Lend(_) | Message::Spend(_) => {}
+            Message::Collect(_)
+            | Message::Lend(_)
+            | Message::Spend(_)
+            | Message::SpendRequest(_) => {}
         }
     }
 }
@@ -201,6 +216,7 @@
     mut grantor_replies: tokio::sync::mpsc::UnboundedReceiver<GrantorReply>,
 ) {
     let mut zone_grantors: Vec<ZoneGrantor> = Vec::new();
+    let mut active_at = Instant::now();
     loop {
         let pause = match gateway.peers().is_membership_known() {
             true => collect_pause(gateway.quotas.zone().hosts),
@@ -211,9 +227,14 @@
             let zone = gateway.peers().zone_of(from);
             record_grantor(&mut zone_grantors, zone, ip, Instant::now());
         }
-        if !has_quotas_configured(&gateway) || gateway.stop.is_stopped() {
+        if !is_limit_in_force(&gateway) || gateway.stop.is_stopped() {
             continue;
         }
+        let now = Instant::now();
+        if now.saturating_duration_since(active_at) >= RESUME_AFTER {
+            gateway.quotas.lending().resume(now);
+        }
+        active_at = now;
         if !update_zone(&gateway) {
             continue;
         }
--- a/crates/gateway/src/quota/message.rs
+++ b/crates/gateway/src/quota/message.rs
@@ -36,6 +36,9 @@
         /// Number of the query.
         number: u64,
     },
+    /// A host asks for a request within the limit of an upstream. Answered as `Spend`; processes of
+    /// earlier versions don't answer.
+    SpendRequest(SpendRequest),
 }
 
 /// A grantor's request for a share.
@@ -71,6 +74,19 @@
     pub cost: u32,
 }
 
+/// A query for a request to an upstream that names a limit.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SpendRequest {
+    /// Number of the query, repeated in the answer.
+    pub number: u64,
+    /// Tag of the upstream's start.
+    pub upstream: u32,
+    /// Limit as known to the sender, in thousandths of requests per second.
+    pub rate: u32,
+    /// Part of the limit's bucket that must remain for more urgent requests.
+    pub reserve_percent: u8,
+}
+
 /// Refusal of a query.
 #[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
 pub struct Refused {
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -10,7 +10,7 @@
 use crate::account::Account;
 use crate::answer::Reason;
 use crate::attempt::{self, AttemptResult, NotRun, attempt};
-use crate::choose::{Choice, Plan, Requirements, choose};
+use crate::choose::{Choice, Plan, Requirements, choose, choose_with_room};
 use crate::crashes::{self, Admission, fingerprint, unanswered};
 use crate::fleet::{ServiceKey, UpstreamKey};
 use crate::relay;
@@ -197,6 +197,7 @@
             parts: &self.parsed_headers.prompt_parts,
             prompt_tokens: self.parsed_headers.prompt_tokens,
             max_output_tokens: self.parsed_headers.max_output_tokens,
+            rank: self.priority(),
             latency_target: route.target_latency,
             is_resumed: is_retry && self.last_event.is_some(),
             is_isolated: false,
@@ -242,9 +243,14 @@
                 is_isolated: admission == Admission::Quarantined,
                 ..self.requirements(account)
             };
-            let plan = match choose(&self.gateway, &requirements) {
+            let plan = match self.choose(account, &requirements).await {
                 Choice::Send(plan) => plan,
                 Choice::NoUpstream => return Err(last),
+                Choice::AtLimit(_) if account.attempts > 0 => return Err(last),
+                Choice::AtLimit(room_at) => {
+                    let wait = self.gateway.assign_return(&requirements, room_at);
+                    return Err(Refusal::with_retry_after(Reason::UpstreamLimit, wait));
+                }
                 Choice::Busy(inputs, retry_after) => {
                     account.inputs = Some(inputs);
                     return Err(Refusal::with_retry_after(Reason::Overloaded, retry_after));
@@ -290,6 +296,15 @@
         }
     }
 
+    /// Chooses an upstream whose limit, if it names one, has room for the request.
+    async fn choose(&self, account: &mut Account, requirements: &Requirements<'_>) -> Choice {
+        let gateway = &self.gateway;
+        let choose = || choose(gateway, requirements);
+        let (choice, grant) = choose_with_room(gateway, requirements, &account.id, choose).await;
+        account.request_grant = grant;
+        choice
+    }
+
     /// Makes an attempt. If its first byte takes far longer than estimated, the attempt is
     /// abandoned for another one, provided that the request may run twice and the retry budget
     /// allows it. The retry is then taken from the budget.
@@ -355,7 +370,7 @@
             is_isolated: admission == Admission::Quarantined,
             ..self.requirements(account)
         };
-        let Choice::Send(plan) = choose(&self.gateway, &requirements) else {
+        let Choice::Send(plan) = self.choose(account, &requirements).await else {
             return None;
         };
         // The client can resume at another host at once, instead of being cut off again.
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -4,6 +4,7 @@
 
 pub use guards::{LoadGuard, RunningGuard};
 
+use crate::choose::Requirements;
 use crate::crashes::SharedCrashes;
 use crate::duty::usage::Usage;
 use crate::fleet::{Fleet, ServiceKey, UpstreamKey};
@@ -19,6 +20,7 @@
 use net::{HeadLimits, Meter, Stop};
 use observe::Metrics;
 use platform::{CallCounts, HostSettings};
+use quota::ReturnTimes;
 use resilience::RetryBudget;
 use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, OnceLock};
@@ -29,6 +31,10 @@
 /// each scrape.
 const MAX_TENANT_METRICS: u32 = 100;
 
+/// Longest interval between the returns of two callers that were refused because of upstreams'
+/// limits.
+const MAX_RETURN_GAP: Duration = Duration::from_secs(1);
+
 /// Limits on request heads until a configuration is loaded, equal to the users' own defaults.
 const INITIAL_IDLE_TIMEOUT: Duration = Duration::from_secs(15);
 const INITIAL_MAX_HEAD_BYTES: usize = 16 << 10;
@@ -42,6 +48,8 @@
     config_applied_at: Mutex<Option<Instant>>,
     fleet: Mutex<Fleet>,
     budgets: Mutex<Vec<(ServiceKey, RetryBudget)>>,
+    /// Return times of refused callers, sorted by service.
+    return_times: Mutex<Vec<(ServiceKey, ReturnTimes)>>,
     registry: Mutex<RegistryState>,
     history: Mutex<ChangeHistory>,
     missing: Mutex<MissingUpstreams>,
@@ -105,6 +113,7 @@
             config_applied_at: Mutex::default(),
             fleet: Mutex::default(),
             budgets: Mutex::default(),
+            return_times: Mutex::default(),
             registry: Mutex::new(RegistryState {
                 version: 0,
                 read_at: Instant::now(),
@@ -377,6 +386,23 @@
         self.with_budget(service, |b| b.try_retry(Instant::now()))
     }
 
+    /// Time after which a caller may return that was refused because of upstreams' limits. The
+    /// room that the limits make for this process's callers is assigned to one after the other.
+    pub fn assign_return(&self, requirements: &Requirements<'_>, room_at: Instant) -> Duration {
+        let service = requirements.service;
+        let per_s = self.fleet().limit_sum(service) / f64::from(self.process_count());
+        let gap = Duration::try_from_secs_f64(1.0 / per_s).unwrap_or(MAX_RETURN_GAP);
+        let gap = gap.min(MAX_RETURN_GAP);
+        let mut all = lock(&self.return_times);
+        let at = all.binary_search_by_key(&service, |(s, _)| *s);
+        let at = at.unwrap_or_else(|at| {
+            all.insert(at, (service, ReturnTimes::default()));
+            at
+        });
+        let now = Instant::now();
+        all[at].1.assign(requirements.rank, room_at, gap, now)
+    }
+
     /// Whether this process accepts new connections.
     pub fn is_ready(&self) -> bool {
         let knows_upstreams = self.registry().version > 0;
--- a/crates/gateway/src/statements.rs
+++ b/crates/gateway/src/statements.rs
@@ -1,13 +1,15 @@
-//! Records what upstreams state of themselves in their answers.
+//! Records what upstreams state of themselves in their answers, and what peers know of it.
 
 use crate::choose::Plan;
+use crate::peers::UpstreamLimit;
 use crate::state::Gateway;
 use observe::{Event, emit};
 use platform::header::{RequestRate, Stated, UpstreamResponse};
 use std::time::Instant;
 
-/// Source of a statement in logs and metrics.
+/// Sources of a statement in logs and metrics.
 const FROM_ANSWER: &str = "answer";
+const FROM_PEER: &str = "peer";
 
 /// Records the statements of an answer to a request that was sent at `sent_at`. The answer must
 /// have the id of that request.
@@ -25,8 +27,9 @@
         let Some(upstream) = fleet.get_mut(plan.key) else {
             return;
         };
-        let before = upstream.limit.rate();
-        if !upstream.limit.record_answer(rate, sent_at, Instant::now()) {
+        let limit = &mut upstream.stated.limit;
+        let before = limit.rate();
+        if !limit.record_answer(rate, sent_at, Instant::now()) {
             return;
         }
         before
@@ -34,6 +37,17 @@
     log_limit(gateway, &plan.instance, rate, before, FROM_ANSWER);
 }
 
+/// Applies the limits that a peer knows.
+pub fn receive(gateway: &Gateway, limits: &[UpstreamLimit], now: Instant) {
+    for told in limits {
+        let changed = gateway.fleet().merge_limit(told, now);
+        if let Some(changed) = changed {
+            let (before, after) = (changed.before, changed.after);
+            log_limit(gateway, &changed.upstream, after, before, FROM_PEER);
+        }
+    }
+}
+
 fn log_limit(
     gateway: &Gateway,
     upstream: &str,
@@ -57,7 +71,7 @@
 fn record_invalid(gateway: &Gateway, plan: &Plan, what: &str) {
     gateway.metrics.count_statement("invalid", FROM_ANSWER);
     let is_logged = match gateway.fleet().get_mut(plan.key) {
-        Some(upstream) => std::mem::replace(&mut upstream.is_invalid_logged, true),
+        Some(upstream) => std::mem::replace(&mut upstream.stated.is_invalid_logged, true),
         None => true,
     };
     if !is_logged {
--- a/crates/gateway/tests/cache.rs
+++ b/crates/gateway/tests/cache.rs
@@ -66,6 +66,7 @@
 fn plan_for(gateway: &Gateway, parts: &[PromptPart]) -> Option<Box<Plan>> {
     let service = gateway.fleet().intern_service("s");
     let requirements = Requirements {
+        rank: 0,
         service,
         parts,
         prompt_tokens: parts.iter().map(|p| p.tokens).sum(),
@@ -77,7 +78,7 @@
     };
     match choose(gateway, &requirements) {
         Choice::Send(plan) => Some(plan),
-        Choice::Busy(..) | Choice::NoUpstream => None,
+        Choice::Busy(..) | Choice::AtLimit(_) | Choice::NoUpstream => None,
     }
 }
 
--- a/crates/gateway/tests/choose.rs
+++ b/crates/gateway/tests/choose.rs
@@ -123,6 +123,7 @@
     ];
     let service = gateway.fleet().intern_service("s");
     let requirements = Requirements {
+        rank: 0,
         service,
         parts: &parts,
         prompt_tokens: 9100,
@@ -134,7 +135,7 @@
     };
     match choose(gateway, &requirements) {
         Choice::Send(plan) => Some(plan.instance),
-        Choice::Busy(..) | Choice::NoUpstream => None,
+        Choice::Busy(..) | Choice::AtLimit(_) | Choice::NoUpstream => None,
     }
 }
 
--- a/crates/gateway/tests/decoders.rs
+++ b/crates/gateway/tests/decoders.rs
@@ -7,8 +7,11 @@
 use fixtures::{gateway_with, instance, runner};
 use gateway::duty::lease::decide;
 use gateway::fleet::durations::{DurationSnapshot, Durations, Length};
+use gateway::fleet::named_limit::LimitVersion;
 use gateway::peers::catch_up::{RegistryChanges, apply_changes};
-use gateway::peers::{CrashReport, Load, PeerStatus, Peers, Placement, Scope, StageChange};
+use gateway::peers::{
+    CrashReport, Load, PeerStatus, Peers, Placement, Scope, StageChange, UpstreamLimit,
+};
 use platform::{Duty, Lease, LeaseRead, Stage, Start};
 use proptest::prelude::*;
 use std::net::{IpAddr, Ipv4Addr};
@@ -49,6 +52,13 @@
             in_trial: true,
             ago_ms: 90,
         }],
+        limits: vec![UpstreamLimit {
+            upstream,
+            limit: LimitVersion {
+                version: 2,
+                rate: Some(1200),
+            },
+        }],
     }
 }
 
@@ -182,21 +192,26 @@
     assert!(wire::decode::<RegistryChanges>(&changes).is_none());
 }
 
-/// Returns the lists at the end of a peer status, as one message.
-fn peer_status_lists() -> (
+/// The lists at the end of a peer status.
+type PeerStatusLists = (
     Vec<Load>,
     Vec<StageChange>,
     Vec<Placement>,
     Vec<CrashReport>,
-) {
+    Vec<UpstreamLimit>,
+);
+
+/// Returns the lists at the end of a peer status, as one message.
+fn peer_status_lists() -> PeerStatusLists {
     let PeerStatus {
         loads,
         changing,
         placements,
         crashes,
+        limits,
         ..
     } = peer_status(1);
-    (loads, changing, placements, crashes)
+    (loads, changing, placements, crashes, limits)
 }
 
 #[test]
--- a/crates/gateway/tests/fairness.rs
+++ b/crates/gateway/tests/fairness.rs
@@ -26,6 +26,7 @@
     let parts = [part(1, 6300), part(1000 + id, 2900)];
     let service = gateway.fleet().intern_service("s");
     let requirements = Requirements {
+        rank: 0,
         service,
         parts: &parts,
         prompt_tokens: 9200,
@@ -37,7 +38,7 @@
     };
     match choose(gateway, &requirements) {
         Choice::Send(plan) => Some(gateway.add_load(plan.key, plan.inputs.uncached, plan.is_long)),
-        Choice::Busy(..) | Choice::NoUpstream => None,
+        Choice::Busy(..) | Choice::AtLimit(_) | Choice::NoUpstream => None,
     }
 }
 
--- a/crates/gateway/tests/starts.rs
+++ b/crates/gateway/tests/starts.rs
@@ -163,6 +163,7 @@
 fn uncached_tokens(gateway: &Gateway, parts: &[PromptPart]) -> Option<u32> {
     let service = gateway.fleet().intern_service("s");
     let requirements = Requirements {
+        rank: 0,
         service,
         parts,
         prompt_tokens: parts.iter().map(|p| p.tokens).sum(),
@@ -174,7 +175,7 @@
     };
     match choose(gateway, &requirements) {
         Choice::Send(plan) => Some(plan.inputs.uncached),
-        Choice::Busy(..) | Choice::NoUpstream => None,
+        Choice::Busy(..) | Choice::AtLimit(_) | Choice::NoUpstream => None,
     }
 }
 
@@ -264,6 +265,7 @@
         changing: Vec::new(),
         placements: Vec::new(),
         crashes: Vec::new(),
+        limits: Vec::new(),
     };
     let (mut peers, now) = (Peers::default(), Instant::now());
     let ip = IpAddr::V4(Ipv4Addr::new(10, 0, 0, 1));
--- a/crates/observe/src/event.rs
+++ b/crates/observe/src/event.rs
@@ -471,6 +471,23 @@
         /// Source of this information, "answer" or "peer".
         source: &'a str,
     },
+    /// An upstream's limit has no room for a request, which goes to another upstream or is refused.
+    UpstreamAtLimit {
+        /// The request's id.
+        request: &'a str,
+        /// Id of the upstream.
+        upstream: &'a str,
+        /// The limit, in requests per second.
+        per_s: f64,
+        /// Priority of the request, 0 for the most urgent.
+        rank: u32,
+        /// Time until there is room, in milliseconds.
+        wait_ms: u64,
+        /// Fraction of the limit that the host held which answered.
+        share: f64,
+        /// Address of that host; `None` if none answered.
+        by: Option<String>,
+    },
     /// An upstream's answer has an invalid value in a header by which it describes itself. The
     /// value is ignored and logged once for each start of the upstream.
     InvalidStatement {
--- a/crates/quota/src/lending.rs
+++ b/crates/quota/src/lending.rs
@@ -69,6 +69,8 @@
     /// Sender and time of the last request for the share.
     last_collect: Option<(IpAddr, Instant)>,
     started_at: Instant,
+    /// Start of the wait for a grantor's request.
+    waiting_since: Instant,
     is_grantor: bool,
     round: u64,
     /// Identifiers, start times and leases of recent rounds, oldest first.
@@ -99,6 +101,7 @@
             lease: None,
             last_collect: None,
             started_at: now,
+            waiting_since: now,
             is_grantor: false,
             round: first_round,
             rounds: Vec::new(),
@@ -125,6 +128,14 @@
         self.usable_from.is_none_or(|from| from <= now)
     }
 
+    /// Resumes after a time in which no limit was in force and hosts didn't exchange shares. As
+    /// at a start, the host waits for a grantor's request before it becomes a grantor.
+    pub fn resume(&mut self, now: Instant) {
+        self.waiting_since = now;
+        self.last_collect = None;
+        self.is_grantor = false;
+    }
+
     /// Reclaims the share if its lease has expired, and becomes a grantor if no request for the
     /// share has arrived in time.
     pub fn tick(&mut self, zone: Zone, now: Instant) {
@@ -138,7 +149,7 @@
         let pause = collect_pause(zone.hosts);
         let (since, wait) = match self.last_collect {
             Some((_, at)) => (at, pause * TAKEOVER_ROUNDS),
-            None => (self.started_at, pause.mul_f64(STARTUP_ROUNDS)),
+            None => (self.waiting_since, pause.mul_f64(STARTUP_ROUNDS)),
         };
         let place = TAKEOVER_PER_PLACE * zone.place.min(MAX_PLACES);
         self.is_grantor |= now.saturating_duration_since(since) > wait + place;
--- a/crates/quota/src/lib.rs
+++ b/crates/quota/src/lib.rs
@@ -8,6 +8,8 @@
 
 pub mod lending;
 pub mod pool;
+pub mod return_times;
 
 pub use lending::{Collect, Lending};
-pub use pool::{Limit, Pool, Refused, TenantId};
+pub use pool::{Cost, Limit, LimitKey, Pool, Refused, TenantId};
+pub use return_times::ReturnTimes;
--- a/crates/quota/src/pool.rs
+++ b/crates/quota/src/pool.rs
@@ -1,6 +1,8 @@
-//! Token buckets of tenants, filled in proportion to the shares that a grantor holds.
+//! Token buckets of tenants and upstreams, filled in proportion to the shares that a grantor
+//! holds.
 
 use std::collections::VecDeque;
+use std::hash::{DefaultHasher, Hash, Hasher};
 use std::net::IpAddr;
 use std::time::{Duration, Instant};
 
@@ -9,14 +11,31 @@
 const REFUND_WINDOW: Duration = Duration::from_secs(3);
 /// Interval between removals of full buckets.
 const CLEANUP_EVERY: Duration = Duration::from_secs(1);
+/// Time without usage after which a bucket of the least capacity is removed.
+const ENLARGED_TTL: Duration = Duration::from_secs(60);
 /// Maximum wait reported with a refusal.
 const MAX_WAIT: Duration = Duration::from_secs(10);
 
 /// Hash of a tenant's name, the same on all hosts.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct TenantId(pub u64);
 
-/// Limit of a tenant over all hosts.
+/// What a limit applies to.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum LimitKey {
+    /// The requests of a tenant.
+    Tenant(TenantId),
+    /// The requests to one start of an upstream, given by its tag.
+    Upstream(u32),
+}
+
+impl From<TenantId> for LimitKey {
+    fn from(id: TenantId) -> Self {
+        Self::Tenant(id)
+    }
+}
+
+/// Limit over all hosts.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Limit {
     /// Units per second.
@@ -26,8 +45,33 @@
     /// Initial level of a bucket from newly added shares, so that hosts can admit requests
     /// immediately after a start.
     pub initial_burst: f64,
+    /// Least capacity of the bucket of one pool, in units. Without it, a pool with a small share
+    /// could never admit a request.
+    pub min_capacity: f64,
+}
+
+/// What is taken from a bucket.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Cost {
+    /// Units.
+    pub units: f64,
+    /// Fraction of the bucket beyond these units that must remain for more urgent requests.
+    pub reserve: f64,
+}
+
+impl From<f64> for Cost {
+    fn from(units: f64) -> Self {
+        Self {
+            units,
+            reserve: 0.0,
+        }
+    }
 }
 
+/// Lowest rate of a limit on requests. An upstream with a limit near 0 still gets a request from
+/// time to time, as only its answers tell that the limit has ended.
+const MIN_REQUEST_RATE: f64 = 0.25;
+
 /// Fraction of the slack that is added to the burst; the rest is for requests in flight.
 const SLACK_AS_BURST: f64 = 0.9;
 /// Fractions of the overage that are used as burst and as initial burst. The rest is for shares
@@ -44,8 +88,32 @@
             rate,
             burst: burst + slack * SLACK_AS_BURST + over * OVERAGE_AS_BURST,
             initial_burst: over * OVERAGE_AS_INITIAL_BURST,
+            min_capacity: 0.0,
+        }
+    }
+
+    /// The limit on requests for which their number in any window stays within `rate x window x
+    /// (1 + overage) + slack`.
+    pub fn for_requests(rate: f64, window: Duration, overage: f64, slack: f64) -> Self {
+        let limit = Self::for_window(rate, 0.0, window, overage, slack);
+        let raised = (MIN_REQUEST_RATE - rate).max(0.0);
+        Self {
+            rate: rate + raised,
+            burst: limit.burst - raised * window.as_secs_f64(),
+            min_capacity: 1.0,
+            ..limit
         }
     }
+
+    /// Capacity of the bucket in a pool with the given share.
+    fn capacity(&self, share: f64) -> f64 {
+        (self.burst * share).max(self.min_capacity)
+    }
+
+    /// Whether the least capacity exceeds what a share gives.
+    fn is_enlarged(&self, share: f64) -> bool {
+        self.burst * share < self.min_capacity
+    }
 }
 
 /// A request exceeds the tokens left in its bucket.
@@ -71,19 +139,20 @@
 
 #[derive(Debug, Clone, Copy)]
 struct Bucket {
-    tenant: TenantId,
+    key: LimitKey,
     limit: Limit,
     level: f64,
     /// Value of [`Pool::share_seconds`] at the last update of the level.
     share_seconds: f64,
+    used_at: Instant,
 }
 
 #[derive(Debug, Clone, Copy)]
 struct Grant {
     to: IpAddr,
     number: u64,
-    tenant: TenantId,
-    cost: f64,
+    key: LimitKey,
+    units: f64,
     at: Instant,
 }
 
@@ -94,10 +163,10 @@
     lenders: Vec<Lender>,
     /// Sum of the lenders' shares.
     share: f64,
-    /// Integral of [`Self::share`] over time, in seconds. A bucket is refilled by the tenant's
-    /// rate times the increase.
+    /// Integral of [`Self::share`] over time, in seconds. A bucket is refilled by the limit's rate
+    /// times the increase.
     share_seconds: f64,
-    /// Sorted by tenant. A tenant without an entry has a full bucket.
+    /// Sorted by key. A key without an entry has a full bucket.
     buckets: Vec<Bucket>,
     /// Oldest first.
     grants: VecDeque<Grant>,
@@ -106,8 +175,7 @@
 
 impl Pool {
     /// Adds or renews a host's share until the given time; `None` marks the pool's own host. A
-    /// newly added share gives the initial burst to tenants without a bucket, and no tokens to
-    /// others.
+    /// newly added share gives the initial burst to keys without a bucket, and no tokens to others.
     pub fn add_share(&mut self, ip: IpAddr, share: f64, until: Option<Instant>, now: Instant) {
         self.accrue(now);
         if until.is_some_and(|until| until <= now) {
@@ -159,34 +227,37 @@
         self.lenders.len()
     }
 
-    /// Takes a request's cost from its tenant's bucket. The requesting host chooses the number
-    /// that identifies the grant.
+    /// Takes a request's cost from a bucket. The requesting host chooses the number that identifies
+    /// the grant.
     pub fn spend(
         &mut self,
         to: IpAddr,
         number: u64,
-        tenant: TenantId,
+        key: impl Into<LimitKey>,
         limit: Limit,
-        cost: f64,
+        cost: impl Into<Cost>,
         now: Instant,
     ) -> Result<(), Refused> {
+        let (key, cost) = (key.into(), cost.into());
         self.accrue(now);
         self.remove_full_buckets(now);
         let share = self.share;
-        let bucket = self.bucket(tenant, limit, now);
-        if bucket.level < cost {
+        let bucket = self.bucket(key, limit, now);
+        let spare = limit.capacity(share) - cost.units;
+        let needed = cost.units + spare.max(0.0) * cost.reserve;
+        if bucket.level < needed {
             let left = bucket.level;
             let rate = limit.rate * share;
-            let wait = Duration::try_from_secs_f64((cost - left) / rate);
+            let wait = Duration::try_from_secs_f64((needed - left) / rate);
             let wait = wait.map_or(MAX_WAIT, |w| w.min(MAX_WAIT));
             return Err(Refused { wait, left });
         }
-        bucket.level -= cost;
+        bucket.level -= cost.units;
         self.grants.push_back(Grant {
             to,
             number,
-            tenant,
-            cost,
+            key,
+            units: cost.units,
             at: now,
         });
         if self.grants.len() > MAX_GRANTS {
@@ -208,14 +279,12 @@
         if now.saturating_duration_since(grant.at) > REFUND_WINDOW {
             return;
         }
-        let at = self
-            .buckets
-            .binary_search_by_key(&grant.tenant, |b| b.tenant);
+        let at = self.buckets.binary_search_by_key(&grant.key, |b| b.key);
         if let Ok(at) = at {
             let (share_seconds, share) = (self.share_seconds, self.share);
             let bucket = &mut self.buckets[at];
             bucket.fill(share_seconds, share);
-            bucket.level = (bucket.level + grant.cost).min(bucket.limit.burst * share);
+            bucket.level = (bucket.level + grant.units).min(bucket.limit.capacity(share));
         }
     }
 
@@ -224,18 +293,22 @@
         self.buckets.len()
     }
 
-    /// Returns the bucket of a tenant, refilled up to now.
-    fn bucket(&mut self, tenant: TenantId, limit: Limit, now: Instant) -> &mut Bucket {
+    /// Returns the bucket of a key, refilled up to now.
+    fn bucket(&mut self, key: LimitKey, limit: Limit, now: Instant) -> &mut Bucket {
         let (share_seconds, share) = (self.share_seconds, self.share);
-        let at = match self.buckets.binary_search_by_key(&tenant, |b| b.tenant) {
+        let at = match self.buckets.binary_search_by_key(&key, |b| b.key) {
             Ok(at) => at,
             Err(at) => {
-                let level = self.full_level(limit, now);
+                let level = match limit.is_enlarged(share) {
+                    true => limit.min_capacity * self.phase(key),
+                    false => self.full_level(limit, now),
+                };
                 let bucket = Bucket {
-                    tenant,
+                    key,
                     limit,
                     level,
                     share_seconds,
+                    used_at: now,
                 };
                 self.buckets.insert(at, bucket);
                 at
@@ -243,14 +316,24 @@
         };
         let bucket = &mut self.buckets[at];
         bucket.fill(share_seconds, share);
+        bucket.used_at = now;
         if bucket.limit != limit {
             bucket.limit = limit;
-            bucket.level = bucket.level.min(limit.burst * share);
+            bucket.level = bucket.level.min(limit.capacity(share));
         }
         bucket
     }
 
-    /// Level of the bucket of a tenant without recent usage: each share has filled its part of
+    /// Initial fraction of a bucket of the least capacity. It differs between pools, which would
+    /// otherwise all admit a request at the same time.
+    fn phase(&self, key: LimitKey) -> f64 {
+        let mut hasher = DefaultHasher::new();
+        let own = self.lenders.iter().find(|l| l.until.is_none());
+        (own.map(|l| l.ip), key).hash(&mut hasher);
+        hasher.finish() as f64 / u64::MAX as f64
+    }
+
+    /// Level of a bucket without recent usage: each share has filled its part of
     /// the bucket since it was added.
     fn full_level(&self, limit: Limit, now: Instant) -> f64 {
         let level = |l: &Lender| {
@@ -271,7 +354,10 @@
         let mut buckets = std::mem::take(&mut self.buckets);
         buckets.retain_mut(|b| {
             b.fill(share_seconds, share);
-            b.level < self.full_level(b.limit, now)
+            // A new bucket would start below this one's capacity.
+            let is_in_use = now.saturating_duration_since(b.used_at) < ENLARGED_TTL;
+            let is_kept = b.limit.is_enlarged(share) && is_in_use;
+            is_kept || b.level < self.full_level(b.limit, now)
         });
         self.buckets = buckets;
         let is_old = |g: &Grant| now.saturating_duration_since(g.at) > REFUND_WINDOW;
@@ -306,7 +392,7 @@
 impl Bucket {
     fn fill(&mut self, share_seconds: f64, share: f64) {
         let level = self.level + self.limit.rate * (share_seconds - self.share_seconds);
-        self.level = level.min(self.limit.burst * share);
+        self.level = level.min(self.limit.capacity(share));
         self.share_seconds = share_seconds;
     }
 }
--- a/crates/quota/tests/fleet.rs
+++ b/crates/quota/tests/fleet.rs
@@ -180,6 +180,7 @@
         rate: limit().rate / 8.0,
         burst: limit().burst / 8.0,
         initial_burst: limit().initial_burst / 8.0,
+        ..limit()
     };
     sim.set_limit(lower);
     let before = sim.granted();
--- a/crates/quota/tests/sim/mod.rs
+++ b/crates/quota/tests/sim/mod.rs
@@ -93,7 +93,7 @@
 }
 
 fn ip(host: usize) -> IpAddr {
-    IpAddr::V4(Ipv4Addr::new(10, 0, 0, host as u8 + 1))
+    IpAddr::V4(Ipv4Addr::from(0x0a00_0001 + host as u32))
 }
 
 impl Sim {
@@ -190,7 +190,7 @@
     }
 
     fn is_partitioned(&self, a: usize, b: usize) -> bool {
-        let side = |side: u64, host: usize| side >> host & 1;
+        let side = |side: u64, host: usize| side >> (host % 64) & 1;
         self.partitions.iter().any(|(partition, until)| {
             *until > self.now && side(*partition, a) != side(*partition, b)
         })
@@ -379,13 +379,20 @@
 
     /// Returns the maximum number of units granted within any window.
     pub fn max_window_usage(&self) -> f64 {
+        self.max_usage_within(WINDOW_MS, 0)
+    }
+
+    /// Returns the maximum number of units granted within any window of the given length that
+    /// begins at `from_ms` or later.
+    pub fn max_usage_within(&self, window_ms: u64, from_ms: u64) -> f64 {
         let mut most: f64 = 0.0;
         let mut sum = 0.0;
         let mut first = 0;
-        for grant in &self.grants {
+        let grants: Vec<&Grant> = self.grants.iter().filter(|g| g.at >= from_ms).collect();
+        for grant in &grants {
             sum += grant.units;
-            while self.grants[first].at + WINDOW_MS <= grant.at {
-                sum -= self.grants[first].units;
+            while grants[first].at + window_ms <= grant.at {
+                sum -= grants[first].units;
                 first += 1;
             }
             most = most.max(sum);
