--- a/crates/gateway/src/fleet/stated.rs
+++ b/crates/gateway/src/fleet/stated.rs
@@ -16,13 +16,15 @@
 pub struct Statements {
     /// Limit on its requests from all hosts.
     pub limit: NamedLimit,
+    /// Whether it will stop. This is final for a start.
+    pub is_leaving: bool,
     /// Whether an invalid statement was logged.
     pub is_invalid_logged: bool,
 }
 
 impl Statements {
     fn is_empty(&self) -> bool {
-        self.limit.rate().is_none()
+        self.limit.rate().is_none() && !self.is_leaving
     }
 }
 
--- a/crates/gateway/src/statements.rs
+++ b/crates/gateway/src/statements.rs
@@ -19,6 +19,27 @@
         Stated::Valid(rate) => record_limit(gateway, plan, Some(rate), sent_at),
         Stated::Invalid => record_invalid(gateway, plan, "limit"),
     }
+    match res.is_leaving {
+        Stated::Valid(true) => record_leaving(gateway, plan),
+        // Leaving is final, so its absence in an answer that was overtaken means nothing.
+        Stated::Valid(false) | Stated::Absent => {}
+        Stated::Invalid => record_invalid(gateway, plan, "leaving"),
+    }
+}
+
+fn record_leaving(gateway: &Gateway, plan: &Plan) {
+    let was_leaving = match gateway.fleet().get_mut(plan.key) {
+        Some(upstream) => std::mem::replace(&mut upstream.stated.is_leaving, true),
+        None => true,
+    };
+    if !was_leaving {
+        log_leaving(gateway, &plan.instance, FROM_ANSWER);
+    }
+}
+
+fn log_leaving(gateway: &Gateway, upstream: &str, source: &str) {
+    gateway.metrics.count_statement("leaving", source);
+    emit(&Event::UpstreamStatesLeaving { upstream, source });
 }
 
 fn record_limit(gateway: &Gateway, plan: &Plan, rate: Option<RequestRate>, sent_at: Instant) {
--- a/crates/observe/src/event.rs
+++ b/crates/observe/src/event.rs
@@ -471,6 +471,13 @@
         /// Source of this information, "answer" or "peer".
         source: &'a str,
     },
+    /// An upstream has said in an answer that it will stop. It gets no new requests.
+    UpstreamStatesLeaving {
+        /// Id of the upstream.
+        upstream: &'a str,
+        /// Source of this information, "answer" or "peer".
+        source: &'a str,
+    },
     /// An upstream's limit has no room for a request, which goes to another upstream or is refused.
     UpstreamAtLimit {
         /// The request's id.
