Send nothing new to upstreams that say they leave

A request reached an upstream 7 s after an answer had told the sending host that it leaves. Hosts learned of this from the store alone, which didn't answer for 13 s.

What an upstream says of its leaving now closes it for new requests, is final for its start also if its row disappears and comes back, and reaches all hosts with the load datagrams, in the same list as the limits. The flag is apart from the registry's, as the hash by which hosts compare their registries covers that one. What runs there goes on.

The whole suite has not run on this commit.

--- a/crates/gateway/src/fleet/stated.rs
+++ b/crates/gateway/src/fleet/stated.rs
@@ -2,12 +2,12 @@
 
 use super::named_limit::NamedLimit;
 use super::{Fleet, ServiceKey, Upstream};
-use crate::peers::UpstreamLimit;
+use crate::peers::UpstreamStatement;
 use platform::header::RequestRate;
 use std::time::Instant;
 
-/// Maximum number of limits in one datagram.
-const MAX_LIMITS_PER_DATAGRAM: usize = 256;
+/// Maximum number of statements in one datagram.
+const MAX_STATEMENTS_PER_DATAGRAM: usize = 256;
 /// Maximum number of removed upstreams whose statements are kept.
 const MAX_FORMER: usize = 1024;
 
@@ -41,34 +41,44 @@
         rates.map(RequestRate::per_s).sum()
     }
 
-    /// Limits for peers, the lowest first if there are too many for one datagram.
-    pub fn told_limits(&self, now: Instant) -> Vec<UpstreamLimit> {
+    /// Statements for peers. If there are too many for one datagram, leaving upstreams come first
+    /// and then those with the lowest limits.
+    pub fn told_statements(&self, now: Instant) -> Vec<UpstreamStatement> {
         let told = |u: &Upstream| {
-            let limit = u.stated.limit.told_version(now)?;
-            Some(UpstreamLimit {
+            let limit = u.stated.limit.told_version(now);
+            let is_leaving = u.stated.is_leaving;
+            (is_leaving || limit.is_some()).then(|| UpstreamStatement {
                 upstream: u.tag(),
-                limit,
+                is_leaving,
+                limit: limit.unwrap_or_default(),
             })
         };
         let mut all: Vec<_> = self.iter().filter_map(|(_, u)| told(u)).collect();
-        if all.len() > MAX_LIMITS_PER_DATAGRAM {
-            all.sort_unstable_by_key(|l| l.limit.rate.unwrap_or(u32::MAX));
-            all.truncate(MAX_LIMITS_PER_DATAGRAM);
+        if all.len() > MAX_STATEMENTS_PER_DATAGRAM {
+            all.sort_unstable_by_key(|s| (!s.is_leaving, s.limit.rate.unwrap_or(u32::MAX)));
+            all.truncate(MAX_STATEMENTS_PER_DATAGRAM);
         }
-        all.sort_unstable_by_key(|l| l.upstream);
+        all.sort_unstable_by_key(|s| s.upstream);
         all
     }
 
-    /// Merges the limit that a peer knows. Returns the id of the upstream, its limit before and
-    /// its limit now if it changed.
-    pub fn merge_limit(&mut self, told: &UpstreamLimit, now: Instant) -> Option<ChangedLimit> {
+    /// Merges what a peer knows of an upstream; `None` if nothing changed.
+    pub fn merge_statement(
+        &mut self,
+        told: &UpstreamStatement,
+        now: Instant,
+    ) -> Option<ChangedStatement> {
         let upstream = self.get_mut_by_tag(told.upstream)?;
-        let before = upstream.stated.limit.rate();
-        let is_changed = upstream.stated.limit.merge(told.limit, now);
-        is_changed.then(|| ChangedLimit {
+        let stated = &mut upstream.stated;
+        let before = stated.limit.rate();
+        let is_limit_changed = stated.limit.merge(told.limit, now);
+        let begins_leaving = told.is_leaving && !stated.is_leaving;
+        stated.is_leaving |= told.is_leaving;
+        let limit = is_limit_changed.then(|| (before, stated.limit.rate()));
+        (limit.is_some() || begins_leaving).then(|| ChangedStatement {
             upstream: upstream.instance.id.clone(),
-            before,
-            after: upstream.stated.limit.rate(),
+            limit,
+            begins_leaving,
         })
     }
 
@@ -92,13 +102,13 @@
     }
 }
 
-/// A changed limit of an upstream.
+/// A change of what an upstream states.
 #[derive(Debug)]
-pub struct ChangedLimit {
+pub struct ChangedStatement {
     /// Id of the upstream.
     pub upstream: String,
-    /// The limit before.
-    pub before: Option<RequestRate>,
-    /// The limit now.
-    pub after: Option<RequestRate>,
+    /// The limit before and now, if it changed.
+    pub limit: Option<(Option<RequestRate>, Option<RequestRate>)>,
+    /// Whether it is now known to leave.
+    pub begins_leaving: bool,
 }
--- a/crates/gateway/src/fleet/upstream.rs
+++ b/crates/gateway/src/fleet/upstream.rs
@@ -174,7 +174,7 @@
 
     /// Whether it can receive new requests, regardless of its health.
     pub fn is_open(&self) -> bool {
-        !self.instance.is_draining
+        !self.instance.is_draining && !self.stated.is_leaving
     }
 
     /// Whether it is unavailable because of a stage change.
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -15,7 +15,9 @@
 pub mod startup_load;
 pub mod tree;
 
-pub use message::{CrashReport, Load, PeerStatus, Placement, Scope, StageChange, UpstreamLimit};
+pub use message::{
+    CrashReport, Load, PeerStatus, Placement, Scope, StageChange, UpstreamStatement,
+};
 
 use crate::fleet::Fleet;
 use crate::follow::outage::OutageTracker;
--- a/crates/gateway/src/peers/exchange.rs
+++ b/crates/gateway/src/peers/exchange.rs
@@ -122,7 +122,7 @@
         unreadable.record_success(from.ip());
         let now = Instant::now();
         crashes::receive(&gateway, &status, now);
-        statements::receive(&gateway, &status.limits, now);
+        statements::receive(&gateway, &status.statements, now);
         if status.registry > gateway.registry().version || status.config > gateway.config_version()
         {
             gateway.catch_up.notify_one();
@@ -212,7 +212,7 @@
         changing: fleet.changing(now),
         placements: fleet.recent_placements(placements_within, now),
         crashes: crashes::pending_reports(gateway, now),
-        limits: fleet.told_limits(now),
+        statements: fleet.told_statements(now),
     }
 }
 
@@ -225,7 +225,7 @@
         && a.config == b.config
         && a.registry == b.registry
         && a.placements == b.placements
-        && a.limits == b.limits
+        && a.statements == b.statements
         && tags(a) == tags(b)
         // Crash reports are sent several times, so they are never considered known.
         && b.crashes.is_empty()
--- a/crates/gateway/src/peers/links.rs
+++ b/crates/gateway/src/peers/links.rs
@@ -189,7 +189,7 @@
                 changing: Vec::new(),
                 placements: Vec::new(),
                 crashes: Vec::new(),
-                limits: Vec::new(),
+                statements: Vec::new(),
                 ..own.clone()
             };
         }
--- a/crates/gateway/src/peers/message.rs
+++ b/crates/gateway/src/peers/message.rs
@@ -90,18 +90,20 @@
     pub placements: Vec<Placement>,
     /// Recent reports of requests that crash upstreams.
     pub crashes: Vec<CrashReport>,
-    /// Limits that upstreams name, and limits that have ended, sorted by upstream. Processes of
-    /// earlier versions don't send it, and can decode a datagram only without it.
+    /// What upstreams state of themselves, sorted by upstream. Processes of earlier versions don't
+    /// send it, and can decode a datagram only without it.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
-    pub limits: Vec<UpstreamLimit>,
+    pub statements: Vec<UpstreamStatement>,
 }
 
-/// The limit on requests that an upstream names.
+/// What an upstream states of itself in its answers.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-pub struct UpstreamLimit {
+pub struct UpstreamStatement {
     /// Tag of the upstream.
     pub upstream: u32,
-    /// The limit.
+    /// Whether it will stop.
+    pub is_leaving: bool,
+    /// The limit on requests that it names or has ended.
     pub limit: LimitVersion,
 }
 
--- a/crates/gateway/src/statements.rs
+++ b/crates/gateway/src/statements.rs
@@ -1,7 +1,7 @@
 //! Records what upstreams state of themselves in their answers, and what peers know of it.
 
 use crate::choose::Plan;
-use crate::peers::UpstreamLimit;
+use crate::peers::UpstreamStatement;
 use crate::state::Gateway;
 use observe::{Event, emit};
 use platform::header::{RequestRate, Stated, UpstreamResponse};
@@ -58,14 +58,18 @@
     log_limit(gateway, &plan.instance, rate, before, FROM_ANSWER);
 }
 
-/// Applies the limits that a peer knows.
-pub fn receive(gateway: &Gateway, limits: &[UpstreamLimit], now: Instant) {
-    for told in limits {
-        let changed = gateway.fleet().merge_limit(told, now);
-        if let Some(changed) = changed {
-            let (before, after) = (changed.before, changed.after);
+/// Applies what a peer knows of upstreams.
+pub fn receive(gateway: &Gateway, statements: &[UpstreamStatement], now: Instant) {
+    for told in statements {
+        let Some(changed) = gateway.fleet().merge_statement(told, now) else {
+            continue;
+        };
+        if let Some((before, after)) = changed.limit {
             log_limit(gateway, &changed.upstream, after, before, FROM_PEER);
         }
+        if changed.begins_leaving {
+            log_leaving(gateway, &changed.upstream, FROM_PEER);
+        }
     }
 }
 
--- a/crates/gateway/tests/decoders.rs
+++ b/crates/gateway/tests/decoders.rs
@@ -10,7 +10,7 @@
 use gateway::fleet::named_limit::LimitVersion;
 use gateway::peers::catch_up::{RegistryChanges, apply_changes};
 use gateway::peers::{
-    CrashReport, Load, PeerStatus, Peers, Placement, Scope, StageChange, UpstreamLimit,
+    CrashReport, Load, PeerStatus, Peers, Placement, Scope, StageChange, UpstreamStatement,
 };
 use platform::{Duty, Lease, LeaseRead, Stage, Start};
 use proptest::prelude::*;
@@ -52,8 +52,9 @@
             in_trial: true,
             ago_ms: 90,
         }],
-        limits: vec![UpstreamLimit {
+        statements: vec![UpstreamStatement {
             upstream,
+            is_leaving: true,
             limit: LimitVersion {
                 version: 2,
                 rate: Some(1200),
@@ -198,7 +199,7 @@
     Vec<StageChange>,
     Vec<Placement>,
     Vec<CrashReport>,
-    Vec<UpstreamLimit>,
+    Vec<UpstreamStatement>,
 );
 
 /// Returns the lists at the end of a peer status, as one message.
@@ -208,10 +209,10 @@
         changing,
         placements,
         crashes,
-        limits,
+        statements,
         ..
     } = peer_status(1);
-    (loads, changing, placements, crashes, limits)
+    (loads, changing, placements, crashes, statements)
 }
 
 #[test]
--- a/crates/gateway/tests/starts.rs
+++ b/crates/gateway/tests/starts.rs
@@ -265,7 +265,7 @@
         changing: Vec::new(),
         placements: Vec::new(),
         crashes: Vec::new(),
-        limits: Vec::new(),
+        statements: Vec::new(),
     };
     let (mut peers, now) = (Peers::default(), Instant::now());
     let ip = IpAddr::V4(Ipv4Addr::new(10, 0, 0, 1));
--- a/crates/gateway/tests/state.rs
+++ b/crates/gateway/tests/state.rs
@@ -262,7 +262,7 @@
         changing: Vec::new(),
         placements: Vec::new(),
         crashes: Vec::new(),
-        limits: Vec::new(),
+        statements: Vec::new(),
     };
     let buf = wire::encode_compact(&peer_status);
     for (from, to) in [(a, b), (b, a)] {
--- a/crates/gateway/tests/tree.rs
+++ b/crates/gateway/tests/tree.rs
@@ -185,7 +185,7 @@
             changing: Vec::new(),
             placements: Vec::new(),
             crashes: Vec::new(),
-            limits: Vec::new(),
+            statements: Vec::new(),
         };
         let outgoing = self.peers.outgoing(self.location, &own, now);
         let bytes = outgoing.iter().map(|(_, b)| wire::encode_compact(b).len());
