--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -205,7 +205,7 @@
     let idle = idle_time(&head.headers);
     // Another upstream may have answered that the request isn't meant for it.
     if head.status != StatusCode::MISDIRECTED_REQUEST {
-        statements::record(gateway, plan, &upstream_response, since);
+        statements::record(gateway, plan, head.status, &upstream_response, since);
         record_alive(gateway, plan, since);
     }
     if upstream_response.not_executed || head.status == StatusCode::MISDIRECTED_REQUEST {
--- a/crates/gateway/src/attempt/split.rs
+++ b/crates/gateway/src/attempt/split.rs
@@ -145,7 +145,7 @@
     let upstream_response = header::parse_upstream_response(&head.headers, &call.parsed_headers.id);
     // Another upstream may have answered that the request isn't meant for it.
     if upstream_response.id_matches && head.status != StatusCode::MISDIRECTED_REQUEST {
-        statements::record(gateway, plan, &upstream_response, since);
+        statements::record(gateway, plan, head.status, &upstream_response, since);
     }
     if head.status != StatusCode::OK || !upstream_response.id_matches {
         record_failure(gateway, plan, CONNECTION_FAILURE_WEIGHT);
--- a/crates/gateway/src/statements.rs
+++ b/crates/gateway/src/statements.rs
@@ -3,9 +3,10 @@
 use crate::choose::Plan;
 use crate::peers::UpstreamStatement;
 use crate::state::Gateway;
+use hyper::StatusCode;
 use observe::{Event, emit};
 use platform::header::{RequestRate, Stated, UpstreamResponse};
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 /// Sources of a statement in logs and metrics.
 const FROM_ANSWER: &str = "answer";
@@ -13,7 +14,13 @@
 
 /// Records the statements of an answer to a request that was sent at `sent_at`. The answer must
 /// have the id of that request.
-pub fn record(gateway: &Gateway, plan: &Plan, res: &UpstreamResponse, sent_at: Instant) {
+pub fn record(
+    gateway: &Gateway,
+    plan: &Plan,
+    status: StatusCode,
+    res: &UpstreamResponse,
+    sent_at: Instant,
+) {
     match res.request_limit {
         Stated::Absent => record_limit(gateway, plan, None, sent_at),
         Stated::Valid(rate) => record_limit(gateway, plan, Some(rate), sent_at),
@@ -25,6 +32,19 @@
         Stated::Valid(false) | Stated::Absent => {}
         Stated::Invalid => record_invalid(gateway, plan, "leaving"),
     }
+    match res.pause_of(status) {
+        Stated::Absent => {}
+        Stated::Valid(pause) => record_pause(gateway, plan, pause),
+        Stated::Invalid => record_invalid(gateway, plan, "pause"),
+    }
+}
+
+fn record_pause(gateway: &Gateway, plan: &Plan, pause: Duration) {
+    gateway.metrics.count_statement("pause", FROM_ANSWER);
+    emit(&Event::UpstreamPauses {
+        upstream: &plan.instance,
+        for_ms: pause.as_millis() as u64,
+    });
 }
 
 fn record_leaving(gateway: &Gateway, plan: &Plan) {
--- a/crates/observe/src/event.rs
+++ b/crates/observe/src/event.rs
@@ -478,6 +478,13 @@
         /// Source of this information, "answer" or "peer".
         source: &'a str,
     },
+    /// An upstream has refused a request and asked this process for a pause, in which it gets none.
+    UpstreamPauses {
+        /// Id of the upstream.
+        upstream: &'a str,
+        /// Length of the pause, in milliseconds.
+        for_ms: u64,
+    },
     /// An upstream's limit has no room for a request, which goes to another upstream or is refused.
     UpstreamAtLimit {
         /// The request's id.
