Send nothing to upstreams while they ask for a pause

An upstream that had answered a host 503 with Retry-After got further requests from it within that time.

The pause now excludes the upstream at this host from all choices: whole requests, prefills, generation, resumed streams and trials. It is also checked again after a limit was asked. For a second after it, the upstream's slots are filled gradually. If all upstreams that could run a request pause, it is refused at once with the earliest end, spread over half a second.

--- a/crates/gateway/src/answer.rs
+++ b/crates/gateway/src/answer.rs
@@ -41,6 +41,8 @@
     Overloaded,
     /// All upstreams that could run the request are at the limits that they name.
     UpstreamLimit,
+    /// All upstreams that could run the request asked this process for a pause.
+    UpstreamPause,
     /// Each upstream that was tried reported that it didn't run the request.
     Rejected,
     /// Upstreams crashed while they ran the request, also when it ran alone. It is not sent
@@ -104,6 +106,7 @@
             Self::Stopping => "stopping",
             Self::Overloaded => "overloaded",
             Self::UpstreamLimit => "upstream_limit",
+            Self::UpstreamPause => "upstream_pause",
             Self::Rejected => "rejected",
             Self::CrashesUpstreams => "crashes_upstreams",
             Self::CrashSuspected => "crash_suspected",
@@ -151,6 +154,7 @@
             Self::Stopping => "the process is stopping".into(),
             Self::Overloaded => "all upstreams are busy beyond the latency target".into(),
             Self::UpstreamLimit => "all upstreams are at the limits that they name".into(),
+            Self::UpstreamPause => "all upstreams have asked for a pause".into(),
             Self::Rejected => "the upstreams rejected the request".into(),
             Self::CrashesUpstreams => "upstreams have crashed each time they ran this".into(),
             Self::CrashSuspected => "upstreams have crashed while they ran this".into(),
--- a/crates/gateway/src/choose.rs
+++ b/crates/gateway/src/choose.rs
@@ -135,13 +135,21 @@
     Send(Box<Plan>),
     /// All upstreams are too busy; the client may retry after the given time.
     Busy(ChoiceInputs, Duration),
-    /// No upstream is available, but some are only at the limits that they name. Contains the
-    /// earliest time at which one has room.
-    AtLimit(Instant),
+    /// No upstream is available, but some will be at a known time. Contains the earliest one.
+    Later(Instant, Unavailable),
     /// No upstream is available.
     NoUpstream,
 }
 
+/// Why an upstream that could otherwise run a request gets none until a known time.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Unavailable {
+    /// The limit that it names has no room.
+    AtLimit,
+    /// It asked this process for a pause.
+    Paused,
+}
+
 /// Selects an upstream for a request.
 pub fn choose(gateway: &Gateway, requirements: &Requirements<'_>) -> Choice {
     let now = Instant::now();
@@ -156,17 +164,29 @@
         home::choose_home(&fleet, requirements, now)
     };
     match choice {
-        Choice::NoUpstream => room_at(&fleet, requirements, now).map_or(choice, Choice::AtLimit),
+        Choice::NoUpstream => {
+            let later = available_later(&fleet, requirements, now);
+            later.map_or(choice, |(at, why)| Choice::Later(at, why))
+        }
         _ => choice,
     }
 }
 
-/// Earliest time at which an upstream that is only at its limit has room; `None` if there is no
-/// such upstream.
-fn room_at(fleet: &Fleet, requirements: &Requirements<'_>, now: Instant) -> Option<Instant> {
-    let all = unlimited_candidates(fleet, requirements, now);
-    let at_limit = all.filter(|(_, u)| u.is_at_limit(requirements.rank, now));
-    at_limit.filter_map(|(_, u)| u.room_at()).min()
+/// Earliest time at which an upstream that is only paused or at its limit is available; `None` if
+/// there is no such upstream.
+fn available_later(
+    fleet: &Fleet,
+    requirements: &Requirements<'_>,
+    now: Instant,
+) -> Option<(Instant, Unavailable)> {
+    let all = open_candidates(fleet, requirements, now);
+    let later = all.filter_map(|(_, u)| match u.pause_end(now) {
+        Some(end) => Some((end, Unavailable::Paused)),
+        None if u.is_paused(now) => Some((now, Unavailable::Paused)),
+        None if u.is_at_limit(requirements.rank, now) => Some((u.room_at()?, Unavailable::AtLimit)),
+        None => None,
+    });
+    later.min_by_key(|(at, _)| *at)
 }
 
 /// Selects an engine to generate from the KV cache on `holder`.
@@ -206,12 +226,12 @@
     requirements: &'a Requirements<'_>,
     now: Instant,
 ) -> impl Iterator<Item = (UpstreamKey, &'a Upstream)> {
-    let all = unlimited_candidates(fleet, requirements, now);
-    all.filter(move |(_, u)| !u.is_at_limit(requirements.rank, now))
+    let all = open_candidates(fleet, requirements, now);
+    all.filter(move |(_, u)| !u.is_at_limit(requirements.rank, now) && !u.is_paused(now))
 }
 
-/// The same, including upstreams whose limits have no room.
-fn unlimited_candidates<'a>(
+/// The same, including upstreams that are paused or whose limits have no room.
+fn open_candidates<'a>(
     fleet: &'a Fleet,
     requirements: &'a Requirements<'_>,
     now: Instant,
--- a/crates/gateway/src/choose/admit.rs
+++ b/crates/gateway/src/choose/admit.rs
@@ -30,7 +30,9 @@
             return (choice, None);
         };
         match acquire_request(gateway, plan.tag, rate, requirements.rank).await {
-            Ok(grant) => return (choice, Some(grant)),
+            // The upstream may have been closed while its limit was asked.
+            Ok(grant) if is_available(gateway, plan) => return (choice, Some(grant)),
+            Ok(_) => {}
             Err(e) => record_at_limit(gateway, plan, requirements.rank, rate, request, e),
         }
         choice = choose();
@@ -46,6 +48,12 @@
     fleet.get(plan.key).and_then(|u| u.stated.limit.rate())
 }
 
+fn is_available(gateway: &Gateway, plan: &Plan) -> bool {
+    let fleet = gateway.fleet();
+    let upstream = fleet.get(plan.key);
+    upstream.is_some_and(|u| u.is_open() && u.pause_end(Instant::now()).is_none())
+}
+
 fn record_at_limit(
     gateway: &Gateway,
     plan: &Plan,
--- a/crates/gateway/src/fleet/stated.rs
+++ b/crates/gateway/src/fleet/stated.rs
@@ -18,13 +18,15 @@
     pub limit: NamedLimit,
     /// Whether it will stop. This is final for a start.
     pub is_leaving: bool,
+    /// End of the pause that it asked this process for.
+    pub paused_until: Option<Instant>,
     /// Whether an invalid statement was logged.
     pub is_invalid_logged: bool,
 }
 
 impl Statements {
     fn is_empty(&self) -> bool {
-        self.limit.rate().is_none() && !self.is_leaving
+        self.limit.rate().is_none() && !self.is_leaving && self.paused_until.is_none()
     }
 }
 
--- a/crates/gateway/src/fleet/upstream.rs
+++ b/crates/gateway/src/fleet/upstream.rs
@@ -21,6 +21,9 @@
 /// request asks for room. Refunds and a change of the limit may make room earlier.
 const AT_LIMIT_TTL: (Duration, Duration) = (Duration::from_millis(20), Duration::from_millis(200));
 
+/// Time after a pause in which an upstream's slots are filled gradually.
+const PAUSE_RAMP: Duration = Duration::from_secs(1);
+
 /// State of one start of an upstream.
 #[derive(Debug)]
 pub struct Upstream {
@@ -182,6 +185,29 @@
         self.change_remaining(now).is_some()
     }
 
+    /// Records that the upstream asked this process for a pause; the end of a longer one holds.
+    pub fn set_paused(&mut self, pause: Duration, now: Instant) {
+        let until = now + pause;
+        self.stated.paused_until = self.stated.paused_until.max(Some(until));
+    }
+
+    /// Time until which this process sends nothing, as the upstream asked for a pause.
+    pub fn pause_end(&self, now: Instant) -> Option<Instant> {
+        self.stated.paused_until.filter(|until| now < *until)
+    }
+
+    /// Whether it gets no request from this process because of a pause. Just after the pause, its
+    /// slots are filled gradually, as it would otherwise get all waiting requests at once.
+    pub fn is_paused(&self, now: Instant) -> bool {
+        let Some(until) = self.stated.paused_until else {
+            return false;
+        };
+        let since_end = now.saturating_duration_since(until).as_secs_f64();
+        let usable = f64::from(self.instance.slots) * since_end / PAUSE_RAMP.as_secs_f64();
+        let is_ramping = since_end < PAUSE_RAMP.as_secs_f64();
+        now < until || (is_ramping && f64::from(self.running) >= usable.max(1.0))
+    }
+
     /// Records that the limit has no room for a request of a rank until `room_at`.
     pub fn set_at_limit(&mut self, rank: u32, room_at: Instant, now: Instant) {
         let until = room_at.clamp(now + AT_LIMIT_TTL.0, now + AT_LIMIT_TTL.1);
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -10,7 +10,7 @@
 use crate::account::Account;
 use crate::answer::Reason;
 use crate::attempt::{self, AttemptResult, NotRun, attempt};
-use crate::choose::{Choice, Plan, Requirements, choose, choose_with_room};
+use crate::choose::{Choice, Plan, Requirements, Unavailable, choose, choose_with_room};
 use crate::crashes::{self, Admission, fingerprint, unanswered};
 use crate::fleet::{ServiceKey, UpstreamKey};
 use crate::relay;
@@ -38,6 +38,9 @@
 /// Maximum number of upstreams tried for one request without anything being sent to them.
 const MAX_UNSENT_UPSTREAMS: usize = 4;
 
+/// Time after a pause of upstreams over which refused callers return.
+const PAUSE_RETURN_SPREAD: Duration = Duration::from_millis(500);
+
 /// A request that has been read in full and routed.
 #[derive(Debug)]
 pub struct Call {
@@ -246,11 +249,8 @@
             let plan = match self.choose(account, &requirements).await {
                 Choice::Send(plan) => plan,
                 Choice::NoUpstream => return Err(last),
-                Choice::AtLimit(_) if account.attempts > 0 => return Err(last),
-                Choice::AtLimit(room_at) => {
-                    let wait = self.gateway.assign_return(&requirements, room_at);
-                    return Err(Refusal::with_retry_after(Reason::UpstreamLimit, wait));
-                }
+                Choice::Later(..) if account.attempts > 0 => return Err(last),
+                Choice::Later(at, why) => return Err(self.refuse_until(&requirements, at, why)),
                 Choice::Busy(inputs, retry_after) => {
                     account.inputs = Some(inputs);
                     return Err(Refusal::with_retry_after(Reason::Overloaded, retry_after));
@@ -296,6 +296,26 @@
         }
     }
 
+    /// Refuses the request until upstreams are available, with a return time that is spread.
+    fn refuse_until(
+        &self,
+        requirements: &Requirements<'_>,
+        at: Instant,
+        why: Unavailable,
+    ) -> Refusal {
+        match why {
+            Unavailable::AtLimit => {
+                let wait = self.gateway.assign_return(requirements, at);
+                Refusal::with_retry_after(Reason::UpstreamLimit, wait)
+            }
+            Unavailable::Paused => {
+                let left = at.saturating_duration_since(Instant::now());
+                let wait = left + PAUSE_RETURN_SPREAD.mul_f64(fastrand::f64());
+                Refusal::with_retry_after(Reason::UpstreamPause, wait)
+            }
+        }
+    }
+
     /// Chooses an upstream whose limit, if it names one, has room for the request.
     async fn choose(&self, account: &mut Account, requirements: &Requirements<'_>) -> Choice {
         let gateway = &self.gateway;
--- a/crates/gateway/src/statements.rs
+++ b/crates/gateway/src/statements.rs
@@ -40,6 +40,9 @@
 }
 
 fn record_pause(gateway: &Gateway, plan: &Plan, pause: Duration) {
+    if let Some(upstream) = gateway.fleet().get_mut(plan.key) {
+        upstream.set_paused(pause, Instant::now());
+    }
     gateway.metrics.count_statement("pause", FROM_ANSWER);
     emit(&Event::UpstreamPauses {
         upstream: &plan.instance,
--- a/crates/gateway/tests/cache.rs
+++ b/crates/gateway/tests/cache.rs
@@ -78,7 +78,7 @@
     };
     match choose(gateway, &requirements) {
         Choice::Send(plan) => Some(plan),
-        Choice::Busy(..) | Choice::AtLimit(_) | Choice::NoUpstream => None,
+        Choice::Busy(..) | Choice::Later(..) | Choice::NoUpstream => None,
     }
 }
 
--- a/crates/gateway/tests/choose.rs
+++ b/crates/gateway/tests/choose.rs
@@ -135,7 +135,7 @@
     };
     match choose(gateway, &requirements) {
         Choice::Send(plan) => Some(plan.instance),
-        Choice::Busy(..) | Choice::AtLimit(_) | Choice::NoUpstream => None,
+        Choice::Busy(..) | Choice::Later(..) | Choice::NoUpstream => None,
     }
 }
 
--- a/crates/gateway/tests/fairness.rs
+++ b/crates/gateway/tests/fairness.rs
@@ -38,7 +38,7 @@
     };
     match choose(gateway, &requirements) {
         Choice::Send(plan) => Some(gateway.add_load(plan.key, plan.inputs.uncached, plan.is_long)),
-        Choice::Busy(..) | Choice::AtLimit(_) | Choice::NoUpstream => None,
+        Choice::Busy(..) | Choice::Later(..) | Choice::NoUpstream => None,
     }
 }
 
--- a/crates/gateway/tests/starts.rs
+++ b/crates/gateway/tests/starts.rs
@@ -175,7 +175,7 @@
     };
     match choose(gateway, &requirements) {
         Choice::Send(plan) => Some(plan.inputs.uncached),
-        Choice::Busy(..) | Choice::AtLimit(_) | Choice::NoUpstream => None,
+        Choice::Busy(..) | Choice::Later(..) | Choice::NoUpstream => None,
     }
 }
 
