Let workers of the soak state that they leave, a limit or a pause

The soak knew none of these statements, so it couldn't find that gateways ignored them. A new fault changes what a worker states at random, beside all other faults; the checks use only what clients and workers saw, and excuse gateways that were killed, stopped or paused, and disrupted links to workers.

--- a/crates/soak/src/checker.rs
+++ b/crates/soak/src/checker.rs
@@ -115,6 +115,12 @@
     pub usage_off: usize,
     /// Logs that contain an API key.
     pub keys_logged: usize,
+    /// Requests that reached a worker long after its answer that it leaves.
+    pub sent_to_leaving: usize,
+    /// Pauses in which a worker got too many requests.
+    pub sent_in_pause: usize,
+    /// Workers that got more requests than the limit that they named.
+    pub over_limit: usize,
 }
 
 impl Verdict {
--- a/crates/soak/src/cluster.rs
+++ b/crates/soak/src/cluster.rs
@@ -59,6 +59,8 @@
     pub relay: Relay,
     /// The relay's address, which the worker registers.
     pub addr: SocketAddr,
+    /// Whether its answers say that it leaves.
+    pub is_leaving: bool,
     /// The relay's current behavior.
     link: Link,
 }
@@ -277,6 +279,7 @@
             worker,
             id: format!("i-{n}"),
             addr,
+            is_leaving: false,
             link: Link::Open,
         })
     }
--- a/crates/soak/src/fault.rs
+++ b/crates/soak/src/fault.rs
@@ -5,6 +5,7 @@
 use crate::crashing;
 use crate::keys::TENANTS;
 use crate::schedule::{Schedule, Step};
+use crate::statements;
 use bench::procs::Signal;
 use bench::relay::Link;
 use serde::{Deserialize, Serialize};
@@ -60,6 +61,9 @@
     Key,
     /// The platform refuses usage reports, doesn't answer them, or serves again.
     Cloud,
+    /// A worker states in its answers that it leaves, its limit, or that it wants a pause, or no
+    /// longer does.
+    Statement,
 }
 
 impl Fault {
@@ -70,7 +74,7 @@
     }
 }
 
-const ALL_FAULTS: [Fault; 16] = [
+const ALL_FAULTS: [Fault; 18] = [
     Fault::Kill,
     Fault::Stop,
     Fault::Pause,
@@ -87,6 +91,9 @@
     Fault::BadRow,
     Fault::Key,
     Fault::Cloud,
+    // Drawn twice as often, as each worker can state three things.
+    Fault::Statement,
+    Fault::Statement,
 ];
 
 /// The faults that were injected.
@@ -167,6 +174,7 @@
         Fault::Deadly => crashing::begin(cluster, rng),
         Fault::BadRow => cluster.corrupt_row(worker, rng),
         Fault::Key => cluster.toggle_key(rng.usize(..TENANTS)),
+        Fault::Statement => statements::change(cluster, worker, rng).await?,
         Fault::Cloud => cluster.cloud.set_mode(random_cloud_mode(rng)),
     }
     Ok(())
@@ -226,6 +234,7 @@
 
 /// Ends all faults and restarts ended processes.
 pub async fn clear_faults(cluster: &mut Cluster) -> io::Result<()> {
+    statements::clear(cluster);
     cluster.set_store(StoreMode::Serve);
     cluster.cloud.set_mode(CloudMode::Serve);
     for n in 0..cluster.gateways.len() {
@@ -259,7 +268,12 @@
     if cluster.upstreams.len() <= 2 {
         return Ok(());
     }
+    let id = cluster.upstreams[n].id.clone();
     clear_faults(cluster).await?;
+    // Ending the faults removes workers that have said that they leave.
+    let Some(n) = cluster.upstreams.iter().position(|u| u.id == id) else {
+        return Ok(());
+    };
     tokio::time::sleep(QUIET_TIME).await;
     restart_ended(cluster)?;
     if !cluster.all_serve(QUIET_TIME).await {
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -10,4 +10,5 @@
 pub mod fault;
 pub mod keys;
 pub mod schedule;
+pub mod statements;
 pub mod stops;
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -13,7 +13,7 @@
 use soak::disruption::{Timeline, is_aborted};
 use soak::keys::{Key, LAST_TENANT, TENANTS, check_usage, reported_requests};
 use soak::schedule::{self, Schedule};
-use soak::{crashing, fault, stops};
+use soak::{crashing, fault, statements, stops};
 use standin::ReceivedRequest;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
@@ -160,6 +160,11 @@
         &cluster.timeline,
         &cluster.keys,
     );
+    let all = cluster.upstreams.iter().chain(&cluster.removed_upstreams);
+    let ignored = statements::check(all, &requests, &cluster.timeline);
+    verdict.sent_to_leaving = ignored.sent_to_leaving;
+    verdict.sent_in_pause = ignored.sent_in_pause;
+    verdict.over_limit = ignored.over_limit;
     let last = count_last_tenant(&runs);
     wait_for_reports(&cluster, last).await;
     let usage_violations = check_usage(&cluster.cloud.calls(), last);
--- a/crates/soak/tests/short.rs
+++ b/crates/soak/tests/short.rs
@@ -6,9 +6,13 @@
 const FIRST_NET: u32 = 120;
 const SECOND_NET: u32 = 20;
 const THIRD_NET: u32 = 220;
+const FOURTH_NET: u32 = 170;
 /// Faults under which a common request was once blocked permanently.
 const COMMON_REQUEST: &str = concat!(env!("CARGO_MANIFEST_DIR"), "/cases/common-request.jsonl");
 
+/// Changes of what workers state in their answers, without other faults.
+const STATEMENTS: &str = concat!(env!("CARGO_MANIFEST_DIR"), "/cases/statements.jsonl");
+
 /// Runs a soak whose network starts from `first_net`. There must be no violation. Returns the
 /// summary.
 fn soak(first_net: u32, args: &[&str]) -> serde_json::Value {
@@ -50,3 +54,11 @@
     let args = ["--schedule", COMMON_REQUEST, "--seconds", "40"];
     soak(THIRD_NET, &args);
 }
+
+/// Guards against statements of workers that gateways ignore: that they leave, a limit on their
+/// requests, or a pause. Gateways knew neither of these from answers.
+#[test]
+fn gateways_comply_with_what_workers_state() {
+    let args = ["--schedule", STATEMENTS, "--seconds", "20"];
+    soak(FOURTH_NET, &args);
+}
