Don't take a rejection without a limit for the end of the limit

An upstream whose queue is full may reject a request without the headers of what runs behind it. Such an answer ended the limit at all hosts until the next one that names it. Found by reading, not seen in a run. tests/statements.rs fails without the change; it also covers starts, ranks, changes of the limit and the time after a pause, without a network.

--- a/crates/gateway/src/statements.rs
+++ b/crates/gateway/src/statements.rs
@@ -22,6 +22,8 @@
     sent_at: Instant,
 ) {
     match res.request_limit {
+        // A rejection may come from a queue in front of what the upstream runs.
+        Stated::Absent if res.not_executed => {}
         Stated::Absent => record_limit(gateway, plan, None, sent_at),
         Stated::Valid(rate) => record_limit(gateway, plan, Some(rate), sent_at),
         Stated::Invalid => record_invalid(gateway, plan, "limit"),
