--- a/crates/gateway/tests/statements.rs
+++ b/crates/gateway/tests/statements.rs
@@ -26,6 +26,14 @@
     retry_after: Stated::Absent,
 };
 
+/// An answer with a statement on the limit.
+fn with_limit(request_limit: Stated<RequestRate>) -> UpstreamResponse {
+    UpstreamResponse {
+        request_limit,
+        ..SILENT
+    }
+}
+
 fn choose_for(gateway: &Arc<Gateway>, rank: u32) -> Choice {
     let service = gateway.fleet().intern_service("s");
     let requirements = Requirements {
@@ -64,32 +72,14 @@
 fn a_rejection_does_not_end_a_limit() {
     let gateway = gateway_with(&[Stage::Decode]);
     let plan = plan(&gateway);
-    let request_limit = Stated::Valid(LIMIT);
-    record(
-        &gateway,
-        &plan,
-        200,
-        UpstreamResponse {
-            request_limit,
-            ..SILENT
-        },
-    );
+    record(&gateway, &plan, 200, with_limit(Stated::Valid(LIMIT)));
     let rejection = UpstreamResponse {
         not_executed: true,
         ..SILENT
     };
     record(&gateway, &plan, 503, rejection);
     assert_eq!(limit(&gateway, &plan), Some(LIMIT));
-    let request_limit = Stated::Invalid;
-    record(
-        &gateway,
-        &plan,
-        200,
-        UpstreamResponse {
-            request_limit,
-            ..SILENT
-        },
-    );
+    record(&gateway, &plan, 200, with_limit(Stated::Invalid));
     assert_eq!(
         limit(&gateway, &plan),
         Some(LIMIT),
@@ -128,16 +118,7 @@
 fn a_refusal_holds_for_its_rank_and_limit() {
     let gateway = gateway_with(&[Stage::Decode]);
     let plan = plan(&gateway);
-    let request_limit = Stated::Valid(LIMIT);
-    record(
-        &gateway,
-        &plan,
-        200,
-        UpstreamResponse {
-            request_limit,
-            ..SILENT
-        },
-    );
+    record(&gateway, &plan, 200, with_limit(Stated::Valid(LIMIT)));
     let until = Instant::now() + Duration::from_secs(60);
     let refusal = AtLimit {
         rank: 1,
@@ -153,15 +134,11 @@
         panic!("no room for this rank");
     };
     assert_eq!(at, until);
-    let request_limit = Stated::Valid(RequestRate(9000));
     record(
         &gateway,
         &plan,
         200,
-        UpstreamResponse {
-            request_limit,
-            ..SILENT
-        },
+        with_limit(Stated::Valid(RequestRate(9000))),
     );
     assert!(matches!(choose_for(&gateway, 1), Choice::Send(_)));
 }
--- a/crates/soak/src/statements.rs
+++ b/crates/soak/src/statements.rs
@@ -5,7 +5,9 @@
 use crate::checker::{ClientRequest, PIECES, RequestEnd};
 use crate::cluster::{Cluster, Upstream};
 use crate::disruption::Timeline;
-use standin::fixture::{DRAIN_BOUND, LEAVING_HEADER, pause_header, request_limit_header};
+use standin::fixture::{
+    DRAIN_BOUND, LEAVING_HEADER, pause_header, pause_in, request_limit_header, request_limit_in,
+};
 use standin::{Action, ReceivedRequest};
 use std::io;
 use std::time::{Duration, Instant};
@@ -169,7 +171,7 @@
 
 fn check_pauses(all: &[Arrival<'_>], timeline: &Timeline, out: &mut StatementViolations) {
     for refused in all {
-        let Some(pause) = header_value(&refused.request.added_headers, "retry-after: ") else {
+        let Some(pause) = pause_in(&refused.request.added_headers) else {
             continue;
         };
         let begin = refused.request.at;
@@ -186,7 +188,7 @@
 
 fn check_limit(all: &[Arrival<'_>], timeline: &Timeline, out: &mut StatementViolations) {
     // A change of the limit begins a new period, as the bound changes.
-    let per_s = |a: &Arrival<'_>| header_value(&a.request.added_headers, "server-limit: ");
+    let per_s = |a: &Arrival<'_>| request_limit_in(&a.request.added_headers);
     for period in all.chunk_by(|a, b| per_s(a) == per_s(b)) {
         let Some(limit) = per_s(&period[0]) else {
             continue;
@@ -218,8 +220,3 @@
         }
     }
 }
-
-fn header_value(lines: &str, name: &str) -> Option<f64> {
-    let rest = lines.split_once(name)?.1;
-    rest.lines().next()?.trim().parse().ok()
-}
