Name the exchange of upstreams' statements by its usual terms

Processes advertise statements to their peers; the names with 'told' and 'tell' are gone from what this change added. No behaviour changes. Tests of named limits, statements and decoders pass.

--- a/crates/gateway/src/fleet/named_limit.rs
+++ b/crates/gateway/src/fleet/named_limit.rs
@@ -1,6 +1,6 @@
 //! The limit on requests that an upstream names in its answers.
 //!
-//! Processes tell each other the limits that they know. Each change of an upstream's limit has a
+//! Processes advertise the limits that they know to each other. Each change of an upstream's limit has a
 //! version, one above that of the limit which the process knew before, so that processes agree
 //! whatever the order in which they learn of changes. Ages wouldn't do: the same statement would
 //! seem newer the longer it was on its way, as processes pass it on in circles.
@@ -9,7 +9,7 @@
 use serde::{Deserialize, Serialize};
 use std::time::{Duration, Instant};
 
-/// Time for which peers are told that a limit has ended, or that their version is outdated.
+/// Time for which the end of a limit is advertised to peers, also after a peer sent an outdated version.
 const ENDED_TTL: Duration = Duration::from_secs(5);
 
 /// A version of the limit that an upstream names.
@@ -36,8 +36,8 @@
     current: LimitVersion,
     /// Time at which this process learned the rate; `None` if no limit was named.
     changed_at: Option<Instant>,
-    /// Time until which peers are told although there is no limit.
-    told_until: Option<Instant>,
+    /// Time until which the version is advertised to peers although there is no limit.
+    advertised_until: Option<Instant>,
 }
 
 impl NamedLimit {
@@ -68,7 +68,7 @@
     /// Applies the version that a peer knows, and returns whether the limit changed.
     pub fn merge(&mut self, peer: LimitVersion, now: Instant) -> bool {
         if self.current.replaces(peer) {
-            self.told_until = Some(now + ENDED_TTL);
+            self.advertised_until = Some(now + ENDED_TTL);
         }
         if !peer.replaces(self.current) {
             return false;
@@ -83,12 +83,13 @@
             self.changed_at = Some(now);
         }
         self.current = limit;
-        self.told_until = Some(now + ENDED_TTL);
+        self.advertised_until = Some(now + ENDED_TTL);
     }
 
-    /// The version that peers are told, if any.
-    pub fn told_version(&self, now: Instant) -> Option<LimitVersion> {
-        let is_told = self.current.rate.is_some() || self.told_until.is_some_and(|at| now < at);
-        is_told.then_some(self.current)
+    /// The version to advertise to peers, if any.
+    pub fn advertised_version(&self, now: Instant) -> Option<LimitVersion> {
+        let is_advertised =
+            self.current.rate.is_some() || self.advertised_until.is_some_and(|at| now < at);
+        is_advertised.then_some(self.current)
     }
 }
--- a/crates/gateway/src/fleet/stated.rs
+++ b/crates/gateway/src/fleet/stated.rs
@@ -45,9 +45,9 @@
 
     /// Statements for peers. If there are too many for one datagram, leaving upstreams come first
     /// and then those with the lowest limits.
-    pub fn told_statements(&self, now: Instant) -> Vec<UpstreamStatement> {
-        let told = |u: &Upstream| {
-            let limit = u.stated.limit.told_version(now);
+    pub fn advertised_statements(&self, now: Instant) -> Vec<UpstreamStatement> {
+        let statement = |u: &Upstream| {
+            let limit = u.stated.limit.advertised_version(now);
             let is_leaving = u.stated.is_leaving;
             (is_leaving || limit.is_some()).then(|| UpstreamStatement {
                 upstream: u.tag(),
@@ -55,7 +55,7 @@
                 limit: limit.unwrap_or_default(),
             })
         };
-        let mut all: Vec<_> = self.iter().filter_map(|(_, u)| told(u)).collect();
+        let mut all: Vec<_> = self.iter().filter_map(|(_, u)| statement(u)).collect();
         if all.len() > MAX_STATEMENTS_PER_DATAGRAM {
             all.sort_unstable_by_key(|s| (!s.is_leaving, s.limit.rate.unwrap_or(u32::MAX)));
             all.truncate(MAX_STATEMENTS_PER_DATAGRAM);
@@ -67,15 +67,15 @@
     /// Merges what a peer knows of an upstream; `None` if nothing changed.
     pub fn merge_statement(
         &mut self,
-        told: &UpstreamStatement,
+        peer: &UpstreamStatement,
         now: Instant,
     ) -> Option<ChangedStatement> {
-        let upstream = self.get_mut_by_tag(told.upstream)?;
+        let upstream = self.get_mut_by_tag(peer.upstream)?;
         let stated = &mut upstream.stated;
         let before = stated.limit.rate();
-        let is_limit_changed = stated.limit.merge(told.limit, now);
-        let begins_leaving = told.is_leaving && !stated.is_leaving;
-        stated.is_leaving |= told.is_leaving;
+        let is_limit_changed = stated.limit.merge(peer.limit, now);
+        let begins_leaving = peer.is_leaving && !stated.is_leaving;
+        stated.is_leaving |= peer.is_leaving;
         let limit = is_limit_changed.then(|| (before, stated.limit.rate()));
         (limit.is_some() || begins_leaving).then(|| ChangedStatement {
             upstream: upstream.instance.id.clone(),
--- a/crates/gateway/src/peers/exchange.rs
+++ b/crates/gateway/src/peers/exchange.rs
@@ -212,7 +212,7 @@
         changing: fleet.changing(now),
         placements: fleet.recent_placements(placements_within, now),
         crashes: crashes::pending_reports(gateway, now),
-        statements: fleet.told_statements(now),
+        statements: fleet.advertised_statements(now),
     }
 }
 
--- a/crates/gateway/src/statements.rs
+++ b/crates/gateway/src/statements.rs
@@ -85,8 +85,8 @@
 
 /// Applies what a peer knows of upstreams.
 pub fn receive(gateway: &Gateway, statements: &[UpstreamStatement], now: Instant) {
-    for told in statements {
-        let Some(changed) = gateway.fleet().merge_statement(told, now) else {
+    for statement in statements {
+        let Some(changed) = gateway.fleet().merge_statement(statement, now) else {
             continue;
         };
         if let Some((before, after)) = changed.limit {
--- a/crates/gateway/tests/named_limits.rs
+++ b/crates/gateway/tests/named_limits.rs
@@ -30,20 +30,20 @@
     assert_eq!(limit.rate(), None);
 }
 
-/// A peer that still knows an old limit must not bring it back, and is told of the end again.
+/// A peer that still knows an old limit must not bring it back, and learns of the end again.
 #[test]
 fn a_peer_with_an_old_version_does_not_bring_a_limit_back() {
     let start = Instant::now();
     let late = start + Duration::from_secs(60);
     let (mut host, mut old) = (NamedLimit::default(), NamedLimit::default());
     host.record_answer(LOW, start, start);
-    old.merge(host.told_version(start).unwrap(), start);
+    old.merge(host.advertised_version(start).unwrap(), start);
     host.record_answer(None, late, late);
     let much_later = late + Duration::from_secs(60);
-    assert!(host.told_version(much_later).is_none());
-    host.merge(old.told_version(much_later).unwrap(), much_later);
+    assert!(host.advertised_version(much_later).is_none());
+    host.merge(old.advertised_version(much_later).unwrap(), much_later);
     assert_eq!(host.rate(), None);
-    let end = host.told_version(much_later).unwrap();
+    let end = host.advertised_version(much_later).unwrap();
     assert!(old.merge(end, much_later));
     assert_eq!(old.rate(), None);
 }
@@ -54,7 +54,7 @@
     /// The upstream answers a request that was sent a number of milliseconds ago.
     Answer { host: usize, ago_ms: u64 },
     /// A datagram from one host arrives at another.
-    Tell { from: usize, to: usize },
+    Datagram { from: usize, to: usize },
     /// The upstream changes its limit.
     Change(Option<RequestRate>),
     /// A host starts again and knows nothing.
@@ -64,7 +64,7 @@
 fn step(hosts: usize) -> impl Strategy<Value = Step> {
     prop_oneof![
         3 => (0..hosts, 0u64..40).prop_map(|(host, ago_ms)| Step::Answer { host, ago_ms }),
-        4 => (0..hosts, 0..hosts).prop_map(|(from, to)| Step::Tell { from, to }),
+        4 => (0..hosts, 0..hosts).prop_map(|(from, to)| Step::Datagram { from, to }),
         1 => prop::sample::select(vec![None, LOW, HIGH]).prop_map(Step::Change),
         1 => (0..hosts).prop_map(|host| Step::Restart { host }),
     ]
@@ -92,7 +92,7 @@
                         let rate = at_that_time.and_then(|(_, rate)| *rate);
                         hosts[host].record_answer(rate, sent, now);
                     }
-                    Step::Tell { from, to } => tell(&mut hosts, from, to, now),
+                    Step::Datagram { from, to } => send(&mut hosts, from, to, now),
                     Step::Change(rate) => named.push((now, rate)),
                     Step::Restart { host } => hosts[host] = NamedLimit::default(),
                 }
@@ -106,7 +106,7 @@
                 }
                 for from in 0..HOSTS {
                     for to in 0..HOSTS {
-                        tell(&mut hosts, from, to, now);
+                        send(&mut hosts, from, to, now);
                     }
                 }
                 now += Duration::from_millis(10);
@@ -117,8 +117,8 @@
         .unwrap();
 }
 
-fn tell(hosts: &mut [NamedLimit], from: usize, to: usize, now: Instant) {
-    if let Some(version) = hosts[from].told_version(now) {
+fn send(hosts: &mut [NamedLimit], from: usize, to: usize, now: Instant) {
+    if let Some(version) = hosts[from].advertised_version(now) {
         hosts[to].merge(version, now);
     }
 }
@@ -127,11 +127,11 @@
 #[test]
 fn the_lower_of_two_equal_versions_holds() {
     let now = Instant::now();
-    let told = |rate| LimitVersion { version: 1, rate };
+    let version = |rate| LimitVersion { version: 1, rate };
     for order in [[Some(1200), None], [None, Some(1200)]] {
         let mut limit = NamedLimit::default();
         for rate in order {
-            limit.merge(told(rate), now);
+            limit.merge(version(rate), now);
         }
         assert_eq!(limit.rate(), LOW);
     }
--- a/crates/soak/src/statements.rs
+++ b/crates/soak/src/statements.rs
@@ -155,15 +155,15 @@
 }
 
 fn check_leaving(all: &[Arrival<'_>], timeline: &Timeline, out: &mut StatementViolations) {
-    for told in all.iter().filter(|a| a.states(LEAVING_HEADER)) {
-        let Some(told_at) = told.passed_on else {
+    for answer in all.iter().filter(|a| a.states(LEAVING_HEADER)) {
+        let Some(answered_at) = answer.passed_on else {
             continue;
         };
         let late = all.iter().filter(|a| {
             let sent = a.client.delivery.sent;
-            a.gateway() == told.gateway()
-                && sent.is_some_and(|at| at > told_at + DRAIN_BOUND + LEAVING_MARGIN)
-                && !is_excused(timeline, a.gateway(), told_at, a.request.at)
+            a.gateway() == answer.gateway()
+                && sent.is_some_and(|at| at > answered_at + DRAIN_BOUND + LEAVING_MARGIN)
+                && !is_excused(timeline, a.gateway(), answered_at, a.request.at)
         });
         out.sent_to_leaving += late.count();
     }
@@ -197,11 +197,12 @@
         let bound = limit * LIMIT_WINDOW.as_secs_f64() * LIMIT_OVERAGE + LIMIT_SLACK;
         let is_counted = |a: &&Arrival<'_>| {
             let at = a.request.at;
-            let told = period.iter().any(|told| {
-                let told_at = told.passed_on.filter(|_| told.gateway() == a.gateway());
-                told_at.is_some_and(|told_at| told_at + TRANSIT_TIME <= at)
+            let knows_limit = period.iter().any(|answer| {
+                let answered_at = answer.passed_on.filter(|_| answer.gateway() == a.gateway());
+                answered_at.is_some_and(|answered_at| answered_at + TRANSIT_TIME <= at)
             });
-            told && at >= named_at + LIMIT_SETTLE_TIME
+            knows_limit
+                && at >= named_at + LIMIT_SETTLE_TIME
                 && !is_excused(timeline, a.gateway(), named_at, at)
         };
         let times: Vec<Instant> = period
