--- a/crates/gateway/tests/usage.rs
+++ b/crates/gateway/tests/usage.rs
@@ -254,6 +254,20 @@
     fleet.wait_reported(&[("one", 7), ("two", 4)]).await;
 }
 
+/// A plain request counts from when it was sent, but becomes known with its answer. One that is
+/// answered after the report of its window was decided is lost.
+#[tokio::test]
+async fn a_request_that_is_answered_late_is_reported() {
+    let fleet = start(1).await;
+    for worker in &fleet._workers {
+        let slow = Action::Delayed(Duration::from_millis(3500), Box::new(Action::Echo));
+        worker.set_default_action(slow);
+    }
+    let req = request("GET", "/unsafe/", "late", "key: key-one\r\n", "");
+    assert_eq!(status(&exchange(fleet.beds[0].callers, &req).await), 200);
+    fleet.wait_reported(&[("one", 1)]).await;
+}
+
 #[tokio::test]
 async fn a_retried_request_counts_once() {
     let fleet = start(1).await;
