Test that a leaving upstream gets no requests after the store is restored

The stand-in store can be restored from a copy of any age: later writes are lost, versions go back, reads from a version that it doesn't have get 410, and the header Store-Era rises.

--- /dev/null
+++ b/crates/gateway/tests/store_restores.rs
@@ -0,0 +1,102 @@
+//! Tests hosts whose store is restored from a copy some seconds old: what was written since is
+//! lost, and versions are assigned again.
+
+#[expect(dead_code, reason = "each test file uses a part of it")]
+mod common;
+
+use common::crashing::System;
+use standin::fixture::{self, DRAIN_BOUND, WORKER_TABLE, worker_row_with_start};
+use standin::{LostRow, StoreMode, Worker};
+use std::time::{Duration, Instant};
+
+/// Pause between two requests of the load.
+const SEND_EVERY: Duration = Duration::from_millis(10);
+/// Time for which the store is away before it is back from a copy.
+const AWAY: Duration = Duration::from_millis(600);
+/// Time after which others write again what was lost.
+const REWRITE_AFTER: Duration = Duration::from_millis(300);
+/// Age of the copies.
+const COPY_AGE: Duration = Duration::from_secs(2);
+
+/// Whether the store's version has passed that before the restore when a test goes on.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Versions {
+    Behind,
+    Passed,
+}
+
+/// Writes rows that nobody reads.
+fn raise_version(system: &System, count: usize) {
+    for n in 0..count {
+        system.store.put("other", &format!("o-{n}"), &n.into());
+    }
+}
+
+/// Restores the store, and lets operator and workers write again what they had written.
+async fn restore(system: &System, age: Duration, versions: Versions) -> Vec<LostRow> {
+    raise_version(system, 100);
+    // Hosts read these versions.
+    tokio::time::sleep(age / 2).await;
+    system.store.set_mode(StoreMode::Silent);
+    tokio::time::sleep(AWAY).await;
+    let lost = system.store.restore(age + AWAY);
+    system.store.set_mode(StoreMode::Serve);
+    tokio::time::sleep(REWRITE_AFTER).await;
+    let is_of_others = |l: &&LostRow| [WORKER_TABLE, "op"].contains(&l.table.as_str());
+    for row in lost.iter().filter(is_of_others) {
+        system.store.write_again(row);
+    }
+    if versions == Versions::Passed {
+        raise_version(system, 200);
+    }
+    lost
+}
+
+/// Sends requests to the hosts in turn for a time, and expects that all are served.
+async fn send_for(system: &System, time: Duration) {
+    let started = Instant::now();
+    let mut calls = Vec::new();
+    for n in 0.. {
+        if started.elapsed() >= time {
+            break;
+        }
+        let callers = system.hosts[n % system.hosts.len()].callers;
+        let text = fixture::request("GET", "/safe/", &format!("d-{n}"), "", "");
+        calls.push(tokio::spawn(async move {
+            common::exchange(callers, &text).await
+        }));
+        tokio::time::sleep(SEND_EVERY).await;
+    }
+    for call in calls {
+        let text = call.await.unwrap();
+        assert_eq!(common::status(&text), 200, "{text}");
+    }
+}
+
+fn register(system: &System, worker: &Worker, state: &str) {
+    let start_ms = worker.start_ms().unwrap();
+    let row = worker_row_with_start(start_ms, "plain", worker.addr, state);
+    system.store.put(WORKER_TABLE, worker.id(), &row);
+}
+
+/// Number of requests that a worker received after a time.
+fn received_after(worker: &Worker, at: Instant) -> usize {
+    worker.requests().iter().filter(|r| r.at > at).count()
+}
+
+/// Hosts discarded what they read after a restore until versions had passed the one that they knew,
+/// and never read what was written meanwhile: an upstream that left went on getting requests.
+#[tokio::test]
+async fn an_upstream_that_leaves_after_a_restore_gets_no_more_requests() {
+    for versions in [Versions::Behind, Versions::Passed] {
+        let system = System::start(3, 4).await;
+        tokio::time::sleep(COPY_AGE).await;
+        restore(&system, COPY_AGE, versions).await;
+        let worker = &system.workers()[0];
+        register(&system, worker, "draining");
+        let since = Instant::now();
+        send_for(&system, DRAIN_BOUND + Duration::from_secs(3)).await;
+        let late = received_after(worker, since + DRAIN_BOUND);
+        assert_eq!(late, 0, "{versions:?}");
+    }
+}
