--- a/crates/gateway/src/account.rs
+++ b/crates/gateway/src/account.rs
@@ -203,7 +203,7 @@
                 config_ms: millis(self.gateway.config_age()),
             },
             registry_ms: millis(self.gateway.registry_age()),
-            registry_era: self.gateway.store_era.current(),
+            registry_era: self.gateway.registry().position.era,
             outcome: outcome.name(),
             reason,
             status: self.status,
--- a/crates/gateway/src/crashes/rows.rs
+++ b/crates/gateway/src/crashes/rows.rs
@@ -5,7 +5,7 @@
 //! rows, are removed.
 
 use super::{SharedCrashes, StoreClock, apply, log_change};
-use crate::follow::cursor::TableCursor;
+use crate::follow::cursor::{RESTORE_READ_SPREAD, TableCursor};
 use crate::follow::{Dependency, StoreClient, hold_time, wait_until_feed_reader};
 use crate::state::Gateway;
 use observe::{Event, emit};
@@ -69,8 +69,9 @@
         };
         let wait = hold_time(cursor.from(), max_hold_time);
         let timeout = wait + ANSWER_TIMEOUT;
-        cursor.count_read(&gateway);
-        match client.store().crashes(cursor.from(), wait, timeout).await {
+        cursor.begin_read(&gateway).await;
+        let read = client.store().crashes(cursor.from(), wait, timeout);
+        match cursor.run(&gateway, read).await {
             Ok(change) => {
                 dependency.record_success();
                 for why in change.malformed {
@@ -94,7 +95,11 @@
                 }
             }
             Err(StoreError::HistoryGone) => {
-                cursor.restart();
+                cursor.restart_after_lost_history().await;
+                pages.clear();
+            }
+            Err(StoreError::EraChanged) => {
+                cursor.restart_after_restore(RESTORE_READ_SPREAD).await;
                 pages.clear();
             }
             Err(e) => {
--- a/crates/gateway/src/duty.rs
+++ b/crates/gateway/src/duty.rs
@@ -42,7 +42,7 @@
             return Err(pause);
         }
     };
-    let written = store.write_lease(duty, &lease, read.version, STORE_TIMEOUT);
+    let written = store.write_lease(duty, &lease, read.row, STORE_TIMEOUT);
     match written.await {
         Ok(LeaseWrite::Written(_)) => {
             log_taken(duty, lease.token);
--- a/crates/gateway/src/duty/usage/holder.rs
+++ b/crates/gateway/src/duty/usage/holder.rs
@@ -8,7 +8,7 @@
 
 use crate::duty::lease::{self, Decision, HeldLease};
 use platform::usage::{UsageRead, UsageReport};
-use platform::{Duty, Lease, LeaseRead, WriteAck};
+use platform::{Duty, Lease, LeaseRead, Position, WriteAck};
 use std::time::{Duration, Instant};
 
 /// Next step of a holder.
@@ -24,8 +24,8 @@
     Write {
         /// The new lease.
         lease: Lease,
-        /// Version of its row that the write requires.
-        expected_version: u64,
+        /// Position of its row that the write requires.
+        expected: Position,
         /// Window whose report is decided.
         window: Option<u64>,
     },
@@ -42,7 +42,8 @@
 #[derive(Debug, Clone)]
 struct Rows {
     lease: Option<Lease>,
-    version: u64,
+    /// Position of the lease's row.
+    row: Position,
     report: Option<UsageReport>,
     /// Upper bound of the store's clock at `asked_at`, in milliseconds.
     now_ms: u64,
@@ -132,14 +133,14 @@
         let elapsed = now.saturating_duration_since(rows.asked_at);
         let read = LeaseRead {
             lease: rows.lease.clone(),
-            version: rows.version,
+            row: rows.row,
             now_ms: rows.now_ms.saturating_add(elapsed.as_millis() as u64),
         };
         match lease::decide(Duty::Usage, &read, &self.name, self.gap) {
             Decision::Wait(pause) => Action::Wait(pause),
             Decision::Take(lease) => Action::Write {
                 lease,
-                expected_version: rows.version,
+                expected: rows.row,
                 window,
             },
         }
@@ -149,7 +150,7 @@
     pub fn on_read(&mut self, read: UsageRead, asked_at: Instant) {
         self.rows = Some(Rows {
             lease: read.lease,
-            version: read.version,
+            row: read.row,
             report: read.report,
             now_ms: read.now_ms,
             asked_at,
@@ -168,7 +169,7 @@
         let before = self.rows.take();
         self.rows = Some(Rows {
             lease: Some(lease),
-            version: written.version,
+            row: written.position,
             report: report.or_else(|| before.and_then(|rows| rows.report)),
             now_ms: written.now_ms,
             asked_at,
--- a/crates/gateway/src/duty/usage/reports.rs
+++ b/crates/gateway/src/duty/usage/reports.rs
@@ -11,7 +11,7 @@
 use observe::{Event, emit};
 use platform::cloud::{Cloud, CloudAnswer, LeaseRef};
 use platform::usage::UsageReport;
-use platform::{Duty, Lease, LeaseWrite};
+use platform::{Duty, Lease, LeaseWrite, Position};
 use std::net::IpAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -118,11 +118,11 @@
             Action::Read => self.read(client, now).await,
             Action::Write {
                 lease,
-                expected_version,
+                expected,
                 window,
             } => match window {
                 Some(window) if self.is_withheld(window).await => Duration::ZERO,
-                _ => self.write(client, lease, expected_version, window).await,
+                _ => self.write(client, lease, expected, window).await,
             },
             Action::Send { token, report } => self.send(token, &report).await,
         }
@@ -282,7 +282,7 @@
         &mut self,
         client: &mut StoreClient,
         lease: Lease,
-        expected_version: u64,
+        expected: Position,
         window: Option<u64>,
     ) -> Duration {
         let decided = window.and_then(|number| Some((number, self.window(number)?)));
@@ -293,7 +293,7 @@
         let before = self.holder.decided_window();
         let asked_at = Instant::now();
         let store = client.store();
-        let written = store.write_usage(&lease, expected_version, report.as_ref(), STORE_TIMEOUT);
+        let written = store.write_usage(&lease, expected, report.as_ref(), STORE_TIMEOUT);
         let written = written.await;
         self.track_store(written.is_ok());
         match written {
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -90,6 +90,8 @@
     placements: VecDeque<(Instant, Placement)>,
     /// Statements of removed upstreams by the tag of their start, oldest first.
     former: VecDeque<(u32, Statements)>,
+    /// Tags of the starts of removed upstreams, oldest first.
+    removed: VecDeque<u32>,
 }
 
 impl Fleet {
--- a/crates/gateway/src/fleet/merge.rs
+++ b/crates/gateway/src/fleet/merge.rs
@@ -1,12 +1,15 @@
 //! Applies registry entries to the fleet.
 //!
-//! The newer of two rows with the same id is determined by the store's version and not by the
-//! start, as an upstream's clock may jump back between two starts.
+//! The newer of two rows with the same id is determined by its position in the store and not by
+//! the start, as an upstream's clock may jump back between two starts.
 
-use super::{ArenaSlot, CONNECT_TIMEOUT, Fleet, Upstream, UpstreamKey, id_hash};
+use super::{ArenaSlot, CONNECT_TIMEOUT, Fleet, Upstream, UpstreamKey, id_hash, tag_of};
 use net::{Meter, Pool};
 use platform::{Instance, Start};
 
+/// Maximum number of removed starts that are remembered.
+const MAX_REMOVED: usize = 1024;
+
 /// Effect of a registry entry.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum MergeOutcome {
@@ -118,6 +121,7 @@
         let pool = Pool::new(instance.addr, CONNECT_TIMEOUT).metered(meter);
         let mut upstream = Upstream::new(service, instance, pool, has_just_started);
         upstream.stated = self.take_statements(upstream.tag());
+        self.removed.retain(|tag| *tag != upstream.tag());
         let (hash, tag) = (upstream.hash, upstream.tag());
         let index = self.free_slots.pop().unwrap_or_else(|| {
             self.arena.push(ArenaSlot {
@@ -140,6 +144,12 @@
         key
     }
 
+    /// Whether this start of an upstream was removed, and hasn't been added again since.
+    pub fn was_removed(&self, instance: &Instance) -> bool {
+        let tag = tag_of(&instance.id, instance.start);
+        self.removed.contains(&tag)
+    }
+
     /// Removes an upstream that is no longer in the registry.
     pub fn remove(&mut self, key: UpstreamKey) -> Option<Upstream> {
         let hash = self.get(key)?.hash;
@@ -150,6 +160,10 @@
         self.by_tag.retain(|(_, tagged)| *tagged != key);
         self.free_slots.push(key.index);
         let mut removed = self.arena[key.index as usize].upstream.take()?;
+        if self.removed.len() >= MAX_REMOVED {
+            self.removed.pop_front();
+        }
+        self.removed.push_back(removed.tag());
         self.keep_statements(&mut removed);
         removed.pool.close_idle();
         self.view = self.view.wrapping_sub(instance_hash(&removed.instance));
@@ -157,14 +171,13 @@
     }
 }
 
-/// Whether two rows are equal apart from the row version.
+/// Whether two rows are equal apart from their positions.
 fn is_equal_except_row(a: &Instance, b: &Instance) -> bool {
     let row = a.row;
     *a == Instance { row, ..b.clone() }
 }
 
-/// Hash of the fields of a registry entry that matter for requests. The row version is excluded:
-/// it changes with each heartbeat, about which peers are not notified.
+/// Hash of the fields of a registry entry that matter for requests. The position is excluded: it changes with each heartbeat, about which peers are not notified.
 fn instance_hash(instance: &Instance) -> u64 {
     let Instance {
         id, service, addr, ..
--- a/crates/gateway/src/fleet/stated.rs
+++ b/crates/gateway/src/fleet/stated.rs
@@ -86,7 +86,9 @@
 
     /// Keeps the statements of a removed upstream, whose row may come back.
     pub(super) fn keep_statements(&mut self, removed: &mut Upstream) {
-        let stated = std::mem::take(&mut removed.stated);
+        let mut stated = std::mem::take(&mut removed.stated);
+        // A restored store may show the row as it was before.
+        stated.is_leaving |= removed.instance.is_draining;
         if stated.is_empty() {
             return;
         }
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -13,7 +13,7 @@
 
 use crate::routes::RouteTable;
 use crate::state::Gateway;
-use cursor::TableCursor;
+use cursor::{RESTORE_READ_SPREAD, TableCursor};
 use observe::{Event, emit};
 use platform::{Config, Cursor, Store, StoreError};
 use std::net::SocketAddr;
@@ -159,8 +159,9 @@
         wait_until_feed_reader(&gateway, gateway.config_version() == 0).await;
         let wait = hold_time(cursor.from(), config_wait(&gateway));
         let timeout = wait + ANSWER_TIMEOUT;
-        cursor.count_read(&gateway);
-        match client.store().config(cursor.from(), wait, timeout).await {
+        cursor.begin_read(&gateway).await;
+        let read = client.store().config(cursor.from(), wait, timeout);
+        match cursor.run(&gateway, read).await {
             Ok(change) => {
                 dependency.record_success();
                 log_malformed("configuration", change.malformed);
@@ -169,7 +170,8 @@
                 }
                 cursor.advance(change.next);
             }
-            Err(StoreError::HistoryGone) => cursor.restart(),
+            Err(StoreError::HistoryGone) => cursor.restart_after_lost_history().await,
+            Err(StoreError::EraChanged) => cursor.restart_after_restore(RESTORE_READ_SPREAD).await,
             Err(e) => {
                 cursor.record_failure();
                 dependency.record_failure(&e);
--- a/crates/gateway/src/follow/era.rs
+++ b/crates/gateway/src/follow/era.rs
@@ -25,7 +25,7 @@
         emit(&Event::StoreEra {
             era: now.era,
             before: before.known_at.map(|_| before.era),
-            registry: gateway.registry().version,
+            registry: gateway.registry().position.version,
         });
     }
     let irregular = [
--- a/crates/gateway/src/follow/registry.rs
+++ b/crates/gateway/src/follow/registry.rs
@@ -3,14 +3,16 @@
 //! Two processes fetch its changes at intervals. The others receive them from these, and fetch
 //! changes themselves only if these stop sending.
 
-use super::cursor::TableCursor;
+use super::cursor::{RESTORE_READ_SPREAD, TableCursor};
 use super::{ANSWER_TIMEOUT, Dependency, FREQUENT_READERS, StoreClient, log_malformed};
 use crate::fleet::{Fleet, MergeOutcome, UpstreamKey};
 use crate::missing::MissingUpstreams;
 use crate::state::Gateway;
 use net::Meter;
 use observe::{Event, emit};
-use platform::{Cursor, Instance, Registration, RowError, Start, StoreError, UnreadableRow};
+use platform::{
+    Cursor, Instance, Position, Registration, RowError, Start, StoreError, UnreadableRow,
+};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -51,15 +53,15 @@
         .startup_load
         .finished(gateway.host().is_first_start)
         .await;
-    if gateway.registry().version > 0 {
-        cursor.advance(Cursor::Since(gateway.registry().version));
+    if gateway.registry().position.is_known() {
+        cursor.advance(Cursor::Since(gateway.registry().position));
         wait_until_stale(&gateway).await;
     }
     loop {
+        cursor.begin_read(&gateway).await;
         let asked_at = Instant::now();
-        cursor.count_read(&gateway);
         let read = client.store().upstreams(cursor.from(), ANSWER_TIMEOUT);
-        match read.await {
+        match cursor.run(&gateway, read).await {
             Ok(change) => {
                 let (asked_at, store_ms) = *first_page.get_or_insert((asked_at, change.now_ms));
                 if let Some(last_failure) = dependency.record_success() {
@@ -70,26 +72,36 @@
                 let is_whole = cursor.is_whole_read();
                 cursor.advance(change.next);
                 if cursor.has_more_pages() {
-                    let is_initial = gateway.registry().version == 0 && !has_waited;
+                    let is_initial = !gateway.registry().position.is_known() && !has_waited;
                     if is_initial && wait_for_peers(&gateway).await {
                         pages.clear();
                         first_page = None;
-                        cursor.advance(Cursor::Since(gateway.registry().version));
+                        cursor.advance(Cursor::Since(gateway.registry().position));
                     }
                     has_waited = true;
                     continue;
                 }
                 let changes = std::mem::take(&mut pages);
                 let now = Instant::now();
-                merge_from_store(&gateway, changes, is_whole, change.version, now);
-                gateway.record_read(change.version, asked_at, store_ms);
+                merge_from_store(&gateway, changes, is_whole, change.position, now);
+                gateway.record_read(change.position, asked_at, store_ms);
                 first_page = None;
                 if gateway.rank() >= FREQUENT_READERS {
                     gateway.registry_fallback.notify_waiters();
                 }
             }
             Err(StoreError::HistoryGone) => {
-                cursor.restart();
+                cursor.restart_after_lost_history().await;
+                pages.clear();
+                first_page = None;
+                continue;
+            }
+            Err(StoreError::EraChanged) => {
+                let spread = match gateway.rank() < FREQUENT_READERS {
+                    true => Duration::ZERO,
+                    false => RESTORE_READ_SPREAD,
+                };
+                cursor.restart_after_restore(spread).await;
                 pages.clear();
                 first_page = None;
                 continue;
@@ -105,9 +117,9 @@
                 }
             }
         }
-        let version = gateway.registry().version;
-        if version > 0 {
-            cursor.advance(Cursor::Since(version));
+        let position = gateway.registry().position;
+        if position.is_known() {
+            cursor.advance(Cursor::Since(position));
             wait_until_stale(&gateway).await;
         }
     }
@@ -118,7 +130,7 @@
 /// transferred 160 MB from the store.
 async fn wait_for_peers(gateway: &Gateway) -> bool {
     let started_at = Instant::now();
-    while gateway.registry().version == 0 {
+    while !gateway.registry().position.is_known() {
         let longest = match gateway.startup_read_place() {
             Some(place) if place < STARTUP_READERS => return false,
             Some(place) => STARTUP_WAIT + STARTUP_WAIT_PER_PLACE * place,
@@ -136,6 +148,10 @@
 async fn wait_until_stale(gateway: &Gateway) {
     loop {
         let rank = gateway.rank();
+        let (era, known_era) = (gateway.registry().position.era, gateway.store_era.current());
+        if rank < FREQUENT_READERS && era < known_era {
+            return;
+        }
         let bound = match rank.checked_sub(FREQUENT_READERS) {
             None => MAX_REGISTRY_AGE,
             Some(place) => FALLBACK_REGISTRY_AGE + FALLBACK_AGE_PER_PLACE * place.min(MAX_PLACES),
@@ -148,7 +164,10 @@
         if left.is_zero() {
             return;
         }
-        tokio::time::sleep(left).await;
+        tokio::select! {
+            () = tokio::time::sleep(left) => {}
+            () = gateway.store_era.later_than(known_era) => {}
+        }
     }
 }
 
@@ -157,46 +176,97 @@
 /// upstreams whose removal isn't sent again.
 pub fn merge_from_store(
     gateway: &Arc<Gateway>,
-    changes: Vec<Registration>,
+    mut changes: Vec<Registration>,
     is_whole: bool,
-    version: u64,
+    position: Position,
     now: Instant,
 ) {
-    let known = gateway.registry().version;
-    let is_old = version < known;
+    let known = gateway.registry().position;
+    let is_old = position < known;
     if is_old {
         emit(&Event::RegistryReadDiscarded {
-            registry: version,
-            known,
+            registry: position.version,
+            known: known.version,
             is_whole,
         });
     }
+    let is_restored = begin_era(gateway, position, now);
+    drop_former(gateway, &mut changes, is_restored);
     let gone = match is_old {
         true => Vec::new(),
-        false => apply_changes(gateway, changes, is_whole, version),
+        false => apply_changes(gateway, changes, is_whole, position),
     };
     let mut missing = gateway.missing();
     let mut gone = match missing.is_in_grace_period(now) {
-        true => hold_back(&mut missing, gone, version),
+        true => hold_back(&mut missing, gone, position),
         false => gone,
     };
     gone.append(&mut missing.take_expired(now));
+    let kept = missing.len();
     drop(missing);
     for id in &gone {
-        remove(gateway, id, NOT_REGISTERED, version);
+        remove(gateway, id, NOT_REGISTERED, position);
     }
     if !is_old {
-        gateway.set_registry(version);
+        gateway.set_registry(position);
         gateway.fleet().assume_empty_caches();
     }
+    if is_restored {
+        log_restored(gateway, known, position, kept);
+    }
+}
+
+/// Prepares for the first registry of a restored store; returns whether it is the first one. The
+/// copy may lack upstreams that register again soon, so they aren't removed at once.
+fn begin_era(gateway: &Gateway, position: Position, now: Instant) -> bool {
+    let known = gateway.registry().position;
+    let is_restored = known.is_known() && position.era > known.era;
+    if is_restored {
+        let known_at = gateway.store_era.state().known_at.unwrap_or(now);
+        gateway.missing().begin_grace_period_after_restore(known_at);
+    }
+    is_restored
+}
+
+/// Drops rows of starts that were removed, and that the copy from which the store was restored
+/// still has. If one of them is alive, its next heartbeat writes its row again.
+fn drop_former(gateway: &Gateway, read: &mut Vec<Registration>, is_restored: bool) {
+    let fleet = gateway.fleet();
+    read.retain(|change| match change {
+        Registration::Registered(instance) => {
+            let may_be_copied = is_restored || gateway.may_be_copied(instance.row);
+            let is_known = fleet.find(&instance.id).is_some();
+            let is_dropped = may_be_copied && !is_known && fleet.was_removed(instance);
+            if is_dropped {
+                emit(&Event::UpstreamRowLate {
+                    upstream: &instance.id,
+                    start: instance.start.map(|Start(ms)| ms),
+                    row: instance.row.version,
+                });
+            }
+            !is_dropped
+        }
+        Registration::Removed { .. } | Registration::Unreadable(_) => true,
+    });
+}
+
+fn log_restored(gateway: &Gateway, before: Position, now: Position, missing: usize) {
+    emit(&Event::RegistryRestored {
+        era: now.era,
+        registry: now.version,
+        era_before: before.era,
+        registry_before: before.version,
+        upstreams: gateway.fleet().len(),
+        missing,
+    });
 }
 
 /// Keeps upstreams that may return. Returns an empty list, as none is to be removed yet.
-fn hold_back(missing: &mut MissingUpstreams, gone: Vec<String>, registry: u64) -> Vec<String> {
+fn hold_back(missing: &mut MissingUpstreams, gone: Vec<String>, registry: Position) -> Vec<String> {
     for id in gone {
         emit(&Event::UpstreamMissing {
             upstream: &id,
-            registry,
+            registry: registry.version,
         });
         missing.add(id);
     }
@@ -205,25 +275,40 @@
 
 /// Applies registry changes from a peer, if they are newer than this process's own state. In a
 /// whole registry, upstreams that are absent are removed. Peers share their registry only while
-/// no upstream is missing there, so absent ones are really gone.
+/// no upstream is missing there, so absent ones are really gone, unless the store was restored:
+/// then the peer may have started after it and never have known them.
 pub fn merge_from_peer(
     gateway: &Arc<Gateway>,
-    changes: Vec<Registration>,
+    mut changes: Vec<Registration>,
     is_whole: bool,
-    version: u64,
+    position: Position,
+    now: Instant,
 ) {
-    if version <= gateway.registry().version {
+    let known = gateway.registry().position;
+    if position <= known {
         return;
     }
-    let gone = apply_changes(gateway, changes, is_whole, version);
+    let is_restored = begin_era(gateway, position, now);
+    drop_former(gateway, &mut changes, is_restored);
+    let gone = apply_changes(gateway, changes, is_whole, position);
+    let mut missing = gateway.missing();
+    let gone = match missing.is_in_grace_period_after_restore(now) {
+        true => hold_back(&mut missing, gone, position),
+        false => gone,
+    };
     for id in &gone {
-        gateway.missing().remove(id);
+        missing.remove(id);
     }
+    let kept = missing.len();
+    drop(missing);
     for id in &gone {
-        remove(gateway, id, NOT_REGISTERED, version);
+        remove(gateway, id, NOT_REGISTERED, position);
     }
-    gateway.set_registry(version);
+    gateway.set_registry(position);
     gateway.fleet().assume_empty_caches();
+    if is_restored {
+        log_restored(gateway, known, position, kept);
+    }
 }
 
 /// Applies upstreams that are present and returns the ids of those that are gone.
@@ -231,7 +316,7 @@
     gateway: &Arc<Gateway>,
     changes: Vec<Registration>,
     is_whole: bool,
-    version: u64,
+    position: Position,
 ) -> Vec<String> {
     let mut gone = if is_whole {
         absent_ids(gateway, &changes)
@@ -243,7 +328,7 @@
             Registration::Registered(instance) => {
                 gateway.missing().remove(&instance.id);
                 gone.retain(|id| *id != instance.id);
-                merge_instance(gateway, instance, version, &gateway.upstream_bytes);
+                merge_instance(gateway, instance, position, &gateway.upstream_bytes);
             }
             Registration::Removed { id } => gone.push(id),
             Registration::Unreadable(row) => {
@@ -251,7 +336,7 @@
                 // expired.
                 gateway.missing().remove(&row.id);
                 gone.retain(|id| *id != row.id);
-                remove_unreadable(gateway, &row, version);
+                remove_unreadable(gateway, &row, position);
             }
         }
     }
@@ -272,7 +357,7 @@
     ids.filter(|id| !is_read(id)).collect()
 }
 
-fn merge_instance(gateway: &Gateway, instance: Instance, registry: u64, meter: &Meter) {
+fn merge_instance(gateway: &Gateway, instance: Instance, registry: Position, meter: &Meter) {
     let (id, row) = (instance.id.clone(), instance.row);
     let start = instance.start;
     let mut fleet = gateway.fleet();
@@ -286,7 +371,7 @@
             emit(&Event::StageChanged {
                 upstream: &u.instance.id,
                 stage: u.stage_name(),
-                registry,
+                registry: registry.version,
             });
         }
         MergeOutcome::Changed => {}
@@ -295,7 +380,7 @@
             emit(&Event::UpstreamRowLate {
                 upstream: &id,
                 start: start.map(|Start(ms)| ms),
-                row,
+                row: row.version,
             });
             return;
         }
@@ -306,7 +391,7 @@
                 gateway,
                 &UnreadableRow {
                     id,
-                    row_version: row,
+                    position: row,
                     error: why,
                 },
                 registry,
@@ -317,7 +402,7 @@
     gateway.history().record(registry, &id);
 }
 
-fn log_added(fleet: &Fleet, key: UpstreamKey, registry: u64) {
+fn log_added(fleet: &Fleet, key: UpstreamKey, registry: Position) {
     let Some(u) = fleet.get(key) else { return };
     emit(&Event::UpstreamAdded {
         upstream: &u.instance.id,
@@ -326,11 +411,11 @@
         zone: &u.instance.zone,
         stage: u.stage_name(),
         start: u.instance.start.map(|Start(ms)| ms),
-        registry,
+        registry: registry.version,
     });
 }
 
-fn log_restarted(fleet: &Fleet, key: UpstreamKey, before: Option<Start>, registry: u64) {
+fn log_restarted(fleet: &Fleet, key: UpstreamKey, before: Option<Start>, registry: Position) {
     let Some(u) = fleet.get(key) else { return };
     emit(&Event::UpstreamRestarted {
         upstream: &u.instance.id,
@@ -338,36 +423,36 @@
         before: before.map(|Start(ms)| ms),
         addr: u.instance.addr.to_string(),
         stage: u.stage_name(),
-        registry,
+        registry: registry.version,
     });
 }
 
-fn start_leaving(fleet: &Fleet, key: UpstreamKey, why: &str, registry: u64) {
+fn start_leaving(fleet: &Fleet, key: UpstreamKey, why: &str, registry: Position) {
     let Some(u) = fleet.get(key) else { return };
     u.pool.close_idle();
     emit(&Event::UpstreamLeaving {
         upstream: &u.instance.id,
         why,
         running: u.running,
-        registry,
+        registry: registry.version,
     });
 }
 
 /// Removes the upstream of a row that can't be decoded, if that row is newer than the known one.
-fn remove_unreadable(gateway: &Gateway, row: &UnreadableRow, registry: u64) {
+fn remove_unreadable(gateway: &Gateway, row: &UnreadableRow, registry: Position) {
     let metrics = &gateway.metrics;
     gateway.unreadable().report(row, metrics, Instant::now());
     let is_newer = {
         let fleet = gateway.fleet();
         let known = fleet.find(&row.id).and_then(|key| fleet.get(key));
-        known.is_some_and(|u| u.instance.row < row.row_version)
+        known.is_some_and(|u| u.instance.row < row.position)
     };
     if is_newer {
         remove(gateway, &row.id, "unreadable entry", registry);
     }
 }
 
-fn remove(gateway: &Gateway, id: &str, why: &str, registry: u64) {
+fn remove(gateway: &Gateway, id: &str, why: &str, registry: Position) {
     let mut fleet = gateway.fleet();
     if let Some(key) = fleet.find(id) {
         start_leaving(&fleet, key, why, registry);
--- a/crates/gateway/src/follow/unreadable.rs
+++ b/crates/gateway/src/follow/unreadable.rs
@@ -1,7 +1,7 @@
 //! Log of registry rows that can't be decoded; each one is logged once.
 
 use observe::{Event, Metrics, emit};
-use platform::UnreadableRow;
+use platform::{Position, UnreadableRow};
 use std::time::{Duration, Instant};
 
 /// Maximum number of rows remembered as logged, at 16 bytes each, equal to the number of
@@ -30,8 +30,8 @@
 /// Rows that have been logged or counted.
 #[derive(Debug, Default)]
 pub struct UnreadableLog {
-    /// Hashes of keys with the version last handled, sorted.
-    rows: Vec<(u64, u64)>,
+    /// Hashes of keys with the position last handled, sorted.
+    rows: Vec<(u64, Position)>,
     window_started_at: Option<Instant>,
     lines: u32,
 }
@@ -52,7 +52,7 @@
             entry: row.id.chars().take(MAX_KEY_CHARS).collect(),
             reason,
             why: row.error.to_string(),
-            row: row.row_version,
+            row: row.position.version,
         });
     }
 
@@ -71,13 +71,13 @@
     fn is_new(&mut self, row: &UnreadableRow) -> bool {
         let key = xxhash_rust::xxh3::xxh3_64(row.id.as_bytes());
         match self.rows.binary_search_by_key(&key, |(k, _)| *k) {
-            Ok(at) if self.rows[at].1 >= row.row_version => false,
+            Ok(at) if self.rows[at].1 >= row.position => false,
             Ok(at) => {
-                self.rows[at].1 = row.row_version;
+                self.rows[at].1 = row.position;
                 true
             }
             Err(at) => {
-                self.rows.insert(at, (key, row.row_version));
+                self.rows.insert(at, (key, row.position));
                 self.shrink();
                 true
             }
--- a/crates/gateway/src/missing.rs
+++ b/crates/gateway/src/missing.rs
@@ -1,7 +1,7 @@
-//! Keeps upstreams whose registry entries are missing just after an outage of the store.
+//! Keeps upstreams whose registry entries are missing just after an outage or a restore of the store.
 //!
-//! Entries expire while the store is unavailable and are rewritten soon after its return, so a
-//! missing upstream isn't removed at once. Until it returns or is removed, the process knows more
+//! Entries expire while the store is unavailable, or are absent from the copy from which it was
+//! restored, and are rewritten soon after its return, so a missing upstream isn't removed at once. Until it returns or is removed, the process knows more
 //! upstreams than the version of its last read contains, and reports no read to its peers.
 
 use std::time::{Duration, Instant};
@@ -16,6 +16,8 @@
 #[derive(Debug, Default)]
 pub struct MissingUpstreams {
     until: Option<Instant>,
+    /// End of the grace period if it began with a restore of the store.
+    restore_until: Option<Instant>,
     ids: Vec<String>,
 }
 
@@ -25,6 +27,18 @@
         self.until = Some(last_bad + RETURN_GRACE);
     }
 
+    /// Starts the grace period after a restore of the store, which became known at `known_at`. The
+    /// rows that the copy lacks are written again.
+    pub fn begin_grace_period_after_restore(&mut self, known_at: Instant) {
+        self.begin_grace_period(known_at);
+        self.restore_until = self.until;
+    }
+
+    /// Whether a missing upstream is kept even if a peer doesn't know it.
+    pub fn is_in_grace_period_after_restore(&self, now: Instant) -> bool {
+        self.restore_until.is_some_and(|until| now < until)
+    }
+
     /// End of the grace period; `None` if no upstream is missing.
     pub fn expires_at(&self) -> Option<Instant> {
         self.until.filter(|_| !self.ids.is_empty())
@@ -35,9 +49,16 @@
         self.until.is_some_and(|until| now < until)
     }
 
-    /// Adds a missing upstream.
+    /// Adds a missing upstream, unless it is known to be missing.
     pub fn add(&mut self, id: String) {
-        self.ids.push(id);
+        if !self.ids.contains(&id) {
+            self.ids.push(id);
+        }
+    }
+
+    /// Number of missing upstreams.
+    pub fn len(&self) -> usize {
+        self.ids.len()
     }
 
     /// Removes an upstream whose entry was found.
--- a/crates/gateway/src/peers/catch_up.rs
+++ b/crates/gateway/src/peers/catch_up.rs
@@ -16,7 +16,7 @@
 use hyper::{Method, Request, Response, StatusCode};
 use net::{Body, CallError, Pool, empty, full};
 use observe::{Event, emit};
-use platform::{Config, Instance, Registration};
+use platform::{Config, Instance, Position, Registration};
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 use std::net::{IpAddr, SocketAddr};
@@ -55,20 +55,20 @@
 const SNAPSHOT_PATH: &str = "/everything";
 const MEMBERS_PATH: &str = "/members";
 const DURATIONS_PATH: &str = "/durations";
-/// Path of registry changes, followed by the version since which they are requested; version 0
-/// requests the whole registry.
+/// Path of registry changes, followed by the position since which they are requested;
+/// [`Position::NONE`] requests the whole registry.
 const REGISTRY_PATH: &str = "/registry/since/";
 
-/// Changes of the registry since a version, or the whole registry.
+/// Changes of the registry since a position, or the whole registry.
 #[derive(Debug, Serialize, Deserialize)]
 pub struct RegistryChanges {
-    /// Version after these changes.
-    pub version: u64,
+    /// Position after these changes.
+    pub position: Position,
     /// Age of the read of the store that they come from, in milliseconds.
     pub read_ms_ago: u32,
     /// The store's clock at that read, in milliseconds.
     pub store_ms: u64,
-    /// Hash of the whole registry at this version; see [`crate::fleet::Fleet::view`].
+    /// Hash of the whole registry at this position; see [`crate::fleet::Fleet::view`].
     pub view: u64,
     /// Whether `present` has all upstreams, so that any others are gone.
     pub is_whole: bool,
@@ -99,16 +99,16 @@
             Some(_) => {}
         }
         if now - members_fetched_at >= MEMBERS_EVERY && !gateway.is_feed_reader() {
-            let known = gateway.members_version();
+            let known = gateway.members_position();
             if let Some(ip) = peer_with_newer(&gateway, |status| status.members, known) {
                 members_fetched_at = now;
                 fetch_members(&gateway, ip).await;
             }
         }
-        // A peer with a newer version but the same registry isn't asked, as its datagrams have
-        // already raised the version here.
-        let known = gateway.registry().version;
-        let may_wait = known == 0 && gateway.peers().is_direct();
+        // A peer with a later position but the same registry isn't asked, as its datagrams have
+        // already advanced the position here.
+        let known = gateway.registry().position;
+        let may_wait = !known.is_known() && gateway.peers().is_direct();
         if may_wait && now - started_at < FIRST_READ_GRACE {
             continue;
         }
@@ -133,15 +133,15 @@
 
 /// Fetches the members from a peer and applies them.
 async fn fetch_members(gateway: &Gateway, ip: IpAddr) {
-    let members = fetch::<(u64, Vec<Member>)>(gateway, ip, MEMBERS_PATH).await;
-    let Some((version, members)) = members.filter(|(version, _)| *version > 0) else {
+    let members = fetch::<(Position, Vec<Member>)>(gateway, ip, MEMBERS_PATH).await;
+    let Some((position, members)) = members.filter(|(position, _)| position.is_known()) else {
         return;
     };
     let own = gateway.host().ip;
     gateway
         .peers()
         .set_members(own, &members, &mut gateway.fleet());
-    gateway.set_members_version(version);
+    gateway.set_members_position(position);
 }
 
 /// Fetches a peer's snapshot; `None` if the peer has no complete one or doesn't answer.
@@ -202,14 +202,14 @@
 
 /// Fetches the changes of a peer's registry, or the whole registry if the changes aren't enough.
 /// Returns whether the registry then equals the peer's, or is newer.
-async fn fetch_registry(gateway: &Arc<Gateway>, ip: IpAddr, known: u64) -> bool {
+async fn fetch_registry(gateway: &Arc<Gateway>, ip: IpAddr, known: Position) -> bool {
     // Upstreams that were missing from the last read and may return are found or removed only by a
     // whole registry.
     let since = match gateway.missing().is_empty() {
         true => known,
-        false => 0,
+        false => Position::NONE,
     };
-    for since in [since, 0] {
+    for since in [since, Position::NONE] {
         let path = format!("{REGISTRY_PATH}{since}");
         let asked_at = Instant::now();
         let Some(changes) = fetch::<RegistryChanges>(gateway, ip, &path).await else {
@@ -226,7 +226,7 @@
 /// registry then equals the peer's, or is newer.
 pub fn apply_changes(gateway: &Arc<Gateway>, changes: RegistryChanges, asked_at: Instant) -> bool {
     let RegistryChanges {
-        version,
+        position,
         view,
         is_whole,
         read_ms_ago,
@@ -236,28 +236,29 @@
     let present = changes.present.into_iter().map(Registration::Registered);
     let gone = changes.gone.into_iter();
     let gone = gone.map(|id| Registration::Removed { id });
-    follow::merge_from_peer(gateway, present.chain(gone).collect(), is_whole, version);
+    let present = present.chain(gone).collect();
+    follow::merge_from_peer(gateway, present, is_whole, position, Instant::now());
     let age = Duration::from_millis(read_ms_ago.into());
     if let Some(read_at) = asked_at.checked_sub(age) {
-        gateway.record_read(version, read_at, store_ms);
+        gateway.record_read(position, read_at, store_ms);
     }
     let known = gateway.registry();
-    let is_same = known.version > version || known.view == view;
+    let is_same = known.position > position || known.view == view;
     if !is_same {
         emit(&Event::Undecodable {
             what: "changes of a peer",
-            why: format!("the registry differs from the peer's at version {version}"),
+            why: format!("the registry differs from the peer's at version {position}"),
         });
     }
     is_same
 }
 
-/// A random one of the live peers with the highest version, if that is higher than `known`. The
-/// choice is random so that processes don't all ask the same peer.
-fn peer_with_newer(
+/// A random one of the live peers with the latest version or position, if that is later than
+/// `known`. The choice is random so that processes don't all ask the same peer.
+fn peer_with_newer<T: Ord + Copy>(
     gateway: &Gateway,
-    version: impl Fn(&PeerStatus) -> u64,
-    known: u64,
+    version: impl Fn(&PeerStatus) -> T,
+    known: T,
 ) -> Option<IpAddr> {
     let peers = gateway.peers();
     let now = Instant::now();
@@ -332,7 +333,7 @@
         }
         None if path == MEMBERS_PATH => {
             let members = gateway.peers().members();
-            let members = (gateway.members_version(), members);
+            let members = (gateway.members_position(), members);
             Some(wire::encode_compact(&members))
         }
         None if path == CONFIG_PATH => gateway.routes().map(|t| wire::encode(&t.config)),
--- a/crates/gateway/src/peers/exchange.rs
+++ b/crates/gateway/src/peers/exchange.rs
@@ -8,6 +8,7 @@
 use net::server::bind;
 use net::{HeadLimits, Protocol, Server, Stop};
 use observe::{Event, emit};
+use platform::Position;
 use std::net::{IpAddr, SocketAddr};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -123,14 +124,15 @@
         let now = Instant::now();
         crashes::receive(&gateway, &status, now);
         statements::receive(&gateway, &status.statements, now);
-        if status.registry > gateway.registry().version || status.config > gateway.config_version()
+        gateway.store_era.raise(status.era);
+        if status.registry > gateway.registry().position || status.config > gateway.config_version()
         {
             gateway.catch_up.notify_one();
         }
         let read = now
             .checked_sub(Duration::from_millis(status.registry_ms.into()))
             .map(|read_at| RegistryState {
-                version: status.registry,
+                position: status.registry,
                 read_at,
                 store_ms: status.registry_at_ms,
                 view: status.view,
@@ -203,8 +205,9 @@
         zone: gateway.location().zone,
         processes: 1,
         config: gateway.config_version(),
-        members: gateway.members_version(),
-        registry: shareable.map_or(0, |r| r.version),
+        era: gateway.store_era.current(),
+        members: gateway.members_position(),
+        registry: shareable.map_or(Position::NONE, |r| r.position),
         registry_ms: shareable.map_or(u32::MAX, |r| r.read_at.elapsed().as_millis() as u32),
         registry_at_ms: shareable.map_or(0, |r| r.store_ms),
         view: shareable.map_or(0, |r| r.view),
@@ -223,6 +226,7 @@
         |status: &PeerStatus| -> Vec<u32> { status.changing.iter().map(|c| c.upstream).collect() };
     a.loads == b.loads
         && a.config == b.config
+        && a.era == b.era
         && a.registry == b.registry
         && a.placements == b.placements
         && a.statements == b.statements
--- a/crates/gateway/src/peers/membership.rs
+++ b/crates/gateway/src/peers/membership.rs
@@ -1,6 +1,6 @@
 //! Follows the list of processes in the store, which has a row for each process.
 
-use crate::follow::cursor::TableCursor;
+use crate::follow::cursor::{RESTORE_READ_SPREAD, TableCursor};
 use crate::follow::{Dependency, StoreClient, hold_time, wait_until_feed_reader};
 use crate::peers::{startup_load, zone_hash};
 use crate::state::Gateway;
@@ -57,9 +57,9 @@
             false => hold_time(cursor.from(), HOLD_TIME),
         };
         let timeout = wait + ANSWER_TIMEOUT;
-        cursor.count_read(&gateway);
+        cursor.begin_read(&gateway).await;
         let read = client.store().processes(cursor.from(), wait, timeout);
-        match read.await {
+        match cursor.run(&gateway, read).await {
             Ok(change) => {
                 dependency.record_success();
                 gateway.crashes.set_clock(change.now_ms);
@@ -77,7 +77,7 @@
                     && gateway.config_version() == 0
                     && startup_load::load_snapshot(&gateway).await
                 {
-                    cursor.advance(Cursor::Since(gateway.members_version()));
+                    cursor.advance(Cursor::Since(gateway.members_position()));
                 }
                 gateway.startup_load.finish();
                 let is_whole = !cursor.is_whole_read();
@@ -85,8 +85,8 @@
                     let has_others = !gateway.peers().is_empty();
                     gateway.quotas.set_new_host(has_others && !is_written);
                 }
-                if let Cursor::Since(version) = cursor.from() {
-                    gateway.set_members_version(*version);
+                if let Cursor::Since(position) = cursor.from() {
+                    gateway.set_members_position(*position);
                     gateway.peers().set_membership_known(Instant::now());
                 }
                 if has_changes && is_read {
@@ -94,7 +94,8 @@
                     tokio::time::sleep(pause_for(peers)).await;
                 }
             }
-            Err(StoreError::HistoryGone) => cursor.restart(),
+            Err(StoreError::HistoryGone) => cursor.restart_after_lost_history().await,
+            Err(StoreError::EraChanged) => cursor.restart_after_restore(RESTORE_READ_SPREAD).await,
             Err(e) => {
                 cursor.record_failure();
                 gateway.startup_load.finish();
--- a/crates/gateway/src/peers/message.rs
+++ b/crates/gateway/src/peers/message.rs
@@ -1,6 +1,7 @@
 //! Datagrams between the processes of the system.
 
 use crate::fleet::named_limit::LimitVersion;
+use platform::Position;
 use serde::{Deserialize, Serialize};
 
 /// The processes that a datagram covers, and its recipient.
@@ -67,12 +68,13 @@
     pub processes: u32,
     /// Version of the configuration in force at the sender.
     pub config: u64,
-    /// The store's version up to which the sender knows the processes of the system; 0 if it
-    /// doesn't know all of them.
-    pub members: u64,
-    /// The store's version at the sender's last read of the registry.
-    pub registry: u64,
-    /// Age of that read, in milliseconds. The version stays the same while nothing changes, so it
+    /// Latest era of the store that the sender knows.
+    pub era: u64,
+    /// The store's position up to which the sender knows the processes of the system.
+    pub members: Position,
+    /// The store's position at the sender's last read of the registry.
+    pub registry: Position,
+    /// Age of that read, in milliseconds. The position stays the same while nothing changes, so it
     /// alone doesn't show a newer read: without the age 31 processes made 1,800 calls to the store
     /// per minute, with it 700.
     pub registry_ms: u32,
--- a/crates/gateway/src/peers/startup_load.rs
+++ b/crates/gateway/src/peers/startup_load.rs
@@ -8,7 +8,7 @@
 use super::{CrashReport, Member};
 use crate::state::Gateway;
 use crate::{crashes, follow};
-use platform::Config;
+use platform::{Config, Position};
 use serde::{Deserialize, Serialize};
 use std::net::IpAddr;
 use std::sync::Arc;
@@ -89,8 +89,8 @@
 /// State that a starting process loads from a peer.
 #[derive(Debug, Serialize, Deserialize)]
 pub struct Snapshot {
-    /// The store's version up to which the processes are known.
-    pub members_version: u64,
+    /// The store's position up to which the processes are known.
+    pub members_position: Position,
     /// The processes of the system.
     pub members: Vec<Member>,
     /// The configuration in force.
@@ -103,8 +103,8 @@
 
 /// This process's snapshot for a starting peer; `None` while it is incomplete.
 pub fn snapshot(gateway: &Gateway) -> Option<Snapshot> {
-    let members_version = gateway.members_version();
-    if members_version == 0 {
+    let members_position = gateway.members_position();
+    if !members_position.is_known() {
         return None;
     }
     let mut members = gateway.peers().members();
@@ -115,10 +115,10 @@
         zone: gateway.location().zone,
     });
     Some(Snapshot {
-        members_version,
+        members_position,
         members,
         config: gateway.routes()?.config.clone(),
-        registry: gateway.changes_since(0)?,
+        registry: gateway.changes_since(Position::NONE)?,
         crashes: crashes::recorded_crashes(gateway, Instant::now()),
     })
 }
@@ -162,7 +162,7 @@
         let mut peers = gateway.peers();
         peers.set_members(own, &snapshot.members, &mut gateway.fleet());
     }
-    gateway.set_members_version(snapshot.members_version);
+    gateway.set_members_position(snapshot.members_position);
     follow::apply_config(gateway, snapshot.config, "peer");
     catch_up::apply_changes(gateway, snapshot.registry, asked_at);
     crashes::apply_recorded(gateway, &snapshot.crashes, Instant::now());
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -19,7 +19,7 @@
 use crate::stop::{ShutdownSchedule, StallDetector};
 use net::{HeadLimits, Meter, Stop};
 use observe::Metrics;
-use platform::{CallCounts, EraTracker, HostSettings};
+use platform::{CallCounts, EraTracker, HostSettings, Position};
 use quota::ReturnTimes;
 use resilience::RetryBudget;
 use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
@@ -51,12 +51,14 @@
     /// Return times of refused callers, sorted by service.
     return_times: Mutex<Vec<(ServiceKey, ReturnTimes)>>,
     registry: Mutex<RegistryState>,
+    /// First position of the registry that this process knew in the current era.
+    era_start: Mutex<Position>,
     history: Mutex<ChangeHistory>,
     missing: Mutex<MissingUpstreams>,
     unreadable: Mutex<follow::unreadable::UnreadableLog>,
     peers: Mutex<Peers>,
     live_peers: AtomicU32,
-    members_version: AtomicU64,
+    members_position: Mutex<Position>,
     /// Loading of the initial state from peers.
     pub startup_load: StartupLoad,
     /// Notified when this process has read the registry from the store because no peer
@@ -91,15 +93,15 @@
     shutdown_schedule: OnceLock<ShutdownSchedule>,
 }
 
-/// Version and age of this process's view of the upstreams.
+/// Position and age of this process's view of the upstreams.
 #[derive(Debug, Clone, Copy)]
 pub struct RegistryState {
-    /// The store's version at the last read, 0 before the first.
-    pub version: u64,
+    /// The store's position at the last read.
+    pub position: Position,
     /// Time of that read, by this process or by a peer with an identical view.
     pub read_at: Instant,
-    /// The same time by the store's clock, in milliseconds. It determines which of two reads is
-    /// later.
+    /// The same time by the store's clock, in milliseconds. It determines which of two reads in the
+    /// same era is later.
     pub store_ms: u64,
     /// Hash of the registry's content; see [`Fleet::view`].
     pub view: u64,
@@ -117,17 +119,18 @@
             budgets: Mutex::default(),
             return_times: Mutex::default(),
             registry: Mutex::new(RegistryState {
-                version: 0,
+                position: Position::NONE,
                 read_at: Instant::now(),
                 store_ms: 0,
                 view: 0,
             }),
+            era_start: Mutex::default(),
             history: Mutex::default(),
             missing: Mutex::default(),
             unreadable: Mutex::default(),
             peers: Mutex::default(),
             live_peers: AtomicU32::new(0),
-            members_version: AtomicU64::new(0),
+            members_position: Mutex::default(),
             startup_load: StartupLoad::default(),
             registry_fallback: Notify::new(),
             running: AtomicU64::new(0),
@@ -199,29 +202,40 @@
         lock(&self.fleet)
     }
 
-    /// Version and age of the view of the upstreams.
+    /// Position and age of the view of the upstreams.
     pub fn registry(&self) -> RegistryState {
         *lock(&self.registry)
     }
 
-    /// Records the version of a registry read. The version never decreases, as a peer's later
+    /// Records the position of a registry read. The position never goes back, as a peer's later
     /// read may arrive while this process's read is in progress.
-    pub fn set_registry(&self, version: u64) {
+    pub fn set_registry(&self, position: Position) {
         let view = self.fleet().view();
         let mut registry = lock(&self.registry);
-        if registry.version == 0 {
-            self.history().reset(version);
+        if !registry.position.is_known() {
+            self.history().reset(position);
         }
-        registry.version = version.max(registry.version);
+        if registry.position.is_known() && position.era > registry.position.era {
+            // The clock of a restored store may show an earlier time.
+            registry.store_ms = 0;
+            *lock(&self.era_start) = position;
+        }
+        registry.position = position.max(registry.position);
         registry.view = view;
     }
 
-    /// Records the time at which a read of the current version was requested; all earlier changes
+    /// Whether a row may be part of the copy from which the store was restored: it isn't later than
+    /// the first position that this process knew in its era.
+    pub fn may_be_copied(&self, row: Position) -> bool {
+        row <= *lock(&self.era_start)
+    }
+
+    /// Records the time at which a read of the current position was requested; all earlier changes
     /// are known. The time at which the answer arrived isn't used, as the answer may have waited
     /// while this process was paused.
-    pub fn record_read(&self, version: u64, asked_at: Instant, store_ms: u64) {
+    pub fn record_read(&self, position: Position, asked_at: Instant, store_ms: u64) {
         let mut registry = lock(&self.registry);
-        if version == registry.version && store_ms >= registry.store_ms {
+        if position == registry.position && store_ms >= registry.store_ms {
             registry.read_at = asked_at;
             registry.store_ms = store_ms;
         }
@@ -239,15 +253,17 @@
         lock(&self.history)
     }
 
-    /// Registry changes since a version, or the whole registry if that version is no longer in
+    /// Registry changes since a position, or the whole registry if that position is no longer in
     /// the history; `None` if the registry can't be shared with peers (see
     /// [`Self::shareable_registry`]).
-    pub fn changes_since(&self, version: u64) -> Option<RegistryChanges> {
-        let shareable = self.shareable_registry().filter(|r| r.version > 0)?;
+    pub fn changes_since(&self, since: Position) -> Option<RegistryChanges> {
+        let shareable = self
+            .shareable_registry()
+            .filter(|r| r.position.is_known())?;
         let fleet = self.fleet();
         let history = self.history();
         let mut changes = RegistryChanges {
-            version: shareable.version,
+            position: shareable.position,
             read_ms_ago: shareable.read_at.elapsed().as_millis() as u32,
             store_ms: shareable.store_ms,
             view: fleet.view(),
@@ -255,7 +271,7 @@
             present: Vec::new(),
             gone: Vec::new(),
         };
-        let Some(ids) = history.changed_since(version) else {
+        let Some(ids) = history.changed_since(since) else {
             let all = fleet.iter().map(|(_, u)| u.instance.clone());
             changes.present.extend(all);
             changes.is_whole = true;
@@ -291,8 +307,13 @@
         let mut registry = lock(&self.registry);
         // Compares by the store's clock. By the processes' clocks, the same read would appear
         // later the longer it was on its way, as processes pass it on in circles.
-        let is_later = read.version >= registry.version && read.store_ms > registry.store_ms;
+        let (read_era, era) = (read.position.era, registry.position.era);
+        let is_later = read.position >= registry.position
+            && (read_era > era || read.store_ms > registry.store_ms);
         if read.view == registry.view && is_later {
+            if read_era > era {
+                *lock(&self.era_start) = read.position;
+            }
             *registry = read;
         }
     }
@@ -331,14 +352,16 @@
         lock(&self.peers)
     }
 
-    /// The store's version up to which the list of processes is complete, 0 if it isn't complete.
-    pub fn members_version(&self) -> u64 {
-        self.members_version.load(Ordering::Relaxed)
+    /// The store's position up to which the list of processes is complete.
+    pub fn members_position(&self) -> Position {
+        *lock(&self.members_position)
     }
 
-    /// Raises the version up to which the list of processes is complete; a lower one is ignored.
-    pub fn set_members_version(&self, version: u64) {
-        self.members_version.fetch_max(version, Ordering::Relaxed);
+    /// Advances the position up to which the list of processes is complete; an earlier one is
+    /// ignored.
+    pub fn set_members_position(&self, position: Position) {
+        let mut known = lock(&self.members_position);
+        *known = position.max(*known);
     }
 
     /// Whether this process keeps long-poll reads of whole tables open at the store: it is one of
@@ -408,7 +431,7 @@
 
     /// Whether this process accepts new connections.
     pub fn is_ready(&self) -> bool {
-        let knows_upstreams = self.registry().version > 0;
+        let knows_upstreams = self.registry().position.is_known();
         !self.stop.is_stopped() && knows_upstreams && lock(&self.routes).is_some()
     }
 
--- a/crates/gateway/tests/cache.rs
+++ b/crates/gateway/tests/cache.rs
@@ -194,7 +194,7 @@
     let n: u8 = home.strip_prefix("i-").unwrap().parse().unwrap();
     for (row, stage) in [(2, Stage::Decode), (3, Stage::Prefill)] {
         let instance = platform::Instance {
-            row,
+            row: fixtures::at(row),
             ..fixtures::instance(n, stage)
         };
         b.fleet().merge(instance, &net::Meter::default());
--- a/crates/gateway/tests/collectors/mod.rs
+++ b/crates/gateway/tests/collectors/mod.rs
@@ -6,7 +6,7 @@
 use gateway::duty::usage::request_log::RequestLog;
 use gateway::follow::outage::OutageTracker;
 use platform::usage::{UsageRead, UsageReport};
-use platform::{Lease, WriteAck};
+use platform::{Lease, Position, WriteAck};
 use std::collections::BTreeSet;
 use std::net::{IpAddr, Ipv4Addr};
 use std::time::{Duration, Instant};
@@ -57,6 +57,11 @@
     outage: OutageTracker,
 }
 
+/// Position of a version in the only era of the store.
+fn position(version: u64) -> Position {
+    Position { era: 1, version }
+}
+
 #[derive(Default)]
 struct Rows {
     processes: BTreeSet<usize>,
@@ -292,7 +297,7 @@
                 process.outage.record_success(now);
                 let read = UsageRead {
                     lease: self.rows.lease.clone(),
-                    version: self.rows.version,
+                    row: position(self.rows.version),
                     report: self.rows.report.clone(),
                     now_ms,
                 };
@@ -300,11 +305,11 @@
             }
             Action::Write {
                 lease,
-                expected_version,
+                expected,
                 window,
             } => {
                 if window.is_none_or(|window| self.is_complete(n, window)) {
-                    self.write(n, lease, expected_version, window);
+                    self.write(n, lease, expected, window);
                 }
             }
         }
@@ -344,9 +349,9 @@
         }
     }
 
-    fn write(&mut self, n: usize, lease: Lease, expected: u64, window: Option<u64>) {
+    fn write(&mut self, n: usize, lease: Lease, expected: Position, window: Option<u64>) {
         let now = self.at(self.now_ms);
-        if !self.is_store_up || self.rows.version != expected {
+        if !self.is_store_up || position(self.rows.version) != expected {
             let is_lost = !self.is_store_up;
             let process = self.process(n);
             process.holder.invalidate();
@@ -362,7 +367,7 @@
             self.rows.report = Some(report.clone());
         }
         let written = WriteAck {
-            version: self.rows.version,
+            position: position(self.rows.version),
             now_ms: self.now_ms,
         };
         let process = self.process(n);
--- a/crates/gateway/tests/common/crashing.rs
+++ b/crates/gateway/tests/common/crashing.rs
@@ -92,6 +92,12 @@
         self.hosts.push(gateway);
     }
 
+    /// Starts one more plain worker and registers it.
+    pub async fn add_plain_worker(&mut self, id: &str) {
+        let row = fixture::worker_row("plain", self.store.addr, "ready", None);
+        self.add_worker(id, row, Action::Echo).await;
+    }
+
     /// Starts a worker and registers it with `row`, to which its address and start are added.
     async fn add_worker(&mut self, id: &str, row: serde_json::Value, default: Action) {
         let addr = SocketAddr::new(IpAddr::V4(address()), 7100);
--- a/crates/gateway/tests/decoders.rs
+++ b/crates/gateway/tests/decoders.rs
@@ -4,7 +4,7 @@
 #[expect(dead_code, reason = "each test file uses some of them")]
 mod fixtures;
 
-use fixtures::{gateway_with, instance, runner};
+use fixtures::{at, gateway_with, instance, runner};
 use gateway::duty::lease::decide;
 use gateway::fleet::durations::{DurationSnapshot, Durations, Length};
 use gateway::fleet::named_limit::LimitVersion;
@@ -25,8 +25,9 @@
         zone: 3,
         processes: 1,
         config: 1,
-        members: 0,
-        registry: 1,
+        era: 1,
+        members: at(1),
+        registry: at(1),
         registry_ms: 20,
         registry_at_ms: 0,
         view: 7,
@@ -69,7 +70,7 @@
     RegistryChanges {
         read_ms_ago: 20,
         store_ms: 1000,
-        version: 9,
+        position: at(9),
         view: 1,
         is_whole: false,
         present: vec![present, instance(2, Stage::Prefill)],
@@ -257,7 +258,7 @@
                     token,
                     until_ms,
                 }),
-                version: 1,
+                row: at(1),
                 now_ms,
             };
             for holder in ["10.0.0.1", "10.0.0.2"] {
@@ -277,7 +278,7 @@
             token: u64::MAX,
             until_ms: u64::MAX,
         }),
-        version: 1,
+        row: at(1),
         now_ms: u64::MAX,
     };
     decide(Duty::Orders, &maximum, "10.0.0.1", Duration::from_secs(3));
--- a/crates/gateway/tests/division.rs
+++ b/crates/gateway/tests/division.rs
@@ -6,9 +6,12 @@
 
 use gateway::division::{Basis, Demand, Division, EngineUse, WantedChange};
 use gateway::duty::lease::{Decision, HeldLease, decide};
-use platform::{Duty, Lease, LeaseRead, Stage};
+use platform::{Duty, Lease, LeaseRead, Position, Stage};
 use std::time::{Duration, Instant};
 
+/// Position of the lease's row.
+const ROW: Position = Position { era: 1, version: 9 };
+
 const SAMPLE_INTERVAL: Duration = Duration::from_millis(50);
 
 /// Returns the use of engines of which the given numbers prefill, while `answers` are generated.
@@ -164,7 +167,7 @@
             token: 7,
             until_ms,
         }),
-        version: 9,
+        row: ROW,
         now_ms,
     }
 }
--- a/crates/gateway/tests/peers.rs
+++ b/crates/gateway/tests/peers.rs
@@ -3,7 +3,7 @@
 #[expect(dead_code, reason = "each test file uses some of them")]
 mod fixtures;
 
-use fixtures::{gateway_with, instance, peer_status, runner};
+use fixtures::{at, gateway_with, instance, peer_status, runner};
 use gateway::fleet::Fleet;
 use gateway::follow::{merge_from_peer, merge_from_store, retry_pause};
 use gateway::peers::Peers;
@@ -106,13 +106,13 @@
     let both = || vec![kept.clone(), removed.clone()];
     let now = Instant::now();
     let read = both().into_iter().map(Registration::Registered).collect();
-    merge_from_store(&gateway, read, true, 5, now);
+    merge_from_store(&gateway, read, true, at(5), now);
     assert_eq!(gateway.fleet().len(), 2);
     // A peer has read since the removal; then an older read arrives late.
     let view = vec![Registration::Registered(kept.clone())];
-    merge_from_peer(&gateway, view, true, 9);
+    merge_from_peer(&gateway, view, true, at(9), Instant::now());
     let late = both().into_iter().map(Registration::Registered).collect();
-    merge_from_store(&gateway, late, false, 7, now);
+    merge_from_store(&gateway, late, false, at(7), now);
     assert!(gateway.fleet().find("i-2").is_none());
     assert!(gateway.fleet().find("i-1").is_some());
 }
@@ -120,12 +120,12 @@
 #[test]
 fn a_peers_later_read_counts_if_its_view_is_the_same() {
     let gateway = gateway_with(&[Stage::Decode]);
-    gateway.set_registry(7);
-    gateway.record_read(7, Instant::now(), 1000);
+    gateway.set_registry(at(7));
+    gateway.record_read(at(7), Instant::now(), 1000);
     let own = gateway.registry();
     let later = own.read_at + Duration::from_secs(1);
     let read = |version, view, store_ms| RegistryState {
-        version,
+        position: at(version),
         read_at: later,
         store_ms,
         view,
@@ -150,8 +150,8 @@
     let both = [gateway_with(&[]), gateway_with(&[])];
     let started = Instant::now();
     for gateway in &both {
-        gateway.set_registry(7);
-        gateway.record_read(7, started, 1000);
+        gateway.set_registry(at(7));
+        gateway.record_read(at(7), started, 1000);
     }
     let transit = Duration::from_millis(8);
     for n in 0..200u32 {
@@ -173,11 +173,11 @@
 fn the_age_of_a_read_counts_from_its_request() {
     let gateway = gateway_with(&[]);
     let asked_at = Instant::now();
-    gateway.set_registry(7);
-    gateway.record_read(7, asked_at, 1000);
+    gateway.set_registry(at(7));
+    gateway.record_read(at(7), asked_at, 1000);
     assert_eq!(gateway.registry().read_at, asked_at);
     // An answer that arrives after a later one has no effect.
-    gateway.record_read(7, asked_at + Duration::from_secs(3), 900);
+    gateway.record_read(at(7), asked_at + Duration::from_secs(3), 900);
     assert_eq!(gateway.registry().read_at, asked_at);
 }
 
@@ -190,31 +190,31 @@
         let all = all.iter().map(|i| Registration::Registered((*i).clone()));
         all.collect::<Vec<_>>()
     };
-    merge_from_store(&gateway, read(&[&kept, &expired]), true, 5, now);
-    assert_eq!(gateway.shareable_registry().unwrap().version, 5);
+    merge_from_store(&gateway, read(&[&kept, &expired]), true, at(5), now);
+    assert_eq!(gateway.shareable_registry().unwrap().position, at(5));
     // The first read after an outage of the store lacks one upstream.
     gateway.missing().begin_grace_period(now);
-    merge_from_store(&gateway, read(&[&kept]), true, 9, now);
+    merge_from_store(&gateway, read(&[&kept]), true, at(9), now);
     assert!(gateway.fleet().find("i-2").is_some(), "it may come back");
     // The process knows more than version 9 contains, and peers must not adopt that.
     assert!(gateway.shareable_registry().is_none());
-    let before = gateway.registry().version;
+    let before = gateway.registry().position;
     gateway.confirm_registry(RegistryState {
-        version: 12,
+        position: at(12),
         read_at: now + Duration::from_secs(1),
         store_ms: u64::MAX,
         view: gateway.registry().view,
     });
-    assert_eq!(gateway.registry().version, before);
+    assert_eq!(gateway.registry().position, before);
     // The upstream comes back in time.
-    merge_from_store(&gateway, read(&[&expired]), false, 13, now);
-    assert_eq!(gateway.shareable_registry().unwrap().version, 13);
+    merge_from_store(&gateway, read(&[&expired]), false, at(13), now);
+    assert_eq!(gateway.shareable_registry().unwrap().position, at(13));
     // The upstream is removed.
     merge_from_store(
         &gateway,
         vec![Registration::Removed { id: "i-2".into() }],
         false,
-        14,
+        at(14),
         now,
     );
     assert!(gateway.shareable_registry().is_none());
@@ -222,11 +222,11 @@
         &gateway,
         Vec::new(),
         false,
-        14,
+        at(14),
         now + Duration::from_secs(3),
     );
     assert!(gateway.fleet().find("i-2").is_none());
-    assert_eq!(gateway.shareable_registry().unwrap().version, 14);
+    assert_eq!(gateway.shareable_registry().unwrap().position, at(14));
 }
 
 #[test]
@@ -235,19 +235,19 @@
     let (kept, expired) = (instance(1, Stage::Decode), instance(2, Stage::Decode));
     let now = Instant::now();
     let both = [&kept, &expired].map(|i| Registration::Registered(i.clone()));
-    merge_from_store(&gateway, both.to_vec(), true, 5, now);
+    merge_from_store(&gateway, both.to_vec(), true, at(5), now);
     gateway.missing().begin_grace_period(now);
     merge_from_store(
         &gateway,
         vec![Registration::Registered(kept.clone())],
         true,
-        9,
+        at(9),
         now,
     );
     let view = vec![Registration::Registered(kept)];
-    merge_from_peer(&gateway, view, true, 11);
+    merge_from_peer(&gateway, view, true, at(11), Instant::now());
     assert!(gateway.fleet().find("i-2").is_none());
-    assert_eq!(gateway.shareable_registry().unwrap().version, 11);
+    assert_eq!(gateway.shareable_registry().unwrap().position, at(11));
 }
 
 #[test]
@@ -256,14 +256,14 @@
     let last_bad = Instant::now();
     let first_good = last_bad + Duration::from_millis(700);
     let both = [1, 2].map(|n| Registration::Registered(instance(n, Stage::Decode)));
-    merge_from_store(&gateway, both.to_vec(), true, 5, last_bad);
+    merge_from_store(&gateway, both.to_vec(), true, at(5), last_bad);
     gateway.missing().begin_grace_period(last_bad);
     let one = vec![both[0].clone()];
-    merge_from_store(&gateway, one, true, 9, first_good);
+    merge_from_store(&gateway, one, true, at(9), first_good);
     // A read is due at the end of the grace period, however recent the last one is.
     let until = gateway.missing().expires_at().expect("one is missing");
     assert_eq!(until, last_bad + Duration::from_secs(2));
-    merge_from_store(&gateway, Vec::new(), false, 9, until);
+    merge_from_store(&gateway, Vec::new(), false, at(9), until);
     assert!(gateway.fleet().find("i-2").is_none());
     assert!(gateway.missing().expires_at().is_none());
 }
@@ -279,7 +279,7 @@
 /// Applies a peer's changes since the known version. Returns whether the registry then equals the
 /// peer's, or is newer.
 fn apply_changes_from(peer: &Gateway, own: &Arc<Gateway>) -> bool {
-    let since = own.registry().version;
+    let since = own.registry().position;
     let changes = peer.changes_since(since).expect("the peer knows them");
     apply_changes(own, changes, Instant::now())
 }
@@ -294,8 +294,8 @@
     let read = || all.iter().cloned().map(Registration::Registered).collect();
     let (peer, own) = (gateway_with(&[]), gateway_with(&[]));
     let now = Instant::now();
-    merge_from_store(&peer, read(), true, 5, now);
-    merge_from_store(&own, read(), true, 5, now);
+    merge_from_store(&peer, read(), true, at(5), now);
+    merge_from_store(&own, read(), true, at(5), now);
     let gone = Registration::Removed {
         id: all[7].id.clone(),
     };
@@ -304,17 +304,17 @@
         ..all[9].clone()
     };
     let changes = vec![gone, Registration::Registered(leaving)];
-    merge_from_store(&peer, changes, false, 8, now);
-    let sent = peer.changes_since(5).expect("the peer knows them");
+    merge_from_store(&peer, changes, false, at(8), now);
+    let sent = peer.changes_since(at(5)).expect("the peer knows them");
     assert_eq!((sent.present.len(), sent.gone.len()), (1, 1));
     // The size of two upstreams, regardless of how many didn't change.
     assert!(wire::encode_compact(&sent).len() < 256);
     assert!(apply_changes_from(&peer, &own));
-    assert_eq!(own.registry().version, 8);
+    assert_eq!(own.registry().position, at(8));
     assert_eq!(own.fleet().view(), peer.fleet().view());
     // The changes that were applied are sent on to the next process.
     let next = gateway_with(&[]);
-    merge_from_store(&next, read(), true, 5, now);
+    merge_from_store(&next, read(), true, at(5), now);
     assert!(apply_changes_from(&own, &next));
     assert_eq!(next.fleet().view(), peer.fleet().view());
 }
@@ -324,10 +324,10 @@
     let (peer, own) = (gateway_with(&[]), gateway_with(&[]));
     let now = Instant::now();
     let one = |n| Registration::Registered(instance(n, Stage::Decode));
-    merge_from_store(&peer, vec![one(1), one(2)], true, 5, now);
+    merge_from_store(&peer, vec![one(1), one(2)], true, at(5), now);
     // This process lacks an upstream, as its row couldn't be decoded.
-    merge_from_store(&own, vec![one(1)], true, 5, now);
-    merge_from_store(&peer, vec![one(3)], false, 6, now);
+    merge_from_store(&own, vec![one(1)], true, at(5), now);
+    merge_from_store(&peer, vec![one(3)], false, at(6), now);
     assert!(!apply_changes_from(&peer, &own));
 }
 
@@ -336,8 +336,8 @@
     let peer = gateway_with(&[]);
     let now = Instant::now();
     let one = |n| Registration::Registered(instance(n, Stage::Decode));
-    merge_from_store(&peer, vec![one(1)], true, 5, now);
-    let is_whole = |since| peer.changes_since(since).unwrap().is_whole;
+    merge_from_store(&peer, vec![one(1)], true, at(5), now);
+    let is_whole = |since| peer.changes_since(at(since)).unwrap().is_whole;
     assert!(is_whole(0), "a process that has just started knows none");
     assert!(
         is_whole(4),
@@ -349,14 +349,14 @@
         let leaving = Instance {
             is_draining: version % 2 == 0,
             slots: version as u32,
-            row: version,
+            row: at(version),
             ..instance(2, Stage::Decode)
         };
         merge_from_store(
             &peer,
             vec![Registration::Registered(leaving)],
             false,
-            version,
+            at(version),
             now,
         );
     }
@@ -364,7 +364,7 @@
     assert!(!is_whole(5990));
     // The whole registry replaces what the receiver knew.
     let own = gateway_with(&[]);
-    merge_from_store(&own, vec![one(1), one(7)], true, 4, now);
+    merge_from_store(&own, vec![one(1), one(7)], true, at(4), now);
     assert!(apply_changes_from(&peer, &own));
     assert!(own.fleet().find("i-7").is_none());
     assert_eq!(own.fleet().view(), peer.fleet().view());
@@ -375,10 +375,10 @@
     let gateway = gateway_with(&[]);
     let now = Instant::now();
     let one = |n| Registration::Registered(instance(n, Stage::Decode));
-    merge_from_store(&gateway, vec![one(1), one(2)], true, 5, now);
+    merge_from_store(&gateway, vec![one(1), one(2)], true, at(5), now);
     gateway.missing().begin_grace_period(now);
-    merge_from_store(&gateway, vec![one(1)], true, 9, now);
-    assert!(gateway.changes_since(5).is_none());
+    merge_from_store(&gateway, vec![one(1)], true, at(9), now);
+    assert!(gateway.changes_since(at(5)).is_none());
 }
 
 #[test]
--- a/crates/gateway/tests/starts.rs
+++ b/crates/gateway/tests/starts.rs
@@ -4,7 +4,7 @@
 #[expect(dead_code, reason = "each test file uses some of them")]
 mod fixtures;
 
-use fixtures::{gateway_with, instance};
+use fixtures::{at, gateway_with, instance};
 use gateway::choose::{Choice, Requirements, choose};
 use gateway::fleet::{Fleet, MergeOutcome};
 use gateway::follow::unreadable::{LogAction, UnreadableLog};
@@ -13,7 +13,9 @@
 use gateway::peers::{Load, PeerStatus, Peers, Scope};
 use gateway::state::Gateway;
 use net::Meter;
-use platform::{Instance, PromptPart, Registration, RowError, Stage, Start, UnreadableRow};
+use platform::{
+    Instance, Position, PromptPart, Registration, RowError, Stage, Start, UnreadableRow,
+};
 use std::net::{IpAddr, Ipv4Addr};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -22,7 +24,7 @@
 fn row(start: Option<u64>, row: u64) -> Instance {
     Instance {
         start: start.map(Start),
-        row,
+        row: at(row),
         ..instance(1, Stage::Decode)
     }
 }
@@ -39,7 +41,7 @@
     let id = id.to_owned();
     Registration::Unreadable(UnreadableRow {
         id,
-        row_version: row,
+        position: at(row),
         error: why,
     })
 }
@@ -188,7 +190,7 @@
         &gateway,
         vec![Registration::Registered(row(Some(1), 1))],
         true,
-        1,
+        at(1),
         now,
     );
     let mut fleet = gateway.fleet();
@@ -220,7 +222,7 @@
         "it is suspended"
     );
     let restarted = vec![Registration::Registered(row(Some(2), 2))];
-    merge_from_store(&gateway, restarted, false, 2, Instant::now());
+    merge_from_store(&gateway, restarted, false, at(2), Instant::now());
     // The new start is used at once, with an empty cache and no load.
     assert_eq!(uncached_tokens(&gateway, &prompt()), Some(1000));
     let fleet = gateway.fleet();
@@ -250,8 +252,9 @@
         zone: 0,
         processes: 1,
         config: 0,
-        members: 0,
-        registry: 0,
+        era: 1,
+        members: Position::NONE,
+        registry: Position::NONE,
         registry_ms: 0,
         registry_at_ms: 0,
         view: 0,
@@ -296,10 +299,10 @@
     let now = Instant::now();
     let rows = [row(Some(1), 1), row(Some(2), 5)].map(Registration::Registered);
     for (version, row) in [1, 5].into_iter().zip(rows) {
-        merge_from_store(&gateway, vec![row], false, version, now);
+        merge_from_store(&gateway, vec![row], false, at(version), now);
     }
     let earlier = vec![Registration::Registered(draining(Some(1), 4))];
-    merge_from_peer(&gateway, earlier, false, 9);
+    merge_from_peer(&gateway, earlier, false, at(9), Instant::now());
     assert_eq!(start_and_draining(&gateway.fleet()), Some((Some(2), false)));
 }
 
@@ -308,11 +311,11 @@
     let (a, b) = (gateway_with(&[]), gateway_with(&[]));
     let first = || vec![Registration::Registered(row(Some(1), 3))];
     for gateway in [&a, &b] {
-        merge_from_store(gateway, first(), true, 3, Instant::now());
+        merge_from_store(gateway, first(), true, at(3), Instant::now());
     }
     let restarted = vec![Registration::Registered(row(Some(2), 4))];
-    merge_from_store(&a, restarted, false, 4, Instant::now());
-    let changes: RegistryChanges = a.changes_since(3).unwrap();
+    merge_from_store(&a, restarted, false, at(4), Instant::now());
+    let changes: RegistryChanges = a.changes_since(at(3)).unwrap();
     assert_eq!((changes.is_whole, changes.present.len()), (false, 1));
     assert!(
         apply_changes(&b, changes, Instant::now()),
@@ -321,8 +324,8 @@
     assert_eq!(start_and_draining(&b.fleet()), Some((Some(2), false)));
     // Heartbeats change only the row version, and aren't sent.
     let heartbeat = vec![Registration::Registered(row(Some(2), 6))];
-    merge_from_store(&a, heartbeat, false, 6, Instant::now());
-    assert!(a.changes_since(4).unwrap().present.is_empty());
+    merge_from_store(&a, heartbeat, false, at(6), Instant::now());
+    assert!(a.changes_since(at(4)).unwrap().present.is_empty());
     assert_eq!(a.fleet().view(), b.fleet().view());
 }
 
@@ -331,13 +334,13 @@
     let (a, b) = (gateway_with(&[]), gateway_with(&[]));
     let now = Instant::now();
     let other = Instance {
-        row: 1,
+        row: at(1),
         ..instance(2, Stage::Decode)
     };
     let both = || vec![row(Some(1), 1), other.clone()];
     for gateway in [&a, &b] {
         let read = both().into_iter().map(Registration::Registered).collect();
-        merge_from_store(gateway, read, true, 1, now);
+        merge_from_store(gateway, read, true, at(1), now);
         // In the grace period missing entries are kept, but unreadable ones don't count as missing.
         gateway.missing().begin_grace_period(now);
     }
@@ -345,21 +348,21 @@
         unreadable("i-1", 2),
         Registration::Registered(other.clone()),
     ];
-    merge_from_store(&a, read, true, 2, now);
+    merge_from_store(&a, read, true, at(2), now);
     assert_eq!(start_and_draining(&a.fleet()), None);
     assert!(a.fleet().find("i-2").is_some());
     assert!(a.missing().is_empty());
     assert!(apply_changes(
         &b,
-        a.changes_since(1).unwrap(),
+        a.changes_since(at(1)).unwrap(),
         Instant::now()
     ));
     assert_eq!(start_and_draining(&b.fleet()), None);
     assert!(b.fleet().find("i-2").is_some());
     // An unreadable row with an older version removes nothing.
     let back = vec![Registration::Registered(row(Some(1), 3))];
-    merge_from_store(&a, back, false, 3, now);
-    merge_from_store(&a, vec![unreadable("i-1", 2)], false, 4, now);
+    merge_from_store(&a, back, false, at(3), now);
+    merge_from_store(&a, vec![unreadable("i-1", 2)], false, at(4), now);
     assert_eq!(start_and_draining(&a.fleet()), Some((Some(1), false)));
 }
 
@@ -371,16 +374,16 @@
         &gateway,
         vec![Registration::Registered(row(Some(1), 1))],
         true,
-        1,
+        at(1),
         now,
     );
     gateway.missing().begin_grace_period(now);
-    merge_from_store(&gateway, Vec::new(), true, 2, now);
+    merge_from_store(&gateway, Vec::new(), true, at(2), now);
     assert!(
         start_and_draining(&gateway.fleet()).is_some(),
         "it may come back"
     );
-    merge_from_store(&gateway, vec![unreadable("i-1", 3)], false, 3, now);
+    merge_from_store(&gateway, vec![unreadable("i-1", 3)], false, at(3), now);
     assert_eq!(start_and_draining(&gateway.fleet()), None);
     assert!(gateway.missing().is_empty());
 }
@@ -391,14 +394,14 @@
     let now = Instant::now();
     for (version, start) in [(1, Some(1)), (2, None), (3, None)] {
         let read = vec![Registration::Registered(row(start, version))];
-        merge_from_store(&gateway, read, false, version, now);
+        merge_from_store(&gateway, read, false, at(version), now);
         assert_eq!(
             start_and_draining(&gateway.fleet()).is_some(),
             start.is_some()
         );
     }
     let read = vec![Registration::Registered(row(Some(1), 4))];
-    merge_from_store(&gateway, read, false, 4, now);
+    merge_from_store(&gateway, read, false, at(4), now);
     assert!(start_and_draining(&gateway.fleet()).is_some());
 }
 
@@ -415,19 +418,19 @@
     };
     for (version, expected) in [(1, 1), (1, 1), (2, 2), (2, 2)] {
         let read = vec![unreadable("bad", version)];
-        merge_from_store(&gateway, read, true, version, Instant::now());
+        merge_from_store(&gateway, read, true, at(version), Instant::now());
         assert_eq!(counted(), expected);
     }
     // A flood of keys and versions is counted, although only a limited number is remembered.
     let flood = (0..20_000).map(|n| unreadable(&format!("bad-{n}"), 3));
-    merge_from_store(&gateway, flood.collect(), false, 3, Instant::now());
+    merge_from_store(&gateway, flood.collect(), false, at(3), Instant::now());
     assert_eq!(counted(), 20_002);
     // The rows with old versions are forgotten by then, so this one is counted again.
     merge_from_store(
         &gateway,
         vec![unreadable("bad", 2)],
         false,
-        4,
+        at(4),
         Instant::now(),
     );
     assert_eq!(counted(), 20_003);
@@ -440,7 +443,7 @@
     let mut logged = |versions: std::ops::Range<u64>, now| {
         let rows = versions.map(|version| UnreadableRow {
             id: "bad".into(),
-            row_version: version,
+            position: at(version),
             error: RowError::Start,
         });
         let actions = rows.map(|row| log.classify(&row, now));
@@ -463,7 +466,7 @@
             let row = Instance {
                 id: format!("i-{n}"),
                 start: Some(Start(1_700_000_000_000 + ms)),
-                row: ms + 1,
+                row: at(ms + 1),
                 ..instance(1, Stage::Decode)
             };
             fleet.merge(row, &Meter::default());
--- a/crates/gateway/tests/statements.rs
+++ b/crates/gateway/tests/statements.rs
@@ -95,7 +95,7 @@
     let gateway = gateway_with(&[]);
     let start = |ms, row| platform::Instance {
         start: Some(Start(ms)),
-        row,
+        row: fixtures::at(row),
         ..instance(0, Stage::Decode)
     };
     gateway.fleet().merge(start(1000, 1), &Meter::default());
--- a/crates/gateway/tests/store_restores.rs
+++ b/crates/gateway/tests/store_restores.rs
@@ -100,3 +100,104 @@
         assert_eq!(late, 0, "{versions:?}");
     }
 }
+
+/// An upstream that registered after a restore got no requests while versions were behind.
+#[tokio::test]
+async fn an_upstream_that_registers_after_a_restore_gets_requests() {
+    for versions in [Versions::Behind, Versions::Passed] {
+        let mut system = System::start(3, 3).await;
+        tokio::time::sleep(COPY_AGE).await;
+        restore(&system, COPY_AGE, versions).await;
+        system.add_plain_worker("i-new").await;
+        send_for(&system, DRAIN_BOUND).await;
+        let since = Instant::now();
+        send_for(&system, Duration::from_secs(1)).await;
+        let new = system.workers().last().unwrap();
+        assert!(received_after(new, since) > 0, "{versions:?}");
+    }
+}
+
+/// Hosts read from a version that the store didn't have, read everything, discarded it, and began
+/// again without a pause.
+#[tokio::test]
+async fn a_restore_costs_a_few_calls_per_host() {
+    let system = System::start(3, 4).await;
+    tokio::time::sleep(COPY_AGE).await;
+    let calls = system.store.calls();
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    let calm = system.store.calls() - calls;
+    restore(&system, COPY_AGE, Versions::Behind).await;
+    let calls = system.store.calls();
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    let restored = system.store.calls() - calls;
+    // A read of each of the four tables, a write of the host's row, and one retry.
+    let bound = calm + 6 * system.hosts.len() as u64;
+    assert!(restored <= bound, "{restored} calls, {calm} in calm");
+}
+
+/// Upstreams that the copy lacks were removed until they registered again, and requests failed.
+#[tokio::test]
+async fn upstreams_that_the_copy_lacks_go_on_getting_requests() {
+    let system = System::start(3, 1).await;
+    let worker = &system.workers()[0];
+    tokio::time::sleep(COPY_AGE).await;
+    system.store.set_mode(StoreMode::Silent);
+    tokio::time::sleep(AWAY).await;
+    let age = COPY_AGE + AWAY + Duration::from_secs(10);
+    let lost = system.store.restore(age);
+    assert!(lost.iter().any(|l| l.key == worker.id()), "{lost:?}");
+    system.store.set_mode(StoreMode::Serve);
+    let config = lost.iter().find(|l| l.table == "op");
+    system.store.write_again(config.unwrap());
+    let since = Instant::now();
+    send_for(&system, Duration::from_millis(1200)).await;
+    register(&system, worker, "ready");
+    send_for(&system, Duration::from_secs(3)).await;
+    assert!(received_after(worker, since) > 0);
+}
+
+/// A copy from before an upstream left shows it as ready; it got requests again.
+#[tokio::test]
+async fn an_upstream_that_left_before_a_restore_gets_no_requests() {
+    for is_removed in [false, true] {
+        let system = System::start(3, 4).await;
+        let worker = &system.workers()[0];
+        tokio::time::sleep(COPY_AGE).await;
+        match is_removed {
+            true => drop(system.store.remove(WORKER_TABLE, worker.id())),
+            false => register(&system, worker, "draining"),
+        }
+        tokio::time::sleep(Duration::from_millis(1500)).await;
+        system.store.set_mode(StoreMode::Silent);
+        tokio::time::sleep(AWAY).await;
+        let lost = system.store.restore(COPY_AGE + AWAY);
+        assert!(lost.iter().any(|l| l.key == worker.id()), "{lost:?}");
+        system.store.set_mode(StoreMode::Serve);
+        let since = Instant::now();
+        send_for(&system, Duration::from_secs(4)).await;
+        assert_eq!(received_after(worker, since), 0, "removed: {is_removed}");
+    }
+}
+
+/// A store that names no era, an invalid or an earlier one still serves, or counts as unavailable.
+#[tokio::test]
+async fn irregular_eras_do_not_stop_hosts() {
+    let system = System::start(2, 2).await;
+    let worker = &system.workers()[0];
+    for era in [None, Some("new"), Some("-1"), Some("")] {
+        system.store.set_era(era);
+        register(&system, worker, "ready");
+        send_for(&system, Duration::from_secs(1)).await;
+    }
+    register(&system, worker, "draining");
+    tokio::time::sleep(DRAIN_BOUND).await;
+    let since = Instant::now();
+    send_for(&system, Duration::from_secs(1)).await;
+    assert_eq!(received_after(worker, since), 0);
+    // An earlier era is never used, and isn't asked for in a loop.
+    system.store.set_era(Some("0"));
+    let calls = system.store.calls();
+    send_for(&system, Duration::from_secs(3)).await;
+    let calls = system.store.calls() - calls;
+    assert!(calls < 100, "{calls} calls");
+}
--- a/crates/gateway/tests/tree.rs
+++ b/crates/gateway/tests/tree.rs
@@ -12,7 +12,7 @@
 use gateway::fleet::Fleet;
 use gateway::peers::{Load, Location, PeerStatus, Peers, Scope};
 use net::Meter;
-use platform::{Instance, Stage};
+use platform::{Instance, Position, Stage};
 use std::net::{IpAddr, Ipv4Addr};
 use std::time::{Duration, Instant};
 
@@ -176,8 +176,9 @@
             zone: self.location.zone,
             processes: 1,
             config: 0,
-            members: 0,
-            registry: 0,
+            era: 1,
+            members: Position::NONE,
+            registry: Position::NONE,
             registry_ms: 0,
             registry_at_ms: 0,
             view: 0,
--- a/crates/gateway/tests/usage_decisions.rs
+++ b/crates/gateway/tests/usage_decisions.rs
@@ -6,7 +6,7 @@
 use gateway::duty::usage::ledger::Ledger;
 use gateway::duty::usage::request_log::RequestLog;
 use platform::usage::{TenantCount, UsageRead, UsageReport};
-use platform::{Lease, WriteAck};
+use platform::{Lease, Position, WriteAck};
 use proptest::collection::vec;
 use proptest::prelude::*;
 use proptest::test_runner::{Config as Cases, RngAlgorithm, TestRng, TestRunner};
@@ -24,6 +24,11 @@
 const WINDOW_MS: u64 = 5000;
 const HOLDERS: usize = 3;
 
+/// Position of a version in the only era of the store.
+fn at(version: u64) -> Position {
+    Position { era: 1, version }
+}
+
 /// The rows of the store, and writes that haven't reached it yet.
 #[derive(Debug, Default)]
 struct Rows {
@@ -126,13 +131,13 @@
             Action::Read => self.read(step, now),
             Action::Write {
                 lease,
-                expected_version: version,
+                expected,
                 window,
             } => {
                 let report = window.map(|w| counted_by(step.holder, self.now_ms, w));
                 let write = Write {
                     lease,
-                    version,
+                    version: expected.version,
                     report,
                 };
                 self.write(step, write, now);
@@ -147,7 +152,7 @@
         }
         let read = UsageRead {
             lease: self.rows.lease.clone(),
-            version: self.rows.version,
+            row: at(self.rows.version),
             report: self.rows.report.clone(),
             now_ms: self.now_ms,
         };
@@ -160,7 +165,7 @@
             CallOutcome::Answered => match self.rows.write(&write) {
                 true => {
                     let written = WriteAck {
-                        version: self.rows.version,
+                        position: at(self.rows.version),
                         now_ms: self.now_ms,
                     };
                     holder.on_written(write.lease, write.report, written, now);
--- a/crates/observe/src/event.rs
+++ b/crates/observe/src/event.rs
@@ -206,6 +206,21 @@
         /// Latest known era.
         era: u64,
     },
+    /// The first registry of a restored store is in use.
+    RegistryRestored {
+        /// Era of the store.
+        era: u64,
+        /// Version of the registry.
+        registry: u64,
+        /// Era of the store before.
+        era_before: u64,
+        /// Version of the registry before.
+        registry_before: u64,
+        /// Number of upstreams.
+        upstreams: usize,
+        /// Number of them that aren't registered, and are kept for a short time.
+        missing: usize,
+    },
     /// A read of the registry wasn't used, as a later state is known.
     RegistryReadDiscarded {
         /// Version of the registry that was read.
