Keep leases and tokens apart over restores of the store

After a restore the row of a lease may be older than the lease: a host then took a lease that another one still held, with a token that had been given out (one above the row that was read). An engine or the cloud that has seen the higher token refuses such a host, or takes two holders.

--- a/crates/gateway/src/duty.rs
+++ b/crates/gateway/src/duty.rs
@@ -10,7 +10,7 @@
 
 use crate::follow::StoreClient;
 use crate::state::Gateway;
-use lease::{Decision, HeldLease};
+use lease::{Candidate, Decision, HeldLease};
 use observe::{Event, emit};
 use platform::{Duty, LeaseWrite};
 use std::sync::Arc;
@@ -35,7 +35,12 @@
         Ok(read) => read,
         Err(e) => return Err(log_not_taken(duty, e.to_string())),
     };
-    let lease = match lease::decide(duty, &read, &holder, host.order_gap) {
+    let candidate = Candidate {
+        host: &holder,
+        gap: host.order_gap,
+        era_age: gateway.store_era.state().age(),
+    };
+    let lease = match lease::decide(duty, &read, &candidate) {
         Decision::Take(lease) => lease,
         Decision::Wait(pause) => {
             log_not_taken(duty, format!("lease not available for another {pause:?}"));
--- a/crates/gateway/src/duty/usage/holder.rs
+++ b/crates/gateway/src/duty/usage/holder.rs
@@ -6,7 +6,7 @@
 //! means that it was delivered or is too late to be useful. Two reports of the same window are
 //! therefore identical, regardless of who sends them.
 
-use crate::duty::lease::{self, Decision, HeldLease};
+use crate::duty::lease::{self, Candidate, Decision, HeldLease};
 use platform::usage::{UsageRead, UsageReport};
 use platform::{Duty, Lease, LeaseRead, Position, WriteAck};
 use std::time::{Duration, Instant};
@@ -48,6 +48,8 @@
     /// Upper bound of the store's clock at `asked_at`, in milliseconds.
     now_ms: u64,
     asked_at: Instant,
+    /// Time at which the era of the store became known.
+    era_known_at: Instant,
 }
 
 /// A host that may hold the duty.
@@ -136,7 +138,12 @@
             row: rows.row,
             now_ms: rows.now_ms.saturating_add(elapsed.as_millis() as u64),
         };
-        match lease::decide(Duty::Usage, &read, &self.name, self.gap) {
+        let candidate = Candidate {
+            host: &self.name,
+            gap: self.gap,
+            era_age: now.saturating_duration_since(rows.era_known_at),
+        };
+        match lease::decide(Duty::Usage, &read, &candidate) {
             Decision::Wait(pause) => Action::Wait(pause),
             Decision::Take(lease) => Action::Write {
                 lease,
@@ -146,14 +153,16 @@
         }
     }
 
-    /// Records a read that was requested at `asked_at`.
-    pub fn on_read(&mut self, read: UsageRead, asked_at: Instant) {
+    /// Records a read that was requested at `asked_at`. The era of the store that it shows became
+    /// known at `era_known_at`.
+    pub fn on_read(&mut self, read: UsageRead, asked_at: Instant, era_known_at: Instant) {
         self.rows = Some(Rows {
             lease: read.lease,
             row: read.row,
             report: read.report,
             now_ms: read.now_ms,
             asked_at,
+            era_known_at,
         });
     }
 
@@ -168,6 +177,7 @@
         self.held = Some(HeldLease::new(Duty::Usage, lease.token, asked_at));
         let before = self.rows.take();
         self.rows = Some(Rows {
+            era_known_at: before.as_ref().map_or(asked_at, |rows| rows.era_known_at),
             lease: Some(lease),
             row: written.position,
             report: report.or_else(|| before.and_then(|rows| rows.report)),
--- a/crates/gateway/src/duty/usage/reports.rs
+++ b/crates/gateway/src/duty/usage/reports.rs
@@ -271,7 +271,8 @@
         self.track_store(read.is_ok());
         match read {
             Ok(read) => {
-                self.holder.on_read(read, now);
+                let era_known_at = self.gateway.store_era.state().known_at;
+                self.holder.on_read(read, now, era_known_at.unwrap_or(now));
                 Duration::ZERO
             }
             Err(e) => log_not_taken(Duty::Usage, e.to_string()),
