--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -23,6 +23,7 @@
 use crate::follow::outage::OutageTracker;
 use changes::PeerChange;
 use serde::{Deserialize, Serialize};
+use std::collections::VecDeque;
 use std::net::IpAddr;
 use std::time::{Duration, Instant};
 
@@ -34,6 +35,8 @@
 const MAX_DIRECT_PEERS: usize = 16;
 /// Maximum number of known peers. Bounds the memory used by unknown senders.
 const MAX_PEERS: usize = 4096;
+/// Maximum number of hosts that are remembered as removed from the list.
+const MAX_UNLISTED: usize = 256;
 /// Time without a datagram from any peer after which a process reads the store itself.
 const ISOLATED_AFTER: Duration = Duration::from_secs(1);
 /// Number of processes, besides the roots, that hold long-polling reads of whole tables at the
@@ -101,6 +104,8 @@
     all: Vec<Peer>,
     /// Changes that haven't been logged.
     changes: Vec<(PeerChange, IpAddr)>,
+    /// Hosts whose processes were removed from the list, oldest first.
+    unlisted: VecDeque<String>,
     /// The peer to which this process reports.
     parent: Option<IpAddr>,
     /// Start of the search for a parent; `None` if this process has one, uses a full mesh, or has
@@ -127,6 +132,7 @@
 impl Peers {
     /// Adds a peer that is listed in the store.
     pub fn add(&mut self, host: &str, ip: IpAddr, zone: u32) {
+        self.unlisted.retain(|known| known != host);
         if let Some(peer) = self.find_or_add(ip, PeerChange::Listed) {
             peer.host = Some(host.to_owned());
             peer.zone = zone;
@@ -161,6 +167,12 @@
 
     /// Removes the process of a host that is no longer listed in the store.
     pub fn remove(&mut self, host: &str, fleet: &mut Fleet) {
+        if !self.was_unlisted(host) {
+            if self.unlisted.len() >= MAX_UNLISTED {
+                self.unlisted.pop_front();
+            }
+            self.unlisted.push_back(host.to_owned());
+        }
         let at = self
             .all
             .iter()
@@ -173,6 +185,11 @@
         }
     }
 
+    /// Whether the process of a host was removed from the list, and hasn't been listed since.
+    pub fn was_unlisted(&self, host: &str) -> bool {
+        self.unlisted.iter().any(|known| known == host)
+    }
+
     fn find_or_add(&mut self, ip: IpAddr, change: PeerChange) -> Option<&mut Peer> {
         let at = match self.all.binary_search_by_key(&ip, |p| p.ip) {
             Ok(at) => at,
--- a/crates/gateway/tests/store_restores.rs
+++ b/crates/gateway/tests/store_restores.rs
@@ -201,3 +201,35 @@
     let calls = system.store.calls() - calls;
     assert!(calls < 100, "{calls} calls");
 }
+
+/// Rows of hosts that the copy lacked were never written again, and those of hosts that had stopped
+/// came back.
+#[tokio::test]
+async fn rows_of_hosts_are_as_before_a_few_seconds_after_a_restore() {
+    let mut system = System::start(3, 2).await;
+    for host in &system.hosts {
+        host.wait_for_retry_budget(&system.store).await;
+    }
+    let stopped = system.hosts.pop().unwrap();
+    stopped.stop.stop();
+    let names = |system: &System| system.store.keys("processes");
+    common::wait_for("the end of a host", || async {
+        !system.store.has("processes", &stopped.host.name)
+    })
+    .await;
+    let before = names(&system);
+    assert_eq!(before.len(), 2);
+    // The copy is from before the hosts started, and then from before one of them stopped.
+    for age in [Duration::from_secs(60), Duration::from_secs(5)] {
+        if age < Duration::from_secs(60) {
+            let row = system.store.raw("processes", &before[0]).unwrap();
+            system.store.put_raw("processes", &stopped.host.name, &row);
+            tokio::time::sleep(Duration::from_secs(4)).await;
+            system.store.remove("processes", &stopped.host.name);
+            tokio::time::sleep(Duration::from_secs(4)).await;
+        }
+        let lost = system.store.restore(age);
+        assert!(lost.iter().any(|l| l.table == "processes"), "{lost:?}");
+        common::wait_for("the hosts' rows", || async { names(&system) == before }).await;
+    }
+}
