Record crashes again that a restored store has lost

All hosts forgot crashes whose rows the copy lacked, as after a full read of a table whose rows were removed. A request that crashes upstreams was no longer held back, and hosts that started later never knew of it.

In the first full read of an era, recorded crashes without a row are marked as unrecorded, and are written by the usual writers. Rows of trials aren't written again: a trial whose row is lost may be taken by a host that hadn't read it.

The test failed before (the rows were missing after 30 s, with the copy made before the crashes) and passes.

--- a/crates/gateway/src/crashes/rows.rs
+++ b/crates/gateway/src/crashes/rows.rs
@@ -59,6 +59,8 @@
     let mut cursor = TableCursor::new("crashes");
     // Pages of a full read of the table.
     let mut pages = Vec::new();
+    // Whether the table is read in full since the store was restored.
+    let mut is_restored = false;
     loop {
         let is_full_read = cursor.is_whole_read();
         let is_initial = is_full_read && !gateway.startup_load.has_loaded();
@@ -88,7 +90,11 @@
                 }
                 let changes = std::mem::take(&mut pages);
                 let has_changes = !changes.is_empty();
-                merge(&gateway, &changes, is_full_read);
+                if is_full_read {
+                    let is_lost = std::mem::take(&mut is_restored);
+                    compare_recorded(&gateway, &changes, is_lost);
+                }
+                merge(&gateway, &changes);
                 if has_changes {
                     remove_expired(&gateway, &mut client, &changes).await;
                     tokio::time::sleep(PAUSE).await;
@@ -99,6 +105,7 @@
                 pages.clear();
             }
             Err(StoreError::EraChanged) => {
+                is_restored = true;
                 cursor.restart_after_restore(RESTORE_READ_SPREAD).await;
                 pages.clear();
             }
@@ -111,20 +118,28 @@
     }
 }
 
-/// Applies the changes of a read. In a full read, recorded crashes without a row are forgotten.
-fn merge(gateway: &Gateway, changes: &[CrashChange], is_full_read: bool) {
-    if is_full_read {
-        let is_present = |record: &CrashRecord| {
-            let key = crash_key(record);
-            changes
-                .iter()
-                .any(|c| matches!(c, CrashChange::Written(row) if row.key == key))
-        };
-        let recorded = gateway.crashes.lock().recorded();
-        for record in recorded.iter().filter(|record| !is_present(record)) {
-            forget_crash(gateway, record.fingerprint, record.upstream);
-        }
+/// Handles recorded crashes without a row in a full read. They are forgotten, as their rows were
+/// removed, or are to be written again if the store was restored and has lost them.
+fn compare_recorded(gateway: &Gateway, rows: &[CrashChange], is_restored: bool) {
+    let is_present = |record: &CrashRecord| {
+        let key = crash_key(record);
+        let mut rows = rows.iter();
+        rows.any(|c| matches!(c, CrashChange::Written(row) if row.key == key))
+    };
+    let mut absent = gateway.crashes.lock().recorded();
+    absent.retain(|record| !is_present(record));
+    if is_restored {
+        set_recorded(&gateway.crashes, &absent, false);
+        gateway.crashes.write_pending.notify_one();
+        return;
+    }
+    for record in &absent {
+        forget_crash(gateway, record.fingerprint, record.upstream);
     }
+}
+
+/// Applies the changes of a read.
+fn merge(gateway: &Gateway, changes: &[CrashChange]) {
     for change in changes {
         match change {
             CrashChange::Written(row) => apply_written(gateway, row),
--- a/crates/gateway/tests/store_restores.rs
+++ b/crates/gateway/tests/store_restores.rs
@@ -4,7 +4,7 @@
 #[expect(dead_code, reason = "each test file uses a part of it")]
 mod common;
 
-use common::crashing::System;
+use common::crashing::{CRASH_MARKER, System};
 use standin::fixture::{self, DRAIN_BOUND, WORKER_TABLE, worker_row_with_start};
 use standin::{LostRow, StoreMode, Worker};
 use std::time::{Duration, Instant};
@@ -202,6 +202,30 @@
     assert!(calls < 100, "{calls} calls");
 }
 
+/// Crashes whose rows the copy lacked were forgotten by all hosts: a request that crashes upstreams
+/// was no longer held back.
+#[tokio::test]
+async fn crashes_that_the_store_has_lost_are_recorded_again() {
+    let system = System::start(3, 4).await;
+    for id in 0..4 {
+        system.send("/unsafe/", id, CRASH_MARKER).await;
+        tokio::time::sleep(Duration::from_millis(600)).await;
+    }
+    let rows = || {
+        let mut keys = system.store.keys("crashes");
+        keys.retain(|key| key.contains("/end/"));
+        keys
+    };
+    common::wait_for("rows of crashes", || async { rows().len() >= 3 }).await;
+    // Hosts read the rows, and no longer send each other reports of these crashes.
+    tokio::time::sleep(Duration::from_secs(8)).await;
+    let before = rows();
+    let lost = system.store.restore(Duration::from_secs(30));
+    assert!(lost.iter().any(|l| l.table == "crashes"), "{lost:?}");
+    let is_recorded = || async { before.iter().all(|key| system.store.has("crashes", key)) };
+    common::wait_for("the rows of crashes", is_recorded).await;
+}
+
 /// Rows of hosts that the copy lacked were never written again, and those of hosts that had stopped
 /// came back.
 #[tokio::test]
