Restore the store from copies of random age in the soak

The soak takes the store away for up to 1 s, restores it from a copy of up to 8 s, and lets operator and workers write again within 1 s what was lost, unless they wrote something else first. Half of the workers that leave do so some seconds after a restore. All guarantees are checked from outside as before.

--- a/crates/soak/src/cluster.rs
+++ b/crates/soak/src/cluster.rs
@@ -12,7 +12,7 @@
     CONFIG_ROW, WORKER_TABLE, config, route, routes, settings, unreadable_rows, with_tenants,
     with_usage_reports, worker_row, worker_row_with_start,
 };
-use standin::{Action, Cloud, Crash, Store, StoreMode, Worker};
+use standin::{Action, Cloud, Crash, LostRow, Store, StoreMode, Worker};
 use std::io;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::path::{Path, PathBuf};
@@ -32,6 +32,12 @@
 const CRASH_DOWNTIME: Duration = Duration::from_millis(400);
 /// Interval of a worker's heartbeats.
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(1200);
+/// Longest time for which the store is away before it is restored, in milliseconds.
+const MAX_AWAY_MS: u64 = 1000;
+/// Age of the oldest copy from which it is restored, in milliseconds.
+const MAX_COPY_AGE_MS: u64 = 8000;
+/// Longest time until operator and workers write again what was lost, in milliseconds.
+const MAX_REWRITE_MS: u64 = 1000;
 /// Start time that all workers report, in milliseconds.
 const STARTED_AT_MS: u64 = 1_700_000_000_000;
 
@@ -150,6 +156,37 @@
             .record_store(None, mode == StoreMode::Serve, Instant::now());
     }
 
+    /// Takes the store away for a moment and restores it from a copy of random age. What the
+    /// operator and the workers had written since is written again, unless they write something
+    /// else first.
+    pub async fn restore_store(&mut self, rng: &mut fastrand::Rng) {
+        let mode = match rng.bool() {
+            true => StoreMode::Silent,
+            false => StoreMode::Refuse(503),
+        };
+        self.set_store(mode);
+        tokio::time::sleep(Duration::from_millis(rng.u64(..MAX_AWAY_MS))).await;
+        let lost = self
+            .store
+            .restore(Duration::from_millis(rng.u64(..MAX_COPY_AGE_MS)));
+        let lost: Vec<(LostRow, Option<String>)> = lost
+            .into_iter()
+            .filter(|l| [WORKER_TABLE, CONFIG_ROW.0].contains(&l.table.as_str()))
+            .map(|l| {
+                let copied = self.store.raw(&l.table, &l.key);
+                (l, copied)
+            })
+            .collect();
+        self.store.set_mode(StoreMode::Serve);
+        tokio::time::sleep(Duration::from_millis(rng.u64(..MAX_REWRITE_MS))).await;
+        for (row, copied) in &lost {
+            if self.store.raw(&row.table, &row.key) == *copied {
+                self.store.write_again(row);
+            }
+        }
+        self.set_store(StoreMode::Serve);
+    }
+
     /// Sets the behavior of the link between a gateway and the store.
     pub fn set_store_link(&mut self, n: usize, link: Link) {
         self.gateways[n].store.set(link);
--- a/crates/soak/src/fault.rs
+++ b/crates/soak/src/fault.rs
@@ -53,6 +53,8 @@
     Leave,
     /// The store drops its history of changes.
     Forget,
+    /// The store is away for a moment and is restored from a copy.
+    Restore,
     /// A request that crashes workers is sent.
     Deadly,
     /// Another writer overwrites a worker's row with an unreadable one.
@@ -74,7 +76,7 @@
     }
 }
 
-const ALL_FAULTS: [Fault; 18] = [
+const ALL_FAULTS: [Fault; 19] = [
     Fault::Kill,
     Fault::Stop,
     Fault::Pause,
@@ -87,6 +89,7 @@
     Fault::Scale,
     Fault::Leave,
     Fault::Forget,
+    Fault::Restore,
     Fault::Deadly,
     Fault::BadRow,
     Fault::Key,
@@ -170,7 +173,8 @@
         Fault::Scale if cluster.upstreams.len() > 2 && rng.bool() => cluster.retire(worker),
         Fault::Scale => cluster.add_worker().await?,
         Fault::Forget => cluster.store.forget_history(),
-        Fault::Leave => drain_worker(cluster, worker, done).await?,
+        Fault::Leave => drain_worker(cluster, worker, rng, done).await?,
+        Fault::Restore => cluster.restore_store(rng).await,
         Fault::Deadly => crashing::begin(cluster, rng),
         Fault::BadRow => cluster.corrupt_row(worker, rng),
         Fault::Key => cluster.toggle_key(rng.usize(..TENANTS)),
@@ -264,7 +268,13 @@
 }
 
 /// Lets a worker leave while there are no faults, and counts the requests that it gets too late.
-async fn drain_worker(cluster: &mut Cluster, n: usize, done: &mut FaultLog) -> io::Result<()> {
+/// Half of the times the store is restored some seconds before.
+async fn drain_worker(
+    cluster: &mut Cluster,
+    n: usize,
+    rng: &mut fastrand::Rng,
+    done: &mut FaultLog,
+) -> io::Result<()> {
     if cluster.upstreams.len() <= 2 {
         return Ok(());
     }
@@ -274,6 +284,9 @@
     let Some(n) = cluster.upstreams.iter().position(|u| u.id == id) else {
         return Ok(());
     };
+    if rng.bool() {
+        cluster.restore_store(rng).await;
+    }
     tokio::time::sleep(QUIET_TIME).await;
     restart_ended(cluster)?;
     if !cluster.all_serve(QUIET_TIME).await {
--- a/crates/soak/tests/short.rs
+++ b/crates/soak/tests/short.rs
@@ -7,9 +7,13 @@
 const SECOND_NET: u32 = 20;
 const THIRD_NET: u32 = 220;
 const FOURTH_NET: u32 = 170;
+const FIFTH_NET: u32 = 70;
 /// Faults under which a common request was once blocked permanently.
 const COMMON_REQUEST: &str = concat!(env!("CARGO_MANIFEST_DIR"), "/cases/common-request.jsonl");
 
+/// Restores of the store from copies of several ages, with a kill, a stalled link and notices of
+/// workers that leave.
+const RESTORES: &str = concat!(env!("CARGO_MANIFEST_DIR"), "/cases/restores.jsonl");
 /// Changes of what workers state in their answers, without other faults.
 const STATEMENTS: &str = concat!(env!("CARGO_MANIFEST_DIR"), "/cases/statements.jsonl");
 
@@ -62,3 +66,12 @@
     let args = ["--schedule", STATEMENTS, "--seconds", "20"];
     soak(FOURTH_NET, &args);
 }
+
+/// Guards against hosts that trust versions of the store after it was restored from a copy. They
+/// ignored what they read, so requests reached workers that had said that they leave.
+#[test]
+fn restores_of_the_store_break_no_guarantee() {
+    let args = ["--schedule", RESTORES, "--seconds", "30"];
+    let summary = soak(FIFTH_NET, &args);
+    assert!(summary["leaves"].as_u64().unwrap() > 0, "{summary}");
+}
