--- a/crates/arbutusquay/tests/explain.rs
+++ b/crates/arbutusquay/tests/explain.rs
@@ -368,6 +368,7 @@
                 "admit_ms=",
                 "tokens_ahead=",
                 "registry_ms=",
+                "registry_era=",
             ];
             assert_contains(&explained, &words);
             return;
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod procs;
 pub mod recover;
 pub mod relay;
+pub mod restore;
 pub mod schedule;
 pub mod scrape;
 pub mod site;
--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -25,6 +25,7 @@
     Outage(OutageArgs),
     Gateway(GatewayArgs),
     Recover(RecoverArgs),
+    Restore(RestoreArgs),
     Keys(KeysArgs),
 }
 
@@ -45,6 +46,18 @@
     upstreams: usize,
 }
 
+/// count the calls that hosts make to the store after it is restored from a copy
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "restore")]
+struct RestoreArgs {
+    /// number of hosts; the default is 30
+    #[argh(option, default = "30")]
+    hosts: usize,
+    /// restore from a copy that was made before the hosts started
+    #[argh(switch)]
+    starts: bool,
+}
+
 /// measure the cost of API keys of tenants in a gateway
 #[derive(Debug, FromArgs)]
 #[argh(subcommand, name = "keys")]
@@ -188,6 +201,11 @@
             }
             Ok(measured.iter().all(|figures| figures.served == a.hosts))
         }
+        Command::Restore(a) => {
+            let figures = bench::restore::run(a.hosts, a.starts).await?;
+            println!("{}", serde_json::to_string(&figures)?);
+            Ok(figures.rows_after >= figures.rows_before)
+        }
         Command::Gateway(a) => {
             for figures in bench::gateway::run(a.requests, a.body, a.suspect).await? {
                 println!("{}", serde_json::to_string(&figures)?);
