Don't let a copy's rows of upstreams replace later starts

A host that knew a start of an upstream and read a copy with an earlier one, which it had never seen, took the earlier one for a restart: the running start counted as replaced, and got no requests from that host any more.

While a restored store may lack what others write again, rows of starts other than the known one, and of removed ones, are left out; the known one is kept as missing. When that time is over the whole registry is read again if rows were left out, as upstreams don't write their rows again unless something changes. Before, only rows up to the first position known in the era were left out, and never read again.

The test of upstreams that left before a restore now repeats what was lost after 1.5 s: a removal that isn't repeated counts as undone when the grace period ends.

--- a/crates/gateway/src/follow/registry.rs
+++ b/crates/gateway/src/follow/registry.rs
@@ -58,6 +58,9 @@
         wait_until_stale(&gateway).await;
     }
     loop {
+        if !cursor.is_whole_read() && gateway.missing().needs_whole_read(Instant::now()) {
+            cursor.restart_after_restore(Duration::ZERO).await;
+        }
         cursor.begin_read(&gateway).await;
         let asked_at = Instant::now();
         let read = client.store().upstreams(cursor.from(), ANSWER_TIMEOUT);
@@ -191,7 +194,12 @@
         });
     }
     let is_restored = begin_era(gateway, position, now);
-    drop_former(gateway, &mut changes, is_restored);
+    let is_in_grace_period = gateway.missing().is_in_grace_period_after_restore(now);
+    match is_whole && !is_old {
+        true if is_in_grace_period => leave_out_former(gateway, &mut changes),
+        true => gateway.missing().record_whole_read(),
+        false => {}
+    }
     let gone = match is_old {
         true => Vec::new(),
         false => apply_changes(gateway, changes, is_whole, position),
@@ -228,26 +236,35 @@
     is_restored
 }
 
-/// Drops rows of starts that were removed, and that the copy from which the store was restored
-/// still has. If one of them is alive, its next heartbeat writes its row again.
-fn drop_former(gateway: &Gateway, read: &mut Vec<Registration>, is_restored: bool) {
+/// Leaves out rows of starts that were removed, and of starts other than the known one: the copy
+/// from which the store was restored may be older than that change. Those that still exist when
+/// others have written again what was lost are up to date.
+fn leave_out_former(gateway: &Gateway, read: &mut Vec<Registration>) {
+    let before = read.len();
     let fleet = gateway.fleet();
+    let is_former = |instance: &Instance| match fleet.find(&instance.id) {
+        Some(key) => fleet
+            .get(key)
+            .is_some_and(|u| u.instance.start != instance.start),
+        None => fleet.was_removed(instance),
+    };
     read.retain(|change| match change {
-        Registration::Registered(instance) => {
-            let may_be_copied = is_restored || gateway.may_be_copied(instance.row);
-            let is_known = fleet.find(&instance.id).is_some();
-            let is_dropped = may_be_copied && !is_known && fleet.was_removed(instance);
-            if is_dropped {
-                emit(&Event::UpstreamRowLate {
-                    upstream: &instance.id,
-                    start: instance.start.map(|Start(ms)| ms),
-                    row: instance.row.version,
-                });
-            }
-            !is_dropped
+        Registration::Registered(instance) if is_former(instance) => {
+            emit(&Event::UpstreamRowLate {
+                upstream: &instance.id,
+                start: instance.start.map(|Start(ms)| ms),
+                row: instance.row.version,
+            });
+            false
         }
-        Registration::Removed { .. } | Registration::Unreadable(_) => true,
+        Registration::Registered(_)
+        | Registration::Removed { .. }
+        | Registration::Unreadable(_) => true,
     });
+    drop(fleet);
+    if read.len() < before {
+        gateway.missing().set_left_out();
+    }
 }
 
 fn log_restored(gateway: &Gateway, before: Position, now: Position, missing: usize) {
@@ -289,7 +306,10 @@
         return;
     }
     let is_restored = begin_era(gateway, position, now);
-    drop_former(gateway, &mut changes, is_restored);
+    let is_in_grace_period = gateway.missing().is_in_grace_period_after_restore(now);
+    if is_in_grace_period {
+        leave_out_former(gateway, &mut changes);
+    }
     let gone = apply_changes(gateway, changes, is_whole, position);
     let mut missing = gateway.missing();
     let gone = match missing.is_in_grace_period_after_restore(now) {
--- a/crates/gateway/src/missing.rs
+++ b/crates/gateway/src/missing.rs
@@ -19,6 +19,8 @@
     /// End of the grace period if it began with a restore of the store.
     restore_until: Option<Instant>,
     ids: Vec<String>,
+    /// Whether rows of the restored store were left out that may be out of date.
+    has_left_out: bool,
 }
 
 impl MissingUpstreams {
@@ -39,9 +41,25 @@
         self.restore_until.is_some_and(|until| now < until)
     }
 
-    /// End of the grace period; `None` if no upstream is missing.
+    /// Records that rows of the restored store were left out.
+    pub fn set_left_out(&mut self) {
+        self.has_left_out = true;
+    }
+
+    /// Whether rows were left out that are up to date if they still exist, so that the whole registry
+    /// must be read.
+    pub fn needs_whole_read(&self, now: Instant) -> bool {
+        self.has_left_out && !self.is_in_grace_period(now)
+    }
+
+    /// Records a read of the whole registry in which no row was left out.
+    pub fn record_whole_read(&mut self) {
+        self.has_left_out = false;
+    }
+
+    /// End of the grace period; `None` if no upstream is missing and no row was left out.
     pub fn expires_at(&self) -> Option<Instant> {
-        self.until.filter(|_| !self.ids.is_empty())
+        self.until.filter(|_| !self.is_empty())
     }
 
     /// Whether a missing upstream is kept at the given time.
@@ -74,8 +92,8 @@
         std::mem::take(&mut self.ids)
     }
 
-    /// Whether no upstream is missing.
+    /// Whether no upstream is missing and no row was left out.
     pub fn is_empty(&self) -> bool {
-        self.ids.is_empty()
+        self.ids.is_empty() && !self.has_left_out
     }
 }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -51,8 +51,6 @@
     /// Return times of refused callers, sorted by service.
     return_times: Mutex<Vec<(ServiceKey, ReturnTimes)>>,
     registry: Mutex<RegistryState>,
-    /// First position of the registry that this process knew in the current era.
-    era_start: Mutex<Position>,
     history: Mutex<ChangeHistory>,
     missing: Mutex<MissingUpstreams>,
     unreadable: Mutex<follow::unreadable::UnreadableLog>,
@@ -124,7 +122,6 @@
                 store_ms: 0,
                 view: 0,
             }),
-            era_start: Mutex::default(),
             history: Mutex::default(),
             missing: Mutex::default(),
             unreadable: Mutex::default(),
@@ -215,21 +212,14 @@
         if !registry.position.is_known() {
             self.history().reset(position);
         }
-        if registry.position.is_known() && position.era > registry.position.era {
+        if position.era > registry.position.era {
             // The clock of a restored store may show an earlier time.
             registry.store_ms = 0;
-            *lock(&self.era_start) = position;
         }
         registry.position = position.max(registry.position);
         registry.view = view;
     }
 
-    /// Whether a row may be part of the copy from which the store was restored: it isn't later than
-    /// the first position that this process knew in its era.
-    pub fn may_be_copied(&self, row: Position) -> bool {
-        row <= *lock(&self.era_start)
-    }
-
     /// Records the time at which a read of the current position was requested; all earlier changes
     /// are known. The time at which the answer arrived isn't used, as the answer may have waited
     /// while this process was paused.
@@ -311,9 +301,6 @@
         let is_later = read.position >= registry.position
             && (read_era > era || read.store_ms > registry.store_ms);
         if read.view == registry.view && is_later {
-            if read_era > era {
-                *lock(&self.era_start) = read.position;
-            }
             *registry = read;
         }
     }
--- a/crates/gateway/tests/store_restores.rs
+++ b/crates/gateway/tests/store_restores.rs
@@ -15,6 +15,8 @@
 const AWAY: Duration = Duration::from_millis(600);
 /// Time after which others write again what was lost.
 const REWRITE_AFTER: Duration = Duration::from_millis(300);
+/// The same for upstreams that leave.
+const REPEAT_AFTER: Duration = Duration::from_millis(1500);
 /// Age of the copies.
 const COPY_AGE: Duration = Duration::from_secs(2);
 
@@ -174,6 +176,10 @@
         assert!(lost.iter().any(|l| l.key == worker.id()), "{lost:?}");
         system.store.set_mode(StoreMode::Serve);
         let since = Instant::now();
+        send_for(&system, REPEAT_AFTER).await;
+        for row in &lost {
+            system.store.write_again(row);
+        }
         send_for(&system, Duration::from_secs(4)).await;
         assert_eq!(received_after(worker, since), 0, "removed: {is_removed}");
     }
