--- a/crates/gateway/tests/usage_decisions.rs
+++ b/crates/gateway/tests/usage_decisions.rs
@@ -341,6 +341,26 @@
     assert!(reported.get() > 1000, "{} windows", reported.get());
 }
 
+/// A report that was delivered and that a restored store has lost is decided again, with other counts,
+/// by a host that doesn't know of it.
+#[test]
+fn a_lost_report_is_decided_again_by_no_other_host() {
+    runner(400)
+        .run(&steps(0.03), |steps| {
+            let mut simulation = Simulation::new();
+            steps.into_iter().for_each(|step| simulation.step(step));
+            let mut bodies: BTreeMap<u64, String> = BTreeMap::new();
+            for sent in &simulation.sent {
+                let body = bodies
+                    .entry(sent.report.window)
+                    .or_insert_with(|| sent.report.body.clone());
+                prop_assert_eq!(&*body, &sent.report.body, "window {}", sent.report.window);
+            }
+            Ok(())
+        })
+        .unwrap();
+}
+
 /// A report that a restored store had lost was decided again with other counts, or was never sent.
 #[test]
 fn a_report_that_the_store_has_lost_is_sent_unchanged() {
