Log late usage of processes that had said their requests were complete

Cause: usage_lost says that requests became known after their window was decided. It doesn't tell a process that was silent from one that said that nothing was missing.

Change: requests that started before a time up to which their process had said that it had sent everything are counted apart and logged with a reason of their own.

--- a/crates/gateway/src/duty/usage/exchange.rs
+++ b/crates/gateway/src/duty/usage/exchange.rs
@@ -328,9 +328,14 @@
                 "they were dropped before a collector queried them",
             ),
             (
-                lost.late,
+                lost.late - lost.late_after_complete,
                 "they became known after their window was decided",
             ),
+            (
+                lost.late_after_complete,
+                "they became known after their window was decided, and their process had said that \
+                 its requests were complete",
+            ),
         ];
         for (requests, why) in reasons.into_iter().filter(|(requests, _)| *requests > 0) {
             let peer = lost.ip.to_string();
--- a/crates/gateway/src/duty/usage/ledger.rs
+++ b/crates/gateway/src/duty/usage/ledger.rs
@@ -36,6 +36,8 @@
     missed: u64,
     /// Requests that became known after the report of their window was decided.
     late: u64,
+    /// Those of them that the process hadn't sent although it said that its requests were complete.
+    late_after_complete: u64,
 }
 
 impl ProcessLog {
@@ -92,6 +94,8 @@
     pub missed: u64,
     /// Requests that became known after the report of their window was decided.
     pub late: u64,
+    /// Those of them that the process hadn't sent although it said that its requests were complete.
+    pub late_after_complete: u64,
 }
 
 /// Position in a process's log from which to query.
@@ -160,10 +164,11 @@
         log.next = log.next.max(answer.from + answer.begun.len() as u64);
         log.last_received_at = log.last_received_at.max(at);
         let has_more = log.next < answer.next;
+        self.insert(log_index, answer.from, &answer.begun, &answer.tenants, at);
         if !has_more {
+            let log = &mut self.logs[log_index];
             log.complete_at = log.complete_at.max(Some(at));
         }
-        self.insert(log_index, answer.from, &answer.begun, &answer.tenants, at);
         has_more
     }
 
@@ -209,6 +214,7 @@
             if log.insert(Entry { number, at, tenant }) {
                 added += 1;
                 log.late += u64::from(is_decided);
+                log.late_after_complete += u64::from(is_decided && log.is_complete(at));
             }
         }
         added
@@ -233,6 +239,7 @@
                     entries: VecDeque::new(),
                     missed: 0,
                     late: 0,
+                    late_after_complete: 0,
                 };
                 self.logs.insert(log_index, log);
                 Some(log_index)
@@ -371,6 +378,7 @@
                 ip: log.ip,
                 missed: std::mem::take(&mut log.missed),
                 late: std::mem::take(&mut log.late),
+                late_after_complete: std::mem::take(&mut log.late_after_complete),
             });
         }
         lost
