Don't take usage for complete while requests are open

Callers saw: a plain request that was answered over 1.6 s after the end of its window was in no usage report.

Cause: a plain request counts from when it was sent, but the log that collectors poll learnt of it when it ended. An answer to a poll said "all up to now" all the same, and the window was decided on it. No constant wait fits, as answers may take as long as the route allows.

Change: the log registers a request before its first byte is sent, and removes it in the step that enters it or finds that it didn't run. "Complete until" is the time at which the oldest open request was sent. It is the same for polls, transfers between collectors, stops and the process's own requests, and a process that was just paused doesn't say it, as answers may wait to be read. A report waits while a process that answers is not complete, at most 0.7 of the time until it is due, from its window's end; for processes that don't answer 3.5 s, as before. A process enters a request that has been open for 0.4 of that time as one that ran: it was sent, most of these time out and count then anyway, and leaving them out would lose them. They are logged (usage_unanswered), and so is one that turns out not to have run (usage_overcounted). A time that a collector estimates for a request is corrected if it precedes what its process had said to be complete, so no error of the estimate loses it. Processes behind the first leave a report to it while requests are open. usage_waits says what a report waits for, and usage_decided which processes had open requests. Answers of former versions are read and not taken for complete; these get answers that they can decode.

Why it holds: who reads the log gets entries and the time in one step, and a request is in the log, open, or not sent yet, so none that was sent before that time can be missing.

Virtual time, usage_open_requests: drawn sends, ends, lost polls, pauses, transfers and changes of the decider.

--- a/crates/gateway/src/account.rs
+++ b/crates/gateway/src/account.rs
@@ -77,8 +77,8 @@
     pub was_prefilled: bool,
     /// Whether an upstream may have run the request.
     pub may_have_run: bool,
-    /// Whether the request has begun to run, for the tenant's usage.
-    pub begin: UsageState,
+    /// Whether the request is counted in the tenant's usage.
+    pub usage: UsageState,
     /// Figures of the last choice.
     pub inputs: Option<ChoiceInputs>,
     /// Time from the stop signal to the arrival of the request; `None` if the signal did not come
@@ -127,7 +127,7 @@
             attempts: 0,
             was_prefilled: false,
             may_have_run: false,
-            begin: UsageState::NotSent,
+            usage: UsageState::NotSent,
             inputs: None,
             stopping_for: stopping_for(gateway, since),
             expected_tokens: None,
@@ -162,15 +162,37 @@
         }
     }
 
-    /// Counts the request in the tenant's usage, at most once; `at` is when it began to run.
-    pub fn count_as_begun(&mut self, at: Instant) {
-        let before = std::mem::replace(&mut self.begin, UsageState::Counted);
-        if let Some(tenant) = self
-            .tenant
-            .as_ref()
-            .filter(|_| before != UsageState::Counted)
-        {
-            self.gateway.usage.record(at, tenant);
+    /// Registers the request as open in the tenant's usage, before it is sent for the first time.
+    pub fn open_usage(&mut self) {
+        if let (UsageState::NotSent, Some(tenant)) = (self.usage, &self.tenant) {
+            self.usage = UsageState::Sent(self.gateway.usage.open(tenant));
+        }
+    }
+
+    /// Restores the state from before an attempt that didn't run.
+    pub fn undo_usage(&mut self, before: UsageState) {
+        let (UsageState::NotSent, UsageState::Sent(key)) = (before, self.usage) else {
+            return;
+        };
+        self.usage = match self.gateway.usage.withdraw(key) {
+            true => UsageState::NotSent,
+            false => {
+                emit(&Event::UsageOvercounted { request: &self.id });
+                UsageState::Counted
+            }
+        };
+    }
+
+    /// Counts the request in the tenant's usage, at most once: from when it was sent if it was
+    /// opened, and from now on otherwise.
+    pub fn count_usage(&mut self) {
+        match (
+            std::mem::replace(&mut self.usage, UsageState::Counted),
+            &self.tenant,
+        ) {
+            (UsageState::Sent(key), _) => self.gateway.usage.settle(key),
+            (UsageState::NotSent, Some(tenant)) => self.gateway.usage.record_now(tenant),
+            (UsageState::NotSent, None) | (UsageState::Counted, _) => {}
         }
     }
 
@@ -180,8 +202,8 @@
         if std::mem::replace(&mut self.is_closed, true) {
             return;
         }
-        if let UsageState::Sent(at) = self.begin {
-            self.count_as_begun(at);
+        if let UsageState::Sent(_) = self.usage {
+            self.count_usage();
         }
         if let Some(mut grant) = self.grant.take()
             && (self.may_have_run || outcome != Outcome::NotRun)
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -7,7 +7,6 @@
 use crate::choose::{Plan, Requirements};
 use crate::crashes::broken::connection_broke;
 use crate::crashes::unanswered;
-use crate::duty::usage::UsageState;
 use crate::fleet::latency::Task;
 use crate::quota::Grant;
 use crate::serve::Call;
@@ -174,15 +173,20 @@
         return AttemptResult::NotRun(NotRun::NotSent);
     };
     let could_have_run = std::mem::replace(&mut account.may_have_run, true);
-    let begin = account.begin;
-    record_sent(call, account, since);
+    let usage = account.usage;
+    // A plain request counts from when it is sent, even if its answer is lost; a stream counts
+    // from its first event.
+    if !call.target().route.kind.is_stream() {
+        account.open_usage();
+    }
     let watch = unanswered::watch_trial(call, account);
     let grant = account.commit_request();
     let response = match plan.pool.send_once(req).await {
         Ok(response) => response,
         Err(CallError::NotSent(_)) => {
             watch.cancel();
-            (account.may_have_run, account.begin) = (could_have_run, begin);
+            account.may_have_run = could_have_run;
+            account.undo_usage(usage);
             grant.into_iter().for_each(Grant::refund);
             record_failure(gateway, plan, CONNECTION_FAILURE_WEIGHT);
             return AttemptResult::NotRun(NotRun::NotSent);
@@ -215,7 +219,8 @@
             conn.release(Some(idle));
         }
         watch.cancel();
-        (account.may_have_run, account.begin) = (could_have_run, begin);
+        account.may_have_run = could_have_run;
+        account.undo_usage(usage);
         record_failure(gateway, plan, CONNECTION_FAILURE_WEIGHT);
         return AttemptResult::NotRun(NotRun::Rejected);
     }
@@ -241,7 +246,7 @@
     }
     let mut load = load;
     load.first_byte_received();
-    record_begun(call, account, since);
+    account.count_usage();
     AttemptResult::Started(Box::new(StartedAnswer {
         status: head.status,
         headers: head.headers,
@@ -251,24 +256,6 @@
     }))
 }
 
-/// Records that a request was sent. A plain request counts as started from now on, even if its
-/// answer is lost; a stream counts as started from its first event.
-fn record_sent(call: &Call, account: &mut Account, at: Instant) {
-    if !call.target().route.kind.is_stream() && account.begin == UsageState::NotSent {
-        account.begin = UsageState::Sent(at);
-    }
-}
-
-/// Records that an upstream's answer has begun.
-fn record_begun(call: &Call, account: &mut Account, sent_at: Instant) {
-    let at = match (call.target().route.kind.is_stream(), account.begin) {
-        (true, _) => Instant::now(),
-        (false, UsageState::Sent(first)) => first,
-        (false, _) => sent_at,
-    };
-    account.count_as_begun(at);
-}
-
 /// Reads the first bytes of a stream, or the whole body of a plain answer.
 async fn read_first(
     call: &Call,
--- a/crates/gateway/src/duty/usage.rs
+++ b/crates/gateway/src/duty/usage.rs
@@ -1,6 +1,7 @@
 //! Usage reports: the number of requests per tenant that started to run in each window.
 //!
-//! Each process numbers its requests as they start. The collectors, which are the first two of
+//! Each process numbers its requests as it becomes known that they ran, and says up to which time
+//! it has numbered all that were sent. The collectors, which are the first two of
 //! all processes, poll each process for requests that they don't have yet. The first collector
 //! also decides each window's report and sends it. See `docs/design/duties.md`.
 
@@ -19,8 +20,9 @@
 use clock::FleetClock;
 use collection::Collection;
 use ledger::Ledger;
+use message::QueryAnswer;
 use observe::{Event, emit};
-use request_log::RequestLog;
+use request_log::{OpenKey, RequestLog};
 use std::net::IpAddr;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
@@ -35,6 +37,10 @@
 const POLL_TIMEOUT: Duration = Duration::from_secs(3);
 const POLL_TIMEOUT_PER_PLACE: Duration = Duration::from_millis(500);
 
+/// Share of the time until a report is due after which an open request is entered as one that ran.
+/// The rest is left to collect the requests, and to decide and deliver the report.
+const MAX_OPEN_SHARE: f64 = 0.4;
+
 /// A process's state for usage reports.
 #[derive(Debug)]
 pub struct Usage {
@@ -63,6 +69,8 @@
     /// Number of the first request that it doesn't have.
     next_needed: u64,
     start: u32,
+    /// Whether it reads up to which time requests are complete.
+    reads_complete: bool,
 }
 
 impl Default for Usage {
@@ -85,7 +93,31 @@
 impl Usage {
     /// Records that a request of a tenant started to run at `at`.
     pub fn record(&self, at: Instant, tenant: &Arc<str>) {
-        lock(&self.request_log).record(at, tenant.clone());
+        self.request_log().record(at, tenant.clone());
+    }
+
+    /// Records that a request of a tenant starts to run now.
+    pub fn record_now(&self, tenant: &Arc<str>) {
+        let mut request_log = self.request_log();
+        // The log may have been read up to an earlier time.
+        request_log.record(Instant::now(), tenant.clone());
+    }
+
+    /// Registers a request that is about to be sent.
+    pub fn open(&self, tenant: &Arc<str>) -> OpenKey {
+        let mut request_log = self.request_log();
+        request_log.open(Instant::now(), tenant.clone())
+    }
+
+    /// Counts an open request that may have run, from when it was sent.
+    pub fn settle(&self, key: OpenKey) {
+        self.request_log().settle(key);
+    }
+
+    /// Removes an open request that didn't run. Returns false if it has been counted, as it was
+    /// open for too long.
+    pub fn withdraw(&self, key: OpenKey) -> bool {
+        self.request_log().withdraw(key)
     }
 
     fn request_log(&self) -> MutexGuard<'_, RequestLog> {
@@ -153,6 +185,30 @@
     rank < COLLECTORS || unpolled > POLL_TIMEOUT + POLL_TIMEOUT_PER_PLACE * rank
 }
 
+/// Reads this process's requests from number `from` of its start `start` on. `number` identifies
+/// the query.
+fn read_log(gateway: &Gateway, start: u32, from: u64, number: u32, now: Instant) -> QueryAnswer {
+    // Answers of upstreams may wait to be read.
+    let is_behind = gateway.may_have_waited(now);
+    let max_open = max_open(gateway).filter(|_| !is_behind);
+    let mut request_log = gateway.usage.request_log();
+    if let Some(max_open) = max_open {
+        request_log.settle_overdue(max_open, now);
+    }
+    request_log.expire(now);
+    let mut answer = request_log.read_from(start, from, number, now);
+    if is_behind {
+        answer.complete_ms_ago = None;
+    }
+    answer
+}
+
+/// Maximum time for which a request is open.
+fn max_open(gateway: &Gateway) -> Option<Duration> {
+    let bounds = gateway.host().cloud.as_ref()?.usage?;
+    Some(bounds.due.mul_f64(MAX_OPEN_SHARE))
+}
+
 /// Sends the collectors the requests that they may not have, while this process stops accepting
 /// requests.
 pub async fn hand_over_first(gateway: &Arc<Gateway>) {
@@ -167,6 +223,8 @@
     if !is_enabled(gateway) {
         return 0;
     }
+    // Their outcome won't be known to anyone.
+    gateway.usage.request_log().settle_all();
     let lost = hand_over::send_remaining(gateway).await;
     if lost > 0 {
         emit(&Event::UsageLost {
@@ -184,8 +242,8 @@
     /// The request hasn't been sent.
     #[default]
     NotSent,
-    /// The request was sent at this time, and its upstream may be running it.
-    Sent(Instant),
+    /// The request was sent, and its upstream may be running it.
+    Sent(OpenKey),
     /// The request has been counted.
     Counted,
 }
--- a/crates/gateway/src/duty/usage/collection.rs
+++ b/crates/gateway/src/duty/usage/collection.rs
@@ -15,6 +15,15 @@
 const PAUSE_MARGIN: Duration = Duration::from_millis(500);
 /// Time after a fetch from a process during which reports are decided without another one.
 const FETCH_VALIDITY: Duration = Duration::from_secs(1);
+/// Minimum time since a process's last answer during which it is expected to answer again.
+const MIN_ANSWERS_FOR: Duration = Duration::from_secs(3);
+/// Maximum time for which a report waits while some process doesn't answer.
+const MAX_UNHEARD_WAIT: Duration = Duration::from_millis(3500);
+/// Share of the time until a report is due for which it waits at most while processes have open
+/// requests. They enter these earlier; the rest is left to deliver the report.
+const MAX_OPEN_WAIT_SHARE: f64 = 0.7;
+/// Additional share of that time for processes behind the first.
+const OPEN_WAIT_SHARE_BEHIND: f64 = 0.15;
 /// Number of attempts to fetch what a process holds.
 const MAX_FETCHES: u32 = 2;
 
@@ -59,6 +68,59 @@
     pub until: Instant,
 }
 
+/// What may be missing of the requests of a window.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Missing {
+    /// The requests of all processes are known.
+    Nothing,
+    /// Some process hasn't answered since the end of the window.
+    Unheard,
+    /// Some process answers and may still turn out to have run requests of the window.
+    Open,
+}
+
+impl Missing {
+    /// Name in logs.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Nothing => "nothing",
+            Self::Unheard => "answers since the end of the window",
+            Self::Open => "open requests",
+        }
+    }
+}
+
+/// Maximum times after a window's end for which its report waits for requests.
+#[derive(Debug, Clone, Copy)]
+pub struct MaxWaits {
+    /// While processes don't answer.
+    unheard: Duration,
+    /// While processes answer and have open requests.
+    open: Duration,
+}
+
+impl MaxWaits {
+    /// Waits of reports that are due some time after the window's end, for a process that decides
+    /// `place_delay` after the first one.
+    pub fn new(due: Duration, place_delay: Duration) -> Self {
+        let behind = place_delay.min(due.mul_f64(OPEN_WAIT_SHARE_BEHIND));
+        let open = due.mul_f64(MAX_OPEN_WAIT_SHARE) + behind;
+        Self {
+            unheard: open.min(MAX_UNHEARD_WAIT + place_delay),
+            open,
+        }
+    }
+
+    /// Maximum wait while requests may be missing.
+    pub fn of(&self, missing: Missing) -> Duration {
+        match missing {
+            Missing::Nothing => Duration::ZERO,
+            Missing::Unheard => self.unheard,
+            Missing::Open => self.open,
+        }
+    }
+}
+
 /// State of the collection of requests; empty while this process isn't a collector.
 #[derive(Debug, Default)]
 pub struct Collection {
@@ -142,6 +204,26 @@
         due.map(|peer| peer.ip).collect()
     }
 
+    /// What may be missing of the requests of a window. `live` are the processes that run.
+    pub fn missing(&self, ledger: &Ledger, live: &[IpAddr], window: Span, now: Instant) -> Missing {
+        if !self.open(ledger, window.until, now).is_empty() {
+            return Missing::Open;
+        }
+        let incomplete = ledger.incomplete(live, window.from, window.until);
+        match incomplete.is_empty() {
+            true => Missing::Nothing,
+            false => Missing::Unheard,
+        }
+    }
+
+    /// Processes that answer and may still turn out to have run requests sent before `until`.
+    pub fn open(&self, ledger: &Ledger, until: Instant, now: Instant) -> Vec<IpAddr> {
+        let next_poll = self.last_poll.map(|(at, due)| due - at);
+        let answers_for = next_poll.map_or(MIN_ANSWERS_FOR, |p| p.max(MIN_ANSWERS_FOR));
+        let since = now.checked_sub(answers_for).unwrap_or(now);
+        ledger.open(until, since)
+    }
+
     /// Whether the report of a window may be decided now. `peers` are all known processes.
     pub fn readiness(
         &self,
--- a/crates/gateway/src/duty/usage/exchange.rs
+++ b/crates/gateway/src/duty/usage/exchange.rs
@@ -5,8 +5,8 @@
 //! requests are numbered.
 
 use super::ledger::Position;
-use super::message::{Message, Query, QueryAnswer};
-use super::{Collector, Usage, is_collector, is_enabled, time_of_day_ms};
+use super::message::{Message, Query, QueryAnswer, READS_COMPLETE};
+use super::{Collector, Usage, is_collector, is_enabled, read_log, time_of_day_ms};
 use crate::StartError;
 use crate::state::Gateway;
 use observe::{Event, emit};
@@ -65,7 +65,7 @@
     fn open_query(&mut self, ip: IpAddr, now: Instant) -> u32 {
         self.open
             .retain(|q| now.saturating_duration_since(q.at) < ANSWER_TIMEOUT);
-        self.number = self.number.wrapping_add(1).max(1);
+        self.number = self.number.wrapping_add(1) | READS_COMPLETE;
         let number = self.number;
         self.open.push(OpenQuery {
             ip,
@@ -131,7 +131,7 @@
         match wire::decode::<Message>(&buf[..len]) {
             // Other senders must not learn the tenants' names or report windows as done.
             Some(Message::Ask(query)) if gateway.peers().knows(from.ip()) => {
-                let answer = answer_query(&gateway.usage, from.ip(), query, now);
+                let answer = answer_query(&gateway, from.ip(), query, now);
                 // Collectors hold requests of others.
                 gateway.usage.collection().record_held(from.ip(), true);
                 send(&exchange.socket, from, &Message::Told(answer));
@@ -173,13 +173,14 @@
 }
 
 /// Answers a collector's query.
-fn answer_query(usage: &Usage, ip: IpAddr, query: Query, now: Instant) -> QueryAnswer {
+fn answer_query(gateway: &Gateway, ip: IpAddr, query: Query, now: Instant) -> QueryAnswer {
+    let usage = &gateway.usage;
     usage.set_done_window(query.done);
-    let answer = {
-        let mut request_log = usage.request_log();
-        request_log.expire(now);
-        request_log.read_from(query.start, query.from, query.number, now)
-    };
+    let mut answer = read_log(gateway, query.start, query.from, query.number, now);
+    let reads_complete = query.number & READS_COMPLETE != 0;
+    if !reads_complete {
+        answer.complete_ms_ago = None;
+    }
     let mut polls = usage.polls();
     polls.last_at = now;
     polls.collectors.retain(|c| c.ip != ip);
@@ -188,6 +189,7 @@
         polled_at: now,
         next_needed: answer.from,
         start: answer.start,
+        reads_complete,
     });
     if polls.collectors.len() > MAX_COLLECTORS {
         polls.collectors.remove(0);
@@ -319,7 +321,14 @@
 
 /// Drops requests that are too old to be reported, and logs those that are in no report.
 fn expire(usage: &Usage, now: Instant) {
-    usage.request_log().expire(now);
+    let overdue = {
+        let mut request_log = usage.request_log();
+        request_log.expire(now);
+        request_log.take_overdue()
+    };
+    if overdue > 0 {
+        emit(&Event::UsageUnanswered { requests: overdue });
+    }
     let mut ledger = usage.ledger();
     for lost in ledger.take_lost() {
         let reasons = [
@@ -355,11 +364,7 @@
     let ip = gateway.host().ip;
     loop {
         let Position { start, next } = usage.ledger().position(ip);
-        let answer = {
-            let mut request_log = usage.request_log();
-            request_log.expire(now);
-            request_log.read_from(start, next, 0, now)
-        };
+        let answer = read_log(gateway, start, next, 0, now);
         if !usage.ledger().add(ip, &answer, now) {
             break;
         }
--- a/crates/gateway/src/duty/usage/hand_over.rs
+++ b/crates/gateway/src/duty/usage/hand_over.rs
@@ -2,7 +2,7 @@
 
 use super::exchange::{add_own_requests, send};
 use super::message::Message;
-use super::{Collector, POLL_TIMEOUT, transfer};
+use super::{Collector, POLL_TIMEOUT, read_log, transfer};
 use crate::state::Gateway;
 use observe::{Event, emit};
 use std::net::{IpAddr, SocketAddr};
@@ -78,9 +78,10 @@
             let to = SocketAddr::new(collector.ip, host.usage_port);
             let (mut next, mut requests) = (collector.next_needed, 0);
             loop {
-                let request_log = gateway.usage.request_log();
-                let answer = request_log.read_from(collector.start, next, 0, Instant::now());
-                drop(request_log);
+                let mut answer = read_log(gateway, collector.start, next, 0, Instant::now());
+                if !collector.reads_complete {
+                    answer.complete_ms_ago = None;
+                }
                 requests += answer.begun.len() as u64;
                 next = answer.from + answer.begun.len() as u64;
                 let is_last = next >= answer.next || answer.begun.is_empty();
--- a/crates/gateway/src/duty/usage/ledger.rs
+++ b/crates/gateway/src/duty/usage/ledger.rs
@@ -11,6 +11,9 @@
 /// Maximum number of process starts, as any sender can claim to be a new one.
 const MAX_LOGS: usize = 2048;
 
+/// Maximum error of an estimated time of a process's message: half the time in which an answer is
+/// accepted.
+const MAX_TIME_ERROR: Duration = Duration::from_secs(1);
 /// A request that started to run on some process.
 #[derive(Debug)]
 struct Entry {
@@ -20,6 +23,14 @@
     tenant: Arc<str>,
 }
 
+/// Time up to which all requests of a process are known.
+#[derive(Debug, Clone, Copy)]
+struct Completeness {
+    until: Instant,
+    /// Number of the first request that wasn't known when the process said so.
+    next: u64,
+}
+
 /// Requests received from one start of a process.
 #[derive(Debug)]
 struct ProcessLog {
@@ -27,9 +38,12 @@
     start: u32,
     /// Number of the next request that isn't known.
     next: u64,
-    /// Time of its last answer after which nothing was left to query.
-    complete_at: Option<Instant>,
+    /// `None` if the process hasn't said so for any time.
+    complete: Option<Completeness>,
+    /// Time of its last message, to this process or another one.
     last_received_at: Instant,
+    /// Time of its last answer to this process.
+    answered_at: Option<Instant>,
     /// Sorted by number.
     entries: VecDeque<Entry>,
     /// Requests that the process had dropped before they were queried.
@@ -42,7 +56,26 @@
 
 impl ProcessLog {
     fn is_complete(&self, until: Instant) -> bool {
-        self.complete_at.is_some_and(|at| at >= until)
+        self.complete.is_some_and(|c| c.until >= until)
+    }
+
+    /// Records that all requests up to a time are known.
+    fn set_complete(&mut self, until: Instant) {
+        if !self.is_complete(until) {
+            let next = self.next;
+            self.complete = Some(Completeness { until, next });
+        }
+    }
+
+    /// Corrects the estimated time of a request by what the process had said before: a request that
+    /// wasn't known then was sent later. Each request is then in a window that waited for it.
+    fn correct_time(&self, number: u64, at: Instant) -> Instant {
+        let complete = self.complete.filter(|c| number >= c.next);
+        let earliest = complete.map_or(at, |c| c.until);
+        match earliest.saturating_duration_since(at) > MAX_TIME_ERROR {
+            true => at,
+            false => at.max(earliest),
+        }
     }
 
     /// Some consecutive entries from number `from` on, for another process.
@@ -62,9 +95,10 @@
             start: self.start,
             from,
             received_ms_ago: millis_since(self.last_received_at, now),
-            complete_ms_ago: self.complete_at.map(|at| millis_since(at, now)),
+            polled_ms_ago: None,
             begun: begun.collect(),
             tenants: names.iter().map(ToString::to_string).collect(),
+            complete_ms_ago: None,
         }
     }
 
@@ -163,11 +197,12 @@
         }
         log.next = log.next.max(answer.from + answer.begun.len() as u64);
         log.last_received_at = log.last_received_at.max(at);
+        log.answered_at = log.answered_at.max(Some(at));
         let has_more = log.next < answer.next;
         self.insert(log_index, answer.from, &answer.begun, &answer.tenants, at);
-        if !has_more {
-            let log = &mut self.logs[log_index];
-            log.complete_at = log.complete_at.max(Some(at));
+        let until = answer.complete_ms_ago.and_then(|ms| before(at, ms));
+        if let Some(until) = until.filter(|_| !has_more) {
+            self.logs[log_index].set_complete(until);
         }
         has_more
     }
@@ -175,8 +210,7 @@
     /// Adds requests that another process holds, where `at` is the time of its message by this
     /// process's clock. Returns the number of those that weren't known.
     pub fn add_held(&mut self, held: &HeldLog, at: Instant) -> u64 {
-        let before = |ms: u32| at.checked_sub(Duration::from_millis(ms.into()));
-        let Some(received_at) = before(held.received_ms_ago) else {
+        let Some(received_at) = before(at, held.received_ms_ago) else {
             return 0;
         };
         let Some(log_index) = self.log_index(held.ip, held.start, held.from, received_at) else {
@@ -185,8 +219,11 @@
         let log = &mut self.logs[log_index];
         log.next = log.next.max(held.from + held.begun.len() as u64);
         log.last_received_at = log.last_received_at.max(received_at);
-        log.complete_at = log.complete_at.max(held.complete_ms_ago.and_then(before));
-        self.insert(log_index, held.from, &held.begun, &held.tenants, at)
+        let added = self.insert(log_index, held.from, &held.begun, &held.tenants, at);
+        if let Some(until) = held.complete_ms_ago.and_then(|ms| before(at, ms)) {
+            self.logs[log_index].set_complete(until);
+        }
+        added
     }
 
     /// Adds consecutive requests from number `from`, which started some time before `at`. Returns
@@ -205,8 +242,8 @@
                 continue;
             };
             let tenant = self.intern(name);
-            let ago = Duration::from_millis(begun.ago_ms.into());
-            let at = at.checked_sub(ago).unwrap_or(at);
+            let log = &self.logs[log_index];
+            let at = log.correct_time(number, before(at, begun.ago_ms).unwrap_or(at));
             let is_decided = self
                 .decided
                 .is_some_and(|(from, until)| at >= from && at < until);
@@ -234,8 +271,9 @@
                     ip,
                     start,
                     next: from,
-                    complete_at: None,
+                    complete: None,
                     last_received_at: at,
+                    answered_at: None,
                     entries: VecDeque::new(),
                     missed: 0,
                     late: 0,
@@ -283,6 +321,12 @@
             for run in entries.chunk_by(|a, b| a.number + 1 == b.number) {
                 out.push(log.held(run[0].number, run, now));
             }
+            // It holds only with all requests.
+            if let (Some(last), Some(complete)) = (out.last_mut(), log.complete)
+                && !entries.is_empty()
+            {
+                last.complete_ms_ago = Some(millis_since(complete.until, now) + 1);
+            }
         }
         out
     }
@@ -358,10 +402,22 @@
         self.logs_of(ip).iter().any(|log| log.is_complete(until))
     }
 
-    /// Start time of the earliest known request.
+    /// Processes that answered since `since` and after `until` without being complete up to then, as
+    /// requests are open there or haven't been sent yet.
+    pub fn open(&self, until: Instant, since: Instant) -> Vec<IpAddr> {
+        let starts = self.logs.chunk_by(|a, b| a.ip == b.ip);
+        let newest = starts.filter_map(|logs| logs.iter().max_by_key(|log| log.answered_at));
+        let answered = newest.filter(|log| log.answered_at >= Some(until.max(since)));
+        let open = answered.filter(|log| !log.is_complete(until));
+        open.map(|log| log.ip).collect()
+    }
+
+    /// Start time of the earliest known request, or the time from which requests may be open.
     pub fn earliest(&self) -> Option<Instant> {
         let entries = self.logs.iter().flat_map(|log| &log.entries);
-        entries.map(|e| e.at).min()
+        let complete = self.logs.iter().filter_map(|log| log.complete);
+        let open_since = complete.map(|c| c.until);
+        entries.map(|e| e.at).chain(open_since).min()
     }
 
     /// Time of a process's last answer.
@@ -403,3 +459,7 @@
 fn millis_since(at: Instant, now: Instant) -> u32 {
     now.saturating_duration_since(at).as_millis() as u32
 }
+
+fn before(at: Instant, ms: u32) -> Option<Instant> {
+    at.checked_sub(Duration::from_millis(ms.into()))
+}
--- a/crates/gateway/src/duty/usage/message.rs
+++ b/crates/gateway/src/duty/usage/message.rs
@@ -17,6 +17,10 @@
     Held(u32),
 }
 
+/// Set in the number of a query whose sender reads [`QueryAnswer::complete_ms_ago`]. Processes of
+/// former versions can't decode answers that have it; they repeat the number unchanged.
+pub const READS_COMPLETE: u32 = 1 << 31;
+
 /// A collector's query.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Query {
@@ -48,6 +52,10 @@
     pub tenants: Vec<String>,
     /// The requests, ordered by number.
     pub begun: Vec<StartedRequest>,
+    /// Time since all requests that were sent are below number `next` or didn't run, in
+    /// milliseconds. `None` from and for processes of former versions: nothing is known of this.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub complete_ms_ago: Option<u32>,
 }
 
 /// A request that started to run.
@@ -81,10 +89,15 @@
     pub from: u64,
     /// Time since the process's last message, in milliseconds.
     pub received_ms_ago: u32,
-    /// Time since all its requests were known, in milliseconds; `None` if they never were.
-    pub complete_ms_ago: Option<u32>,
+    /// Always `None`. Processes of former versions send the time of their last poll here, at which
+    /// requests may have been open.
+    pub polled_ms_ago: Option<u32>,
     /// Names of the tenants that `begun` refers to.
     pub tenants: Vec<String>,
     /// The requests, ordered by number.
     pub begun: Vec<StartedRequest>,
+    /// Time since all requests that were sent are known or didn't run, in milliseconds; `None` if
+    /// that isn't known, and for processes of former versions.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub complete_ms_ago: Option<u32>,
 }
--- a/crates/gateway/src/duty/usage/reports.rs
+++ b/crates/gateway/src/duty/usage/reports.rs
@@ -1,6 +1,6 @@
 //! Decides each window's report and sends it, while this process holds the duty.
 
-use super::collection::{Readiness, Span};
+use super::collection::{MaxWaits, Missing, Readiness, Span};
 use super::holder::{Action, Holder};
 use super::ledger::WindowCount;
 use super::request_log::RETENTION;
@@ -19,16 +19,13 @@
 
 /// Interval between checks whether a report is due.
 const CHECK_EVERY: Duration = Duration::from_millis(100);
-/// Time after a window's end until it is known which requests sent in the window started: the
-/// longest timeout of plain requests, and two polls of each process.
+/// Minimum time after a window's end until its report is decided, in which each process is polled.
 const SETTLE_TIME: Duration = Duration::from_millis(1600);
-/// The same while a process that has sent some requests of the window hasn't sent all of them.
-const SETTLE_TIME_SILENT: Duration = Duration::from_millis(3500);
 /// Additional wait per place behind the first process, and the maximum number of places.
 const SETTLE_TIME_PER_PLACE: Duration = Duration::from_millis(2500);
 const MAX_PLACES: u32 = 3;
-/// Maximum time for which a report is withheld while requests may be missing, not counting outages
-/// of the store.
+/// Maximum time for which a report is withheld while processes haven't been heard, not counting
+/// outages of the store.
 const MAX_INCOMPLETE_WAIT: Duration = Duration::from_secs(6);
 /// Timeout for an answer to a report.
 const CALL_TIMEOUT: Duration = Duration::from_millis(900);
@@ -39,6 +36,8 @@
 /// none.
 const MAX_LATENESS: Duration = Duration::from_secs(20);
 
+/// Maximum number of processes that a report waits for and that are logged.
+const MAX_WAITS_LOGGED: usize = 12;
 /// Maximum number of skipped windows that are logged individually, newest first.
 const MAX_SKIPPED_LOGGED: usize = 12;
 /// Name of the usage endpoint in logs.
@@ -66,6 +65,10 @@
     started_at: Instant,
     /// Time since which a window's report is withheld.
     withheld: Option<(u64, Instant)>,
+    /// Last time at which the next report waited for open requests.
+    waited_at: Option<Instant>,
+    /// Last wait that was logged: the window, and the reason.
+    logged_wait: Option<(u64, &'static str)>,
     retry_pause: Duration,
     /// Last window that this process decided, and its end. The next window starts there, so that
     /// no request is counted twice when the agreed time is corrected.
@@ -81,6 +84,8 @@
             gateway,
             started_at: now,
             withheld: None,
+            waited_at: None,
+            logged_wait: None,
             retry_pause: RETRY_BACKOFF.0,
             counted_until: None,
             cloud_lost_at: None,
@@ -113,7 +118,7 @@
                 // Once the lease expires, any collector may take it. The first one goes ahead, as
                 // it collected alongside the lost holder and may have data that only that one
                 // received.
-                pause + SETTLE_TIME_PER_PLACE * self.gateway.rank().min(MAX_PLACES)
+                pause + self.place_delay()
             }
             Action::Read => self.read(client, now).await,
             Action::Write {
@@ -145,18 +150,27 @@
     /// those that others hold.
     async fn is_withheld(&mut self, window: u64) -> bool {
         let now = Instant::now();
-        let since = match self.withheld {
-            Some((number, since)) if number == window => since,
-            _ => now,
+        let Some(span) = self.window(window) else {
+            return true;
         };
-        self.withheld = Some((window, since));
-        match self.readiness(window, now) {
+        let missing = self.missing(span, now);
+        let waited = now.saturating_duration_since(span.until);
+        if waited < self.max_waits().of(missing) {
+            self.log_wait(window, span, missing.name());
+            return true;
+        }
+        match self.readiness(span, now) {
             Readiness::Ready => false,
-            Readiness::Wait if !self.gateway.peers().store_outage().is_available() => {
-                self.withheld = None;
-                true
+            Readiness::Wait => {
+                self.log_wait(window, span, "first answers, or rows of processes");
+                let since = match self.withheld {
+                    Some((number, since)) if number == window => since,
+                    _ => now,
+                };
+                let is_reached = self.gateway.peers().store_outage().is_available();
+                self.withheld = is_reached.then_some((window, since));
+                !is_reached || now.saturating_duration_since(since) < MAX_INCOMPLETE_WAIT
             }
-            Readiness::Wait => now.saturating_duration_since(since) < MAX_INCOMPLETE_WAIT,
             Readiness::Fetch(from) => {
                 self.fetch(from).await;
                 true
@@ -164,10 +178,25 @@
         }
     }
 
-    fn readiness(&self, window: u64, now: Instant) -> Readiness {
-        let Some(span) = self.window(window) else {
-            return Readiness::Wait;
-        };
+    /// Logs that a report waits, unless it is known.
+    fn log_wait(&mut self, window: u64, span: Span, why: &'static str) {
+        if self.logged_wait.replace((window, why)) == Some((window, why)) {
+            return;
+        }
+        let peers = self.gateway.peers().addresses();
+        let ledger = self.gateway.usage.ledger();
+        let incomplete = ledger.incomplete(&peers, span.from, span.until);
+        drop(ledger);
+        let first = incomplete.iter().take(MAX_WAITS_LOGGED);
+        emit(&Event::UsageWaits {
+            window,
+            why,
+            peers: first.map(IpAddr::to_string).collect(),
+            after_ms: span.until.elapsed().as_millis() as u64,
+        });
+    }
+
+    fn readiness(&self, span: Span, now: Instant) -> Readiness {
         let (peers, are_all_known) = {
             let peers = self.gateway.peers();
             let covers = peers.store_outage().covers(span.until, now);
@@ -181,6 +210,28 @@
         collection.readiness(&ledger, &peers, span, now)
     }
 
+    /// What may be missing of the requests of a window.
+    fn missing(&self, span: Span, now: Instant) -> Missing {
+        let live: Vec<IpAddr> = {
+            let peers = self.gateway.peers();
+            peers.live(now).map(|(peer, _)| peer.ip).collect()
+        };
+        let collection = self.gateway.usage.collection();
+        let ledger = self.gateway.usage.ledger();
+        collection.missing(&ledger, &live, span, now)
+    }
+
+    fn max_waits(&self) -> MaxWaits {
+        let bounds = self.gateway.host().cloud.as_ref().and_then(|c| c.usage);
+        let due = bounds.map_or(Duration::ZERO, |bounds| bounds.due);
+        MaxWaits::new(due, self.place_delay())
+    }
+
+    /// Time by which this process decides after the first one, in case that one is lost.
+    fn place_delay(&self) -> Duration {
+        SETTLE_TIME_PER_PLACE * self.gateway.rank().min(MAX_PLACES)
+    }
+
     fn track_store(&self, is_reached: bool) {
         let mut peers = self.gateway.peers();
         peers.record_store_call(is_reached, Instant::now());
@@ -221,26 +272,35 @@
         Some(Span { from, until })
     }
 
-    /// Last window whose report may be decided now.
-    fn last_ready(&self, now: Instant) -> Option<u64> {
-        let place_delay = SETTLE_TIME_PER_PLACE * self.gateway.rank().min(MAX_PLACES);
+    /// Last window whose report may be decided now, unless requests are missing.
+    fn last_ready(&mut self, now: Instant) -> Option<u64> {
+        let place_delay = self.place_delay();
         let settled = now.checked_sub(SETTLE_TIME + place_delay)?;
         let last_ready = self.window_at(settled)?.checked_sub(1)?;
-        if last_ready <= self.holder.done_window() {
-            return Some(last_ready);
+        let done = self.holder.done_window();
+        match last_ready > done && self.leaves_to_others(done, place_delay, now) {
+            true => Some(done),
+            false => Some(last_ready),
         }
-        let window = self.window(last_ready)?;
-        let live: Vec<IpAddr> = {
-            let peers = self.gateway.peers();
-            peers.live(now).map(|(peer, _)| peer.ip).collect()
+    }
+
+    /// Whether the processes before this one may still decide the window after `done`, which they
+    /// do as soon as its requests are known.
+    fn leaves_to_others(&mut self, done: u64, place_delay: Duration, now: Instant) -> bool {
+        if place_delay.is_zero() || done == 0 {
+            return false;
+        }
+        let Some(span) = self.window(done + 1) else {
+            return false;
         };
-        let ledger = self.gateway.usage.ledger();
-        let incomplete = ledger.incomplete(&live, window.from, window.until);
-        let waited = now.saturating_duration_since(window.until);
-        match !incomplete.is_empty() && waited < SETTLE_TIME_SILENT + place_delay {
-            true => last_ready.checked_sub(1),
-            false => Some(last_ready),
+        let missing = self.missing(span, now);
+        if missing == Missing::Open {
+            self.waited_at = Some(now);
         }
+        let waited_at = self.waited_at;
+        let has_just_waited =
+            waited_at.is_some_and(|at| now.saturating_duration_since(at) < place_delay);
+        has_just_waited && now < span.until + self.max_waits().of(Missing::Open)
     }
 
     /// Gives up a report that is too late to be useful.
@@ -328,6 +388,11 @@
 
     fn log_decided(&mut self, window: u64, bounds: Span, counted: &WindowCount, token: u64) {
         self.counted_until = Some((window, bounds.until));
+        let open = {
+            let collection = self.gateway.usage.collection();
+            let ledger = self.gateway.usage.ledger();
+            collection.open(&ledger, bounds.until, Instant::now())
+        };
         let peers = self.gateway.peers().addresses();
         let mut ledger = self.gateway.usage.ledger();
         ledger.set_decided(bounds.from, bounds.until);
@@ -340,6 +405,7 @@
             hosts: counted.hosts,
             silent: counted.silent,
             incomplete: incomplete.iter().map(IpAddr::to_string).collect(),
+            open: open.iter().map(IpAddr::to_string).collect(),
             after_ms: bounds.until.elapsed().as_millis() as u64,
             rank: self.gateway.rank(),
             token,
--- a/crates/gateway/src/duty/usage/request_log.rs
+++ b/crates/gateway/src/duty/usage/request_log.rs
@@ -2,6 +2,11 @@
 //!
 //! Requests are numbered, so that a collector can query those after the last one that it has.
 //! Lost and duplicate answers therefore have no effect.
+//!
+//! A plain request counts from when it was sent, but whether it ran is known only when it ends. It
+//! is open from before its first byte is sent until then. The log is complete up to the time at
+//! which the oldest open request was sent, and says so in each answer. A request that stays open
+//! for too long is entered as one that ran, so that no report waits for it beyond its due time.
 
 use super::message::{QueryAnswer, StartedRequest};
 use std::collections::VecDeque;
@@ -28,6 +33,18 @@
     pub tenant: Arc<str>,
 }
 
+/// Identifies a request that was sent. Keys rise in the order of sending.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub struct OpenKey(u64);
+
+/// A request that was sent, and of which it isn't known yet whether it ran.
+#[derive(Debug)]
+struct OpenRequest {
+    key: OpenKey,
+    at: Instant,
+    tenant: Arc<str>,
+}
+
 /// Recent requests of this process.
 #[derive(Debug)]
 pub struct RequestLog {
@@ -35,6 +52,11 @@
     /// Number of the oldest entry.
     first_number: u64,
     entries: VecDeque<Entry>,
+    /// Sorted by key, and so by time.
+    open: VecDeque<OpenRequest>,
+    next_key: OpenKey,
+    /// Requests that were entered without an outcome since the last call of `take_overdue`.
+    overdue: u64,
     /// Returns this process's wall-clock time for collectors, in Unix milliseconds.
     time_of_day: fn() -> i64,
 }
@@ -46,6 +68,9 @@
             start,
             first_number: 0,
             entries: VecDeque::new(),
+            open: VecDeque::new(),
+            next_key: OpenKey(0),
+            overdue: 0,
             time_of_day,
         }
     }
@@ -63,6 +88,64 @@
         self.entries.push_back(Entry { at, tenant });
     }
 
+    /// Registers a request that is about to be sent. `now` mustn't precede that of earlier calls.
+    pub fn open(&mut self, now: Instant, tenant: Arc<str>) -> OpenKey {
+        let key = self.next_key;
+        self.next_key = OpenKey(key.0 + 1);
+        self.open.push_back(OpenRequest {
+            key,
+            at: now,
+            tenant,
+        });
+        key
+    }
+
+    /// Enters an open request that may have run, with the time at which it was sent. Has no effect
+    /// on one that isn't open any more.
+    pub fn settle(&mut self, key: OpenKey) {
+        if let Some(req) = self.remove_open(key) {
+            self.record(req.at, req.tenant);
+        }
+    }
+
+    /// Removes an open request that didn't run. Returns false if it isn't open any more, which
+    /// means that it was counted.
+    pub fn withdraw(&mut self, key: OpenKey) -> bool {
+        self.remove_open(key).is_some()
+    }
+
+    fn remove_open(&mut self, key: OpenKey) -> Option<OpenRequest> {
+        let at = self.open.binary_search_by_key(&key, |req| req.key).ok()?;
+        self.open.remove(at)
+    }
+
+    /// Enters all open requests, as their outcome won't be known.
+    pub fn settle_all(&mut self) {
+        while let Some(req) = self.open.pop_front() {
+            self.record(req.at, req.tenant);
+        }
+    }
+
+    /// Enters the requests that have been open for at least `max_open`.
+    pub fn settle_overdue(&mut self, max_open: Duration, now: Instant) {
+        let is_overdue = |req: &OpenRequest| now.saturating_duration_since(req.at) >= max_open;
+        while self.open.front().is_some_and(is_overdue) {
+            let req = self.open.pop_front().expect("it has a front");
+            self.record(req.at, req.tenant);
+            self.overdue += 1;
+        }
+    }
+
+    /// Takes the number of requests that were entered without an outcome since the last call.
+    pub fn take_overdue(&mut self) -> u64 {
+        std::mem::take(&mut self.overdue)
+    }
+
+    /// Time up to which each request that was sent is in the log or didn't run.
+    pub fn complete_until(&self, now: Instant) -> Instant {
+        self.open.front().map_or(now, |req| req.at.min(now))
+    }
+
     /// Drops entries that are too old to be reported.
     pub fn expire(&mut self, now: Instant) {
         while self
@@ -105,6 +188,7 @@
             time_of_day_ms: (self.time_of_day)(),
             tenants: Vec::new(),
             begun: Vec::new(),
+            complete_ms_ago: Some(millis_rounded_up(now - self.complete_until(now))),
         };
         let mut name_bytes = 0;
         let skipped = (from - self.first_number) as usize;
@@ -138,3 +222,7 @@
         answer
     }
 }
+
+fn millis_rounded_up(duration: Duration) -> u32 {
+    duration.as_micros().div_ceil(1000) as u32
+}
--- a/crates/gateway/src/duty/usage/transfer.rs
+++ b/crates/gateway/src/duty/usage/transfer.rs
@@ -2,7 +2,8 @@
 //! port for peers.
 //!
 //! A collector fetches them from those that collected before. A collector that exits sends them
-//! to those that remain.
+//! to those that remain. Only answers to requests whose query says so have up to which time the
+//! requests are complete, as processes of former versions can't decode that.
 
 use super::message::{HeldLog, KnownLog};
 use crate::peers::catch_up;
@@ -18,6 +19,9 @@
 
 /// Path of requests about the requests that a process holds.
 pub const PATH: &str = "/usage";
+/// The path, for a sender that reads [`HeldLog::complete_ms_ago`]. Processes of former versions
+/// ignore the query.
+const PATH_WITH_COMPLETE: &str = "/usage?complete";
 /// Timeout of a request for what another process holds, whose answer may be long.
 const FETCH_TIMEOUT: Duration = Duration::from_millis(1000);
 /// Timeout of a request of a process that exits.
@@ -29,7 +33,8 @@
 pub async fn fetch_held(gateway: &Gateway, from: IpAddr) -> bool {
     let known = gateway.usage.ledger().known_logs();
     let asked_at = Instant::now();
-    let fetched = call::<Vec<HeldLog>>(gateway, from, Method::POST, &known, FETCH_TIMEOUT).await;
+    let call = call::<Vec<HeldLog>>(gateway, from, Method::POST, &known, FETCH_TIMEOUT);
+    let fetched = call.await;
     let now = Instant::now();
     let added = fetched.and_then(|held| match gateway.may_have_waited(now) {
         // The time at which the answer was made is unknown.
@@ -52,19 +57,24 @@
 /// their number.
 pub async fn send_held(gateway: &Gateway, to: IpAddr) -> Result<u64, String> {
     let known: Vec<KnownLog> = call(gateway, to, Method::GET, &(), SEND_TIMEOUT).await?;
-    let held = gateway.usage.ledger().held_beyond(&known, Instant::now());
+    let mut held = gateway.usage.ledger().held_beyond(&known, Instant::now());
+    held.iter_mut().for_each(|log| log.complete_ms_ago = None);
     call(gateway, to, Method::PUT, &held, SEND_TIMEOUT).await
 }
 
 /// Handles a request of another process.
 pub async fn handle_request(gateway: &Gateway, req: Request<Incoming>) -> Response<Body> {
     let method = req.method().clone();
+    let reads_complete = req.uri().query().is_some();
     let body = Limited::new(req.into_body(), MAX_BYTES).collect().await;
     let body = body.ok().map(|body| body.to_bytes());
     let answer = match (method, body) {
         (Method::GET, _) => Some(wire::encode_compact(&gateway.usage.ledger().known_logs())),
         (Method::POST, Some(body)) => wire::decode::<Vec<KnownLog>>(&body).map(|known| {
-            let held = gateway.usage.ledger().held_beyond(&known, Instant::now());
+            let mut held = gateway.usage.ledger().held_beyond(&known, Instant::now());
+            if !reads_complete {
+                held.iter_mut().for_each(|log| log.complete_ms_ago = None);
+            }
             wire::encode_compact(&held)
         }),
         (Method::PUT, Some(body)) => wire::decode::<Vec<HeldLog>>(&body)
@@ -98,7 +108,7 @@
 ) -> Result<T, String> {
     let addr = SocketAddr::new(ip, gateway.host().peer_port);
     let body = wire::encode_compact(body);
-    match catch_up::call(gateway, addr, method, PATH, body, timeout).await {
+    match catch_up::call(gateway, addr, method, PATH_WITH_COMPLETE, body, timeout).await {
         Ok((StatusCode::OK, body)) => {
             wire::decode(&body).ok_or_else(|| "malformed answer".to_owned())
         }
--- a/crates/gateway/tests/collectors/mod.rs
+++ b/crates/gateway/tests/collectors/mod.rs
@@ -1,6 +1,6 @@
 //! Four processes that collect usage, in virtual time, with a store and datagrams that get lost.
 
-use gateway::duty::usage::collection::{Collection, Readiness, Span};
+use gateway::duty::usage::collection::{Collection, MaxWaits, Readiness, Span};
 use gateway::duty::usage::holder::{Action, Holder};
 use gateway::duty::usage::ledger::Ledger;
 use gateway::duty::usage::request_log::RequestLog;
@@ -17,7 +17,7 @@
 pub const TICK_MS: u64 = 50;
 pub const POLL_MS: u64 = 250;
 const SETTLE_MS: u64 = 1600;
-const SETTLE_SILENT_MS: u64 = 3500;
+const DUE: Duration = Duration::from_secs(10);
 const UNPOLLED_MS: u64 = 3000;
 const STOP_MS: u64 = 1500;
 /// Time in which a process that was paused is polled.
@@ -327,13 +327,14 @@
         let now = self.at(self.now_ms);
         let span = self.span(window);
         let live: Vec<IpAddr> = self.live(n).into_iter().map(ip).collect();
-        let now_ms = self.now_ms;
         let process = self.process(n);
         if !process.is_membership_known || !process.outage.covers(span.until, now) {
             return false;
         }
-        let incomplete = process.ledger.incomplete(&live, span.from, span.until);
-        if !incomplete.is_empty() && now_ms < (window + 1) * WINDOW_MS + SETTLE_SILENT_MS {
+        let missing = process
+            .collection
+            .missing(&process.ledger, &live, span, now);
+        if now < span.until + MaxWaits::new(DUE, Duration::ZERO).of(missing) {
             return false;
         }
         let peers: Vec<IpAddr> = process.peers.iter().map(|peer| ip(*peer)).collect();
--- a/crates/observe/src/event.rs
+++ b/crates/observe/src/event.rs
@@ -374,6 +374,8 @@
         silent: usize,
         /// Known processes whose usage isn't known for the whole window.
         incomplete: Vec<String>,
+        /// Those of them that answer and may still turn out to have run requests of the window.
+        open: Vec<String>,
         /// Time since the window's end, in milliseconds.
         after_ms: u64,
         /// Rank of this process among those that may decide.
@@ -381,6 +383,17 @@
         /// Fencing token of the lease.
         token: u64,
     },
+    /// The report of a window waits for requests. Logged once per window and reason.
+    UsageWaits {
+        /// Number of the window.
+        window: u64,
+        /// The reason.
+        why: &'a str,
+        /// Addresses of the processes that it waits for, or of the first ones if there are many.
+        peers: Vec<String>,
+        /// Time since the window's end, in milliseconds.
+        after_ms: u64,
+    },
     /// A usage report was sent.
     UsageReported {
         /// Number of the window.
@@ -408,6 +421,17 @@
         /// The reason.
         why: &'a str,
     },
+    /// Requests were counted in the usage of their tenants although their upstreams hadn't answered,
+    /// as their reports can't wait longer.
+    UsageUnanswered {
+        /// Number of requests.
+        requests: u64,
+    },
+    /// A request that was counted without an answer didn't run, as its upstream said later.
+    UsageOvercounted {
+        /// Id of the request.
+        request: &'a str,
+    },
     /// This process has started or ended to collect the usage of all processes.
     UsageCollecting {
         /// Whether it collects now.
@@ -744,6 +768,7 @@
             | Self::WorkHeldBack { .. }
             | Self::UsageMissed { .. }
             | Self::UsageLost { .. }
+            | Self::UsageOvercounted { .. }
             | Self::UsageNotSent { .. }
             | Self::CrashRowsNotWritten { .. } => Level::Warn,
             Self::RecordsDropped { .. } | Self::LinesDropped { .. } => Level::Error,
