Let reports that wait for first answers wait together

Callers would see: late reports where several windows wait until all processes are heard, as after an outage of the store.

Cause: the maximum wait of 6 s counted from when a window was first looked at, and windows are decided one after the other, so each added its own wait.

Change: it counts from the end of the window, the first poll since this process collects, and the end of the last outage, whichever is last. `Collection` decides it without I/O.

Result: windows_that_wait_for_answers_wait_together, new with the function.

--- a/crates/gateway/src/duty/usage/collection.rs
+++ b/crates/gateway/src/duty/usage/collection.rs
@@ -17,6 +17,8 @@
 const FETCH_VALIDITY: Duration = Duration::from_secs(1);
 /// Minimum time since a process's last answer during which it is expected to answer again.
 const MIN_ANSWERS_FOR: Duration = Duration::from_secs(3);
+/// Maximum time for which a report waits until all processes are heard.
+const MAX_GATHER_TIME: Duration = Duration::from_secs(6);
 /// Maximum time for which a report waits while some process doesn't answer.
 const MAX_UNHEARD_WAIT: Duration = Duration::from_millis(3500);
 /// Share of the time until a report is due for which it waits at most while processes have open
@@ -126,6 +128,8 @@
 pub struct Collection {
     /// Time of the last poll, and the time by which the next one is due.
     last_poll: Option<(Instant, Instant)>,
+    /// Time of the first poll, of those without a pause.
+    began_at: Option<Instant>,
     /// Sorted by address.
     peers: Vec<PolledPeer>,
 }
@@ -137,6 +141,7 @@
         if self.has_paused(now) {
             self.clear();
         }
+        self.began_at.get_or_insert(now);
         self.last_poll = Some((now, now + interval * 2 + PAUSE_MARGIN));
         self.peers
             .retain(|peer| peers.binary_search(&peer.ip).is_ok());
@@ -157,6 +162,23 @@
         *self = Self::default();
     }
 
+    /// Whether a report may still wait until all processes are heard: for some time after the end of
+    /// its window, the first poll and the end of the last outage of the store. The waits of several
+    /// reports therefore overlap. `store_available_since` is `None` during an outage.
+    pub fn may_wait(
+        &self,
+        window: Span,
+        store_available_since: Option<Instant>,
+        now: Instant,
+    ) -> bool {
+        let Some(available_since) = store_available_since else {
+            return true;
+        };
+        let since = window.until.max(available_since);
+        let since = self.began_at.map_or(since, |at| at.max(since));
+        now.saturating_duration_since(since) < MAX_GATHER_TIME
+    }
+
     fn has_paused(&self, now: Instant) -> bool {
         self.last_poll.is_some_and(|(_, due)| now > due)
     }
--- a/crates/gateway/src/duty/usage/reports.rs
+++ b/crates/gateway/src/duty/usage/reports.rs
@@ -24,9 +24,6 @@
 /// Additional wait per place behind the first process, and the maximum number of places.
 const SETTLE_TIME_PER_PLACE: Duration = Duration::from_millis(2500);
 const MAX_PLACES: u32 = 3;
-/// Maximum time for which a report is withheld while processes haven't been heard, not counting
-/// outages of the store.
-const MAX_INCOMPLETE_WAIT: Duration = Duration::from_secs(6);
 /// Timeout for an answer to a report.
 const CALL_TIMEOUT: Duration = Duration::from_millis(900);
 /// Initial and maximum pause after a failed call; the pause doubles each time.
@@ -63,8 +60,6 @@
     gateway: Arc<Gateway>,
     holder: Holder,
     started_at: Instant,
-    /// Time since which a window's report is withheld.
-    withheld: Option<(u64, Instant)>,
     /// Last time at which the next report waited for open requests.
     waited_at: Option<Instant>,
     /// Last wait that was logged: the window, and the reason.
@@ -83,7 +78,6 @@
             holder: Holder::new(host.ip.to_string(), host.order_gap),
             gateway,
             started_at: now,
-            withheld: None,
             waited_at: None,
             logged_wait: None,
             retry_pause: RETRY_BACKOFF.0,
@@ -163,13 +157,7 @@
             Readiness::Ready => false,
             Readiness::Wait => {
                 self.log_wait(window, span, "first answers, or rows of processes");
-                let since = match self.withheld {
-                    Some((number, since)) if number == window => since,
-                    _ => now,
-                };
-                let is_reached = self.gateway.peers().store_outage().is_available();
-                self.withheld = is_reached.then_some((window, since));
-                !is_reached || now.saturating_duration_since(since) < MAX_INCOMPLETE_WAIT
+                self.may_wait_for_answers(span, now)
             }
             Readiness::Fetch(from) => {
                 self.fetch(from).await;
@@ -210,6 +198,12 @@
         collection.readiness(&ledger, &peers, span, now)
     }
 
+    fn may_wait_for_answers(&self, span: Span, now: Instant) -> bool {
+        let available_since = self.gateway.peers().store_outage().available_since();
+        let collection = self.gateway.usage.collection();
+        collection.may_wait(span, available_since, now)
+    }
+
     /// What may be missing of the requests of a window.
     fn missing(&self, span: Span, now: Instant) -> Missing {
         let live: Vec<IpAddr> = {
--- a/crates/gateway/src/follow/outage.rs
+++ b/crates/gateway/src/follow/outage.rs
@@ -35,6 +35,11 @@
         self.back_at.is_some()
     }
 
+    /// Time since which the store can be read, as far as known; `None` while it can't.
+    pub fn available_since(&self) -> Option<Instant> {
+        self.back_at
+    }
+
     /// Whether rows of all processes that started before `until` can be known: the store could be
     /// read then, or has been back for long enough.
     pub fn covers(&self, until: Instant, now: Instant) -> bool {
--- a/crates/gateway/tests/usage_collection.rs
+++ b/crates/gateway/tests/usage_collection.rs
@@ -88,6 +88,32 @@
     assert_eq!(readiness(&collection, &ledger, at(9500)), Readiness::Wait);
 }
 
+/// Guards against reports that are late as each of several windows waits anew until all processes are
+/// heard.
+#[test]
+fn windows_that_wait_for_answers_wait_together() {
+    let base = Instant::now();
+    let at = |ms| base + Duration::from_millis(ms);
+    let window = |n: u64| Span {
+        from: at(n * 1000),
+        until: at(n * 1000 + 1000),
+    };
+    let mut collection = Collection::default();
+    assert!(collection.may_wait(window(0), None, at(60_000)));
+    let interval = Duration::from_millis(POLL_MS);
+    (0..9250).step_by(POLL_MS as usize).for_each(|ms| {
+        collection.record_poll(&[ip(1)], interval, at(ms));
+    });
+    for n in 0..3 {
+        let waits_until = n * 1000 + 7000;
+        assert!(collection.may_wait(window(n), Some(base), at(waits_until - 1)));
+        assert!(!collection.may_wait(window(n), Some(base), at(waits_until)));
+        // After an outage of the store.
+        assert!(collection.may_wait(window(n), Some(at(5000)), at(10_999)));
+        assert!(!collection.may_wait(window(n), Some(at(5000)), at(11_000)));
+    }
+}
+
 /// Guards against counting requests twice that are polled and also fetched from other processes.
 #[test]
 fn requests_that_arrive_by_several_ways_are_counted_once() {
