Don't take usage for complete on a message of unknown age

Callers would see: a request missing from a report after a process stopped while a collector was paused.

Cause: messages of a process that stops have no query that tells their age, and count as made when they are read. After a pause of the collector, requests that were sent in it counted as known. Found by reading the change, not provoked in a run, and without a test of its own. Two more of that kind: a claim and the request that follows it are each off by up to 1 s, so they may contradict each other by 2 s, and only 1 s was corrected; and a late request at the very time of a claim was logged as one that contradicts it.

Change: such a message brings its requests, but says nothing of completeness, if the collector was paused. The correction reaches as far as two estimates can differ. A contradiction is a request from before what its process had said, by more than that. Names and comments in Collection.

--- a/crates/gateway/src/duty/usage/collection.rs
+++ b/crates/gateway/src/duty/usage/collection.rs
@@ -15,8 +15,8 @@
 const PAUSE_MARGIN: Duration = Duration::from_millis(500);
 /// Time after a fetch from a process during which reports are decided without another one.
 const FETCH_VALIDITY: Duration = Duration::from_secs(1);
-/// Minimum time since a process's last answer during which it is expected to answer again.
-const MIN_ANSWERS_FOR: Duration = Duration::from_secs(3);
+/// Minimum time without an answer after which a process isn't expected to answer again soon.
+const MIN_SILENT_AFTER: Duration = Duration::from_secs(3);
 /// Maximum time for which a report waits until all processes are heard.
 const MAX_GATHER_TIME: Duration = Duration::from_secs(6);
 /// Maximum time for which a report waits while some process doesn't answer.
@@ -128,7 +128,7 @@
 pub struct Collection {
     /// Time of the last poll, and the time by which the next one is due.
     last_poll: Option<(Instant, Instant)>,
-    /// Time of the first poll, of those without a pause.
+    /// Time of the first poll since this process collects without a pause.
     began_at: Option<Instant>,
     /// Sorted by address.
     peers: Vec<PolledPeer>,
@@ -240,9 +240,9 @@
 
     /// Processes that answer and may still turn out to have run requests sent before `until`.
     pub fn open(&self, ledger: &Ledger, until: Instant, now: Instant) -> Vec<IpAddr> {
-        let next_poll = self.last_poll.map(|(at, due)| due - at);
-        let answers_for = next_poll.map_or(MIN_ANSWERS_FOR, |p| p.max(MIN_ANSWERS_FOR));
-        let since = now.checked_sub(answers_for).unwrap_or(now);
+        let two_polls = self.last_poll.map_or(Duration::ZERO, |(at, due)| due - at);
+        let silent_after = two_polls.max(MIN_SILENT_AFTER);
+        let since = now.checked_sub(silent_after).unwrap_or(now);
         ledger.open(until, since)
     }
 
--- a/crates/gateway/src/duty/usage/exchange.rs
+++ b/crates/gateway/src/duty/usage/exchange.rs
@@ -137,7 +137,7 @@
                 send(&exchange.socket, from, &Message::Told(answer));
             }
             Some(Message::Told(answer)) => {
-                handle_answer(&gateway, &exchange, from.ip(), &answer, now);
+                handle_answer(&gateway, &exchange, from.ip(), answer, now);
             }
             Some(Message::AskHeld) if gateway.peers().knows(from.ip()) => {
                 let own = gateway.usage.own_log(&gateway);
@@ -202,23 +202,30 @@
     gateway: &Gateway,
     exchange: &Exchange,
     ip: IpAddr,
-    answer: &QueryAnswer,
+    mut answer: QueryAnswer,
     now: Instant,
 ) {
     let is_known = gateway.peers().knows(ip);
     let mut queries = exchange.queries();
     // An answer that waited while this process was paused is queried again, as the time at which
     // it was made is unknown.
+    let has_waited = gateway.may_have_waited(now);
     let is_timely = |at: &Instant| {
         let took = now.saturating_duration_since(*at);
-        took < ANSWER_TIMEOUT && !gateway.may_have_waited(now)
+        took < ANSWER_TIMEOUT && !has_waited
     };
     let asked_at = queries.close_query(ip, answer.number).filter(is_timely);
     let is_last = answer.number == 0 && is_known;
     let at = match asked_at {
         // The answer was made at some time between the query and now.
         Some(asked_at) => asked_at + now.saturating_duration_since(asked_at) / 2,
-        None if is_last => now,
+        None if is_last => {
+            // Its requests don't come again, but its process may have sent others since.
+            if has_waited {
+                answer.complete_ms_ago = None;
+            }
+            now
+        }
         None => return,
     };
     let base_ms = gateway
@@ -226,7 +233,7 @@
         .clock()
         .estimate_base(answer.time_of_day_ms, at);
     queries.add_estimate(ip, base_ms, now);
-    if gateway.usage.ledger().add(ip, answer, at) && !is_last {
+    if gateway.usage.ledger().add(ip, &answer, at) && !is_last {
         poll_peer(gateway, exchange, &mut queries, ip, now);
     }
 }
--- a/crates/gateway/src/duty/usage/ledger.rs
+++ b/crates/gateway/src/duty/usage/ledger.rs
@@ -11,9 +11,9 @@
 /// Maximum number of process starts, as any sender can claim to be a new one.
 const MAX_LOGS: usize = 2048;
 
-/// Maximum error of an estimated time of a process's message: half the time in which an answer is
-/// accepted.
-const MAX_TIME_ERROR: Duration = Duration::from_secs(1);
+/// Maximum error of the difference between the estimated times of two messages of a process. Each of
+/// them is off by up to half the time in which an answer is accepted.
+const MAX_TIME_ERROR: Duration = Duration::from_secs(2);
 /// A request that started to run on some process.
 #[derive(Debug)]
 struct Entry {
@@ -38,7 +38,7 @@
     start: u32,
     /// Number of the next request that isn't known.
     next: u64,
-    /// `None` if the process hasn't said so for any time.
+    /// `None` if the process hasn't said up to which time its requests are complete.
     complete: Option<Completeness>,
     /// Time of its last message, to this process or another one.
     last_received_at: Instant,
@@ -70,14 +70,20 @@
     /// Corrects the estimated time of a request by what the process had said before: a request that
     /// wasn't known then was sent later. Each request is then in a window that waited for it.
     fn correct_time(&self, number: u64, at: Instant) -> Instant {
-        let complete = self.complete.filter(|c| number >= c.next);
-        let earliest = complete.map_or(at, |c| c.until);
+        let earliest = self.earliest(number).unwrap_or(at);
         match earliest.saturating_duration_since(at) > MAX_TIME_ERROR {
             true => at,
             false => at.max(earliest),
         }
     }
 
+    /// Earliest time at which a request can have been sent by what its process said; `None` if it
+    /// was known then, or the process said nothing.
+    fn earliest(&self, number: u64) -> Option<Instant> {
+        let complete = self.complete.filter(|c| number >= c.next)?;
+        Some(complete.until)
+    }
+
     /// Some consecutive entries from number `from` on, for another process.
     fn held(&self, from: u64, entries: &[&Entry], now: Instant) -> HeldLog {
         let mut names: Vec<&Arc<str>> = entries.iter().map(|e| &e.tenant).collect();
@@ -251,7 +257,8 @@
             if log.insert(Entry { number, at, tenant }) {
                 added += 1;
                 log.late += u64::from(is_decided);
-                log.late_after_complete += u64::from(is_decided && log.is_complete(at));
+                let is_contradiction = log.earliest(number).is_some_and(|earliest| at < earliest);
+                log.late_after_complete += u64::from(is_decided && is_contradiction);
             }
         }
         added
--- a/crates/gateway/tests/usage_open_requests.rs
+++ b/crates/gateway/tests/usage_open_requests.rs
@@ -333,6 +333,18 @@
     ledger.add(ip(0), &log.read_from(1, 0, 2, at(1500)), at(1480));
     assert_eq!(ledger.count(at(0), at(1020)).requests, 0);
     assert_eq!(ledger.count(at(1020), at(2000)).requests, 1);
+    // A request that comes too late doesn't contradict its process, unless it precedes by far what
+    // the process had said.
+    let key = log.open(at(2000), "a".into());
+    ledger.add(ip(0), &log.read_from(1, 1, 3, at(9000)), at(9000));
+    ledger.set_decided(at(0), at(5000));
+    log.settle(key);
+    ledger.add(ip(0), &log.read_from(1, 1, 4, at(9000)), at(9000));
+    let lost = ledger.take_lost();
+    assert_eq!((lost[0].late, lost[0].late_after_complete), (1, 0));
+    log.record(at(3000), "a".into());
+    ledger.add(ip(0), &log.read_from(1, 2, 5, at(9000)), at(9000));
+    assert_eq!(ledger.take_lost()[0].late_after_complete, 1);
 }
 
 /// Guards against a transfer that takes requests for complete while some are open, and against one
