Log and count how the end of an upstream's answer was known

Cause: for an answer that looked complete and wasn't, neither the log nor the metrics told whether its end was known by a length, chunks or only the connection, and whether it ended inside an event.

Change: a monitor reads along with the body of each answer that is relayed. The line 'answered' has framing and inside_event, and arbutusquay_answer_ends_total counts both. No decision depends on it yet.

Result: none on answers; the tests of streams and relays pass.

--- a/crates/gateway/src/account.rs
+++ b/crates/gateway/src/account.rs
@@ -1,6 +1,7 @@
 //! Per-request accounting: one log line and the metrics, written when the request ends.
 
 use crate::answer::{Outcome, Reason};
+use crate::completeness::BodyMonitor;
 use crate::duty::usage::UsageState;
 use crate::fleet::UpstreamKey;
 use crate::fleet::latency::{Backlog, Task};
@@ -73,6 +74,8 @@
     pub last_sent_to: Option<SentTo>,
     /// Number of requests sent to upstreams.
     pub attempts: u32,
+    /// The body of the answer that was relayed, up to its end.
+    pub body: Option<BodyMonitor>,
     /// Whether a prefill-only engine was sent the prompt.
     pub was_prefilled: bool,
     /// Whether an upstream may have run the request.
@@ -125,6 +128,7 @@
             upstream: None,
             last_sent_to: None,
             attempts: 0,
+            body: None,
             was_prefilled: false,
             may_have_run: false,
             usage: UsageState::NotSent,
@@ -231,6 +235,8 @@
             status: self.status,
             upstream: self.upstream.as_deref(),
             attempts: self.attempts,
+            framing: self.body.map(|body| body.framing().name()),
+            inside_event: self.body.and_then(|body| body.is_inside_event()),
             estimate_ms: self.inputs.map(|i| i.estimate_ms as u64),
             generator_ms: self.inputs.map(|i| i.generator_ms as u64),
             admit_ms: self.inputs.map(|i| i.admit_ms as u64),
@@ -261,6 +267,9 @@
         };
         let metrics = &self.gateway.metrics;
         metrics.count_request(labels, outcome.name(), reason.unwrap_or(NONE));
+        if let Some(body) = &self.body {
+            metrics.count_answer_end(body.framing().name(), body.is_inside_event());
+        }
         metrics.observe_latency(labels, Latency::Total, total.as_secs_f64());
         if let Some(first) = self.first_byte_after {
             metrics.observe_latency(labels, Latency::FirstByte, first.as_secs_f64());
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -5,6 +5,7 @@
 use crate::account::Account;
 use crate::answer::Reason;
 use crate::choose::{Plan, Requirements};
+use crate::completeness::{BodyMonitor, Framing};
 use crate::crashes::broken::connection_broke;
 use crate::crashes::unanswered;
 use crate::fleet::latency::Task;
@@ -52,6 +53,8 @@
     pub first: Option<Bytes>,
     /// Rest of the body; `None` if `first` is complete.
     pub rest: Option<BodyRest>,
+    /// Monitor of the body, after `first`.
+    pub monitor: BodyMonitor,
     /// The request's load on the upstream, released when the answer ends.
     pub load: LoadGuard,
 }
@@ -229,6 +232,9 @@
         record_failure(gateway, plan, CONNECTION_FAILURE_WEIGHT);
         return AttemptResult::Unknown("success status without a response signature".into());
     }
+    let framing = Framing::of(&head.headers, &body);
+    let is_stream = call.target().route.kind.is_stream();
+    let mut monitor = BodyMonitor::new(framing, is_stream, head.status, &head.headers);
     let rest = BodyRest { body, conn, idle };
     let read = read_first(call, rest).await;
     let (first, rest) = match read {
@@ -239,6 +245,7 @@
             return AttemptResult::Unknown(why);
         }
     };
+    monitor.push(first.as_deref().unwrap_or_default());
     if head.status.is_server_error() {
         record_failure(gateway, plan, ERROR_ANSWER_WEIGHT);
     } else {
@@ -252,6 +259,7 @@
         headers: head.headers,
         first,
         rest,
+        monitor,
         load,
     }))
 }
--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -4,6 +4,10 @@
 //! stop in the middle of an event. Bytes after the last complete event are buffered until their
 //! event is complete, so that the stream can be resumed at another upstream after that event.
 
+mod boundary;
+
+pub use boundary::EventBoundary;
+
 use bytes::{Bytes, BytesMut};
 
 /// Maximum length of an incomplete event. If it is exceeded, the stream counts as malformed.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod answer;
 pub mod attempt;
 pub mod choose;
+pub mod completeness;
 pub mod crashes;
 pub mod division;
 pub mod duty;
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -27,6 +27,7 @@
 pub fn relay_answer(call: Call, mut account: Account, started: StartedAnswer) -> Response<Body> {
     account.first_byte_after = Some(account.received_at.elapsed());
     account.status = started.status.as_u16();
+    account.body = Some(started.monitor);
     let headers = header::client_response_headers(&started.headers);
     let is_framed = is_framed(&started.headers);
     let body = match started.rest {
@@ -178,12 +179,19 @@
             match frame {
                 None => break,
                 Some(Err(e)) => return StreamEnd::Broken(e.to_string()),
-                Some(Ok(frame)) => match frame.into_data().map(|data| self.convert(data)) {
-                    Ok(Ok(data)) => self.unsent = Some(data),
-                    Ok(Err(end)) => return end,
+                Some(Ok(frame)) => {
                     // Trailers are not relayed.
-                    Err(_) => {}
-                },
+                    let Ok(data) = frame.into_data() else {
+                        continue;
+                    };
+                    if let Some(body) = &mut self.account.body {
+                        body.push(&data);
+                    }
+                    match self.convert(data) {
+                        Ok(data) => self.unsent = Some(data),
+                        Err(end) => return end,
+                    }
+                }
             }
         }
         if self
@@ -243,6 +251,7 @@
             return None;
         }
         self.load = started.load;
+        self.account.body = Some(started.monitor);
         Some((started.first, started.rest))
     }
 }
--- a/crates/observe/src/event.rs
+++ b/crates/observe/src/event.rs
@@ -685,6 +685,13 @@
         upstream: Option<&'a str>,
         /// Number of attempts at upstreams.
         attempts: u32,
+        /// How the end of the upstream's answer is known: its length, its last chunk, or only the
+        /// end of the connection.
+        #[serde(skip_serializing_if = "Option::is_none")]
+        framing: Option<&'a str>,
+        /// Whether the answer ended inside an event; `None` if it doesn't consist of events.
+        #[serde(skip_serializing_if = "Option::is_none")]
+        inside_event: Option<bool>,
         /// Time to the first byte that was estimated when the upstream was chosen, in milliseconds.
         estimate_ms: Option<u64>,
         /// The part of the estimate for the engine that generates from the KV cache of another
--- a/crates/observe/src/metrics.rs
+++ b/crates/observe/src/metrics.rs
@@ -39,6 +39,7 @@
 pub struct Metrics {
     registry: Registry,
     requests: IntCounterVec,
+    answer_ends: IntCounterVec,
     queue: HistogramVec,
     first: HistogramVec,
     total: HistogramVec,
@@ -68,6 +69,12 @@
                 "Requests by what became of them.",
                 &["service", "class", "outcome", "reason"],
             ),
+            answer_ends: counter(
+                &registry,
+                "answer_ends_total",
+                "Ends of upstreams' answers by how they were known, and whether inside an event.",
+                &["framing", "inside_event"],
+            ),
             queue: histogram(
                 &registry,
                 "queue_seconds",
@@ -136,6 +143,19 @@
             .inc();
     }
 
+    /// Counts the end of an upstream's answer by how it was known. `is_inside_event` is `None` for
+    /// an answer that doesn't consist of events.
+    pub fn count_answer_end(&self, framing: &str, is_inside_event: Option<bool>) {
+        let inside_event = match is_inside_event {
+            Some(true) => "yes",
+            Some(false) => "no",
+            None => "-",
+        };
+        self.answer_ends
+            .with_label_values(&[framing, inside_event])
+            .inc();
+    }
+
     /// Records a latency, in seconds.
     pub fn observe_latency(&self, labels: Labels<'_>, latency: Latency, seconds: f64) {
         let class = [labels.service, labels.class];
