Decide by one definition whether an upstream's answer is whole

Callers got an answer that its engine had broken off as a complete one: status 200, signature and last chunk, the last event missing (ORDER, two cases of stock-check).

Cause: the end of a body stood for the end of the answer. A crash that closes the connection of an answer with neither length nor chunks looks like its end; only streams that may be resumed were checked for an event that is cut, and an answer without a first byte counted as plain.

Evidence: with a stand-in that sends such streams, six ways of cutting them, with and without a prefill at another engine, looked complete each time on; seven tests of unframed_streams, six of which failed there (the seventh is for streams that may be resumed, which were checked).

Change: each answer has a monitor of its body. Its framing and its position in an event decide whether it is whole, unconfirmed or broken off; resuming, the check for a crash, the record of crashes, the log and the end of the client's answer follow from that. Events are split in one pass.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -5,7 +5,7 @@
 use crate::account::Account;
 use crate::answer::Reason;
 use crate::choose::{Plan, Requirements};
-use crate::completeness::{BodyMonitor, Framing};
+use crate::completeness::{BodyMonitor, Completeness, Framing};
 use crate::crashes::broken::connection_broke;
 use crate::crashes::unanswered;
 use crate::fleet::latency::Task;
@@ -237,6 +237,13 @@
     let mut monitor = BodyMonitor::new(framing, is_stream, head.status, &head.headers);
     let rest = BodyRest { body, conn, idle };
     let read = read_first(call, rest).await;
+    let read = read.and_then(|(first, rest)| {
+        monitor.push(first.as_deref().unwrap_or_default());
+        match monitor.completeness() {
+            Completeness::BrokenOff(why) if rest.is_none() => Err(why.message().to_owned()),
+            _ => Ok((first, rest)),
+        }
+    });
     let (first, rest) = match read {
         Ok(read) => read,
         Err(why) => {
@@ -245,7 +252,6 @@
             return AttemptResult::Unknown(why);
         }
     };
-    monitor.push(first.as_deref().unwrap_or_default());
     if head.status.is_server_error() {
         record_failure(gateway, plan, ERROR_ANSWER_WEIGHT);
     } else {
--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -16,7 +16,11 @@
 /// Splits a stream into sequences of complete events.
 #[derive(Debug, Default)]
 pub struct EventSplitter {
+    /// Bytes after the last complete event.
     partial: BytesMut,
+    /// Number of these bytes that `boundary` has read.
+    scanned: usize,
+    boundary: EventBoundary,
     last_id: Option<u64>,
 }
 
@@ -33,8 +37,8 @@
     /// A splitter for a stream that continues after event `last_id`.
     pub fn after(last_id: Option<u64>) -> Self {
         Self {
-            partial: BytesMut::new(),
             last_id,
+            ..Self::default()
         }
     }
 
@@ -45,7 +49,14 @@
 
     /// Whether part of an event is buffered.
     pub fn is_mid_event(&self) -> bool {
-        !self.partial.is_empty()
+        self.boundary.is_inside()
+    }
+
+    /// Takes the buffered bytes at the end of the stream. Unless it ends inside an event, these are
+    /// comments after the last one.
+    pub fn take_rest(&mut self) -> Bytes {
+        self.scanned = 0;
+        self.partial.split().freeze()
     }
 
     /// Adds bytes and returns the complete events that can be passed on now. Events whose ids
@@ -55,8 +66,12 @@
         let mut out = BytesMut::new();
         // On error, the events before the bad one aren't passed on either.
         let last_id_before = self.last_id;
-        while let Some(end) = event_end(&self.partial) {
-            let event = self.partial.split_to(end);
+        while let Some(len) = self
+            .boundary
+            .read_to_blank_line(&self.partial[self.scanned..])
+        {
+            let event = self.partial.split_to(self.scanned + len);
+            self.scanned = 0;
             if self
                 .is_new_event(&event)
                 .inspect_err(|_| self.last_id = last_id_before)?
@@ -64,6 +79,7 @@
                 out.unsplit(event);
             }
         }
+        self.scanned = self.partial.len();
         if self.partial.len() > MAX_EVENT_BYTES {
             return Err(BadStream::TooLong);
         }
@@ -83,22 +99,9 @@
     }
 }
 
-/// End of the first event, after its blank line.
-fn event_end(buf: &[u8]) -> Option<usize> {
-    let lf = buf.windows(2).position(|w| w == b"\n\n").map(|at| at + 2);
-    let crlf = buf
-        .windows(4)
-        .position(|w| w == b"\r\n\r\n")
-        .map(|at| at + 4);
-    match (lf, crlf) {
-        (Some(a), Some(b)) => Some(a.min(b)),
-        (a, b) => a.or(b),
-    }
-}
-
 /// Id of an event, if it has one.
 fn event_id(event: &[u8]) -> Option<u64> {
-    let mut lines = event.split(|b| *b == b'\n');
+    let mut lines = event.split(|b| matches!(b, b'\n' | b'\r'));
     let value = lines.find_map(|line| line.strip_prefix(b"id:"))?;
     std::str::from_utf8(value).ok()?.trim().parse().ok()
 }
--- a/crates/gateway/src/events/boundary.rs
+++ b/crates/gateway/src/events/boundary.rs
@@ -33,54 +33,52 @@
     /// Reads all bytes.
     pub fn push(&mut self, data: &[u8]) {
         let mut rest = data;
-        while let Some(len) = self.read_event(rest) {
+        while let Some(len) = self.read_to_blank_line(rest) {
             rest = &rest[len..];
         }
     }
 
-    /// Reads bytes up to the end of the current event, after its blank line, and returns their
-    /// number. Returns `None` after reading all of them if the event doesn't end there.
-    pub fn read_event(&mut self, data: &[u8]) -> Option<usize> {
+    /// Reads bytes up to the end of the next blank line, which ends an event or a group of comments,
+    /// and returns their number. Returns `None` after reading all of them if there is none.
+    pub fn read_to_blank_line(&mut self, data: &[u8]) -> Option<usize> {
         for (at, byte) in data.iter().enumerate() {
             if let Position::AfterReturn { is_blank } = self.position {
                 self.position = Position::LineStart;
                 self.uses_crlf |= *byte == b'\n';
-                let ends_event = is_blank && self.end_event();
-                match (byte, ends_event) {
+                match (*byte, is_blank) {
                     (b'\n', true) => return Some(at + 1),
                     (b'\n', false) => continue,
                     (_, true) => return Some(at),
                     (_, false) => {}
                 }
             }
-            self.position = match (self.position, byte) {
+            match (self.position, byte) {
                 (Position::LineStart, b'\n') => {
-                    if self.end_event() {
-                        return Some(at + 1);
-                    }
-                    Position::LineStart
+                    self.end_event();
+                    return Some(at + 1);
                 }
-                (Position::LineStart, b'\r') => Position::AfterReturn { is_blank: true },
-                (Position::LineStart, b':') => Position::Comment,
+                (Position::LineStart, b'\r') => {
+                    self.end_event();
+                    self.position = Position::AfterReturn { is_blank: true };
+                }
+                (Position::LineStart, b':') => self.position = Position::Comment,
+                (Position::LineStart, _) => self.position = Position::Field,
                 (line, b'\n') => {
                     self.has_field |= line == Position::Field;
-                    Position::LineStart
+                    self.position = Position::LineStart;
                 }
                 (line, b'\r') => {
                     self.has_field |= line == Position::Field;
-                    Position::AfterReturn { is_blank: false }
+                    self.position = Position::AfterReturn { is_blank: false };
                 }
-                (Position::LineStart, _) => Position::Field,
-                (line, _) => line,
-            };
+                _ => {}
+            }
         }
         None
     }
 
-    /// Ends the current event at a blank line. Returns whether there was one.
-    fn end_event(&mut self) -> bool {
-        self.has_event |= self.has_field;
-        std::mem::take(&mut self.has_field)
+    fn end_event(&mut self) {
+        self.has_event |= std::mem::take(&mut self.has_field);
     }
 
     /// Whether a stream that ends here ends inside an event or line.
@@ -89,13 +87,12 @@
             Position::LineStart => self.has_field,
             Position::Comment | Position::Field => true,
             // In a stream with CRLF, a line feed is missing.
-            Position::AfterReturn { is_blank } => self.uses_crlf || (self.has_field && !is_blank),
+            Position::AfterReturn { .. } => self.uses_crlf || self.has_field,
         }
     }
 
     /// Whether the stream has a complete event.
     pub fn has_event(&self) -> bool {
-        let ends_here = self.position == Position::AfterReturn { is_blank: true };
-        self.has_event || (self.has_field && ends_here)
+        self.has_event
     }
 }
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -3,6 +3,7 @@
 use crate::account::Account;
 use crate::answer::{Outcome, Reason};
 use crate::attempt::{AttemptResult, BodyRest, StartedAnswer, log_failed_attempt};
+use crate::completeness::{BodyMonitor, Completeness};
 use crate::crashes;
 use crate::crashes::broken::connection_broke;
 use crate::crashes::unanswered;
@@ -12,7 +13,6 @@
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::Response;
-use hyper::header::{CONTENT_LENGTH, HeaderMap, TRANSFER_ENCODING};
 use net::{Body, BodySender, full, stream};
 use platform::{RouteKind, header};
 use std::time::{Duration, Instant};
@@ -29,10 +29,9 @@
     account.status = started.status.as_u16();
     account.body = Some(started.monitor);
     let headers = header::client_response_headers(&started.headers);
-    let is_framed = is_framed(&started.headers);
     let body = match started.rest {
         None => {
-            if is_framed {
+            if started.monitor.completeness() == Completeness::Whole {
                 crashes::mark_answered(&call);
             }
             call.record_duration(&account, Duration::ZERO);
@@ -42,7 +41,7 @@
         Some(rest) => {
             let (tx, body) = stream(MAX_BUFFERED_CHUNKS);
             let is_resumable = call.target().route.kind == RouteKind::ResumableStream
-                && started.status.is_success();
+                && started.monitor.consists_of_events();
             let stream_relay = StreamRelay {
                 _stream_guard: call.track_stream(),
                 splitter: is_resumable.then(|| EventSplitter::after(call.last_event)),
@@ -52,7 +51,7 @@
                 load: started.load,
                 unsent: None,
                 client_wait: Duration::ZERO,
-                is_framed,
+                monitor: started.monitor,
             };
             tokio::spawn(stream_relay.run(started.first, rest));
             body
@@ -75,20 +74,15 @@
     /// Total time spent waiting for the client.
     client_wait: Duration,
     _stream_guard: StreamGuard,
-    /// Whether the headers define where the body ends. A body that ends with its connection looks
-    /// complete even if its upstream has crashed.
-    is_framed: bool,
+    /// Monitor of the current upstream's answer.
+    monitor: BodyMonitor,
     /// Present for streams that may be resumed.
     splitter: Option<EventSplitter>,
 }
 
-fn is_framed(headers: &HeaderMap) -> bool {
-    headers.contains_key(CONTENT_LENGTH) || headers.contains_key(TRANSFER_ENCODING)
-}
-
 /// How the copying of a stream ended.
 enum StreamEnd {
-    /// The upstream completed the stream.
+    /// The stream is whole, as far as its end shows.
     Whole,
     /// The upstream broke off the stream.
     Broken(String),
@@ -109,7 +103,7 @@
             };
             match end {
                 StreamEnd::Whole => {
-                    if self.is_framed {
+                    if self.monitor.completeness() == Completeness::Whole {
                         crashes::mark_answered(&self.call);
                     }
                     self.call.record_duration(&self.account, self.client_wait);
@@ -177,16 +171,15 @@
                 () = self.tx.closed() => return StreamEnd::ClientGone,
             };
             match frame {
-                None => break,
+                None => return self.finish().await,
                 Some(Err(e)) => return StreamEnd::Broken(e.to_string()),
                 Some(Ok(frame)) => {
                     // Trailers are not relayed.
                     let Ok(data) = frame.into_data() else {
                         continue;
                     };
-                    if let Some(body) = &mut self.account.body {
-                        body.push(&data);
-                    }
+                    self.monitor.push(&data);
+                    self.account.body = Some(self.monitor);
                     match self.convert(data) {
                         Ok(data) => self.unsent = Some(data),
                         Err(end) => return end,
@@ -194,14 +187,21 @@
                 }
             }
         }
-        if self
-            .splitter
-            .as_ref()
-            .is_some_and(EventSplitter::is_mid_event)
-        {
-            return StreamEnd::Broken("ended in the middle of an event".into());
+    }
+
+    /// Decides whether the stream is whole after the end of its body, and sends what the splitter
+    /// has kept back.
+    async fn finish(&mut self) -> StreamEnd {
+        if let Completeness::BrokenOff(why) = self.monitor.completeness() {
+            return StreamEnd::Broken(why.message().to_owned());
+        }
+        if let Some(splitter) = &mut self.splitter {
+            self.unsent = Some(splitter.take_rest());
+        }
+        match self.send_unsent().await {
+            Ok(()) => StreamEnd::Whole,
+            Err(end) => end,
         }
-        StreamEnd::Whole
     }
 
     /// Converts data from the upstream to data for the client: only whole events of a stream that
@@ -251,6 +251,7 @@
             return None;
         }
         self.load = started.load;
+        self.monitor = started.monitor;
         self.account.body = Some(started.monitor);
         Some((started.first, started.rest))
     }
--- a/crates/gateway/tests/unframed_streams.rs
+++ b/crates/gateway/tests/unframed_streams.rs
@@ -4,8 +4,9 @@
 #[expect(dead_code, reason = "each test file uses a part of it")]
 mod common;
 
-use common::{Client, SHORT_PROMPT_HEADERS, exchange, request, start, status};
+use common::{Client, SHORT_PROMPT_HEADERS, exchange, request, start, status, wait_for};
 use standin::Action;
+use std::time::Duration;
 
 const FIRST: &str = "id: 1\ndata: piece 1\n\n";
 
@@ -33,6 +34,24 @@
     }
 }
 
+/// Body of a complete answer.
+fn body_of(text: &str) -> String {
+    let (head, mut rest) = text.split_once("\r\n\r\n").expect("the answer has a head");
+    if !head
+        .to_ascii_lowercase()
+        .contains("transfer-encoding: chunked")
+    {
+        return rest.to_owned();
+    }
+    let mut body = String::new();
+    while let Some((len, chunk)) = rest.split_once("\r\n") {
+        let len = usize::from_str_radix(len, 16).expect("a chunk has a length");
+        body += &chunk[..len];
+        rest = &chunk[(len + 2).min(chunk.len())..];
+    }
+    body
+}
+
 /// Streams that end inside an event.
 fn cut_streams() -> Vec<(&'static str, String)> {
     vec![
@@ -67,6 +86,9 @@
         let res = read_all(bed.callers, "/stream/", &format!("id-{n}"), "").await;
         assert_eq!(status(&res), 200, "{name}");
         assert!(!looks_complete(&res), "{name}: {res:.300}");
+        workers[0].script([Action::Unframed(200, body)]);
+        let res = read_all(bed.callers, "/stream/", &format!("untyped-{n}"), "").await;
+        assert!(!looks_complete(&res), "untyped, {name}: {res:.300}");
     }
 }
 
@@ -120,8 +142,13 @@
     let (bed, workers) = start(1).await;
     let crlf = "id: 1\r\ndata: a\r\n\r\nid: 2\r\ndata: b\r\n\r\n".to_owned();
     let comment = format!(": hello\n\n{FIRST}: bye\n");
+    let three = FIRST.repeat(3);
     let cases = [
-        ("/stream/", Action::UnframedStream(FIRST.repeat(3)), FIRST),
+        (
+            "/stream/",
+            Action::UnframedStream(three.clone()),
+            &three[..],
+        ),
         ("/stream/", Action::UnframedStream(crlf.clone()), &crlf[..]),
         (
             "/stream/",
@@ -150,7 +177,7 @@
         workers[0].script([action.clone()]);
         let res = read_all(bed.callers, path, &format!("id-{n}"), "").await;
         assert!(looks_complete(&res), "{action:?}: {res:?}");
-        assert!(res.contains(body), "{action:?}: {res:?}");
+        assert_eq!(body_of(&res), body, "{action:?}: {res:?}");
     }
 }
 
@@ -183,3 +210,29 @@
         assert!(looks_complete(&res), "{res}");
     }
 }
+
+/// Guards against crashes that close the connection going unnoticed: the store gets the record of
+/// a request under which upstreams were lost, as if the connections had been reset.
+#[tokio::test]
+async fn an_upstream_that_cuts_its_unframed_stream_counts_as_crashed() {
+    for cut in [
+        Action::EventsThenReset(1..=1),
+        Action::UnframedStream(format!("{FIRST}id: 2\nda")),
+        Action::UnframedStream(String::new()),
+    ] {
+        let (bed, workers) = start(4).await;
+        for worker in &workers {
+            worker.set_default_action(cut.clone());
+        }
+        for n in 0..12 {
+            read_all(bed.callers, "/stream/", &format!("id-{n}"), "").await;
+            // An upstream is observed for a while before it counts as crashed.
+            tokio::time::sleep(Duration::from_millis(150)).await;
+        }
+        let store = &bed.store;
+        wait_for("records of crashes", || async {
+            store.keys("crashes").len() >= 2
+        })
+        .await;
+    }
+}
--- a/crates/soak/src/fault.rs
+++ b/crates/soak/src/fault.rs
@@ -66,17 +66,41 @@
     /// A worker states in its answers that it leaves, its limit, or that it wants a pause, or no
     /// longer does.
     Statement,
+    /// A worker sends unframed streams, some of which it cuts.
+    Unframed,
+}
+
+/// Kinds of faults that a random schedule draws.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum FaultSet {
+    /// The kinds that seeds of earlier runs draw.
+    Common,
+    /// Those, and faults of streams.
+    WithStreams,
+}
+
+impl FaultSet {
+    fn kinds(self) -> &'static [Fault] {
+        match self {
+            Self::Common => &ALL_FAULTS[..COMMON_FAULTS],
+            Self::WithStreams => &ALL_FAULTS,
+        }
+    }
 }
 
 impl Fault {
     /// Draws a fault and the pause before it in milliseconds.
-    pub fn draw(rng: &mut fastrand::Rng) -> (u64, Self) {
+    pub fn draw(set: FaultSet, rng: &mut fastrand::Rng) -> (u64, Self) {
         let pause_ms = rng.u64(50..700);
-        (pause_ms, ALL_FAULTS[rng.usize(..ALL_FAULTS.len())])
+        let kinds = set.kinds();
+        (pause_ms, kinds[rng.usize(..kinds.len())])
     }
 }
 
-const ALL_FAULTS: [Fault; 19] = [
+/// Number of faults in [`ALL_FAULTS`] that [`FaultSet::Common`] has.
+const COMMON_FAULTS: usize = 19;
+
+const ALL_FAULTS: [Fault; 22] = [
     Fault::Kill,
     Fault::Stop,
     Fault::Pause,
@@ -97,6 +121,9 @@
     // Drawn twice as often, as each worker can state three things.
     Fault::Statement,
     Fault::Statement,
+    Fault::Unframed,
+    Fault::Unframed,
+    Fault::Unframed,
 ];
 
 /// The faults that were injected.
@@ -179,6 +206,10 @@
         Fault::BadRow => cluster.corrupt_row(worker, rng),
         Fault::Key => cluster.toggle_key(rng.usize(..TENANTS)),
         Fault::Statement => statements::change(cluster, worker, rng).await?,
+        Fault::Unframed => {
+            let actions: Vec<Action> = (0..rng.usize(1..6)).map(|_| unframed(rng)).collect();
+            cluster.upstreams[worker].worker.script(actions);
+        }
         Fault::Cloud => cluster.cloud.set_mode(random_cloud_mode(rng)),
     }
     Ok(())
@@ -236,6 +267,13 @@
     }
 }
 
+fn unframed(rng: &mut fastrand::Rng) -> Action {
+    match rng.u32(..3) {
+        0 => Action::ServeUnframed(PIECES),
+        _ => Action::CutUnframed(rng.u64(..PIECES)),
+    }
+}
+
 /// Ends all faults and restarts ended processes.
 pub async fn clear_faults(cluster: &mut Cluster) -> io::Result<()> {
     statements::clear(cluster);
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -11,6 +11,7 @@
 use soak::client::{self, History, Pace, Phase, Slow};
 use soak::cluster::{CRASHING_BODY, Cluster, Upstream};
 use soak::disruption::{Timeline, is_aborted};
+use soak::fault::FaultSet;
 use soak::keys::{Key, LAST_TENANT, TENANTS, check_usage, reported_requests};
 use soak::schedule::{self, Schedule};
 use soak::{crashing, fault, statements, stops};
@@ -55,6 +56,9 @@
     /// make only series of overlapping planned stops, instead of faults of all kinds
     #[argh(switch)]
     stops: bool,
+    /// also draw faults of streams; seeds then draw other faults
+    #[argh(switch)]
+    streams: bool,
     /// file with the faults to replay, as each run writes it beside its logs, instead of random
     /// faults
     #[argh(option)]
@@ -131,7 +135,7 @@
         false => {
             let schedule = match &args.schedule {
                 Some(path) => Schedule::read(path)?,
-                None => Schedule::from_seed(args.seed),
+                None => Schedule::from_seed(fault_set(args), args.seed),
             };
             fault::run(&mut cluster, schedule, until).await?
         }
@@ -190,6 +194,13 @@
     })
 }
 
+fn fault_set(args: &Args) -> FaultSet {
+    match args.streams {
+        true => FaultSet::WithStreams,
+        false => FaultSet::Common,
+    }
+}
+
 /// Counts the distinct requests of [`LAST_TENANT`] that ran.
 fn count_last_tenant(runs: &[WorkerRun]) -> usize {
     let last = runs
--- a/crates/soak/src/schedule.rs
+++ b/crates/soak/src/schedule.rs
@@ -3,7 +3,7 @@
 //! A seed can't be kept as a test case, because it draws other faults as soon as a kind of fault
 //! is added. A file names each fault and the generator state that decides its parameters.
 
-use crate::fault::Fault;
+use crate::fault::{Fault, FaultSet};
 use serde::{Deserialize, Serialize};
 use std::io;
 use std::path::Path;
@@ -23,15 +23,15 @@
 #[derive(Debug)]
 pub enum Schedule {
     /// Faults drawn at random.
-    Random(fastrand::Rng),
+    Random(FaultSet, fastrand::Rng),
     /// The remaining faults of a file.
     File(std::vec::IntoIter<Step>),
 }
 
 impl Schedule {
     /// Creates a schedule of random faults.
-    pub fn from_seed(seed: u64) -> Self {
-        Self::Random(fastrand::Rng::with_seed(seed))
+    pub fn from_seed(set: FaultSet, seed: u64) -> Self {
+        Self::Random(set, fastrand::Rng::with_seed(seed))
     }
 
     /// Reads a schedule from a file with one step in JSON per line. Fails if the file or a line
@@ -45,8 +45,8 @@
     /// Returns the next step and the generator for its parameters, or none at the end of a file.
     pub fn next_step(&mut self) -> Option<(Step, fastrand::Rng)> {
         match self {
-            Self::Random(rng) => {
-                let (pause_ms, fault) = Fault::draw(rng);
+            Self::Random(set, rng) => {
+                let (pause_ms, fault) = Fault::draw(*set, rng);
                 let state = rng.get_seed();
                 Some((
                     Step {
@@ -66,7 +66,7 @@
 
     /// Continues the random schedule with the generator that drew the parameters of a step.
     pub fn advance(&mut self, after: fastrand::Rng) {
-        if let Self::Random(rng) = self {
+        if let Self::Random(_, rng) = self {
             *rng = after;
         }
     }
--- a/crates/soak/tests/schedule.rs
+++ b/crates/soak/tests/schedule.rs
@@ -1,6 +1,6 @@
 //! Schedules of faults that are written to a file and replayed.
 
-use soak::fault::Fault;
+use soak::fault::{Fault, FaultSet};
 use soak::schedule::{Schedule, Step, write};
 use std::path::PathBuf;
 
@@ -27,7 +27,7 @@
 
 #[test]
 fn a_file_replays_the_faults_of_a_seed() {
-    let (steps, drawn) = play(Schedule::from_seed(7), 200);
+    let (steps, drawn) = play(Schedule::from_seed(FaultSet::Common, 7), 200);
     let path = file("seed-7");
     write(&path, &steps).unwrap();
     let (again, drawn_again) = play(Schedule::read(&path).unwrap(), 1000);
--- a/crates/soak/tests/short.rs
+++ b/crates/soak/tests/short.rs
@@ -8,6 +8,7 @@
 const THIRD_NET: u32 = 220;
 const FOURTH_NET: u32 = 170;
 const FIFTH_NET: u32 = 70;
+const SIXTH_NET: u32 = 95;
 /// Faults under which a common request was once blocked permanently.
 const COMMON_REQUEST: &str = concat!(env!("CARGO_MANIFEST_DIR"), "/cases/common-request.jsonl");
 
@@ -75,3 +76,10 @@
     let summary = soak(FIFTH_NET, &args);
     assert!(summary["leaves"].as_u64().unwrap() > 0, "{summary}");
 }
+
+/// Guards against streams that end with their connection: cut inside an event, they were relayed as
+/// complete.
+#[test]
+fn unframed_streams_that_are_cut_do_not_look_complete() {
+    soak(SIXTH_NET, &["--streams", "--seed", "3", "--seconds", "10"]);
+}
