--- a/crates/gateway/src/account.rs
+++ b/crates/gateway/src/account.rs
@@ -70,6 +70,12 @@
     pub service: Option<String>,
     /// Id of the upstream that was tried last.
     pub upstream: Option<String>,
+    /// Software version of that upstream.
+    pub software_version: Option<String>,
+    /// The client's attempt whose stream is resumed, as the client names it.
+    pub resumes: Option<String>,
+    /// The event after which the client resumes the stream.
+    pub resumes_after: Option<u64>,
     /// Start of that upstream.
     pub last_sent_to: Option<SentTo>,
     /// Number of requests sent to upstreams.
@@ -126,6 +132,9 @@
             route: None,
             service: None,
             upstream: None,
+            software_version: None,
+            resumes: None,
+            resumes_after: None,
             last_sent_to: None,
             attempts: 0,
             body: None,
@@ -236,6 +245,9 @@
             upstream: self.upstream.as_deref(),
             attempts: self.attempts,
             framing: self.body.map(|body| body.framing().name()),
+            version: self.software_version.as_deref(),
+            resumes: self.resumes.as_deref(),
+            resumes_after: self.resumes_after,
             inside_event: self.body.and_then(|body| body.is_inside_event()),
             estimate_ms: self.inputs.map(|i| i.estimate_ms as u64),
             generator_ms: self.inputs.map(|i| i.generator_ms as u64),
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -123,6 +123,7 @@
 ) -> AttemptResult {
     let since = Instant::now();
     account.upstream = Some(plan.instance.clone());
+    account.software_version = plan.software_version.clone();
     account.last_sent_to = Some(plan.sent_to());
     account.inputs = call.is_engine.then_some(plan.inputs);
     let result = if plan.task == Task::Prefill {
--- a/crates/gateway/src/attempt/split.rs
+++ b/crates/gateway/src/attempt/split.rs
@@ -93,6 +93,7 @@
             return AttemptResult::NotRun(NotRun::NoTime);
         }
         account.upstream = Some(generator.instance.clone());
+        account.software_version = generator.software_version.clone();
         account.last_sent_to = Some(generator.sent_to());
         let since = Instant::now();
         last = send_to(call, account, &generator, Phases::Decode(&source)).await;
--- a/crates/gateway/src/choose.rs
+++ b/crates/gateway/src/choose.rs
@@ -105,6 +105,8 @@
     pub tag: u32,
     /// Id of the upstream's instance.
     pub instance: String,
+    /// Version of its software, if known.
+    pub software_version: Option<String>,
     /// Address of the upstream.
     pub addr: SocketAddr,
     /// Connection pool of the upstream.
@@ -344,6 +346,7 @@
         key,
         tag: upstream.tag(),
         instance: upstream.instance.id.clone(),
+        software_version: upstream.instance.software_version.clone(),
         addr: upstream.instance.addr,
         pool: upstream.pool.clone(),
         task,
--- a/crates/gateway/src/follow/registry.rs
+++ b/crates/gateway/src/follow/registry.rs
@@ -431,6 +431,7 @@
         zone: &u.instance.zone,
         stage: u.stage_name(),
         start: u.instance.start.map(|Start(ms)| ms),
+        version: u.instance.software_version.as_deref(),
         registry: registry.version,
     });
 }
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -104,6 +104,8 @@
 ) -> Result<Call, Refusal> {
     let table = gateway.routes().ok_or(Reason::NoConfig)?;
     account.config_version = table.version;
+    account.resumes = parsed_headers.resumes.clone();
+    account.resumes_after = parsed_headers.last_event_id;
     let target = table
         .find(&parsed_headers.host, head.uri.path())
         .ok_or(Reason::NoRoute)?;
--- a/crates/observe/src/event.rs
+++ b/crates/observe/src/event.rs
@@ -268,6 +268,8 @@
         stage: Option<&'a str>,
         /// Start time, in milliseconds by the upstream's clock; `None` if it isn't reported.
         start: Option<u64>,
+        /// Version of its software; `None` if it isn't reported.
+        version: Option<&'a str>,
         /// Version of the registry in the store with this change.
         registry: u64,
     },
@@ -692,6 +694,15 @@
         /// Whether the answer ended inside an event; `None` if it doesn't consist of events.
         #[serde(skip_serializing_if = "Option::is_none")]
         inside_event: Option<bool>,
+        /// Software version of the upstream that was tried last.
+        #[serde(skip_serializing_if = "Option::is_none")]
+        version: Option<&'a str>,
+        /// The client's attempt that got the first event of the stream that is resumed.
+        #[serde(skip_serializing_if = "Option::is_none")]
+        resumes: Option<&'a str>,
+        /// The event after which the client resumes the stream.
+        #[serde(skip_serializing_if = "Option::is_none")]
+        resumes_after: Option<u64>,
         /// Time to the first byte that was estimated when the upstream was chosen, in milliseconds.
         estimate_ms: Option<u64>,
         /// The part of the estimate for the engine that generates from the KV cache of another
