Test that a stream goes on only at the software version that began it

Cause: on the current code a stream is resumed at any upstream of its service, inside one answer and when its client takes it up at any host, and Resumes isn't used.

--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -2,6 +2,7 @@
 //! addresses.
 
 pub mod crashing;
+pub mod versions;
 
 use net::Stop;
 use platform::HostSettings;
--- /dev/null
+++ b/crates/gateway/tests/stream_versions.rs
@@ -0,0 +1,137 @@
+//! Tests that a stream goes on only at the software version that began it.
+
+#[expect(dead_code, reason = "each test file uses a part of it")]
+mod common;
+
+use common::versions::{Bed, EVENTS_BEFORE_BREAK, ONCE, OTHER, RESUMABLE};
+
+/// Guards against a stream that is resumed inside one answer at another version. With one upstream
+/// of each version, it can't go on.
+#[tokio::test]
+async fn a_stream_is_not_resumed_inside_its_answer_at_another_version() {
+    let bed = Bed::start(1, &["v1", "v1.1"]).await;
+    for n in 0..6 {
+        let id = format!("id-{n}");
+        let res = bed.send(0, RESUMABLE, &id, "").await;
+        assert_eq!(bed.versions_of(&[&id]).len(), 1, "{res:?}");
+        assert!(!res.is_whole(), "{res:?}");
+    }
+}
+
+/// Guards against the same while another upstream of its own version is free: the stream goes on
+/// there.
+#[tokio::test]
+async fn a_stream_is_resumed_inside_its_answer_at_its_own_version() {
+    let bed = Bed::start(1, &["v1", "v1", "v1.1", "v1.1"]).await;
+    for n in 0..6 {
+        let id = format!("id-{n}");
+        let res = bed.send(0, RESUMABLE, &id, "").await;
+        assert_eq!(bed.versions_of(&[&id]).len(), 1, "{res:?}");
+        assert!(res.is_whole(), "{res:?}");
+    }
+}
+
+/// Guards against a client's next try at another version, at the host that began the stream.
+#[tokio::test]
+async fn a_stream_that_is_taken_up_at_its_host_goes_on_at_its_version() {
+    let bed = Bed::start(1, &["v1", "v1", "v1.1", "v1.1"]).await;
+    let (mixed, resumed) = bed.take_up_streams(0, 0).await;
+    assert_eq!(mixed, 0, "streams over two versions");
+    assert!(resumed >= 6, "{resumed} of 12 go on");
+}
+
+/// Guards against the same at another host, which hasn't seen the first event.
+#[tokio::test]
+async fn a_stream_that_is_taken_up_at_another_host_goes_on_at_its_version() {
+    let bed = Bed::start(3, &["v1", "v1", "v1.1", "v1.1"]).await;
+    let (mixed, resumed) = bed.take_up_streams(0, 1).await;
+    assert_eq!(mixed, 0, "streams over two versions");
+    assert!(resumed >= 6, "{resumed} of 12 go on");
+}
+
+/// Guards against the same after the host that began the streams was killed: it can't be asked, so
+/// others must know by then.
+#[tokio::test]
+async fn streams_of_a_killed_host_go_on_at_their_version() {
+    let mut bed = Bed::start(3, &["v1", "v1", "v1.1", "v1.1"]).await;
+    for n in 0..12 {
+        let part = bed.send(0, ONCE, &format!("begun-{n}"), "").await;
+        assert_eq!(part.events() as u64, EVENTS_BEFORE_BREAK, "{part:?}");
+    }
+    bed.hosts[0].kill();
+    let (mut mixed, mut resumed) = (0, 0);
+    for n in 0..12 {
+        let (begun, next) = (format!("begun-{n}"), format!("next-{n}"));
+        let rest = bed.resume(1 + n % 2, &next, &begun).await;
+        resumed += usize::from(rest.is_whole());
+        mixed += usize::from(bed.versions_of(&[&begun, &next]).len() > 1);
+    }
+    assert_eq!(mixed, 0, "streams over two versions");
+    assert!(resumed >= 6, "{resumed} of 12 go on");
+}
+
+/// Guards against an unknown version being taken for any: with two versions in service, a stream
+/// that no host knows is rejected as not run.
+#[tokio::test]
+async fn a_stream_of_unknown_version_is_not_run() {
+    let bed = Bed::start(2, &["v1", "v1.1"]).await;
+    for n in 0..4 {
+        let id = format!("id-{n}");
+        let res = bed.resume(n % 2, &id, "nobody-knows").await;
+        assert_eq!(res.status, 503, "{res:?}");
+        assert!(res.text.contains("not_run"), "{res:?}");
+        assert!(bed.versions_of(&[&id]).is_empty(), "it ran");
+    }
+    // Without the header, nothing is known of the stream either.
+    let res = bed.send(0, ONCE, "unnamed", "last-event-id: 2\r\n").await;
+    assert_eq!(res.status, 503, "{res:?}");
+    assert!(bed.versions_of(&["unnamed"]).is_empty(), "it ran");
+}
+
+/// Guards against running the rest of another route's stream, or of one that isn't named clearly.
+#[tokio::test]
+async fn a_stream_of_another_route_or_without_a_clear_name_is_not_run() {
+    let bed = Bed::start(1, &["v1", "v1", "v1.1", "v1.1"]).await;
+    bed.send(0, OTHER, "begun", "").await;
+    // Routes may be split while a stream is open, so this isn't final.
+    let res = bed.resume(0, "next", "begun").await;
+    assert_eq!(res.status, 503, "{res:?}");
+    let twice = "resumes: a\r\nresumes: b\r\nlast-event-id: 2\r\n";
+    let long = format!("resumes: {}\r\nlast-event-id: 2\r\n", "a".repeat(300));
+    let none = "resumes: begun\r\n";
+    for (n, more) in [twice, "resumes: \r\nlast-event-id: 2\r\n", &long, none]
+        .iter()
+        .enumerate()
+    {
+        let res = bed.send(0, ONCE, &format!("bad-{n}"), more).await;
+        assert_eq!(res.status, 400, "{more}: {res:?}");
+    }
+    let ids = ["next", "bad-0", "bad-1", "bad-2", "bad-3"];
+    assert!(bed.versions_of(&ids).is_empty(), "one of them ran");
+}
+
+/// Guards against a stream that waits, or goes on elsewhere, when no upstream of its version is left.
+#[tokio::test]
+async fn a_stream_whose_version_has_gone_is_rejected_at_once() {
+    let mut bed = Bed::start(2, &["v1"]).await;
+    let part = bed.send(0, ONCE, "begun", "").await;
+    assert_eq!(part.events() as u64, EVENTS_BEFORE_BREAK, "{part:?}");
+    bed.add_worker("v2").await;
+    bed.retire("i-0").await;
+    for n in 0..2 {
+        let id = format!("next-{n}");
+        let since = std::time::Instant::now();
+        let res = bed.resume(n, &id, "begun").await;
+        assert_eq!(res.status, 503, "{res:?}");
+        assert!(since.elapsed().as_millis() < 1000, "it waited");
+        assert!(bed.versions_of(&[&id]).is_empty(), "it ran");
+    }
+}
+
+/// Guards against streams being rejected where there is only one version.
+#[tokio::test]
+async fn streams_go_on_with_one_version_in_service() {
+    let bed = Bed::start(2, &["v1", "v1"]).await;
+    let (_, resumed) = bed.take_up_streams(0, 1).await;
+    assert_eq!(resumed, 12);
+}
