Let the test of crashes under unframed streams reach two upstreams

Traced: a request under which one upstream was lost is isolated, and goes to the first of the least loaded ones. If that is the one that was lost first, no second crash is seen, and one alone isn't recorded. It isn't load.

Change: each upstream's row is removed once it got a request, so the next one reaches another. What is checked is the same: two records of crashes for a reset, a cut and an empty unframed stream.

--- a/crates/gateway/tests/unframed_streams.rs
+++ b/crates/gateway/tests/unframed_streams.rs
@@ -5,11 +5,14 @@
 mod common;
 
 use common::{Client, SHORT_PROMPT_HEADERS, exchange, request, start, status, wait_for};
-use standin::Action;
+use standin::{Action, Worker};
 use std::time::Duration;
 
 const FIRST: &str = "id: 1\ndata: piece 1\n\n";
 
+/// Time after which a change of the registry is known.
+const REGISTRY_TIME: Duration = Duration::from_millis(1500);
+
 /// Sends a request on a new connection and returns all bytes until the connection ends. The client
 /// asks for that, so a complete answer ends without a timeout.
 async fn read_all(callers: std::net::SocketAddr, path: &str, id: &str, more: &str) -> String {
@@ -224,10 +227,17 @@
         for worker in &workers {
             worker.set_default_action(cut.clone());
         }
-        for n in 0..12 {
+        for n in 0..3 {
             read_all(bed.callers, "/stream/", &format!("id-{n}"), "").await;
             // An upstream is observed for a while before it counts as crashed.
             tokio::time::sleep(Duration::from_millis(150)).await;
+            // The next request must reach another one, as two crashes are recorded.
+            let ran = |worker: &&Worker| {
+                !worker.requests().is_empty() && bed.store.has("servers", worker.id())
+            };
+            let worker = workers.iter().find(ran).expect("a worker got the request");
+            bed.store.remove("servers", worker.id());
+            tokio::time::sleep(REGISTRY_TIME).await;
         }
         let store = &bed.store;
         wait_for("records of crashes", || async {
