Let a stream go on only at the software version that began it

Cause: the version was no part of what an attempt requires, the host of a client's next try couldn't know where the stream had begun, and a view without a version counted as any.

Change: a stream is bound to the version that its answer began at. Its origin is recorded, copied to two other hosts by its first event (rendezvous hash of the attempt, best of each zone first, confirmed and repeated), handed over at a stop, and asked for where the client names it in Resumes. A stream nobody knows goes on only if its service had a single version for longer than any stream lasts, by a registry that was read after the request came; else it is rejected as not run. The version is part of an upstream's start and of its tag. Decisions are in the crate origins, without I/O.

--- a/crates/bench/src/restore.rs
+++ b/crates/bench/src/restore.rs
@@ -119,6 +119,7 @@
         is_first_start: true,
         usage_port: 7004,
         quota_port: 7005,
+        origin_port: 7006,
         quota: platform::QuotaBounds::default(),
         cpu_share: 1.0,
         cloud: None,
--- a/crates/gateway/src/account.rs
+++ b/crates/gateway/src/account.rs
@@ -5,10 +5,11 @@
 use crate::duty::usage::UsageState;
 use crate::fleet::UpstreamKey;
 use crate::fleet::latency::{Backlog, Task};
+use crate::origins::KnownOrigin;
 use crate::quota::Grant;
 use crate::serve::FinishEstimate;
 use crate::state::{Gateway, RunningGuard};
-use observe::{ConfigContext, Event, Labels, Latency, emit};
+use observe::{ConfigContext, Event, Labels, Latency, StreamContext, emit};
 use resilience::Fingerprint;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -76,6 +77,10 @@
     pub resumes: Option<String>,
     /// The event after which the client resumes the stream.
     pub resumes_after: Option<u64>,
+    /// Where that stream began.
+    pub origin: Option<KnownOrigin>,
+    /// Software version at which the request's stream began, if an upstream has it.
+    pub began_version: Option<String>,
     /// Start of that upstream.
     pub last_sent_to: Option<SentTo>,
     /// Number of requests sent to upstreams.
@@ -135,6 +140,8 @@
             software_version: None,
             resumes: None,
             resumes_after: None,
+            origin: None,
+            began_version: None,
             last_sent_to: None,
             attempts: 0,
             body: None,
@@ -226,6 +233,17 @@
         let total = self.received_at.elapsed();
         let reason = reason.map(Reason::name);
         let millis = |d: Duration| d.as_millis() as u64;
+        let stream = StreamContext {
+            version: self.software_version.as_deref(),
+            resumes: self.resumes.as_deref(),
+            resumes_after: self.resumes_after,
+            began_version: self.began_version.as_deref(),
+            origin: self.origin.map(|known| known.source.name()),
+            origin_host: self.origin.and_then(|known| known.source.host()),
+            origin_ms: self
+                .origin
+                .and_then(|known| Some(millis(known.began_at?.elapsed()))),
+        };
         emit(&Event::Answered {
             request: &self.id,
             work: self.fingerprint.map(|hash| hash.to_string()),
@@ -245,9 +263,7 @@
             upstream: self.upstream.as_deref(),
             attempts: self.attempts,
             framing: self.body.map(|body| body.framing().name()),
-            version: self.software_version.as_deref(),
-            resumes: self.resumes.as_deref(),
-            resumes_after: self.resumes_after,
+            stream: &stream,
             inside_event: self.body.and_then(|body| body.is_inside_event()),
             estimate_ms: self.inputs.map(|i| i.estimate_ms as u64),
             generator_ms: self.inputs.map(|i| i.generator_ms as u64),
--- a/crates/gateway/src/answer.rs
+++ b/crates/gateway/src/answer.rs
@@ -43,6 +43,12 @@
     UpstreamLimit,
     /// All upstreams that could run the request asked this process for a pause.
     UpstreamPause,
+    /// It isn't known at which software version the stream began that the client resumes.
+    StreamUnknown,
+    /// No upstream is available of the software version at which the stream began.
+    StreamVersionGone,
+    /// The stream that the client resumes began on another route, or its service isn't the route's.
+    OtherStream,
     /// Each upstream that was tried reported that it didn't run the request.
     Rejected,
     /// Upstreams crashed while they ran the request, also when it ran alone. It is not sent
@@ -107,6 +113,9 @@
             Self::Overloaded => "overloaded",
             Self::UpstreamLimit => "upstream_limit",
             Self::UpstreamPause => "upstream_pause",
+            Self::StreamUnknown => "stream_unknown",
+            Self::StreamVersionGone => "stream_version_gone",
+            Self::OtherStream => "other_stream",
             Self::Rejected => "rejected",
             Self::CrashesUpstreams => "crashes_upstreams",
             Self::CrashSuspected => "crash_suspected",
@@ -155,6 +164,11 @@
             Self::Overloaded => "all upstreams are busy beyond the latency target".into(),
             Self::UpstreamLimit => "all upstreams are at the limits that they name".into(),
             Self::UpstreamPause => "all upstreams have asked for a pause".into(),
+            Self::StreamUnknown => "it isn't known where the resumed stream began".into(),
+            Self::StreamVersionGone => {
+                "no upstream is usable of the version at which the stream began".into()
+            }
+            Self::OtherStream => "the resumed stream began on another route".into(),
             Self::Rejected => "the upstreams rejected the request".into(),
             Self::CrashesUpstreams => "upstreams have crashed each time they ran this".into(),
             Self::CrashSuspected => "upstreams have crashed while they ran this".into(),
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -21,6 +21,7 @@
 use net::h1::PooledConnection;
 use net::{Body, CallError, full};
 use observe::{Event, emit};
+use origins::NameHash;
 use platform::header::{self, Phases, UpstreamRequest};
 use split::attempt_split;
 use std::cmp::Ordering;
@@ -55,6 +56,8 @@
     pub rest: Option<BodyRest>,
     /// Monitor of the body, after `first`.
     pub monitor: BodyMonitor,
+    /// Software version of the upstream.
+    pub version: NameHash,
     /// The request's load on the upstream, released when the answer ends.
     pub load: LoadGuard,
 }
@@ -267,6 +270,7 @@
         first,
         rest,
         monitor,
+        version: plan.version,
         load,
     }))
 }
--- a/crates/gateway/src/choose.rs
+++ b/crates/gateway/src/choose.rs
@@ -14,6 +14,7 @@
 use crate::fleet::{Fleet, ServiceKey, Upstream, UpstreamKey};
 use crate::state::Gateway;
 use net::Pool;
+use origins::NameHash;
 use platform::header::RequestRate;
 use platform::{PromptPart, Stage};
 use std::net::SocketAddr;
@@ -69,6 +70,8 @@
     pub is_resumed: bool,
     /// Whether the request is suspected of crashing upstreams and goes to the least loaded one.
     pub is_isolated: bool,
+    /// Software version of the upstream that generates, for the rest of a stream.
+    pub version: Option<NameHash>,
     /// Upstreams that are excluded because they were tried before.
     pub tried: &'a [UpstreamKey],
 }
@@ -107,6 +110,8 @@
     pub instance: String,
     /// Version of its software, if known.
     pub software_version: Option<String>,
+    /// The same, as it identifies upstreams of one version.
+    pub version: NameHash,
     /// Address of the upstream.
     pub addr: SocketAddr,
     /// Connection pool of the upstream.
@@ -247,9 +252,17 @@
             && !u.is_suspended(now)
             && !u.is_changing(now)
             && !requirements.tried.contains(key)
+            && has_required_version(u, requirements)
     })
 }
 
+/// Whether an upstream may run the request by its software version. An engine that only prefills
+/// prompts writes no events, and its KV cache depends on the weights only.
+fn has_required_version(upstream: &Upstream, requirements: &Requirements<'_>) -> bool {
+    let is_required = |version| upstream.version() == version;
+    !can_generate(upstream) || requirements.version.is_none_or(is_required)
+}
+
 fn can_generate(upstream: &Upstream) -> bool {
     upstream.instance.stage != Some(Stage::Prefill)
 }
@@ -347,6 +360,7 @@
         tag: upstream.tag(),
         instance: upstream.instance.id.clone(),
         software_version: upstream.instance.software_version.clone(),
+        version: upstream.version(),
         addr: upstream.instance.addr,
         pool: upstream.pool.clone(),
         task,
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -22,7 +22,8 @@
 use durations::{DurationSnapshot, Durations};
 use latency::{Backlog, LatencyModel, Task};
 
-use platform::{Engine, Scaling, Service, Start};
+use origins::{NameHash, VersionHistory};
+use platform::{Engine, Instance, Scaling, Service, Start};
 use starts::StartHistory;
 use stated::Statements;
 use std::collections::VecDeque;
@@ -58,6 +59,8 @@
     latency_models: [LatencyModel; 3],
     /// Durations of its answers.
     durations: Durations,
+    /// Software versions whose upstreams have left.
+    former_versions: VersionHistory,
 }
 
 #[derive(Debug)]
@@ -253,6 +256,28 @@
         }
     }
 
+    /// The only software version of a service for longer than any stream lasts, if it is known;
+    /// see [`VersionHistory::only_version`].
+    pub fn only_version(
+        &self,
+        service: ServiceKey,
+        known_since: Instant,
+        now: Instant,
+    ) -> Option<NameHash> {
+        let of_service = self.iter().filter(|(_, u)| u.service == service);
+        let present = of_service.map(|(_, u)| u.version());
+        self.info(service)
+            .former_versions
+            .only_version(present, known_since, now)
+    }
+
+    /// Name of a software version of a service, if an upstream has it.
+    pub fn version_name(&self, service: ServiceKey, version: NameHash) -> Option<&str> {
+        let mut of_service = self.iter().filter(|(_, u)| u.service == service);
+        let found = of_service.find(|(_, u)| u.version() == version);
+        found.and_then(|(_, u)| u.instance.software_version.as_deref())
+    }
+
     /// Finds an upstream by the tag of its start.
     pub fn get_mut_by_tag(&mut self, tag: u32) -> Option<&mut Upstream> {
         self.get_mut(self.key_of_tag(tag)?)
@@ -280,17 +305,31 @@
     }
 }
 
-/// Tag of an upstream's start: half of the hash of its id and start. Peers identify upstreams by
+/// Tag of an upstream's start: half of the hash of its id, start and software version. Peers identify upstreams by
 /// it, so that loads reported for an earlier start are ignored. Of 600 upstreams, two share a tag
 /// in one of 24,000 fleets, and their loads would then be mixed up.
 ///
 /// The start is part of the hashed text and not the seed: a seed would only be added to the
 /// hashed bytes of a short id, and two ids that differ in one bit would have the same tag if
 /// their starts also differ in that bit.
-fn tag_of(id: &str, start: Option<Start>) -> u32 {
-    let start = start.map_or(0, |Start(ms)| ms);
-    let text = [id.as_bytes(), &start.to_le_bytes()].concat();
-    (xxhash_rust::xxh3::xxh3_64(&text) >> 32) as u32
+fn tag_of(instance: &Instance) -> u32 {
+    let start = instance.start.map_or(0, |Start(ms)| ms);
+    let version = instance.software_version.as_deref().unwrap_or_default();
+    let parts = [
+        instance.id.as_bytes(),
+        &start.to_le_bytes(),
+        version.as_bytes(),
+    ];
+    (xxhash_rust::xxh3::xxh3_64(&parts.concat()) >> 32) as u32
+}
+
+/// Hash of an upstream's software version. One that states none has a version of its own, as it
+/// isn't known to be the same as any other.
+fn version_of(instance: &Instance) -> NameHash {
+    match &instance.software_version {
+        Some(version) => NameHash::of(version),
+        None => NameHash::of(&format!("unknown version of {}", tag_of(instance))),
+    }
 }
 
 /// Hash of an upstream's id.
@@ -307,9 +346,15 @@
             latency_models: [Task::Generate, Task::Prefill, Task::Decode]
                 .map(LatencyModel::for_task),
             durations: Durations::default(),
+            former_versions: VersionHistory::default(),
         }
     }
 
+    /// Hash of the name, which identifies the service between processes.
+    pub fn name_hash(&self) -> NameHash {
+        NameHash::of(&self.name)
+    }
+
     /// Durations of the service's answers.
     pub fn durations(&self) -> &Durations {
         &self.durations
--- a/crates/gateway/src/fleet/merge.rs
+++ b/crates/gateway/src/fleet/merge.rs
@@ -6,6 +6,7 @@
 use super::{ArenaSlot, CONNECT_TIMEOUT, Fleet, Upstream, UpstreamKey, id_hash, tag_of};
 use net::{Meter, Pool};
 use platform::{Instance, Start};
+use std::time::Instant;
 
 /// Maximum number of removed starts that are remembered.
 const MAX_REMOVED: usize = 1024;
@@ -21,6 +22,8 @@
         key: UpstreamKey,
         /// The earlier start, if known.
         before: Option<Start>,
+        /// Tag of the earlier start if it had another software version.
+        replaced: Option<u32>,
     },
     /// The upstream will stop.
     Draining(UpstreamKey),
@@ -54,12 +57,23 @@
             return MergeOutcome::Added(self.add(instance, meter, self.new_caches_empty));
         };
         let before = self.get(key).and_then(|u| u.instance.start);
-        if instance.start == before {
+        let is_same_version =
+            |known: &Upstream| known.instance.software_version == instance.software_version;
+        if instance.start == before && self.get(key).is_some_and(is_same_version) {
             return self.update(key, instance, meter);
         }
+        let former = self.get(key).map(|known| (known.tag(), known.version()));
         self.remove(key);
         let key = self.add(instance, meter, true);
-        MergeOutcome::Restarted { key, before }
+        let replaced = former.filter(|(_, version)| {
+            let new = self.get(key).map(Upstream::version);
+            new != Some(*version)
+        });
+        MergeOutcome::Restarted {
+            key,
+            before,
+            replaced: replaced.map(|(tag, _)| tag),
+        }
     }
 
     /// Whether a row is not newer than the known one. A row that reports the known start as
@@ -146,7 +160,7 @@
 
     /// Whether this start of an upstream was removed, and hasn't been added again since.
     pub fn was_removed(&self, instance: &Instance) -> bool {
-        let tag = tag_of(&instance.id, instance.start);
+        let tag = tag_of(instance);
         self.removed.contains(&tag)
     }
 
@@ -165,6 +179,9 @@
         }
         self.removed.push_back(removed.tag());
         self.keep_statements(&mut removed);
+        let service = &mut self.services[usize::from(removed.service.0)];
+        let now = Instant::now();
+        service.former_versions.record_left(removed.version(), now);
         removed.pool.close_idle();
         self.view = self.view.wrapping_sub(instance_hash(&removed.instance));
         Some(removed)
@@ -184,6 +201,7 @@
     } = instance;
     let (stage, is_draining) = (instance.stage, instance.is_draining);
     let start = instance.start;
-    let text = format!("{id} {start:?} {service} {addr} {stage:?} {is_draining}");
+    let version = &instance.software_version;
+    let text = format!("{id} {start:?} {service} {addr} {stage:?} {is_draining} {version:?}");
     xxhash_rust::xxh3::xxh3_64(text.as_bytes())
 }
--- a/crates/gateway/src/fleet/upstream.rs
+++ b/crates/gateway/src/fleet/upstream.rs
@@ -3,9 +3,10 @@
 use super::cache::CacheEstimate;
 use super::latency::{Backlog, Slowdown};
 use super::stated::Statements;
-use super::{ServiceKey, id_hash, tag_of};
+use super::{ServiceKey, id_hash, tag_of, version_of};
 use crate::peers::Load;
 use net::Pool;
+use origins::NameHash;
 use platform::header::RequestRate;
 use platform::{Instance, Stage};
 use resilience::Health;
@@ -35,6 +36,8 @@
     pub hash: u64,
     /// Tag of the start.
     tag: u32,
+    /// Version of its software, which identifies it between processes.
+    version: NameHash,
     /// Running requests of this process.
     pub running: u32,
     /// Running requests of this process without a first byte.
@@ -132,7 +135,8 @@
             service,
             pool,
             hash: id_hash(&instance.id),
-            tag: tag_of(&instance.id, instance.start),
+            tag: tag_of(&instance),
+            version: version_of(&instance),
             running: 0,
             waiting: 0,
             tokens: 0,
@@ -174,6 +178,11 @@
         self.tag
     }
 
+    /// Version of its software. An upstream that states none has a version of its own.
+    pub fn version(&self) -> NameHash {
+        self.version
+    }
+
     /// Whether it can receive new requests, regardless of its health.
     pub fn is_open(&self) -> bool {
         !self.instance.is_draining && !self.stated.is_leaving
--- a/crates/gateway/src/follow/registry.rs
+++ b/crates/gateway/src/follow/registry.rs
@@ -35,6 +35,9 @@
 /// Interval between checks whether a peer has sent it.
 const STARTUP_CHECK_EVERY: Duration = Duration::from_millis(20);
 
+/// Longest time for which the entry of an upstream stays after its last heartbeat.
+const MAX_HEARTBEAT_AGE: Duration = Duration::from_secs(5);
+
 /// Logged reason for an upstream whose entry was removed from the registry.
 const NOT_REGISTERED: &str = "not registered";
 
@@ -384,7 +387,16 @@
     let merged = fleet.merge(instance, meter);
     match merged {
         MergeOutcome::Added(key) => log_added(&fleet, key, registry),
-        MergeOutcome::Restarted { key, before } => log_restarted(&fleet, key, before, registry),
+        MergeOutcome::Restarted {
+            key,
+            before,
+            replaced,
+        } => {
+            log_restarted(&fleet, key, before, registry);
+            if let Some(tag) = replaced {
+                distrust_origins(gateway, tag);
+            }
+        }
         MergeOutcome::Draining(key) => start_leaving(&fleet, key, "draining", registry),
         MergeOutcome::StageChanged(key) => {
             let Some(u) = fleet.get(key) else { return };
@@ -422,6 +434,14 @@
     gateway.history().record(registry, &id);
 }
 
+/// Makes the origins of streams uncertain that began at a replaced start after it was last known to
+/// run, as the new start may have begun them.
+fn distrust_origins(gateway: &Gateway, tag: u32) {
+    let read_at = gateway.registry().read_at;
+    let known_running = read_at.checked_sub(MAX_HEARTBEAT_AGE).unwrap_or(read_at);
+    gateway.origins.distrust(tag, known_running);
+}
+
 fn log_added(fleet: &Fleet, key: UpstreamKey, registry: Position) {
     let Some(u) = fleet.get(key) else { return };
     emit(&Event::UpstreamAdded {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod follow;
 pub mod history;
 pub mod missing;
+pub mod origins;
 pub mod peers;
 pub mod quota;
 pub mod ready;
@@ -80,6 +81,7 @@
     tokio::spawn(division::orders::run(gateway.clone()));
     duty::usage::exchange::start(&gateway)?;
     quota::start(&gateway)?;
+    origins::start(&gateway)?;
     tokio::spawn(duty::usage::run(gateway.clone()));
     tokio::spawn(duty::scaling::run(gateway.clone()));
     tokio::spawn(reload::follow_settings(gateway.clone(), path));
@@ -95,6 +97,7 @@
     let schedule = gateway.wait_for_stop().await;
     emit(&Event::Stopping { why: "signal" });
     quota::release_shares(&gateway);
+    origins::hand_over(&gateway);
     tokio::time::sleep_until(schedule.drain_at.into()).await;
     drain.stop();
     wait_until_idle(&gateway, schedule.close_at).await;
--- /dev/null
+++ b/crates/gateway/src/origins.rs
@@ -0,0 +1,220 @@
+//! Where streams began, as this process knows it.
+//!
+//! A stream that may be resumed goes on only at the software version that began it; see [`origins`].
+//! Its origin is recorded when its answer begins, and copied to other hosts at once. A client that
+//! takes it up names the attempt that got its first event.
+
+mod exchange;
+mod message;
+
+pub use exchange::start;
+
+use crate::fleet::ServiceKey;
+use crate::state::Gateway;
+use origins::{Lookup, MAX_STREAM_LIFETIME, Origin, OriginRecord, OriginTable, StreamId};
+use std::net::IpAddr;
+use std::sync::{Arc, Mutex, MutexGuard, OnceLock};
+use std::time::{Duration, Instant};
+use tokio::net::UdpSocket;
+use tokio::sync::mpsc;
+
+/// Longest wait for a read of the registry after a stream was taken up.
+const FRESH_READ_TIMEOUT: Duration = Duration::from_millis(1500);
+/// Largest error of the time of another host's read: the time that a datagram takes.
+const READ_TIME_ERROR: Duration = Duration::from_millis(250);
+/// Interval between checks whether the registry was read.
+const FRESH_READ_CHECK_EVERY: Duration = Duration::from_millis(20);
+/// Time after its first event beyond its deadline in which a stream can be taken up.
+const DEADLINE_MARGIN: Duration = Duration::from_secs(1);
+
+/// Origins of streams in this process.
+#[derive(Debug, Default)]
+pub struct Origins {
+    table: Mutex<OriginTable>,
+    /// Tasks that expect replies about a stream.
+    expected: Mutex<Vec<(StreamId, ReplySender)>>,
+    socket: OnceLock<Arc<UdpSocket>>,
+}
+
+/// A host's reply about a stream.
+#[derive(Debug, Clone, Copy)]
+enum Reply {
+    Confirmed,
+    Found(OriginRecord),
+    NotFound,
+}
+
+type ReplySender = mpsc::UnboundedSender<(IpAddr, Reply)>;
+
+/// Replies about a stream. Closing the channel ends the expectation of more.
+type Replies = mpsc::UnboundedReceiver<(IpAddr, Reply)>;
+
+/// How the origin of a stream is known.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Source {
+    /// This host recorded it or has a copy.
+    Own,
+    /// Another host was asked.
+    Peer(IpAddr),
+    /// There is a single version.
+    OnlyVersion,
+}
+
+/// Origin of a stream, and how it is known.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct KnownOrigin {
+    /// The origin.
+    pub origin: Origin,
+    /// How it is known.
+    pub source: Source,
+    /// Time of the first event, unless it isn't known.
+    pub began_at: Option<Instant>,
+}
+
+impl Origins {
+    fn table(&self) -> MutexGuard<'_, OriginTable> {
+        self.table.lock().expect("no panic while locked")
+    }
+
+    fn expect_replies(&self, stream: StreamId) -> Replies {
+        let (tx, rx) = mpsc::unbounded_channel();
+        let mut expected = self.expected.lock().expect("no panic while locked");
+        expected.retain(|(_, tx)| !tx.is_closed());
+        expected.push((stream, tx));
+        rx
+    }
+
+    fn reply(&self, stream: StreamId, from: IpAddr, reply: Reply) {
+        let expected = self.expected.lock().expect("no panic while locked");
+        for (_, tx) in expected.iter().filter(|(s, _)| *s == stream) {
+            // The task may have ended just now.
+            let _ = tx.send((from, reply));
+        }
+    }
+
+    /// Makes the origins of streams uncertain that began at a start of an upstream after a time.
+    pub fn distrust(&self, upstream: u32, since: Instant) {
+        self.table().distrust(upstream, since);
+    }
+
+    /// Whether the origin that was recorded for an attempt is still certain.
+    pub fn is_certain(&self, attempt: &str) -> bool {
+        let found = self.table().find(StreamId::of(attempt), Instant::now());
+        found != Lookup::Uncertain
+    }
+}
+
+/// Records that a stream begins now, and sends copies to other hosts. `deadline` is the time for
+/// which its client waits, if known.
+pub fn record(gateway: &Arc<Gateway>, attempt: &str, origin: Origin, deadline: Option<Duration>) {
+    let now = Instant::now();
+    let lifetime = deadline.map_or(MAX_STREAM_LIFETIME, |d| d + DEADLINE_MARGIN);
+    let record = OriginRecord {
+        origin,
+        began_at: now,
+        expires_at: now + lifetime.min(MAX_STREAM_LIFETIME),
+    };
+    let stream = StreamId::of(attempt);
+    gateway.origins.table().record(stream, record, now);
+    exchange::replicate(gateway, stream, record);
+}
+
+/// Copies all origins to other hosts again, as this process ends.
+pub fn hand_over(gateway: &Arc<Gateway>) {
+    let all = gateway.origins.table().all(Instant::now());
+    for (stream, record) in all {
+        exchange::replicate(gateway, stream, record);
+    }
+}
+
+/// Finds the origin of the stream that an attempt began: here, at other hosts, or as the service
+/// has a single version. `None` if it isn't known for certain.
+pub async fn find(
+    gateway: &Arc<Gateway>,
+    attempt: Option<&str>,
+    service: ServiceKey,
+    route: origins::NameHash,
+) -> Option<KnownOrigin> {
+    let stream = attempt.map(StreamId::of);
+    let found = stream.map(|stream| gateway.origins.table().find(stream, Instant::now()));
+    match (stream, found) {
+        (_, Some(Lookup::Known(record))) => return Some(KnownOrigin::new(&record, Source::Own)),
+        (_, Some(Lookup::Uncertain)) => return None,
+        (Some(stream), Some(Lookup::Unknown)) => {
+            if let Some((record, from)) = exchange::search(gateway, stream).await {
+                let now = Instant::now();
+                gateway.origins.table().record(stream, record, now);
+                // It may be uncertain here.
+                let found = gateway.origins.table().find(stream, now);
+                return match found {
+                    Lookup::Known(record) => Some(KnownOrigin::new(&record, Source::Peer(from))),
+                    Lookup::Uncertain | Lookup::Unknown => None,
+                };
+            }
+        }
+        _ => {}
+    }
+    // An upstream that began the stream was registered before, so a later read shows it.
+    only_version(gateway, service, route)?;
+    let asked_at = Instant::now() + READ_TIME_ERROR;
+    let is_read = async {
+        while gateway.registry().read_at < asked_at {
+            tokio::time::sleep(FRESH_READ_CHECK_EVERY).await;
+        }
+    };
+    tokio::time::timeout(FRESH_READ_TIMEOUT, is_read)
+        .await
+        .ok()?;
+    only_version(gateway, service, route)
+}
+
+impl KnownOrigin {
+    fn new(record: &OriginRecord, source: Source) -> Self {
+        Self {
+            origin: record.origin,
+            source,
+            began_at: Some(record.began_at),
+        }
+    }
+}
+
+/// Origin of any stream of a service that has had a single version for longer than any stream
+/// lasts, as far as this process could know.
+fn only_version(
+    gateway: &Gateway,
+    service: ServiceKey,
+    route: origins::NameHash,
+) -> Option<KnownOrigin> {
+    let known_since = gateway.registry().known_since?;
+    let fleet = gateway.fleet();
+    let version = fleet.only_version(service, known_since, Instant::now())?;
+    Some(KnownOrigin {
+        origin: Origin {
+            route,
+            service: fleet.info(service).name_hash(),
+            version,
+            upstream: 0,
+        },
+        source: Source::OnlyVersion,
+        began_at: None,
+    })
+}
+
+impl Source {
+    /// The host that was asked, in logs.
+    pub fn host(self) -> Option<String> {
+        match self {
+            Self::Peer(ip) => Some(ip.to_string()),
+            Self::Own | Self::OnlyVersion => None,
+        }
+    }
+
+    /// Name in logs and metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Own => "own",
+            Self::Peer(_) => "peer",
+            Self::OnlyVersion => "only_version",
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/origins/message.rs
@@ -0,0 +1,85 @@
+//! Datagrams between processes about the origins of streams.
+
+use origins::{NameHash, Origin, OriginRecord, StreamId};
+use serde::{Deserialize, Serialize};
+use std::time::{Duration, Instant};
+
+/// A datagram.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Message {
+    /// Sends a host a copy of an origin.
+    Copy(RawStream, RawRecord),
+    /// Answer to `Copy`.
+    Copied(RawStream),
+    /// Asks a host for the origin of a stream.
+    Find(RawStream),
+    /// Answer to `Find` with the origin.
+    Found(RawStream, RawRecord),
+    /// Answer to `Find` of a host that doesn't know the origin, or not for certain.
+    NotFound(RawStream),
+}
+
+/// Hash of the attempt that got the first event of a stream, upper half first.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RawStream(u64, u64);
+
+/// Where and when a stream began.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RawRecord {
+    route: u64,
+    service: u64,
+    version: u64,
+    /// Tag of the upstream's start.
+    upstream: u32,
+    /// Time since the first event, in milliseconds.
+    ago_ms: u32,
+    /// Time for which the stream can still be taken up, in milliseconds.
+    left_ms: u32,
+}
+
+impl From<StreamId> for RawStream {
+    fn from(StreamId(hash): StreamId) -> Self {
+        Self((hash >> 64) as u64, hash as u64)
+    }
+}
+
+impl From<RawStream> for StreamId {
+    fn from(RawStream(high, low): RawStream) -> Self {
+        Self(u128::from(high) << 64 | u128::from(low))
+    }
+}
+
+impl RawRecord {
+    /// Encodes a record as of `now`.
+    pub fn encode(record: &OriginRecord, now: Instant) -> Self {
+        let millis = |d: Duration| u32::try_from(d.as_millis()).unwrap_or(u32::MAX);
+        let OriginRecord {
+            origin,
+            began_at,
+            expires_at,
+        } = record;
+        Self {
+            route: origin.route.0,
+            service: origin.service.0,
+            version: origin.version.0,
+            upstream: origin.upstream,
+            ago_ms: millis(now.saturating_duration_since(*began_at)),
+            left_ms: millis(expires_at.saturating_duration_since(now)),
+        }
+    }
+
+    /// Decodes a record received at `now`; `None` if it is from before this host's clock.
+    pub fn decode(self, now: Instant) -> Option<OriginRecord> {
+        let left = Duration::from_millis(self.left_ms.into()).min(origins::MAX_STREAM_LIFETIME);
+        Some(OriginRecord {
+            origin: Origin {
+                route: NameHash(self.route),
+                service: NameHash(self.service),
+                version: NameHash(self.version),
+                upstream: self.upstream,
+            },
+            began_at: now.checked_sub(Duration::from_millis(self.ago_ms.into()))?,
+            expires_at: now + left,
+        })
+    }
+}
--- a/crates/gateway/src/peers/links.rs
+++ b/crates/gateway/src/peers/links.rs
@@ -217,6 +217,16 @@
         zone.map(|p| p.ip).filter(|ip| *ip != own.ip).collect()
     }
 
+    /// All known hosts, live or not.
+    pub fn locations(&self) -> Vec<Location> {
+        let all = self.all.iter();
+        all.map(|p| Location {
+            ip: p.ip,
+            zone: p.zone,
+        })
+        .collect()
+    }
+
     /// Addresses of the hosts of each other zone, live or not, in ascending order.
     pub fn hosts_by_zone(&self, own: Location) -> Vec<(u32, Vec<IpAddr>)> {
         let mut out: Vec<(u32, Vec<IpAddr>)> = Vec::new();
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -24,7 +24,11 @@
 const DRAIN_TIMEOUT: Duration = Duration::from_millis(10);
 
 /// Responds to the client with an upstream's answer.
-pub fn relay_answer(call: Call, mut account: Account, started: StartedAnswer) -> Response<Body> {
+pub fn relay_answer(
+    mut call: Call,
+    mut account: Account,
+    started: StartedAnswer,
+) -> Response<Body> {
     account.first_byte_after = Some(account.received_at.elapsed());
     account.status = started.status.as_u16();
     account.body = Some(started.monitor);
@@ -42,6 +46,9 @@
             let (tx, body) = stream(MAX_BUFFERED_CHUNKS);
             let is_resumable = call.target().route.kind == RouteKind::ResumableStream
                 && started.monitor.consists_of_events();
+            if is_resumable {
+                call.begin_stream(&mut account, started.version);
+            }
             let stream_relay = StreamRelay {
                 _stream_guard: call.track_stream(),
                 splitter: is_resumable.then(|| EventSplitter::after(call.last_event)),
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -1,6 +1,7 @@
 //! Request handling: receive, route, choose, attempt, relay, account.
 
 mod caller;
+mod origin;
 mod refusal;
 mod time;
 
@@ -23,6 +24,7 @@
 use hyper::{Method, Request, Response, Uri};
 use net::Body;
 use net::server::{BodyError, read_body};
+use origins::Origin;
 use platform::{RequestHeaders, header};
 use resilience::Fingerprint;
 use std::sync::{Arc, OnceLock};
@@ -62,6 +64,8 @@
     pub last_event: Option<u64>,
     /// Whether the service's upstreams are model engines.
     pub is_engine: bool,
+    /// Where the stream began; `None` before its answer begins, and for other requests.
+    origin: Option<Origin>,
     table: Arc<RouteTable>,
     caller: Caller,
     service: ServiceKey,
@@ -145,6 +149,7 @@
         path: path_and_query(&head.uri),
         headers: head.headers,
         tried: Vec::new(),
+        origin: None,
         failure: None,
         fingerprint: OnceLock::new(),
         gateway,
@@ -204,8 +209,9 @@
             max_output_tokens: self.parsed_headers.max_output_tokens,
             rank: self.priority(),
             latency_target: route.target_latency,
-            is_resumed: is_retry && self.last_event.is_some(),
+            is_resumed: (is_retry || self.origin.is_some()) && self.last_event.is_some(),
             is_isolated: false,
+            version: self.origin.map(|origin| origin.version),
             tried: &self.tried,
         }
     }
@@ -232,7 +238,11 @@
         &mut self,
         account: &mut Account,
     ) -> Result<attempt::StartedAnswer, Refusal> {
-        let mut last = Refusal::from(Reason::NoUpstream);
+        self.find_origin(account).await?;
+        let mut last = Refusal::from(match self.origin {
+            Some(_) => Reason::StreamVersionGone,
+            None => Reason::NoUpstream,
+        });
         // Whether the next attempt has already been taken from the retry budget.
         let mut is_retry_spent = false;
         loop {
@@ -382,6 +392,9 @@
 
     /// Requests the rest of a broken stream from another upstream; `None` if that isn't allowed.
     pub async fn resume_stream(&mut self, account: &mut Account) -> Option<AttemptResult> {
+        if !self.is_origin_certain() {
+            return None;
+        }
         // The upstream that broke off has probably crashed.
         self.tried.extend(account.last_sent_to.map(|sent| sent.key));
         let admission = crashes::admit(self, account).await;
--- a/crates/gateway/src/serve/refusal.rs
+++ b/crates/gateway/src/serve/refusal.rs
@@ -41,6 +41,8 @@
         let retry_after = match reason {
             Reason::NoConfig | Reason::ConfigBehind => Some(NO_CONFIG_RETRY_AFTER),
             Reason::NoUpstream | Reason::Rejected => Some(NO_UPSTREAM_RETRY_AFTER),
+            // The hosts that know the stream may answer later.
+            Reason::StreamUnknown => Some(NO_UPSTREAM_RETRY_AFTER),
             Reason::Stopping | Reason::ProcessEnds => Some(NO_UPSTREAM_RETRY_AFTER),
             Reason::QuotaUnknown => Some(NO_QUOTA_RETRY_AFTER),
             Reason::CrashSuspected => Some(SUSPECT_RETRY_AFTER),
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -11,6 +11,7 @@
 use crate::follow;
 use crate::history::ChangeHistory;
 use crate::missing::MissingUpstreams;
+use crate::origins::Origins;
 use crate::peers::catch_up::RegistryChanges;
 use crate::peers::startup_load::StartupLoad;
 use crate::peers::{Location, Peers, zone_hash};
@@ -35,6 +36,9 @@
 /// limits.
 const MAX_RETURN_GAP: Duration = Duration::from_secs(1);
 
+/// Longest time between two reads of the registry in which no upstream comes and goes unnoticed.
+const MAX_REGISTRY_GAP: Duration = Duration::from_secs(3);
+
 /// Limits on request heads until a configuration is loaded, equal to the users' own defaults.
 const INITIAL_IDLE_TIMEOUT: Duration = Duration::from_secs(15);
 const INITIAL_MAX_HEAD_BYTES: usize = 16 << 10;
@@ -69,6 +73,8 @@
     pub usage: Usage,
     /// Quotas of tenants.
     pub quotas: Quotas,
+    /// Where streams began.
+    pub origins: Origins,
     /// Notified when a peer has newer state than this process.
     pub catch_up: Notify,
     /// Limits on request heads, set by the current configuration.
@@ -103,6 +109,20 @@
     pub store_ms: u64,
     /// Hash of the registry's content; see [`Fleet::view`].
     pub view: u64,
+    /// Time from which on this process has read the registry without gaps in which an upstream
+    /// could have come and gone unnoticed; `None` until the first read.
+    pub known_since: Option<Instant>,
+}
+
+impl RegistryState {
+    /// Records the time of a read, which ends a gap if the last one is too long ago.
+    fn set_read_at(&mut self, read_at: Instant) {
+        let gap = read_at.saturating_duration_since(self.read_at);
+        if self.known_since.is_none() || gap > MAX_REGISTRY_GAP {
+            self.known_since = Some(read_at);
+        }
+        self.read_at = self.read_at.max(read_at);
+    }
 }
 
 impl Gateway {
@@ -121,6 +141,7 @@
                 read_at: Instant::now(),
                 store_ms: 0,
                 view: 0,
+                known_since: None,
             }),
             history: Mutex::default(),
             missing: Mutex::default(),
@@ -133,6 +154,7 @@
             running: AtomicU64::new(0),
             crashes: SharedCrashes::default(),
             usage: Usage::default(),
+            origins: Origins::default(),
             catch_up: Notify::new(),
             head_limits: HeadLimits::new(INITIAL_IDLE_TIMEOUT, INITIAL_MAX_HEAD_BYTES),
             metrics: Metrics::new(MAX_TENANT_METRICS),
@@ -213,8 +235,10 @@
             self.history().reset(position);
         }
         if position.era > registry.position.era {
-            // The clock of a restored store may show an earlier time.
+            // The clock of a restored store may show an earlier time, and upstreams that
+            // registered before may be missing from it.
             registry.store_ms = 0;
+            registry.known_since = None;
         }
         registry.position = position.max(registry.position);
         registry.view = view;
@@ -226,7 +250,7 @@
     pub fn record_read(&self, position: Position, asked_at: Instant, store_ms: u64) {
         let mut registry = lock(&self.registry);
         if position == registry.position && store_ms >= registry.store_ms {
-            registry.read_at = asked_at;
+            registry.set_read_at(asked_at);
             registry.store_ms = store_ms;
         }
     }
@@ -301,7 +325,13 @@
         let is_later = read.position >= registry.position
             && (read_era > era || read.store_ms > registry.store_ms);
         if read.view == registry.view && is_later {
-            *registry = read;
+            let (known_since, before) = (registry.known_since, registry.read_at);
+            *registry = RegistryState {
+                read_at: before,
+                known_since,
+                ..read
+            };
+            registry.set_read_at(read.read_at);
         }
     }
 
--- a/crates/gateway/tests/cache.rs
+++ b/crates/gateway/tests/cache.rs
@@ -74,6 +74,7 @@
         latency_target: Duration::from_millis(800),
         is_resumed: false,
         is_isolated: false,
+        version: None,
         tried: &[],
     };
     match choose(gateway, &requirements) {
--- a/crates/gateway/tests/choose.rs
+++ b/crates/gateway/tests/choose.rs
@@ -131,6 +131,7 @@
         latency_target: Duration::from_millis(120),
         is_resumed,
         is_isolated: false,
+        version: None,
         tried: &[],
     };
     match choose(gateway, &requirements) {
--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -63,6 +63,7 @@
         is_first_start: false,
         usage_port: 7004,
         quota_port: 7005,
+        origin_port: 7006,
         quota: platform::QuotaBounds::default(),
         cpu_share: 1.0,
         cloud: None,
--- a/crates/gateway/tests/fairness.rs
+++ b/crates/gateway/tests/fairness.rs
@@ -34,6 +34,7 @@
         latency_target: Duration::from_millis(120),
         is_resumed: false,
         is_isolated: false,
+        version: None,
         tried: &[],
     };
     match choose(gateway, &requirements) {
--- a/crates/gateway/tests/starts.rs
+++ b/crates/gateway/tests/starts.rs
@@ -173,6 +173,7 @@
         latency_target: Duration::from_secs(10),
         is_resumed: false,
         is_isolated: false,
+        version: None,
         tried: &[],
     };
     match choose(gateway, &requirements) {
--- a/crates/gateway/tests/statements.rs
+++ b/crates/gateway/tests/statements.rs
@@ -45,6 +45,7 @@
         latency_target: Duration::from_millis(500),
         is_resumed: false,
         is_isolated: false,
+        version: None,
         tried: &[],
     };
     choose(gateway, &requirements)
--- a/crates/gateway/tests/stop_estimates.rs
+++ b/crates/gateway/tests/stop_estimates.rs
@@ -55,7 +55,8 @@
     workers[0].set_default_action(Action::Events(10..=10));
     for n in 0..QUICK_ANSWERS {
         let id = format!("rest-{n}");
-        let req = request("POST", "/resumable/", &id, "last-event-id: 9\r\n", "x");
+        let headers = "resumes: whole-0\r\nlast-event-id: 9\r\n";
+        let req = request("POST", "/resumable/", &id, headers, "x");
         assert_eq!(status(&exchange(bed.callers, &req).await), 200);
     }
     workers[0].set_default_action(whole_stream);
--- a/crates/observe/src/event.rs
+++ b/crates/observe/src/event.rs
@@ -694,15 +694,9 @@
         /// Whether the answer ended inside an event; `None` if it doesn't consist of events.
         #[serde(skip_serializing_if = "Option::is_none")]
         inside_event: Option<bool>,
-        /// Software version of the upstream that was tried last.
-        #[serde(skip_serializing_if = "Option::is_none")]
-        version: Option<&'a str>,
-        /// The client's attempt that got the first event of the stream that is resumed.
-        #[serde(skip_serializing_if = "Option::is_none")]
-        resumes: Option<&'a str>,
-        /// The event after which the client resumes the stream.
-        #[serde(skip_serializing_if = "Option::is_none")]
-        resumes_after: Option<u64>,
+        /// Software version of the upstream, and the stream that the client resumes.
+        #[serde(flatten)]
+        stream: &'a StreamContext<'a>,
         /// Time to the first byte that was estimated when the upstream was chosen, in milliseconds.
         estimate_ms: Option<u64>,
         /// The part of the estimate for the engine that generates from the KV cache of another
@@ -746,6 +740,32 @@
     },
 }
 
+/// Software version of a request's upstream, and the stream that its client resumes.
+#[derive(Debug, Clone, Serialize)]
+pub struct StreamContext<'a> {
+    /// Software version of the upstream that was tried last.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub version: Option<&'a str>,
+    /// The client's attempt that got the first event of the stream that is resumed.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub resumes: Option<&'a str>,
+    /// The event after which the client resumes the stream.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub resumes_after: Option<u64>,
+    /// Software version at which the stream began, if an upstream has it.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub began_version: Option<&'a str>,
+    /// How the origin of the stream that is resumed was known.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub origin: Option<&'a str>,
+    /// The host that knew it, if another one.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub origin_host: Option<String>,
+    /// Time since the stream's first event, in milliseconds.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub origin_ms: Option<u64>,
+}
+
 /// The configuration that applied to a request.
 #[derive(Debug, Clone, Serialize)]
 pub struct ConfigContext<'a> {
--- a/crates/observe/src/metrics.rs
+++ b/crates/observe/src/metrics.rs
@@ -40,6 +40,7 @@
     registry: Registry,
     requests: IntCounterVec,
     answer_ends: IntCounterVec,
+    stream_origins: IntCounterVec,
     queue: HistogramVec,
     first: HistogramVec,
     total: HistogramVec,
@@ -75,6 +76,12 @@
                 "Ends of upstreams' answers by how they were known, and whether inside an event.",
                 &["framing", "inside_event"],
             ),
+            stream_origins: counter(
+                &registry,
+                "stream_origins_total",
+                "Streams taken up by how their origin was known, and copies without confirmation.",
+                &["what"],
+            ),
             queue: histogram(
                 &registry,
                 "queue_seconds",
@@ -156,6 +163,12 @@
             .inc();
     }
 
+    /// Counts a stream that a client takes up by how its origin is known, or an origin that wasn't
+    /// copied to enough hosts.
+    pub fn count_stream_origin(&self, what: &str) {
+        self.stream_origins.with_label_values(&[what]).inc();
+    }
+
     /// Records a latency, in seconds.
     pub fn observe_latency(&self, labels: Labels<'_>, latency: Latency, seconds: f64) {
         let class = [labels.service, labels.class];
--- /dev/null
+++ b/crates/origins/src/lib.rs
@@ -0,0 +1,66 @@
+//! Remembers where streams began, so that they go on only at the software version that began them.
+//!
+//! What upstreams of two versions write doesn't fit together, and upstreams don't check it. A client
+//! takes up a broken stream at any host, also just after the host that it began at was killed. So
+//! the origin of each stream is recorded at its host and, from its first event on, at two others
+//! ([`Replication`]), which are chosen by the identifier of the client's attempt ([`host_order`]). A
+//! host that doesn't know a stream asks those that should ([`Search`]).
+//!
+//! Nothing depends on an origin being found: a stream whose origin is unknown isn't run, unless
+//! there has been a single version for longer than any stream lasts ([`VersionHistory`]). An origin
+//! never changes, so a copy can be missing but not outdated.
+//!
+//! Everything here is told the time and does no I/O.
+
+mod order;
+mod replication;
+mod search;
+mod table;
+mod versions;
+
+pub use order::{HostLocation, host_order};
+pub use replication::{COPIES, Replication};
+pub use search::{Search, SearchState};
+pub use table::{Lookup, OriginRecord, OriginTable};
+pub use versions::{MAX_LINGER, VersionHistory};
+
+use std::time::Duration;
+use xxhash_rust::xxh3::{xxh3_64, xxh3_128};
+
+/// Longest time after its first event in which a stream can be taken up.
+pub const MAX_STREAM_LIFETIME: Duration = Duration::from_secs(600);
+
+/// Hash of the identifier of the client's attempt that got the first event of a stream.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub struct StreamId(pub u128);
+
+impl StreamId {
+    /// Hashes the identifier of an attempt.
+    pub fn of(attempt: &str) -> Self {
+        Self(xxh3_128(attempt.as_bytes()))
+    }
+}
+
+/// Hash of a name, which identifies it between processes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub struct NameHash(pub u64);
+
+impl NameHash {
+    /// Hashes a name.
+    pub fn of(name: &str) -> Self {
+        Self(xxh3_64(name.as_bytes()))
+    }
+}
+
+/// Where a stream began.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Origin {
+    /// Route of the request.
+    pub route: NameHash,
+    /// Service that its route led to.
+    pub service: NameHash,
+    /// Software version of the upstream.
+    pub version: NameHash,
+    /// Tag of the upstream's start.
+    pub upstream: u32,
+}
