Soak: workers of two versions, and clients that take up their streams

Cause: all workers of the soak were of one version, and its clients didn't take up a stream that broke off, so it couldn't show a stream over two versions.

Counted: mixed_versions, which must be 0, and taken_up and resumed.

--- a/crates/soak/src/checker.rs
+++ b/crates/soak/src/checker.rs
@@ -16,6 +16,11 @@
     Resumable,
     /// A stream that may run at most once.
     Stream,
+    /// The rest of a stream, which its client takes up after an event.
+    Rest {
+        /// The last event that the client has.
+        after: u64,
+    },
 }
 
 impl RequestKind {
@@ -25,7 +30,15 @@
     }
 
     fn is_stream(self) -> bool {
-        matches!(self, Self::Resumable | Self::Stream)
+        matches!(self, Self::Resumable | Self::Stream | Self::Rest { .. })
+    }
+
+    /// The first event of a whole answer.
+    fn first_event(self) -> u64 {
+        match self {
+            Self::Rest { after } => after + 1,
+            Self::Idempotent | Self::NonIdempotent | Self::Resumable | Self::Stream => 1,
+        }
     }
 }
 
@@ -121,6 +134,8 @@
     pub sent_in_pause: usize,
     /// Workers that got more requests than the limit that they named.
     pub over_limit: usize,
+    /// Streams with events of two software versions, in one answer or over a client's tries.
+    pub mixed_versions: usize,
 }
 
 impl Verdict {
@@ -133,6 +148,34 @@
 /// Number of pieces in each stream.
 pub const PIECES: u64 = 4;
 
+/// A stream with all events that its client got, also over several tries.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ReceivedStream {
+    /// Id of the first try.
+    pub id: String,
+    /// The events.
+    pub events: String,
+    /// Number of tries.
+    pub tries: u32,
+    /// Whether it has its last event.
+    pub is_whole: bool,
+}
+
+/// Counts streams with events of two software versions, and prints them.
+pub fn count_mixed_versions(streams: &[ReceivedStream]) -> usize {
+    let is_mixed = |stream: &&ReceivedStream| {
+        let lines = stream.events.lines();
+        let mut versions: Vec<&str> = lines.filter_map(|l| l.strip_prefix("data: by ")).collect();
+        versions.sort_unstable();
+        versions.dedup();
+        versions.len() > 1
+    };
+    let mixed = streams.iter().filter(is_mixed);
+    mixed
+        .inspect(|stream| println!("events of two versions: {stream:?}"))
+        .count()
+}
+
 /// Checks the requests of clients against the runs of workers.
 pub fn check_history(
     requests: &[ClientRequest],
@@ -189,7 +232,9 @@
     match (*status, request.kind) {
         // All requests are valid, so a 400 means that the request was blocked.
         (400, _) => out.held_wrongly += 1,
-        (200, kind) if kind.is_stream() && !is_ordered(body) => out.disordered += 1,
+        (200, kind) if kind.is_stream() && !is_ordered(body, kind.first_event()) => {
+            out.disordered += 1;
+        }
         (200, _) if has_foreign_body(request) => out.mixed += 1,
         (429 | 503 | 408 | 421, kind) if kind.is_once() && runs > 0 => out.refused_but_ran += 1,
         _ => {}
@@ -202,7 +247,7 @@
     is_plain && matches!(&request.end, RequestEnd::Whole(200, body) if *body != request.id)
 }
 
-fn is_ordered(body: &str) -> bool {
+fn is_ordered(body: &str, first: u64) -> bool {
     let pieces = body.lines().filter_map(|l| l.strip_prefix("id: "));
-    pieces.map(str::parse).eq((1..=PIECES).map(Ok))
+    pieces.map(str::parse).eq((first..=PIECES).map(Ok))
 }
--- a/crates/soak/src/client.rs
+++ b/crates/soak/src/client.rs
@@ -1,6 +1,6 @@
 //! Clients that send requests over kept-alive connections.
 
-use crate::checker::{ClientRequest, RequestEnd, RequestKind};
+use crate::checker::{ClientRequest, ReceivedStream, RequestEnd, RequestKind};
 use crate::disruption::Delivery;
 use crate::keys::Key;
 use standin::fixture::{PROMPT_HEADERS, request};
@@ -59,16 +59,31 @@
 
 /// The requests of all clients, with their ends.
 pub type History = Arc<Mutex<Vec<ClientRequest>>>;
+/// The streams of clients that take them up.
+pub type Streams = Arc<Mutex<Vec<ReceivedStream>>>;
+
+/// Longest pause before a client takes up a stream, in milliseconds.
+const MAX_TAKE_UP_PAUSE_MS: u64 = 120;
+/// Largest number of times that a client takes up a stream.
+const MAX_TAKE_UPS: u32 = 3;
+
+/// What a client does and where it records it.
+#[derive(Debug, Clone)]
+pub struct Client {
+    /// Number of the client.
+    pub name: u32,
+    /// How long its requests take.
+    pub pace: Pace,
+    /// Addresses of the gateways.
+    pub gateways: Vec<SocketAddr>,
+    /// Records its requests.
+    pub history: History,
+    /// Records its streams; `None` if it doesn't take them up.
+    pub streams: Option<Streams>,
+}
 
 /// Sends requests one after the other until the phase is [`Phase::Over`].
-pub async fn run(
-    name: u32,
-    pace: Pace,
-    gateways: Vec<SocketAddr>,
-    history: History,
-    mut phase: watch::Receiver<Phase>,
-    seed: u64,
-) {
+pub async fn run(client: Client, mut phase: watch::Receiver<Phase>, seed: u64) {
     let mut rng = fastrand::Rng::with_seed(seed);
     let mut connection = None;
     for n in 0u64.. {
@@ -77,31 +92,151 @@
             () = tokio::time::sleep(pause) => {}
             _ = phase.wait_for(|phase| *phase == Phase::Over) => return,
         }
+        let name = client.name;
         let id = format!("c{name}-{n}");
         let is_last = *phase.borrow() == Phase::Last;
         let key = Key::draw(name, is_last, &mut rng);
-        let (kind, text) = draw_request(pace, &id, key, &mut rng);
+        let (kind, text) = draw_request(client.pace, &id, key, &mut rng);
+        let gateway = rng.usize(..client.gateways.len());
+        let sent = Sent {
+            id,
+            kind,
+            text,
+            key,
+        };
+        let (end, part) = client.exchange(&mut connection, gateway, &sent).await;
+        if let Some(streams) = client
+            .streams
+            .as_ref()
+            .filter(|_| kind == RequestKind::Resumable)
+        {
+            let mut rng = rng.fork();
+            let stream = client.take_up(&sent, end, part, &mut rng).await;
+            streams.lock().expect("no panic while locked").push(stream);
+        }
+    }
+}
+
+/// A request to send.
+struct Sent {
+    id: String,
+    kind: RequestKind,
+    text: String,
+    key: Key,
+}
+
+impl Client {
+    /// Sends a request and records how it ended. Returns its end and the part of its body that was
+    /// received.
+    async fn exchange(
+        &self,
+        connection: &mut Option<OpenConnection>,
+        gateway: usize,
+        sent: &Sent,
+    ) -> (RequestEnd, String) {
         let mut delivery = Delivery {
-            gateway: rng.usize(..gateways.len()),
+            gateway,
             sent: None,
             ended: Instant::now(),
             answer_started: false,
         };
-        let exchange = send_request(&mut connection, &gateways, &text, &mut delivery);
+        let mut buf = Vec::new();
+        let exchange = send_request(
+            connection,
+            &self.gateways,
+            &sent.text,
+            &mut delivery,
+            &mut buf,
+        );
         let end = tokio::time::timeout(TIMEOUT, exchange)
             .await
             .unwrap_or(None);
         delivery.ended = Instant::now();
         let end = end.unwrap_or(RequestEnd::Broken);
         let request = ClientRequest {
-            id,
-            kind,
-            end,
+            id: sent.id.clone(),
+            kind: sent.kind,
+            end: end.clone(),
             delivery,
-            key,
+            key: sent.key,
+        };
+        let mut history = self.history.lock().expect("no panic while locked");
+        history.push(request);
+        (end, received_body(&buf))
+    }
+
+    /// Takes up a stream that broke off, at any gateways, and returns all of its events.
+    async fn take_up(
+        &self,
+        first: &Sent,
+        end: RequestEnd,
+        part: String,
+        rng: &mut fastrand::Rng,
+    ) -> ReceivedStream {
+        let mut stream = ReceivedStream {
+            id: first.id.clone(),
+            events: whole_events(&part),
+            tries: 1,
+            is_whole: matches!(end, RequestEnd::Whole(200, _)),
+        };
+        while !stream.is_whole && stream.tries <= MAX_TAKE_UPS {
+            let Some(after) = last_event(&stream.events) else {
+                break;
+            };
+            tokio::time::sleep(Duration::from_millis(rng.u64(..MAX_TAKE_UP_PAUSE_MS))).await;
+            let id = format!("{}-{}", first.id, stream.tries);
+            let resumes = format!(
+                "attempt-id: {id}\r\nresumes: {}\r\nlast-event-id: {after}\r\n",
+                first.id
+            );
+            let own_id = format!("attempt-id: {}\r\n", first.id);
+            let sent = Sent {
+                id,
+                kind: RequestKind::Rest { after },
+                text: first.text.replace(&own_id, &resumes),
+                key: first.key,
+            };
+            let gateway = rng.usize(..self.gateways.len());
+            let (end, part) = self.exchange(&mut None, gateway, &sent).await;
+            let (is_served, is_whole) = match end {
+                RequestEnd::Whole(status, _) => (status == 200, status == 200),
+                RequestEnd::Broken => (true, false),
+            };
+            if is_served {
+                stream.events += &whole_events(&part);
+            }
+            stream.is_whole = is_whole;
+            stream.tries += 1;
+        }
+        stream
+    }
+}
+
+/// Body in the bytes of an answer, without its chunks' lengths.
+fn received_body(buf: &[u8]) -> String {
+    let text = String::from_utf8_lossy(buf);
+    let body = text.split_once("\r\n\r\n").map_or("", |(_, body)| body);
+    let mut out = String::new();
+    let mut rest = body;
+    while let Some((len, chunk)) = rest.split_once("\r\n") {
+        let Ok(len) = usize::from_str_radix(len, 16) else {
+            break;
         };
-        history.lock().expect("no panic while locked").push(request);
+        out += chunk.get(..len).unwrap_or(chunk);
+        rest = chunk.get(len + 2..).unwrap_or_default();
     }
+    out
+}
+
+/// The events of a part of a stream up to the last blank line.
+fn whole_events(part: &str) -> String {
+    let end = part.rfind("\n\n").map_or(0, |at| at + 2);
+    part[..end].to_owned()
+}
+
+fn last_event(events: &str) -> Option<u64> {
+    let mut ids = events.lines().filter_map(|l| l.strip_prefix("id: "));
+    ids.next_back()?.parse().ok()
 }
 
 /// Draws a request. Returns its kind and its HTTP text.
@@ -150,6 +285,7 @@
     gateways: &[SocketAddr],
     text: &str,
     delivery: &mut Delivery,
+    buf: &mut Vec<u8>,
 ) -> Option<RequestEnd> {
     let mut to = match connection.take() {
         Some(to) => to,
@@ -158,15 +294,14 @@
     delivery.gateway = to.gateway;
     to.tcp.write_all(text.as_bytes()).await.ok()?;
     delivery.sent = Some(Instant::now());
-    let mut buf = Vec::new();
     loop {
-        if let Some((end, may_keep)) = parse_answer(&buf) {
+        if let Some((end, may_keep)) = parse_answer(buf) {
             if may_keep {
                 *connection = Some(to);
             }
             return Some(end);
         }
-        if to.tcp.read_buf(&mut buf).await.ok()? == 0 {
+        if to.tcp.read_buf(buf).await.ok()? == 0 {
             return None;
         }
         delivery.answer_started = true;
--- a/crates/soak/src/cluster.rs
+++ b/crates/soak/src/cluster.rs
@@ -65,6 +65,8 @@
     pub relay: Relay,
     /// The relay's address, which the worker registers.
     pub addr: SocketAddr,
+    /// Version of its software.
+    pub version: &'static str,
     /// Whether its answers say that it leaves.
     pub is_leaving: bool,
     /// The relay's current behavior.
@@ -96,11 +98,14 @@
     binary: PathBuf,
     started: u32,
     version: u64,
+    /// Whether workers are of two software versions.
+    has_versions: bool,
 }
 
 impl Cluster {
     /// Starts the cluster on the addresses 127.65.NET.0/24, with settings and logs in `dir`.
-    pub async fn start(net: u8, binary: &Path, dir: &Path) -> io::Result<Self> {
+    /// `has_versions` makes the workers ones of two software versions.
+    pub async fn start(net: u8, binary: &Path, dir: &Path, has_versions: bool) -> io::Result<Self> {
         let store = Arc::new(Store::start(address(net, 1, 7000))?);
         let mut cluster = Self {
             store,
@@ -116,6 +121,7 @@
             binary: binary.to_owned(),
             started: 0,
             version: 0,
+            has_versions,
         };
         cluster.change_config();
         for _ in 0..WORKERS_COUNT {
@@ -283,10 +289,11 @@
         let upstream = self.start_upstream().await?;
         self.register(&upstream, "ready");
         let (store, id, addr) = (self.store.clone(), upstream.id.clone(), upstream.addr);
+        let version = upstream.version;
         upstream.worker.set_crash(Some(Crash {
             trigger: CRASHING_BODY.into(),
             downtime: CRASH_DOWNTIME,
-            on_start: Box::new(move |born| register(&store, &id, born, addr, "ready")),
+            on_start: Box::new(move |born| register(&store, &id, version, born, addr, "ready")),
         }));
         self.upstreams.push(upstream);
         Ok(())
@@ -310,12 +317,18 @@
         let listen = address(self.net, 50 + low, port);
         let worker = Worker::start_with_time(listen, &format!("i-{n}"), STARTED_AT_MS).await?;
         worker.set_default_action(Action::ServeFor(PIECES));
+        let version = match self.has_versions && n % 2 == 1 {
+            true => "v1.1",
+            false => "v1",
+        };
+        worker.set_version(version);
         let addr = address(self.net, 50 + low, port + 100);
         Ok(Upstream {
             relay: Relay::start(addr, worker.addr)?,
             worker,
             id: format!("i-{n}"),
             addr,
+            version,
             is_leaving: false,
             link: Link::Open,
         })
@@ -324,7 +337,15 @@
     /// Writes a worker's row in the registry.
     pub fn register(&self, upstream: &Upstream, state: &str) {
         let born = upstream.worker.start_ms().unwrap_or_default();
-        register(&self.store, &upstream.id, born, upstream.addr, state);
+        let version = upstream.version;
+        register(
+            &self.store,
+            &upstream.id,
+            version,
+            born,
+            upstream.addr,
+            state,
+        );
     }
 
     /// Overwrites a worker's row with an unreadable one until the worker's next heartbeat, and
@@ -339,11 +360,12 @@
         self.store.put_raw(WORKER_TABLE, &upstream.id, bad);
         let (store, id, addr) = (self.store.clone(), upstream.id.clone(), upstream.addr);
         let bad = bad.clone();
+        let version = upstream.version;
         tokio::spawn(async move {
             tokio::time::sleep(HEARTBEAT_INTERVAL).await;
             // The worker may have restarted or left.
             if store.raw(WORKER_TABLE, &id) == Some(bad) {
-                register(&store, &id, born, addr, "ready");
+                register(&store, &id, version, born, addr, "ready");
             }
         });
     }
@@ -393,12 +415,10 @@
     }
 }
 
-fn register(store: &Store, id: &str, born: u64, addr: SocketAddr, state: &str) {
-    store.put(
-        WORKER_TABLE,
-        id,
-        &worker_row_with_start(born, "plain", addr, state),
-    );
+fn register(store: &Store, id: &str, version: &str, born: u64, addr: SocketAddr, state: &str) {
+    let mut row = worker_row_with_start(born, "plain", addr, state);
+    row["Version"] = json!(version);
+    store.put(WORKER_TABLE, id, &row);
 }
 
 fn address(net: u8, host: u8, port: u16) -> SocketAddr {
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -5,10 +5,10 @@
 use bench::procs::build_binary;
 use serde::Serialize;
 use soak::checker::{
-    ClientRequest, RequestEnd, Verdict, WorkerRun, check_history, has_foreign_body, runs_of,
-    sort_by_id,
+    ClientRequest, RequestEnd, Verdict, WorkerRun, check_history, count_mixed_versions,
+    has_foreign_body, runs_of, sort_by_id,
 };
-use soak::client::{self, History, Pace, Phase, Slow};
+use soak::client::{self, Client, History, Pace, Phase, Slow, Streams};
 use soak::cluster::{CRASHING_BODY, Cluster, Upstream};
 use soak::disruption::{Timeline, is_aborted};
 use soak::fault::FaultSet;
@@ -56,7 +56,8 @@
     /// make only series of overlapping planned stops, instead of faults of all kinds
     #[argh(switch)]
     stops: bool,
-    /// also draw faults of streams; seeds then draw other faults
+    /// also draw faults of streams, with workers of two versions and clients that take up
+    /// streams; seeds then draw other faults
     #[argh(switch)]
     streams: bool,
     /// file with the faults to replay, as each run writes it beside its logs, instead of random
@@ -82,6 +83,10 @@
     /// Requests that were sent to a stopping process after its signal and met no other
     /// disruption.
     in_stops: usize,
+    /// Streams that their clients took up after they broke off.
+    taken_up: usize,
+    /// Those of them that got their last event.
+    resumed: usize,
     #[serde(flatten)]
     verdict: Verdict,
 }
@@ -102,9 +107,10 @@
     let dir = std::env::temp_dir().join(format!("soak-{}-{}", std::process::id(), args.seed));
     std::fs::create_dir_all(&dir)?;
     println!("settings and logs: {}", dir.display());
-    let mut cluster = Cluster::start(args.net, &binary, &dir).await?;
+    let mut cluster = Cluster::start(args.net, &binary, &dir, args.streams).await?;
     cluster.all_serve(RECOVERY_BOUND).await;
     let history = History::default();
+    let streams = Streams::default();
     let phase = watch::Sender::new(Phase::Faults);
     let addresses: Vec<_> = cluster.gateways.iter().map(|g| g.client_addr).collect();
     let slow = Slow {
@@ -118,15 +124,14 @@
                 false => Pace::Slow(slow),
             };
             let seed = args.seed.wrapping_mul(1000) + u64::from(n);
-            let (gateways, history) = (addresses.clone(), history.clone());
-            tokio::spawn(client::run(
-                n,
+            let client = Client {
+                name: n,
                 pace,
-                gateways,
-                history,
-                phase.subscribe(),
-                seed,
-            ))
+                gateways: addresses.clone(),
+                history: history.clone(),
+                streams: args.streams.then(|| streams.clone()),
+            };
+            tokio::spawn(client::run(client, phase.subscribe(), seed))
         })
         .collect();
     let until = Instant::now() + Duration::from_secs(args.seconds);
@@ -177,6 +182,8 @@
     verdict.usage_off = usage_violations.usage_off;
     verdict.keys_logged = keys_logged(&dir)?;
     verdict.sent_again = sent_again;
+    let streams = streams.lock().expect("no panic while locked").clone();
+    verdict.mixed_versions = count_mixed_versions(&streams);
     verdict.not_recovered = usize::from(!recovered);
     let is_served = |a: &&ClientRequest| matches!(a.end, RequestEnd::Whole(200, _));
     Ok(Summary {
@@ -190,6 +197,8 @@
         leaves: done.departures.len(),
         stops: cluster.timeline.stops.len(),
         in_stops: in_stops(&requests, &runs, &cluster.timeline),
+        taken_up: streams.iter().filter(|s| s.tries > 1).count(),
+        resumed: streams.iter().filter(|s| s.tries > 1 && s.is_whole).count(),
         verdict,
     })
 }
