Explain a stream that its client takes up, with the attempts of the same stream

Cause: 'explain' printed the lines of one attempt; the one that began a stream, or another that took it up, had to be looked for.

Change: the ends of all attempts at the same stream are printed, with the version that it began at and from where that was known.

--- a/crates/arbutusquay/src/commands/explain.rs
+++ b/crates/arbutusquay/src/commands/explain.rs
@@ -69,6 +69,7 @@
         l.is_of_request(&args.id)
             || (is_near && is_context(l, &own_lines))
             || is_about_same_fingerprint(l, &own_lines)
+            || is_of_same_stream(l, &own_lines)
     });
     for line in printed {
         println!("{}", line.text(first.at_ms));
@@ -156,6 +157,15 @@
     }
 }
 
+/// Returns whether a line is the end of another attempt at the same stream: the one that began it,
+/// or one that took it up.
+fn is_of_same_stream(line: &Line, own_lines: &[&Line]) -> bool {
+    let began_as = |l: &Line| l.field("resumes").or(l.field("request")).map(str::to_owned);
+    let own = own_lines.iter().filter(|o| o.event == "answered");
+    let is_same = |o: &&&Line| began_as(line).is_some() && began_as(o) == began_as(line);
+    line.event == "answered" && own.filter(is_same).count() > 0
+}
+
 /// Returns whether a line is about crashes of upstreams during requests with the same fingerprint,
 /// or about the decision to block such requests or to allow them again.
 fn is_about_same_fingerprint(line: &Line, own_lines: &[&Line]) -> bool {
--- a/crates/arbutusquay/tests/explain.rs
+++ b/crates/arbutusquay/tests/explain.rs
@@ -336,6 +336,34 @@
     assert_contains(&explained, &words);
 }
 
+#[tokio::test]
+async fn a_stream_that_its_client_takes_up_is_explained() {
+    let fixture = start(11).await;
+    let worker = fixture.add_worker("i-torn", "plain", None).await;
+    worker.set_default_action(Action::ResumeWith {
+        first: Box::new(Action::EventsThenReset(1..=2)),
+        then: Box::new(Action::Serve(3)),
+    });
+    let (begun, _) = fixture
+        .request_until_routed("POST", "/resumable/", "")
+        .await;
+    let headers = format!("resumes: {begun}\r\nlast-event-id: 2\r\n");
+    let text = request("POST", "/resumable/", "next", &headers, "x");
+    let res = fixture.send(&text).await;
+    assert!(res.contains("piece 3"), "{res}");
+    let explained = fixture.explain("next").await;
+    let resumes = format!("resumes={begun}");
+    let words = [
+        &resumes,
+        "resumes_after=2",
+        "began_version=v1",
+        "origin=own",
+    ];
+    assert_contains(&explained, &words);
+    // The attempt that began the stream is printed too.
+    assert_contains(&explained, &["outcome=broken_off"]);
+}
+
 #[tokio::test]
 async fn a_refusal_under_overload_is_explained() {
     let fixture = start(3).await;
