Know that no stream began before the first start of the system

Cause: a stream that nobody knows, or whose client names no attempt, was rejected by each host that had run for less than 660 s, also where there had never been a second version.

Change: since when a process has known all upstreams is a type of its own, which begins with the first start of the whole system where the settings say so, and ends with a gap or a restore. The read that must follow such a request is made at once, instead of waiting for the next one of any host.

Result: new tests: such a stream goes on at a host of the first start; from another version's registration on it is rejected, by 19 tries that follow at once, and after that version has left; a host that starts later rejects it.

--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -258,17 +258,12 @@
 
     /// The only software version of a service for longer than any stream lasts, if it is known;
     /// see [`VersionHistory::only_version`].
-    pub fn only_version(
-        &self,
-        service: ServiceKey,
-        known_since: Instant,
-        now: Instant,
-    ) -> Option<NameHash> {
+    pub fn only_version(&self, service: ServiceKey, now: Instant) -> Option<NameHash> {
         let of_service = self.iter().filter(|(_, u)| u.service == service);
         let present = of_service.map(|(_, u)| u.version());
         self.info(service)
             .former_versions
-            .only_version(present, known_since, now)
+            .only_version(present, now)
     }
 
     /// Name of a software version of a service, if an upstream has it.
--- a/crates/gateway/src/follow/registry.rs
+++ b/crates/gateway/src/follow/registry.rs
@@ -173,6 +173,7 @@
         tokio::select! {
             () = tokio::time::sleep(left) => {}
             () = gateway.store_era.later_than(known_era) => {}
+            () = gateway.registry_wanted.notified() => return,
         }
     }
 }
--- a/crates/gateway/src/origins.rs
+++ b/crates/gateway/src/origins.rs
@@ -11,7 +11,9 @@
 
 use crate::fleet::ServiceKey;
 use crate::state::Gateway;
-use origins::{Lookup, MAX_STREAM_LIFETIME, Origin, OriginRecord, OriginTable, StreamId};
+use origins::{
+    Lookup, MAX_STREAM_LIFETIME, Origin, OriginRecord, OriginTable, StreamId, VERSION_LIFETIME,
+};
 use std::net::IpAddr;
 use std::sync::{Arc, Mutex, MutexGuard, OnceLock};
 use std::time::{Duration, Instant};
@@ -19,11 +21,9 @@
 use tokio::sync::mpsc;
 
 /// Longest wait for a read of the registry after a stream was taken up.
-const FRESH_READ_TIMEOUT: Duration = Duration::from_millis(1500);
-/// Largest error of the time of another host's read: the time that a datagram takes.
-const READ_TIME_ERROR: Duration = Duration::from_millis(250);
+const FRESH_READ_TIMEOUT: Duration = Duration::from_millis(500);
 /// Interval between checks whether the registry was read.
-const FRESH_READ_CHECK_EVERY: Duration = Duration::from_millis(20);
+const FRESH_READ_CHECK_EVERY: Duration = Duration::from_millis(5);
 /// Time after its first event beyond its deadline in which a stream can be taken up.
 const DEADLINE_MARGIN: Duration = Duration::from_secs(1);
 
@@ -154,18 +154,23 @@
         }
         _ => {}
     }
-    // An upstream that began the stream was registered before, so a later read shows it.
+    // An upstream that began the stream was registered before, so a read from now on shows it.
     only_version(gateway, service, route)?;
-    let asked_at = Instant::now() + READ_TIME_ERROR;
+    wait_for_fresh_read(gateway).await?;
+    only_version(gateway, service, route)
+}
+
+/// Reads the registry; `None` if that takes too long.
+async fn wait_for_fresh_read(gateway: &Gateway) -> Option<()> {
+    let now = Instant::now();
+    gateway.registry_wanted.notify_one();
     let is_read = async {
-        while gateway.registry().read_at < asked_at {
+        while gateway.registry_coverage().own_read_at() < Some(now) {
             tokio::time::sleep(FRESH_READ_CHECK_EVERY).await;
         }
     };
-    tokio::time::timeout(FRESH_READ_TIMEOUT, is_read)
-        .await
-        .ok()?;
-    only_version(gateway, service, route)
+    let read = tokio::time::timeout(FRESH_READ_TIMEOUT, is_read).await;
+    read.ok()
 }
 
 impl KnownOrigin {
@@ -185,9 +190,12 @@
     service: ServiceKey,
     route: origins::NameHash,
 ) -> Option<KnownOrigin> {
-    let known_since = gateway.registry().known_since?;
+    let now = Instant::now();
+    if !gateway.registry_coverage().covers(VERSION_LIFETIME, now) {
+        return None;
+    }
     let fleet = gateway.fleet();
-    let version = fleet.only_version(service, known_since, Instant::now())?;
+    let version = fleet.only_version(service, now)?;
     Some(KnownOrigin {
         origin: Origin {
             route,
--- a/crates/gateway/src/peers/exchange.rs
+++ b/crates/gateway/src/peers/exchange.rs
@@ -136,7 +136,6 @@
                 read_at,
                 store_ms: status.registry_at_ms,
                 view: status.view,
-                known_since: None,
             });
         let mut peers = gateway.peers();
         if peers.receive(from.ip(), status, &mut gateway.fleet(), now)
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -1,7 +1,9 @@
 //! State of a gateway process, shared by all requests and background tasks.
 
+mod coverage;
 mod guards;
 
+pub use coverage::RegistryCoverage;
 pub use guards::{LoadGuard, RunningGuard};
 
 use crate::choose::Requirements;
@@ -36,9 +38,6 @@
 /// limits.
 const MAX_RETURN_GAP: Duration = Duration::from_secs(1);
 
-/// Longest time between two reads of the registry in which no upstream comes and goes unnoticed.
-const MAX_REGISTRY_GAP: Duration = Duration::from_secs(3);
-
 /// Limits on request heads until a configuration is loaded, equal to the users' own defaults.
 const INITIAL_IDLE_TIMEOUT: Duration = Duration::from_secs(15);
 const INITIAL_MAX_HEAD_BYTES: usize = 16 << 10;
@@ -55,6 +54,9 @@
     /// Return times of refused callers, sorted by service.
     return_times: Mutex<Vec<(ServiceKey, ReturnTimes)>>,
     registry: Mutex<RegistryState>,
+    coverage: Mutex<RegistryCoverage>,
+    /// Notified when this process should read the registry now.
+    pub registry_wanted: Notify,
     history: Mutex<ChangeHistory>,
     missing: Mutex<MissingUpstreams>,
     unreadable: Mutex<follow::unreadable::UnreadableLog>,
@@ -109,20 +111,6 @@
     pub store_ms: u64,
     /// Hash of the registry's content; see [`Fleet::view`].
     pub view: u64,
-    /// Time from which on this process has read the registry without gaps in which an upstream
-    /// could have come and gone unnoticed; `None` until the first read.
-    pub known_since: Option<Instant>,
-}
-
-impl RegistryState {
-    /// Records the time of a read, which ends a gap if the last one is too long ago.
-    fn set_read_at(&mut self, read_at: Instant) {
-        let gap = read_at.saturating_duration_since(self.read_at);
-        if self.known_since.is_none() || gap > MAX_REGISTRY_GAP {
-            self.known_since = Some(read_at);
-        }
-        self.read_at = self.read_at.max(read_at);
-    }
 }
 
 impl Gateway {
@@ -141,8 +129,9 @@
                 read_at: Instant::now(),
                 store_ms: 0,
                 view: 0,
-                known_since: None,
             }),
+            coverage: Mutex::default(),
+            registry_wanted: Notify::new(),
             history: Mutex::default(),
             missing: Mutex::default(),
             unreadable: Mutex::default(),
@@ -235,10 +224,9 @@
             self.history().reset(position);
         }
         if position.era > registry.position.era {
-            // The clock of a restored store may show an earlier time, and upstreams that
-            // registered before may be missing from it.
+            // The clock of a restored store may show an earlier time.
             registry.store_ms = 0;
-            registry.known_since = None;
+            lock(&self.coverage).record_restore();
         }
         registry.position = position.max(registry.position);
         registry.view = view;
@@ -250,11 +238,18 @@
     pub fn record_read(&self, position: Position, asked_at: Instant, store_ms: u64) {
         let mut registry = lock(&self.registry);
         if position == registry.position && store_ms >= registry.store_ms {
-            registry.set_read_at(asked_at);
+            registry.read_at = asked_at;
             registry.store_ms = store_ms;
+            let is_system_start = self.host().is_first_start;
+            lock(&self.coverage).record_read(asked_at, true, is_system_start);
         }
     }
 
+    /// For how long this process has known all upstreams.
+    pub fn registry_coverage(&self) -> RegistryCoverage {
+        *lock(&self.coverage)
+    }
+
     /// Upstreams that are missing from the registry and may return. The lock must not be held
     /// across an await.
     pub fn missing(&self) -> MutexGuard<'_, MissingUpstreams> {
@@ -325,13 +320,8 @@
         let is_later = read.position >= registry.position
             && (read_era > era || read.store_ms > registry.store_ms);
         if read.view == registry.view && is_later {
-            let (known_since, before) = (registry.known_since, registry.read_at);
-            *registry = RegistryState {
-                read_at: before,
-                known_since,
-                ..read
-            };
-            registry.set_read_at(read.read_at);
+            *registry = read;
+            lock(&self.coverage).record_read(read.read_at, false, false);
         }
     }
 
--- /dev/null
+++ b/crates/gateway/src/state/coverage.rs
@@ -0,0 +1,58 @@
+//! For how long a process has known all upstreams.
+
+use std::time::{Duration, Instant};
+
+/// Longest time between two reads of the registry in which no upstream comes and goes unnoticed.
+const MAX_GAP: Duration = Duration::from_secs(3);
+
+/// Reads of the registry, as far as they show since when no upstream can have been missed.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct RegistryCoverage {
+    since: Option<CoveredSince>,
+    read_at: Option<Instant>,
+    own_read_at: Option<Instant>,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum CoveredSince {
+    /// The first start of the whole system, before which there were no requests.
+    SystemStart,
+    /// The first read, or the first one after a gap.
+    Read(Instant),
+}
+
+impl RegistryCoverage {
+    /// Records a read that was requested at a time, by this process or by a peer.
+    /// `is_system_start` is true if the whole system has just started for the first time.
+    pub fn record_read(&mut self, at: Instant, is_own: bool, is_system_start: bool) {
+        let gap = self.read_at.map(|last| at.saturating_duration_since(last));
+        match gap {
+            None if is_system_start => self.since = Some(CoveredSince::SystemStart),
+            Some(gap) if gap <= MAX_GAP && self.since.is_some() => {}
+            None | Some(_) => self.since = Some(CoveredSince::Read(at)),
+        }
+        self.read_at = self.read_at.max(Some(at));
+        if is_own {
+            self.own_read_at = self.own_read_at.max(Some(at));
+        }
+    }
+
+    /// Records that upstreams may be missing from the registry, as the store was restored.
+    pub fn record_restore(&mut self) {
+        self.since = None;
+    }
+
+    /// Whether all upstreams of the last `time` are known, up to the last read.
+    pub fn covers(&self, time: Duration, now: Instant) -> bool {
+        match self.since {
+            None => false,
+            Some(CoveredSince::SystemStart) => true,
+            Some(CoveredSince::Read(at)) => now.saturating_duration_since(at) >= time,
+        }
+    }
+
+    /// Time at which this process requested its last read.
+    pub fn own_read_at(&self) -> Option<Instant> {
+        self.own_read_at
+    }
+}
--- a/crates/gateway/tests/common/versions.rs
+++ b/crates/gateway/tests/common/versions.rs
@@ -90,15 +90,19 @@
             bed.add_worker(version).await;
         }
         for _ in 0..hosts {
-            bed.add_host().await;
+            bed.add_host(false).await;
         }
         bed.wait_for_peers().await;
         bed
     }
 
-    /// Starts one more host and waits until it is ready.
-    pub async fn add_host(&mut self) {
-        let settings = host(address(), self.store.addr);
+    /// Starts one more host and waits until it is ready. `is_first_start` is true if the whole
+    /// system starts for the first time.
+    pub async fn add_host(&mut self, is_first_start: bool) {
+        let settings = platform::HostSettings {
+            is_first_start,
+            ..host(address(), self.store.addr)
+        };
         let runtime = Runtime::new().unwrap();
         let (callers, ready) = (
             settings.client_addr.unwrap(),
--- a/crates/gateway/tests/peers.rs
+++ b/crates/gateway/tests/peers.rs
@@ -125,7 +125,6 @@
     let own = gateway.registry();
     let later = own.read_at + Duration::from_secs(1);
     let read = |version, view, store_ms| RegistryState {
-        known_since: None,
         position: at(version),
         read_at: later,
         store_ms,
@@ -162,7 +161,6 @@
         let reported = from.registry();
         let age = sent_at.saturating_duration_since(reported.read_at);
         to.confirm_registry(RegistryState {
-            known_since: None,
             read_at: sent_at + transit - age,
             ..reported
         });
@@ -202,7 +200,6 @@
     assert!(gateway.shareable_registry().is_none());
     let before = gateway.registry().position;
     gateway.confirm_registry(RegistryState {
-        known_since: None,
         position: at(12),
         read_at: now + Duration::from_secs(1),
         store_ms: u64::MAX,
--- a/crates/gateway/tests/stream_versions.rs
+++ b/crates/gateway/tests/stream_versions.rs
@@ -135,3 +135,32 @@
     let (_, resumed) = bed.take_up_streams(0, 1).await;
     assert_eq!(resumed, 12);
 }
+
+/// Guards against rejecting streams where there can't have been another version, and against taking
+/// the only known version for the only one when another has just appeared: the host that is asked
+/// hasn't read of it, but streams may have begun there.
+#[tokio::test]
+async fn a_stream_nobody_knows_goes_on_only_while_there_was_one_version() {
+    let mut bed = Bed::start(0, &["v1"]).await;
+    bed.add_host(true).await;
+    let res = bed.resume(0, "next-0", "nobody-knows").await;
+    assert!(res.is_whole(), "{res:?}");
+    bed.add_worker("v2").await;
+    for n in 1..20 {
+        let id = format!("next-{n}");
+        let res = bed.resume(0, &id, "nobody-knows").await;
+        assert_eq!(res.status, 503, "{res:?}");
+    }
+    bed.retire("i-1").await;
+    let res = bed.resume(0, "next-20", "nobody-knows").await;
+    assert_eq!(res.status, 503, "{res:?}");
+}
+
+/// Guards against a host that has just started taking its first view for all that there was.
+#[tokio::test]
+async fn a_host_that_starts_later_does_not_run_a_stream_nobody_knows() {
+    let bed = Bed::start(1, &["v1", "v1"]).await;
+    let res = bed.resume(0, "next", "nobody-knows").await;
+    assert_eq!(res.status, 503, "{res:?}");
+    assert!(bed.versions_of(&["next"]).is_empty(), "it ran");
+}
--- a/crates/origins/src/lib.rs
+++ b/crates/origins/src/lib.rs
@@ -22,7 +22,7 @@
 pub use replication::{COPIES, Replication};
 pub use search::{Search, SearchState};
 pub use table::{Lookup, OriginRecord, OriginTable};
-pub use versions::{MAX_LINGER, VersionHistory};
+pub use versions::{MAX_LINGER, VERSION_LIFETIME, VersionHistory};
 
 use std::time::Duration;
 use xxhash_rust::xxh3::{xxh3_64, xxh3_128};
--- a/crates/origins/src/versions.rs
+++ b/crates/origins/src/versions.rs
@@ -7,7 +7,7 @@
 /// don't know of that.
 pub const MAX_LINGER: Duration = Duration::from_secs(60);
 /// Time after which a former version has no stream left.
-const FORGET_AFTER: Duration = MAX_STREAM_LIFETIME.saturating_add(MAX_LINGER);
+pub const VERSION_LIFETIME: Duration = MAX_STREAM_LIFETIME.saturating_add(MAX_LINGER);
 
 /// Versions whose last upstream has left, with the time.
 #[derive(Debug, Default)]
@@ -20,29 +20,27 @@
     /// Records that an upstream of a version has left.
     pub fn record_left(&mut self, version: NameHash, now: Instant) {
         self.former
-            .retain(|(_, at)| now.saturating_duration_since(*at) < FORGET_AFTER);
+            .retain(|(_, at)| now.saturating_duration_since(*at) < VERSION_LIFETIME);
         match self.former.binary_search_by_key(&version, |(v, _)| *v) {
             Ok(at) => self.former[at].1 = now,
             Err(at) => self.former.insert(at, (version, now)),
         }
     }
 
-    /// The only version in service for longer than any stream lasts. `None` if there was another
-    /// one, or may have been: `known_since` is the time from which on no change can have been
-    /// missed.
+    /// The only version that streams can be of. `None` if there was another one within
+    /// [`VERSION_LIFETIME`], which must have been known all that time.
     pub fn only_version(
         &self,
         mut present: impl Iterator<Item = NameHash>,
-        known_since: Instant,
         now: Instant,
     ) -> Option<NameHash> {
         let first = present.next()?;
-        let is_recent = |at: Instant| now.saturating_duration_since(at) < FORGET_AFTER;
+        let is_recent = |at: Instant| now.saturating_duration_since(at) < VERSION_LIFETIME;
         let had_other = self
             .former
             .iter()
             .any(|(version, at)| *version != first && is_recent(*at));
         let is_only = present.all(|version| version == first) && !had_other;
-        (is_only && !is_recent(known_since)).then_some(first)
+        is_only.then_some(first)
     }
 }
--- a/crates/origins/tests/sim.rs
+++ b/crates/origins/tests/sim.rs
@@ -3,7 +3,7 @@
 
 use origins::{
     HostLocation, Lookup, MAX_LINGER, MAX_STREAM_LIFETIME, NameHash, Origin, OriginRecord,
-    OriginTable, Replication, Search, StreamId, VersionHistory, host_order,
+    OriginTable, Replication, Search, StreamId, VERSION_LIFETIME, VersionHistory, host_order,
 };
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngSeed, TestRunner};
@@ -257,8 +257,11 @@
         let host = &mut self.hosts[n];
         host.read_registry(&present, self.now);
         let known_since = host.known_since?;
+        if self.now - known_since < VERSION_LIFETIME {
+            return None;
+        }
         host.history
-            .only_version(host.view.iter().copied(), known_since, self.now)
+            .only_version(host.view.iter().copied(), self.now)
     }
 
     fn take_up(&mut self, n: usize, back: usize) -> Result<(), TestCaseError> {
--- a/crates/origins/tests/table.rs
+++ b/crates/origins/tests/table.rs
@@ -1,8 +1,8 @@
 //! Tests of the table of origins, the order of hosts, and the only version.
 
 use origins::{
-    HostLocation, Lookup, MAX_LINGER, MAX_STREAM_LIFETIME, NameHash, Origin, OriginRecord,
-    OriginTable, StreamId, VersionHistory, host_order,
+    HostLocation, Lookup, MAX_STREAM_LIFETIME, NameHash, Origin, OriginRecord, OriginTable,
+    StreamId, VERSION_LIFETIME, VersionHistory, host_order,
 };
 use std::net::{IpAddr, Ipv4Addr};
 use std::time::{Duration, Instant};
@@ -110,26 +110,27 @@
     assert!(firsts.iter().all(|n| (50..=150).contains(n)), "{firsts:?}");
 }
 
-/// Guards against a single version being concluded from too short or too old a view.
+/// Guards against a single version being concluded while streams of another one may last.
 #[test]
 fn a_version_is_the_only_one_after_the_lifetime_of_a_stream() {
     let [v1, v2] = ["v1", "v2"].map(NameHash::of);
     let t0 = Instant::now();
     let after = |d: Duration| t0 + d;
-    let life = MAX_STREAM_LIFETIME + MAX_LINGER;
     let second = Duration::from_secs(1);
     let mut history = VersionHistory::default();
     let only = |history: &VersionHistory, present: &[NameHash], now| {
-        history.only_version(present.iter().copied(), t0, now)
+        history.only_version(present.iter().copied(), now)
     };
-    assert_eq!(only(&history, &[v1, v1], after(life - second)), None);
-    assert_eq!(only(&history, &[v1, v1], after(life)), Some(v1));
-    assert_eq!(only(&history, &[v1, v2], after(life)), None);
-    assert_eq!(only(&history, &[], after(life)), None);
-    history.record_left(v2, after(life));
-    assert_eq!(only(&history, &[v1], after(life * 2 - second)), None);
-    assert_eq!(only(&history, &[v1], after(life * 2)), Some(v1));
-    history.record_left(v1, after(life * 2));
-    assert_eq!(only(&history, &[v1], after(life * 2)), Some(v1));
-    assert_eq!(only(&history, &[v2], after(life * 2)), None);
+    assert_eq!(only(&history, &[v1, v1], t0), Some(v1));
+    assert_eq!(only(&history, &[v1, v2], t0), None);
+    assert_eq!(only(&history, &[], t0), None);
+    history.record_left(v2, t0);
+    assert_eq!(
+        only(&history, &[v1], after(VERSION_LIFETIME - second)),
+        None
+    );
+    assert_eq!(only(&history, &[v1], after(VERSION_LIFETIME)), Some(v1));
+    history.record_left(v1, after(VERSION_LIFETIME));
+    assert_eq!(only(&history, &[v1], after(VERSION_LIFETIME)), Some(v1));
+    assert_eq!(only(&history, &[v2], after(VERSION_LIFETIME)), None);
 }
