Keep the platform's header names out of the soak

Change: the fixture in platform/standin builds that request, and sets the version in a worker's row.

--- a/crates/soak/src/client.rs
+++ b/crates/soak/src/client.rs
@@ -3,7 +3,7 @@
 use crate::checker::{ClientRequest, ReceivedStream, RequestEnd, RequestKind};
 use crate::disruption::Delivery;
 use crate::keys::Key;
-use standin::fixture::{PROMPT_HEADERS, request};
+use standin::fixture::{PROMPT_HEADERS, request, take_up_request};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
@@ -185,15 +185,11 @@
             };
             tokio::time::sleep(Duration::from_millis(rng.u64(..MAX_TAKE_UP_PAUSE_MS))).await;
             let id = format!("{}-{}", first.id, stream.tries);
-            let resumes = format!(
-                "attempt-id: {id}\r\nresumes: {}\r\nlast-event-id: {after}\r\n",
-                first.id
-            );
-            let own_id = format!("attempt-id: {}\r\n", first.id);
+            let text = take_up_request(&first.text, &first.id, &id, after);
             let sent = Sent {
                 id,
                 kind: RequestKind::Rest { after },
-                text: first.text.replace(&own_id, &resumes),
+                text,
                 key: first.key,
             };
             let gateway = rng.usize(..self.gateways.len());
--- a/crates/soak/src/cluster.rs
+++ b/crates/soak/src/cluster.rs
@@ -10,7 +10,7 @@
 use serde_json::json;
 use standin::fixture::{
     CONFIG_ROW, WORKER_TABLE, config, route, routes, settings, unreadable_rows, with_tenants,
-    with_usage_reports, worker_row, worker_row_with_start,
+    with_usage_reports, with_version, worker_row, worker_row_with_start,
 };
 use standin::{Action, Cloud, Crash, LostRow, Store, StoreMode, Worker};
 use std::io;
@@ -416,9 +416,8 @@
 }
 
 fn register(store: &Store, id: &str, version: &str, born: u64, addr: SocketAddr, state: &str) {
-    let mut row = worker_row_with_start(born, "plain", addr, state);
-    row["Version"] = json!(version);
-    store.put(WORKER_TABLE, id, &row);
+    let row = worker_row_with_start(born, "plain", addr, state);
+    store.put(WORKER_TABLE, id, &with_version(row, version));
 }
 
 fn address(net: u8, host: u8, port: u16) -> SocketAddr {
