Soak: begin the last phase once processes that were told to stop have ended

Traced by its logs: the last signals to stop came to all three gateways at 602.83 to 603.00 s, just before the last phase; they still served, so the check whether all have recovered passed. edge-0 ended last, at 608.75 s, while edge-1 had ended and wasn't started again: it had nobody to hand its 53 entries to (usage_not_sent, connection refused). The phase is meant to have no faults.

Change: before the last phase, the soak waits until processes that were told to stop have ended and were started again, and checks once more that all serve. The check of usage is the same.

--- a/crates/soak/src/cluster.rs
+++ b/crates/soak/src/cluster.rs
@@ -259,6 +259,11 @@
         }
     }
 
+    /// Whether a process that was told to stop hasn't ended and been started again.
+    pub fn is_any_stopping(&self) -> bool {
+        self.timeline.stops.iter().any(|stop| stop.until.is_none())
+    }
+
     fn stop_of(&mut self, n: usize) -> Option<&mut PlannedStop> {
         let mut stops = self.timeline.stops.iter_mut();
         stops.find(|s| s.gateway == n && s.until.is_none())
--- a/crates/soak/src/fault.rs
+++ b/crates/soak/src/fault.rs
@@ -291,6 +291,16 @@
     Ok(())
 }
 
+/// Waits up to `bound` until processes that were told to stop have ended, and starts them again.
+pub async fn finish_stops(cluster: &mut Cluster, bound: Duration) -> io::Result<()> {
+    let until = Instant::now() + bound;
+    while cluster.is_any_stopping() && Instant::now() < until {
+        restart_ended(cluster)?;
+        tokio::time::sleep(READY_CHECK_TIMEOUT).await;
+    }
+    Ok(())
+}
+
 /// Waits up to `bound` until all gateways serve. Returns whether they do. As on the platform, a
 /// process that ends meanwhile is started again: one that was told to stop just before the faults
 /// ended exits seconds later.
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -23,6 +23,8 @@
 
 /// Time within which all gateways must serve after the last fault.
 const RECOVERY_BOUND: Duration = Duration::from_secs(12);
+/// Longest wait for processes that were told to stop, longer than their grace period.
+const STOP_BOUND: Duration = Duration::from_secs(10);
 /// Length of the last phase, which has no faults. The usage of its requests must be reported
 /// correctly.
 const LAST_PHASE_TIME: Duration = Duration::from_secs(3);
@@ -147,7 +149,10 @@
     };
     schedule::write(&dir.join("schedule.jsonl"), &done.steps)?;
     fault::clear_faults(&mut cluster).await?;
-    let recovered = fault::recover(&mut cluster, RECOVERY_BOUND).await?;
+    let mut recovered = fault::recover(&mut cluster, RECOVERY_BOUND).await?;
+    // If all of them were still stopping, nobody would be left to report the last phase.
+    fault::finish_stops(&mut cluster, STOP_BOUND).await?;
+    recovered &= fault::recover(&mut cluster, RECOVERY_BOUND).await?;
     phase.send_replace(Phase::Last);
     tokio::time::sleep(LAST_PHASE_TIME).await;
     phase.send_replace(Phase::Over);
