Log the prompt parts that ran where an upstream ended, and that were answered since

When engines crashed under requests that are no two alike, the log had nothing by which the part that was at each end could be told from the parts of any other prompt. connection_broke and upstream_went_dark name the parts now, answered does while crashes are known.

--- a/crates/gateway/src/account.rs
+++ b/crates/gateway/src/account.rs
@@ -107,6 +107,9 @@
     pub max_output_tokens: Option<u32>,
     /// Fingerprint of the request and its caller, if it was computed.
     pub fingerprint: Option<Fingerprint>,
+    /// Ids of the parts of its prompt except the last, if it was answered while crashes of
+    /// upstreams were known.
+    pub parts: Option<String>,
     /// Units taken from the tenant's quota.
     pub grant: Option<Grant>,
     /// Request taken from the limit of the upstream that is tried next.
@@ -154,6 +157,7 @@
             outlook: None,
             max_output_tokens: None,
             fingerprint: None,
+            parts: None,
             grant: None,
             request_grant: None,
             trial: None,
@@ -247,6 +251,7 @@
         emit(&Event::Answered {
             request: &self.id,
             work: self.fingerprint.map(|hash| hash.to_string()),
+            parts: self.parts.as_deref(),
             route: self.route.as_deref(),
             service: self.service.as_deref(),
             under: &ConfigContext {
--- a/crates/gateway/src/crashes.rs
+++ b/crates/gateway/src/crashes.rs
@@ -16,6 +16,7 @@
 pub use admit::{Admission, admit, return_unused_trial};
 pub use fingerprint::fingerprint;
 
+use crate::account::Account;
 use crate::peers::{CrashReport, PeerStatus, Scope};
 use crate::serve::Call;
 use crate::state::Gateway;
@@ -107,12 +108,20 @@
     }
 }
 
+/// Ids of the parts that the prompt shares with others, as in the log; `None` without such parts.
+fn part_names(call: &Call) -> Option<String> {
+    let shared = call.parsed_headers.shared_parts();
+    let names: Vec<String> = shared.iter().map(|part| format!("{:x}", part.id)).collect();
+    (!names.is_empty()).then(|| names.join(","))
+}
+
 /// Records that a request was answered completely.
-pub fn mark_answered(call: &Call) {
+pub fn mark_answered(call: &Call, account: &mut Account) {
     let gateway = &call.gateway;
     if gateway.crashes.lock().is_empty() {
         return;
     }
+    account.parts = part_names(call);
     let observation = Observation::Answer {
         fingerprint: call.fingerprint(),
         at: Instant::now(),
--- a/crates/gateway/src/crashes/broken.rs
+++ b/crates/gateway/src/crashes/broken.rs
@@ -1,5 +1,6 @@
 //! Checks whether an upstream crashed when a connection to it breaks during a request.
 
+use super::part_names;
 use crate::account::{Account, SentTo};
 use crate::fleet::UpstreamKey;
 use crate::serve::Call;
@@ -20,6 +21,7 @@
     gateway: Arc<Gateway>,
     request: String,
     fingerprint: Fingerprint,
+    parts: Option<String>,
     key: UpstreamKey,
     tag: u32,
     instance: String,
@@ -39,6 +41,7 @@
         gateway: call.gateway.clone(),
         request: account.id.clone(),
         fingerprint,
+        parts: part_names(call),
         key,
         tag,
         instance,
@@ -64,6 +67,7 @@
         emit(&Event::ConnectionBroke {
             request: &self.request,
             work: self.fingerprint.to_string(),
+            parts: self.parts.as_deref(),
             upstream: &self.instance,
             upstream_ended: has_ended,
             in_trial: self.in_trial,
--- a/crates/gateway/src/crashes/unanswered.rs
+++ b/crates/gateway/src/crashes/unanswered.rs
@@ -4,6 +4,7 @@
 //! If this weren't counted as a crash, retries of the request would crash further upstreams.
 //! Whether the upstream has ended is determined from the registry.
 
+use super::part_names;
 use crate::account::{Account, SentTo};
 use crate::serve::Call;
 use crate::state::Gateway;
@@ -40,6 +41,7 @@
     gateway: Arc<Gateway>,
     request: String,
     fingerprint: Fingerprint,
+    parts: Option<String>,
     to: SentTo,
     upstream: String,
     in_trial: bool,
@@ -108,6 +110,7 @@
             gateway: call.gateway.clone(),
             request: account.id.clone(),
             fingerprint: call.fingerprint(),
+            parts: part_names(call),
             to: account.last_sent_to?,
             upstream: account.upstream.clone()?,
             in_trial: account.trial.is_some(),
@@ -144,6 +147,7 @@
         emit(&Event::UpstreamWentDark {
             request: &self.request,
             work: self.fingerprint.to_string(),
+            parts: self.parts.as_deref(),
             upstream: &self.upstream,
             in_trial: self.in_trial,
             ends: self.gateway.crashes.lock().crash_count(self.fingerprint),
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -36,7 +36,7 @@
     let body = match started.rest {
         None => {
             if started.monitor.completeness() == Completeness::Whole {
-                crashes::mark_answered(&call);
+                crashes::mark_answered(&call, &mut account);
             }
             call.record_duration(&account, Duration::ZERO);
             account.close(Outcome::Answered, None);
@@ -111,7 +111,7 @@
             match end {
                 StreamEnd::Whole => {
                     if self.monitor.completeness() == Completeness::Whole {
-                        crashes::mark_answered(&self.call);
+                        crashes::mark_answered(&self.call, &mut self.account);
                     }
                     self.call.record_duration(&self.account, self.client_wait);
                     self.tx.finish().await;
--- a/crates/observe/src/event.rs
+++ b/crates/observe/src/event.rs
@@ -585,6 +585,9 @@
         request: &'a str,
         /// Hash of the request's content and sender.
         work: String,
+        /// Ids of the parts of its prompt except the last, in order.
+        #[serde(skip_serializing_if = "Option::is_none")]
+        parts: Option<&'a str>,
         /// The upstream.
         upstream: &'a str,
         /// Whether the upstream appears to have crashed.
@@ -602,6 +605,9 @@
         request: &'a str,
         /// Hash of the request's content and sender.
         work: String,
+        /// Ids of the parts of its prompt except the last, in order.
+        #[serde(skip_serializing_if = "Option::is_none")]
+        parts: Option<&'a str>,
         /// The upstream.
         upstream: &'a str,
         /// Whether the request was a trial of held-back work.
@@ -666,6 +672,10 @@
         /// the request was checked against such work.
         #[serde(skip_serializing_if = "Option::is_none")]
         work: Option<String>,
+        /// Ids of the parts of its prompt except the last, in order; `None` unless upstreams
+        /// crashed lately.
+        #[serde(skip_serializing_if = "Option::is_none")]
+        parts: Option<&'a str>,
         /// The route; `None` if none matched.
         route: Option<&'a str>,
         /// The service that was chosen.
