--- a/crates/bench/src/gateway.rs
+++ b/crates/bench/src/gateway.rs
@@ -4,7 +4,9 @@
 use crate::procs::{Proc, build_binary};
 use crate::usage;
 use serde::Serialize;
-use standin::fixture::{CONFIG_ROW, WORKER_TABLE, config, request, routes, settings, worker_row};
+use standin::fixture::{
+    CONFIG_ROW, WORKER_TABLE, config, prompt_headers, request, routes, settings, worker_row,
+};
 use standin::{Action, Store, Worker};
 use std::io;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
@@ -38,10 +40,32 @@
     pub resident_mib: f64,
 }
 
-/// Measures plain and streamed requests with a body of `body` bytes. If `has_suspect` is set, an
-/// upstream first ends during another request, so that the gateway hashes and looks up each
-/// request.
-pub async fn run(requests: usize, body: usize, has_suspect: bool) -> io::Result<Vec<Figures>> {
+/// Requests to send.
+#[derive(Debug)]
+pub struct Load {
+    /// Number of requests of each kind.
+    pub requests: usize,
+    /// Body of each request.
+    pub body: String,
+    /// Number of parts of each prompt. All but the last are the same in all requests.
+    pub parts: usize,
+}
+
+impl Load {
+    /// Header lines of the next request, and of none if prompts have no parts.
+    fn headers(&self) -> String {
+        let Some(shared) = self.parts.checked_sub(1) else {
+            return String::new();
+        };
+        let mut ids: Vec<u64> = (1..=shared as u64).collect();
+        ids.push(fastrand::u64(..));
+        prompt_headers(&ids)
+    }
+}
+
+/// Measures plain and streamed requests. If `has_suspect` is set, an upstream first ends during
+/// another request, so that the gateway hashes and looks up each request.
+pub async fn run(load: &Load, has_suspect: bool) -> io::Result<Vec<Figures>> {
     let at = |port| SocketAddr::new(IpAddr::V4(HOST), port);
     let store = Store::start(at(7003))?;
     store.put(CONFIG_ROW.0, CONFIG_ROW.1, &config(1, &routes()));
@@ -55,34 +79,24 @@
     std::fs::write(&file, settings("edge", HOST, store.addr))?;
     let mut proc = Proc::start_gateway(&build_binary().await?, "edge", &file)?;
     wait_serving(at(7000)).await?;
-    let load = Load {
-        requests,
-        body: "x".repeat(body),
-    };
     if has_suspect {
-        break_one_request(&upstream, at(7000)).await?;
+        break_one_request(load, &upstream, at(7000)).await?;
     }
     let mut out = Vec::new();
     for (kind, path) in [("plain", "/unsafe/"), ("stream of 2 events", "/resumable/")] {
-        out.push(measure(kind, path, &load, at(7000), upstream.addr, &proc).await?);
+        out.push(measure(kind, path, load, at(7000), upstream.addr, &proc).await?);
     }
     proc.kill().await?;
     Ok(out)
 }
 
-/// Requests to send.
-struct Load {
-    requests: usize,
-    body: String,
-}
-
 /// Makes the upstream close the connection during one request, which the gateway treats as its
 /// end.
-async fn break_one_request(upstream: &Worker, gateway: SocketAddr) -> io::Result<()> {
+async fn break_one_request(load: &Load, upstream: &Worker, gateway: SocketAddr) -> io::Result<()> {
     const SETTLE_TIME: Duration = Duration::from_millis(500);
     upstream.script([Action::Close]);
     let mut tcp = TcpStream::connect(gateway).await?;
-    exchange(&mut tcp, "/unsafe/suspect", "x").await?;
+    exchange(&mut tcp, "/unsafe/suspect", &load.headers(), "x").await?;
     tokio::time::sleep(SETTLE_TIME).await;
     Ok(())
 }
@@ -93,7 +107,7 @@
     while Instant::now() < until {
         let served = async {
             let mut tcp = TcpStream::connect(at).await?;
-            exchange(&mut tcp, "/safe/", "x").await
+            exchange(&mut tcp, "/safe/", "", "x").await
         };
         if served.await.is_ok_and(|s| s.contains(" 200 ")) {
             return Ok(());
@@ -119,17 +133,17 @@
         tcp.set_nodelay(true)?;
     }
     for _ in 0..WARM_UP {
-        exchange(&mut through, path, &load.body).await?;
+        exchange(&mut through, path, &load.headers(), &load.body).await?;
     }
     let used = || proc.id().and_then(usage::read).unwrap_or_default();
     let before = used();
     let mut times = (Vec::new(), Vec::new());
     for _ in 0..load.requests {
         let since = Instant::now();
-        exchange(&mut through, path, &load.body).await?;
+        exchange(&mut through, path, &load.headers(), &load.body).await?;
         times.0.push(since.elapsed());
         let since = Instant::now();
-        exchange(&mut straight, path, &load.body).await?;
+        exchange(&mut straight, path, &load.headers(), &load.body).await?;
         times.1.push(since.elapsed());
     }
     let after = used();
@@ -150,9 +164,14 @@
 }
 
 /// Sends a request and reads the answer up to its last bytes.
-async fn exchange(tcp: &mut TcpStream, path: &str, body: &str) -> io::Result<String> {
+async fn exchange(
+    tcp: &mut TcpStream,
+    path: &str,
+    headers: &str,
+    body: &str,
+) -> io::Result<String> {
     let id = format!("{:016x}", fastrand::u64(..));
-    tcp.write_all(request("POST", path, &id, "", body).as_bytes())
+    tcp.write_all(request("POST", path, &id, headers, body).as_bytes())
         .await?;
     let mut buf = Vec::with_capacity(1024);
     loop {
--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -80,6 +80,19 @@
     /// make an upstream end during another request first, so that each request is looked up
     #[argh(switch)]
     suspect: bool,
+    /// number of parts of each request's prompt (default 0)
+    #[argh(option, default = "0")]
+    parts: usize,
+}
+
+impl GatewayArgs {
+    fn load(&self) -> bench::gateway::Load {
+        bench::gateway::Load {
+            requests: self.requests,
+            body: "x".repeat(self.body),
+            parts: self.parts,
+        }
+    }
 }
 
 /// run both deployments until Ctrl-C, and print example commands
@@ -207,7 +220,7 @@
             Ok(figures.rows_after >= figures.rows_before)
         }
         Command::Gateway(a) => {
-            for figures in bench::gateway::run(a.requests, a.body, a.suspect).await? {
+            for figures in bench::gateway::run(&a.load(), a.suspect).await? {
                 println!("{}", serde_json::to_string(&figures)?);
             }
             Ok(true)
