--- a/crates/gateway/src/account.rs
+++ b/crates/gateway/src/account.rs
@@ -9,7 +9,7 @@
 use crate::quota::Grant;
 use crate::serve::FinishEstimate;
 use crate::state::{Gateway, RunningGuard};
-use observe::{ConfigContext, Event, Labels, Latency, StreamContext, emit};
+use observe::{ConfigContext, Event, Labels, Latency, StreamContext, SuspectContext, emit};
 use resilience::Fingerprint;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -250,8 +250,10 @@
         };
         emit(&Event::Answered {
             request: &self.id,
-            work: self.fingerprint.map(|hash| hash.to_string()),
-            parts: self.parts.as_deref(),
+            suspect: &SuspectContext {
+                work: self.fingerprint.map(|hash| hash.to_string()),
+                parts: self.parts.take(),
+            },
             route: self.route.as_deref(),
             service: self.service.as_deref(),
             under: &ConfigContext {
--- a/crates/observe/src/event.rs
+++ b/crates/observe/src/event.rs
@@ -668,14 +668,9 @@
     Answered {
         /// The request's id.
         request: &'a str,
-        /// Hash of the request's content and sender; `None` unless an upstream crashed under it or
-        /// the request was checked against such work.
-        #[serde(skip_serializing_if = "Option::is_none")]
-        work: Option<String>,
-        /// Ids of the parts of its prompt except the last, in order; `None` unless upstreams
-        /// crashed lately.
-        #[serde(skip_serializing_if = "Option::is_none")]
-        parts: Option<&'a str>,
+        /// What identifies the request among those during which upstreams crashed.
+        #[serde(flatten)]
+        suspect: &'a SuspectContext,
         /// The route; `None` if none matched.
         route: Option<&'a str>,
         /// The service that was chosen.
@@ -776,6 +771,19 @@
     pub origin_ms: Option<u64>,
 }
 
+/// What identifies a request among those during which upstreams crashed.
+#[derive(Debug, Clone, Serialize)]
+pub struct SuspectContext {
+    /// Hash of the request's content and sender; `None` unless an upstream crashed under it or
+    /// the request was checked against such work.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub work: Option<String>,
+    /// Ids of the parts of its prompt except the last, in order; `None` unless upstreams crashed
+    /// lately.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub parts: Option<String>,
+}
+
 /// The configuration that applied to a request.
 #[derive(Debug, Clone, Serialize)]
 pub struct ConfigContext<'a> {
