--- a/crates/gateway/tests/common/crashing.rs
+++ b/crates/gateway/tests/common/crashing.rs
@@ -8,6 +8,8 @@
 
 /// Text in the body of requests that crash the workers.
 pub const CRASH_MARKER: &str = "deadly";
+/// Part of the prompts that crash the workers.
+pub const CRASHING_PART: u64 = 0xdead;
 /// Time after the third crash from which the number of further sends is limited, with some margin.
 pub const DETECTION_TIME: Duration = Duration::from_millis(3200);
 /// Time that a worker is down after a crash.
@@ -24,6 +26,8 @@
     /// Prefill-only engines. They don't crash.
     pub prefill_engines: Vec<Worker>,
     workers: Vec<Worker>,
+    /// Time that a worker is down after a crash.
+    downtime: Duration,
 }
 
 impl System {
@@ -43,7 +47,27 @@
 
     /// Starts hosts, prefill-only engines and engines that generate.
     pub async fn start_engines(hosts: usize, prefill_engines: usize, generators: usize) -> Self {
+        Self::start_slow_engines(
+            hosts,
+            prefill_engines,
+            generators,
+            Duration::ZERO,
+            RESTART_TIME,
+        )
+        .await
+    }
+
+    /// Same as [`System::start_engines`], with generators that answer after `latency` and are down
+    /// for `downtime` after a crash.
+    pub async fn start_slow_engines(
+        hosts: usize,
+        prefill_engines: usize,
+        generators: usize,
+        latency: Duration,
+        downtime: Duration,
+    ) -> Self {
         let mut system = Self::empty();
+        system.downtime = downtime;
         for n in 0..prefill_engines {
             let id = format!("r-{n}");
             let addr = SocketAddr::new(IpAddr::V4(address()), 7100);
@@ -55,7 +79,10 @@
         }
         for n in 0..generators {
             let row = fixture::worker_row("llm", system.store.addr, "ready", Some("decode"));
-            let default = Action::Events(1..=2);
+            let default = match latency.is_zero() {
+                true => Action::Events(1..=2),
+                false => Action::Delayed(latency, Box::new(Action::Events(1..=2))),
+            };
             system.add_worker(&format!("i-{n}"), row, default).await;
         }
         for _ in 0..hosts {
@@ -74,6 +101,7 @@
             store,
             prefill_engines: Vec::new(),
             workers: Vec::new(),
+            downtime: RESTART_TIME,
         }
     }
 
@@ -115,7 +143,7 @@
         worker.set_default_action(default);
         worker.set_crash(Some(Crash {
             trigger: CRASH_MARKER.into(),
-            downtime: RESTART_TIME,
+            downtime: self.downtime,
             on_start: Box::new(register),
         }));
         self.workers.push(worker);
@@ -172,12 +200,47 @@
 
     /// Sends a request to one of the hosts, selected by `id`, and returns its answer.
     pub async fn exchange(&self, path: &str, id: usize, body: &str) -> String {
+        self.exchange_with(path, id, super::SHORT_PROMPT_HEADERS, body)
+            .await
+    }
+
+    /// Same as [`System::exchange`] with other headers.
+    pub async fn exchange_with(&self, path: &str, id: usize, headers: &str, body: &str) -> String {
         let host = &self.hosts[id % self.hosts.len()];
-        let headers = super::SHORT_PROMPT_HEADERS;
         let text = request("POST", path, &format!("{body}-{id}"), headers, body);
         super::exchange(host.callers, &text).await
     }
 
+    /// Sends a prompt with these parts and a body of its own to one of the hosts, selected by `id`.
+    /// It crashes workers that generate on it if [`CRASHING_PART`] is one of the parts.
+    pub async fn exchange_prompt(&self, path: &str, id: usize, parts: &[u64]) -> String {
+        let kind = match parts.contains(&CRASHING_PART) {
+            true => CRASH_MARKER,
+            false => "sound",
+        };
+        let headers = fixture::prompt_headers(parts);
+        self.exchange_with(path, id, &headers, &format!("{kind}-{id}"))
+            .await
+    }
+
+    /// Same as [`System::exchange_prompt`]; returns the status of the answer, or 0 if there is
+    /// none.
+    pub async fn send_prompt(&self, path: &str, id: usize, parts: &[u64]) -> u16 {
+        let answer = self.exchange_prompt(path, id, parts).await;
+        match answer.is_empty() {
+            true => 0,
+            false => super::status(&answer),
+        }
+    }
+
+    /// Returns how often prompts that crash workers were prefilled or crashed a worker.
+    pub fn crashing_prompts_received(&self) -> u64 {
+        let prefilled = self.prefill_engines.iter().flat_map(Worker::requests);
+        let is_crashing = |body: &[u8]| String::from_utf8_lossy(body).contains(CRASH_MARKER);
+        let prefilled = prefilled.filter(|seen| is_crashing(&seen.body)).count();
+        prefilled as u64 + self.crash_count()
+    }
+
     /// Same as [`System::exchange`]; returns the status of the answer, or 0 if there is none.
     pub async fn send(&self, path: &str, id: usize, body: &str) -> u16 {
         let answer = self.exchange(path, id, body).await;
