--- a/crates/bench/src/gateway.rs
+++ b/crates/bench/src/gateway.rs
@@ -73,6 +73,10 @@
     upstream.set_default_action(Action::Serve(STREAM_EVENTS));
     let row = worker_row("plain", upstream.addr, "ready", None);
     store.put(WORKER_TABLE, "i-0", &row);
+    let engine = Worker::start(at(7101), "i-1").await?;
+    engine.set_default_action(Action::Serve(STREAM_EVENTS));
+    let row = worker_row("llm", engine.addr, "ready", None);
+    store.put(WORKER_TABLE, "i-1", &row);
     let dir = std::env::temp_dir().join(format!("bench-gateway-{}", std::process::id()));
     std::fs::create_dir_all(&dir)?;
     let file = dir.join("edge.toml");
@@ -80,23 +84,35 @@
     let mut proc = Proc::start_gateway(&build_binary().await?, "edge", &file)?;
     wait_serving(at(7000)).await?;
     if has_suspect {
-        break_one_request(load, &upstream, at(7000)).await?;
+        break_one_request(load, "/unsafe/suspect", &upstream, at(7000)).await?;
+        if load.parts > 0 {
+            break_one_request(load, "/prompt/suspect", &engine, at(7000)).await?;
+        }
     }
     let mut out = Vec::new();
     for (kind, path) in [("plain", "/unsafe/"), ("stream of 2 events", "/resumable/")] {
         out.push(measure(kind, path, load, at(7000), upstream.addr, &proc).await?);
     }
+    if load.parts > 0 {
+        let (kind, path) = ("prompt, 2 events", "/prompt/");
+        out.push(measure(kind, path, load, at(7000), engine.addr, &proc).await?);
+    }
     proc.kill().await?;
     Ok(out)
 }
 
 /// Makes the upstream close the connection during one request, which the gateway treats as its
 /// end.
-async fn break_one_request(load: &Load, upstream: &Worker, gateway: SocketAddr) -> io::Result<()> {
+async fn break_one_request(
+    load: &Load,
+    path: &str,
+    upstream: &Worker,
+    gateway: SocketAddr,
+) -> io::Result<()> {
     const SETTLE_TIME: Duration = Duration::from_millis(500);
     upstream.script([Action::Close]);
     let mut tcp = TcpStream::connect(gateway).await?;
-    exchange(&mut tcp, "/unsafe/suspect", &load.headers(), "x").await?;
+    exchange(&mut tcp, path, &load.headers(), "x").await?;
     tokio::time::sleep(SETTLE_TIME).await;
     Ok(())
 }
