--- a/crates/arbutusquay/src/commands/explain.rs
+++ b/crates/arbutusquay/src/commands/explain.rs
@@ -69,6 +69,7 @@
         l.is_of_request(&args.id)
             || (is_near && is_context(l, &own_lines))
             || is_about_same_fingerprint(l, &own_lines)
+            || is_about_same_part(l, &own_lines)
             || is_of_same_stream(l, &own_lines)
     });
     for line in printed {
@@ -184,6 +185,26 @@
     is_crash_event && is_same && (from..=until).contains(&line.at_ms)
 }
 
+/// Returns whether a line is about the part of prompts by which the request was rejected: crashes of
+/// upstreams during prompts with it, its trials, or the decision to block it or to allow it again.
+fn is_about_same_part(line: &Line, own_lines: &[&Line]) -> bool {
+    let Some(part) = own_lines.iter().find_map(|own| own.field("blocked_part")) else {
+        return false;
+    };
+    let until = own_lines.last().map_or(0, |last| last.at_ms);
+    let from = until.saturating_sub(CRASH_HISTORY_MS);
+    let is_about = match line.event.as_str() {
+        "connection_broke" | "upstream_went_dark" => {
+            let parts = line.field("parts").unwrap_or_default();
+            parts.split(',').any(|id| id == part)
+        }
+        "part_held_back" | "part_released" => line.field("part") == Some(part),
+        "work_tried" => line.field("work") == Some(&format!("part {part}")),
+        _ => false,
+    };
+    is_about && (from..=until).contains(&line.at_ms)
+}
+
 impl Line {
     fn parse(text: &str) -> Option<Self> {
         let start = text.find('{')?;
--- a/crates/arbutusquay/tests/explain.rs
+++ b/crates/arbutusquay/tests/explain.rs
@@ -2,8 +2,8 @@
 
 use bench::procs::{Proc, run_command};
 use standin::fixture::{
-    CONFIG_ROW, WORKER_TABLE, config, request, request_limit_header, routes, settings, tenant,
-    with_tenants, with_usage_reports, worker_row, worker_row_with_start,
+    CONFIG_ROW, WORKER_TABLE, config, prompt_headers, request, request_limit_header, routes,
+    settings, tenant, with_tenants, with_usage_reports, worker_row, worker_row_with_start,
 };
 use standin::{Action, Crash, Store, Worker};
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
@@ -206,6 +206,43 @@
 #[tokio::test]
 async fn a_blocked_request_is_explained() {
     let fixture = start(7).await;
+    let _workers = start_crashing_workers(&fixture, "plain").await;
+    // Only the id changes. Path and body stay the same, so all requests have one fingerprint.
+    let (id, _) =
+        send_until_rejected(&fixture, |id| request("POST", "/unsafe/", id, "", "x")).await;
+    let explained = fixture.explain_until(&id, "work_held_back").await;
+    let broke = explained.lines().filter(|l| l.contains("connection_broke"));
+    assert!(broke.count() >= 3, "{explained}");
+    assert_contains(
+        &explained,
+        &["upstream_ended=true", "work_held_back", "ends=3"],
+    );
+}
+
+/// The log shows the part by which a prompt is blocked and each crash that it explains, although
+/// the prompts were no two alike.
+#[tokio::test]
+async fn a_prompt_with_a_blocked_part_is_explained() {
+    let fixture = start(21).await;
+    let _workers = start_crashing_workers(&fixture, "llm").await;
+    let (id, text) = send_until_rejected(&fixture, |id| {
+        let own = id.len() as u64 * 1000 + u64::from(id.as_bytes()[id.len() - 1]);
+        let headers = prompt_headers(&[0xbad, own]);
+        request("POST", "/prompt/", id, &headers, &format!("x {id}"))
+    })
+    .await;
+    assert!(text.contains("part_crash_suspected"), "{text}");
+    let explained = fixture.explain_until(&id, "part_held_back").await;
+    let broke = explained.lines().filter(|l| l.contains("connection_broke"));
+    assert!(broke.count() >= 3, "{explained}");
+    assert_contains(
+        &explained,
+        &["part_held_back", "ends=3", "blocked_part=bad", "part_ends="],
+    );
+}
+
+/// Starts six workers that crash on each request with an "x" in its body, and don't come back.
+async fn start_crashing_workers(fixture: &Fixture, service: &str) -> Vec<Worker> {
     let SocketAddr::V4(callers) = fixture.callers else {
         panic!("an IPv4 address");
     };
@@ -214,7 +251,7 @@
         let at = SocketAddr::new(IpAddr::V4(*callers.ip()), 7200 + n);
         let id = format!("i-crash-{n}");
         let worker = Worker::start_with_time(at, &id, 1000).await.unwrap();
-        let row = worker_row_with_start(1000, "plain", at, "ready");
+        let row = worker_row_with_start(1000, service, at, "ready");
         fixture.store.put(WORKER_TABLE, &id, &row);
         worker.set_crash(Some(Crash {
             trigger: "x".into(),
@@ -223,26 +260,25 @@
         }));
         workers.push(worker);
     }
+    workers
+}
+
+/// Sends requests until one is rejected because upstreams crash. Returns its id and the answer.
+async fn send_until_rejected(
+    fixture: &Fixture,
+    request: impl Fn(&str) -> String,
+) -> (String, String) {
     let until = Instant::now() + TIMEOUT;
     for n in 0.. {
-        // Only the id changes. Path and body stay the same, so all requests have one fingerprint.
         let id = format!("again-{n}");
-        let text = fixture
-            .send(&request("POST", "/unsafe/", &id, "", "x"))
-            .await;
+        let text = fixture.send(&request(&id)).await;
         if text.contains("crash_suspected") || text.contains("crashes_upstreams") {
-            let explained = fixture.explain_until(&id, "work_held_back").await;
-            let broke = explained.lines().filter(|l| l.contains("connection_broke"));
-            assert!(broke.count() >= 3, "{explained}");
-            assert_contains(
-                &explained,
-                &["upstream_ended=true", "work_held_back", "ends=3"],
-            );
-            return;
+            return (id, text);
         }
         assert!(Instant::now() < until, "{text}");
         tokio::time::sleep(Duration::from_millis(50)).await;
     }
+    unreachable!("the loop doesn't end")
 }
 
 #[tokio::test]
--- a/crates/entry/src/crashes.rs
+++ b/crates/entry/src/crashes.rs
@@ -7,7 +7,7 @@
 use observe::log_line::now_ms;
 use observe::{Event, emit};
 use resilience::crashes::{
-    Change, Confidence, CrashRecord, Observation, RETENTION, STORED_TRIALS, Source,
+    Change, Confidence, CrashRecord, Observation, RETENTION, Run, STORED_TRIALS, Source,
 };
 use resilience::{Fingerprint, Verdict};
 use std::sync::{Mutex, MutexGuard};
@@ -89,25 +89,26 @@
     pub fn record_crash(&self, fingerprint: Fingerprint, upstream: u32, in_trial: bool) {
         let at = Instant::now();
         let observation = Observation::Crash {
-            fingerprint,
+            run: Run::from(fingerprint),
             upstream,
             at,
             in_trial,
         };
-        self.apply_report(observation, Source::Local);
+        self.apply_report(fingerprint, observation, Source::Local);
     }
 
     /// Records that a request got a complete response.
     pub fn record_answer(&self, fingerprint: Fingerprint) {
         let at = Instant::now();
-        self.apply_report(Observation::Answer { fingerprint, at }, Source::Local);
+        let observation = Observation::answer(Run::from(fingerprint), at);
+        self.apply_report(fingerprint, observation, Source::Local);
     }
 
-    fn apply_report(&self, observation: Observation, source: Source) {
+    fn apply_report(&self, fingerprint: Fingerprint, observation: Observation, source: Source) {
         let change = self
             .lock()
             .apply(observation, source, false, Instant::now());
-        log_change(observation.fingerprint(), change);
+        log_change(fingerprint, change);
         if change != Change::Unchanged && source == Source::Local {
             self.write_needed.notify_one();
         }
@@ -214,7 +215,7 @@
         for record in &due {
             let ago = record.at.elapsed().as_millis() as u64;
             let row = self.encode_row(now_ms().saturating_sub(ago), record.in_trial);
-            txn = txn.put(crash_key(record.fingerprint.0, record.upstream), row);
+            txn = txn.put(crash_key(record.run.request.0, record.upstream), row);
         }
         for record in &answered {
             txn.puts.extend(removal_puts(record));
@@ -240,12 +241,12 @@
         };
         let recorded = self.lock().recorded();
         let is_stored = |record: &&CrashRecord| {
-            let key = crash_key(record.fingerprint.0, record.upstream);
+            let key = crash_key(record.run.request.0, record.upstream);
             rows.iter().any(|row| row.key == key)
         };
         for gone in recorded.iter().filter(|record| !is_stored(record)) {
-            let change = self.lock().remove_crash(gone.fingerprint, gone.upstream);
-            log_change(gone.fingerprint, change);
+            let change = self.lock().remove_crash(gone.run.request, gone.upstream);
+            log_change(gone.run.request, change);
         }
         let old: Vec<String> = rows.iter().filter_map(|row| self.apply_row(row)).collect();
         self.remove_rows(old).await;
@@ -285,13 +286,14 @@
                 work: fingerprint,
                 end,
             } => {
+                let fingerprint = Fingerprint(fingerprint);
                 let observation = Observation::Crash {
-                    fingerprint: Fingerprint(fingerprint),
+                    run: Run::from(fingerprint),
                     upstream: end,
                     at,
                     in_trial: crash.in_trial,
                 };
-                self.apply_report(observation, Source::Store);
+                self.apply_report(fingerprint, observation, Source::Store);
             }
             CrashKey::Trial {
                 work: fingerprint,
@@ -314,8 +316,8 @@
 
 /// Deletions of the row of a crash and of the rows of the request's trials.
 fn removal_puts(record: &CrashRecord) -> Vec<Put> {
-    let trials = (0..STORED_TRIALS).map(|number| trial_key(record.fingerprint.0, number));
-    let keys = std::iter::once(crash_key(record.fingerprint.0, record.upstream)).chain(trials);
+    let trials = (0..STORED_TRIALS).map(|number| trial_key(record.run.request.0, number));
+    let keys = std::iter::once(crash_key(record.run.request.0, record.upstream)).chain(trials);
     keys.map(|key| Put { key, value: None }).collect()
 }
 
--- a/crates/gateway/src/account.rs
+++ b/crates/gateway/src/account.rs
@@ -11,6 +11,7 @@
 use crate::state::{Gateway, RunningGuard};
 use observe::{ConfigContext, Event, Labels, Latency, StreamContext, SuspectContext, emit};
 use resilience::Fingerprint;
+use resilience::crashes::{BlockedPart, Subject};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -49,6 +50,15 @@
     pub tag: u32,
 }
 
+/// A trial of a request, or of a part of prompts, that is blocked for crashing upstreams.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Trial {
+    /// What is tried.
+    pub subject: Subject,
+    /// Number of the trial, from 0.
+    pub number: usize,
+}
+
 /// Accounting of one request. If it is dropped before it is closed, the client has disconnected
 /// or the process is exiting.
 #[derive(Debug)]
@@ -114,9 +124,10 @@
     pub grant: Option<Grant>,
     /// Request taken from the limit of the upstream that is tried next.
     pub request_grant: Option<Grant>,
-    /// Number of the trial, if the request is a trial of one that is blocked for crashing
-    /// upstreams.
-    pub trial: Option<usize>,
+    /// The trial of what is blocked for crashing upstreams, if the request is one.
+    pub trial: Option<Trial>,
+    /// Part of its prompt that is blocked for crashing upstreams.
+    pub blocked_part: Option<BlockedPart>,
     /// Time until a prefill-only engine finished the prompt.
     pub prefill_after: Option<Duration>,
     /// Time to the first byte.
@@ -161,6 +172,7 @@
             grant: None,
             request_grant: None,
             trial: None,
+            blocked_part: None,
             prefill_after: None,
             first_byte_after: None,
             status: 0,
@@ -253,6 +265,10 @@
             suspect: &SuspectContext {
                 work: self.fingerprint.map(|hash| hash.to_string()),
                 parts: self.parts.take(),
+                blocked_part: self
+                    .blocked_part
+                    .map(|blocked| format!("{:x}", blocked.part)),
+                part_ends: self.blocked_part.map(|blocked| blocked.crashes),
             },
             route: self.route.as_deref(),
             service: self.service.as_deref(),
--- a/crates/gateway/src/answer.rs
+++ b/crates/gateway/src/answer.rs
@@ -57,6 +57,12 @@
     /// Upstreams crashed while they ran the request, possibly by coincidence. Trials are in
     /// progress.
     CrashSuspected,
+    /// Upstreams crashed while they ran prompts with a part that the request has, also when one ran
+    /// alone. It is not sent.
+    PartCrashesUpstreams,
+    /// Upstreams crashed while they ran prompts with a part that the request has, possibly by
+    /// coincidence. Trials are in progress.
+    PartCrashSuspected,
     /// The connection to an upstream was lost while it may have run the request.
     UpstreamLost,
     /// The deadline or the timeout passed without an answer.
@@ -119,6 +125,8 @@
             Self::Rejected => "rejected",
             Self::CrashesUpstreams => "crashes_upstreams",
             Self::CrashSuspected => "crash_suspected",
+            Self::PartCrashesUpstreams => "part_crashes_upstreams",
+            Self::PartCrashSuspected => "part_crash_suspected",
             Self::UpstreamLost => "upstream_lost",
             Self::TimedOut => "timed_out",
             Self::ProcessEnds => "process_ends",
@@ -134,9 +142,10 @@
             Self::TimedOut | Self::ProcessEnds if may_have_run => StatusCode::GATEWAY_TIMEOUT,
             _ if may_have_run => StatusCode::BAD_GATEWAY,
             // Clients treat 400 as final. With 503 they would retry, with the same result.
-            Self::Malformed(_) | Self::BrokenBody | Self::CrashesUpstreams => {
-                StatusCode::BAD_REQUEST
-            }
+            Self::Malformed(_)
+            | Self::BrokenBody
+            | Self::CrashesUpstreams
+            | Self::PartCrashesUpstreams => StatusCode::BAD_REQUEST,
             Self::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Self::SlowBody => StatusCode::REQUEST_TIMEOUT,
             Self::NoRoute => StatusCode::NOT_FOUND,
@@ -172,6 +181,12 @@
             Self::Rejected => "the upstreams rejected the request".into(),
             Self::CrashesUpstreams => "upstreams have crashed each time they ran this".into(),
             Self::CrashSuspected => "upstreams have crashed while they ran this".into(),
+            Self::PartCrashesUpstreams => {
+                "upstreams have crashed each time they ran a prompt with one of the parts".into()
+            }
+            Self::PartCrashSuspected => {
+                "upstreams have crashed while they ran prompts with one of the parts".into()
+            }
             Self::UpstreamLost => "the connection to the upstream was lost".into(),
             Self::TimedOut => "no answer came in time".into(),
             Self::ProcessEnds => "the process ends before the answer came".into(),
--- a/crates/gateway/src/crashes.rs
+++ b/crates/gateway/src/crashes.rs
@@ -1,9 +1,9 @@
-//! Detects requests that crash upstreams, and shares the reports between hosts.
+//! Detects requests and parts of prompts that crash upstreams, and shares the reports between hosts.
 //!
 //! A connection that breaks during a request shows that the upstream may have crashed ([`broken`]),
 //! as does a request without an answer whose upstream is gone ([`unanswered`]).
-//! [`resilience::crashes`] counts crashes per request fingerprint and decides when a request is
-//! blocked. This module passes it the reports of this host, of peers and of rows in the store,
+//! [`resilience::crashes`] counts crashes per request fingerprint and per part of prompts, and decides
+//! when a request is blocked. This module passes it the reports of this host, of peers and of rows in the store,
 //! and applies its decisions ([`admit`]). The rows ([`rows`]) reach hosts without a live peer and
 //! survive restarts of all processes.
 
@@ -21,13 +21,16 @@
 use crate::serve::Call;
 use crate::state::Gateway;
 use observe::{Event, emit};
-use resilience::crashes::{Change, Observation, Source};
+use resilience::crashes::{Change, Observation, PartChange, Run, Source};
 use resilience::{CrashTracker, Fingerprint};
 use std::sync::{Mutex, MutexGuard};
 use std::time::{Duration, Instant};
 use tokio::sync::Notify;
 
-/// Requests that may crash upstreams, as known to this process.
+/// Fingerprint in reports of answered parts alone.
+const NO_REQUEST: Fingerprint = Fingerprint(0);
+
+/// Requests and parts of prompts that may crash upstreams, as known to this process.
 #[derive(Debug, Default)]
 pub struct SharedCrashes {
     crashes: Mutex<CrashTracker>,
@@ -78,17 +81,43 @@
 
 /// Applies an observation, logs the resulting change, and wakes the writer of rows.
 fn apply(gateway: &Gateway, observation: Observation, source: Source, forward: bool) -> Change {
+    let request = observation.request();
     let change = gateway
         .crashes
         .lock()
         .apply(observation, source, forward, Instant::now());
-    log_change(observation.fingerprint(), change, source);
-    if change != Change::Unchanged {
+    if let Some(fingerprint) = request {
+        log_change(fingerprint, change, source);
+    }
+    let has_part_changes = update_parts(gateway);
+    if change != Change::Unchanged || has_part_changes {
         gateway.crashes.write_pending.notify_one();
     }
     change
 }
 
+/// Updates which parts of prompts are blocked, and logs the changes. Returns whether there were any.
+fn update_parts(gateway: &Gateway) -> bool {
+    let changes = gateway.crashes.lock().update_explanation(Instant::now());
+    for change in &changes {
+        match *change {
+            PartChange::Blocked {
+                part,
+                crashes,
+                others,
+            } => emit(&Event::PartHeldBack {
+                part: format!("{part:x}"),
+                ends: crashes,
+                others,
+            }),
+            PartChange::Released(part) => emit(&Event::PartReleased {
+                part: format!("{part:x}"),
+            }),
+        }
+    }
+    !changes.is_empty()
+}
+
 /// Logs that a request is blocked, or no longer blocked.
 fn log_change(fingerprint: Fingerprint, change: Change, source: Source) {
     let work = fingerprint.to_string();
@@ -110,23 +139,31 @@
 
 /// Ids of the parts that the prompt shares with others, as in the log; `None` without such parts.
 fn part_names(call: &Call) -> Option<String> {
-    let shared = call.parsed_headers.shared_parts();
-    let names: Vec<String> = shared.iter().map(|part| format!("{:x}", part.id)).collect();
+    let names: Vec<String> = call.shared_part_ids().map(|id| format!("{id:x}")).collect();
     (!names.is_empty()).then(|| names.join(","))
 }
 
 /// Records that a request was answered completely.
 pub fn mark_answered(call: &Call, account: &mut Account) {
     let gateway = &call.gateway;
-    if gateway.crashes.lock().is_empty() {
-        return;
+    let now = Instant::now();
+    // An error may have been returned without generating anything.
+    let is_generated = (200..300).contains(&account.status);
+    {
+        let mut crashes = gateway.crashes.lock();
+        if crashes.is_empty() {
+            if is_generated {
+                crashes.record_answered_parts(call.shared_part_ids(), now);
+            }
+            return;
+        }
     }
     account.parts = part_names(call);
-    let observation = Observation::Answer {
-        fingerprint: call.fingerprint(),
-        at: Instant::now(),
+    let run = match is_generated {
+        true => call.run_record(),
+        false => Run::from(call.fingerprint()),
     };
-    apply(gateway, observation, Source::Local, true);
+    apply(gateway, Observation::answer(run, now), Source::Local, true);
 }
 
 /// Applies the crash reports in a peer's datagram. In a tree they are forwarded.
@@ -156,8 +193,8 @@
 /// Crashes that are recorded in the store, for a peer that is starting.
 pub fn recorded_crashes(gateway: &Gateway, now: Instant) -> Vec<CrashReport> {
     let recorded = gateway.crashes.lock().recorded();
-    let observations = recorded.iter().map(|r| Observation::Crash {
-        fingerprint: r.fingerprint,
+    let observations = recorded.into_iter().map(|r| Observation::Crash {
+        run: r.run,
         upstream: r.upstream,
         at: r.at,
         in_trial: r.in_trial,
@@ -177,6 +214,8 @@
 }
 
 fn to_report(observation: &Observation, now: Instant) -> CrashReport {
+    let Fingerprint(hash) = observation.request().unwrap_or(NO_REQUEST);
+    let parts = observation.parts().to_vec();
     let (at, upstream, in_trial) = match *observation {
         Observation::Crash {
             upstream,
@@ -186,27 +225,32 @@
         } => (at, Some(upstream), in_trial),
         Observation::Answer { at, .. } => (at, None, false),
     };
-    let Fingerprint(hash) = observation.fingerprint();
     let ago = now.saturating_duration_since(at).as_millis();
     CrashReport {
         work: [(hash >> 64) as u64, hash as u64],
         upstream,
         ago_ms: u32::try_from(ago).unwrap_or(u32::MAX),
         in_trial,
+        parts,
     }
 }
 
 fn from_report(report: &CrashReport, now: Instant) -> Option<Observation> {
     let [high, low] = report.work.map(u128::from);
-    let fingerprint = Fingerprint(high << 64 | low);
+    let request = Fingerprint(high << 64 | low);
     let at = now.checked_sub(Duration::from_millis(report.ago_ms.into()))?;
+    let run = Run::new(request, report.parts.iter().copied());
     Some(match report.upstream {
         Some(upstream) => Observation::Crash {
-            fingerprint,
+            run,
             upstream,
             at,
             in_trial: report.in_trial,
         },
-        None => Observation::Answer { fingerprint, at },
+        None => Observation::Answer {
+            request: Some(request).filter(|request| *request != NO_REQUEST),
+            parts: run.parts,
+            at,
+        },
     })
 }
--- a/crates/gateway/src/crashes/broken.rs
+++ b/crates/gateway/src/crashes/broken.rs
@@ -6,8 +6,7 @@
 use crate::serve::Call;
 use crate::state::Gateway;
 use observe::{Event, emit};
-use resilience::Fingerprint;
-use resilience::crashes::{Observation, Source};
+use resilience::crashes::{Observation, Run, Source};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -20,7 +19,7 @@
 struct BrokenConnection {
     gateway: Arc<Gateway>,
     request: String,
-    fingerprint: Fingerprint,
+    run: Run,
     parts: Option<String>,
     key: UpstreamKey,
     tag: u32,
@@ -35,12 +34,11 @@
         return;
     };
     let SentTo { key, tag } = sent;
-    let fingerprint = call.fingerprint();
-    account.fingerprint = Some(fingerprint);
+    account.fingerprint = Some(call.fingerprint());
     let broken = BrokenConnection {
         gateway: call.gateway.clone(),
         request: account.id.clone(),
-        fingerprint,
+        run: call.run_record(),
         parts: part_names(call),
         key,
         tag,
@@ -57,7 +55,7 @@
         let has_ended = self.has_ended();
         if has_ended {
             let observation = Observation::Crash {
-                fingerprint: self.fingerprint,
+                run: self.run.clone(),
                 upstream: self.tag,
                 at: self.at,
                 in_trial: self.in_trial,
@@ -66,12 +64,12 @@
         }
         emit(&Event::ConnectionBroke {
             request: &self.request,
-            work: self.fingerprint.to_string(),
+            work: self.run.request.to_string(),
             parts: self.parts.as_deref(),
             upstream: &self.instance,
             upstream_ended: has_ended,
             in_trial: self.in_trial,
-            ends: self.gateway.crashes.lock().crash_count(self.fingerprint),
+            ends: self.gateway.crashes.lock().crash_count(self.run.request),
         });
     }
 
--- a/crates/gateway/src/crashes/rows.rs
+++ b/crates/gateway/src/crashes/rows.rs
@@ -1,19 +1,23 @@
 //! Crashes and trials in the store.
 //!
-//! A request's crashes are written from the second one on, so that they reach hosts without a live
-//! peer and survive restarts of all processes. Rows of requests that were answered later, and old
-//! rows, are removed.
+//! A request's crashes are written from the second one on, and those that a part of prompts explains
+//! once it is blocked, so that they reach hosts without a live peer and survive restarts of all
+//! processes. Each has one row, which names the parts that may have caused it. Rows of requests and
+//! parts that were answered later, and old rows, are removed.
 
-use super::{SharedCrashes, StoreClock, apply, log_change};
+use super::{SharedCrashes, StoreClock, apply, log_change, update_parts};
 use crate::follow::cursor::{RESTORE_READ_SPREAD, TableCursor};
 use crate::follow::{Dependency, StoreClient, hold_time, wait_until_feed_reader};
 use crate::state::Gateway;
 use observe::{Event, emit};
 use platform::store::MAX_ENTRIES;
-use platform::{CrashChange, CrashKey, CrashRow, CrashRowKind, StoreError, TrialWrite};
+use platform::{
+    CrashChange, CrashKey, CrashRow, CrashRowKind, CrashSubject, StoreError, TrialWrite,
+};
 use resilience::Fingerprint;
 use resilience::crashes::{
-    BLOCK_THRESHOLD, CrashRecord, Observation, RECORD_THRESHOLD, RETENTION, STORED_TRIALS, Source,
+    BLOCK_THRESHOLD, CrashRecord, Observation, RECORD_THRESHOLD, RETENTION, Run, STORED_TRIALS,
+    Source, Subject,
 };
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -40,9 +44,9 @@
 const TAKEOVER_WRITERS: u32 = 2;
 /// Maximum number of rows written or removed per call.
 const MAX_ROWS_PER_CALL: usize = 32;
-/// Maximum number of crashes per removal, as each removes its own row and those of the request's
-/// trials.
-const MAX_CRASHES_PER_CALL: usize = MAX_ENTRIES / (1 + STORED_TRIALS);
+/// Maximum number of crashes per removal, as each removes its own row and those of the trials of the
+/// request and of a part.
+const MAX_CRASHES_PER_CALL: usize = MAX_ENTRIES / (1 + 2 * STORED_TRIALS);
 /// Number of rows from which on only crashes of blocked requests are written. A table of this size
 /// is read in two pages.
 const MAX_SUSPECT_ROWS: usize = 256;
@@ -134,7 +138,7 @@
         return;
     }
     for record in &absent {
-        forget_crash(gateway, record.fingerprint, record.upstream);
+        forget_crash(gateway, record.run.request, record.upstream);
     }
 }
 
@@ -149,12 +153,15 @@
 }
 
 fn apply_removed(gateway: &Gateway, key: CrashKey) {
-    let fingerprint = Fingerprint(key.fingerprint);
-    match key.kind {
-        CrashRowKind::End(upstream) => forget_crash(gateway, fingerprint, upstream),
-        CrashRowKind::Trial(number) => {
+    match (key.kind, from_row_subject(key.subject)) {
+        (CrashRowKind::End(upstream), Subject::Request(fingerprint)) => {
+            forget_crash(gateway, fingerprint, upstream);
+        }
+        // Ends have rows of requests only.
+        (CrashRowKind::End(_), Subject::Part(_)) => {}
+        (CrashRowKind::Trial(number), subject) => {
             let mut crashes = gateway.crashes.lock();
-            crashes.trial_returned(fingerprint, number as usize);
+            crashes.trial_returned(subject, number as usize);
         }
     }
 }
@@ -162,6 +169,7 @@
 fn forget_crash(gateway: &Gateway, fingerprint: Fingerprint, upstream: u32) {
     let change = gateway.crashes.lock().remove_crash(fingerprint, upstream);
     log_change(fingerprint, change, Source::Store);
+    update_parts(gateway);
 }
 
 fn apply_written(gateway: &Gateway, row: &CrashRow) {
@@ -171,28 +179,44 @@
     if is_expired(row, clock) {
         return;
     }
-    let fingerprint = Fingerprint(row.key.fingerprint);
     // On a host that has started since, the time may be before the start of its clock. Only the
     // fact that the row hasn't expired matters then.
     let now = Instant::now();
     let at = clock.to_instant(row.at_ms).unwrap_or(now);
-    match row.key.kind {
-        CrashRowKind::End(upstream) => {
+    match (row.key.kind, from_row_subject(row.key.subject)) {
+        (CrashRowKind::End(upstream), Subject::Request(fingerprint)) => {
             let observation = Observation::Crash {
-                fingerprint,
+                run: Run::new(fingerprint, row.parts.iter().copied()),
                 upstream,
                 at,
                 in_trial: row.in_trial,
             };
             apply(gateway, observation, Source::Store, false);
         }
-        CrashRowKind::Trial(number) => {
+        (CrashRowKind::End(_), Subject::Part(_)) => {}
+        (CrashRowKind::Trial(number), subject) => {
             let number = number as usize;
-            gateway.crashes.lock().trial_taken(fingerprint, number, at);
+            gateway.crashes.lock().trial_taken(subject, number, at);
         }
     }
 }
 
+/// The subject of a row.
+fn from_row_subject(subject: CrashSubject) -> Subject {
+    match subject {
+        CrashSubject::Request(hash) => Subject::Request(Fingerprint(hash)),
+        CrashSubject::Part(id) => Subject::Part(id),
+    }
+}
+
+/// Names a subject in a row's key.
+fn to_row_subject(subject: Subject) -> CrashSubject {
+    match subject {
+        Subject::Request(Fingerprint(hash)) => CrashSubject::Request(hash),
+        Subject::Part(id) => CrashSubject::Part(id),
+    }
+}
+
 fn is_expired(row: &CrashRow, clock: StoreClock) -> bool {
     let age_ms = clock.to_store_ms(Instant::now()).saturating_sub(row.at_ms);
     Duration::from_millis(age_ms) >= RETENTION
@@ -262,6 +286,7 @@
             host: host.clone(),
             at_ms: clock.to_store_ms(record.at),
             in_trial: record.in_trial,
+            parts: record.run.parts.to_vec(),
         };
         let rows: Vec<CrashRow> = records.iter().map(row).collect();
         client.store().write_crashes(&rows, ANSWER_TIMEOUT).await?;
@@ -323,38 +348,47 @@
 
 fn crash_key(record: &CrashRecord) -> CrashKey {
     CrashKey {
-        fingerprint: record.fingerprint.0,
+        subject: to_row_subject(record.run.request.into()),
         kind: CrashRowKind::End(record.upstream),
     }
 }
 
-/// Keys of a crash's row and of the rows of the request's trials.
+/// Keys of a crash's row and of the rows of the trials of the request and its parts.
 fn crash_and_trial_keys(record: &CrashRecord) -> Vec<CrashKey> {
-    let trials = (0..STORED_TRIALS).map(|number| trial_key(record.fingerprint, number));
+    let subjects = record.run.subjects();
+    let trials = subjects.flat_map(|s| (0..STORED_TRIALS).map(move |number| trial_key(s, number)));
     std::iter::once(crash_key(record)).chain(trials).collect()
 }
 
-fn trial_key(fingerprint: Fingerprint, number: usize) -> CrashKey {
+fn trial_key(subject: Subject, number: usize) -> CrashKey {
     CrashKey {
-        fingerprint: fingerprint.0,
+        subject: to_row_subject(subject),
         kind: CrashRowKind::Trial(number as u32),
     }
 }
 
-/// Reserves a trial of a blocked request among all hosts; returns whether this host may run it. The
+/// Name of a subject in the log.
+fn subject_name(subject: Subject) -> String {
+    match subject {
+        Subject::Request(fingerprint) => fingerprint.to_string(),
+        Subject::Part(id) => format!("part {id:x}"),
+    }
+}
+
+/// Reserves a trial of a blocked request or part among all hosts; returns whether this host may run it. The
 /// store decides between hosts. If it doesn't answer, or if the trial has no row, the process of
 /// rank 0 takes the trial.
-pub async fn take_trial(gateway: &Arc<Gateway>, fingerprint: Fingerprint, number: usize) -> bool {
+pub async fn take_trial(gateway: &Arc<Gateway>, subject: Subject, number: usize) -> bool {
     let Some(clock) = gateway.crashes.clock() else {
         return false;
     };
     let is_first = gateway.rank() == 0;
     let (is_ours, outcome) = match number < STORED_TRIALS {
-        true => match write_trial(gateway, clock, fingerprint, number).await {
+        true => match write_trial(gateway, clock, subject, number).await {
             Ok(TrialWrite::Taken) => (true, "taken".to_owned()),
             Ok(TrialWrite::Refused) => {
                 // The row has the exact time, but may be read only later.
-                trial_taken(gateway, fingerprint, number);
+                trial_taken(gateway, subject, number);
                 (false, "another host has taken it".to_owned())
             }
             // The row may be written now or later, and then counts as a trial.
@@ -365,45 +399,46 @@
         false => (false, "left to the first host".to_owned()),
     };
     emit(&Event::WorkTried {
-        work: fingerprint.to_string(),
+        work: subject_name(subject),
         trial: number + 1,
         outcome,
     });
     if is_ours {
-        trial_taken(gateway, fingerprint, number);
+        trial_taken(gateway, subject, number);
     }
     is_ours
 }
 
-fn trial_taken(gateway: &Gateway, fingerprint: Fingerprint, number: usize) {
+fn trial_taken(gateway: &Gateway, subject: Subject, number: usize) {
     let mut crashes = gateway.crashes.lock();
-    crashes.trial_taken(fingerprint, number, Instant::now());
+    crashes.trial_taken(subject, number, Instant::now());
 }
 
 /// Writes a trial's row unless another host has done so.
 async fn write_trial(
     gateway: &Arc<Gateway>,
     clock: StoreClock,
-    fingerprint: Fingerprint,
+    subject: Subject,
     number: usize,
 ) -> Result<TrialWrite, StoreError> {
     let row = CrashRow {
-        key: trial_key(fingerprint, number),
+        key: trial_key(subject, number),
         host: gateway.host().name.clone(),
         at_ms: clock.to_store_ms(Instant::now()),
         in_trial: false,
+        parts: Vec::new(),
     };
     let mut client = StoreClient::new(gateway);
     client.store().take_trial(&row, TRIAL_TIMEOUT).await
 }
 
 /// Returns a trial that reached no upstream.
-pub fn return_trial(gateway: &Arc<Gateway>, fingerprint: Fingerprint, number: usize) {
-    gateway.crashes.lock().trial_returned(fingerprint, number);
+pub fn return_trial(gateway: &Arc<Gateway>, subject: Subject, number: usize) {
+    gateway.crashes.lock().trial_returned(subject, number);
     let gateway = gateway.clone();
     tokio::spawn(async move {
         let mut client = StoreClient::new(&gateway);
-        let key = [trial_key(fingerprint, number)];
+        let key = [trial_key(subject, number)];
         if let Err(e) = client.store().remove_crashes(&key, ANSWER_TIMEOUT).await {
             log_write_failure(key.len(), &e);
         }
--- a/crates/gateway/src/crashes/unanswered.rs
+++ b/crates/gateway/src/crashes/unanswered.rs
@@ -9,8 +9,7 @@
 use crate::serve::Call;
 use crate::state::Gateway;
 use observe::{Event, emit};
-use resilience::Fingerprint;
-use resilience::crashes::{Change, Observation, Source};
+use resilience::crashes::{Change, Observation, Run, Source, Subject};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 use tokio::sync::Semaphore;
@@ -40,11 +39,12 @@
 struct WatchedRequest {
     gateway: Arc<Gateway>,
     request: String,
-    fingerprint: Fingerprint,
+    run: Run,
+    /// What the request is a trial of, if it is one.
+    trial_of: Option<Subject>,
     parts: Option<String>,
     to: SentTo,
     upstream: String,
-    in_trial: bool,
     at: Instant,
 }
 
@@ -96,7 +96,7 @@
     ) else {
         return;
     };
-    account.fingerprint = Some(request.fingerprint);
+    account.fingerprint = Some(request.run.request);
     tokio::spawn(async move {
         request.watch().await;
         drop(permit);
@@ -109,11 +109,11 @@
         Some(Self {
             gateway: call.gateway.clone(),
             request: account.id.clone(),
-            fingerprint: call.fingerprint(),
+            run: call.run_record(),
+            trial_of: account.trial.map(|trial| trial.subject),
             parts: part_names(call),
             to: account.last_sent_to?,
             upstream: account.upstream.clone()?,
-            in_trial: account.trial.is_some(),
             at: Instant::now(),
         })
     }
@@ -122,7 +122,9 @@
         while self.at.elapsed() < WATCH_TIME {
             tokio::time::sleep(CHECK_EVERY).await;
             // The request was answered and thereby cleared.
-            if self.in_trial && self.gateway.crashes.lock().crash_count(self.fingerprint) == 0 {
+            if let Some(subject) = self.trial_of
+                && self.gateway.crashes.lock().crash_count(subject) == 0
+            {
                 return;
             }
             match self.fate() {
@@ -136,21 +138,21 @@
     /// Counts the crash, unless it is already known from a broken connection.
     fn report_crash(&self) {
         let observation = Observation::Crash {
-            fingerprint: self.fingerprint,
+            run: self.run.clone(),
             upstream: self.to.tag,
             at: self.at,
-            in_trial: self.in_trial,
+            in_trial: self.trial_of.is_some(),
         };
         if super::apply(&self.gateway, observation, Source::Local, true) == Change::Unchanged {
             return;
         }
         emit(&Event::UpstreamWentDark {
             request: &self.request,
-            work: self.fingerprint.to_string(),
+            work: self.run.request.to_string(),
             parts: self.parts.as_deref(),
             upstream: &self.upstream,
-            in_trial: self.in_trial,
-            ends: self.gateway.crashes.lock().crash_count(self.fingerprint),
+            in_trial: self.trial_of.is_some(),
+            ends: self.gateway.crashes.lock().crash_count(self.run.request),
         });
     }
 
--- a/crates/gateway/src/peers/message.rs
+++ b/crates/gateway/src/peers/message.rs
@@ -110,9 +110,9 @@
 }
 
 /// Report that an upstream crashed while running a request, or that the request was answered.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CrashReport {
-    /// Fingerprint of the request, upper half first.
+    /// Fingerprint of the request, upper half first. Zero in a report of answered parts alone.
     pub work: [u64; 2],
     /// Tag of the crashed upstream; `None` if the request was answered completely.
     pub upstream: Option<u32>,
@@ -122,6 +122,10 @@
     /// send it.
     #[serde(default)]
     pub in_trial: bool,
+    /// Ids of the parts of its prompt except the last. Processes of earlier versions don't send
+    /// them.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub parts: Vec<u64>,
 }
 
 /// An engine that is unavailable during a change of its stage.
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -27,6 +27,7 @@
 use origins::Origin;
 use platform::{RequestHeaders, header};
 use resilience::Fingerprint;
+use resilience::crashes::{MAX_PARTS, Run};
 use std::sync::{Arc, OnceLock};
 use std::time::{Duration, Instant};
 
@@ -199,6 +200,21 @@
         *self.fingerprint.get_or_init(|| fingerprint(self))
     }
 
+    /// The request as it is counted when an upstream crashes: its hash, and the parts of its prompt
+    /// that other requests may have.
+    pub fn run_record(&self) -> Run {
+        Run::new(self.fingerprint(), self.shared_part_ids())
+    }
+
+    /// Ids of the parts of the prompt that other requests may have. Only engines read prompts.
+    pub fn shared_part_ids(&self) -> impl Iterator<Item = u64> {
+        let shared = match self.is_engine {
+            true => self.parsed_headers.shared_parts(),
+            false => &[],
+        };
+        shared.iter().map(|part| part.id).take(MAX_PARTS)
+    }
+
     fn requirements(&self, account: &Account) -> Requirements<'_> {
         let route = &self.target().route;
         let is_retry = account.attempts > 0;
--- a/crates/gateway/src/serve/refusal.rs
+++ b/crates/gateway/src/serve/refusal.rs
@@ -45,7 +45,7 @@
             Reason::StreamUnknown => Some(NO_UPSTREAM_RETRY_AFTER),
             Reason::Stopping | Reason::ProcessEnds => Some(NO_UPSTREAM_RETRY_AFTER),
             Reason::QuotaUnknown => Some(NO_QUOTA_RETRY_AFTER),
-            Reason::CrashSuspected => Some(SUSPECT_RETRY_AFTER),
+            Reason::CrashSuspected | Reason::PartCrashSuspected => Some(SUSPECT_RETRY_AFTER),
             _ => None,
         };
         Self {
--- a/crates/gateway/tests/decoders.rs
+++ b/crates/gateway/tests/decoders.rs
@@ -51,6 +51,7 @@
             work: [u64::MAX, 5],
             upstream: Some(upstream),
             in_trial: true,
+            parts: vec![3, 4],
             ago_ms: 90,
         }],
         statements: vec![UpstreamStatement {
--- a/crates/observe/src/event.rs
+++ b/crates/observe/src/event.rs
@@ -633,6 +633,22 @@
         /// Source of this information.
         source: &'a str,
     },
+    /// Upstreams crash under prompts with a part, which aren't sent to any upstream any more.
+    PartHeldBack {
+        /// Id of the part, as sent in prompts.
+        part: String,
+        /// Number of upstream crashes that it explains.
+        ends: usize,
+        /// Number of other parts that explain the same crashes. Only prompts with all of them are
+        /// held back.
+        others: usize,
+    },
+    /// A part of prompts is no longer held back, because a prompt with it was answered, another
+    /// part explains the crashes better, or they are too old.
+    PartReleased {
+        /// Id of the part.
+        part: String,
+    },
     /// Held-back work is tried once.
     WorkTried {
         /// Hash of the request's content and sender.
@@ -782,6 +798,12 @@
     /// lately.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub parts: Option<String>,
+    /// Id of the part by which the request was rejected, or of which it was a trial.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub blocked_part: Option<String>,
+    /// Number of upstream crashes that this part explains.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub part_ends: Option<usize>,
 }
 
 /// The configuration that applied to a request.
@@ -822,6 +844,7 @@
             | Self::ConnectionBroke { .. }
             | Self::UpstreamWentDark { .. }
             | Self::WorkHeldBack { .. }
+            | Self::PartHeldBack { .. }
             | Self::UsageMissed { .. }
             | Self::UsageLost { .. }
             | Self::UsageOvercounted { .. }
--- a/crates/resilience/src/crashes.rs
+++ b/crates/resilience/src/crashes.rs
@@ -1,15 +1,20 @@
-//! Detection of requests that crash upstreams.
+//! Detection of requests, and of parts of prompts, that crash upstreams.
 //!
 //! An engine runs several requests at once, and a single crash doesn't show which of them caused
-//! it. So every request that was running becomes a suspect until it is answered completely: a
-//! request that crashes every upstream is never answered, while any other is answered by the
-//! next upstream. A request with [`BLOCK_THRESHOLD`] crashes since its last answer is blocked.
+//! it. So each request that was running, and each part of its prompt that other requests may have,
+//! becomes a suspect until it is answered completely: what crashes every upstream is never
+//! answered, while anything else is answered by the next upstream. All hosts report a crash once for
+//! each request that was running ([`Run`]); the request and its parts are views of that record.
+//!
+//! A request with [`BLOCK_THRESHOLD`] crashes since its last answer is blocked. A part is blocked if
+//! it explains as many crashes (see `explanation.rs`): parts are shared, and many that are innocent
+//! were running at several crashes.
 //!
 //! Many simultaneous crashes are weak evidence, as when half of a fleet is lost or reset: a
 //! common request runs everywhere. So one host sends a blocked request again on behalf of all,
 //! alone on an upstream, immediately and soon once more (see `trials.rs`). An answer clears it,
-//! and crashes in both trials confirm it, unless another request with several crashes was running
-//! too. A trial with neither crash nor answer is repeated soon. A confirmed request has a last
+//! and crashes in both trials confirm it, unless another suspect with several crashes was running
+//! too. A trial with neither crash nor answer is repeated soon. A confirmed suspect has a last
 //! trial later, as the fault of the upstream may have been fixed.
 //!
 //! Crashes are counted over all hosts. Each host sends its observations to the others
@@ -17,14 +22,24 @@
 //! ([`CrashTracker::unrecorded`]). An answer is resent while the store has rows of earlier
 //! crashes, as hosts that start meanwhile read them.
 
+mod answered;
+mod explanation;
 mod outbox;
+mod run;
+mod suspect;
 mod trials;
 
+pub use explanation::{BlockedPart, PartChange};
+pub use run::{MAX_PARTS, Run, Subject};
 pub use trials::STORED_TRIALS;
 
 use crate::Fingerprint;
+use answered::AnsweredParts;
+use explanation::Explanation;
 use outbox::Outbox;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
+use suspect::{Added, Crash, Suspect, Suspects};
 
 /// Crashes without an answer between them after which a request is blocked. Two may be a
 /// coincidence: a retried idempotent request can run into a second crash of a series.
@@ -35,23 +50,12 @@
 /// Time after which crashes expire. A fault that crashes an engine is fixed by a release hours
 /// later, but a request that was blocked wrongly must not stay blocked forever.
 pub const RETENTION: Duration = Duration::from_secs(3600);
-/// The same for a request with a single crash. Clients retry within minutes, and every request
-/// must be hashed as long as there are suspects.
-const SINGLE_CRASH_RETENTION: Duration = Duration::from_secs(600);
-/// The same for a cleared request, so that a repeated observation doesn't make it a suspect
-/// again.
-const CLEARED_RETENTION: Duration = Duration::from_secs(10);
 /// Interval between removals of expired suspects.
 const EXPIRE_EVERY: Duration = Duration::from_secs(1);
 /// Interval at which answers are resent while the store has rows of earlier crashes, and the
 /// maximum number of answers each time.
 const REMIND_EVERY: Duration = Duration::from_secs(1);
 const MAX_REMINDERS: usize = 4;
-/// Maximum number of suspects, of 130 bytes each: the requests that run on all engines of a
-/// large fleet that crash at once. The one with the fewest crashes is evicted first.
-const MAX_SUSPECTS: usize = 1024;
-/// Maximum number of crashes kept per request. Further ones don't change the verdict.
-const MAX_CRASHES: usize = 8;
 
 /// Whether and how a request may be sent to an upstream.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -77,12 +81,12 @@
 }
 
 /// An event that hosts report to each other.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Observation {
     /// An upstream crashed or disappeared while running a request.
     Crash {
-        /// The request.
-        fingerprint: Fingerprint,
+        /// The request with its parts.
+        run: Run,
         /// Identifier of the upstream's process start.
         upstream: u32,
         /// Time of the crash.
@@ -92,18 +96,38 @@
     },
     /// A request was answered completely.
     Answer {
-        /// The request.
-        fingerprint: Fingerprint,
+        /// The request; `None` if only parts are reported.
+        request: Option<Fingerprint>,
+        /// Parts of its prompt.
+        parts: Arc<[u64]>,
         /// Time of the answer.
         at: Instant,
     },
 }
 
 impl Observation {
-    /// The request that was observed.
-    pub fn fingerprint(&self) -> Fingerprint {
+    /// A complete answer to a request.
+    pub fn answer(run: Run, at: Instant) -> Self {
+        Self::Answer {
+            request: Some(run.request),
+            parts: run.parts,
+            at,
+        }
+    }
+
+    /// The request that was observed, if it is reported.
+    pub fn request(&self) -> Option<Fingerprint> {
+        match self {
+            Self::Crash { run, .. } => Some(run.request),
+            Self::Answer { request, .. } => *request,
+        }
+    }
+
+    /// Parts of the prompt that was observed.
+    pub fn parts(&self) -> &[u64] {
         match self {
-            Self::Crash { fingerprint, .. } | Self::Answer { fingerprint, .. } => *fingerprint,
+            Self::Crash { run, .. } => &run.parts,
+            Self::Answer { parts, .. } => parts,
         }
     }
 }
@@ -122,10 +146,10 @@
 }
 
 /// A crash that is, or is to be, recorded in the store.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub struct CrashRecord {
-    /// The request that was running.
-    pub fingerprint: Fingerprint,
+    /// The request that was running, with those parts for which the crash is recorded.
+    pub run: Run,
     /// Identifier of the upstream's process start.
     pub upstream: u32,
     /// Time of the crash.
@@ -145,96 +169,34 @@
     Store,
 }
 
-/// Crash of an upstream while running a suspect.
-#[derive(Debug, Clone, Copy)]
-struct Crash {
-    /// Identifier of the upstream's process start.
-    upstream: u32,
-    at: Instant,
-    /// Whether the request was running in a trial.
-    in_trial: bool,
-    /// Whether this host observed the crash.
-    is_local: bool,
-    /// Whether the store has a row for the crash.
-    is_recorded: bool,
-}
-
-/// A request that was running when upstreams crashed.
-#[derive(Debug)]
-struct Suspect {
-    fingerprint: Fingerprint,
-    /// In the order in which they became known, at most one per process start.
-    crashes: Vec<Crash>,
-    /// Time of the last complete answer.
-    answered_at: Option<Instant>,
-    /// Whether this host observed that answer, and so removes the rows of earlier crashes.
-    is_answered_locally: bool,
-    /// Number of trials taken since the last answer.
-    trials: usize,
-    /// Time of the last trial.
-    last_trial_at: Option<Instant>,
-    /// Time at which this host last requested a trial.
-    trial_requested_at: Option<Instant>,
-    /// Time of the last observation.
-    updated_at: Instant,
+/// Effect of a crash on a suspect.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum CrashEffect {
+    /// It was known.
+    Known,
+    /// It was known, but not that it occurred in a trial.
+    KnownInTrial,
+    /// It doesn't count, as the suspect was answered later, or replaces an earlier one.
+    BeforeAnswer,
+    /// It counts.
+    Counted(Change),
 }
 
-impl Suspect {
-    /// A request without observations.
-    fn new(fingerprint: Fingerprint, now: Instant) -> Self {
-        Self {
-            fingerprint,
-            crashes: Vec::new(),
-            answered_at: None,
-            is_answered_locally: false,
-            trials: 0,
-            last_trial_at: None,
-            trial_requested_at: None,
-            updated_at: now,
-        }
-    }
-
-    /// Crashes since the last answer.
-    fn crashes_since_answer(&self) -> impl Iterator<Item = &Crash> {
-        let is_counted = |crash: &&Crash| self.answered_at.is_none_or(|at| crash.at > at);
-        self.crashes.iter().filter(is_counted)
-    }
-
-    /// Number of crashes since the last answer.
-    fn crash_count(&self) -> usize {
-        self.crashes_since_answer().count()
-    }
-
-    /// Crashes before the last answer that the store still has rows for.
-    fn stale_crashes(&self) -> impl Iterator<Item = &Crash> {
-        let is_stale = |crash: &&Crash| crash.is_recorded && Some(crash.at) <= self.answered_at;
-        self.crashes.iter().filter(is_stale)
-    }
-
-    fn record(&self, crash: &Crash) -> CrashRecord {
-        CrashRecord {
-            fingerprint: self.fingerprint,
-            upstream: crash.upstream,
-            at: crash.at,
-            in_trial: crash.in_trial,
-        }
-    }
-
-    /// Time after the last observation at which the suspect expires.
-    fn retention(&self) -> Duration {
-        match self.crash_count() {
-            0 if !self.crashes.iter().any(|crash| crash.is_recorded) => CLEARED_RETENTION,
-            1 => SINGLE_CRASH_RETENTION,
-            _ => RETENTION,
-        }
+impl CrashEffect {
+    /// Whether peers should be told. Crashes before the last answer aren't sent, as peers would
+    /// count them again.
+    fn is_news(self) -> bool {
+        matches!(self, Self::KnownInTrial | Self::Counted(_))
     }
 }
 
-/// Requests that a host suspects of crashing upstreams.
+/// Requests and parts of prompts that a host suspects of crashing upstreams.
 #[derive(Debug, Default)]
 pub struct CrashTracker {
-    /// Sorted by fingerprint.
-    suspects: Vec<Suspect>,
+    requests: Suspects,
+    parts: Suspects,
+    answered: AnsweredParts,
+    explanation: Explanation,
     outbox: Outbox,
     /// Time at which answers were last resent.
     reminded_at: Option<Instant>,
@@ -245,17 +207,17 @@
 impl CrashTracker {
     /// Whether there are no suspects, so that requests needn't be hashed and looked up.
     pub fn is_empty(&self) -> bool {
-        self.suspects.is_empty()
+        self.requests.is_empty() && self.parts.is_empty()
     }
 
     /// Number of suspects.
     pub fn len(&self) -> usize {
-        self.suspects.len()
+        self.requests.len() + self.parts.len()
     }
 
-    /// Whether and how a request may be sent to an upstream.
+    /// Whether and how a request may be sent to an upstream, without regard to its parts.
     pub fn verdict(&self, fingerprint: Fingerprint, now: Instant) -> Verdict {
-        let Some(suspect) = self.find(fingerprint) else {
+        let Some(suspect) = self.find(fingerprint.into()) else {
             return Verdict::Allowed;
         };
         match suspect.crash_count() {
@@ -265,12 +227,22 @@
         }
     }
 
-    /// Number of crashes of a request since its last answer.
-    pub fn crash_count(&self, fingerprint: Fingerprint) -> usize {
-        self.find(fingerprint).map_or(0, Suspect::crash_count)
+    /// Number of crashes of a request or part since its last answer.
+    pub fn crash_count(&self, subject: impl Into<Subject>) -> usize {
+        self.find(subject.into()).map_or(0, Suspect::crash_count)
+    }
+
+    /// Records that prompts with these parts were answered completely by this host. To be called
+    /// for each answer, also while there are no suspects: such parts are unlikely causes of later
+    /// crashes.
+    pub fn record_answered_parts(&mut self, parts: impl Iterator<Item = u64>, now: Instant) {
+        for part in parts {
+            self.answered.record(part, now);
+        }
     }
 
     /// Applies an observation. If it is new and `forward` is true, it is also sent to peers.
+    /// Returns the effect on the request.
     pub fn apply(
         &mut self,
         observation: Observation,
@@ -278,163 +250,264 @@
         forward: bool,
         now: Instant,
     ) -> Change {
-        let (change, is_new) = match observation {
+        match observation {
             Observation::Crash {
-                fingerprint,
+                run,
                 upstream,
                 at,
                 in_trial,
             } => {
                 let crash = Crash {
+                    run,
                     upstream,
                     at,
                     in_trial,
                     is_local: source == Source::Local,
                     is_recorded: source == Source::Store,
                 };
-                self.apply_crash(fingerprint, crash, now)
+                self.apply_crash(crash, source, forward, now)
             }
-            Observation::Answer { fingerprint, at } => {
-                self.apply_answer(fingerprint, at, source, now)
+            Observation::Answer { request, parts, at } => {
+                self.apply_answer(request, &parts, at, source, forward, now)
             }
-        };
+        }
+    }
+
+    /// Adds a crash to the request and its parts.
+    fn apply_crash(&mut self, crash: Crash, source: Source, forward: bool, now: Instant) -> Change {
+        let (mut change, mut is_new) = (Change::Unchanged, false);
+        let mut answered = Vec::new();
+        for subject in crash.run.subjects() {
+            let effect = self.add_crash(subject, &crash, now);
+            is_new |= effect.is_news();
+            match (subject, effect) {
+                (Subject::Request(_), CrashEffect::Counted(effect)) => change = effect,
+                (Subject::Part(id), CrashEffect::BeforeAnswer)
+                    if self.answered.answered_at(id) >= Some(crash.at) =>
+                {
+                    answered.push(id);
+                }
+                _ => {}
+            }
+        }
+        self.explanation.set_outdated();
+        // The peer doesn't know of the answer, which was no news when it came.
+        if source == Source::Peer && !answered.is_empty() {
+            self.send_answered_parts(&answered, now);
+        }
         if is_new && forward {
+            let observation = Observation::Crash {
+                run: crash.run,
+                upstream: crash.upstream,
+                at: crash.at,
+                in_trial: crash.in_trial,
+            };
             self.outbox.push(observation, now);
         }
         change
     }
 
-    /// Adds a crash. The second value is true if peers should be told of it.
-    fn apply_crash(
-        &mut self,
-        fingerprint: Fingerprint,
-        new: Crash,
-        now: Instant,
-    ) -> (Change, bool) {
-        let Some(suspect) = self.entry(fingerprint, now) else {
-            return (Change::Unchanged, false);
+    /// Adds a crash to a suspect.
+    fn add_crash(&mut self, subject: Subject, crash: &Crash, now: Instant) -> CrashEffect {
+        let answered_at = match subject {
+            Subject::Request(_) => None,
+            Subject::Part(id) => self.answered.answered_at(id),
+        };
+        let Some(suspect) = self.suspects_mut(subject).entry(subject, now) else {
+            return CrashEffect::Known;
         };
         suspect.updated_at = now;
+        suspect.answered_at = suspect.answered_at.max(answered_at);
         let before = suspect.crash_count();
-        let mut known = suspect.crashes.iter_mut();
-        if let Some(crash) = known.find(|crash| crash.upstream == new.upstream) {
-            crash.is_local |= new.is_local;
-            crash.is_recorded |= new.is_recorded;
-            // First observed with an equal request outside the trial: sent and recorded again.
-            let is_new_trial = new.in_trial && !crash.in_trial;
-            crash.in_trial |= new.in_trial;
-            crash.is_recorded &= new.is_recorded || !is_new_trial;
-            return (Change::Unchanged, is_new_trial);
+        match suspect.add(crash.clone()) {
+            Added::Known(true) => return CrashEffect::KnownInTrial,
+            Added::Known(false) => return CrashEffect::Known,
+            Added::New => {}
         }
-        if suspect.crashes.len() >= MAX_CRASHES {
-            // Recorded crashes are kept so that their rows can be removed later.
-            let oldest = suspect.crashes.iter().position(|e| !e.is_recorded);
-            suspect.crashes.remove(oldest.unwrap_or(0));
+        match suspect.crash_count() {
+            n if n <= before => CrashEffect::BeforeAnswer,
+            n if n >= BLOCK_THRESHOLD && before < BLOCK_THRESHOLD => {
+                CrashEffect::Counted(Change::Blocked(n))
+            }
+            n => CrashEffect::Counted(Change::Counted(n)),
         }
-        suspect.crashes.push(new);
-        let after = suspect.crash_count();
-        let change = match after {
-            n if n <= before => Change::Unchanged,
-            n if n >= BLOCK_THRESHOLD && before < BLOCK_THRESHOLD => Change::Blocked(n),
-            n => Change::Counted(n),
+    }
+
+    /// Tells peers of the last answers of parts.
+    fn send_answered_parts(&mut self, parts: &[u64], now: Instant) {
+        let at = parts
+            .iter()
+            .filter_map(|id| self.answered.answered_at(*id))
+            .min();
+        let Some(at) = at else {
+            return;
         };
-        // Crashes before the last answer aren't sent, as peers would count them again.
-        (change, after > before)
+        let observation = Observation::Answer {
+            request: None,
+            parts: parts.into(),
+            at,
+        };
+        self.outbox.push(observation, now);
     }
 
-    /// Records an answer. The second value is true if peers should be told of it.
+    /// Records an answer of a request and its parts.
     fn apply_answer(
+        &mut self,
+        request: Option<Fingerprint>,
+        parts: &[u64],
+        at: Instant,
+        source: Source,
+        forward: bool,
+        now: Instant,
+    ) -> Change {
+        let is_local = source == Source::Local;
+        let change = request.map_or(Change::Unchanged, |fingerprint| {
+            self.apply_request_answer(fingerprint, at, source, now)
+        });
+        let mut cleared = Vec::new();
+        for id in parts {
+            self.answered.record(*id, at);
+            let Some(suspect) = self.parts.find_mut(Subject::Part(*id)) else {
+                continue;
+            };
+            suspect.updated_at = now;
+            if suspect.answer(at, is_local) {
+                cleared.push(*id);
+            }
+        }
+        let request = request.filter(|_| change != Change::Unchanged);
+        let is_new = request.is_some() || !cleared.is_empty();
+        if is_new {
+            self.explanation.set_outdated();
+        }
+        if is_new && forward {
+            let parts = cleared.into();
+            self.outbox
+                .push(Observation::Answer { request, parts, at }, now);
+        }
+        change
+    }
+
+    fn apply_request_answer(
         &mut self,
         fingerprint: Fingerprint,
         at: Instant,
         source: Source,
         now: Instant,
-    ) -> (Change, bool) {
+    ) -> Change {
         // The request is a suspect at the peer, so crashes from before the answer may still be
         // received or read from the store.
         let suspect = match source {
-            Source::Peer => self.entry(fingerprint, now),
-            Source::Local | Source::Store => self.find_mut(fingerprint),
+            Source::Peer => self.requests.entry(fingerprint.into(), now),
+            Source::Local | Source::Store => self.requests.find_mut(fingerprint.into()),
         };
         let Some(suspect) = suspect else {
-            return (Change::Unchanged, false);
+            return Change::Unchanged;
         };
         suspect.updated_at = now;
-        let before = suspect.crash_count();
-        suspect.answered_at = suspect.answered_at.max(Some(at));
-        let after = suspect.crash_count();
-        if before == after {
-            return (Change::Unchanged, false);
+        if !suspect.answer(at, source == Source::Local) {
+            return Change::Unchanged;
         }
-        suspect.is_answered_locally = source == Source::Local;
-        suspect.trials = 0;
-        (suspect.last_trial_at, suspect.trial_requested_at) = (None, None);
-        match after {
-            0 => (Change::Cleared, true),
-            _ => (Change::Counted(after), true),
+        match suspect.crash_count() {
+            0 => Change::Cleared,
+            n => Change::Counted(n),
         }
     }
 
-    /// Returns up to `limit` crashes that this host should record, of requests with at least
-    /// `min_crashes`: those that it observed, and other hosts' from before `others_before`,
-    /// which those had time to record themselves.
+    /// Returns up to `limit` crashes that this host should record: those of requests with at least
+    /// `min_crashes`, and those that a part explains. They are the ones that it observed, and other
+    /// hosts' from before `others_before`, which those had time to record themselves.
     pub fn unrecorded(
         &self,
         min_crashes: usize,
         others_before: Option<Instant>,
         limit: usize,
     ) -> Vec<CrashRecord> {
-        let suspects = self
-            .suspects
+        let requests = self
+            .requests
             .iter()
             .filter(|s| s.crash_count() >= min_crashes);
-        let crashes = suspects.flat_map(|s| s.crashes_since_answer().map(move |crash| (s, crash)));
-        let due = crashes.filter(|(_, crash)| {
+        let parts = self.explanation.parts();
+        let parts = parts.filter_map(|id| self.find(Subject::Part(id)));
+        let crashes = requests
+            .chain(parts)
+            .flat_map(Suspect::crashes_since_answer);
+        let due = crashes.filter(|crash| {
             let is_due = crash.is_local || others_before.is_some_and(|before| crash.at < before);
             is_due && !crash.is_recorded
         });
-        due.map(|(s, crash)| s.record(crash)).take(limit).collect()
+        // A host that records single crashes can't tell which parts explain those of all hosts.
+        let has_all_parts = min_crashes <= 1;
+        let keep = |id| has_all_parts || self.explanation.contains(id);
+        let mut records: Vec<CrashRecord> = Vec::new();
+        for crash in due {
+            let is_same = |r: &CrashRecord| {
+                r.upstream == crash.upstream && r.run.request == crash.run.request
+            };
+            if records.len() < limit && !records.iter().any(is_same) {
+                records.push(crash.record(crash.run.with_parts(keep)));
+            }
+        }
+        records
     }
 
-    /// Returns up to `limit` recorded crashes whose rows this host should remove, as the request
-    /// was answered since: those with an answer that it observed, and those with an answer at
-    /// another host before `others_before`, which had time to remove them itself.
+    /// Returns up to `limit` recorded crashes whose rows this host should remove, as the request or
+    /// the part was answered since: those with an answer that it observed, and those with an answer
+    /// at another host before `others_before`, which had time to remove them itself.
     pub fn obsolete_records(
         &self,
         others_before: Option<Instant>,
         limit: usize,
     ) -> Vec<CrashRecord> {
-        let suspects = self.suspects.iter().filter(|s| {
-            let is_due = |at| others_before.is_some_and(|before| at < before);
-            s.is_answered_locally || s.answered_at.is_some_and(is_due)
+        let is_due = |s: &&Suspect| {
+            let is_old = |at| others_before.is_some_and(|before| at < before);
+            s.is_answered_locally || s.answered_at.is_some_and(is_old)
+        };
+        let requests = self.requests.iter().filter(is_due);
+        let requests = requests.flat_map(|s| s.stale_crashes().map(move |c| (s, c)));
+        let parts = self.parts.iter().filter(is_due);
+        let parts = parts.flat_map(|s| s.stale_crashes().map(move |c| (s, c)));
+        // The row is still needed for the request.
+        let is_needed = |crash: &Crash| self.crash_count(crash.run.request) >= RECORD_THRESHOLD;
+        let parts = parts.filter(|(_, crash)| !is_needed(crash));
+        let records = requests.chain(parts);
+        let records = records.map(|(s, crash)| {
+            let is_answered = |id| s.subject == Subject::Part(id);
+            crash.record(crash.run.with_parts(is_answered))
         });
-        let crashes = suspects.flat_map(|s| s.stale_crashes().map(move |crash| s.record(crash)));
-        crashes.take(limit).collect()
+        records.take(limit).collect()
     }
 
     /// Sets whether the store has a row for a crash.
     pub fn set_recorded(&mut self, record: &CrashRecord, is_recorded: bool) {
-        let Some(suspect) = self.find_mut(record.fingerprint) else {
-            return;
-        };
-        let mut crashes = suspect.crashes.iter_mut();
-        if let Some(crash) = crashes.find(|e| e.upstream == record.upstream) {
-            crash.is_recorded = is_recorded;
+        for subject in record.run.subjects() {
+            let Some(suspect) = self.suspects_mut(subject).find_mut(subject) else {
+                continue;
+            };
+            let mut crashes = suspect.crashes.iter_mut();
+            if let Some(crash) = crashes.find(|e| e.upstream == record.upstream) {
+                crash.is_recorded = is_recorded;
+            }
         }
     }
 
-    /// Removes a crash whose row was removed from the store because the request was answered or
-    /// the row expired.
+    /// Removes a crash whose row was removed from the store because the request or its parts were
+    /// answered or the row expired. Returns the effect on the request.
     pub fn remove_crash(&mut self, fingerprint: Fingerprint, upstream: u32) -> Change {
-        let Some(suspect) = self.find_mut(fingerprint) else {
+        self.explanation.set_outdated();
+        for suspect in self.parts.iter_mut() {
+            suspect.crashes.retain(|crash| {
+                crash.upstream != upstream || crash.run.request != fingerprint || !crash.is_recorded
+            });
+        }
+        let Some(suspect) = self.requests.find_mut(fingerprint.into()) else {
             return Change::Unchanged;
         };
         let before = suspect.crash_count();
         suspect.crashes.retain(|crash| crash.upstream != upstream);
         match suspect.crash_count() {
             0 if before > 0 => {
-                suspect.trials = 0;
-                (suspect.last_trial_at, suspect.trial_requested_at) = (None, None);
+                suspect.reset_trials();
                 Change::Cleared
             }
             _ => Change::Unchanged,
@@ -444,10 +517,17 @@
     /// Crashes that were last known to be in the store. After a full read of the store, those
     /// that it no longer has must be removed.
     pub fn recorded(&self) -> Vec<CrashRecord> {
-        let suspects = self.suspects.iter();
-        let crashes = suspects.flat_map(|s| s.crashes.iter().map(move |crash| (s, crash)));
-        let recorded = crashes.filter(|(_, crash)| crash.is_recorded);
-        recorded.map(|(s, crash)| s.record(crash)).collect()
+        let suspects = self.requests.iter().chain(self.parts.iter());
+        let crashes = suspects.flat_map(|s| s.crashes.iter());
+        let mut recorded: Vec<&Crash> = crashes.filter(|crash| crash.is_recorded).collect();
+        let key = |crash: &&Crash| (crash.run.request, crash.upstream);
+        recorded.sort_by_key(key);
+        recorded.dedup_by_key(|crash| key(crash));
+        let keep = |id| self.explanation.contains(id);
+        let records = recorded.into_iter();
+        records
+            .map(|crash| crash.record(crash.run.with_parts(keep)))
+            .collect()
     }
 
     /// Removes expired suspects. It may be called for every datagram sent, and has an effect at
@@ -462,12 +542,13 @@
             return;
         }
         self.expire_ran_at = Some(now);
-        self.suspects
-            .retain(|s| now.saturating_duration_since(s.updated_at) < s.retention());
+        if self.requests.expire(now) | self.parts.expire(now) {
+            self.explanation.set_outdated();
+        }
     }
 
-    /// Returns the observations to send to peers now. Requests with more crashes come first, as
-    /// those with few were probably running by coincidence.
+    /// Returns the observations to send to peers now. Those of suspects with more crashes come
+    /// first, as those with few were probably running by coincidence.
     pub fn due_observations(&mut self, now: Instant) -> Vec<Observation> {
         let mut outbox = std::mem::take(&mut self.outbox);
         let mut observations = outbox.due(now, |observation| self.priority(observation));
@@ -476,18 +557,27 @@
         observations
     }
 
-    /// Answers of requests whose earlier crashes are still in the store because it couldn't be
+    /// Answers of suspects whose earlier crashes are still in the store because it couldn't be
     /// written since.
     fn reminders(&mut self, now: Instant) -> Vec<Observation> {
         let since = |at: Instant| now.saturating_duration_since(at);
         if self.reminded_at.is_some_and(|at| since(at) < REMIND_EVERY) {
             return Vec::new();
         }
-        let suspects = self.suspects.iter();
+        let suspects = self.requests.iter().chain(self.parts.iter());
         let answered = suspects.filter(|s| s.stale_crashes().next().is_some());
         let observations: Vec<Observation> = answered
-            .filter_map(|s| Some((s.fingerprint, s.answered_at?)))
-            .map(|(fingerprint, at)| Observation::Answer { fingerprint, at })
+            .filter_map(|s| {
+                let (request, part) = match s.subject {
+                    Subject::Request(fingerprint) => (Some(fingerprint), None),
+                    Subject::Part(id) => (None, Some(id)),
+                };
+                Some(Observation::Answer {
+                    request,
+                    parts: part.into_iter().collect(),
+                    at: s.answered_at?,
+                })
+            })
             .take(MAX_REMINDERS)
             .collect();
         if !observations.is_empty() {
@@ -499,60 +589,36 @@
     /// Priority of an observation; higher is sent first. `None` for a crash before the last
     /// answer, which would make the request a suspect again at a peer that has just started.
     fn priority(&self, observation: &Observation) -> Option<usize> {
-        let Observation::Crash {
-            fingerprint, at, ..
-        } = observation
-        else {
-            return Some(BLOCK_THRESHOLD);
+        let (run, at) = match observation {
+            Observation::Crash { run, at, .. } => (run, at),
+            Observation::Answer { request: None, .. } => return Some(RECORD_THRESHOLD),
+            Observation::Answer { .. } => return Some(BLOCK_THRESHOLD),
         };
-        let suspect = self.find(*fingerprint)?;
-        let counts = suspect.answered_at.is_none_or(|answered| *at > answered);
-        counts.then(|| suspect.crash_count())
-    }
-
-    fn find(&self, fingerprint: Fingerprint) -> Option<&Suspect> {
-        let at = self
-            .suspects
-            .binary_search_by_key(&fingerprint, |s| s.fingerprint);
-        at.ok().map(|at| &self.suspects[at])
+        let suspects = run.subjects().filter_map(|subject| self.find(subject));
+        let counting = suspects.filter(|s| s.is_after_answer(*at));
+        // Parts that were answered before are unlikely causes.
+        let weight = |s: &Suspect| match (s.subject, s.answered_at) {
+            (Subject::Part(_), Some(_)) => 0,
+            _ => s.crash_count(),
+        };
+        counting.map(weight).max()
     }
 
-    fn find_mut(&mut self, fingerprint: Fingerprint) -> Option<&mut Suspect> {
-        let at = self
-            .suspects
-            .binary_search_by_key(&fingerprint, |s| s.fingerprint);
-        at.ok().map(|at| &mut self.suspects[at])
+    fn suspects(&self, subject: Subject) -> &Suspects {
+        match subject {
+            Subject::Request(_) => &self.requests,
+            Subject::Part(_) => &self.parts,
+        }
     }
 
-    /// Returns the suspect for a request, and adds it if necessary. `None` if there are too many
-    /// suspects and all of them are blocked.
-    fn entry(&mut self, fingerprint: Fingerprint, now: Instant) -> Option<&mut Suspect> {
-        let known = self
-            .suspects
-            .binary_search_by_key(&fingerprint, |s| s.fingerprint);
-        let at = match known {
-            Ok(at) => at,
-            Err(_) if self.suspects.len() >= MAX_SUSPECTS && !self.evict_one() => return None,
-            Err(_) => {
-                let at = self
-                    .suspects
-                    .partition_point(|s| s.fingerprint < fingerprint);
-                self.suspects.insert(at, Suspect::new(fingerprint, now));
-                at
-            }
-        };
-        Some(&mut self.suspects[at])
+    fn suspects_mut(&mut self, subject: Subject) -> &mut Suspects {
+        match subject {
+            Subject::Request(_) => &mut self.requests,
+            Subject::Part(_) => &mut self.parts,
+        }
     }
 
-    /// Removes the suspect with the fewest crashes, among equals the one whose last observation
-    /// is oldest. Blocked requests stay. Returns whether a suspect was removed.
-    fn evict_one(&mut self) -> bool {
-        let all = self.suspects.iter().enumerate();
-        let candidate = all.min_by_key(|(_, s)| (s.crash_count(), s.updated_at));
-        let Some((at, _)) = candidate.filter(|(_, s)| s.crash_count() < BLOCK_THRESHOLD) else {
-            return false;
-        };
-        self.suspects.remove(at);
-        true
+    fn find(&self, subject: Subject) -> Option<&Suspect> {
+        self.suspects(subject).find(subject)
     }
 }
--- a/crates/resilience/src/crashes/outbox.rs
+++ b/crates/resilience/src/crashes/outbox.rs
@@ -15,10 +15,14 @@
     Duration::from_secs(2),
     Duration::from_secs(4),
 ];
-/// Maximum number of observations per datagram and per second. With 30 bytes each, this stays
-/// below 2 KB per second and peer, however many upstreams crash at once.
+/// Maximum number of observations per datagram and per second, and of their bytes per second and
+/// peer, however many upstreams crash at once.
 const MAX_PER_DATAGRAM: usize = 16;
 const MAX_PER_SECOND: f64 = 64.0;
+const MAX_BYTES_PER_SECOND: f64 = 8000.0;
+/// Encoded size of an observation without parts, and of a part, in bytes.
+const OBSERVATION_BYTES: f64 = 30.0;
+const PART_BYTES: f64 = 9.0;
 /// Maximum number of queued observations.
 const MAX_PENDING: usize = 512;
 
@@ -51,7 +55,9 @@
     pending: VecDeque<Pending>,
     /// Number of observations that may be sent now.
     send_tokens: f64,
-    /// Time of the last refill of `send_tokens`.
+    /// Bytes that may be sent now.
+    send_bytes: f64,
+    /// Time of the last refill of both.
     refilled_at: Option<Instant>,
 }
 
@@ -84,12 +90,18 @@
         let all = self.pending.iter_mut();
         let mut due: Vec<&mut Pending> = all.filter(|pending| pending.is_due(now)).collect();
         due.sort_by_key(|pending| Reverse(priority(&pending.observation)));
-        due.truncate(MAX_PER_DATAGRAM.min(self.send_tokens as usize));
-        self.send_tokens -= due.len() as f64;
         let mut observations = Vec::new();
-        for pending in due {
+        let max = MAX_PER_DATAGRAM.min(self.send_tokens as usize);
+        for pending in due.into_iter().take(max) {
+            let parts = pending.observation.parts().len() as f64;
+            let bytes = OBSERVATION_BYTES + PART_BYTES * parts;
+            if bytes > self.send_bytes {
+                break;
+            }
+            self.send_bytes -= bytes;
+            self.send_tokens -= 1.0;
             pending.sends += 1;
-            observations.push(pending.observation);
+            observations.push(pending.observation.clone());
         }
         self.pending.retain(|pending| !pending.is_finished());
         observations
@@ -99,5 +111,7 @@
         let last = self.refilled_at.replace(now);
         let elapsed = last.map_or(1.0, |at| now.saturating_duration_since(at).as_secs_f64());
         self.send_tokens = (self.send_tokens + elapsed * MAX_PER_SECOND).min(MAX_PER_SECOND);
+        let refilled = self.send_bytes + elapsed * MAX_BYTES_PER_SECOND;
+        self.send_bytes = refilled.min(MAX_BYTES_PER_SECOND);
     }
 }
--- a/crates/resilience/src/crashes/trials.rs
+++ b/crates/resilience/src/crashes/trials.rs
@@ -1,7 +1,8 @@
 //! Trials of blocked requests: when they are due, and when they confirm a request.
 
-use super::{BLOCK_THRESHOLD, Confidence, Crash, CrashTracker, Suspect, Verdict};
-use crate::Fingerprint;
+use super::run::Subject;
+use super::suspect::{Crash, Suspect};
+use super::{Confidence, CrashTracker, Verdict};
 use std::time::{Duration, Instant};
 
 /// Delays from the last crash or trial to the next trial. The first is immediate, so that a
@@ -34,6 +35,9 @@
 /// this time after the crash that blocked the request.
 const MAX_LATE_TRIAL_CRASHES: usize = 3;
 const LATE_TRIAL_AFTER: Duration = Duration::from_secs(3);
+/// Maximum number of late trials of a part, whatever comes of them. Prompts with the part come all
+/// the time, so a trial that another upstream rejects or doesn't answer isn't the last one sent.
+const MAX_LATE_PART_TRIALS: usize = 3;
 /// Number of crashes from which a request may be the cause of a crash in another's trial. A
 /// single crash is what any request has that was running by coincidence.
 const OTHER_SUSPECT_THRESHOLD: usize = 2;
@@ -51,22 +55,29 @@
         match confidence {
             Confidence::Confirmed => self.trial_crashes().count() >= MAX_CONFIRMED_TRIAL_CRASHES,
             Confidence::Unconfirmed => {
-                let mut times: Vec<Instant> =
-                    self.crashes_since_answer().map(|crash| crash.at).collect();
-                times.sort_unstable();
-                let Some(blocked_at) = times.get(BLOCK_THRESHOLD - 1) else {
-                    return false;
-                };
-                let late = self
-                    .trial_crashes()
-                    .filter(|crash| crash.at > *blocked_at + LATE_TRIAL_AFTER);
+                let late = self.trial_crashes().filter(|crash| self.is_late(crash.at));
                 late.count() >= MAX_LATE_TRIAL_CRASHES
             }
         }
     }
 
+    /// Whether so many late trials of a part were taken that no more are allowed.
+    fn has_exhausted_part_trials(&self) -> bool {
+        matches!(self.subject, Subject::Part(_)) && self.late_trials >= MAX_LATE_PART_TRIALS
+    }
+
+    fn is_late(&self, at: Instant) -> bool {
+        self.blocked_at()
+            .is_some_and(|blocked_at| at > blocked_at + LATE_TRIAL_AFTER)
+    }
+
+    /// Whether crashes in trials may confirm the suspect.
+    pub(super) fn is_confirmed_by_trials(&self) -> bool {
+        self.trial_crashes().count() >= CONFIRM_THRESHOLD
+    }
+
     fn is_trial_due(&self, confidence: Confidence, now: Instant) -> bool {
-        if self.has_exhausted_trials(confidence) {
+        if self.has_exhausted_trials(confidence) || self.has_exhausted_part_trials() {
             return false;
         }
         let delay = match confidence {
@@ -95,56 +106,75 @@
 
     fn confidence(&self, suspect: &Suspect) -> Confidence {
         let crashes = suspect.trial_crashes();
-        let unexplained = crashes
-            .filter(|crash| !self.is_explained_by_others(suspect.fingerprint, crash.upstream));
+        let unexplained =
+            crashes.filter(|crash| !self.is_explained_by_others(suspect.subject, crash));
         match unexplained.count() >= CONFIRM_THRESHOLD {
             true => Confidence::Confirmed,
             false => Confidence::Unconfirmed,
         }
     }
 
-    /// Whether another request with several crashes was running when the upstream crashed.
-    fn is_explained_by_others(&self, fingerprint: Fingerprint, upstream: u32) -> bool {
-        let others = self
-            .suspects
-            .iter()
-            .filter(|other| other.fingerprint != fingerprint);
-        let mut others_with_crashes =
-            others.filter(|other| other.crash_count() >= OTHER_SUSPECT_THRESHOLD);
-        others_with_crashes.any(|other| {
-            other
-                .crashes_since_answer()
-                .any(|crash| crash.upstream == upstream)
-        })
+    /// Whether another suspect with several crashes was running when the upstream crashed: another
+    /// request, or a part that explains crashes, in a request without the subject.
+    fn is_explained_by_others(&self, subject: Subject, crash: &Crash) -> bool {
+        let requests = self.requests.iter();
+        let requests = requests.filter(|other| other.crash_count() >= OTHER_SUSPECT_THRESHOLD);
+        let parts = self.explanation.parts();
+        let parts = parts.filter_map(|id| self.find(Subject::Part(id)));
+        let others = requests
+            .chain(parts)
+            .filter(|other| other.subject != subject);
+        let mut others = others.flat_map(Suspect::crashes_since_answer);
+        others.any(|other| other.upstream == crash.upstream && !other.run.contains(subject))
+    }
+
+    /// Suspects that a trial of a subject is about: parts that can't be told apart share theirs.
+    fn tried_with(&self, subject: Subject) -> Vec<Subject> {
+        match subject {
+            Subject::Request(_) => vec![subject],
+            Subject::Part(id) => {
+                let parts = self.explanation.accused_with(id).into_iter();
+                parts.map(Subject::Part).collect()
+            }
+        }
     }
 
     /// Records that this host requests a trial, so that it doesn't request another at the same
     /// time.
-    pub fn trial_requested(&mut self, fingerprint: Fingerprint, now: Instant) {
-        if let Some(suspect) = self.find_mut(fingerprint) {
-            suspect.trial_requested_at = Some(now);
+    pub fn trial_requested(&mut self, subject: impl Into<Subject>, now: Instant) {
+        for subject in self.tried_with(subject.into()) {
+            if let Some(suspect) = self.suspects_mut(subject).find_mut(subject) {
+                suspect.trial_requested_at = Some(now);
+            }
         }
     }
 
     /// Records that this or another host took a trial.
-    pub fn trial_taken(&mut self, fingerprint: Fingerprint, number: usize, at: Instant) {
-        let Some(suspect) = self.entry(fingerprint, at) else {
-            return;
-        };
-        if suspect.trials <= number {
-            suspect.trials = (number + 1).min(STORED_TRIALS);
-            suspect.last_trial_at = Some(at);
+    pub fn trial_taken(&mut self, subject: impl Into<Subject>, number: usize, at: Instant) {
+        for subject in self.tried_with(subject.into()) {
+            let Some(suspect) = self.suspects_mut(subject).entry(subject, at) else {
+                continue;
+            };
+            if suspect.trials <= number {
+                suspect.trials = (number + 1).min(STORED_TRIALS);
+                suspect.last_trial_at = Some(at);
+                suspect.late_trials += usize::from(suspect.is_late(at));
+            }
         }
     }
 
     /// Records that a trial was returned because the request didn't reach an upstream.
-    pub fn trial_returned(&mut self, fingerprint: Fingerprint, number: usize) {
-        let Some(suspect) = self.find_mut(fingerprint) else {
-            return;
-        };
-        if suspect.trials == number + 1 {
-            suspect.trials = number;
-            suspect.last_trial_at = None;
+    pub fn trial_returned(&mut self, subject: impl Into<Subject>, number: usize) {
+        for subject in self.tried_with(subject.into()) {
+            let Some(suspect) = self.suspects_mut(subject).find_mut(subject) else {
+                continue;
+            };
+            if suspect.trials == number + 1 {
+                let was_late = suspect.last_trial_at.is_some_and(|at| suspect.is_late(at));
+                suspect.late_trials = suspect.late_trials.saturating_sub(usize::from(was_late));
+                suspect.trials = number;
+                suspect.last_trial_at = None;
+            }
         }
     }
 }
--- a/crates/resilience/tests/crashes.rs
+++ b/crates/resilience/tests/crashes.rs
@@ -4,7 +4,7 @@
 use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
 use resilience::crashes::{
     BLOCK_THRESHOLD, Change, Confidence, CrashRecord, CrashTracker, Observation, RECORD_THRESHOLD,
-    STORED_TRIALS, Source,
+    Run, STORED_TRIALS, Source,
 };
 use resilience::{Fingerprint, Verdict};
 use std::time::{Duration, Instant};
@@ -15,7 +15,7 @@
 
 fn crash(fingerprint: Fingerprint, upstream: u32, at: Instant) -> Observation {
     Observation::Crash {
-        fingerprint,
+        run: Run::from(fingerprint),
         upstream,
         at,
         in_trial: false,
@@ -25,7 +25,7 @@
 /// A crash while the request was running in a trial.
 fn crash_in_trial(fingerprint: Fingerprint, upstream: u32, at: Instant) -> Observation {
     Observation::Crash {
-        fingerprint,
+        run: Run::from(fingerprint),
         upstream,
         at,
         in_trial: true,
@@ -40,10 +40,7 @@
 }
 
 fn answer(tracker: &mut CrashTracker, now: Instant) -> Change {
-    let observation = Observation::Answer {
-        fingerprint: REQUEST,
-        at: now,
-    };
+    let observation = Observation::answer(Run::from(REQUEST), now);
     tracker.apply(observation, Source::Local, true, now)
 }
 
@@ -244,10 +241,7 @@
     };
     assert_blocked(&tracker, Confidence::Unconfirmed);
     // The other request is answered, so it didn't cause the crashes.
-    let answer = Observation::Answer {
-        fingerprint: other,
-        at: now + MS,
-    };
+    let answer = Observation::answer(Run::from(other), now + MS);
     tracker.apply(answer, Source::Peer, true, now + MS);
     assert_blocked(&tracker, Confidence::Confirmed);
 }
@@ -317,10 +311,7 @@
 fn an_answer_applies_to_rows_read_after_it() {
     let (mut tracker, now) = (CrashTracker::default(), Instant::now());
     // A host that has just started receives the answer from a peer before it reads the rows.
-    let observation = Observation::Answer {
-        fingerprint: REQUEST,
-        at: now,
-    };
+    let observation = Observation::answer(Run::from(REQUEST), now);
     tracker.apply(observation, Source::Peer, true, now);
     for upstream in 1..=3 {
         let row = crash(REQUEST, upstream, now - S);
@@ -358,10 +349,7 @@
         let row = crash(REQUEST, upstream, now);
         tracker.apply(row, Source::Store, false, now);
     }
-    let observation = Observation::Answer {
-        fingerprint: REQUEST,
-        at: now + MS,
-    };
+    let observation = Observation::answer(Run::from(REQUEST), now + MS);
     tracker.apply(observation, Source::Peer, true, now + MS);
     assert_eq!(tracker.obsolete_records(None, 9), []);
     assert_eq!(tracker.obsolete_records(Some(now), 9), []);
@@ -451,13 +439,13 @@
         let observations = tracker.due_observations(now + tenth * 100 * MS);
         times += observations
             .iter()
-            .filter(|observation| observation.fingerprint() == REQUEST)
+            .filter(|observation| observation.request() == Some(REQUEST))
             .count();
         if tenth == 0 {
             assert!(
                 observations[..3]
                     .iter()
-                    .all(|observation| observation.fingerprint() == REQUEST)
+                    .all(|observation| observation.request() == Some(REQUEST))
             );
         }
     }
@@ -539,7 +527,7 @@
         for observation in hosts[from].due_observations(now) {
             for (to, host) in hosts.iter_mut().enumerate() {
                 if to != from && rng.u32(..10) >= loss {
-                    host.apply(observation, Source::Peer, false, now);
+                    host.apply(observation.clone(), Source::Peer, false, now);
                 }
             }
         }
@@ -558,7 +546,7 @@
     for host in hosts {
         for row in rows.iter() {
             host.apply(
-                crash(row.fingerprint, row.upstream, row.at),
+                crash(row.run.request, row.upstream, row.at),
                 Source::Store,
                 false,
                 now,
