Soak: prompts that share a part which crashes engines

--parts lets six engines crash on prompts with one part, which come beside all faults together with sound prompts that have the same first part.

--- a/crates/soak/src/cluster.rs
+++ b/crates/soak/src/cluster.rs
@@ -28,6 +28,10 @@
 
 /// Text in the bodies of requests that crash workers.
 pub const CRASHING_BODY: &str = "deadly";
+/// Text in the bodies of prompts that crash engines, if these are to crash.
+pub const CRASHING_PROMPT: &str = "deadly-part";
+/// Number of engines if some crash.
+const CRASHING_ENGINES_COUNT: u8 = 6;
 /// How long a worker is down after a crash.
 const CRASH_DOWNTIME: Duration = Duration::from_millis(400);
 /// Interval of a worker's heartbeats.
@@ -104,8 +108,15 @@
 
 impl Cluster {
     /// Starts the cluster on the addresses 127.65.NET.0/24, with settings and logs in `dir`.
-    /// `has_versions` makes the workers ones of two software versions.
-    pub async fn start(net: u8, binary: &Path, dir: &Path, has_versions: bool) -> io::Result<Self> {
+    /// `has_versions` makes the workers ones of two software versions, and `has_parts` lets engines
+    /// crash on prompts with [`CRASHING_PROMPT`].
+    pub async fn start(
+        net: u8,
+        binary: &Path,
+        dir: &Path,
+        has_versions: bool,
+        has_parts: bool,
+    ) -> io::Result<Self> {
         let store = Arc::new(Store::start(address(net, 1, 7000))?);
         let mut cluster = Self {
             store,
@@ -127,8 +138,12 @@
         for _ in 0..WORKERS_COUNT {
             cluster.add_worker().await?;
         }
-        for _ in 0..ENGINES_COUNT {
-            cluster.add_engine().await?;
+        let engines = match has_parts {
+            true => CRASHING_ENGINES_COUNT,
+            false => ENGINES_COUNT,
+        };
+        for _ in 0..engines {
+            cluster.add_engine(has_parts).await?;
         }
         for n in 0..GATEWAYS {
             cluster.add_gateway(n, dir)?;
@@ -304,11 +319,25 @@
         Ok(())
     }
 
-    /// Starts an engine and registers it.
-    async fn add_engine(&mut self) -> io::Result<()> {
+    /// Starts an engine, which may crash on prompts with [`CRASHING_PROMPT`], and registers it.
+    async fn add_engine(&mut self, can_crash: bool) -> io::Result<()> {
         let engine = self.start_upstream().await?;
-        let row = worker_row("llm", engine.addr, "ready", Some("decode"));
-        self.store.put(WORKER_TABLE, &engine.id, &row);
+        let (store, id, addr) = (self.store.clone(), engine.id.clone(), engine.addr);
+        let register = move |start_ms: Option<u64>| {
+            let mut row = worker_row("llm", addr, "ready", Some("decode"));
+            if let Some(start_ms) = start_ms {
+                row["born"] = json!(start_ms);
+            }
+            store.put(WORKER_TABLE, &id, &row);
+        };
+        register(can_crash.then_some(STARTED_AT_MS));
+        if can_crash {
+            engine.worker.set_crash(Some(Crash {
+                trigger: CRASHING_PROMPT.into(),
+                downtime: CRASH_DOWNTIME,
+                on_start: Box::new(move |start_ms| register(Some(start_ms))),
+            }));
+        }
         self.engines.push(engine);
         Ok(())
     }
--- a/crates/soak/src/crashing.rs
+++ b/crates/soak/src/crashing.rs
@@ -12,7 +12,7 @@
 use tokio::net::TcpStream;
 
 /// The API key of these requests.
-const CRASH_KEY: Key = Key::Permanent(0);
+pub(crate) const CRASH_KEY: Key = Key::Permanent(0);
 /// How many times a request is sent.
 const REPEATS: usize = 10;
 /// Longest pause between two sends, in milliseconds.
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod disruption;
 pub mod fault;
 pub mod keys;
+pub mod parts;
 pub mod schedule;
 pub mod statements;
 pub mod stops;
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -13,6 +13,7 @@
 use soak::disruption::{Timeline, is_aborted};
 use soak::fault::FaultSet;
 use soak::keys::{Key, LAST_TENANT, TENANTS, check_usage, reported_requests};
+use soak::parts::{CrashingParts, PartChecks};
 use soak::schedule::{self, Schedule};
 use soak::{crashing, fault, statements, stops};
 use standin::ReceivedRequest;
@@ -62,6 +63,9 @@
     /// streams; seeds then draw other faults
     #[argh(switch)]
     streams: bool,
+    /// also send prompts that share a part which crashes engines
+    #[argh(switch)]
+    parts: bool,
     /// file with the faults to replay, as each run writes it beside its logs, instead of random
     /// faults
     #[argh(option)]
@@ -80,6 +84,10 @@
     runs: usize,
     faults: usize,
     deadly: usize,
+    /// Crashes of engines under prompts with the crashing part.
+    part_crashes: u64,
+    /// Whether the store had recorded enough of them at the end, so that the part was checked.
+    part_blocked: bool,
     leaves: usize,
     stops: usize,
     /// Requests that were sent to a stopping process after its signal and met no other
@@ -109,7 +117,7 @@
     let dir = std::env::temp_dir().join(format!("soak-{}-{}", std::process::id(), args.seed));
     std::fs::create_dir_all(&dir)?;
     println!("settings and logs: {}", dir.display());
-    let mut cluster = Cluster::start(args.net, &binary, &dir, args.streams).await?;
+    let mut cluster = Cluster::start(args.net, &binary, &dir, args.streams, args.parts).await?;
     cluster.all_serve(RECOVERY_BOUND).await;
     let history = History::default();
     let streams = Streams::default();
@@ -137,6 +145,9 @@
         })
         .collect();
     let until = Instant::now() + Duration::from_secs(args.seconds);
+    let crashing_parts = args
+        .parts
+        .then(|| CrashingParts::begin(&mut cluster, args.seed, until));
     let done = match args.stops {
         true => stops::run(&mut cluster, args.seed, until).await?,
         false => {
@@ -161,6 +172,10 @@
         let _ = tokio::time::timeout(LAST_REQUESTS_BOUND, client).await;
     }
     let sent_again = crashing::sent_again(&cluster).await;
+    let part_checks = match &crashing_parts {
+        Some(parts) => parts.check(&cluster).await,
+        None => PartChecks::default(),
+    };
     let requests = history.lock().expect("no panic while locked").clone();
     for request in requests.iter().filter(|a| has_foreign_body(a)) {
         println!("answer with another request's body: {request:?}");
@@ -186,7 +201,8 @@
     verdict.badly_fenced = usage_violations.badly_fenced;
     verdict.usage_off = usage_violations.usage_off;
     verdict.keys_logged = keys_logged(&dir)?;
-    verdict.sent_again = sent_again;
+    verdict.sent_again = sent_again + usize::from(part_checks.sent_again);
+    verdict.held_wrongly += part_checks.held_wrongly;
     let streams = streams.lock().expect("no panic while locked").clone();
     verdict.mixed_versions = count_mixed_versions(&streams);
     verdict.not_recovered = usize::from(!recovered);
@@ -199,6 +215,8 @@
         runs: runs.len(),
         faults: done.faults,
         deadly: cluster.crashing_requests.len(),
+        part_crashes: part_checks.crashes,
+        part_blocked: part_checks.is_recorded,
         leaves: done.departures.len(),
         stops: cluster.timeline.stops.len(),
         in_stops: in_stops(&requests, &runs, &cluster.timeline),
--- a/crates/soak/tests/recover.rs
+++ b/crates/soak/tests/recover.rs
@@ -16,7 +16,9 @@
     let dir = std::env::temp_dir().join(format!("soak-recover-{net}"));
     std::fs::create_dir_all(&dir).unwrap();
     let binary = build_binary().await.unwrap();
-    let mut cluster = Cluster::start(net, &binary, &dir, false).await.unwrap();
+    let mut cluster = Cluster::start(net, &binary, &dir, false, false)
+        .await
+        .unwrap();
     assert!(cluster.all_serve(BOUND).await, "all start");
     let first = cluster.gateways[0].proc.id();
     cluster.gateways[0].proc.signal(Signal::Term);
--- a/crates/soak/tests/short.rs
+++ b/crates/soak/tests/short.rs
@@ -9,6 +9,7 @@
 const FOURTH_NET: u32 = 170;
 const FIFTH_NET: u32 = 70;
 const SIXTH_NET: u32 = 95;
+const SEVENTH_NET: u32 = 145;
 /// Faults under which a common request was once blocked permanently.
 const COMMON_REQUEST: &str = concat!(env!("CARGO_MANIFEST_DIR"), "/cases/common-request.jsonl");
 
@@ -40,6 +41,15 @@
     soak(FIRST_NET, &["--seed", "5", "--seconds", "6"]);
 }
 
+/// Guards against prompts being sent on whose only common part crashes each engine, and against
+/// sound prompts with the same first part being rejected with them.
+#[test]
+fn prompts_with_a_part_that_crashes_engines_are_blocked() {
+    let args = ["--parts", "--seed", "3", "--seconds", "8"];
+    let summary = soak(SEVENTH_NET, &args);
+    assert!(summary["part_crashes"].as_u64().unwrap() >= 3, "{summary}");
+}
+
 /// Guards against a stopping process that accepts requests it can't finish. All processes are
 /// told to stop within seconds, and clients whose answers take up to 2.5 s use those that still
 /// accept connections. The duration of an answer wasn't compared with the time left to the
