Clear parts of long streams while upstreams crash in a row

Callers saw: nothing yet; found with drawn fleets. Streams of another route take seconds and run on all engines, so they end with each engine that crashes and are never answered.

Cause: only a complete answer cleared a part. Such a crash happens as the answer begins, so an upstream that has generated for a second isn't crashed by a part of that prompt. It now clears the parts, and counts as an answer of theirs for later crashes.

--- a/crates/gateway/src/crashes.rs
+++ b/crates/gateway/src/crashes.rs
@@ -143,12 +143,38 @@
     (!names.is_empty()).then(|| names.join(","))
 }
 
+/// Records that an upstream has generated on a prompt for so long that no part of it crashes
+/// upstreams.
+pub fn mark_survived(call: &Call, account: &Account) {
+    if !is_generated(account) {
+        return;
+    }
+    let (gateway, now) = (&call.gateway, Instant::now());
+    {
+        let mut crashes = gateway.crashes.lock();
+        if crashes.is_empty() {
+            crashes.record_answered_parts(call.shared_part_ids(), now);
+            return;
+        }
+    }
+    let observation = Observation::Answer {
+        request: None,
+        parts: call.shared_part_ids().collect(),
+        at: now,
+    };
+    apply(gateway, observation, Source::Local, true);
+}
+
+/// Whether the answer was generated. An error may have been returned without that.
+fn is_generated(account: &Account) -> bool {
+    (200..300).contains(&account.status)
+}
+
 /// Records that a request was answered completely.
 pub fn mark_answered(call: &Call, account: &mut Account) {
     let gateway = &call.gateway;
     let now = Instant::now();
-    // An error may have been returned without generating anything.
-    let is_generated = (200..300).contains(&account.status);
+    let is_generated = is_generated(account);
     {
         let mut crashes = gateway.crashes.lock();
         if crashes.is_empty() {
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -23,6 +23,10 @@
 /// just ended is delivered.
 const DRAIN_TIMEOUT: Duration = Duration::from_millis(10);
 
+/// Time after which an upstream that generates isn't crashed by a part of the prompt any more. Such a
+/// crash happens as the answer begins.
+const SURVIVAL_TIME: Duration = Duration::from_secs(1);
+
 /// Responds to the client with an upstream's answer.
 pub fn relay_answer(
     mut call: Call,
@@ -59,6 +63,8 @@
                 unsent: None,
                 client_wait: Duration::ZERO,
                 monitor: started.monitor,
+                begun_at: Instant::now(),
+                has_survived: false,
             };
             tokio::spawn(stream_relay.run(started.first, rest));
             body
@@ -83,6 +89,10 @@
     _stream_guard: StreamGuard,
     /// Monitor of the current upstream's answer.
     monitor: BodyMonitor,
+    /// Time at which that answer began.
+    begun_at: Instant,
+    /// Whether that upstream has generated for [`SURVIVAL_TIME`].
+    has_survived: bool,
     /// Present for streams that may be resumed.
     splitter: Option<EventSplitter>,
 }
@@ -185,6 +195,7 @@
                     let Ok(data) = frame.into_data() else {
                         continue;
                     };
+                    self.check_survival();
                     self.monitor.push(&data);
                     self.account.body = Some(self.monitor);
                     match self.convert(data) {
@@ -196,6 +207,15 @@
         }
     }
 
+    /// Records once that the upstream has generated for so long that no part of the prompt crashes
+    /// it. Long streams are rarely complete while upstreams crash.
+    fn check_survival(&mut self) {
+        if !self.has_survived && self.begun_at.elapsed() >= SURVIVAL_TIME {
+            self.has_survived = true;
+            crashes::mark_survived(&self.call, &self.account);
+        }
+    }
+
     /// Decides whether the stream is whole after the end of its body, and sends what the splitter
     /// has kept back.
     async fn finish(&mut self) -> StreamEnd {
@@ -259,6 +279,7 @@
         }
         self.load = started.load;
         self.monitor = started.monitor;
+        (self.begun_at, self.has_survived) = (Instant::now(), false);
         self.account.body = Some(started.monitor);
         Some((started.first, started.rest))
     }
--- a/crates/gateway/tests/crashing_parts.rs
+++ b/crates/gateway/tests/crashing_parts.rs
@@ -206,6 +206,31 @@
     }
 }
 
+/// Long streams with another part run wherever an engine crashes, and end with it. Guards against
+/// their part being at exactly the same crashes as the cause, so that neither is blocked.
+#[tokio::test]
+async fn a_part_is_blocked_although_long_streams_end_with_each_engine() {
+    const LONG: u64 = 0xa3;
+    let system = Arc::new(System::start_engines(1, 0, 1).await);
+    system.set_default_act(&standin::Action::ServeFor(40));
+    let send = |path: &'static str, part: u64, id: usize| {
+        let (system, parts) = (system.clone(), [part, 0x20_0000 + id as u64]);
+        tokio::spawn(async move { system.exchange_prompt(path, id, &parts).await })
+    };
+    for id in 0..3 {
+        send("/prompt/3900", LONG, 10 + id);
+        tokio::time::sleep(Duration::from_millis(1400)).await;
+        send("/prompt/0", CRASHING_PART, id).await.unwrap();
+        tokio::time::sleep(Duration::from_millis(700)).await;
+    }
+    assert_eq!(system.crash_count(), 3);
+    // The first one is a trial.
+    send("/prompt/0", CRASHING_PART, 4).await.unwrap();
+    tokio::time::sleep(Duration::from_millis(700)).await;
+    let answer = send("/prompt/0", CRASHING_PART, 5).await.unwrap();
+    assert!(answer.contains("part_crash"), "{answer}");
+}
+
 /// Eight engines that are down for 2 s after each crash, and more crashing prompts than they can
 /// bear. Guards against sound prompts being rejected with the crashing ones, as the parts that all
 /// prompts of the route share are at each crash.
--- a/crates/resilience/tests/crashing_parts.rs
+++ b/crates/resilience/tests/crashing_parts.rs
@@ -24,6 +24,7 @@
         sound_per_s: 95,
         crashing_per_s: 5,
         crashing_parts: 1,
+        long_per_s: 4,
         position,
         loss: 0,
         max_latency: 300 * MS,
@@ -119,6 +120,8 @@
         let scenario = Scenario {
             seed,
             crashing_parts: 0,
+            // More would fill the engines that are left.
+            long_per_s: 1,
             max_latency: 2 * S,
             other_ends: (0..20).map(|n| (400 * n, 2)).collect(),
             ..scenario(Position::Middle)
--- a/crates/resilience/tests/fleet/mod.rs
+++ b/crates/resilience/tests/fleet/mod.rs
@@ -16,6 +16,8 @@
 /// Interval between exchanges of the hosts, and between reads of the rows.
 const EXCHANGE_EVERY: u32 = 2;
 const READ_ROWS_EVERY: u32 = 30;
+/// Time after which hosts know that no part of a prompt crashes the engine that generates on it.
+const SURVIVAL_TIME: Duration = Duration::from_secs(1);
 /// Requests that an engine runs at once.
 const SLOTS: usize = 8;
 /// Time at which prompts with crashing parts begin to come, and at which the simulation ends.
@@ -41,6 +43,8 @@
     /// Sound prompts, and prompts with each crashing part, per second.
     pub sound_per_s: u32,
     pub crashing_per_s: u32,
+    /// Prompts of another route, whose answers take seconds, per second.
+    pub long_per_s: u32,
     /// Number of crashing parts.
     pub crashing_parts: usize,
     pub position: Position,
@@ -71,25 +75,28 @@
         fleet,
         load,
         position,
-        any::<bool>(),
+        (any::<bool>(), 0u32..6),
         ends,
         restart,
     );
     drawn.prop_map(
-        |(seed, fleet, load, position, turns_bad, other_ends, restart_all)| Scenario {
-            seed,
-            hosts: fleet.0,
-            engines: fleet.1,
-            downtime: Duration::from_millis(fleet.2),
-            loss: fleet.3,
-            sound_per_s: load.0,
-            crashing_per_s: load.1,
-            crashing_parts: load.2,
-            max_latency: Duration::from_millis(load.3),
-            position,
-            turns_bad,
-            other_ends,
-            restart_all,
+        |(seed, fleet, load, position, (turns_bad, long_per_s), other_ends, restart_all)| {
+            Scenario {
+                seed,
+                hosts: fleet.0,
+                engines: fleet.1,
+                downtime: Duration::from_millis(fleet.2),
+                loss: fleet.3,
+                sound_per_s: load.0,
+                crashing_per_s: load.1,
+                crashing_parts: load.2,
+                max_latency: Duration::from_millis(load.3),
+                position,
+                turns_bad,
+                long_per_s,
+                other_ends,
+                restart_all,
+            }
         },
     )
 }
@@ -102,6 +109,8 @@
     host: Option<usize>,
     trial: Option<(Subject, usize)>,
     ends_at: Instant,
+    /// When its answer will have been generated for [`SURVIVAL_TIME`].
+    survives_at: Option<Instant>,
     /// Whether the engine crashes at that time.
     is_crashing: bool,
 }
@@ -145,8 +154,9 @@
     outcome: Outcome,
 }
 
-/// Parts of the tree: a first part, callers below it, and crashing ones.
+/// Parts of the tree: a first part, that of a route with long streams, callers below it, and crashing ones.
 const FIRST: u64 = 1;
+const LONG: u64 = 2;
 const CALLERS: u64 = 10;
 const CRASHING: u64 = 100;
 
@@ -198,6 +208,9 @@
         if is_drawn(&mut self.rng, self.scenario.sound_per_s) {
             self.send_sound();
         }
+        if is_drawn(&mut self.rng, self.scenario.long_per_s) {
+            self.send(vec![LONG, CALLERS], false);
+        }
         for n in 0..self.scenario.crashing_parts {
             if is_drawn(&mut self.rng, self.scenario.crashing_per_s) {
                 self.send_crashing(crashing_part(n));
@@ -255,6 +268,7 @@
         };
         let latency = match (is_crashing, self.rng.u32(..10)) {
             (true, _) => self.rng.u32(20..110) * MS,
+            _ if run.parts[0] == LONG => self.rng.u32(3000..6000) * MS,
             (false, 0) => self.scenario.max_latency,
             (false, _) => self.rng.u32(40..160) * MS,
         };
@@ -263,6 +277,7 @@
             host: Some(host),
             trial,
             ends_at: now + latency,
+            survives_at: Some(now + SURVIVAL_TIME),
             is_crashing,
         });
         true
@@ -317,6 +332,7 @@
                 self.crash_engine(n);
                 continue;
             }
+            self.note_survivals(n);
             let (ended, running) = std::mem::take(&mut self.engines[n].running)
                 .into_iter()
                 .partition(due);
@@ -328,6 +344,21 @@
         }
     }
 
+    fn note_survivals(&mut self, n: usize) {
+        let now = self.now;
+        let running = self.engines[n].running.iter_mut();
+        for r in running.filter(|r| r.survives_at.is_some_and(|at| at <= now)) {
+            r.survives_at = None;
+            let Some(host) = r.host else { continue };
+            let observation = Observation::Answer {
+                request: None,
+                parts: r.run.parts.clone(),
+                at: now,
+            };
+            self.hosts[host].apply(observation, Source::Local, true, now);
+        }
+    }
+
     fn answer(&mut self, host: usize, run: Run) {
         let (now, tracker) = (self.now, &mut self.hosts[host]);
         if tracker.is_empty() {
