Keep the rows of parts that were not answered

Cause: parts that were running at exactly the same crashes are recorded in one row. When one of them was answered, its host removed the row as obsolete, and with the row all hosts forgot the crash for the other parts too, also for the one that caused it.

A row is now removed only if none of its parts that explain crashes still counts it.

--- a/crates/resilience/src/crashes.rs
+++ b/crates/resilience/src/crashes.rs
@@ -467,9 +467,7 @@
         let requests = requests.flat_map(|s| s.stale_crashes().map(move |c| (s, c)));
         let parts = self.parts.iter().filter(is_due);
         let parts = parts.flat_map(|s| s.stale_crashes().map(move |c| (s, c)));
-        // The row is still needed for the request.
-        let is_needed = |crash: &Crash| self.crash_count(crash.run.request) >= RECORD_THRESHOLD;
-        let parts = parts.filter(|(_, crash)| !is_needed(crash));
+        let parts = parts.filter(|(_, crash)| !self.needs_row(crash));
         let records = requests.chain(parts);
         let records = records.map(|(s, crash)| {
             let is_answered = |id| s.subject == Subject::Part(id);
@@ -478,6 +476,17 @@
         records.take(limit).collect()
     }
 
+    /// Whether a crash's row is needed for the request, or for a part that explains crashes and wasn't
+    /// answered since.
+    fn needs_row(&self, crash: &Crash) -> bool {
+        let counts = |id: &u64| {
+            let suspect = self.find(Subject::Part(*id));
+            self.explanation.contains(*id) && suspect.is_some_and(|s| s.is_after_answer(crash.at))
+        };
+        self.crash_count(crash.run.request) >= RECORD_THRESHOLD
+            || crash.run.parts.iter().any(counts)
+    }
+
     /// Sets whether the store has a row for a crash.
     pub fn set_recorded(&mut self, record: &CrashRecord, is_recorded: bool) {
         for subject in record.run.subjects() {
--- a/crates/resilience/tests/crashing_parts.rs
+++ b/crates/resilience/tests/crashing_parts.rs
@@ -175,6 +175,37 @@
     assert!(!tracker.has_suspected_part(&prompt));
 }
 
+/// Parts that can't be told apart are recorded together. Guards against the rows being removed when
+/// one of them is answered, by which all hosts forgot the crashes of the others.
+#[test]
+fn rows_are_kept_for_the_parts_that_were_not_answered() {
+    let (mut tracker, now) = (CrashTracker::default(), Instant::now());
+    for n in 0..3 {
+        let run = Run::new(Fingerprint(n.into()), [1, 2]);
+        let crash = Observation::Crash {
+            run,
+            upstream: n,
+            at: now,
+            in_trial: false,
+        };
+        tracker.apply(crash, Source::Local, true, now);
+    }
+    tracker.update_explanation(now);
+    let records = tracker.unrecorded(RECORD_THRESHOLD, None, 9);
+    assert_eq!(records.len(), 3);
+    for record in &records {
+        tracker.set_recorded(record, true);
+    }
+    let answer = |part| Observation::answer(Run::new(Fingerprint(9), [part]), now + MS);
+    tracker.apply(answer(1), Source::Local, true, now + MS);
+    tracker.update_explanation(now + S);
+    assert_eq!(tracker.obsolete_records(None, 9), []);
+    assert!(tracker.part_verdict(&[2], now + S).is_some());
+    tracker.apply(answer(2), Source::Local, true, now + S);
+    tracker.update_explanation(now + 2 * S);
+    assert_eq!(tracker.obsolete_records(None, 9).len(), 6);
+}
+
 #[test]
 fn drawn_fleets_block_crashing_parts_and_serve_sound_prompts() {
     let rng = TestRng::deterministic_rng(RngAlgorithm::ChaCha);
