--- a/crates/resilience/src/crashes/explanation.rs
+++ b/crates/resilience/src/crashes/explanation.rs
@@ -27,18 +27,18 @@
 /// that was.
 const UNANSWERED_WEIGHT: usize = 4;
 /// Maximum number of explanations.
-const MAX_ACCUSATIONS: usize = 32;
+const MAX_CAUSES: usize = 32;
 /// Number of crashes from which prompts with a part that was never answered run isolated.
 const ISOLATE_THRESHOLD: usize = 2;
-/// Time after the last crash or trial before prompts with all accused parts are tried, if only some
+/// Time after the last crash or trial before prompts with all parts of a cause are tried, if only some
 /// of the parts may be the cause. A prompt with some of them tells more, and may come before.
 const UNDISTINGUISHED_TRIAL_DELAY: Duration = Duration::from_secs(1);
 /// Minimum interval between two searches for explanations, as large failures bring many reports.
 const UPDATE_EVERY: Duration = Duration::from_millis(5);
 
-/// Parts that explain crashes.
+/// Likely cause of crashes.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub(super) struct Accusation {
+pub(super) struct Cause {
     /// Parts that can't be told apart, sorted. A prompt with all of them crashes upstreams.
     parts: Vec<u64>,
     /// Number of crashes.
@@ -48,7 +48,7 @@
 /// Explanations of the known crashes.
 #[derive(Debug, Default)]
 pub(super) struct Explanation {
-    accusations: Vec<Accusation>,
+    causes: Vec<Cause>,
     /// Whether observations have changed since.
     is_outdated: bool,
     updated_at: Option<Instant>,
@@ -85,19 +85,17 @@
     }
 
     pub(super) fn contains(&self, part: u64) -> bool {
-        self.accusations.iter().any(|a| a.parts.contains(&part))
+        self.causes.iter().any(|a| a.parts.contains(&part))
     }
 
-    /// All parts that are accused together with one, and that one.
-    pub(super) fn accused_with(&self, part: u64) -> Vec<u64> {
-        let accusation = self.accusations.iter().find(|a| a.parts.contains(&part));
-        accusation.map_or_else(|| vec![part], |a| a.parts.clone())
+    /// Parts that can't be told apart from one, and that one.
+    pub(super) fn indistinguishable_from(&self, part: u64) -> Vec<u64> {
+        let cause = self.causes.iter().find(|a| a.parts.contains(&part));
+        cause.map_or_else(|| vec![part], |a| a.parts.clone())
     }
 
     pub(super) fn parts(&self) -> impl Iterator<Item = u64> {
-        self.accusations
-            .iter()
-            .flat_map(|a| a.parts.iter().copied())
+        self.causes.iter().flat_map(|a| a.parts.iter().copied())
     }
 }
 
@@ -161,9 +159,9 @@
 
 /// Explains crashes, the largest number first. Among equals a request comes before its parts, as it
 /// is more specific.
-fn explain(candidates: &[Candidate]) -> Vec<Accusation> {
-    let (mut accusations, mut explained) = (Vec::new(), BTreeSet::new());
-    for _ in 0..MAX_ACCUSATIONS {
+fn explain(candidates: &[Candidate]) -> Vec<Cause> {
+    let (mut causes, mut explained) = (Vec::new(), BTreeSet::new());
+    for _ in 0..MAX_CAUSES {
         let scored = candidates
             .iter()
             .filter_map(|c| Some((c.score(&explained)?, c)));
@@ -181,14 +179,14 @@
                 Subject::Part(id) => Some(id),
                 Subject::Request(_) => None,
             });
-            accusations.push(Accusation {
+            causes.push(Cause {
                 parts: parts.collect(),
                 crashes: left.len(),
             });
         }
         explained.extend(best.crashes.iter().map(|(upstream, _)| *upstream));
     }
-    accusations
+    causes
 }
 
 impl CrashTracker {
@@ -202,11 +200,11 @@
         }
         let suspects = self.requests.iter().chain(self.parts.iter());
         let candidates: Vec<Candidate> = suspects.filter_map(Candidate::of).collect();
-        let accusations = explain(&candidates);
+        let causes = explain(&candidates);
         let before = std::mem::replace(
             &mut self.explanation,
             Explanation {
-                accusations,
+                causes,
                 is_outdated: false,
                 updated_at: Some(now),
             },
@@ -217,12 +215,12 @@
     fn explanation_changes(&self, before: &Explanation) -> Vec<PartChange> {
         let released = before.parts().filter(|id| !self.explanation.contains(*id));
         let mut changes: Vec<PartChange> = released.map(PartChange::Released).collect();
-        for accusation in &self.explanation.accusations {
-            let new = accusation.parts.iter().filter(|id| !before.contains(**id));
+        for cause in &self.explanation.causes {
+            let new = cause.parts.iter().filter(|id| !before.contains(**id));
             changes.extend(new.map(|part| PartChange::Blocked {
                 part: *part,
-                crashes: accusation.crashes,
-                others: accusation.parts.len() - 1,
+                crashes: cause.crashes,
+                others: cause.parts.len() - 1,
             }));
         }
         changes
@@ -231,17 +229,17 @@
     /// Verdict on a prompt by its shared parts; `None` if they don't explain crashes.
     pub fn part_verdict(&self, parts: &[u64], now: Instant) -> Option<(BlockedPart, Verdict)> {
         let mut trial = None;
-        for accusation in &self.explanation.accusations {
-            let is_held = accusation.parts.iter().all(|id| parts.contains(id));
-            let part = accusation.parts[0];
+        for cause in &self.explanation.causes {
+            let is_held = cause.parts.iter().all(|id| parts.contains(id));
+            let part = cause.parts[0];
             let Some(suspect) = self.find(Subject::Part(part)).filter(|_| is_held) else {
                 continue;
             };
             let blocked = BlockedPart {
                 part,
-                crashes: accusation.crashes,
+                crashes: cause.crashes,
             };
-            let may_try = accusation.parts.len() == 1 || self.may_try_undistinguished(suspect, now);
+            let may_try = cause.parts.len() == 1 || self.may_try_undistinguished(suspect, now);
             match self.blocked_verdict(suspect, now) {
                 verdict @ Verdict::Trial(..) if may_try => {
                     trial = trial.or(Some((blocked, verdict)));
--- a/crates/resilience/src/crashes/trials.rs
+++ b/crates/resilience/src/crashes/trials.rs
@@ -133,7 +133,7 @@
         match subject {
             Subject::Request(_) => vec![subject],
             Subject::Part(id) => {
-                let parts = self.explanation.accused_with(id).into_iter();
+                let parts = self.explanation.indistinguishable_from(id).into_iter();
                 parts.map(Subject::Part).collect()
             }
         }
