Test two drawn fleets in which a crashing part is sent too often

Found by 4,000 drawn fleets; listed, not fixed. A part that was answered before needs crashes at three moments until it is blocked. If it crashes all engines within a second and they stay down for longer than the window, these come too late. And crashes that only killed hosts knew are counted by no one.

--- a/crates/resilience/tests/crashing_parts.rs
+++ b/crates/resilience/tests/crashing_parts.rs
@@ -206,6 +206,50 @@
     assert_eq!(tracker.obsolete_records(None, 9).len(), 6);
 }
 
+/// Guards against prompts with parts being sent on that were answered before they turned bad, and
+/// that crash all engines within a second, each for longer than hosts have to learn of it.
+#[test]
+fn parts_that_turned_bad_are_blocked_while_all_engines_are_down() {
+    check(&Scenario {
+        seed: 9350312347482481232,
+        hosts: 5,
+        engines: 6,
+        downtime: 3912 * MS,
+        sound_per_s: 43,
+        crashing_per_s: 7,
+        long_per_s: 0,
+        crashing_parts: 2,
+        position: Position::First,
+        loss: 2,
+        max_latency: 513 * MS,
+        turns_bad: true,
+        other_ends: vec![(4963, 1)],
+        restart_all: None,
+    });
+}
+
+/// Guards against the first crashes being forgotten when all hosts are restarted before they have
+/// recorded them.
+#[test]
+fn parts_are_blocked_although_all_hosts_restart_after_the_first_crashes() {
+    check(&Scenario {
+        seed: 8024232000572567397,
+        hosts: 2,
+        engines: 11,
+        downtime: 3221 * MS,
+        sound_per_s: 59,
+        crashing_per_s: 7,
+        long_per_s: 5,
+        crashing_parts: 2,
+        position: Position::Middle,
+        loss: 3,
+        max_latency: 910 * MS,
+        turns_bad: false,
+        other_ends: vec![(2838, 1), (386, 4)],
+        restart_all: Some(518),
+    });
+}
+
 #[test]
 fn drawn_fleets_block_crashing_parts_and_serve_sound_prompts() {
     let rng = TestRng::deterministic_rng(RngAlgorithm::ChaCha);
