Test that streams go on after overlapping restarts of their hosts

Callers' streams were rejected as unknown after their hosts had been told to stop one after the other, each before the former one had ended, or all at once.

--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -11,6 +11,7 @@
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::path::PathBuf;
 use std::sync::atomic::{AtomicU32, Ordering};
+use std::task::Poll;
 use std::time::{Duration, Instant};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
@@ -237,6 +238,19 @@
     }
 }
 
+/// Runs futures concurrently until all have ended.
+pub async fn join_all<F: Future<Output = ()>>(futures: impl Iterator<Item = F>) {
+    let mut running: Vec<_> = futures.map(Box::pin).collect();
+    std::future::poll_fn(|cx| {
+        running.retain_mut(|f| f.as_mut().poll(cx).is_pending());
+        match running.is_empty() {
+            true => Poll::Ready(()),
+            false => Poll::Pending,
+        }
+    })
+    .await;
+}
+
 /// Sends text on a new connection and reads one answer.
 pub async fn exchange(addr: SocketAddr, text: &str) -> String {
     let mut client = Client::connect(addr).await;
--- a/crates/gateway/tests/common/versions.rs
+++ b/crates/gateway/tests/common/versions.rs
@@ -10,6 +10,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::runtime::Runtime;
+use tokio::task::JoinHandle;
 
 /// Path of a route whose streams may be resumed by clients, but not inside one answer.
 pub const ONCE: &str = "/resumable/once/";
@@ -26,15 +27,69 @@
     runtime: Option<Runtime>,
     pub callers: SocketAddr,
     ready: SocketAddr,
+    settings: platform::HostSettings,
+    stop: Stop,
+    running: Option<JoinHandle<()>>,
 }
 
 impl Host {
+    /// Starts a host.
+    fn start(settings: platform::HostSettings) -> Self {
+        let mut host = Self {
+            runtime: None,
+            callers: settings.client_addr.unwrap(),
+            ready: settings.readiness_addr.unwrap(),
+            settings,
+            stop: Stop::default(),
+            running: None,
+        };
+        host.run();
+        host
+    }
+
+    fn run(&mut self) {
+        let runtime = Runtime::new().unwrap();
+        self.stop = Stop::default();
+        let path = PathBuf::from("/nonexistent/settings");
+        let (settings, stop) = (self.settings.clone(), self.stop.clone());
+        let run = async { gateway::run(path, settings, stop).await.unwrap() };
+        self.running = Some(runtime.spawn(run));
+        self.runtime = Some(runtime);
+    }
+
     /// Ends the host without notice, with all its connections.
     pub fn kill(&mut self) {
         if let Some(runtime) = self.runtime.take() {
             runtime.shutdown_background();
         }
     }
+
+    /// Sends the host the stop signal.
+    pub fn stop(&self) {
+        self.stop.stop();
+    }
+
+    /// Starts the host again once its process has ended or was killed, and waits until it is ready.
+    pub async fn restart(&mut self) {
+        if let Some(running) = self.running.take()
+            && self.runtime.is_some()
+        {
+            running.await.unwrap();
+        }
+        self.kill();
+        self.settings.is_first_start = false;
+        self.run();
+        self.wait_ready().await;
+    }
+
+    async fn wait_ready(&self) {
+        let ready = self.ready;
+        wait_for("readiness", || async move {
+            let text = exchange(ready, "GET /readyz HTTP/1.1\r\nhost: x\r\n\r\n").await;
+            text.starts_with("HTTP/1.1 200")
+        })
+        .await;
+    }
 }
 
 impl Drop for Host {
@@ -47,6 +102,8 @@
 pub struct Bed {
     pub store: Arc<Store>,
     pub hosts: Vec<Host>,
+    /// Deadline of the requests, in milliseconds.
+    pub deadline_ms: u64,
     workers: Vec<(String, Worker)>,
 }
 
@@ -84,6 +141,7 @@
         let mut bed = Self {
             store: Arc::new(store),
             hosts: Vec::new(),
+            deadline_ms: 4000,
             workers: Vec::new(),
         };
         for version in versions {
@@ -103,23 +161,27 @@
             is_first_start,
             ..host(address(), self.store.addr)
         };
-        let runtime = Runtime::new().unwrap();
-        let (callers, ready) = (
-            settings.client_addr.unwrap(),
-            settings.readiness_addr.unwrap(),
-        );
-        let path = PathBuf::from("/nonexistent/settings");
-        runtime.spawn(gateway::run(path, settings, Stop::default()));
-        self.hosts.push(Host {
-            runtime: Some(runtime),
-            callers,
-            ready,
-        });
-        wait_for("readiness", || async move {
-            let text = exchange(ready, "GET /readyz HTTP/1.1\r\nhost: x\r\n\r\n").await;
-            text.starts_with("HTTP/1.1 200")
-        })
-        .await;
+        let host = Host::start(settings);
+        host.wait_ready().await;
+        self.hosts.push(host);
+    }
+
+    /// Starts hosts at the first start of the whole system, and a worker of each of the given
+    /// versions.
+    pub async fn start_system(hosts: usize, versions: &[&str]) -> Self {
+        let mut bed = Self::start(0, versions).await;
+        for _ in 0..hosts {
+            let settings = platform::HostSettings {
+                is_first_start: true,
+                ..host(address(), bed.store.addr)
+            };
+            bed.hosts.push(Host::start(settings));
+        }
+        for host in &bed.hosts {
+            host.wait_ready().await;
+        }
+        bed.wait_for_peers().await;
+        bed
     }
 
     /// Waits until the hosts know each other, and their shares of the retry budget.
@@ -159,7 +221,10 @@
         let headers = format!("connection: close\r\n{more}");
         let mut client = Client::connect(self.hosts[host].callers).await;
         // Streams with the same body would be taken for one request that crashes workers.
-        client.send(&request("POST", path, id, &headers, id)).await;
+        let text = request("POST", path, id, &headers, id);
+        let deadline = format!("deadline-ms: {}\r\n", self.deadline_ms);
+        let text = text.replace("deadline-ms: 4000\r\n", &deadline);
+        client.send(&text).await;
         let (text, _) = client.read_to_end().await;
         let status = text.split(' ').nth(1).and_then(|s| s.parse().ok());
         Received {
--- /dev/null
+++ b/crates/gateway/tests/stream_restarts.rs
@@ -0,0 +1,193 @@
+//! Tests that streams go on at their version while hosts restart in series that overlap, or all at
+//! once.
+
+#[expect(dead_code, reason = "each test file uses a part of it")]
+mod common;
+
+use common::versions::{Bed, EVENTS_BEFORE_BREAK, ONCE};
+use std::time::{Duration, Instant};
+
+/// Number of streams that a test begins and continues.
+const STREAMS: usize = 24;
+/// Time between two stop signals of a series. All four hosts get theirs before the first one ends,
+/// as a host without requests takes 2.3 s to stop.
+const STOP_GAP: Duration = Duration::from_millis(500);
+/// Two upstreams of each of two versions.
+const TWO_VERSIONS: [&str; 4] = ["v1", "v1", "v1.1", "v1.1"];
+/// Two upstreams of one version.
+const ONE_VERSION: [&str; 2] = ["v1", "v1"];
+
+/// Deadline of the streams, longer than any test takes.
+const DEADLINE_MS: u64 = 60_000;
+
+/// Begins the streams at all hosts in turn.
+async fn begin(bed: &mut Bed) {
+    bed.deadline_ms = DEADLINE_MS;
+    for n in 0..STREAMS {
+        let part = bed
+            .send(n % bed.hosts.len(), ONCE, &format!("begun-{n}"), "")
+            .await;
+        assert_eq!(part.events() as u64, EVENTS_BEFORE_BREAK, "{part:?}");
+    }
+}
+
+/// Continues the streams at all hosts in turn, and begins a new one beside each. Returns how many
+/// went on. `is_named` is false if the clients don't name the attempts that began the streams.
+async fn count_resumed(bed: &Bed, is_named: bool) -> usize {
+    let mut resumed = 0;
+    for n in 0..STREAMS {
+        let host = n % bed.hosts.len();
+        let (begun, next) = (format!("begun-{n}"), format!("next-{n}"));
+        let rest = match is_named {
+            true => bed.resume(host, &next, &begun).await,
+            false => {
+                let after = format!("last-event-id: {EVENTS_BEFORE_BREAK}\r\n");
+                bed.send(host, ONCE, &next, &after).await
+            }
+        };
+        match rest.status {
+            200 => assert!(rest.is_whole(), "{rest:?}"),
+            _ => assert!(rest.text.contains("not_run"), "{rest:?}"),
+        }
+        resumed += usize::from(rest.is_whole());
+        assert_eq!(
+            bed.versions_of(&[&begun, &next]).len(),
+            1,
+            "a stream over two versions"
+        );
+        let new = bed.send(host, ONCE, &format!("new-{n}"), "").await;
+        assert_eq!(new.events() as u64, EVENTS_BEFORE_BREAK, "{new:?}");
+    }
+    resumed
+}
+
+/// Tells hosts to stop, with a gap between two signals, and starts each again as it has ended.
+async fn restart_in_series(bed: &mut Bed, hosts: std::ops::Range<usize>, gap: Duration) {
+    let restarts = bed.hosts[hosts]
+        .iter_mut()
+        .enumerate()
+        .map(async |(n, host)| {
+            tokio::time::sleep(gap * n as u32).await;
+            host.stop();
+            host.restart().await;
+        });
+    common::join_all(restarts).await;
+}
+
+/// Guards against streams being unknown after their hosts were told to stop one after the other,
+/// each while the former ones were still stopping: their origins had been handed over to hosts that
+/// were about to stop as well.
+#[tokio::test]
+async fn streams_go_on_after_an_overlapping_series_of_restarts() {
+    let mut bed = Bed::start(4, &TWO_VERSIONS).await;
+    begin(&mut bed).await;
+    restart_in_series(&mut bed, 0..4, STOP_GAP).await;
+    assert_eq!(count_resumed(&bed, true).await, STREAMS);
+}
+
+/// Guards against the same with a single version in service.
+#[tokio::test]
+async fn streams_of_one_version_go_on_after_an_overlapping_series_of_restarts() {
+    let mut bed = Bed::start(4, &ONE_VERSION).await;
+    begin(&mut bed).await;
+    restart_in_series(&mut bed, 0..4, STOP_GAP).await;
+    assert_eq!(count_resumed(&bed, true).await, STREAMS);
+}
+
+/// Guards against the same where one host is killed and has restarted before the others end.
+#[tokio::test]
+async fn streams_go_on_after_a_series_of_restarts_beside_a_killed_host() {
+    let mut bed = Bed::start(4, &TWO_VERSIONS).await;
+    begin(&mut bed).await;
+    let mut killed = bed.hosts.pop().unwrap();
+    let restart_killed = async {
+        tokio::time::sleep(STOP_GAP * 2).await;
+        killed.kill();
+        tokio::time::sleep(STOP_GAP / 2).await;
+        killed.restart().await;
+    };
+    tokio::join!(restart_in_series(&mut bed, 0..3, STOP_GAP), restart_killed);
+    bed.hosts.push(killed);
+    assert_eq!(count_resumed(&bed, true).await, STREAMS);
+}
+
+/// Guards against the same where all hosts are told to stop at once, so that none outlives the
+/// others.
+#[tokio::test]
+async fn streams_go_on_after_all_hosts_restarted_at_once() {
+    let mut bed = Bed::start(4, &TWO_VERSIONS).await;
+    begin(&mut bed).await;
+    restart_in_series(&mut bed, 0..4, Duration::ZERO).await;
+    assert_eq!(count_resumed(&bed, true).await, STREAMS);
+}
+
+/// Guards against the same at a site of one host.
+#[tokio::test]
+async fn streams_go_on_after_the_only_host_restarted() {
+    let mut bed = Bed::start(1, &TWO_VERSIONS).await;
+    begin(&mut bed).await;
+    restart_in_series(&mut bed, 0..1, Duration::ZERO).await;
+    assert_eq!(count_resumed(&bed, true).await, STREAMS);
+}
+
+/// Guards against streams being unknown where one host was stopped and restarted after the other,
+/// each once the former one was ready.
+#[tokio::test]
+async fn streams_go_on_after_a_series_of_restarts_that_does_not_overlap() {
+    let mut bed = Bed::start(3, &TWO_VERSIONS).await;
+    begin(&mut bed).await;
+    for n in 0..3 {
+        restart_in_series(&mut bed, n..n + 1, Duration::ZERO).await;
+    }
+    assert_eq!(count_resumed(&bed, true).await, STREAMS);
+}
+
+/// Guards against the same where all hosts are killed. Nothing can be known of single streams then,
+/// but the service had a single version all the time.
+#[tokio::test]
+async fn streams_of_the_only_version_go_on_after_all_hosts_were_killed() {
+    let mut bed = Bed::start_system(4, &ONE_VERSION).await;
+    begin(&mut bed).await;
+    kill_all_and_restart(&mut bed).await;
+    assert_eq!(count_resumed(&bed, true).await, STREAMS);
+}
+
+/// Guards against hosts that started later rejecting streams whose clients don't name an attempt,
+/// although the service had a single version all the time.
+#[tokio::test]
+async fn unnamed_streams_of_the_only_version_go_on_after_restarts() {
+    let mut bed = Bed::start_system(4, &ONE_VERSION).await;
+    begin(&mut bed).await;
+    restart_in_series(&mut bed, 0..4, STOP_GAP).await;
+    assert_eq!(count_resumed(&bed, false).await, STREAMS);
+}
+
+/// Guards against a stream of unknown version being run, or kept waiting, after all hosts were
+/// killed.
+#[tokio::test]
+async fn streams_of_two_versions_are_rejected_at_once_after_all_hosts_were_killed() {
+    let mut bed = Bed::start_system(4, &TWO_VERSIONS).await;
+    begin(&mut bed).await;
+    kill_all_and_restart(&mut bed).await;
+    for n in 0..STREAMS {
+        let since = Instant::now();
+        let res = bed
+            .resume(n % 4, &format!("next-{n}"), &format!("begun-{n}"))
+            .await;
+        assert_eq!(res.status, 503, "{res:?}");
+        assert!(res.text.contains("not_run"), "{res:?}");
+        assert!(since.elapsed() < Duration::from_secs(1), "it waited");
+        assert!(
+            bed.versions_of(&[&format!("next-{n}")]).is_empty(),
+            "it ran"
+        );
+    }
+}
+
+async fn kill_all_and_restart(bed: &mut Bed) {
+    for host in &mut bed.hosts {
+        host.kill();
+    }
+    let restarts = bed.hosts.iter_mut().map(async |host| host.restart().await);
+    common::join_all(restarts).await;
+}
