Renew copies of stream origins when hosts stop and restart

Continued streams were rejected as unknown after their hosts had been told to stop one after the other, each before the previous one had ended: 0 of 24 went on, while all new streams began.

Cause: the origin of a stream was copied to two other hosts when it began, and again when a stop began, to the first hosts in the stream's order, whether they were stopping or not. A confirmed copy was counted permanently, whatever happened to its holder, and a stopping host had no host to hand over to that kept running.

The new datagrams contain the start of their sender and whether it is stopping. Each process that has an origin ensures that the first two other running hosts in the stream's order have it, and checks again when a host stops, becomes silent, restarts, joins or leaves. If too few hosts are running, stopping hosts are sent copies too, so that searches find the origin in the meantime. A search asks stopping and silent hosts last, and asks more hosts if the first ones don't know the stream.

Log: streams_handed_over at the end of a process (number of streams, receivers, number of under-replicated streams), and stream_unknown for a rejected stream (hosts that were asked, which of them answered, how long they have been running).

Processes of the previous version answer searches and are asked, but don't confirm copies.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -97,7 +97,6 @@
     let schedule = gateway.wait_for_stop().await;
     emit(&Event::Stopping { why: "signal" });
     quota::release_shares(&gateway);
-    origins::hand_over(&gateway);
     tokio::time::sleep_until(schedule.drain_at.into()).await;
     drain.stop();
     wait_until_idle(&gateway, schedule.close_at).await;
@@ -127,6 +126,7 @@
             why: "no answer before the process exits".into(),
         });
     }
+    origins::log_hand_over(&gateway);
     exchange.stop();
     emit(&Event::Stopped {
         unfinished: gateway.running(),
--- a/crates/gateway/src/origins.rs
+++ b/crates/gateway/src/origins.rs
@@ -10,15 +10,18 @@
 pub use exchange::start;
 
 use crate::fleet::ServiceKey;
+use crate::peers::Location;
 use crate::state::Gateway;
+use observe::{Event, StreamSearchAnswer, emit};
 use origins::{
-    Lookup, MAX_STREAM_LIFETIME, Origin, OriginRecord, OriginTable, StreamId, VERSION_LIFETIME,
+    HandOver, HostLocation, HostStart, Lookup, MAX_STREAM_LIFETIME, Origin, OriginRecord, Replicas,
+    ReplicatedBy, StreamId, VERSION_LIFETIME,
 };
 use std::net::IpAddr;
 use std::sync::{Arc, Mutex, MutexGuard, OnceLock};
 use std::time::{Duration, Instant};
 use tokio::net::UdpSocket;
-use tokio::sync::mpsc;
+use tokio::sync::{Notify, mpsc};
 
 /// Longest wait for a read of the registry after a stream was taken up.
 const FRESH_READ_TIMEOUT: Duration = Duration::from_millis(500);
@@ -28,18 +31,22 @@
 const DEADLINE_MARGIN: Duration = Duration::from_secs(1);
 
 /// Origins of streams in this process.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Origins {
-    table: Mutex<OriginTable>,
+    replicas: Mutex<Replicas>,
+    /// Notified when copies may be due.
+    changed: Notify,
     /// Tasks that expect replies about a stream.
     expected: Mutex<Vec<(StreamId, ReplySender)>>,
     socket: OnceLock<Arc<UdpSocket>>,
+    /// Random number that identifies this start of the process.
+    start: u32,
+    started_at: Instant,
 }
 
 /// A host's reply about a stream.
 #[derive(Debug, Clone, Copy)]
 enum Reply {
-    Confirmed,
     Found(OriginRecord),
     NotFound,
 }
@@ -71,9 +78,33 @@
     pub began_at: Option<Instant>,
 }
 
+/// A host that was asked for the origin of a stream and didn't return it.
+#[derive(Debug, Clone, Copy)]
+pub struct AskedHost {
+    /// Address of the host.
+    pub ip: IpAddr,
+    /// Whether it answered that it doesn't know the stream.
+    pub has_answered: bool,
+    /// Time since the start of its process, if it is known.
+    pub running_for: Option<Duration>,
+}
+
 impl Origins {
-    fn table(&self) -> MutexGuard<'_, OriginTable> {
-        self.table.lock().expect("no panic while locked")
+    /// Creates an empty set for the process on the host at a location.
+    pub fn new(location: Location) -> Self {
+        let Location { ip, zone } = location;
+        Self {
+            replicas: Mutex::new(Replicas::new(HostLocation { ip, zone })),
+            changed: Notify::new(),
+            expected: Mutex::default(),
+            socket: OnceLock::new(),
+            start: fastrand::u32(..),
+            started_at: Instant::now(),
+        }
+    }
+
+    fn replicas(&self) -> MutexGuard<'_, Replicas> {
+        self.replicas.lock().expect("no panic while locked")
     }
 
     fn expect_replies(&self, stream: StreamId) -> Replies {
@@ -94,12 +125,12 @@
 
     /// Makes the origins of streams uncertain that began at a start of an upstream after a time.
     pub fn distrust(&self, upstream: u32, since: Instant) {
-        self.table().distrust(upstream, since);
+        self.replicas().distrust(upstream, since);
     }
 
     /// Whether the origin that was recorded for an attempt is still certain.
     pub fn is_certain(&self, attempt: &str) -> bool {
-        let found = self.table().find(StreamId::of(attempt), Instant::now());
+        let found = self.replicas().find(StreamId::of(attempt), Instant::now());
         found != Lookup::Uncertain
     }
 }
@@ -115,49 +146,90 @@
         expires_at: now + lifetime.min(MAX_STREAM_LIFETIME),
     };
     let stream = StreamId::of(attempt);
-    gateway.origins.table().record(stream, record, now);
-    exchange::replicate(gateway, stream, record);
+    let mut replicas = gateway.origins.replicas();
+    replicas.record(stream, record, None, ReplicatedBy::ThisHost, now);
+    drop(replicas);
+    exchange::send_first_copies(gateway, stream, record);
 }
 
-/// Copies all origins to other hosts again, as this process ends.
-pub fn hand_over(gateway: &Arc<Gateway>) {
-    let all = gateway.origins.table().all(Instant::now());
-    for (stream, record) in all {
-        exchange::replicate(gateway, stream, record);
-    }
+/// Logs which hosts hold the origins of this process when it exits.
+pub fn log_hand_over(gateway: &Gateway) {
+    let HandOver {
+        streams,
+        under_replicated,
+        receivers,
+    } = gateway.origins.replicas().hand_over(Instant::now());
+    emit(&Event::StreamsHandedOver {
+        streams,
+        under_replicated,
+        receivers: receivers.iter().map(IpAddr::to_string).collect(),
+    });
 }
 
 /// Finds the origin of the stream that an attempt began: here, at other hosts, or as the service
-/// has a single version. `None` if it isn't known for certain.
+/// has a single version. Returns the hosts that were asked if it isn't known for certain.
 pub async fn find(
     gateway: &Arc<Gateway>,
     attempt: Option<&str>,
     service: ServiceKey,
     route: origins::NameHash,
-) -> Option<KnownOrigin> {
-    let stream = attempt.map(StreamId::of);
-    let found = stream.map(|stream| gateway.origins.table().find(stream, Instant::now()));
-    match (stream, found) {
-        (_, Some(Lookup::Known(record))) => return Some(KnownOrigin::new(&record, Source::Own)),
-        (_, Some(Lookup::Uncertain)) => return None,
-        (Some(stream), Some(Lookup::Unknown)) => {
-            if let Some((record, from)) = exchange::search(gateway, stream).await {
-                let now = Instant::now();
-                gateway.origins.table().record(stream, record, now);
-                // It may be uncertain here.
-                let found = gateway.origins.table().find(stream, now);
-                return match found {
-                    Lookup::Known(record) => Some(KnownOrigin::new(&record, Source::Peer(from))),
-                    Lookup::Uncertain | Lookup::Unknown => None,
-                };
-            }
+) -> Result<KnownOrigin, Vec<AskedHost>> {
+    let mut asked = Vec::new();
+    if let Some(stream) = attempt.map(StreamId::of) {
+        let found = gateway.origins.replicas().find(stream, Instant::now());
+        match found {
+            Lookup::Known(record) => return Ok(KnownOrigin::new(&record, Source::Own)),
+            Lookup::Uncertain => return Err(asked),
+            Lookup::Unknown => {}
+        }
+        match exchange::search(gateway, stream).await {
+            Ok((record, from)) => return record_found(gateway, stream, record, from).ok_or(asked),
+            Err(hosts) => asked = hosts,
         }
-        _ => {}
     }
     // An upstream that began the stream was registered before, so a read from now on shows it.
-    only_version(gateway, service, route)?;
-    wait_for_fresh_read(gateway).await?;
-    only_version(gateway, service, route)
+    if only_version(gateway, service, route).is_none()
+        || wait_for_fresh_read(gateway).await.is_none()
+    {
+        return Err(asked);
+    }
+    only_version(gateway, service, route).ok_or(asked)
+}
+
+/// Records an origin that another host returned. `None` if it is uncertain here.
+fn record_found(
+    gateway: &Gateway,
+    stream: StreamId,
+    record: OriginRecord,
+    from: IpAddr,
+) -> Option<KnownOrigin> {
+    let now = Instant::now();
+    let mut replicas = gateway.origins.replicas();
+    let holder = replicas.status(from).map(|(status, _)| HostStart {
+        ip: from,
+        start: status.start,
+    });
+    replicas.record(stream, record, holder, ReplicatedBy::ThisHost, now);
+    let found = replicas.find(stream, now);
+    drop(replicas);
+    gateway.origins.changed.notify_one();
+    match found {
+        Lookup::Known(record) => Some(KnownOrigin::new(&record, Source::Peer(from))),
+        Lookup::Uncertain | Lookup::Unknown => None,
+    }
+}
+
+/// Logs that a stream is rejected because its origin isn't known.
+pub fn log_unknown(request: &str, asked: &[AskedHost]) {
+    let asked = asked.iter().map(|host| StreamSearchAnswer {
+        host: host.ip.to_string(),
+        has_answered: host.has_answered,
+        running_ms: host.running_for.map(|d| d.as_millis() as u64),
+    });
+    emit(&Event::StreamUnknown {
+        request,
+        asked: asked.collect(),
+    });
 }
 
 /// Reads the registry; `None` if that takes too long.
--- a/crates/gateway/src/origins/exchange.rs
+++ b/crates/gateway/src/origins/exchange.rs
@@ -1,19 +1,26 @@
 //! Copies the origins of streams to other hosts, and asks these for them, in datagrams.
 
-use super::message::{Message, RawRecord};
-use super::{Replies, Reply};
+use super::message::{Message, RawRecord, RawStatus, RawStream};
+use super::{AskedHost, Replies, Reply};
 use crate::StartError;
 use crate::state::Gateway;
-use origins::{HostLocation, Lookup, OriginRecord, Replication, Search, StreamId, host_order};
+use origins::{
+    CONFIRM_TIMEOUT, DueSends, HostLocation, HostStart, HostStatus, Lookup, OriginRecord,
+    ReplicatedBy, Search, SearchState, StreamId,
+};
 use std::net::{IpAddr, SocketAddr};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 use tokio::net::UdpSocket;
 
 /// Maximum size of a datagram.
-const MAX_DATAGRAM_BYTES: usize = 512;
-/// Time without a confirmation after which a copy is sent again.
-const CONFIRM_TIMEOUT: Duration = Duration::from_millis(40);
+const MAX_DATAGRAM_BYTES: usize = 1200;
+/// Maximum number of origins in a datagram; each takes up to 64 bytes.
+const MAX_ORIGINS_PER_DATAGRAM: usize = 16;
+/// Maximum interval between checks for copies and probes that are due.
+const CHECK_EVERY: Duration = Duration::from_millis(200);
+/// Hosts whose last datagram is at most this old are notified when this process stops.
+const ANNOUNCE_STOP_WITHIN: Duration = Duration::from_secs(5);
 /// Time without an answer after which hosts are asked again; a round trip between zones takes
 /// about 5 ms.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(20);
@@ -29,6 +36,8 @@
     // Set only here, so it never fails.
     let _ = gateway.origins.socket.set(socket.clone());
     tokio::spawn(receive(gateway.clone(), socket));
+    tokio::spawn(renew_copies(gateway.clone()));
+    tokio::spawn(announce_stop(gateway.clone()));
     Ok(())
 }
 
@@ -55,16 +64,18 @@
     match message {
         Message::Copy(stream, record) => {
             if let Some(record) = record.decode(now) {
-                origins.table().record(stream.into(), record, now);
+                let mut replicas = origins.replicas();
+                replicas.record(stream.into(), record, None, ReplicatedBy::ThisHost, now);
             }
             send(gateway, from, &Message::Copied(stream));
         }
-        Message::Copied(stream) => origins.reply(stream.into(), from, Reply::Confirmed),
+        // This version doesn't send `Copy`.
+        Message::Copied(_) => {}
         Message::Find(stream) => {
-            let found = origins.table().find(stream.into(), now);
+            let found = origins.replicas().find(stream.into(), now);
             let answer = match found {
                 Lookup::Known(record) => Message::Found(stream, RawRecord::encode(&record, now)),
-                Lookup::Uncertain | Lookup::Unknown => Message::NotFound(stream),
+                Lookup::Uncertain | Lookup::Unknown => unknown_answer(gateway, from, stream),
             };
             send(gateway, from, &answer);
         }
@@ -74,9 +85,79 @@
             }
         }
         Message::NotFound(stream) => origins.reply(stream.into(), from, Reply::NotFound),
+        Message::Keep(status, copies) => {
+            let streams = record_copies(gateway, from, status, &copies, now);
+            send(gateway, from, &Message::Kept(own_status(gateway), streams));
+        }
+        Message::Kept(status, streams) => {
+            let holder = host_start(from, status);
+            let mut replicas = origins.replicas();
+            replicas.record_heard(from, status.into(), now);
+            for stream in streams {
+                replicas.confirm(stream.into(), holder);
+            }
+        }
+        Message::Probe(status) => {
+            origins.replicas().record_heard(from, status.into(), now);
+            send(gateway, from, &Message::Status(own_status(gateway)));
+        }
+        Message::Status(status) => origins.replicas().record_heard(from, status.into(), now),
+        Message::Unknown(status, stream) => {
+            origins.replicas().record_heard(from, status.into(), now);
+            origins.reply(stream.into(), from, Reply::NotFound);
+        }
+    }
+}
+
+/// Records received copies and returns the streams to confirm.
+fn record_copies(
+    gateway: &Gateway,
+    from: IpAddr,
+    status: RawStatus,
+    copies: &[(RawStream, RawRecord)],
+    now: Instant,
+) -> Vec<RawStream> {
+    let holder = host_start(from, status);
+    let mut replicas = gateway.origins.replicas();
+    replicas.record_heard(from, status.into(), now);
+    for (stream, record) in copies {
+        if let Some(record) = record.decode(now) {
+            replicas.record(
+                (*stream).into(),
+                record,
+                Some(holder),
+                ReplicatedBy::ThisHost,
+                now,
+            );
+        }
+    }
+    copies.iter().map(|(stream, _)| *stream).collect()
+}
+
+fn host_start(ip: IpAddr, status: RawStatus) -> HostStart {
+    let HostStatus { start, .. } = status.into();
+    HostStart { ip, start }
+}
+
+/// Answer to `Find` for an unknown stream. Only processes that have sent a status can decode
+/// `Message::Unknown`.
+fn unknown_answer(gateway: &Gateway, to: IpAddr, stream: RawStream) -> Message {
+    match gateway.origins.replicas().status(to) {
+        Some(_) => Message::Unknown(own_status(gateway), stream),
+        None => Message::NotFound(stream),
     }
 }
 
+fn own_status(gateway: &Gateway) -> RawStatus {
+    let origins = &gateway.origins;
+    let status = HostStatus {
+        start: origins.start,
+        is_stopping: gateway.stop.is_stopped(),
+        running_for: origins.started_at.elapsed(),
+    };
+    status.into()
+}
+
 fn send(gateway: &Gateway, to: IpAddr, message: &Message) {
     if let Some(socket) = gateway.origins.socket.get() {
         let buf = wire::encode_compact(message);
@@ -85,86 +166,101 @@
     }
 }
 
-/// The other hosts in the order in which they keep the origin of a stream.
-fn other_hosts(gateway: &Gateway, stream: StreamId) -> Vec<IpAddr> {
-    let own = gateway.location();
-    let mut hosts = gateway.peers().locations();
-    hosts.push(own);
-    let hosts: Vec<HostLocation> = hosts
-        .iter()
-        .map(|host| HostLocation {
-            ip: host.ip,
-            zone: host.zone,
-        })
-        .collect();
-    let mut order = host_order(stream, &hosts);
-    order.retain(|ip| *ip != own.ip);
-    order
-}
-
-/// Sends copies of an origin to other hosts, and repeats them in the background until they are
-/// confirmed.
-pub(super) fn replicate(gateway: &Arc<Gateway>, stream: StreamId, record: OriginRecord) {
-    let mut replication = Replication::new(other_hosts(gateway, stream));
-    let first = replication.next_round();
-    if first.is_empty() {
-        return;
+/// Updates the list of other hosts that can hold copies.
+fn update_members(gateway: &Gateway) {
+    let locations = gateway.peers().locations();
+    let members = locations.iter().map(|host| HostLocation {
+        ip: host.ip,
+        zone: host.zone,
+    });
+    gateway.origins.replicas().set_members(members.collect());
+}
+
+/// Sends the first round of copies of a new origin.
+pub(super) fn send_first_copies(gateway: &Gateway, stream: StreamId, record: OriginRecord) {
+    update_members(gateway);
+    let targets = gateway
+        .origins
+        .replicas()
+        .due_copies_of(stream, Instant::now());
+    for ip in targets {
+        send_copies(gateway, ip, &[(stream, record)]);
     }
-    let mut replies = gateway.origins.expect_replies(stream);
-    send_copies(gateway, stream, &record, &first);
-    let gateway = gateway.clone();
-    tokio::spawn(async move {
-        loop {
-            let confirmed = collect_confirmations(&mut replication, &mut replies);
-            // On timeout, copies are sent again.
-            let _ = tokio::time::timeout(CONFIRM_TIMEOUT, confirmed).await;
-            let next = replication.next_round();
-            if next.is_empty() {
-                break;
+    // Wakes the task that resends unconfirmed copies.
+    gateway.origins.changed.notify_one();
+}
+
+/// Renews copies, and probes the hosts that hold them, until the process ends.
+async fn renew_copies(gateway: Arc<Gateway>) {
+    loop {
+        update_members(&gateway);
+        let DueSends { copies, probes } = gateway.origins.replicas().due(Instant::now());
+        for (ip, copies) in copies {
+            for batch in copies.chunks(MAX_ORIGINS_PER_DATAGRAM) {
+                send_copies(&gateway, ip, batch);
             }
-            send_copies(&gateway, stream, &record, &next);
         }
-        if !replication.is_complete() {
-            gateway.metrics.count_stream_origin("copy_unconfirmed");
+        for ip in probes {
+            send(&gateway, ip, &Message::Probe(own_status(&gateway)));
         }
-    });
-}
-
-async fn collect_confirmations(replication: &mut Replication, replies: &mut Replies) {
-    while !replication.is_complete() {
-        match replies.recv().await {
-            Some((from, Reply::Confirmed)) => replication.confirm(from),
-            Some((_, Reply::Found(_) | Reply::NotFound)) => {}
-            None => return,
+        let has_missing = gateway
+            .origins
+            .replicas()
+            .has_missing_copies(Instant::now());
+        match has_missing {
+            true => tokio::time::sleep(CONFIRM_TIMEOUT).await,
+            false => {
+                let changed = gateway.origins.changed.notified();
+                // On timeout, probes may be due.
+                let _ = tokio::time::timeout(CHECK_EVERY, changed).await;
+            }
         }
     }
 }
 
-fn send_copies(gateway: &Gateway, stream: StreamId, record: &OriginRecord, to: &[IpAddr]) {
-    let message = Message::Copy(stream.into(), RawRecord::encode(record, Instant::now()));
-    for ip in to {
-        send(gateway, *ip, &message);
+/// Notifies recently heard hosts that this process is stopping. Others learn it from its next
+/// datagram.
+async fn announce_stop(gateway: Arc<Gateway>) {
+    gateway.wait_for_stop().await;
+    let now = Instant::now();
+    let heard = gateway
+        .origins
+        .replicas()
+        .heard_within(ANNOUNCE_STOP_WITHIN, now);
+    for ip in heard {
+        send(&gateway, ip, &Message::Status(own_status(&gateway)));
     }
 }
 
-/// Asks other hosts for the origin of a stream. Returns it with the host that knew it.
+fn send_copies(gateway: &Gateway, to: IpAddr, copies: &[(StreamId, OriginRecord)]) {
+    let now = Instant::now();
+    let copies = copies
+        .iter()
+        .map(|(stream, record)| ((*stream).into(), RawRecord::encode(record, now)));
+    let message = Message::Keep(own_status(gateway), copies.collect());
+    send(gateway, to, &message);
+}
+
+/// Asks other hosts for the origin of a stream. Returns it with the host that knew it, or all hosts
+/// that were asked if none did.
 pub(super) async fn search(
     gateway: &Arc<Gateway>,
     stream: StreamId,
-) -> Option<(OriginRecord, IpAddr)> {
-    let mut search = Search::new(other_hosts(gateway, stream));
+) -> Result<(OriginRecord, IpAddr), Vec<AskedHost>> {
+    update_members(gateway);
+    let mut search = gateway.origins.replicas().search(stream);
     let mut replies = gateway.origins.expect_replies(stream);
     loop {
         let next = search.next_round();
         if next.is_empty() {
-            return None;
+            return Err(asked_hosts(gateway, &search));
         }
         for ip in next {
             send(gateway, ip, &Message::Find(stream.into()));
         }
         let answers = collect_answers(&mut search, &mut replies);
         if let Ok(Some(found)) = tokio::time::timeout(ANSWER_TIMEOUT, answers).await {
-            return Some(found);
+            return Ok(found);
         }
     }
 }
@@ -174,12 +270,25 @@
     search: &mut Search,
     replies: &mut Replies,
 ) -> Option<(OriginRecord, IpAddr)> {
-    while search.state() == origins::SearchState::Waiting {
+    while search.state() == SearchState::Waiting {
         match replies.recv().await? {
             (from, Reply::Found(record)) => return Some((record, from)),
             (from, Reply::NotFound) => search.record_unaware(from),
-            (_, Reply::Confirmed) => {}
         }
     }
     None
 }
+
+fn asked_hosts(gateway: &Gateway, search: &Search) -> Vec<AskedHost> {
+    let replicas = gateway.origins.replicas();
+    let now = Instant::now();
+    let asked = search.asked().iter().map(|ip| AskedHost {
+        ip: *ip,
+        has_answered: search.is_unaware(*ip),
+        running_for: replicas.status(*ip).map(|(status, at)| {
+            let age = now.saturating_duration_since(at);
+            status.running_for + age
+        }),
+    });
+    asked.collect()
+}
--- a/crates/gateway/src/origins/message.rs
+++ b/crates/gateway/src/origins/message.rs
@@ -1,13 +1,13 @@
 //! Datagrams between processes about the origins of streams.
 
-use origins::{NameHash, Origin, OriginRecord, StreamId};
+use origins::{HostStatus, NameHash, Origin, OriginRecord, StreamId};
 use serde::{Deserialize, Serialize};
 use std::time::{Duration, Instant};
 
 /// A datagram.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Message {
-    /// Sends a host a copy of an origin.
+    /// Copy of an origin from a process of an earlier version.
     Copy(RawStream, RawRecord),
     /// Answer to `Copy`.
     Copied(RawStream),
@@ -15,8 +15,29 @@
     Find(RawStream),
     /// Answer to `Find` with the origin.
     Found(RawStream, RawRecord),
-    /// Answer to `Find` of a host that doesn't know the origin, or not for certain.
+    /// Answer to `Find` of a host that doesn't know the origin, or not for certain. Sent to processes
+    /// of earlier versions, which can't decode `Unknown`.
     NotFound(RawStream),
+    /// Sends a host copies of origins.
+    Keep(RawStatus, Vec<(RawStream, RawRecord)>),
+    /// Confirms the copies in a `Keep`.
+    Kept(RawStatus, Vec<RawStream>),
+    /// Asks a host for its status.
+    Probe(RawStatus),
+    /// Answer to `Probe`. Also sent when a process begins to stop.
+    Status(RawStatus),
+    /// Answer to `Find` of a host that doesn't know the origin, or not for certain.
+    Unknown(RawStatus, RawStream),
+}
+
+/// Status of the sender of a datagram.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RawStatus {
+    /// Random number that identifies this start of the process.
+    start: u32,
+    is_stopping: bool,
+    /// Time since the start of the process, in milliseconds.
+    running_ms: u32,
 }
 
 /// Hash of the attempt that got the first event of a stream, upper half first.
@@ -37,6 +58,26 @@
     left_ms: u32,
 }
 
+impl From<HostStatus> for RawStatus {
+    fn from(status: HostStatus) -> Self {
+        Self {
+            start: status.start,
+            is_stopping: status.is_stopping,
+            running_ms: millis(status.running_for),
+        }
+    }
+}
+
+impl From<RawStatus> for HostStatus {
+    fn from(status: RawStatus) -> Self {
+        Self {
+            start: status.start,
+            is_stopping: status.is_stopping,
+            running_for: Duration::from_millis(status.running_ms.into()),
+        }
+    }
+}
+
 impl From<StreamId> for RawStream {
     fn from(StreamId(hash): StreamId) -> Self {
         Self((hash >> 64) as u64, hash as u64)
@@ -52,7 +93,6 @@
 impl RawRecord {
     /// Encodes a record as of `now`.
     pub fn encode(record: &OriginRecord, now: Instant) -> Self {
-        let millis = |d: Duration| u32::try_from(d.as_millis()).unwrap_or(u32::MAX);
         let OriginRecord {
             origin,
             began_at,
@@ -83,3 +123,7 @@
         })
     }
 }
+
+fn millis(d: Duration) -> u32 {
+    u32::try_from(d.as_millis()).unwrap_or(u32::MAX)
+}
--- a/crates/gateway/src/serve/origin.rs
+++ b/crates/gateway/src/serve/origin.rs
@@ -22,9 +22,13 @@
         let route = self.route_hash();
         let found = known_origins::find(&self.gateway, resumes, self.service, route).await;
         let metrics = &self.gateway.metrics;
-        let Some(known) = found else {
-            metrics.count_stream_origin("unknown");
-            return Err(Reason::StreamUnknown.into());
+        let known = match found {
+            Ok(known) => known,
+            Err(asked) => {
+                metrics.count_stream_origin("unknown");
+                known_origins::log_unknown(&self.parsed_headers.id, &asked);
+                return Err(Reason::StreamUnknown.into());
+            }
         };
         metrics.count_stream_origin(known.source.name());
         self.set_known_origin(account, known)
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -116,6 +116,10 @@
 impl Gateway {
     /// Creates a gateway that has no configuration yet.
     pub fn new(host: HostSettings, stop: Stop) -> Arc<Self> {
+        let location = Location {
+            ip: host.ip,
+            zone: zone_hash(&host.zone),
+        };
         Arc::new(Self {
             quotas: Quotas::new(host.ip),
             host: Mutex::new(Arc::new(host)),
@@ -143,7 +147,7 @@
             running: AtomicU64::new(0),
             crashes: SharedCrashes::default(),
             usage: Usage::default(),
-            origins: Origins::default(),
+            origins: Origins::new(location),
             catch_up: Notify::new(),
             head_limits: HeadLimits::new(INITIAL_IDLE_TIMEOUT, INITIAL_MAX_HEAD_BYTES),
             metrics: Metrics::new(MAX_TENANT_METRICS),
--- a/crates/gateway/tests/common/versions.rs
+++ b/crates/gateway/tests/common/versions.rs
@@ -1,7 +1,7 @@
 //! Runs several hosts, each in a runtime of its own so that it can be killed, and workers of
 //! several software versions.
 
-use super::{Client, address, config, exchange, host, request, routes, wait_for};
+use super::{Client, WAIT_TIMEOUT, address, config, exchange, host, request, routes, wait_for};
 use net::Stop;
 use serde_json::json;
 use standin::{Action, Store, Worker, fixture};
@@ -30,6 +30,8 @@
     settings: platform::HostSettings,
     stop: Stop,
     running: Option<JoinHandle<()>>,
+    /// Thread that shuts down the runtime of a killed host, and ends when all its tasks have ended.
+    shutdown: Option<std::thread::JoinHandle<()>>,
 }
 
 impl Host {
@@ -42,6 +44,7 @@
             settings,
             stop: Stop::default(),
             running: None,
+            shutdown: None,
         };
         host.run();
         host
@@ -60,7 +63,8 @@
     /// Ends the host without notice, with all its connections.
     pub fn kill(&mut self) {
         if let Some(runtime) = self.runtime.take() {
-            runtime.shutdown_background();
+            let shutdown = move || runtime.shutdown_timeout(WAIT_TIMEOUT);
+            self.shutdown = Some(std::thread::spawn(shutdown));
         }
     }
 
@@ -77,6 +81,11 @@
             running.await.unwrap();
         }
         self.kill();
+        if let Some(shutdown) = self.shutdown.take() {
+            // The sockets are open until the shutdown ends.
+            let shutdown = tokio::task::spawn_blocking(|| shutdown.join().unwrap());
+            shutdown.await.unwrap();
+        }
         self.settings.is_first_start = false;
         self.run();
         self.wait_ready().await;
--- a/crates/observe/src/event.rs
+++ b/crates/observe/src/event.rs
@@ -3,6 +3,17 @@
 use log::Level;
 use serde::Serialize;
 
+/// Result of asking a host for the origin of a stream.
+#[derive(Debug, Clone, Serialize)]
+pub struct StreamSearchAnswer {
+    /// Address of the host.
+    pub host: String,
+    /// Whether it answered that it doesn't know the stream; otherwise it didn't answer.
+    pub has_answered: bool,
+    /// Time since the start of its process, in milliseconds, if it is known.
+    pub running_ms: Option<u64>,
+}
+
 /// An event in the log.
 #[derive(Debug, Clone, Serialize)]
 #[serde(tag = "event", rename_all = "snake_case")]
@@ -443,6 +454,22 @@
         /// Time since a collector last polled this process, in milliseconds.
         unpolled_ms: u64,
     },
+    /// This process ends, and reports how far the origins of its streams are replicated.
+    StreamsHandedOver {
+        /// Streams whose origins this process replicates.
+        streams: usize,
+        /// Those of them whose origins too few running hosts hold.
+        under_replicated: usize,
+        /// Addresses of the running hosts that hold any of the origins.
+        receivers: Vec<String>,
+    },
+    /// A stream that its client continues is rejected because its origin isn't known.
+    StreamUnknown {
+        /// The request's id.
+        request: &'a str,
+        /// Hosts that were asked.
+        asked: Vec<StreamSearchAnswer>,
+    },
     /// This process stops, and sent the requests that others may not have.
     UsageHandedOver {
         /// Addresses of the receivers, each with the number of requests sent to it.
--- a/crates/origins/src/lib.rs
+++ b/crates/origins/src/lib.rs
@@ -2,9 +2,10 @@
 //!
 //! What upstreams of two versions write doesn't fit together, and upstreams don't check it. A client
 //! takes up a broken stream at any host, also just after the host that it began at was killed. So
-//! the origin of each stream is recorded at its host and, from its first event on, at two others
-//! ([`Replication`]), which are chosen by the identifier of the client's attempt ([`host_order`]). A
-//! host that doesn't know a stream asks those that should ([`Search`]).
+//! the origin of each stream is recorded at its host and, from its first event on, at two others,
+//! which are chosen by the identifier of the client's attempt ([`host_order`]). Each host
+//! that has it renews the copies when hosts stop, fail or start again ([`Replicas`]). A host that doesn't know a
+//! stream asks those that should ([`Search`]).
 //!
 //! Nothing depends on an origin being found: a stream whose origin is unknown isn't run, unless
 //! there has been a single version for longer than any stream lasts ([`VersionHistory`]). An origin
@@ -12,14 +13,18 @@
 //!
 //! Everything here is told the time and does no I/O.
 
+mod hosts;
 mod order;
+mod replicas;
 mod replication;
 mod search;
 mod table;
 mod versions;
 
+pub use hosts::{HostStart, HostStatus};
 pub use order::{HostLocation, host_order};
-pub use replication::{COPIES, Replication};
+pub use replicas::{DueSends, HandOver, Replicas, ReplicatedBy};
+pub use replication::{CONFIRM_TIMEOUT, COPIES};
 pub use search::{Search, SearchState};
 pub use table::{Lookup, OriginRecord, OriginTable};
 pub use versions::{MAX_LINGER, VERSION_LIFETIME, VersionHistory};
--- a/crates/origins/src/search.rs
+++ b/crates/origins/src/search.rs
@@ -42,10 +42,11 @@
         }
     }
 
-    /// Hosts to ask in the next round: those that haven't answered, and more. Empty if the search
-    /// is over.
+    /// Hosts to ask in the next round: those that haven't answered, and more, as hosts may disagree on
+    /// which hosts are running. Empty if the search is over.
     pub fn next_round(&mut self) -> Vec<IpAddr> {
-        if self.rounds >= MAX_ROUNDS || (self.rounds > 0 && self.state() == SearchState::Unknown) {
+        let were_all_asked = self.asked == self.order.len();
+        if self.rounds >= MAX_ROUNDS || (were_all_asked && self.state() == SearchState::Unknown) {
             return Vec::new();
         }
         let more = match self.rounds {
@@ -68,10 +69,19 @@
         }
     }
 
+    /// Hosts that were asked.
+    pub fn asked(&self) -> &[IpAddr] {
+        &self.order[..self.asked]
+    }
+
+    /// Whether a host answered that it doesn't know the stream.
+    pub fn is_unaware(&self, ip: IpAddr) -> bool {
+        self.unaware.contains(&ip)
+    }
+
     /// Whether answers are missing.
     pub fn state(&self) -> SearchState {
-        let asked = &self.order[..self.asked];
-        match asked.iter().all(|ip| self.unaware.contains(ip)) {
+        match self.asked().iter().all(|ip| self.unaware.contains(ip)) {
             true => SearchState::Unknown,
             false => SearchState::Waiting,
         }
--- a/crates/origins/src/table.rs
+++ b/crates/origins/src/table.rs
@@ -1,5 +1,6 @@
 //! Origins that this host knows.
 
+use crate::replication::Replication;
 use crate::{Origin, StreamId};
 use std::collections::VecDeque;
 use std::time::{Duration, Instant};
@@ -33,11 +34,14 @@
     Unknown,
 }
 
-#[derive(Debug, Clone, Copy)]
-struct Entry {
-    stream: StreamId,
-    record: OriginRecord,
+/// A stream with its origin.
+#[derive(Debug, Clone)]
+pub(crate) struct Entry {
+    pub(crate) stream: StreamId,
+    pub(crate) record: OriginRecord,
     is_uncertain: bool,
+    /// Copying to other hosts; `None` if another host replicates the origin.
+    pub(crate) replication: Option<Replication>,
 }
 
 /// Origins that this host knows.
@@ -76,6 +80,7 @@
                     stream,
                     record,
                     is_uncertain,
+                    replication: None,
                 };
                 self.entries.insert(at, entry);
                 self.evict();
@@ -112,13 +117,24 @@
 
     /// All streams with certain origins.
     pub fn all(&self, now: Instant) -> Vec<(StreamId, OriginRecord)> {
-        let valid = self
-            .entries
-            .iter()
-            .filter(|e| !e.is_uncertain && e.record.expires_at > now);
+        let valid = self.entries.iter().filter(|e| e.is_valid(now));
         valid.map(|e| (e.stream, e.record)).collect()
     }
 
+    /// Entries of streams with certain origins.
+    pub(crate) fn valid(&self, now: Instant) -> impl Iterator<Item = &Entry> {
+        self.entries.iter().filter(move |e| e.is_valid(now))
+    }
+
+    pub(crate) fn valid_mut(&mut self, now: Instant) -> impl Iterator<Item = &mut Entry> {
+        self.entries.iter_mut().filter(move |e| e.is_valid(now))
+    }
+
+    pub(crate) fn entry_mut(&mut self, stream: StreamId) -> Option<&mut Entry> {
+        let at = self.entries.binary_search_by_key(&stream, |e| e.stream);
+        at.ok().map(|at| &mut self.entries[at])
+    }
+
     /// Number of streams.
     pub fn len(&self) -> usize {
         self.entries.len()
@@ -129,7 +145,8 @@
         self.entries.is_empty()
     }
 
-    fn expire(&mut self, now: Instant) {
+    /// Removes expired origins, at most once per interval.
+    pub(crate) fn expire(&mut self, now: Instant) {
         let is_due = |at: Instant| now.saturating_duration_since(at) >= EXPIRE_EVERY;
         if self.expired_at.is_none_or(is_due) {
             self.expired_at = Some(now);
@@ -147,3 +164,9 @@
         }
     }
 }
+
+impl Entry {
+    fn is_valid(&self, now: Instant) -> bool {
+        !self.is_uncertain && self.record.expires_at > now
+    }
+}
--- a/crates/origins/tests/sim.rs
+++ b/crates/origins/tests/sim.rs
@@ -2,8 +2,9 @@
 //! and go, in virtual time: no stream holds events of two versions, and enough go on.
 
 use origins::{
-    HostLocation, Lookup, MAX_LINGER, MAX_STREAM_LIFETIME, NameHash, Origin, OriginRecord,
-    OriginTable, Replication, Search, StreamId, VERSION_LIFETIME, VersionHistory, host_order,
+    CONFIRM_TIMEOUT, HostLocation, HostStart, HostStatus, Lookup, MAX_LINGER, MAX_STREAM_LIFETIME,
+    NameHash, Origin, OriginRecord, Replicas, ReplicatedBy, StreamId, VERSION_LIFETIME,
+    VersionHistory,
 };
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngSeed, TestRunner};
@@ -17,6 +18,8 @@
 const MAX_GAP: Duration = Duration::from_secs(3);
 /// Interval between a host's reads of the registry.
 const READ_EVERY: Duration = Duration::from_millis(2500);
+/// Hosts renew copies only in the last part of a wait, of this length.
+const RENEW_AT_END: Duration = Duration::from_secs(10);
 /// Shortest time for which an upstream is in the registry.
 const MIN_PRESENCE: Duration = Duration::from_secs(4);
 
@@ -67,11 +70,12 @@
     ]
 }
 
-#[derive(Default)]
 struct Host {
     is_up: bool,
     is_cut: bool,
-    table: OriginTable,
+    /// Number that identifies the start of its process.
+    start: u32,
+    replicas: Replicas,
     history: VersionHistory,
     view: Vec<NameHash>,
     read_at: Option<Instant>,
@@ -79,6 +83,35 @@
 }
 
 impl Host {
+    /// Creates a host whose process isn't running.
+    fn new(n: usize, start: u32) -> Self {
+        let mut replicas = Replicas::new(location(n));
+        replicas.set_members((0..HOSTS).map(location).collect());
+        Self {
+            is_up: false,
+            is_cut: false,
+            start,
+            replicas,
+            history: VersionHistory::default(),
+            view: Vec::new(),
+            read_at: None,
+            known_since: None,
+        }
+    }
+
+    /// Ends its process.
+    fn kill(&mut self, n: usize) {
+        *self = Self::new(n, self.start + 1);
+    }
+
+    fn status(&self) -> HostStatus {
+        HostStatus {
+            start: self.start,
+            is_stopping: false,
+            running_for: Duration::ZERO,
+        }
+    }
+
     fn is_in_touch(&self) -> bool {
         self.is_up && !self.is_cut
     }
@@ -141,7 +174,7 @@
         let now = Instant::now();
         let mut sim = Self {
             now,
-            hosts: (0..HOSTS).map(|_| Host::default()).collect(),
+            hosts: (0..HOSTS).map(|n| Host::new(n, 0)).collect(),
             present: vec![(version(0), now); 2],
             former: Vec::new(),
             streams: Vec::new(),
@@ -161,13 +194,6 @@
         self.present.iter().map(|(version, _)| *version).collect()
     }
 
-    fn order(&self, stream: StreamId, own: usize) -> Vec<IpAddr> {
-        let all: Vec<HostLocation> = (0..HOSTS).map(location).collect();
-        let mut order = host_order(stream, &all);
-        order.retain(|ip| *ip != location(own).ip);
-        order
-    }
-
     fn is_delivered(&mut self, from: usize, to: usize) -> bool {
         let is_lost = self.loss_one_in > 0 && self.rng.u32(..self.loss_one_in) == 0;
         !is_lost && self.hosts[from].is_in_touch() && self.hosts[to].is_in_touch()
@@ -199,37 +225,73 @@
             version: began,
             began_at: self.now,
         });
-        self.hosts[n].table.record(id, record, self.now);
-        let mut replication = Replication::new(self.order(id, n));
+        let replicas = &mut self.hosts[n].replicas;
+        replicas.record(id, record, None, ReplicatedBy::ThisHost, self.now);
         for round in 0.. {
             if dies_after == Some(round) {
-                self.hosts[n] = Host::default();
+                self.hosts[n].kill(n);
                 return;
             }
-            let next = replication.next_round();
+            let at = self.now + CONFIRM_TIMEOUT * round as u32;
+            let next = self.hosts[n].replicas.due_copies_of(id, at);
             if next.is_empty() {
                 return;
             }
             for ip in next {
-                let to = number(ip);
-                if self.is_delivered(n, to) {
-                    self.hosts[to].table.record(id, record, self.now);
-                    if self.is_delivered(to, n) {
-                        replication.confirm(ip);
-                    }
-                }
+                self.send_copies(n, number(ip), &[(id, record)]);
+            }
+        }
+    }
+
+    /// Sends copies, which the receiver confirms.
+    fn send_copies(&mut self, from: usize, to: usize, copies: &[(StreamId, OriginRecord)]) {
+        let now = self.now;
+        if !self.is_delivered(from, to) {
+            return;
+        }
+        let start = |sim: &Self, n: usize| HostStart {
+            ip: location(n).ip,
+            start: sim.hosts[n].start,
+        };
+        let (sender, receiver) = (start(self, from), start(self, to));
+        let status = self.hosts[from].status();
+        let replicas = &mut self.hosts[to].replicas;
+        replicas.record_heard(sender.ip, status, now);
+        for (id, record) in copies {
+            replicas.record(*id, *record, Some(sender), ReplicatedBy::ThisHost, now);
+        }
+        if self.is_delivered(to, from) {
+            let status = self.hosts[to].status();
+            let replicas = &mut self.hosts[from].replicas;
+            replicas.record_heard(receiver.ip, status, now);
+            for (id, _) in copies {
+                replicas.confirm(*id, receiver);
+            }
+        }
+    }
+
+    /// Sends the copies and probes that are due.
+    fn renew_copies(&mut self) {
+        for n in 0..HOSTS {
+            if !self.hosts[n].is_up {
+                continue;
+            }
+            let due = self.hosts[n].replicas.due(self.now);
+            let probes = due.probes.into_iter().map(|ip| (ip, Vec::new()));
+            for (ip, copies) in due.copies.into_iter().chain(probes) {
+                self.send_copies(n, number(ip), &copies);
             }
         }
     }
 
     /// Version at which a host lets a stream go on.
     fn find(&mut self, n: usize, id: StreamId) -> Option<NameHash> {
-        match self.hosts[n].table.find(id, self.now) {
+        match self.hosts[n].replicas.find(id, self.now) {
             Lookup::Known(record) => return Some(record.origin.version),
             Lookup::Uncertain => return None,
             Lookup::Unknown => {}
         }
-        let mut search = Search::new(self.order(id, n));
+        let mut search = self.hosts[n].replicas.search(id);
         loop {
             let next = search.next_round();
             if next.is_empty() {
@@ -240,9 +302,10 @@
                 if !self.is_delivered(n, to) || !self.is_delivered(to, n) {
                     continue;
                 }
-                match self.hosts[to].table.find(id, self.now) {
+                match self.hosts[to].replicas.find(id, self.now) {
                     Lookup::Known(record) => {
-                        self.hosts[n].table.record(id, record, self.now);
+                        let replicas = &mut self.hosts[n].replicas;
+                        replicas.record(id, record, None, ReplicatedBy::ThisHost, self.now);
                         return Some(record.origin.version);
                     }
                     Lookup::Uncertain | Lookup::Unknown => search.record_unaware(ip),
@@ -293,7 +356,7 @@
         match step {
             Step::Begin { host, dies_after } => self.begin(host, dies_after),
             Step::TakeUp { host, stream } => self.take_up(host, stream)?,
-            Step::Kill(n) => self.hosts[n] = Host::default(),
+            Step::Kill(n) => self.hosts[n].kill(n),
             Step::Start(n) if !self.hosts[n].is_up => {
                 self.hosts[n].is_up = true;
                 let present = self.versions();
@@ -327,6 +390,10 @@
             for host in self.hosts.iter_mut().filter(|host| host.is_in_touch()) {
                 host.read_registry(&present, self.now);
             }
+            // Renewing copies earlier in a long wait wouldn't change the result.
+            if self.now + RENEW_AT_END >= until {
+                self.renew_copies();
+            }
         }
     }
 }
@@ -370,7 +437,7 @@
         for _ in 0..20 {
             sim.begin(0, None);
         }
-        sim.hosts[0] = Host::default();
+        sim.hosts[0].kill(0);
         for n in 0..20 {
             sim.take_up(1 + n % (HOSTS - 1), n).unwrap();
         }
