Keep origins of streams in the store across restarts of all hosts

What callers saw: streams that they continued were rejected as unknown after all hosts had been told to stop at once, and at a site with a single host after its restart. Cause: origins were replicated to other hosts only, so they were lost when no host kept running. Change: a host that stops writes to its row the origins that too few running hosts hold, once its listener is closed and again before it exits if there are more. If two other hosts hold the streams of a stopping host, it writes nothing. Hosts that start read all rows once, and again for lookups of streams that no host knows: one read at a time, and none within 1 s plus 5 ms per host of the last one. A host replicates the origins that it read from its own row. Each host removes its row once it has expired; the host of rank 0 removes those of hosts that didn't restart. Why it holds: each write is conditional on the row version that its process knows, so a delayed write replaces nothing. A row also records until when its writer knew the starts of upstreams; a later stream is used only if its upstream's start is still current. In normal operation a host that isn't started for the first time calls the store for streams once, at its start.

--- a/crates/gateway/src/crashes.rs
+++ b/crates/gateway/src/crashes.rs
@@ -20,6 +20,7 @@
 use crate::peers::{CrashReport, PeerStatus, Scope};
 use crate::serve::Call;
 use crate::state::Gateway;
+use crate::store_clock::StoreClock;
 use observe::{Event, emit};
 use resilience::crashes::{Change, Observation, PartChange, Run, Source};
 use resilience::{CrashTracker, Fingerprint};
@@ -40,28 +41,6 @@
     watch_permits: unanswered::WatchPermits,
 }
 
-/// Reading of the store's monotonic clock.
-#[derive(Debug, Clone, Copy)]
-struct StoreClock {
-    now_ms: u64,
-    read_at: Instant,
-}
-
-impl StoreClock {
-    /// Converts a time of this host to the store's clock.
-    fn to_store_ms(self, at: Instant) -> u64 {
-        let after = at.saturating_duration_since(self.read_at).as_millis() as u64;
-        let before = self.read_at.saturating_duration_since(at).as_millis() as u64;
-        self.now_ms.saturating_add(after).saturating_sub(before)
-    }
-
-    /// Converts a time of the store's clock; `None` if it is before the start of this host's clock.
-    fn to_instant(self, at_ms: u64) -> Option<Instant> {
-        let ago = Duration::from_millis(self.now_ms.saturating_sub(at_ms));
-        self.read_at.checked_sub(ago)
-    }
-}
-
 impl SharedCrashes {
     /// Locks the known crashes. Must not be held across an await.
     pub fn lock(&self) -> MutexGuard<'_, CrashTracker> {
@@ -74,8 +53,7 @@
 
     /// Sets the current time of the store's clock.
     pub fn set_clock(&self, now_ms: u64) {
-        let read_at = Instant::now();
-        *self.clock.lock().expect("no panic while locked") = Some(StoreClock { now_ms, read_at });
+        *self.clock.lock().expect("no panic while locked") = Some(StoreClock::new(now_ms));
     }
 }
 
--- a/crates/gateway/src/crashes/rows.rs
+++ b/crates/gateway/src/crashes/rows.rs
@@ -5,10 +5,11 @@
 //! processes. Each has one row, which names the parts that may have caused it. Rows of requests and
 //! parts that were answered later, and old rows, are removed.
 
-use super::{SharedCrashes, StoreClock, apply, log_change, update_parts};
+use super::{SharedCrashes, apply, log_change, update_parts};
 use crate::follow::cursor::{RESTORE_READ_SPREAD, TableCursor};
 use crate::follow::{Dependency, StoreClient, hold_time, wait_until_feed_reader};
 use crate::state::Gateway;
+use crate::store_clock::StoreClock;
 use observe::{Event, emit};
 use platform::store::MAX_ENTRIES;
 use platform::{
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -278,6 +278,11 @@
         self.get_mut(self.key_of_tag(tag)?)
     }
 
+    /// Whether the upstream start with this tag is current.
+    pub fn has_start(&self, tag: u32) -> bool {
+        self.key_of_tag(tag).is_some()
+    }
+
     fn key_of_tag(&self, tag: u32) -> Option<UpstreamKey> {
         let at = self.by_tag.binary_search_by_key(&tag, |(t, _)| *t);
         at.ok().map(|at| self.by_tag[at].1)
--- a/crates/gateway/src/follow/registry.rs
+++ b/crates/gateway/src/follow/registry.rs
@@ -438,9 +438,13 @@
 /// Makes the origins of streams uncertain that began at a replaced start after it was last known to
 /// run, as the new start may have begun them.
 fn distrust_origins(gateway: &Gateway, tag: u32) {
+    gateway.origins.distrust(tag, last_known_running(gateway));
+}
+
+/// Time at which the upstream starts in the registry were last known to run.
+pub(crate) fn last_known_running(gateway: &Gateway) -> Instant {
     let read_at = gateway.registry().read_at;
-    let known_running = read_at.checked_sub(MAX_HEARTBEAT_AGE).unwrap_or(read_at);
-    gateway.origins.distrust(tag, known_running);
+    read_at.checked_sub(MAX_HEARTBEAT_AGE).unwrap_or(read_at)
 }
 
 fn log_added(fleet: &Fleet, key: UpstreamKey, registry: Position) {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -29,6 +29,7 @@
 pub mod state;
 pub mod statements;
 pub mod stop;
+mod store_clock;
 pub mod tenants;
 
 use net::server::bind;
@@ -43,6 +44,8 @@
 
 /// Interval between checks whether requests are still running.
 const IDLE_CHECK_EVERY: Duration = Duration::from_millis(50);
+/// Maximum time for which the first save of stream origins delays the shutdown.
+const FIRST_SAVE_TIMEOUT: Duration = Duration::from_millis(500);
 
 quick_error! {
     /// Errors that prevent a gateway from starting.
@@ -82,6 +85,7 @@
     duty::usage::exchange::start(&gateway)?;
     quota::start(&gateway)?;
     origins::start(&gateway)?;
+    tokio::spawn(origins::rows::follow(gateway.clone()));
     tokio::spawn(duty::usage::run(gateway.clone()));
     tokio::spawn(duty::scaling::run(gateway.clone()));
     tokio::spawn(reload::follow_settings(gateway.clone(), path));
@@ -101,9 +105,11 @@
     drain.stop();
     wait_until_idle(&gateway, schedule.close_at).await;
     serving.stop();
+    let save_until = schedule.exit_at.min(Instant::now() + FIRST_SAVE_TIMEOUT);
     let handed_over = duty::usage::hand_over_first(&gateway);
-    // It is done again at the end.
-    let _ = tokio::time::timeout_at(schedule.exit_at.into(), handed_over).await;
+    let handed_over = tokio::time::timeout_at(schedule.exit_at.into(), handed_over);
+    // Both are repeated before the process exits.
+    let _ = tokio::join!(handed_over, origins::save(&gateway, save_until));
     let leave = peers::membership::leave(&gateway);
     if tokio::time::timeout_at(schedule.exit_at.into(), leave)
         .await
@@ -117,10 +123,10 @@
     // On timeout, the number of unfinished requests is logged below.
     let _ = tokio::time::timeout_at(schedule.hand_over_at.into(), server).await;
     let handed_over = duty::usage::hand_over_last(&gateway);
-    if tokio::time::timeout_at(schedule.exit_at.into(), handed_over)
-        .await
-        .is_err()
-    {
+    let handed_over = tokio::time::timeout_at(schedule.exit_at.into(), handed_over);
+    let save = origins::save(&gateway, schedule.exit_at);
+    let (handed_over, ()) = tokio::join!(handed_over, save);
+    if handed_over.is_err() {
         emit(&Event::DependencyLost {
             dependency: "usage collectors",
             why: "no answer before the process exits".into(),
--- a/crates/gateway/src/origins.rs
+++ b/crates/gateway/src/origins.rs
@@ -6,6 +6,7 @@
 
 mod exchange;
 mod message;
+pub mod rows;
 
 pub use exchange::start;
 
@@ -166,6 +167,38 @@
     });
 }
 
+/// Records origins that were read from the store. This process replicates only those from its own
+/// host's row.
+fn record_stored(gateway: &Gateway, stored: Vec<rows::StoredOrigin>) {
+    let now = Instant::now();
+    let own = gateway.host().name.clone();
+    let mut replicas = gateway.origins.replicas();
+    for origin in stored {
+        let replicated_by = match origin.host == own {
+            true => ReplicatedBy::ThisHost,
+            false => ReplicatedBy::OtherHost,
+        };
+        replicas.record(origin.stream, origin.record, None, replicated_by, now);
+    }
+    drop(replicas);
+    gateway.origins.changed.notify_one();
+}
+
+/// Writes the under-replicated origins to the store, as this process stops.
+pub async fn save(gateway: &Arc<Gateway>, until: Instant) {
+    let under_replicated = gateway.origins.replicas().under_replicated(Instant::now());
+    rows::save(gateway, &under_replicated, until).await;
+}
+
+/// Reads the store again to find the origin of a stream that no host knows.
+async fn find_stored(gateway: &Arc<Gateway>, stream: StreamId) -> Option<KnownOrigin> {
+    rows::request_read(gateway).await?;
+    match gateway.origins.replicas().find(stream, Instant::now()) {
+        Lookup::Known(record) => Some(KnownOrigin::new(&record, Source::Own)),
+        Lookup::Uncertain | Lookup::Unknown => None,
+    }
+}
+
 /// Finds the origin of the stream that an attempt began: here, at other hosts, or as the service
 /// has a single version. Returns the hosts that were asked if it isn't known for certain.
 pub async fn find(
@@ -186,6 +219,9 @@
             Ok((record, from)) => return record_found(gateway, stream, record, from).ok_or(asked),
             Err(hosts) => asked = hosts,
         }
+        if let Some(known) = find_stored(gateway, stream).await {
+            return Ok(known);
+        }
     }
     // An upstream that began the stream was registered before, so a read from now on shows it.
     if only_version(gateway, service, route).is_none()
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -14,6 +14,7 @@
 use crate::history::ChangeHistory;
 use crate::missing::MissingUpstreams;
 use crate::origins::Origins;
+use crate::origins::rows::StreamRows;
 use crate::peers::catch_up::RegistryChanges;
 use crate::peers::startup_load::StartupLoad;
 use crate::peers::{Location, Peers, zone_hash};
@@ -77,6 +78,8 @@
     pub quotas: Quotas,
     /// Where streams began.
     pub origins: Origins,
+    /// Rows in the store with the origins of streams.
+    pub stream_rows: StreamRows,
     /// Notified when a peer has newer state than this process.
     pub catch_up: Notify,
     /// Limits on request heads, set by the current configuration.
@@ -148,6 +151,7 @@
             crashes: SharedCrashes::default(),
             usage: Usage::default(),
             origins: Origins::new(location),
+            stream_rows: StreamRows::default(),
             catch_up: Notify::new(),
             head_limits: HeadLimits::new(INITIAL_IDLE_TIMEOUT, INITIAL_MAX_HEAD_BYTES),
             metrics: Metrics::new(MAX_TENANT_METRICS),
--- a/crates/observe/src/event.rs
+++ b/crates/observe/src/event.rs
@@ -692,6 +692,44 @@
         /// The error.
         why: String,
     },
+    /// This process wrote the origins of streams to the store as it stopped, or failed to.
+    StreamsSaved {
+        /// Number of streams that were written.
+        streams: usize,
+        /// Number of streams that were to be written.
+        total: usize,
+        /// Duration of the write, in milliseconds.
+        took_ms: u64,
+        /// The error, if nothing was written.
+        #[serde(skip_serializing_if = "Option::is_none")]
+        why: Option<String>,
+    },
+    /// The rows with the origins of streams were read.
+    StreamRowsRead {
+        /// Number of rows.
+        rows: usize,
+        /// Number of streams in them that can be continued.
+        streams: usize,
+        /// Number of unexpired streams that are ignored, as their upstreams may have restarted
+        /// before they began.
+        unverified: usize,
+        /// Age of the oldest unexpired row, in milliseconds.
+        #[serde(skip_serializing_if = "Option::is_none")]
+        age_ms: Option<u64>,
+    },
+    /// The rows with the origins of streams couldn't be read.
+    StreamRowsNotRead {
+        /// The error.
+        why: String,
+    },
+    /// Expired rows with the origins of streams were removed, or their removal failed.
+    StreamRowsRemoved {
+        /// Number of rows.
+        rows: usize,
+        /// The reason, if they weren't removed.
+        #[serde(skip_serializing_if = "Option::is_none")]
+        why: Option<String>,
+    },
     /// A request was sent to an upstream but not answered there.
     AttemptFailed {
         /// The request's id.
@@ -876,7 +914,10 @@
             | Self::UsageLost { .. }
             | Self::UsageOvercounted { .. }
             | Self::UsageNotSent { .. }
-            | Self::CrashRowsNotWritten { .. } => Level::Warn,
+            | Self::CrashRowsNotWritten { .. }
+            | Self::StreamsSaved { why: Some(_), .. }
+            | Self::StreamRowsNotRead { .. }
+            | Self::StreamRowsRemoved { why: Some(_), .. } => Level::Warn,
             Self::RecordsDropped { .. } | Self::LinesDropped { .. } => Level::Error,
             _ => Level::Info,
         }
