Retry failed writes of stream origins while a host stops

If many hosts stop at once, streams can be unknown after all of them have stopped. The store refuses transactions of a part that would wait for more than a second; by calculation, that is a third of the transactions of 629 hosts. A failed first save was not retried, and at a host without requests the second save follows at once.

Retry a failed save at most three times while there is time left. The pause before each retry is 50 ms plus a random part of up to 5 ms per host.

The new test was not run against the previous code. No run with hundreds of hosts was made.

--- a/crates/gateway/src/origins/rows.rs
+++ b/crates/gateway/src/origins/rows.rs
@@ -44,6 +44,11 @@
 const REGISTRY_CHECK_EVERY: Duration = Duration::from_millis(20);
 /// Maximum number of attempts to write a row that is changed concurrently.
 const MAX_WRITE_ATTEMPTS: u32 = 3;
+/// Maximum number of attempts to save, as the store may refuse writes when many hosts stop at once.
+const MAX_SAVE_ATTEMPTS: u32 = 4;
+/// Pause before another attempt to save: a fixed part, and the maximum of a random part, per host.
+const SAVE_RETRY_PAUSE: Duration = Duration::from_millis(50);
+const SAVE_RETRY_SPREAD: Duration = Duration::from_millis(5);
 /// Maximum number of other hosts' rows that are removed after a read.
 const MAX_REMOVED_ROWS: usize = 32;
 /// Pause after a failed removal of this host's row.
@@ -427,7 +432,18 @@
     }
     let began_at = Instant::now();
     let timeout = until.saturating_duration_since(began_at);
-    let written = write(gateway, records, timeout).await;
+    let mut written = write(gateway, records, timeout).await;
+    for _ in 1..MAX_SAVE_ATTEMPTS {
+        let pause =
+            SAVE_RETRY_PAUSE + (SAVE_RETRY_SPREAD * host_count(gateway)).mul_f64(fastrand::f64());
+        let retry_at = Instant::now() + pause;
+        if written.is_ok() || retry_at >= until {
+            break;
+        }
+        tokio::time::sleep_until(retry_at.into()).await;
+        let timeout = until.saturating_duration_since(Instant::now());
+        written = write(gateway, records, timeout).await;
+    }
     emit(&Event::StreamsSaved {
         streams: *written.as_ref().unwrap_or(&0),
         total: records.len(),
--- a/crates/gateway/tests/stream_rows.rs
+++ b/crates/gateway/tests/stream_rows.rs
@@ -256,6 +256,27 @@
     assert_eq!(numbers(&rows::read(&process).await.unwrap()), [0, 1, 2, 3]);
 }
 
+/// Guards against losing streams when the store refuses writes of hosts that stop at once, and
+/// against unbounded retries.
+#[tokio::test]
+async fn a_refused_save_is_retried() {
+    let store = store();
+    let process = process(&store, "a");
+    let all = streams(0..3, REMAINING);
+    store.set_mode(StoreMode::RefuseWritesTo(TABLE));
+    let since = Instant::now();
+    rows::save(&process, &all, since + Duration::from_secs(3)).await;
+    assert!(since.elapsed() < Duration::from_secs(1));
+    assert!(store.calls() <= 5, "{} calls", store.calls());
+    let save = rows::save(&process, &all, Instant::now() + Duration::from_secs(3));
+    let recover = async {
+        tokio::time::sleep(Duration::from_millis(30)).await;
+        store.set_mode(StoreMode::Serve);
+    };
+    tokio::join!(save, recover);
+    assert_eq!(numbers(&rows::read(&process).await.unwrap()), [0, 1, 2]);
+}
+
 /// Guards against a host that can no longer write after the store was restored from a copy in which
 /// its row is absent or older.
 #[tokio::test]
