Check the upstream's start of copied stream origins

An upstream may restart under the same id with another version and begin a stream before hosts learn of the restart from the registry. Hosts that knew the former start make the origins of such streams uncertain. A host that started later and was sent a copy, or found the stream at another host, can't, so a client could get events of two versions in one stream. This was found by reading the code and has not been observed.

Copies and answers now tell whether their sender knows that the upstream's start was still running after the stream began. A host accepts an origin only if that is so, if the start is still registered, or if the host has known all upstreams since the stream began. A copy that is not accepted is not confirmed, so it is sent again, some seconds later as a verified one.

a_copy_whose_upstream_may_have_restarted_is_not_recorded passes, and fails when the check is temporarily removed (a trial).

--- a/crates/gateway/src/origins.rs
+++ b/crates/gateway/src/origins.rs
@@ -48,7 +48,8 @@
 /// A host's reply about a stream.
 #[derive(Debug, Clone, Copy)]
 enum Reply {
-    Found(OriginRecord),
+    /// Origin of the stream, and whether the host has verified the upstream's start.
+    Found(OriginRecord, bool),
     NotFound,
 }
 
@@ -79,6 +80,15 @@
     pub began_at: Option<Instant>,
 }
 
+/// Origin of a stream that another host returned.
+#[derive(Debug, Clone, Copy)]
+struct FoundOrigin {
+    record: OriginRecord,
+    from: IpAddr,
+    /// Whether the host knows that the upstream's start was still running after the stream began.
+    is_verified: bool,
+}
+
 /// A host that was asked for the origin of a stream and didn't return it.
 #[derive(Debug, Clone, Copy)]
 pub struct AskedHost {
@@ -216,7 +226,7 @@
             Lookup::Unknown => {}
         }
         match exchange::search(gateway, stream).await {
-            Ok((record, from)) => return record_found(gateway, stream, record, from).ok_or(asked),
+            Ok(found) => return record_found(gateway, stream, &found).ok_or(asked),
             Err(hosts) => asked = hosts,
         }
         if let Some(known) = find_stored(gateway, stream).await {
@@ -233,12 +243,15 @@
 }
 
 /// Records an origin that another host returned. `None` if it is uncertain here.
-fn record_found(
-    gateway: &Gateway,
-    stream: StreamId,
-    record: OriginRecord,
-    from: IpAddr,
-) -> Option<KnownOrigin> {
+fn record_found(gateway: &Gateway, stream: StreamId, found: &FoundOrigin) -> Option<KnownOrigin> {
+    let FoundOrigin {
+        record,
+        from,
+        is_verified,
+    } = *found;
+    if !exchange::can_accept_record(gateway, &record, is_verified) {
+        return None;
+    }
     let now = Instant::now();
     let mut replicas = gateway.origins.replicas();
     let holder = replicas.status(from).map(|(status, _)| HostStart {
--- a/crates/gateway/src/origins/exchange.rs
+++ b/crates/gateway/src/origins/exchange.rs
@@ -1,8 +1,9 @@
 //! Copies the origins of streams to other hosts, and asks these for them, in datagrams.
 
-use super::message::{Message, RawRecord, RawStatus, RawStream};
-use super::{AskedHost, Replies, Reply};
+use super::message::{Message, RawCopy, RawRecord, RawStatus, RawStream};
+use super::{AskedHost, FoundOrigin, Replies, Reply};
 use crate::StartError;
+use crate::follow::registry::last_known_running;
 use crate::state::Gateway;
 use origins::{
     CONFIRM_TIMEOUT, DueSends, HostLocation, HostStart, HostStatus, Lookup, OriginRecord,
@@ -74,14 +75,22 @@
         Message::Find(stream) => {
             let found = origins.replicas().find(stream.into(), now);
             let answer = match found {
-                Lookup::Known(record) => Message::Found(stream, RawRecord::encode(&record, now)),
+                Lookup::Known(record) => known_answer(gateway, from, stream, &record),
                 Lookup::Uncertain | Lookup::Unknown => unknown_answer(gateway, from, stream),
             };
             send(gateway, from, &answer);
         }
         Message::Found(stream, record) => {
             if let Some(record) = record.decode(now) {
-                origins.reply(stream.into(), from, Reply::Found(record));
+                let is_verified = false;
+                origins.reply(stream.into(), from, Reply::Found(record, is_verified));
+            }
+        }
+        Message::Known(status, copy) => {
+            origins.replicas().record_heard(from, status.into(), now);
+            if let Some(record) = copy.record.decode(now) {
+                let reply = Reply::Found(record, copy.is_verified);
+                origins.reply(copy.stream.into(), from, reply);
             }
         }
         Message::NotFound(stream) => origins.reply(stream.into(), from, Reply::NotFound),
@@ -109,29 +118,34 @@
     }
 }
 
-/// Records received copies and returns the streams to confirm.
+/// Records received copies and returns the streams to confirm. A copy whose upstream may have
+/// restarted before the stream began is neither recorded nor confirmed, so the sender resends it.
 fn record_copies(
     gateway: &Gateway,
     from: IpAddr,
     status: RawStatus,
-    copies: &[(RawStream, RawRecord)],
+    copies: &[RawCopy],
     now: Instant,
 ) -> Vec<RawStream> {
     let holder = host_start(from, status);
-    let mut replicas = gateway.origins.replicas();
-    replicas.record_heard(from, status.into(), now);
-    for (stream, record) in copies {
-        if let Some(record) = record.decode(now) {
-            replicas.record(
-                (*stream).into(),
-                record,
-                Some(holder),
-                ReplicatedBy::ThisHost,
-                now,
-            );
+    gateway
+        .origins
+        .replicas()
+        .record_heard(from, status.into(), now);
+    let mut recorded = Vec::with_capacity(copies.len());
+    for copy in copies {
+        let Some(record) = copy.record.decode(now) else {
+            continue;
+        };
+        if !can_accept_record(gateway, &record, copy.is_verified) {
+            continue;
         }
+        let (holder, replicated_by) = (Some(holder), ReplicatedBy::ThisHost);
+        let mut replicas = gateway.origins.replicas();
+        replicas.record(copy.stream.into(), record, holder, replicated_by, now);
+        recorded.push(copy.stream);
     }
-    copies.iter().map(|(stream, _)| *stream).collect()
+    recorded
 }
 
 fn host_start(ip: IpAddr, status: RawStatus) -> HostStart {
@@ -139,6 +153,54 @@
     HostStart { ip, start }
 }
 
+/// Whether a record from another host can be accepted. Its upstream may have restarted at another
+/// version before the stream began. A record is safe if its sender has verified the upstream's
+/// start, if that start is still registered, or if this process has known all upstreams since the
+/// stream began, as it then makes the origin uncertain when the start is replaced.
+pub(super) fn can_accept_record(
+    gateway: &Gateway,
+    record: &OriginRecord,
+    is_verified: bool,
+) -> bool {
+    let now = Instant::now();
+    let age = now.saturating_duration_since(record.began_at);
+    is_verified
+        || gateway.registry_coverage().covers(age, now)
+        || gateway.fleet().has_start(record.origin.upstream)
+}
+
+/// Answer to `Find` for a known stream. Only processes that have sent a status can decode
+/// `Message::Known`.
+fn known_answer(
+    gateway: &Gateway,
+    to: IpAddr,
+    stream: RawStream,
+    record: &OriginRecord,
+) -> Message {
+    let now = Instant::now();
+    let has_status = gateway.origins.replicas().status(to).is_some();
+    match has_status {
+        true => Message::Known(
+            own_status(gateway),
+            encode_copy(gateway, stream, record, now),
+        ),
+        false => Message::Found(stream, RawRecord::encode(record, now)),
+    }
+}
+
+fn encode_copy(
+    gateway: &Gateway,
+    stream: RawStream,
+    record: &OriginRecord,
+    now: Instant,
+) -> RawCopy {
+    RawCopy {
+        stream,
+        record: RawRecord::encode(record, now),
+        is_verified: record.began_at < last_known_running(gateway),
+    }
+}
+
 /// Answer to `Find` for an unknown stream. Only processes that have sent a status can decode
 /// `Message::Unknown`.
 fn unknown_answer(gateway: &Gateway, to: IpAddr, stream: RawStream) -> Message {
@@ -236,7 +298,7 @@
     let now = Instant::now();
     let copies = copies
         .iter()
-        .map(|(stream, record)| ((*stream).into(), RawRecord::encode(record, now)));
+        .map(|(stream, record)| encode_copy(gateway, (*stream).into(), record, now));
     let message = Message::Keep(own_status(gateway), copies.collect());
     send(gateway, to, &message);
 }
@@ -246,7 +308,7 @@
 pub(super) async fn search(
     gateway: &Arc<Gateway>,
     stream: StreamId,
-) -> Result<(OriginRecord, IpAddr), Vec<AskedHost>> {
+) -> Result<FoundOrigin, Vec<AskedHost>> {
     update_members(gateway);
     let mut search = gateway.origins.replicas().search(stream);
     let mut replies = gateway.origins.expect_replies(stream);
@@ -256,6 +318,10 @@
             return Err(asked_hosts(gateway, &search));
         }
         for ip in next {
+            // Sends this host's status, which `Message::Known` requires.
+            if gateway.origins.replicas().status(ip).is_none() {
+                send(gateway, ip, &Message::Probe(own_status(gateway)));
+            }
             send(gateway, ip, &Message::Find(stream.into()));
         }
         let answers = collect_answers(&mut search, &mut replies);
@@ -266,13 +332,16 @@
 }
 
 /// Waits for the origin, or until all hosts that were asked have answered without it.
-async fn collect_answers(
-    search: &mut Search,
-    replies: &mut Replies,
-) -> Option<(OriginRecord, IpAddr)> {
+async fn collect_answers(search: &mut Search, replies: &mut Replies) -> Option<FoundOrigin> {
     while search.state() == SearchState::Waiting {
         match replies.recv().await? {
-            (from, Reply::Found(record)) => return Some((record, from)),
+            (from, Reply::Found(record, is_verified)) => {
+                return Some(FoundOrigin {
+                    record,
+                    from,
+                    is_verified,
+                });
+            }
             (from, Reply::NotFound) => search.record_unaware(from),
         }
     }
--- a/crates/gateway/src/origins/message.rs
+++ b/crates/gateway/src/origins/message.rs
@@ -13,13 +13,14 @@
     Copied(RawStream),
     /// Asks a host for the origin of a stream.
     Find(RawStream),
-    /// Answer to `Find` with the origin.
+    /// Answer to `Find` with the origin. Sent to processes of earlier versions, which can't decode
+    /// `Known`.
     Found(RawStream, RawRecord),
     /// Answer to `Find` of a host that doesn't know the origin, or not for certain. Sent to processes
     /// of earlier versions, which can't decode `Unknown`.
     NotFound(RawStream),
     /// Sends a host copies of origins.
-    Keep(RawStatus, Vec<(RawStream, RawRecord)>),
+    Keep(RawStatus, Vec<RawCopy>),
     /// Confirms the copies in a `Keep`.
     Kept(RawStatus, Vec<RawStream>),
     /// Asks a host for its status.
@@ -28,6 +29,8 @@
     Status(RawStatus),
     /// Answer to `Find` of a host that doesn't know the origin, or not for certain.
     Unknown(RawStatus, RawStream),
+    /// Answer to `Find` with the origin. Sent to processes that have sent their status.
+    Known(RawStatus, RawCopy),
 }
 
 /// Status of the sender of a datagram.
@@ -40,6 +43,18 @@
     running_ms: u32,
 }
 
+/// Copy of a stream's origin.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RawCopy {
+    /// The stream.
+    pub stream: RawStream,
+    /// Where and when it began.
+    pub record: RawRecord,
+    /// Whether the sender knows that the upstream's start was still running after the stream
+    /// began.
+    pub is_verified: bool,
+}
+
 /// Hash of the attempt that got the first event of a stream, upper half first.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RawStream(u64, u64);
--- a/crates/gateway/tests/common/versions.rs
+++ b/crates/gateway/tests/common/versions.rs
@@ -91,6 +91,14 @@
         self.wait_ready().await;
     }
 
+    /// Waits until the sockets of a killed process are closed.
+    pub async fn wait_for_shutdown(&mut self) {
+        if let Some(shutdown) = self.shutdown.take() {
+            let shutdown = tokio::task::spawn_blocking(|| shutdown.join().unwrap());
+            shutdown.await.unwrap();
+        }
+    }
+
     async fn wait_ready(&self) {
         let ready = self.ready;
         wait_for("readiness", || async move {
--- a/crates/gateway/tests/stream_versions.rs
+++ b/crates/gateway/tests/stream_versions.rs
@@ -4,6 +4,9 @@
 mod common;
 
 use common::versions::{Bed, EVENTS_BEFORE_BREAK, ONCE, OTHER, RESUMABLE};
+use origins::{NameHash, StreamId};
+use std::net::SocketAddr;
+use tokio::net::UdpSocket;
 
 /// Guards against a stream that is resumed inside one answer at another version. With one upstream
 /// of each version, it can't go on.
@@ -164,3 +167,53 @@
     assert_eq!(res.status, 503, "{res:?}");
     assert!(bed.versions_of(&["next"]).is_empty(), "it ran");
 }
+
+/// Datagrams that copy origins to another host and confirm the copies.
+#[derive(Debug, serde::Serialize, serde::Deserialize)]
+enum Datagram {
+    Keep((u32, bool, u32), Vec<RawCopy>),
+    Kept((u32, bool, u32), Vec<(u64, u64)>),
+}
+
+/// Stream, origin, and whether the upstream's start is verified.
+type RawCopy = ((u64, u64), (u64, u64, u64, u32, u32, u32), bool);
+
+/// Sends a copy from the address of a killed host and returns whether it was confirmed.
+async fn send_copy(bed: &Bed, from: usize, to: usize, attempt: &str, is_verified: bool) -> bool {
+    let origin_port = 7006;
+    let [from, to] = [from, to].map(|n| SocketAddr::new(bed.hosts[n].callers.ip(), origin_port));
+    let socket = UdpSocket::bind(from).await.unwrap();
+    let StreamId(stream) = StreamId::of(attempt);
+    let [route, service, version] = ["once", "plain", "v1"].map(|name| NameHash::of(name).0);
+    let unknown_start = 77;
+    let stream = ((stream >> 64) as u64, stream as u64);
+    let record = (route, service, version, unknown_start, 1000, 60_000);
+    let copy = (stream, record, is_verified);
+    let buf = wire::encode_compact(&Datagram::Keep((1, false, 5000), vec![copy]));
+    socket.send_to(&buf, to).await.unwrap();
+    let mut buf = vec![0; 1200];
+    loop {
+        let len = socket.recv(&mut buf).await.unwrap();
+        if let Some(Datagram::Kept(_, streams)) = wire::decode(&buf[..len]) {
+            return streams == [stream];
+        }
+    }
+}
+
+/// Guards against continuing a stream at another version after its upstream restarted under the
+/// same id: a host that started later can't have seen the restart, and the sender of the copy may
+/// not know of it yet.
+#[tokio::test]
+async fn a_copy_whose_upstream_may_have_restarted_is_not_recorded() {
+    let mut bed = Bed::start(2, &["v1", "v1", "v1.1", "v1.1"]).await;
+    bed.hosts[0].kill();
+    bed.hosts[0].wait_for_shutdown().await;
+    assert!(!send_copy(&bed, 0, 1, "begun-0", false).await);
+    let res = bed.resume(1, "next-0", "begun-0").await;
+    assert_eq!(res.status, 503, "{res:?}");
+    assert!(bed.versions_of(&["next-0"]).is_empty(), "it ran");
+    assert!(send_copy(&bed, 0, 1, "begun-1", true).await);
+    let res = bed.resume(1, "next-1", "begun-1").await;
+    assert!(res.is_whole(), "{res:?}");
+    assert_eq!(bed.versions_of(&["next-1"]), ["v1"]);
+}
