Decide when a stored version record can be continued

From its own reads of the registry, a host knows only that a service has had a single version since the host started. Hosts that start later can continue the record of an earlier host with the changes of the registry since. A record describes the state at a position of the store, so it stays valid within its era, however late it is written. It isn't continued if an upstream may have been added and removed without being seen (an unknown entry was removed, an upstream that states its start is new, has restarted or left, or an entry can't be decoded), if the store was restored, or if changes were discarded.

--- a/crates/origins/src/lib.rs
+++ b/crates/origins/src/lib.rs
@@ -9,10 +9,12 @@
 //!
 //! Nothing depends on an origin being found: a stream whose origin is unknown isn't run, unless
 //! there has been a single version for longer than any stream lasts ([`VersionHistory`]). An origin
-//! never changes, so a copy can be missing but not outdated.
+//! never changes, so a copy can be missing but not outdated. Hosts that
+//! start later read from the store whether there was a single version ([`VersionRecord`]).
 //!
 //! Everything here is told the time and does no I/O.
 
+mod history;
 mod hosts;
 mod order;
 mod replicas;
@@ -21,6 +23,10 @@
 mod table;
 mod versions;
 
+pub use history::{
+    Continuation, Continued, FormerVersion, KnownSince, MAX_RECORD_AGE, NotContinued,
+    ServiceVersion, StorePosition, UpstreamChange, UpstreamHash, VersionRecord,
+};
 pub use hosts::{HostStart, HostStatus};
 pub use order::{HostLocation, host_order};
 pub use replicas::{DueSends, HandOver, Replicas, ReplicatedBy};
