Keep the version history across restarts of all hosts

Streams were rejected as stream_unknown when callers continued them after all hosts were killed, or without naming an attempt after hosts had restarted one after the other, although their service had had a single version throughout.

Cause: only hosts that had read the registry for 660 s, or since the first start of the system, knew that there was a single version. This knowledge was lost when their processes ended.

The host of rank 0 now writes a record of the versions to the store every 10 s and when it stops. A host that starts continues the record with the changes of the registry since. The rule for a single version is unchanged. This is safe because the record and the changes cover the time up to the host's own first read without a gap; otherwise the record isn't used (docs/design/streams.md).

expired_rows_are_removed failed once beside builds: the row of the second host expired some milliseconds after that of the first, whose removal the test waits for. The rows are written in the other order now.

--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -22,7 +22,7 @@
 use durations::{DurationSnapshot, Durations};
 use latency::{Backlog, LatencyModel, Task};
 
-use origins::{NameHash, VersionHistory};
+use origins::{NameHash, ServiceVersion, VERSION_LIFETIME, VersionHistory};
 use platform::{Engine, Instance, Scaling, Service, Start};
 use starts::StartHistory;
 use stated::Statements;
@@ -95,6 +95,9 @@
     former: VecDeque<(u32, Statements)>,
     /// Tags of the starts of removed upstreams, oldest first.
     removed: VecDeque<u32>,
+    /// Former versions of services that are not interned yet, with the times at which their
+    /// upstreams left.
+    former_of_unknown_services: Vec<(ServiceVersion, Instant)>,
 }
 
 impl Fleet {
@@ -102,12 +105,25 @@
     pub fn intern_service(&mut self, name: &str) -> ServiceKey {
         let known = self.services.iter().position(|s| s.name == name);
         let at = known.unwrap_or_else(|| {
-            self.services.push(ServiceInfo::new(name));
+            self.add_service(name);
             self.services.len() - 1
         });
         ServiceKey(at as u16)
     }
 
+    fn add_service(&mut self, name: &str) {
+        let mut info = ServiceInfo::new(name);
+        let (service, now) = (info.name_hash(), Instant::now());
+        self.former_of_unknown_services.retain(|(of, left_at)| {
+            if of.service == service {
+                info.former_versions
+                    .record_left_at(of.version, *left_at, now);
+            }
+            of.service != service
+        });
+        self.services.push(info);
+    }
+
     /// Sets a service's parameters from the configuration.
     pub fn configure(&mut self, service: &Service) {
         let key = self.intern_service(&service.name);
@@ -266,6 +282,44 @@
             .only_version(present, now)
     }
 
+    /// Versions of all registered upstreams, sorted and without duplicates.
+    pub fn present_versions(&self) -> Vec<ServiceVersion> {
+        let versions = self.iter().map(|(_, u)| ServiceVersion {
+            service: self.info(u.service).name_hash(),
+            version: u.version(),
+        });
+        let mut versions: Vec<ServiceVersion> = versions.collect();
+        versions.sort_unstable();
+        versions.dedup();
+        versions
+    }
+
+    /// Versions whose upstreams left within [`VERSION_LIFETIME`], with the times at which they left.
+    pub fn former_versions(&self, now: Instant) -> Vec<(ServiceVersion, Instant)> {
+        let known = self.services.iter().flat_map(|info| {
+            let service = info.name_hash();
+            let former = info.former_versions.former(now);
+            former.map(move |(version, at)| (ServiceVersion { service, version }, at))
+        });
+        let unknown = self.former_of_unknown_services.iter().copied();
+        let is_recent = |at: Instant| now.saturating_duration_since(at) < VERSION_LIFETIME;
+        known
+            .chain(unknown)
+            .filter(|(_, at)| is_recent(*at))
+            .collect()
+    }
+
+    /// Records that upstreams of a version left at `left_at`, as reported by another process.
+    pub fn record_left(&mut self, of: ServiceVersion, left_at: Instant, now: Instant) {
+        let mut services = self.services.iter_mut();
+        match services.find(|info| info.name_hash() == of.service) {
+            Some(info) => info
+                .former_versions
+                .record_left_at(of.version, left_at, now),
+            None => self.former_of_unknown_services.push((of, left_at)),
+        }
+    }
+
     /// Name of a software version of a service, if an upstream has it.
     pub fn version_name(&self, service: ServiceKey, version: NameHash) -> Option<&str> {
         let mut of_service = self.iter().filter(|(_, u)| u.service == service);
@@ -325,7 +379,7 @@
 
 /// Hash of an upstream's software version. One that states none has a version of its own, as it
 /// isn't known to be the same as any other.
-fn version_of(instance: &Instance) -> NameHash {
+pub(crate) fn version_of(instance: &Instance) -> NameHash {
     match &instance.software_version {
         Some(version) => NameHash::of(version),
         None => NameHash::of(&format!("unknown version of {}", tag_of(instance))),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -31,6 +31,7 @@
 pub mod stop;
 mod store_clock;
 pub mod tenants;
+pub mod versions;
 
 use net::server::bind;
 use net::{Protocol, Server, Stop};
@@ -86,6 +87,7 @@
     quota::start(&gateway)?;
     origins::start(&gateway)?;
     tokio::spawn(origins::rows::follow(gateway.clone()));
+    tokio::spawn(versions::follow(gateway.clone()));
     tokio::spawn(duty::usage::run(gateway.clone()));
     tokio::spawn(duty::scaling::run(gateway.clone()));
     tokio::spawn(reload::follow_settings(gateway.clone(), path));
--- a/crates/gateway/src/origins.rs
+++ b/crates/gateway/src/origins.rs
@@ -233,6 +233,7 @@
             return Ok(known);
         }
     }
+    gateway.versions.wait_until_read().await;
     // An upstream that began the stream was registered before, so a read from now on shows it.
     if only_version(gateway, service, route).is_none()
         || wait_for_fresh_read(gateway).await.is_none()
--- a/crates/gateway/src/routes.rs
+++ b/crates/gateway/src/routes.rs
@@ -2,7 +2,7 @@
 
 use crate::fleet::{Fleet, ServiceKey};
 use crate::tenants::{TenantInfo, TenantKey, TenantTable};
-use platform::{ApiKey, Config, Limits, Route};
+use platform::{ApiKey, Config, Limits, Route, RouteKind};
 use std::time::Duration;
 
 /// A route whose services are resolved to their keys.
@@ -52,6 +52,12 @@
 }
 
 impl RouteTable {
+    /// Whether streams of any route may be resumed.
+    pub fn has_resumable(&self) -> bool {
+        let mut routes = self.config.routes.iter();
+        routes.any(|route| route.kind == RouteKind::ResumableStream)
+    }
+
     /// Builds the table of a configuration. The previous table is used to detect removed keys.
     pub fn new(config: Config, fleet: &mut Fleet, before: Option<&Self>) -> Self {
         for service in &config.services {
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -3,7 +3,7 @@
 mod coverage;
 mod guards;
 
-pub use coverage::RegistryCoverage;
+pub use coverage::{CoveredSince, RegistryCoverage};
 pub use guards::{LoadGuard, RunningGuard};
 
 use crate::choose::Requirements;
@@ -21,6 +21,7 @@
 use crate::quota::Quotas;
 use crate::routes::RouteTable;
 use crate::stop::{ShutdownSchedule, StallDetector};
+use crate::versions::Versions;
 use net::{HeadLimits, Meter, Stop};
 use observe::Metrics;
 use platform::{CallCounts, EraTracker, HostSettings, Position};
@@ -80,6 +81,8 @@
     pub origins: Origins,
     /// Rows in the store with the origins of streams.
     pub stream_rows: StreamRows,
+    /// Progress of reading the version record from the store.
+    pub versions: Versions,
     /// Notified when a peer has newer state than this process.
     pub catch_up: Notify,
     /// Limits on request heads, set by the current configuration.
@@ -152,6 +155,7 @@
             usage: Usage::default(),
             origins: Origins::new(location),
             stream_rows: StreamRows::default(),
+            versions: Versions::default(),
             catch_up: Notify::new(),
             head_limits: HeadLimits::new(INITIAL_IDLE_TIMEOUT, INITIAL_MAX_HEAD_BYTES),
             metrics: Metrics::new(MAX_TENANT_METRICS),
@@ -258,6 +262,18 @@
         *lock(&self.coverage)
     }
 
+    /// State of the registry and its coverage, read under one lock.
+    pub fn covered_registry(&self) -> (RegistryState, RegistryCoverage) {
+        let registry = lock(&self.registry);
+        (*registry, *lock(&self.coverage))
+    }
+
+    /// Extends the coverage to an earlier start; see
+    /// [`RegistryCoverage::extend`].
+    pub fn extend_coverage(&self, own_since: CoveredSince, since: CoveredSince) -> bool {
+        lock(&self.coverage).extend(own_since, since)
+    }
+
     /// Upstreams that are missing from the registry and may return. The lock must not be held
     /// across an await.
     pub fn missing(&self) -> MutexGuard<'_, MissingUpstreams> {
--- a/crates/gateway/src/state/coverage.rs
+++ b/crates/gateway/src/state/coverage.rs
@@ -13,11 +13,13 @@
     own_read_at: Option<Instant>,
 }
 
+/// Start of the period in which every upstream is known.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum CoveredSince {
+pub enum CoveredSince {
     /// The first start of the whole system, before which there were no requests.
     SystemStart,
-    /// The first read, or the first one after a gap.
+    /// The first read, the first one after a gap, or the start of the coverage that was taken from
+    /// the version record of another process.
     Read(Instant),
 }
 
@@ -51,6 +53,27 @@
         }
     }
 
+    /// Start of the coverage; `None` if upstreams may be missing.
+    pub fn since(&self) -> Option<CoveredSince> {
+        self.since
+    }
+
+    /// Whether the last read is at most `MAX_GAP` old.
+    pub fn is_current(&self, now: Instant) -> bool {
+        let age = self.read_at.map(|at| now.saturating_duration_since(at));
+        age.is_some_and(|age| age <= MAX_GAP)
+    }
+
+    /// Moves the start of the coverage from `own_since` back to `since`. Returns false, without
+    /// effect, if the coverage no longer starts at `own_since` because of a gap.
+    pub fn extend(&mut self, own_since: CoveredSince, since: CoveredSince) -> bool {
+        let is_unbroken = self.since == Some(own_since);
+        if is_unbroken {
+            self.since = Some(since);
+        }
+        is_unbroken
+    }
+
     /// Time at which this process requested its last read.
     pub fn own_read_at(&self) -> Option<Instant> {
         self.own_read_at
--- a/crates/gateway/tests/stream_rows.rs
+++ b/crates/gateway/tests/stream_rows.rs
@@ -410,7 +410,8 @@
 async fn expired_rows_are_removed() {
     const SHORT: Duration = Duration::from_millis(1500);
     let store = store();
-    for name in ["a", "b"] {
+    // The row of "b" expires first.
+    for name in ["b", "a"] {
         rows::write(&process(&store, name), &streams(0..1, SHORT), TIMEOUT)
             .await
             .unwrap();
--- a/crates/observe/src/event.rs
+++ b/crates/observe/src/event.rs
@@ -217,6 +217,33 @@
         /// Latest known era.
         era: u64,
     },
+    /// A started host continues the version record that another host wrote to the store.
+    VersionsContinued {
+        /// Host that wrote the record.
+        host: &'a str,
+        /// Duration for which all upstreams are known; `None` if they are known since the first
+        /// start of the whole system.
+        known_ms: Option<u64>,
+        /// Age of the record.
+        record_ms: u64,
+        /// Number of changes of the registry since the record.
+        changes: usize,
+        /// Number of versions that were present at the record or registered since.
+        versions: usize,
+        /// Number of versions whose upstreams had left before the record.
+        former: usize,
+    },
+    /// A started host can't continue the version record, and uses only its own reads of the
+    /// registry.
+    VersionsNotContinued {
+        /// Reason.
+        why: String,
+    },
+    /// The version record wasn't written to the store.
+    VersionsNotWritten {
+        /// Reason.
+        why: String,
+    },
     /// The first registry of a restored store is in use.
     RegistryRestored {
         /// Era of the store.
