Log the basis of stop estimates and the event count of streams

The log line of an answer that was cut off during a stop had the estimated end, but neither the number of answers and the observation time behind the bound nor the number of events sent. A hint that was too short, a bound from few answers and engines that had slowed down could not be told apart.

`answered` lines of a stopping process now have `bound_ms`, `bound_answers` and `bound_observed_ms`; those of streams have `events`.

--- a/crates/gateway/src/account.rs
+++ b/crates/gateway/src/account.rs
@@ -9,7 +9,9 @@
 use crate::quota::Grant;
 use crate::serve::FinishEstimate;
 use crate::state::{Gateway, RunningGuard};
-use observe::{ConfigContext, Event, Labels, Latency, StreamContext, SuspectContext, emit};
+use observe::{
+    BoundContext, ConfigContext, Event, Labels, Latency, StreamContext, SuspectContext, emit,
+};
 use resilience::Fingerprint;
 use resilience::crashes::{BlockedPart, Subject};
 use std::sync::Arc;
@@ -249,6 +251,12 @@
         let total = self.received_at.elapsed();
         let reason = reason.map(Reason::name);
         let millis = |d: Duration| d.as_millis() as u64;
+        let bound = self.outlook.map(|o| o.bound);
+        let bound = bound.map_or_else(BoundContext::default, |bound| BoundContext {
+            bound_ms: Some(millis(bound.duration)),
+            bound_answers: Some(bound.answers as u64),
+            bound_observed_ms: Some(millis(bound.observed_for)),
+        });
         let stream = StreamContext {
             version: self.software_version.as_deref(),
             resumes: self.resumes.as_deref(),
@@ -259,6 +267,7 @@
             origin_ms: self
                 .origin
                 .and_then(|known| Some(millis(known.began_at?.elapsed()))),
+            events: self.body.and_then(|body| body.events()),
         };
         emit(&Event::Answered {
             request: &self.id,
@@ -301,6 +310,7 @@
             expected_tokens: self.expected_tokens,
             ends_in_ms: self.outlook.map(|o| millis(o.takes)),
             process_left_ms: self.outlook.map(|o| millis(o.process_left)),
+            bound: &bound,
             stopping_ms: self.stopping_for.map(millis),
             is_prefill: self.inputs.map(|i| i.task == Task::Prefill),
             read_ms: self.prefill_after.map(millis),
--- a/crates/gateway/src/completeness.rs
+++ b/crates/gateway/src/completeness.rs
@@ -134,13 +134,18 @@
         self.events.map(|events| events.is_inside())
     }
 
+    /// Number of complete events in the body; `None` if it doesn't consist of events.
+    pub fn events(&self) -> Option<u64> {
+        self.events.map(|events| events.events())
+    }
+
     /// Whether the answer is whole if its body ends here without an error.
     pub fn completeness(&self) -> Completeness {
         match (self.framing, self.events) {
             (_, Some(events)) if events.is_inside() => {
                 Completeness::BrokenOff(BreakOff::InsideEvent)
             }
-            (Framing::Connection, Some(events)) if !events.has_event() => {
+            (Framing::Connection, Some(events)) if events.events() == 0 => {
                 Completeness::BrokenOff(BreakOff::NoEvent)
             }
             (Framing::Connection, _) => Completeness::Unconfirmed,
--- a/crates/gateway/src/events/boundary.rs
+++ b/crates/gateway/src/events/boundary.rs
@@ -23,8 +23,8 @@
     position: Position,
     /// Whether the current event has a complete field.
     has_field: bool,
-    /// Whether an event has ended.
-    has_event: bool,
+    /// Number of events that have ended.
+    events: u64,
     /// Whether a line has ended with CRLF.
     uses_crlf: bool,
 }
@@ -78,7 +78,7 @@
     }
 
     fn end_event(&mut self) {
-        self.has_event |= std::mem::take(&mut self.has_field);
+        self.events += u64::from(std::mem::take(&mut self.has_field));
     }
 
     /// Whether a stream that ends here ends inside an event or line.
@@ -91,8 +91,8 @@
         }
     }
 
-    /// Whether the stream has a complete event.
-    pub fn has_event(&self) -> bool {
-        self.has_event
+    /// Number of complete events in the stream.
+    pub fn events(&self) -> u64 {
+        self.events
     }
 }
--- a/crates/gateway/src/fleet/durations.rs
+++ b/crates/gateway/src/fleet/durations.rs
@@ -59,6 +59,17 @@
     },
 }
 
+/// Upper bound of an answer's duration.
+#[derive(Debug, Clone, Copy)]
+pub struct Bound {
+    /// Longest time from the estimated first byte to the end.
+    pub duration: Duration,
+    /// Number of observed answers that the bound is based on.
+    pub answers: usize,
+    /// Time over which these were observed.
+    pub observed_for: Duration,
+}
+
 /// Durations of the answers of one service, grouped by length.
 #[derive(Debug, Default)]
 pub struct Durations {
@@ -123,20 +134,32 @@
 
     /// Upper bound of the time from the estimated first byte to the end of an answer.
     pub fn upper_bound(&self, length: Length, now: Instant) -> Duration {
-        let mut count = 0;
+        self.bound(length, now).duration
+    }
+
+    /// Same as [`Self::upper_bound`], with the number of answers that it is based on.
+    pub fn bound(&self, length: Length, now: Instant) -> Bound {
+        let mut answers = 0;
         let mut slowest = Duration::ZERO;
         let mut observed_for = Duration::ZERO;
         for (samples, factor) in self.similar_samples(length) {
-            count += samples.count(now);
+            answers += samples.count(now);
             slowest = slowest.max(samples.slowest(now).saturating_mul(factor));
             observed_for = observed_for.max(samples.observed_for(now));
-            if count >= MIN_ANSWERS && observed_for >= MIN_OBSERVED {
-                return slowest.mul_f64(margin_factor(observed_for));
+            if answers >= MIN_ANSWERS && observed_for >= MIN_OBSERVED {
+                return Bound {
+                    duration: slowest.mul_f64(margin_factor(observed_for)),
+                    answers,
+                    observed_for,
+                };
             }
         }
-        slowest
-            .mul_f64(margin_factor(observed_for))
-            .max(length.default_duration())
+        let observed = slowest.mul_f64(margin_factor(observed_for));
+        Bound {
+            duration: observed.max(length.default_duration()),
+            answers,
+            observed_for,
+        }
     }
 
     /// Samples that apply to an answer, most similar first, with factors for their durations.
--- a/crates/gateway/src/serve/time.rs
+++ b/crates/gateway/src/serve/time.rs
@@ -4,7 +4,7 @@
 use crate::account::Account;
 use crate::answer::Reason;
 use crate::fleet::ServiceKey;
-use crate::fleet::durations::Length;
+use crate::fleet::durations::{Bound, Length};
 use crate::state::Gateway;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -21,6 +21,8 @@
 /// Estimate of whether an answer will end before its process exits.
 #[derive(Debug, Clone, Copy)]
 pub struct FinishEstimate {
+    /// Bound of the time from the first byte to the end of the answer.
+    pub bound: Bound,
     /// Maximum remaining duration of the answer.
     pub takes: Duration,
     /// Time that the process has left for it.
@@ -85,19 +87,22 @@
     fn finish_estimate(&self, estimate_ms: f64) -> Option<FinishEstimate> {
         let schedule = self.gateway.shutdown_schedule()?;
         let now = Instant::now();
-        let longest = {
+        let bound = {
             let fleet = self.gateway.fleet();
             let durations = fleet.info(self.service).durations();
-            durations.upper_bound(self.length(), now)
+            durations.bound(self.length(), now)
         };
         // A request whose own timeout is earlier isn't limited by the process.
         let estimate = match self.is_engine {
             true => duration_from_ms(estimate_ms),
             false => Duration::ZERO,
         };
-        let takes = estimate.saturating_add(longest).min(self.own_time_left());
+        let takes = estimate
+            .saturating_add(bound.duration)
+            .min(self.own_time_left());
         let process_left = schedule.finish_by.saturating_duration_since(now);
         Some(FinishEstimate {
+            bound,
             takes,
             process_left,
         })
--- a/crates/observe/src/event.rs
+++ b/crates/observe/src/event.rs
@@ -839,6 +839,9 @@
         /// Time until the process exits at the last choice, in milliseconds; `None` if it wasn't
         /// stopping.
         process_left_ms: Option<u64>,
+        /// Duration bound that `ends_in_ms` is based on.
+        #[serde(flatten)]
+        bound: &'a BoundContext,
         /// Time from the stop signal to the request, in milliseconds; `None` if the request came
         /// before the signal.
         stopping_ms: Option<u64>,
@@ -853,6 +856,21 @@
     },
 }
 
+/// Upper bound of an answer's duration and the observed answers that it is based on. All fields
+/// are `None` if the process wasn't stopping.
+#[derive(Debug, Clone, Copy, Default, Serialize)]
+pub struct BoundContext {
+    /// Upper bound of the time from the estimated first byte to the end, in milliseconds.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub bound_ms: Option<u64>,
+    /// Number of observed answers.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub bound_answers: Option<u64>,
+    /// Time over which these answers were observed, in milliseconds.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub bound_observed_ms: Option<u64>,
+}
+
 /// Software version of a request's upstream, and the stream that its client resumes.
 #[derive(Debug, Clone, Serialize)]
 pub struct StreamContext<'a> {
@@ -877,6 +895,10 @@
     /// Time since the stream's first event, in milliseconds.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub origin_ms: Option<u64>,
+    /// Number of complete events in the last upstream's body; `None` if it doesn't consist of
+    /// events.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub events: Option<u64>,
 }
 
 /// What identifies a request among those during which upstreams crashed.
--- a/crates/observe/src/lib.rs
+++ b/crates/observe/src/lib.rs
@@ -5,6 +5,8 @@
 pub mod metrics;
 pub mod sink;
 
-pub use event::{ConfigContext, Event, StreamContext, StreamSearchAnswer, SuspectContext};
+pub use event::{
+    BoundContext, ConfigContext, Event, StreamContext, StreamSearchAnswer, SuspectContext,
+};
 pub use log_line::{emit, flush, init};
 pub use metrics::{Labels, Latency, Metrics};
