Require high confidence to accept late requests on a stopping host

A host that had been stopping for 4 s accepted a prompt on a kept-alive connection, and its process exited before the answer ended.

The bound was the slowest of as few as 16 answers of a length class, with a margin of 0.3. Classes are based on the client's hint, which is accurate only in the median, so the slowest answer of each class is a sample from the tail of the hint errors. Engines also slow down while all hosts drain.

Requests received later than 3 s after the signal must now end within a bound that also includes all shorter answers and those of the next longer class, with a margin of 0.6. An answer whose hint is too short by a factor of two is then covered by the included classes, and the maximum is taken over many more answers. Earlier requests keep their estimate, as do plain services, which have no hints. A request whose own deadline or timeout is before the exit is still accepted.

The decision is made without a `Call`, by `FinishEstimate::new`.

--- a/crates/gateway/src/fleet/durations.rs
+++ b/crates/gateway/src/fleet/durations.rs
@@ -4,6 +4,11 @@
 //! does. A mean is not enough, as each answer that takes longer would be cut off. The bound is
 //! therefore taken from the slowest answer of similar length within the last minutes. An answer
 //! is cut off only if it is slower than all of these, which is rare at any request rate.
+//!
+//! Expected lengths are client hints that are accurate only in the median, and engines slow down
+//! while all hosts drain. [`Confidence::High`] allows for both: it adds a larger margin and also
+//! includes shorter answers and those that were expected to be up to twice as long. Answers of
+//! plain services have no hints, so their bound is the same.
 
 mod snapshot;
 
@@ -23,6 +28,11 @@
 /// Fraction that is added to the slowest answer. Length hints of clients are often far off, and
 /// the next answer may be slower still.
 const MARGIN: f64 = 0.3;
+/// Like [`MARGIN`], for [`Confidence::High`].
+const HIGH_CONFIDENCE_MARGIN: f64 = 0.6;
+/// Number of longer classes that [`Confidence::High`] includes, to allow for hints that are too
+/// short.
+const LONGER_CLASSES: usize = 1;
 /// Minimum time over which answers must be observed, however many there are. The margin grows by
 /// this time divided by the observed time: just past the minimum the slowest duration is added
 /// once more, after a minute next to nothing. The value matches the seconds of a stop in which an
@@ -59,14 +69,23 @@
     },
 }
 
+/// Confidence that an answer does not exceed its bound.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Confidence {
+    /// A few answers in a thousand exceed the bound.
+    Normal,
+    /// Only answers whose hint and token rate are both far off exceed the bound.
+    High,
+}
+
 /// Upper bound of an answer's duration.
 #[derive(Debug, Clone, Copy)]
 pub struct Bound {
-    /// Longest time from the estimated first byte to the end.
+    /// Maximum time from the estimated first byte to the end.
     pub duration: Duration,
     /// Number of observed answers that the bound is based on.
     pub answers: usize,
-    /// Time over which these were observed.
+    /// Time over which these answers were observed.
     pub observed_for: Duration,
 }
 
@@ -86,6 +105,16 @@
     answers: Samples,
 }
 
+/// Summary of one or more [`Samples`].
+#[derive(Debug, Clone, Copy, Default)]
+struct SampleSummary {
+    /// Duration of the slowest answer.
+    slowest: Duration,
+    answers: usize,
+    /// Time over which the answers were observed.
+    observed_for: Duration,
+}
+
 /// Answers of one length class or route.
 #[derive(Debug, Default)]
 struct Samples {
@@ -132,34 +161,56 @@
         }
     }
 
-    /// Upper bound of the time from the estimated first byte to the end of an answer.
+    /// Upper bound of the time from the estimated first byte to the end of an answer, with
+    /// [`Confidence::Normal`].
     pub fn upper_bound(&self, length: Length, now: Instant) -> Duration {
-        self.bound(length, now).duration
+        self.bound(length, Confidence::Normal, now).duration
     }
 
-    /// Same as [`Self::upper_bound`], with the number of answers that it is based on.
-    pub fn bound(&self, length: Length, now: Instant) -> Bound {
-        let mut answers = 0;
-        let mut slowest = Duration::ZERO;
-        let mut observed_for = Duration::ZERO;
+    /// Upper bound of the time from the estimated first byte to the end of an answer.
+    pub fn bound(&self, length: Length, confidence: Confidence, now: Instant) -> Bound {
+        let similar = self.summarize_similar(length, now);
+        let (summary, margin) = match (confidence, length) {
+            (Confidence::Normal, _) | (_, Length::Plain { .. }) => (similar, MARGIN),
+            (Confidence::High, Length::Tokens { .. }) => {
+                let up_to = self.summarize_up_to(length, now);
+                (similar.max(up_to), HIGH_CONFIDENCE_MARGIN)
+            }
+        };
+        let margin = 1.0 + margin + observation_margin(similar.observed_for);
+        let duration = summary.slowest.mul_f64(margin);
+        Bound {
+            duration: match similar.is_sufficient() {
+                true => duration,
+                false => duration.max(length.default_duration()),
+            },
+            answers: summary.answers,
+            observed_for: summary.observed_for,
+        }
+    }
+
+    /// Summarizes similar answers, most similar first, until they suffice for a bound.
+    fn summarize_similar(&self, length: Length, now: Instant) -> SampleSummary {
+        let mut summary = SampleSummary::default();
         for (samples, factor) in self.similar_samples(length) {
-            answers += samples.count(now);
-            slowest = slowest.max(samples.slowest(now).saturating_mul(factor));
-            observed_for = observed_for.max(samples.observed_for(now));
-            if answers >= MIN_ANSWERS && observed_for >= MIN_OBSERVED {
-                return Bound {
-                    duration: slowest.mul_f64(margin_factor(observed_for)),
-                    answers,
-                    observed_for,
-                };
+            summary.add(samples, factor, now);
+            if summary.is_sufficient() {
+                break;
             }
         }
-        let observed = slowest.mul_f64(margin_factor(observed_for));
-        Bound {
-            duration: observed.max(length.default_duration()),
-            answers,
-            observed_for,
+        summary
+    }
+
+    /// Summarizes all answers up to [`LONGER_CLASSES`] above the length class of an answer.
+    fn summarize_up_to(&self, length: Length, now: Instant) -> SampleSummary {
+        let mut summary = SampleSummary::default();
+        if let Length::Tokens { expected, .. } = length {
+            let up_to = class(expected) + LONGER_CLASSES;
+            for samples in self.classes.iter().take(up_to + 1) {
+                summary.add(samples, 1, now);
+            }
         }
+        summary
     }
 
     /// Samples that apply to an answer, most similar first, with factors for their durations.
@@ -208,6 +259,30 @@
     }
 }
 
+impl SampleSummary {
+    /// Adds samples with their durations multiplied by `factor`.
+    fn add(&mut self, samples: &Samples, factor: u32, now: Instant) {
+        let duration = samples.slowest(now).saturating_mul(factor);
+        self.slowest = self.slowest.max(duration);
+        self.answers += samples.count(now);
+        self.observed_for = self.observed_for.max(samples.observed_for(now));
+    }
+
+    /// Whether the answers suffice for a bound.
+    fn is_sufficient(&self) -> bool {
+        self.answers >= MIN_ANSWERS && self.observed_for >= MIN_OBSERVED
+    }
+
+    /// Maximum of each field. The samples may overlap, so the counts aren't added.
+    fn max(self, other: Self) -> Self {
+        Self {
+            slowest: self.slowest.max(other.slowest),
+            answers: self.answers.max(other.answers),
+            observed_for: self.observed_for.max(other.observed_for),
+        }
+    }
+}
+
 impl Samples {
     fn push(&mut self, took: Duration, now: Instant) {
         let newest = self.windows.front_mut();
@@ -265,9 +340,9 @@
     }
 }
 
-/// Factor by which the slowest answer is multiplied, for samples observed over the given time.
-fn margin_factor(observed_for: Duration) -> f64 {
-    1.0 + MARGIN + MIN_OBSERVED.as_secs_f64() / observed_for.max(MIN_OBSERVED).as_secs_f64()
+/// Fraction that is added to the slowest answer because of a short observation time.
+fn observation_margin(observed_for: Duration) -> f64 {
+    MIN_OBSERVED.as_secs_f64() / observed_for.max(MIN_OBSERVED).as_secs_f64()
 }
 
 /// Length class of an engine's answer. Expected lengths within a class differ by less than a
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -6,7 +6,7 @@
 mod time;
 
 pub use refusal::Refusal;
-pub use time::{AnswerProgress, FinishEstimate, StreamGuard};
+pub use time::{AnswerProgress, FinishEstimate, PendingAnswer, StreamGuard};
 
 use crate::account::Account;
 use crate::answer::Reason;
--- a/crates/gateway/src/serve/time.rs
+++ b/crates/gateway/src/serve/time.rs
@@ -4,8 +4,9 @@
 use crate::account::Account;
 use crate::answer::Reason;
 use crate::fleet::ServiceKey;
-use crate::fleet::durations::{Bound, Length};
+use crate::fleet::durations::{Bound, Confidence, Durations, Length};
 use crate::state::Gateway;
+use crate::stop::ShutdownSchedule;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -18,10 +19,23 @@
     Started,
 }
 
+/// An answer that has not started.
+#[derive(Debug, Clone, Copy)]
+pub struct PendingAnswer {
+    /// Time at which the request was received.
+    pub received_at: Instant,
+    /// What is known about its length.
+    pub length: Length,
+    /// Estimated time to the first byte.
+    pub first_byte: Duration,
+    /// Time left until the request's own deadline or timeout.
+    pub own_time_left: Duration,
+}
+
 /// Estimate of whether an answer will end before its process exits.
 #[derive(Debug, Clone, Copy)]
 pub struct FinishEstimate {
-    /// Bound of the time from the first byte to the end of the answer.
+    /// Upper bound of the time from the estimated first byte to the end of the answer.
     pub bound: Bound,
     /// Maximum remaining duration of the answer.
     pub takes: Duration,
@@ -30,6 +44,27 @@
 }
 
 impl FinishEstimate {
+    /// Estimates whether an answer will end before a stopping process exits. A request whose own
+    /// deadline or timeout is earlier isn't limited by the exit.
+    pub fn new(
+        schedule: &ShutdownSchedule,
+        durations: &Durations,
+        pending: &PendingAnswer,
+        now: Instant,
+    ) -> Self {
+        let confidence = match pending.received_at < schedule.high_confidence_from {
+            true => Confidence::Normal,
+            false => Confidence::High,
+        };
+        let bound = durations.bound(pending.length, confidence, now);
+        let takes = pending.first_byte.saturating_add(bound.duration);
+        Self {
+            bound,
+            takes: takes.min(pending.own_time_left),
+            process_left: schedule.finish_by.saturating_duration_since(now),
+        }
+    }
+
     /// Whether the answer is expected to end before the process exits.
     pub fn is_in_time(&self) -> bool {
         self.takes <= self.process_left
@@ -86,26 +121,19 @@
     /// process exits; `None` if the process isn't stopping.
     fn finish_estimate(&self, estimate_ms: f64) -> Option<FinishEstimate> {
         let schedule = self.gateway.shutdown_schedule()?;
-        let now = Instant::now();
-        let bound = {
-            let fleet = self.gateway.fleet();
-            let durations = fleet.info(self.service).durations();
-            durations.bound(self.length(), now)
-        };
-        // A request whose own timeout is earlier isn't limited by the process.
-        let estimate = match self.is_engine {
-            true => duration_from_ms(estimate_ms),
-            false => Duration::ZERO,
+        let pending = PendingAnswer {
+            received_at: self.since,
+            length: self.length(),
+            first_byte: match self.is_engine {
+                true => duration_from_ms(estimate_ms),
+                false => Duration::ZERO,
+            },
+            own_time_left: self.own_time_left(),
         };
-        let takes = estimate
-            .saturating_add(bound.duration)
-            .min(self.own_time_left());
-        let process_left = schedule.finish_by.saturating_duration_since(now);
-        Some(FinishEstimate {
-            bound,
-            takes,
-            process_left,
-        })
+        let fleet = self.gateway.fleet();
+        let durations = fleet.info(self.service).durations();
+        let now = Instant::now();
+        Some(FinishEstimate::new(&schedule, durations, &pending, now))
     }
 
     /// Whether an answer that starts now could end before this process exits.
--- a/crates/gateway/tests/durations.rs
+++ b/crates/gateway/tests/durations.rs
@@ -1,6 +1,8 @@
 //! Tests the upper bound of the time that answers take, estimated from earlier answers.
 
-use gateway::fleet::durations::{Durations, Length};
+use gateway::fleet::durations::{Confidence, Durations, Length};
+use gateway::serve::{FinishEstimate, PendingAnswer};
+use gateway::stop::ShutdownSchedule;
 use std::time::{Duration, Instant};
 
 fn ms(ms: u64) -> Duration {
@@ -209,3 +211,75 @@
     assert!(kept.routes.iter().all(|r| r.windows.len() <= 10));
     assert_eq!(Durations::default().snapshot("s", now), None);
 }
+
+/// Guards against answers that are cut off because their hint is too short. With high confidence,
+/// the bound has a larger margin and includes the next longer class and all shorter ones.
+#[test]
+fn the_bound_with_high_confidence_allows_for_short_hints() {
+    let mut durations = recorded(tokens(100), 40);
+    let now = Instant::now();
+    let bound = |durations: &Durations, expected, confidence| {
+        durations.bound(tokens(expected), confidence, now).duration
+    };
+    let normal = bound(&durations, 100, Confidence::Normal);
+    let high = bound(&durations, 100, Confidence::High);
+    assert!(high > normal, "{high:?}");
+    for _ in 0..40 {
+        durations.record(tokens(50), ms(1200), now);
+        durations.record(tokens(200), ms(3000), now);
+        durations.record(tokens(400), ms(9000), now);
+    }
+    assert_eq!(bound(&durations, 100, Confidence::Normal), normal);
+    let high = bound(&durations, 100, Confidence::High);
+    assert!((ms(3000)..ms(9000)).contains(&high), "{high:?}");
+    // A few short answers don't lower the default bound of a long one.
+    let unknown = bound(&Durations::default(), 5000, Confidence::High);
+    let few = bound(&recorded(tokens(100), 10), 5000, Confidence::High);
+    assert!(few >= unknown, "{few:?}");
+}
+
+/// Guards against rejecting requests that were sent before clients could know that the host is
+/// stopping, and against accepting later ones without the larger margin.
+#[test]
+fn only_requests_later_than_3_s_after_the_signal_need_high_confidence() {
+    let durations = recorded(tokens(100), 40);
+    let signal_at = Instant::now();
+    let schedule = ShutdownSchedule::new(signal_at, signal_at, Duration::from_secs(8));
+    let bound = |after| {
+        let pending = PendingAnswer {
+            received_at: signal_at + after,
+            length: tokens(100),
+            first_byte: Duration::ZERO,
+            own_time_left: Duration::MAX,
+        };
+        // A retry is estimated later than the request is received.
+        let now = signal_at + ms(4000);
+        let estimate = FinishEstimate::new(&schedule, &durations, &pending, now);
+        (estimate.bound.duration, now)
+    };
+    let (early, now) = bound(ms(2990));
+    assert_eq!(early, durations.upper_bound(tokens(100), now));
+    let (late, _) = bound(ms(3010));
+    assert!(late > early, "{late:?} after {early:?}");
+}
+
+/// Guards against rejecting a request that the exit of the process can't cut off because its own
+/// deadline is earlier.
+#[test]
+fn a_late_request_whose_own_deadline_is_earlier_than_the_exit_is_accepted() {
+    let durations = Durations::default();
+    let signal_at = Instant::now();
+    let schedule = ShutdownSchedule::new(signal_at, signal_at, Duration::from_secs(8));
+    let now = signal_at + ms(6000);
+    let is_in_time = |own_time_left| {
+        let pending = PendingAnswer {
+            received_at: now,
+            length: tokens(5000),
+            first_byte: ms(100),
+            own_time_left,
+        };
+        FinishEstimate::new(&schedule, &durations, &pending, now).is_in_time()
+    };
+    assert!(is_in_time(ms(1000)));
+    assert!(!is_in_time(ms(2000)));
+}
