Reread the version record soon after another host has replaced it

If two hosts both consider themselves the first one, for example while they start, the one whose write was superseded reread the record only after 10 s, and the other host may have exited by then. It now rereads the record after 1 s.

Found by its author in review; not covered by a test. The simulated hosts of crates/origins/tests/history.rs don't copy the registry again at the same position, which makes the test faster.

--- a/crates/gateway/src/versions.rs
+++ b/crates/gateway/src/versions.rs
@@ -25,6 +25,8 @@
 /// Interval between two writes of the record. Half of the time for which the store keeps changes
 /// remains for a restart of all hosts.
 const WRITE_EVERY: Duration = Duration::from_secs(10);
+/// Delay before the record is read again after another host has replaced it.
+const REREAD_DELAY: Duration = Duration::from_secs(1);
 /// Interval between checks whether this process should read or write the record.
 const CHECK_EVERY: Duration = Duration::from_millis(100);
 /// Timeout for a call to the store.
@@ -257,11 +259,11 @@
         let is_stopping = gateway.stop.is_stopped();
         if is_writer(gateway) && (is_stopping || Instant::now() >= due_at) {
             match write_once(gateway, client, &mut stored).await {
-                Ok(true) => {
+                Ok(Some(delay)) => {
                     dependency.record_success();
-                    due_at = Instant::now() + WRITE_EVERY;
+                    due_at = Instant::now() + delay;
                 }
-                Ok(false) => {}
+                Ok(None) => {}
                 Err(e) => {
                     // The row may have been written.
                     stored = Stored::Unknown;
@@ -283,31 +285,28 @@
     has_resumable && gateway.peers().is_membership_known() && gateway.rank() == 0
 }
 
-/// Writes the record if it may replace the stored one. Returns whether the next write is due after
-/// [`WRITE_EVERY`]; otherwise it is due at the next check.
+/// Writes the record if there is one that may replace the stored one. Returns the delay until the
+/// next attempt; `None` if there is no record to write.
 async fn write_once(
     gateway: &Gateway,
     client: &mut StoreClient,
     stored: &mut Stored,
-) -> Result<bool, StoreError> {
+) -> Result<Option<Duration>, StoreError> {
     if own_record(gateway).is_none() {
-        return Ok(false);
+        return Ok(None);
     }
     if let Stored::Unknown = stored {
         gateway.metrics.count_store_read("versions", "changes");
         *stored = Stored::from_read(client.store().versions(ANSWER_TIMEOUT).await?);
     }
-    let Stored::Known(revision, known) = stored else {
-        return Ok(false);
-    };
-    let Some(record) = own_record(gateway) else {
-        return Ok(false);
+    let (Stored::Known(revision, known), Some(record)) = (&*stored, own_record(gateway)) else {
+        return Ok(None);
     };
     if known
         .as_ref()
         .is_some_and(|known| !record.may_replace(known))
     {
-        return Ok(true);
+        return Ok(Some(WRITE_EVERY));
     }
     let row = to_row(&record, &gateway.host().name);
     let write = client
@@ -315,13 +314,15 @@
         .write_versions(&row, *revision, ANSWER_TIMEOUT);
     match write.await? {
         VersionsWrite::Written(revision) => *stored = Stored::Known(revision, Some(record)),
-        // Another host has written the record.
-        VersionsWrite::Superseded => *stored = Stored::Unknown,
+        VersionsWrite::Superseded => {
+            *stored = Stored::Unknown;
+            return Ok(Some(REREAD_DELAY));
+        }
         VersionsWrite::TooLong(bytes) => emit(&Event::VersionsNotWritten {
             why: format!("the record has {bytes} bytes, more than a row can hold"),
         }),
     }
-    Ok(true)
+    Ok(Some(WRITE_EVERY))
 }
 
 /// Builds the record as of the last read of the registry; `None` if upstreams may be missing.
--- a/crates/origins/tests/history.rs
+++ b/crates/origins/tests/history.rs
@@ -298,14 +298,17 @@
         if self.since.is_none() || gap.is_none_or(|gap| gap > MAX_GAP) {
             self.since = Some(Since::Read(now));
         }
+        self.read_ms = store.ms(now);
+        self.read_at = Some(now);
+        if self.position == Some(position) {
+            return;
+        }
         let present = store.upstreams();
         for upstream in self.view.iter().filter(|u| !present.contains(u)) {
             self.history.record_left(upstream.version, now);
         }
         self.view = present;
         self.position = Some(position);
-        self.read_ms = store.ms(now);
-        self.read_at = Some(now);
     }
 
     fn record(&self, now: Instant) -> Option<VersionRecord> {
