Bound the work of renewing copies, and fix faults found in review

The first twelve hosts of each order are now cached, and a call computes at most 64 orders and checks at most 1,024 origins, in turn. - A delayed answer hid that its sender was stopping, and a delayed datagram of a former start that a host had restarted. - A stopping host notified only hosts heard in the last 5 s, once. It now notifies all hosts that it has exchanged datagrams with, three times. - Hosts that hold the same streams all saved the same 799. Each now saves first those in whose order it comes first. - Rows of other hosts displaced a host's own streams. They are now recorded only up to half of the maximum. - Copies from processes of earlier versions were recorded without a check of their upstream's start. - A stream found to be uncertain after a read of the rows could still be continued by the rule for a single version.

--- a/crates/gateway/src/origins.rs
+++ b/crates/gateway/src/origins.rs
@@ -18,6 +18,7 @@
     HandOver, HostLocation, HostStart, Lookup, MAX_STREAM_LIFETIME, Origin, OriginRecord, Replicas,
     ReplicatedBy, StreamId, VERSION_LIFETIME,
 };
+use platform::MAX_STREAM_RECORDS;
 use std::net::IpAddr;
 use std::sync::{Arc, Mutex, MutexGuard, OnceLock};
 use std::time::{Duration, Instant};
@@ -196,19 +197,14 @@
 
 /// Writes the under-replicated origins to the store, as this process stops.
 pub async fn save(gateway: &Arc<Gateway>, until: Instant) {
-    let under_replicated = gateway.origins.replicas().under_replicated(Instant::now());
+    let now = Instant::now();
+    let under_replicated = gateway
+        .origins
+        .replicas()
+        .under_replicated(MAX_STREAM_RECORDS, now);
     rows::save(gateway, &under_replicated, until).await;
 }
 
-/// Reads the store again to find the origin of a stream that no host knows.
-async fn find_stored(gateway: &Arc<Gateway>, stream: StreamId) -> Option<KnownOrigin> {
-    rows::request_read(gateway).await?;
-    match gateway.origins.replicas().find(stream, Instant::now()) {
-        Lookup::Known(record) => Some(KnownOrigin::new(&record, Source::Own)),
-        Lookup::Uncertain | Lookup::Unknown => None,
-    }
-}
-
 /// Finds the origin of the stream that an attempt began: here, at other hosts, or as the service
 /// has a single version. Returns the hosts that were asked if it isn't known for certain.
 pub async fn find(
@@ -229,8 +225,14 @@
             Ok(found) => return record_found(gateway, stream, &found).ok_or(asked),
             Err(hosts) => asked = hosts,
         }
-        if let Some(known) = find_stored(gateway, stream).await {
-            return Ok(known);
+        // A host that has exited may have written it to the store.
+        if rows::request_read(gateway).await.is_some() {
+            let found = gateway.origins.replicas().find(stream, Instant::now());
+            match found {
+                Lookup::Known(record) => return Ok(KnownOrigin::new(&record, Source::Own)),
+                Lookup::Uncertain => return Err(asked),
+                Lookup::Unknown => {}
+            }
         }
     }
     gateway.versions.wait_until_read().await;
--- a/crates/gateway/src/origins/exchange.rs
+++ b/crates/gateway/src/origins/exchange.rs
@@ -20,8 +20,10 @@
 const MAX_ORIGINS_PER_DATAGRAM: usize = 16;
 /// Maximum interval between checks for copies and probes that are due.
 const CHECK_EVERY: Duration = Duration::from_millis(200);
-/// Hosts whose last datagram is at most this old are notified when this process stops.
-const ANNOUNCE_STOP_WITHIN: Duration = Duration::from_secs(5);
+/// Number of times that each host is notified when this process stops, as datagrams may be lost,
+/// and the pause between notifications.
+const STOP_NOTIFICATIONS: usize = 3;
+const STOP_NOTIFICATION_PAUSE: Duration = Duration::from_millis(100);
 /// Time without an answer after which hosts are asked again; a round trip between zones takes
 /// about 5 ms.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(20);
@@ -64,11 +66,13 @@
     let now = Instant::now();
     match message {
         Message::Copy(stream, record) => {
-            if let Some(record) = record.decode(now) {
+            let record = record.decode(now);
+            if let Some(record) = record.filter(|r| can_accept_record(gateway, r, false)) {
                 let mut replicas = origins.replicas();
                 replicas.record(stream.into(), record, None, ReplicatedBy::ThisHost, now);
+                drop(replicas);
+                send(gateway, from, &Message::Copied(stream));
             }
-            send(gateway, from, &Message::Copied(stream));
         }
         // This version doesn't send `Copy`.
         Message::Copied(_) => {}
@@ -280,17 +284,16 @@
     }
 }
 
-/// Notifies recently heard hosts that this process is stopping. Others learn it from its next
-/// datagram.
+/// Notifies all hosts that answer datagrams that this process is stopping. Others learn it from its
+/// next datagram.
 async fn announce_stop(gateway: Arc<Gateway>) {
     gateway.wait_for_stop().await;
-    let now = Instant::now();
-    let heard = gateway
-        .origins
-        .replicas()
-        .heard_within(ANNOUNCE_STOP_WITHIN, now);
-    for ip in heard {
-        send(&gateway, ip, &Message::Status(own_status(&gateway)));
+    for _ in 0..STOP_NOTIFICATIONS {
+        let hosts = gateway.origins.replicas().answering_hosts();
+        for ip in hosts {
+            send(&gateway, ip, &Message::Status(own_status(&gateway)));
+        }
+        tokio::time::sleep(STOP_NOTIFICATION_PAUSE).await;
     }
 }
 
--- a/crates/gateway/src/origins/rows.rs
+++ b/crates/gateway/src/origins/rows.rs
@@ -232,7 +232,10 @@
     while !read_and_record(gateway).await && started_at.elapsed() < MAX_STREAM_LIFETIME {
         failures += 1;
         let pause = retry_pause(failures, true, fastrand::f64());
-        tokio::time::sleep(pause * 2u32.pow(failures.min(MAX_PAUSE_DOUBLINGS))).await;
+        let pause = pause * 2u32.pow(failures.min(MAX_PAUSE_DOUBLINGS));
+        // A lookup that needs the rows ends the pause.
+        let requested = gateway.stream_rows.read_requested.notified();
+        let _ = tokio::time::timeout(pause, requested).await;
     }
 }
 
--- a/crates/gateway/tests/stream_rows.rs
+++ b/crates/gateway/tests/stream_rows.rs
@@ -459,3 +459,30 @@
     let is_write = |line: &str| line.contains(TABLE) && line.contains("kind=\"write\"");
     assert!(!metrics.lines().any(is_write));
 }
+
+/// Guards against streams that stay unknown after an outage of the store, as a host that failed to
+/// read the rows when it started ignored lookups until its next attempt.
+#[tokio::test]
+async fn lookups_read_the_rows_soon_after_an_outage() {
+    /// Time for which the store is unavailable.
+    const OUTAGE: Duration = Duration::from_secs(8);
+    /// The minimum interval between two reads for lookups, and a margin.
+    const RECOVERY: Duration = Duration::from_millis(1500);
+    let store = store();
+    rows::write(&process(&store, "a"), &streams(0..1, REMAINING), TIMEOUT)
+        .await
+        .unwrap();
+    store.set_mode(StoreMode::Refuse(503));
+    let process = process(&store, "b");
+    process.set_registry(Position { era: 1, version: 1 });
+    let follow = tokio::spawn(rows::follow(process.clone()));
+    tokio::time::sleep(OUTAGE).await;
+    store.set_mode(StoreMode::Serve);
+    let since = Instant::now();
+    while rows::request_read(&process).await.is_none() {
+        let elapsed = since.elapsed();
+        assert!(elapsed < RECOVERY, "no read {elapsed:?} after the outage");
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    follow.abort();
+}
--- a/crates/origins/src/hosts.rs
+++ b/crates/origins/src/hosts.rs
@@ -21,6 +21,9 @@
 const MAX_UNAVAILABLE_PROBES: usize = 8;
 /// Time without an answer after which a host is removed.
 const FORGET_AFTER: Duration = Duration::from_secs(60);
+/// Minimum difference of running times by which a status is of an earlier start, to allow for
+/// delayed datagrams.
+const START_TOLERANCE: Duration = Duration::from_millis(100);
 /// Maximum number of hosts in the list.
 const MAX_HOSTS: usize = 4096;
 
@@ -83,9 +86,19 @@
             return;
         };
         let before = (host.start(), host.availability());
-        host.status = Some((status, now));
         host.waiting_since = None;
         host.unanswered = 0;
+        if !host.is_outdated(&status, now) {
+            let is_same_start = host.start() == Some(status.start);
+            // A stopping process doesn't resume, so a delayed datagram must not clear the flag.
+            let was_stopping = is_same_start && host.is_stopping();
+            let is_stopping = status.is_stopping || was_stopping;
+            let status = HostStatus {
+                is_stopping,
+                ..status
+            };
+            host.status = Some((status, now));
+        }
         if (host.start(), host.availability()) != before {
             self.revision += 1;
         }
@@ -127,17 +140,12 @@
         self.find(ip)?.status
     }
 
-    /// Hosts that sent a datagram within the last `time`.
-    pub fn heard_within(&self, time: Duration, now: Instant) -> Vec<IpAddr> {
-        let is_recent = |host: &&Host| {
-            host.status
-                .is_some_and(|(_, at)| now.saturating_duration_since(at) < time)
-        };
-        self.all
-            .iter()
-            .filter(is_recent)
-            .map(|host| host.ip)
-            .collect()
+    /// Hosts that have sent a datagram and aren't silent.
+    pub fn answering(&self) -> Vec<IpAddr> {
+        let is_answering =
+            |host: &&Host| host.status.is_some() && host.availability() != Availability::Silent;
+        let answering = self.all.iter().filter(is_answering);
+        answering.map(|host| host.ip).collect()
     }
 
     /// Hosts to probe now: `holders` of copies, sorted by address, from which nothing came for the
@@ -213,6 +221,19 @@
 }
 
 impl Host {
+    /// Whether a status, from a delayed datagram, is of an earlier start than the known one.
+    fn is_outdated(&self, status: &HostStatus, now: Instant) -> bool {
+        let Some((known, at)) = self.status else {
+            return false;
+        };
+        let known_for = known.running_for + now.saturating_duration_since(at);
+        known.start != status.start && known_for + START_TOLERANCE < status.running_for
+    }
+
+    fn is_stopping(&self) -> bool {
+        self.status.is_some_and(|(status, _)| status.is_stopping)
+    }
+
     fn start(&self) -> Option<u32> {
         self.status.map(|(status, _)| status.start)
     }
--- a/crates/origins/src/replicas.rs
+++ b/crates/origins/src/replicas.rs
@@ -11,9 +11,20 @@
 use crate::order::{HostLocation, host_order};
 use crate::replication::{COPIES, Replication};
 use crate::search::Search;
-use crate::table::{Entry, Lookup, OriginRecord, OriginTable};
+use crate::table::{Entry, Lookup, MAX_RECORDS, OriginRecord, OriginTable};
 use std::net::IpAddr;
-use std::time::{Duration, Instant};
+use std::time::Instant;
+
+/// Number of hosts in the order of a stream that are cached. The whole order is computed again only
+/// if too few of them are running.
+const FIRST_HOSTS: usize = 12;
+/// Maximum number of orders that are computed, and of origins that are checked, per call. They
+/// bound the time for which the origins are locked in large fleets.
+const MAX_ORDERS_PER_CALL: usize = 64;
+const MAX_CHECKS_PER_CALL: usize = 1024;
+/// Table size from which on origins of other hosts aren't recorded, so that they don't evict this
+/// host's own.
+const MAX_FOREIGN_RECORDS: usize = MAX_RECORDS / 2;
 
 /// Which host replicates an origin.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -55,6 +66,25 @@
     /// Location of this host, which has a place in the order of each stream.
     location: HostLocation,
     members_revision: u64,
+    /// Origin that was checked last.
+    last_checked: Option<StreamId>,
+}
+
+/// Numbers of orders and checks left for a call.
+#[derive(Debug)]
+struct Allowance {
+    orders: usize,
+    checks: usize,
+}
+
+/// Inputs to the choice of the hosts that an origin is copied to.
+#[derive(Debug, Clone, Copy)]
+struct Topology<'a> {
+    members: &'a [HostLocation],
+    members_revision: u64,
+    location: HostLocation,
+    hosts: &'a Hosts,
+    revision: u64,
 }
 
 impl Replicas {
@@ -67,6 +97,7 @@
             members: Vec::new(),
             location,
             members_revision: 0,
+            last_checked: None,
         }
     }
 
@@ -91,6 +122,10 @@
         replicated_by: ReplicatedBy,
         now: Instant,
     ) -> bool {
+        let is_foreign = replicated_by == ReplicatedBy::OtherHost;
+        if is_foreign && self.table.len() >= MAX_FOREIGN_RECORDS {
+            return false;
+        }
         let is_new = self.table.record(stream, record, now);
         let Some(entry) = self.table.entry_mut(stream) else {
             return false;
@@ -142,9 +177,9 @@
         self.hosts.status(ip)
     }
 
-    /// Hosts that sent a datagram within the last `time`.
-    pub fn heard_within(&self, time: Duration, now: Instant) -> Vec<IpAddr> {
-        self.hosts.heard_within(time, now)
+    /// Hosts that have sent a datagram and aren't silent.
+    pub fn answering_hosts(&self) -> Vec<IpAddr> {
+        self.hosts.answering()
     }
 
     /// Hosts to which copies of one origin are to be sent now.
@@ -153,8 +188,15 @@
         let Some(entry) = self.table.entry_mut(stream) else {
             return Vec::new();
         };
-        let (members, location) = (&self.members, self.location);
-        let targets = next_round(entry, members, location, &self.hosts, revision, now);
+        let topology = Topology {
+            members: &self.members,
+            members_revision: self.members_revision,
+            location: self.location,
+            hosts: &self.hosts,
+            revision,
+        };
+        let mut allowance = Allowance::default();
+        let targets = next_round(entry, topology, &mut allowance, now);
         for ip in &targets {
             self.hosts.record_request(*ip, now);
         }
@@ -165,11 +207,29 @@
     pub fn due(&mut self, now: Instant) -> DueSends {
         self.table.expire(now);
         let revision = self.revision();
-        let (members, location, hosts) = (&self.members, self.location, &self.hosts);
+        let hosts = &self.hosts;
+        let topology = Topology {
+            members: &self.members,
+            members_revision: self.members_revision,
+            location: self.location,
+            hosts,
+            revision,
+        };
+        let mut allowance = Allowance::default();
         let mut due = DueSends::default();
         let mut holders: Vec<IpAddr> = Vec::new();
-        for entry in self.table.valid_mut(now) {
-            let targets = next_round(entry, members, location, hosts, revision, now);
+        // Continues after the origin that was checked last, so that all are checked in turn.
+        let last_checked = self.last_checked;
+        let entries = self.table.entries_mut();
+        let first = entries.partition_point(|e| Some(e.stream) <= last_checked);
+        let (before, after) = entries.split_at_mut(first);
+        let in_turn = after.iter_mut().chain(before);
+        for entry in in_turn.filter(|e| e.is_valid(now)) {
+            let checks = allowance.checks;
+            let targets = next_round(entry, topology, &mut allowance, now);
+            if allowance.checks < checks {
+                self.last_checked = Some(entry.stream);
+            }
             if let Some(replication) = &entry.replication {
                 holders.extend(replication.running_holders(hosts));
             }
@@ -203,13 +263,25 @@
         replications.any(|replication| !replication.is_complete_at(revision))
     }
 
-    /// Origins that this host replicates and that too few other running hosts hold.
-    pub fn under_replicated(&self, now: Instant) -> Vec<(StreamId, OriginRecord)> {
+    /// Origins that this host replicates and that too few other running hosts hold, at most `max`.
+    /// If there are more, those in whose order this host comes first are preferred, so that hosts
+    /// that hold the same origins return different ones.
+    pub fn under_replicated(&self, max: usize, now: Instant) -> Vec<(StreamId, OriginRecord)> {
         let under_replicated = self
             .table
             .valid(now)
             .filter(|e| self.is_under_replicated(e));
-        under_replicated.map(|e| (e.stream, e.record)).collect()
+        let mut all: Vec<(StreamId, OriginRecord)> =
+            under_replicated.map(|e| (e.stream, e.record)).collect();
+        if all.len() > max {
+            let rank = |stream| {
+                let others = order_of(stream, &self.members, self.location);
+                others.iter().take_while(|ip| **ip != self.own).count()
+            };
+            all.sort_by_cached_key(|(stream, _)| rank(*stream));
+            all.truncate(max);
+        }
+        all
     }
 
     /// Replication state of the origins when this process ends.
@@ -232,7 +304,10 @@
 
     /// Starts a search for a stream. Hosts that are stopping or silent are asked last.
     pub fn search(&self, stream: StreamId) -> Search {
-        Search::new(order_of(stream, &self.members, self.location, &self.hosts))
+        let mut order = order_of(stream, &self.members, self.location);
+        order.retain(|ip| *ip != self.own);
+        sort_by_availability(&mut order, &self.hosts);
+        Search::new(order)
     }
 
     fn is_under_replicated(&self, entry: &Entry) -> bool {
@@ -245,39 +320,67 @@
     }
 }
 
+impl Default for Allowance {
+    fn default() -> Self {
+        Self {
+            orders: MAX_ORDERS_PER_CALL,
+            checks: MAX_CHECKS_PER_CALL,
+        }
+    }
+}
+
 /// Hosts to which an origin is to be copied now.
 fn next_round(
     entry: &mut Entry,
-    members: &[HostLocation],
-    location: HostLocation,
-    hosts: &Hosts,
-    revision: u64,
+    topology: Topology<'_>,
+    allowance: &mut Allowance,
     now: Instant,
 ) -> Vec<IpAddr> {
     let stream = entry.stream;
     let Some(replication) = &mut entry.replication else {
         return Vec::new();
     };
-    if !replication.is_due(revision, now) {
+    if !replication.is_due(topology.revision, now) || allowance.checks == 0 {
         return Vec::new();
     }
-    let mut order = order_of(stream, members, location, hosts);
-    order.retain(|ip| hosts.availability(*ip) != Availability::Silent);
-    replication.next_round(&order, hosts, revision, now)
+    allowance.checks -= 1;
+    let compute_order = || {
+        let mut order = order_of(stream, topology.members, topology.location);
+        order.retain(|ip| *ip != topology.location.ip);
+        order
+    };
+    if replication.first_hosts(topology.members_revision).is_none() {
+        if allowance.orders == 0 {
+            return Vec::new();
+        }
+        allowance.orders -= 1;
+        let mut order = compute_order();
+        order.truncate(FIRST_HOSTS);
+        replication.set_first_hosts(order, topology.members_revision);
+    }
+    let is_answering = |ip: &IpAddr| topology.hosts.availability(*ip) != Availability::Silent;
+    let first_hosts = replication.first_hosts(topology.members_revision);
+    let mut order = first_hosts.unwrap_or_default().to_vec();
+    let has_more = order.len() < topology.members.len();
+    order.retain(is_answering);
+    let running = |ip: &&IpAddr| topology.hosts.availability(**ip) == Availability::Running;
+    if has_more && order.iter().filter(running).count() < COPIES && allowance.orders > 0 {
+        allowance.orders -= 1;
+        order = compute_order();
+        order.retain(is_answering);
+    }
+    sort_by_availability(&mut order, topology.hosts);
+    replication.next_round(&order, topology.hosts, topology.revision, now)
 }
 
-/// The other hosts by availability, then in the order of the stream.
-fn order_of(
-    stream: StreamId,
-    members: &[HostLocation],
-    own: HostLocation,
-    hosts: &Hosts,
-) -> Vec<IpAddr> {
+/// All hosts in the order of a stream.
+fn order_of(stream: StreamId, members: &[HostLocation], own: HostLocation) -> Vec<IpAddr> {
     let mut all = members.to_vec();
     all.push(own);
-    let mut order = host_order(stream, &all);
-    order.retain(|ip| *ip != own.ip);
-    // The sort is stable, so hosts of the same availability stay in the order of the stream.
-    order.sort_by_key(|ip| hosts.availability(*ip));
-    order
+    host_order(stream, &all)
+}
+
+/// Sorts hosts by availability. Those of the same availability stay in their order.
+fn sort_by_availability(order: &mut [IpAddr], hosts: &Hosts) {
+    order.sort_by_cached_key(|ip| hosts.availability(*ip));
 }
--- a/crates/origins/src/replication.rs
+++ b/crates/origins/src/replication.rs
@@ -20,6 +20,10 @@
 pub(crate) struct Replication {
     /// Processes that hold the origin.
     holders: Vec<HostStart>,
+    /// First other hosts in the order of the stream, and the revision of the members that they were
+    /// computed from.
+    first_hosts: Vec<IpAddr>,
+    members_revision: Option<u64>,
     rounds: usize,
     sent_at: Option<Instant>,
     /// Revision of the hosts at the last check.
@@ -29,6 +33,19 @@
 }
 
 impl Replication {
+    /// First other hosts in the order of the stream at a revision of the members, if they are
+    /// known.
+    pub(crate) fn first_hosts(&self, members_revision: u64) -> Option<&[IpAddr]> {
+        let is_current = self.members_revision == Some(members_revision);
+        is_current.then_some(self.first_hosts.as_slice())
+    }
+
+    /// Sets the first other hosts in the order of the stream.
+    pub(crate) fn set_first_hosts(&mut self, hosts: Vec<IpAddr>, members_revision: u64) {
+        self.first_hosts = hosts;
+        self.members_revision = Some(members_revision);
+    }
+
     /// Records that a process holds the origin.
     pub(crate) fn confirm(&mut self, holder: HostStart) {
         match self.holders.iter_mut().find(|known| known.ip == holder.ip) {
--- a/crates/origins/src/table.rs
+++ b/crates/origins/src/table.rs
@@ -6,7 +6,7 @@
 use std::time::{Duration, Instant};
 
 /// Maximum number of origins, at about 100 bytes each. The one that expires first is evicted.
-const MAX_RECORDS: usize = 16_384;
+pub(crate) const MAX_RECORDS: usize = 16_384;
 /// Maximum number of replaced starts of upstreams that are remembered.
 const MAX_DISTRUSTED: usize = 1024;
 /// Interval between removals of expired origins.
@@ -126,8 +126,9 @@
         self.entries.iter().filter(move |e| e.is_valid(now))
     }
 
-    pub(crate) fn valid_mut(&mut self, now: Instant) -> impl Iterator<Item = &mut Entry> {
-        self.entries.iter_mut().filter(move |e| e.is_valid(now))
+    /// All entries, sorted by stream.
+    pub(crate) fn entries_mut(&mut self) -> &mut [Entry] {
+        &mut self.entries
     }
 
     pub(crate) fn entry_mut(&mut self, stream: StreamId) -> Option<&mut Entry> {
@@ -166,7 +167,7 @@
 }
 
 impl Entry {
-    fn is_valid(&self, now: Instant) -> bool {
+    pub(crate) fn is_valid(&self, now: Instant) -> bool {
         !self.is_uncertain && self.record.expires_at > now
     }
 }
--- a/crates/origins/tests/fleet/mod.rs
+++ b/crates/origins/tests/fleet/mod.rs
@@ -10,6 +10,8 @@
 /// Interval between two rounds of datagrams.
 const TICK: Duration = Duration::from_millis(40);
 const ZONES: usize = 3;
+/// Maximum number of origins in a row.
+const MAX_ROW_RECORDS: usize = 799;
 /// Time from a stop signal to the end of the process, in milliseconds.
 const STOP_MS: std::ops::Range<u64> = 2300..7800;
 /// Time from the end of a process to the next start, in milliseconds.
@@ -195,7 +197,7 @@
             return;
         };
         let status = process.status(now);
-        let heard = process.replicas.heard_within(Duration::from_secs(5), now);
+        let heard = process.replicas.answering_hosts();
         let ip = self.hosts[n].location.ip;
         for to in heard {
             let to = self.number(to);
@@ -441,7 +443,7 @@
             host.starts_at = Some(now + Duration::from_millis(self.rng.u64(DOWN_MS)));
         }
         let ip = host.location.ip;
-        let streams = process.replicas.under_replicated(now);
+        let streams = process.replicas.under_replicated(MAX_ROW_RECORDS, now);
         if self.is_store_available(n) {
             self.rows.retain(|row| row.ip != ip);
             if !streams.is_empty() {
