--- a/crates/gateway/tests/usage.rs
+++ b/crates/gateway/tests/usage.rs
@@ -4,6 +4,7 @@
 mod common;
 #[expect(dead_code, reason = "each test file uses a part of it")]
 mod fixtures;
+#[expect(dead_code, reason = "each test file uses a part of it")]
 mod usage_fleet;
 
 use common::{address, exchange, request, status, wait_for};
--- a/crates/gateway/tests/usage_fleet/mod.rs
+++ b/crates/gateway/tests/usage_fleet/mod.rs
@@ -25,12 +25,89 @@
 pub struct OwnProcess {
     pub name: String,
     pub callers: SocketAddr,
+    host: HostSettings,
     stop: net::Stop,
     task: tokio::task::JoinHandle<Result<(), gateway::StartError>>,
-    runtime: tokio::runtime::Runtime,
+    /// `None` once it was killed.
+    runtime: Option<tokio::runtime::Runtime>,
+}
+
+impl Drop for OwnProcess {
+    fn drop(&mut self) {
+        if let Some(runtime) = self.runtime.take() {
+            runtime.shutdown_background();
+        }
+    }
 }
 
 impl OwnProcess {
+    /// Starts a process and waits until it accepts connections.
+    async fn start(host: HostSettings) -> Self {
+        let runtime = tokio::runtime::Builder::new_multi_thread()
+            .worker_threads(1)
+            .enable_all()
+            .build()
+            .unwrap();
+        let stop = net::Stop::default();
+        let path = std::path::PathBuf::from("/nonexistent/settings");
+        let task = runtime.spawn(gateway::run(path, host.clone(), stop.clone()));
+        let callers = host.client_addr.unwrap();
+        let is_serving = || async { tokio::net::TcpStream::connect(callers).await.is_ok() };
+        wait_for("the process", is_serving).await;
+        Self {
+            name: host.name.clone(),
+            callers,
+            host,
+            stop,
+            task,
+            runtime: Some(runtime),
+        }
+    }
+
+    /// Tells it to stop.
+    pub fn signal_stop(&self) {
+        self.stop.stop();
+    }
+
+    /// Waits until it has ended, starts it again at the same address, and waits until it is ready.
+    pub async fn restart(&mut self) {
+        wait_for("the end of its process", || async {
+            self.task.is_finished()
+        })
+        .await;
+        self.replace().await;
+    }
+
+    /// Kills it, starts it again at the same address, and waits until it is ready.
+    pub async fn kill_and_restart(&mut self) {
+        self.replace().await;
+    }
+
+    async fn replace(&mut self) {
+        // The former process releases its addresses only as its runtime ends.
+        let host = self.host.clone();
+        if let Some(runtime) = self.runtime.take() {
+            runtime.shutdown_background();
+        }
+        wait_for("its addresses", || async {
+            let addr = SocketAddr::new(host.ip, host.usage_port);
+            let is_free = std::net::UdpSocket::bind(addr).is_ok();
+            is_free && std::net::TcpListener::bind(host.readiness_addr.unwrap()).is_ok()
+        })
+        .await;
+        *self = Self::start(host).await;
+        self.wait_ready().await;
+    }
+
+    async fn wait_ready(&self) {
+        let ready = self.host.readiness_addr.unwrap();
+        wait_for("readiness", || async {
+            let text = exchange(ready, "GET /readyz HTTP/1.1\r\nhost: x\r\n\r\n").await;
+            text.starts_with("HTTP/1.1 200")
+        })
+        .await;
+    }
+
     /// Sends requests of a tenant sequentially.
     pub async fn send(&self, tenant: &str, count: usize) {
         for n in 0..count {
@@ -51,8 +128,9 @@
         self.kill();
     }
 
+    /// Kills it.
     pub fn kill(self) {
-        self.runtime.shutdown_background();
+        drop(self);
     }
 }
 
@@ -61,6 +139,8 @@
     pub beds: Vec<TestGateway>,
     pub store: Store,
     pub cloud: Cloud,
+    /// Length of the windows for hosts that are started from now on.
+    pub window: Duration,
     pub _workers: Vec<Worker>,
 }
 
@@ -85,6 +165,7 @@
         beds: Vec::new(),
         store,
         cloud,
+        window: WINDOW,
         _workers: workers,
     };
     for _ in 0..gateways {
@@ -100,7 +181,7 @@
         host.cloud = Some(CloudSettings {
             addr: self.cloud.addr,
             usage: Some(UsageBounds {
-                window: WINDOW,
+                window: self.window,
                 due: Duration::from_secs(10),
             }),
             is_scaling_enabled: false,
@@ -130,24 +211,14 @@
             panic!("tests have IPv4 addresses");
         };
         let host = self.host(Ipv4Addr::from(u32::from(first) - (place << 16)));
-        let runtime = tokio::runtime::Builder::new_multi_thread()
-            .worker_threads(1)
-            .enable_all()
-            .build()
-            .unwrap();
-        let stop = net::Stop::default();
-        let path = std::path::PathBuf::from("/nonexistent/settings");
-        let task = runtime.spawn(gateway::run(path, host.clone(), stop.clone()));
-        let callers = host.client_addr.unwrap();
-        let is_serving = || async { tokio::net::TcpStream::connect(callers).await.is_ok() };
-        wait_for("the process", is_serving).await;
-        OwnProcess {
-            name: host.name,
-            callers,
-            stop,
-            task,
-            runtime,
-        }
+        OwnProcess::start(host).await
+    }
+
+    /// Starts a process in a runtime of its own, and waits until it is ready.
+    pub async fn start_process(&self, ip: Ipv4Addr) -> OwnProcess {
+        let process = OwnProcess::start(self.host(ip)).await;
+        process.wait_ready().await;
+        process
     }
 
     pub async fn wait_reports_by(&self, name: &str, count: usize) {
