Confirm the usage that a stopping host hands over

Requests that ran were in no usage report after hosts had been told to stop one after the other, each before the former one had ended.

A stopping host sent each collector, in datagrams, the requests after the last one that it had polled. It identified collectors by address, so it took a collector that had restarted in place for its former start and sent it only the last requests. The collector began its log of that host there, and neither asked for the earlier ones nor accepted them from others. A collector that had polled within the last 3 s also counted as a receiver although it had ended since.

Last requests are now added only if those before them are known, and a stopping host always sends what it holds in a call as well, which the receiver confirms; requests are numbered, so known ones are ignored. Only confirmed requests count as received; otherwise the first live processes get them. This costs a call to each collector at the two hand-overs of a stop.

A site whose hosts all stop at once still loses its last window.

requests_sent_only_to_collectors_that_are_gone_count_as_lost expected no loss while the gone collector's last poll was less than 3 s ago, which was this fault; it now expects the loss at once, and as before 3.2 s later.

--- a/crates/gateway/src/duty/usage/exchange.rs
+++ b/crates/gateway/src/duty/usage/exchange.rs
@@ -233,7 +233,9 @@
         .clock()
         .estimate_base(answer.time_of_day_ms, at);
     queries.add_estimate(ip, base_ms, now);
-    if gateway.usage.ledger().add(ip, &answer, at) && !is_last {
+    if is_last {
+        gateway.usage.ledger().add_last(ip, &answer, at);
+    } else if gateway.usage.ledger().add(ip, &answer, at) {
         poll_peer(gateway, exchange, &mut queries, ip, now);
     }
 }
--- a/crates/gateway/src/duty/usage/hand_over.rs
+++ b/crates/gateway/src/duty/usage/hand_over.rs
@@ -2,7 +2,7 @@
 
 use super::exchange::{add_own_requests, send};
 use super::message::Message;
-use super::{Collector, POLL_TIMEOUT, read_log, transfer};
+use super::{Collector, read_log, transfer};
 use crate::state::Gateway;
 use observe::{Event, emit};
 use std::net::{IpAddr, SocketAddr};
@@ -21,9 +21,9 @@
 const FINAL_SENDS: u32 = 3;
 const FINAL_SEND_PAUSE: Duration = Duration::from_millis(20);
 
-/// Sends the requests of this process that collectors may not have to recent collectors, and to
-/// other processes if these may be gone. A collector also sends what it holds of other processes.
-/// Returns the number of requests that are likely to be lost.
+/// Sends the requests of this process that collectors may not have to recent collectors, or to
+/// other processes if none of these confirms them. A collector also sends what it holds of other
+/// processes. Returns the number of requests that no process has confirmed.
 pub async fn send_remaining(gateway: &Arc<Gateway>) -> u64 {
     let now = Instant::now();
     let collectors: Vec<Collector> = {
@@ -34,22 +34,19 @@
             .filter(|c| now.saturating_duration_since(c.polled_at) < COLLECTOR_TIMEOUT);
         recent.copied().collect()
     };
-    let own = gateway.usage.own_log(gateway);
-    let holds_others = gateway.usage.ledger().other_logs(own) > 0;
-    let is_polling = |c: &Collector| now.saturating_duration_since(c.polled_at) < POLL_TIMEOUT;
     let mut sent = send_last(gateway, &collectors).await;
-    // Datagrams aren't acknowledged, and collectors that poll no more may be gone.
-    let mut is_received = !sent.is_empty() && collectors.iter().any(is_polling);
-    if holds_others || !is_received {
-        add_own_requests(gateway, Instant::now());
-        let to = match is_received {
-            true => collectors.iter().map(|c| c.ip).collect(),
-            false => substitutes(gateway, now),
-        };
-        let received = send_held(gateway, to).await;
-        is_received |= !received.is_empty();
-        sent.extend(received);
+    add_own_requests(gateway, Instant::now());
+    // Datagrams aren't confirmed, and the process that polled from an address may be gone, or have
+    // been replaced by one that has nothing.
+    let to: Vec<IpAddr> = collectors.iter().map(|c| c.ip).collect();
+    let mut received = send_held(gateway, to.clone()).await;
+    if received.is_empty() {
+        let mut others = substitutes(gateway, now);
+        others.retain(|ip| !to.contains(ip));
+        received = send_held(gateway, others).await;
     }
+    let is_received = !received.is_empty();
+    sent.extend(received);
     emit(&Event::UsageHandedOver { receivers: sent });
     match is_received {
         true => 0,
@@ -97,7 +94,7 @@
     sent
 }
 
-/// Sends processes what this one holds of all processes. Returns those that received it, each with
+/// Sends processes what this one holds of all processes. Returns those that confirmed it, each with
 /// the number of requests that it didn't have.
 async fn send_held(gateway: &Arc<Gateway>, to: Vec<IpAddr>) -> Vec<(String, u64)> {
     let calls = to.into_iter().map(|ip| {
--- a/crates/gateway/src/duty/usage/ledger.rs
+++ b/crates/gateway/src/duty/usage/ledger.rs
@@ -213,6 +213,18 @@
         has_more
     }
 
+    /// Adds the last requests of a process that exits, unless requests before them aren't known: it
+    /// may have taken this process for a former one at the same address.
+    pub fn add_last(&mut self, ip: IpAddr, answer: &QueryAnswer, at: Instant) {
+        let logs = self.logs_of(ip).iter();
+        let known = logs
+            .filter(|log| log.start == answer.start)
+            .map(|log| log.next);
+        if answer.from <= known.max().unwrap_or(0) {
+            self.add(ip, answer, at);
+        }
+    }
+
     /// Adds requests that another process holds, where `at` is the time of its message by this
     /// process's clock. Returns the number of those that weren't known.
     pub fn add_held(&mut self, held: &HeldLog, at: Instant) -> u64 {
--- a/crates/gateway/src/duty/usage/transfer.rs
+++ b/crates/gateway/src/duty/usage/transfer.rs
@@ -53,10 +53,15 @@
     is_done
 }
 
-/// Sends a process the requests of others that this process holds and that one doesn't. Returns
-/// their number.
+/// Sends a process the requests that this process holds and that one doesn't. Returns their number.
 pub async fn send_held(gateway: &Gateway, to: IpAddr) -> Result<u64, String> {
-    let known: Vec<KnownLog> = call(gateway, to, Method::GET, &(), SEND_TIMEOUT).await?;
+    let own = gateway.usage.own_log(gateway);
+    let holds_others = gateway.usage.ledger().other_logs(own) > 0;
+    let known: Vec<KnownLog> = match holds_others {
+        true => call(gateway, to, Method::GET, &(), SEND_TIMEOUT).await?,
+        // The own requests are few, and the receiver ignores those that it knows.
+        false => Vec::new(),
+    };
     let mut held = gateway.usage.ledger().held_beyond(&known, Instant::now());
     held.iter_mut().for_each(|log| log.complete_ms_ago = None);
     call(gateway, to, Method::PUT, &held, SEND_TIMEOUT).await
--- a/crates/gateway/tests/usage.rs
+++ b/crates/gateway/tests/usage.rs
@@ -207,7 +207,8 @@
     poll(&socket, (host.ip, host.usage_port)).await;
     drop(socket);
     gateway.usage.record(Instant::now(), &"one".into());
-    assert_eq!(usage::hand_over_last(&gateway).await, 0);
+    // Also right after the collector's last poll.
+    assert_eq!(usage::hand_over_last(&gateway).await, 1);
     // Longer than a collector pauses between polls.
     tokio::time::sleep(Duration::from_millis(3200)).await;
     assert_eq!(usage::hand_over_last(&gateway).await, 1);
--- a/crates/gateway/tests/usage_collection.rs
+++ b/crates/gateway/tests/usage_collection.rs
@@ -140,3 +140,26 @@
     );
     assert_eq!(ledger.held_beyond(&other.known_logs(), base), []);
 }
+
+/// Guards against losing the requests of a process that exits and takes the collector for a former
+/// one at the same address, which had all but the last of them.
+#[test]
+fn last_requests_without_those_before_them_leave_the_others_to_be_sent() {
+    let base = Instant::now();
+    let (mut log, mut sender, mut ledger) = (
+        RequestLog::new(7, || 0),
+        Ledger::default(),
+        Ledger::default(),
+    );
+    (0..5).for_each(|_| log.record(base, "a".into()));
+    copy_log(&log, &mut sender, 1, base);
+    ledger.add_last(ip(1), &log.read_from(7, 4, 0, base), base);
+    for held in sender.held_beyond(&ledger.known_logs(), base) {
+        ledger.add_held(&held, base);
+    }
+    let until = base + Duration::from_secs(1);
+    assert_eq!(ledger.count(base, until).requests, 5);
+    log.record(base, "b".into());
+    ledger.add_last(ip(1), &log.read_from(7, 5, 0, base), base);
+    assert_eq!(ledger.count(base, until).requests, 6);
+}
