--- a/crates/gateway/tests/common/versions.rs
+++ b/crates/gateway/tests/common/versions.rs
@@ -36,7 +36,7 @@
 
 impl Host {
     /// Starts a host.
-    fn start(settings: platform::HostSettings) -> Self {
+    pub fn start(settings: platform::HostSettings) -> Self {
         let mut host = Self {
             runtime: None,
             callers: settings.client_addr.unwrap(),
@@ -81,11 +81,7 @@
             running.await.unwrap();
         }
         self.kill();
-        if let Some(shutdown) = self.shutdown.take() {
-            // The sockets are open until the shutdown ends.
-            let shutdown = tokio::task::spawn_blocking(|| shutdown.join().unwrap());
-            shutdown.await.unwrap();
-        }
+        self.wait_for_shutdown().await;
         self.settings.is_first_start = false;
         self.run();
         self.wait_ready().await;
@@ -99,7 +95,7 @@
         }
     }
 
-    async fn wait_ready(&self) {
+    pub async fn wait_ready(&self) {
         let ready = self.ready;
         wait_for("readiness", || async move {
             let text = exchange(ready, "GET /readyz HTTP/1.1\r\nhost: x\r\n\r\n").await;
