Write single crashes when a host stops

A request that crashes the upstreams it runs on was sent more often than allowed when hosts restarted between its crashes, in series that overlap or all at once.

Hosts write a request's crashes to the store from the second one on; the first one is known only to those that ran then. After a series of restarts none of these is left, so that each series began the count anew: a request with one crash between two series was never blocked.

A stopping host now writes from the first crash on, as one without a live peer does, up to the same number of rows. This costs one call to the store for each stop of a host that knows of a crash without a row.

What only hosts that were killed knew is still lost.

--- a/crates/gateway/src/crashes/rows.rs
+++ b/crates/gateway/src/crashes/rows.rs
@@ -317,13 +317,15 @@
     !peers.is_empty() && peers.live(Instant::now()).next().is_none()
 }
 
-/// Crashes to write now. A host without a live peer writes from the first crash of a request.
+/// Crashes to write now. A host that has no live peer or is stopping writes from the first crash of
+/// a request, as all peers that know of it may be stopping as well.
 fn crashes_to_write(gateway: &Gateway) -> Vec<CrashRecord> {
     let (has_no_live_peer, takeover_before) = (has_no_live_peer(gateway), takeover_before(gateway));
+    let is_stopping = gateway.stop.is_stopped();
     let crashes = gateway.crashes.lock();
     let min_crashes = match crashes.recorded().len() {
         rows if rows >= MAX_SUSPECT_ROWS => BLOCK_THRESHOLD,
-        _ if has_no_live_peer => 1,
+        _ if has_no_live_peer || is_stopping => 1,
         _ => RECORD_THRESHOLD,
     };
     crashes.unrecorded(min_crashes, takeover_before, MAX_ROWS_PER_CALL)
