Let stopping hosts reclaim the shares of quotas that they had lent

Requests far within their tenant's quota were refused with 429 or 503 at hosts that were told to stop at once, from 0.1 s after the signal until they ended.

A stopping grantor gives its shares back, but a stopping lender no longer checked its lease, so it never used its share again. Where all grantors stop as well, no host admits requests for as long as the hosts still serve, up to 7.5 s.

A stopping host now reclaims its share once the lease has ended, as a running one does, and still collects none. A lease ends at the grantor first, so no share is used twice.

--- a/crates/gateway/src/quota/exchange.rs
+++ b/crates/gateway/src/quota/exchange.rs
@@ -227,10 +227,15 @@
             let zone = gateway.peers().zone_of(from);
             record_grantor(&mut zone_grantors, zone, ip, Instant::now());
         }
-        if !is_limit_in_force(&gateway) || gateway.stop.is_stopped() {
+        if !is_limit_in_force(&gateway) {
             continue;
         }
         let now = Instant::now();
+        if gateway.stop.is_stopped() {
+            // It still serves, and the grantor that had its share may be gone as well.
+            gateway.quotas.lending().reclaim_share(now);
+            continue;
+        }
         if now.saturating_duration_since(active_at) >= RESUME_AFTER {
             gateway.quotas.lending().resume(now);
         }
--- a/crates/quota/src/lending.rs
+++ b/crates/quota/src/lending.rs
@@ -136,16 +136,23 @@
         self.is_grantor = false;
     }
 
+    /// Reclaims the share if its lease has expired.
+    pub fn reclaim_share(&mut self, now: Instant) {
+        if let Some(share) = self.share
+            && self.holds_share(now)
+        {
+            self.lease = None;
+            self.pool.add_share(self.ip, share, None, now);
+        }
+    }
+
     /// Reclaims the share if its lease has expired, and becomes a grantor if no request for the
     /// share has arrived in time.
     pub fn tick(&mut self, zone: Zone, now: Instant) {
-        let Some(share) = self.share else {
+        if self.share.is_none() {
             return;
-        };
-        if self.holds_share(now) {
-            self.lease = None;
-            self.pool.add_share(self.ip, share, None, now);
         }
+        self.reclaim_share(now);
         let pause = collect_pause(zone.hosts);
         let (since, wait) = match self.last_collect {
             Some((_, at)) => (at, pause * TAKEOVER_ROUNDS),
--- a/crates/quota/tests/fleet.rs
+++ b/crates/quota/tests/fleet.rs
@@ -40,7 +40,8 @@
         (host.clone(), 0u32..100, 200u64..5000)
             .prop_map(|(_, percent, ms)| Event::Loss { percent, ms }),
         (200u64..5000).prop_map(|ms| Event::Duplicate { ms }),
-        host.prop_map(|host| Event::Stop { host }),
+        host.clone().prop_map(|host| Event::Stop { host }),
+        (host, 500u64..8000).prop_map(|(host, ms)| Event::Drain { host, ms }),
     ];
     (0u64..25_000, kind)
 }
@@ -243,3 +244,22 @@
     let served = sim.granted() / requested;
     assert!(served >= 0.98, "{served}");
 }
+
+/// Guards against refusals of requests within the quota while all hosts stop: those that had lent
+/// their shares to a grantor that stopped as well didn't get them back.
+#[test]
+fn hosts_that_stop_at_once_admit_requests_until_they_end() {
+    let mut sim = Sim::new(&[8, 8, 8, 7], 12);
+    sim.warm_up();
+    for host in 0..31 {
+        sim.schedule(1_000, Event::Drain { host, ms: 7_500 });
+    }
+    // A request must fit in the share of one host.
+    let cost = COST / 10.0;
+    sim.run(8_500, |sim| {
+        submit_requests(sim, QUOTA * 0.3 / cost, cost, |sim| sim.random_host(31));
+    });
+    let requested = sim.granted() + sim.refused() as f64 * cost;
+    let served = sim.granted() / requested;
+    assert!(served >= 0.95, "{served}");
+}
--- a/crates/quota/tests/sim/mod.rs
+++ b/crates/quota/tests/sim/mod.rs
@@ -34,6 +34,8 @@
     Kill { host: usize, ms: u64 },
     /// Stops the process of a host gracefully, and restarts it immediately.
     Stop { host: usize },
+    /// Tells a host to stop, which serves for some time before it ends and restarts.
+    Drain { host: usize, ms: u64 },
     /// Partitions the hosts whose bit is set from the others.
     Partition { side: u64, ms: u64 },
     /// Adds a random latency of up to `delay_ms` to datagrams.
@@ -59,6 +61,8 @@
     peers: Vec<usize>,
     frozen_until: u64,
     dead_until: u64,
+    /// End of the process, if it was told to stop.
+    ends_at: Option<u64>,
     next_round_at: u64,
 }
 
@@ -111,6 +115,7 @@
                     peers: (first..first + count).collect(),
                     frozen_until: 0,
                     dead_until: 0,
+                    ends_at: None,
                     next_round_at: 0,
                 });
             }
@@ -230,13 +235,15 @@
                 Event::Freeze { host, ms } => self.hosts[host].frozen_until = now + ms,
                 Event::Kill { host, ms } => self.restart(host, now + ms),
                 Event::Stop { host } => {
-                    let at = self.at(now);
-                    let collect = self.hosts[host].lending.stop_collecting(at);
-                    for peer in self.hosts[host].peers.clone() {
-                        self.send(host, peer, Message::Collect(collect));
-                    }
+                    self.release_shares(host);
                     self.restart(host, now);
                 }
+                Event::Drain { host, ms } => {
+                    if self.hosts[host].lending.is_grantor() {
+                        self.release_shares(host);
+                    }
+                    self.hosts[host].ends_at = Some(now + ms);
+                }
                 Event::Partition { side, ms } => self.partitions.push((side, now + ms)),
                 Event::Delay { delay_ms, ms } => self.delay = (delay_ms, now + ms),
                 Event::Loss { percent, ms } => self.loss = (percent, now + ms),
@@ -245,7 +252,16 @@
         }
     }
 
+    fn release_shares(&mut self, host: usize) {
+        let at = self.at(self.now);
+        let collect = self.hosts[host].lending.stop_collecting(at);
+        for peer in self.hosts[host].peers.clone() {
+            self.send(host, peer, Message::Collect(collect));
+        }
+    }
+
     fn restart(&mut self, host: usize, at: u64) {
+        self.hosts[host].ends_at = None;
         let (started, round) = (self.at(at), self.random());
         self.hosts[host].lending = Lending::new(ip(host), round, started);
         self.hosts[host].dead_until = at;
@@ -300,6 +316,9 @@
     }
 
     fn tick_host(&mut self, host: usize) {
+        if self.hosts[host].ends_at.is_some_and(|at| at <= self.now) {
+            self.restart(host, self.now);
+        }
         if self.hosts[host].next_round_at > self.now {
             return;
         }
@@ -307,7 +326,12 @@
         let hosts = self.hosts.len() as u32;
         let pause = quota::lending::collect_pause(zone.hosts).as_millis() as u64;
         self.hosts[host].next_round_at = self.now + pause;
+        let is_stopping = self.hosts[host].ends_at.is_some();
         let lending = &mut self.hosts[host].lending;
+        if is_stopping {
+            lending.reclaim_share(now);
+            return;
+        }
         lending.set_host_count(hosts, false, now);
         lending.tick(zone, now);
         if !lending.is_grantor() {
