Give new hosts their share of quotas once all peers count them

Requests far within their tenant's quota were refused for 6 s after hosts had been told to stop one after the other, each before the former one had ended, and had started again.

A host that isn't in the list of processes as it starts uses no share for 6 s, as the others may still count without it. A host that is told to stop removes its row, so that it counts as new when it restarts. After a series that overlaps all hosts are new, and nobody admits.

In a full mesh a new host now uses its share as soon as all known peers run and have said, in the status that they send anyway, that they have read the list of processes up to a position at which it has this host's row: they all count it. Otherwise, and in trees, the 6 s stay.

Larger sites, where hosts form trees, keep the gap of 6 s.

--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -22,6 +22,7 @@
 use crate::fleet::Fleet;
 use crate::follow::outage::OutageTracker;
 use changes::PeerChange;
+use platform::Position;
 use serde::{Deserialize, Serialize};
 use std::collections::VecDeque;
 use std::net::IpAddr;
@@ -388,6 +389,17 @@
         self.all.iter().map(|p| p.ip).collect()
     }
 
+    /// Whether all known peers are live and have read the list of processes up to a position.
+    /// Always false outside a full mesh, as only there each peer sends its status.
+    pub fn have_read_members(&self, position: Position, now: Instant) -> bool {
+        let timeout = self.peer_timeout();
+        let has_read = |p: &Peer| {
+            let status = p.status.as_ref();
+            p.is_live(now, timeout) && status.is_some_and(|s| s.members >= position)
+        };
+        self.is_direct() && self.all.iter().all(has_read)
+    }
+
     /// Whether an address belongs to a known peer.
     pub fn knows(&self, ip: IpAddr) -> bool {
         self.all.binary_search_by_key(&ip, |p| p.ip).is_ok()
--- a/crates/gateway/src/peers/membership.rs
+++ b/crates/gateway/src/peers/membership.rs
@@ -94,7 +94,10 @@
                         ProcessChange::Stopped { host } if *host == gateway.host().name => {
                             row_era = None;
                         }
-                        item if *item == own_row(&gateway) => row_era = Some(change.position.era),
+                        item if *item == own_row(&gateway) => {
+                            row_era = Some(change.position.era);
+                            gateway.quotas.set_listed_at(change.position);
+                        }
                         ProcessChange::Started { .. } | ProcessChange::Stopped { .. } => {}
                     }
                 }
--- a/crates/gateway/src/quota.rs
+++ b/crates/gateway/src/quota.rs
@@ -15,7 +15,7 @@
 
 use crate::state::Gateway;
 use message::{Message, Spend, SpendRequest};
-use platform::Quota;
+use platform::{Position, Quota};
 use quota::lending::Zone;
 use quota::{Cost, Lending, Limit, LimitKey, TenantId};
 use refusals::{QuotaRefusal, RefusalCache};
@@ -43,6 +43,8 @@
     number: AtomicU64,
     /// Whether this host wasn't in the store before this process started.
     is_new_host: AtomicBool,
+    /// Position of the list of processes in which this process found its row.
+    listed_at: Mutex<Option<Position>>,
     socket: OnceLock<Arc<UdpSocket>>,
 }
 
@@ -98,6 +100,7 @@
             remote_grantors: Mutex::default(),
             number: AtomicU64::new(fastrand::u64(..)),
             is_new_host: AtomicBool::new(false),
+            listed_at: Mutex::default(),
             socket: OnceLock::new(),
         }
     }
@@ -107,6 +110,11 @@
         self.is_new_host.store(is_new_host, Ordering::Relaxed);
     }
 
+    /// Sets the position of the list of processes in which this process found its row.
+    pub fn set_listed_at(&self, position: Position) {
+        *lock(&self.listed_at) = Some(position);
+    }
+
     fn lending(&self) -> MutexGuard<'_, Lending> {
         lock(&self.lending)
     }
--- a/crates/gateway/src/quota/exchange.rs
+++ b/crates/gateway/src/quota/exchange.rs
@@ -232,7 +232,7 @@
         }
         let now = Instant::now();
         if gateway.stop.is_stopped() {
-            // It still serves, and the grantor that had its share may be gone as well.
+            // A stopping host still serves, and the grantor of its share may be stopping as well.
             gateway.quotas.lending().reclaim_share(now);
             continue;
         }
@@ -251,8 +251,13 @@
 fn update_zone(gateway: &Gateway) -> bool {
     let quotas = &gateway.quotas;
     let now = Instant::now();
+    let listed_at = *lock(&quotas.listed_at);
     let (hosts, mut zone) = {
         let peers = gateway.peers();
+        // All other hosts include this one when they compute their shares.
+        if listed_at.is_some_and(|position| peers.have_read_members(position, now)) {
+            quotas.set_new_host(false);
+        }
         let own = gateway.location();
         let hosts = peers
             .is_membership_known()
--- a/crates/gateway/tests/quota_restarts.rs
+++ b/crates/gateway/tests/quota_restarts.rs
@@ -1,5 +1,5 @@
 //! Tests that requests within a tenant's quota are admitted, and not more than that, while hosts
-//! restart in series that overlap, or all at once.
+//! restart in overlapping series or all at once.
 
 #[expect(dead_code, reason = "each test file uses a part of it")]
 mod common;
@@ -7,6 +7,7 @@
 use common::crashing::System;
 use common::versions::Host;
 use common::{address, host, join_all, request, routes, wait_for};
+use platform::QuotaBounds;
 use serde_json::json;
 use std::cell::RefCell;
 use std::time::{Duration, Instant};
@@ -15,8 +16,8 @@
 
 /// Number of hosts.
 const HOSTS: usize = 4;
-/// Time between two stop signals of a series. All hosts get theirs before the first one ends, as a
-/// host without requests takes 2.3 s to stop.
+/// Time between two stop signals of a series. All hosts are signalled before the first one exits,
+/// as an idle host takes 2.3 s to stop.
 const STOP_GAP: Duration = Duration::from_millis(500);
 /// Time after which a host that is new to the fleet uses its share, and buckets are full.
 const FILL_TIME: Duration = Duration::from_secs(9);
@@ -27,11 +28,19 @@
 const RATE: f64 = 200.0;
 const BURST: f64 = 200.0;
 const SEND_EVERY: Duration = Duration::from_millis(50);
-/// Least share of the requests within the quota that are admitted.
+/// Interval between two requests of a flood, about twice the rate.
+const FLOOD_EVERY: Duration = Duration::from_micros(2500);
+/// Bounds of usage in any window, of a flood.
+const BOUNDS: QuotaBounds = QuotaBounds {
+    window: Duration::from_secs(8),
+    overage: 0.1,
+    slack: 100.0,
+};
+/// Minimum share of requests within the quota that must be admitted.
 const MIN_ADMITTED: f64 = 0.95;
 
 struct Fleet {
-    _system: System,
+    system: System,
     hosts: Vec<Host>,
 }
 
@@ -56,7 +65,7 @@
 }
 
 impl Fleet {
-    async fn start() -> Self {
+    async fn start(quota: QuotaBounds) -> Self {
         let system = System::start(0, 2).await;
         let mut config = common::config(2, &routes());
         config["Tenants"] = json!([{
@@ -65,7 +74,11 @@
         system.store.put("op", "config", &config);
         let mut hosts = Vec::new();
         for _ in 0..HOSTS {
-            let host = Host::start(host(address(), system.store.addr));
+            let settings = platform::HostSettings {
+                quota,
+                ..host(address(), system.store.addr)
+            };
+            let host = Host::start(settings);
             host.wait_ready().await;
             hosts.push(host);
         }
@@ -74,10 +87,7 @@
         })
         .await;
         tokio::time::sleep(FILL_TIME).await;
-        Self {
-            _system: system,
-            hosts,
-        }
+        Self { system, hosts }
     }
 
     /// Restarts the hosts while requests within the quota come at all of them in turn.
@@ -121,13 +131,13 @@
         tcp.write_all(text.as_bytes()).await?;
         tcp.read_to_end(&mut buf).await
     };
-    // A host that ends closes its connections.
+    // A host closes its connections as it exits.
     let _ = exchanged.await;
     String::from_utf8_lossy(&buf).into_owned()
 }
 
-async fn play_series(gap: Duration) {
-    let mut fleet = Fleet::start().await;
+async fn run_series(gap: Duration) {
+    let mut fleet = Fleet::start(QuotaBounds::default()).await;
     let answers = fleet.restart_under_load(gap).await;
     let counted = f64::from(answers.served) + answers.over_quota.len() as f64;
     let admitted = f64::from(answers.served) / counted;
@@ -138,15 +148,62 @@
     );
 }
 
-/// Guards against requests within the quota being refused after hosts were told to stop one after the
-/// other, each before the former one had ended.
+/// Guards against requests within the quota being refused after hosts were told to stop one after
+/// the other, each before the former one had exited.
 #[tokio::test]
 async fn quotas_are_admitted_during_an_overlapping_series_of_restarts() {
-    play_series(STOP_GAP).await;
+    run_series(STOP_GAP).await;
 }
 
 /// Guards against the same where all hosts are told to stop at once.
 #[tokio::test]
 async fn quotas_are_admitted_while_all_hosts_restart_at_once() {
-    play_series(Duration::ZERO).await;
+    run_series(Duration::ZERO).await;
+}
+
+/// Guards against more than the quota being admitted as hosts that are new to the list of processes
+/// use shares which others still count as theirs.
+#[tokio::test]
+async fn no_more_than_the_quota_is_admitted_during_an_overlapping_series_of_restarts() {
+    let mut fleet = Fleet::start(BOUNDS).await;
+    let callers: Vec<_> = fleet.hosts.iter().map(|host| host.callers).collect();
+    let flood = async {
+        for n in 0.. {
+            let text = request("GET", "/safe/", &format!("f-{n}"), "key: key-one\r\n", "");
+            let to = callers[n % HOSTS];
+            tokio::spawn(async move { send(to, &text).await });
+            tokio::time::sleep(FLOOD_EVERY).await;
+        }
+    };
+    let restarts = async {
+        let restarts = fleet.hosts.iter_mut().enumerate().map(async |(n, host)| {
+            tokio::time::sleep(STOP_GAP * n as u32).await;
+            host.stop();
+            host.restart().await;
+        });
+        join_all(restarts).await;
+        tokio::time::sleep(AFTER_TIME).await;
+    };
+    tokio::select! {
+        () = flood => {}
+        () = restarts => {}
+    }
+    let quota = RATE * BOUNDS.window.as_secs_f64() + BURST;
+    let allowed = quota * (1.0 + BOUNDS.overage) + BOUNDS.slack;
+    let workers = fleet.system.workers().iter();
+    let times: Vec<Instant> = workers
+        .flat_map(|worker| worker.requests())
+        .map(|r| r.at)
+        .collect();
+    let in_window = |from: &Instant| {
+        let until = *from + BOUNDS.window;
+        times
+            .iter()
+            .filter(|at| *at >= from && **at < until)
+            .count()
+    };
+    let most = times.iter().map(in_window).max().unwrap() as f64;
+    assert!(most <= allowed, "{most} of {allowed} in a window");
+    // Otherwise the quota didn't limit the load.
+    assert!(most >= quota / 2.0, "{most} of {quota} in a window");
 }
