Write usage that no process confirms to the store

Requests that ran were in no usage report after all hosts had been told to stop at once, or the only host of a site.

A stopping host hands its requests over to other processes. Where all stop at the same moment there is none, and the requests of the last windows were logged as lost.

Requests keep their numbers, so none counts twice. This costs up to two calls for each stop without a receiver, and one more with each read of the lease, which now also happens after the list has changed.

--- a/crates/gateway/src/duty/usage/hand_over.rs
+++ b/crates/gateway/src/duty/usage/hand_over.rs
@@ -1,10 +1,13 @@
 //! Hands over the requests of a process that exits, and what it holds of others.
 
 use super::exchange::{add_own_requests, send};
-use super::message::Message;
-use super::{Collector, read_log, transfer};
+use super::message::{Message, StoredLogs};
+use super::{Collector, read_log, time_of_day_ms, transfer};
+use crate::duty::STORE_TIMEOUT;
+use crate::follow::StoreClient;
 use crate::state::Gateway;
 use observe::{Event, emit};
+use platform::store::unconfirmed::MAX_UNCONFIRMED_ROWS;
 use std::net::{IpAddr, SocketAddr};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -21,9 +24,13 @@
 const FINAL_SENDS: u32 = 3;
 const FINAL_SEND_PAUSE: Duration = Duration::from_millis(20);
 
-/// Sends the requests of this process that collectors may not have to recent collectors, or to
-/// other processes if none of these confirms them. A collector also sends what it holds of other
-/// processes. Returns the number of requests that no process has confirmed.
+/// Maximum number of requests per row of the store, about 20 KB with short tenant names.
+const MAX_REQUESTS_PER_ROW: usize = 1000;
+
+/// Sends the requests of this process that collectors may lack to recent collectors, or to other
+/// processes if no collector confirms them, or else writes them to the store. A collector also
+/// sends what it holds of other processes. Returns the number of requests that are likely to be
+/// lost.
 pub async fn send_remaining(gateway: &Arc<Gateway>) -> u64 {
     let now = Instant::now();
     let collectors: Vec<Collector> = {
@@ -36,8 +43,8 @@
     };
     let mut sent = send_last(gateway, &collectors).await;
     add_own_requests(gateway, Instant::now());
-    // Datagrams aren't confirmed, and the process that polled from an address may be gone, or have
-    // been replaced by one that has nothing.
+    // Datagrams aren't acknowledged, and the process that polled from an address may have exited
+    // or been replaced by one that holds no requests.
     let to: Vec<IpAddr> = collectors.iter().map(|c| c.ip).collect();
     let mut received = send_held(gateway, to.clone()).await;
     if received.is_empty() {
@@ -48,12 +55,57 @@
     let is_received = !received.is_empty();
     sent.extend(received);
     emit(&Event::UsageHandedOver { receivers: sent });
-    match is_received {
+    match is_received || store(gateway).await {
         true => 0,
         false => unreported(gateway, now),
     }
 }
 
+/// Writes the requests of windows whose report isn't done to the store, for the case that no other
+/// process confirmed them. Returns whether that succeeded.
+async fn store(gateway: &Arc<Gateway>) -> bool {
+    let now = Instant::now();
+    let usage = &gateway.usage;
+    let from = first_unreported(gateway);
+    let groups = {
+        let ledger = usage.ledger();
+        ledger.held_in_groups(from, MAX_REQUESTS_PER_ROW, now)
+    };
+    if groups.is_empty() {
+        return true;
+    }
+    let agreed_ms = usage.clock().unix_ms(now);
+    let unix_ms = agreed_ms.unwrap_or_else(time_of_day_ms);
+    let rows = groups.into_iter().take(MAX_UNCONFIRMED_ROWS);
+    let rows: Vec<Vec<u8>> = rows
+        .map(|logs| wire::encode_compact(&StoredLogs { unix_ms, logs }))
+        .collect();
+    let (ip, start) = usage.own_log(gateway);
+    let mut client = StoreClient::new(gateway);
+    let written = client
+        .store()
+        .write_unconfirmed(ip, start, &rows, STORE_TIMEOUT);
+    match written.await {
+        Ok(()) => true,
+        Err(e) => {
+            emit(&Event::UsageNotSent {
+                peer: "store".into(),
+                why: e.to_string(),
+            });
+            false
+        }
+    }
+}
+
+/// Start of the first window whose report isn't done, if it is known.
+fn first_unreported(gateway: &Gateway) -> Option<Instant> {
+    let usage = &gateway.usage;
+    let length = gateway.host().cloud.as_ref()?.usage?.window;
+    let next = usage.done_window().checked_add(1)?;
+    let unix_ms = next.checked_mul(length.as_millis() as u64)?;
+    usage.clock().instant(i64::try_from(unix_ms).ok()?)
+}
+
 /// Live processes that may become collectors, as the first ones do.
 fn substitutes(gateway: &Gateway, now: Instant) -> Vec<IpAddr> {
     let peers = gateway.peers();
@@ -117,15 +169,8 @@
 
 /// Requests of this process that started in windows whose report isn't done.
 fn unreported(gateway: &Gateway, now: Instant) -> u64 {
-    let host = gateway.host();
-    let length = host.cloud.as_ref().and_then(|c| c.usage).map(|u| u.window);
-    let usage = &gateway.usage;
-    let begins = length.and_then(|length| {
-        let next = usage.done_window().checked_add(1)?;
-        let unix_ms = next.checked_mul(length.as_millis() as u64)?;
-        usage.clock().instant(i64::try_from(unix_ms).ok()?)
-    });
-    let mut request_log = usage.request_log();
+    let begins = first_unreported(gateway);
+    let mut request_log = gateway.usage.request_log();
     request_log.expire(now);
     request_log.count_since(begins)
 }
--- a/crates/gateway/src/duty/usage/ledger.rs
+++ b/crates/gateway/src/duty/usage/ledger.rs
@@ -213,8 +213,8 @@
         has_more
     }
 
-    /// Adds the last requests of a process that exits, unless requests before them aren't known: it
-    /// may have taken this process for a former one at the same address.
+    /// Adds the last requests of an exiting process, unless earlier ones are missing here: it may
+    /// have mistaken this process for a former one at the same address.
     pub fn add_last(&mut self, ip: IpAddr, answer: &QueryAnswer, at: Instant) {
         let logs = self.logs_of(ip).iter();
         let known = logs
@@ -350,6 +350,39 @@
         out
     }
 
+    /// Requests of all processes that started at or after `from`, or all requests if it is `None`,
+    /// in groups of at most `max`.
+    pub fn held_in_groups(
+        &self,
+        from: Option<Instant>,
+        max: usize,
+        now: Instant,
+    ) -> Vec<Vec<HeldLog>> {
+        let mut groups: Vec<Vec<HeldLog>> = Vec::new();
+        let mut remaining = 0;
+        for log in &self.logs {
+            let entries = log.entries.iter();
+            let entries: Vec<&Entry> = entries
+                .filter(|e| from.is_none_or(|from| e.at >= from))
+                .collect();
+            for run in entries.chunk_by(|a, b| a.number + 1 == b.number) {
+                let mut rest = run;
+                while !rest.is_empty() {
+                    if remaining == 0 {
+                        groups.push(Vec::new());
+                        remaining = max;
+                    }
+                    let (part, after) = rest.split_at(rest.len().min(remaining));
+                    let held = log.held(part[0].number, part, now);
+                    groups.last_mut().expect("a group was added").push(held);
+                    remaining -= part.len();
+                    rest = after;
+                }
+            }
+        }
+        groups
+    }
+
     fn intern(&mut self, name: &str) -> Arc<str> {
         match self.names.binary_search_by(|known| (**known).cmp(name)) {
             Ok(at) => self.names[at].clone(),
--- a/crates/gateway/src/duty/usage/message.rs
+++ b/crates/gateway/src/duty/usage/message.rs
@@ -78,6 +78,17 @@
     pub next: u64,
 }
 
+/// Requests in a row of the store, written by an exiting process whose requests no other process
+/// confirmed.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StoredLogs {
+    /// Time by the hosts' agreed clock that the ages in the logs are relative to, in Unix
+    /// milliseconds.
+    pub unix_ms: i64,
+    /// The requests.
+    pub logs: Vec<HeldLog>,
+}
+
 /// Consecutive requests of one start of a process, held by another process.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct HeldLog {
--- a/crates/gateway/src/duty/usage/reports.rs
+++ b/crates/gateway/src/duty/usage/reports.rs
@@ -3,6 +3,7 @@
 use super::collection::{MaxWaits, Missing, Readiness, Span};
 use super::holder::{Action, Holder};
 use super::ledger::WindowCount;
+use super::message::StoredLogs;
 use super::request_log::RETENTION;
 use super::{is_collector, is_enabled, transfer};
 use crate::duty::{STORE_TIMEOUT, log_not_taken, log_taken};
@@ -10,6 +11,7 @@
 use crate::state::Gateway;
 use observe::{Event, emit};
 use platform::cloud::{Cloud, CloudAnswer, LeaseRef};
+use platform::store::MAX_ENTRIES;
 use platform::usage::UsageReport;
 use platform::{Duty, Lease, LeaseWrite, Position};
 use std::net::IpAddr;
@@ -69,6 +71,8 @@
     /// no request is counted twice when the agreed time is corrected.
     counted_until: Option<(u64, Instant)>,
     cloud_lost_at: Option<Instant>,
+    /// Position of the list of processes at the last read of unconfirmed requests from the store.
+    members_at_read: Option<Position>,
 }
 
 impl Reporter {
@@ -83,6 +87,7 @@
             retry_pause: RETRY_BACKOFF.0,
             counted_until: None,
             cloud_lost_at: None,
+            members_at_read: None,
         }
     }
 
@@ -97,6 +102,11 @@
         self.holder
             .set_done_window(self.gateway.usage.done_window());
         self.drop_expired(now);
+        // A process that has exited since the last read may have written requests to the store.
+        let members = self.gateway.members_position();
+        if self.members_at_read.is_some_and(|at| at < members) && self.holder.pending().is_none() {
+            self.holder.invalidate();
+        }
         let last_ready = self.last_ready(now);
         let is_done = last_ready.is_none_or(|last_ready| last_ready <= self.holder.done_window());
         if is_done && self.holder.pending().is_none() {
@@ -328,12 +338,68 @@
             Ok(read) => {
                 let era_known_at = self.gateway.store_era.state().known_at;
                 self.holder.on_read(read, now, era_known_at.unwrap_or(now));
-                Duration::ZERO
+                self.read_unconfirmed(client, now).await
             }
             Err(e) => log_not_taken(Duty::Usage, e.to_string()),
         }
     }
 
+    /// Reads the unconfirmed requests that exiting processes wrote to the store.
+    async fn read_unconfirmed(&mut self, client: &mut StoreClient, now: Instant) -> Duration {
+        let members = self.gateway.members_position();
+        let rows = match client.store().unconfirmed(STORE_TIMEOUT).await {
+            Ok(rows) => rows,
+            Err(e) => {
+                self.holder.invalidate();
+                return log_not_taken(Duty::Usage, e.to_string());
+            }
+        };
+        self.members_at_read = Some(members);
+        let mut outdated = Vec::new();
+        for row in rows {
+            let Some(stored) = wire::decode::<StoredLogs>(&row.value) else {
+                let (what, why) = ("requests left in the store", row.key);
+                emit(&Event::Undecodable { what, why });
+                continue;
+            };
+            let at = self.gateway.usage.clock().instant(stored.unix_ms);
+            match at.filter(|at| now.saturating_duration_since(*at) < RETENTION) {
+                Some(at) => self.add_stored(row.key, &stored, at),
+                None => outdated.push(row.key),
+            }
+        }
+        self.remove_unconfirmed(client, &outdated).await;
+        Duration::ZERO
+    }
+
+    /// Adds requests from a row of the store, where `at` is the time of the row by this process's
+    /// clock.
+    fn add_stored(&self, key: String, stored: &StoredLogs, at: Instant) {
+        let mut ledger = self.gateway.usage.ledger();
+        let added = stored.logs.iter().map(|log| ledger.add_held(log, at));
+        let requests = added.sum();
+        drop(ledger);
+        emit(&Event::UsageFetched {
+            peer: key,
+            requests,
+            error: None,
+        });
+    }
+
+    /// Removes rows with requests that are too old to be reported.
+    async fn remove_unconfirmed(&self, client: &mut StoreClient, keys: &[String]) {
+        for keys in keys.chunks(MAX_ENTRIES) {
+            let removed = client.store().remove_unconfirmed(keys, STORE_TIMEOUT).await;
+            if let Err(e) = removed {
+                // The removal is retried after the next read.
+                emit(&Event::DependencyLost {
+                    dependency: "store/usage",
+                    why: e.to_string(),
+                });
+            }
+        }
+    }
+
     async fn write(
         &mut self,
         client: &mut StoreClient,
--- a/crates/gateway/tests/usage_collection.rs
+++ b/crates/gateway/tests/usage_collection.rs
@@ -141,8 +141,8 @@
     assert_eq!(ledger.held_beyond(&other.known_logs(), base), []);
 }
 
-/// Guards against losing the requests of a process that exits and takes the collector for a former
-/// one at the same address, which had all but the last of them.
+/// Guards against losing the requests of an exiting process that mistakes the collector for a
+/// former one at the same address, which had all but the last of them.
 #[test]
 fn last_requests_without_those_before_them_leave_the_others_to_be_sent() {
     let base = Instant::now();
@@ -163,3 +163,31 @@
     ledger.add_last(ip(1), &log.read_from(7, 5, 0, base), base);
     assert_eq!(ledger.count(base, until).requests, 6);
 }
+
+/// Guards against losing requests that a process writes to several rows of the store, and against
+/// writing those that are already reported.
+#[test]
+fn requests_in_groups_are_those_that_are_not_reported() {
+    let base = Instant::now();
+    let at = |ms| base + Duration::from_millis(ms);
+    let (mut log, mut sender) = (RequestLog::new(7, || 0), Ledger::default());
+    (0..40u64).for_each(|n| log.record(at(n * 100), "a".into()));
+    copy_log(&log, &mut sender, 1, at(4000));
+    let mut other = RequestLog::new(8, || 0);
+    (0..5u64).for_each(|n| other.record(at(3000 + n), "b".into()));
+    copy_log(&other, &mut sender, 2, at(4000));
+    let groups = sender.held_in_groups(Some(at(2000)), 7, at(4000));
+    let sizes: Vec<usize> = groups
+        .iter()
+        .map(|logs| logs.iter().map(|log| log.begun.len()).sum())
+        .collect();
+    assert_eq!(sizes, [7, 7, 7, 4]);
+    let mut receiver = Ledger::default();
+    for _ in 0..2 {
+        for log in groups.iter().flatten() {
+            receiver.add_held(log, at(4000));
+        }
+    }
+    assert_eq!(receiver.count(base, at(2000)).requests, 0);
+    assert_eq!(receiver.count(at(2000), at(4000)).requests, 25);
+}
