Refuse usage handed over to a host that has handed over its own

Requests that ran were in no usage report after all hosts had been told to stop at once, in one of two runs of requests_are_reported_after_all_hosts_restarted_at_once on the code before.

The cause was found by reading the code: a host in its own last hand-over still confirmed requests that another one sent it, and lost them when it ended.

A host now stops confirming before its last hand-over, while its ledger is locked: what it confirmed is part of what it hands over, and a sender that is refused turns to others, or to the store.

The test passes in five runs (four of them at the same time), as do the other three of usage_restarts in one.

--- a/crates/gateway/src/duty/usage.rs
+++ b/crates/gateway/src/duty/usage.rs
@@ -24,7 +24,7 @@
 use observe::{Event, emit};
 use request_log::{OpenKey, RequestLog};
 use std::net::IpAddr;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
@@ -51,6 +51,8 @@
     polls: Mutex<Polls>,
     /// Last window whose report is done, as found by this process or learned from a collector.
     done_window: AtomicU64,
+    /// Whether the final hand-over of this process has begun. It is set while the ledger is locked.
+    is_closed: AtomicBool,
 }
 
 /// Polls that this process has received.
@@ -86,6 +88,7 @@
                 collectors: Vec::new(),
             }),
             done_window: AtomicU64::new(0),
+            is_closed: AtomicBool::new(false),
         }
     }
 }
@@ -140,6 +143,12 @@
         lock(&self.polls)
     }
 
+    /// Stops confirming requests of other processes, which would be lost when this one exits.
+    fn close(&self) {
+        let _ledger = self.ledger();
+        self.is_closed.store(true, Ordering::Relaxed);
+    }
+
     fn done_window(&self) -> u64 {
         self.done_window.load(Ordering::Relaxed)
     }
@@ -225,6 +234,7 @@
     }
     // Their outcome won't be known to anyone.
     gateway.usage.request_log().settle_all();
+    gateway.usage.close();
     let lost = hand_over::send_remaining(gateway).await;
     if lost > 0 {
         emit(&Event::UsageLost {
--- a/crates/gateway/src/duty/usage/transfer.rs
+++ b/crates/gateway/src/duty/usage/transfer.rs
@@ -15,6 +15,7 @@
 use observe::{Event, emit};
 use serde::Serialize;
 use std::net::{IpAddr, SocketAddr};
+use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
 /// Path of requests about the requests that a process holds.
@@ -41,7 +42,7 @@
         true => Err("this process was paused".to_owned()),
         false => {
             let at = asked_at + now.saturating_duration_since(asked_at) / 2;
-            Ok(add(gateway, &held, at))
+            add(gateway, &held, at).ok_or_else(|| "this process is stopping".to_owned())
         }
     });
     let is_done = added.is_ok();
@@ -53,13 +54,13 @@
     is_done
 }
 
-/// Sends a process the requests that this process holds and that one doesn't. Returns their number.
+/// Sends a process the requests that this one holds and the other doesn't. Returns their number.
 pub async fn send_held(gateway: &Gateway, to: IpAddr) -> Result<u64, String> {
     let own = gateway.usage.own_log(gateway);
     let holds_others = gateway.usage.ledger().other_logs(own) > 0;
     let known: Vec<KnownLog> = match holds_others {
         true => call(gateway, to, Method::GET, &(), SEND_TIMEOUT).await?,
-        // The own requests are few, and the receiver ignores those that it knows.
+        // This process's own requests are few, and the receiver ignores those that it knows.
         false => Vec::new(),
     };
     let mut held = gateway.usage.ledger().held_beyond(&known, Instant::now());
@@ -83,7 +84,8 @@
             wire::encode_compact(&held)
         }),
         (Method::PUT, Some(body)) => wire::decode::<Vec<HeldLog>>(&body)
-            .map(|held| wire::encode_compact(&add(gateway, &held, Instant::now()))),
+            .and_then(|held| add(gateway, &held, Instant::now()))
+            .map(|added| wire::encode_compact(&added)),
         _ => None,
     };
     match answer {
@@ -96,12 +98,16 @@
     }
 }
 
-/// Adds requests that another process holds; returns the number of those that weren't known.
-fn add(gateway: &Gateway, held: &[HeldLog], at: Instant) -> u64 {
+/// Adds requests that another process holds; returns the number of those that weren't known, or
+/// `None` if the final hand-over of this process has begun.
+fn add(gateway: &Gateway, held: &[HeldLog], at: Instant) -> Option<u64> {
     let own = gateway.usage.own_log(gateway);
     let mut ledger = gateway.usage.ledger();
+    if gateway.usage.is_closed.load(Ordering::Relaxed) {
+        return None;
+    }
     let others = held.iter().filter(|log| (log.ip, log.start) != own);
-    others.map(|log| ledger.add_held(log, at)).sum()
+    Some(others.map(|log| ledger.add_held(log, at)).sum())
 }
 
 async fn call<T: serde::de::DeserializeOwned>(
