Soak: continue streams under overlapping restarts

Options set the numbers of gateways, workers and engines.

A client may also close its connection itself (RequestEnd::Abandoned), which no stop has to answer for. Seeds of the other modes draw the same faults: their draws are unchanged.

Tests of the check: three in tests/checker.rs, and one for closed connections.

--- a/crates/soak/src/checker.rs
+++ b/crates/soak/src/checker.rs
@@ -49,6 +49,8 @@
     Whole(u16, String),
     /// The connection broke, or no complete answer came in time.
     Broken,
+    /// The client closed the connection before the answer was complete.
+    Abandoned,
 }
 
 /// A request as observed by its client.
@@ -136,6 +138,8 @@
     pub over_limit: usize,
     /// Streams with events of two software versions, in one answer or over a client's tries.
     pub mixed_versions: usize,
+    /// Streams that clients couldn't continue if fewer went on than the bound requires, else 0.
+    pub streams_lost: usize,
 }
 
 impl Verdict {
--- a/crates/soak/src/client.rs
+++ b/crates/soak/src/client.rs
@@ -4,6 +4,7 @@
 use crate::disruption::Delivery;
 use crate::keys::Key;
 use standin::fixture::{PROMPT_HEADERS, request, take_up_request};
+use std::future::{Future, pending};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
@@ -14,7 +15,7 @@
 /// Longest wait for an answer. Longer than the requests' deadline of 4 s.
 const TIMEOUT: Duration = Duration::from_secs(6);
 /// Longest pause between two requests of a client, in milliseconds.
-const MAX_PAUSE_MS: u64 = 40;
+pub(crate) const MAX_PAUSE_MS: u64 = 40;
 
 /// Longest duration of the other answers of a slow client if long ones are rare.
 const QUICK_ANSWER_MS: u64 = 60;
@@ -103,8 +104,10 @@
             kind,
             text,
             key,
+            timeout: TIMEOUT,
         };
-        let (end, part) = client.exchange(&mut connection, gateway, &sent).await;
+        let answer = client.exchange(&mut connection, gateway, &sent, pending());
+        let Answer { end, part, .. } = answer.await;
         if let Some(streams) = client
             .streams
             .as_ref()
@@ -118,22 +121,34 @@
 }
 
 /// A request to send.
-struct Sent {
-    id: String,
-    kind: RequestKind,
-    text: String,
-    key: Key,
+pub(crate) struct Sent {
+    pub(crate) id: String,
+    pub(crate) kind: RequestKind,
+    pub(crate) text: String,
+    pub(crate) key: Key,
+    /// Longest wait for the answer.
+    pub(crate) timeout: Duration,
+}
+
+/// What a client received of an answer.
+pub(crate) struct Answer {
+    pub(crate) end: RequestEnd,
+    /// Status, if the head of the answer arrived.
+    pub(crate) status: Option<u16>,
+    /// Part of the body.
+    pub(crate) part: String,
 }
 
 impl Client {
-    /// Sends a request and records how it ended. Returns its end and the part of its body that was
-    /// received.
-    async fn exchange(
+    /// Sends a request and records how it ended. The client closes the connection once `closes`
+    /// is ready.
+    pub(crate) async fn exchange(
         &self,
         connection: &mut Option<OpenConnection>,
         gateway: usize,
         sent: &Sent,
-    ) -> (RequestEnd, String) {
+        closes: impl Future<Output = ()>,
+    ) -> Answer {
         let mut delivery = Delivery {
             gateway,
             sent: None,
@@ -148,11 +163,13 @@
             &mut delivery,
             &mut buf,
         );
-        let end = tokio::time::timeout(TIMEOUT, exchange)
-            .await
-            .unwrap_or(None);
+        let end = tokio::select! {
+            end = tokio::time::timeout(sent.timeout, exchange) => {
+                end.unwrap_or(None).unwrap_or(RequestEnd::Broken)
+            }
+            () = closes => RequestEnd::Abandoned,
+        };
         delivery.ended = Instant::now();
-        let end = end.unwrap_or(RequestEnd::Broken);
         let request = ClientRequest {
             id: sent.id.clone(),
             kind: sent.kind,
@@ -162,7 +179,11 @@
         };
         let mut history = self.history.lock().expect("no panic while locked");
         history.push(request);
-        (end, received_body(&buf))
+        Answer {
+            end,
+            status: received_status(&buf),
+            part: received_body(&buf),
+        }
     }
 
     /// Takes up a stream that broke off, at any gateways, and returns all of its events.
@@ -191,12 +212,15 @@
                 kind: RequestKind::Rest { after },
                 text,
                 key: first.key,
+                timeout: TIMEOUT,
             };
             let gateway = rng.usize(..self.gateways.len());
-            let (end, part) = self.exchange(&mut None, gateway, &sent).await;
+            let mut connection = None;
+            let answer = self.exchange(&mut connection, gateway, &sent, pending());
+            let Answer { end, part, .. } = answer.await;
             let (is_served, is_whole) = match end {
                 RequestEnd::Whole(status, _) => (status == 200, status == 200),
-                RequestEnd::Broken => (true, false),
+                RequestEnd::Broken | RequestEnd::Abandoned => (true, false),
             };
             if is_served {
                 stream.events += &whole_events(&part);
@@ -208,6 +232,13 @@
     }
 }
 
+/// Status in the bytes of an answer, if its head is complete.
+fn received_status(buf: &[u8]) -> Option<u16> {
+    let text = String::from_utf8_lossy(buf);
+    let (head, _) = text.split_once("\r\n\r\n")?;
+    head.split(' ').nth(1)?.parse().ok()
+}
+
 /// Body in the bytes of an answer, without its chunks' lengths.
 fn received_body(buf: &[u8]) -> String {
     let text = String::from_utf8_lossy(buf);
@@ -225,12 +256,12 @@
 }
 
 /// The events of a part of a stream up to the last blank line.
-fn whole_events(part: &str) -> String {
+pub(crate) fn whole_events(part: &str) -> String {
     let end = part.rfind("\n\n").map_or(0, |at| at + 2);
     part[..end].to_owned()
 }
 
-fn last_event(events: &str) -> Option<u64> {
+pub(crate) fn last_event(events: &str) -> Option<u64> {
     let mut ids = events.lines().filter_map(|l| l.strip_prefix("id: "));
     ids.next_back()?.parse().ok()
 }
@@ -269,9 +300,9 @@
 }
 
 /// A kept-alive connection and the number of its gateway.
-struct OpenConnection {
+pub(crate) struct OpenConnection {
     tcp: TcpStream,
-    gateway: usize,
+    pub(crate) gateway: usize,
 }
 
 /// Sends a request on the kept connection, even if its process is stopping, or on a new one.
--- a/crates/soak/src/cluster.rs
+++ b/crates/soak/src/cluster.rs
@@ -1,6 +1,7 @@
 //! The system under test: gateway processes, a store and workers, all connected by relays.
 
 use crate::checker::PIECES;
+use crate::continuation::Lifetimes;
 use crate::crashing::CrashingRequest;
 use crate::disruption::{Disruption, PlannedStop, STOP_GRACE, Timeline};
 use crate::keys::{HOLDER_GAP, Key, Keys, WINDOW};
@@ -9,8 +10,8 @@
 use bench::relay::{Link, Relay};
 use serde_json::json;
 use standin::fixture::{
-    CONFIG_ROW, WORKER_TABLE, config, route, routes, settings, unreadable_rows, with_tenants,
-    with_usage_reports, with_version, worker_row, worker_row_with_start,
+    CONFIG_ROW, WORKER_TABLE, config, route, routes, set_timeout, settings, unreadable_rows,
+    with_tenants, with_usage_reports, with_version, worker_row, worker_row_with_start,
 };
 use standin::{Action, Cloud, Crash, LostRow, Store, StoreMode, Worker};
 use std::io;
@@ -21,8 +22,12 @@
 
 /// Number of gateways.
 pub const GATEWAYS: u8 = 3;
+/// Largest number of gateways, for which there are addresses.
+pub const MAX_GATEWAYS: u8 = 20;
 /// Number of workers at the start.
 pub const WORKERS_COUNT: u8 = 4;
+/// Number of workers at the start if streams are long, each of which takes a slot all the time.
+pub const LONG_STREAM_WORKERS_COUNT: u8 = 16;
 /// Number of engines.
 pub const ENGINES_COUNT: u8 = 2;
 
@@ -42,9 +47,41 @@
 const MAX_COPY_AGE_MS: u64 = 8000;
 /// Longest time until operator and workers write again what was lost, in milliseconds.
 const MAX_REWRITE_MS: u64 = 1000;
+/// Longest time that a request of the resumable route may take if its streams are long.
+const LONG_STREAM_TIMEOUT: Duration = Duration::from_secs(40);
 /// Start time that all workers report, in milliseconds.
 const STARTED_AT_MS: u64 = 1_700_000_000_000;
 
+/// What a cluster consists of.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Setup {
+    /// Number of gateways, [`MAX_GATEWAYS`] at most.
+    pub gateways: u8,
+    /// Number of workers at the start.
+    pub workers: u8,
+    /// Number of engines, or none for the usual one.
+    pub engines: Option<u8>,
+    /// Whether workers are of two software versions.
+    pub has_versions: bool,
+    /// Whether engines crash on prompts with [`CRASHING_PROMPT`].
+    pub has_parts: bool,
+    /// Whether streams of the resumable route may take longer than other requests.
+    pub has_long_streams: bool,
+}
+
+impl Default for Setup {
+    fn default() -> Self {
+        Self {
+            gateways: GATEWAYS,
+            workers: WORKERS_COUNT,
+            engines: None,
+            has_versions: false,
+            has_parts: false,
+            has_long_streams: false,
+        }
+    }
+}
+
 /// A gateway process and its addresses.
 #[derive(Debug)]
 pub struct Gateway {
@@ -98,12 +135,13 @@
     pub removed_upstreams: Vec<Upstream>,
     /// Planned stops, and the disruptions that excuse a cut answer.
     pub timeline: Timeline,
+    /// Lifetimes of processes and workers.
+    pub lifetimes: Lifetimes,
     net: u8,
     binary: PathBuf,
     started: u32,
     version: u64,
-    /// Whether workers are of two software versions.
-    has_versions: bool,
+    setup: Setup,
 }
 
 impl Cluster {
@@ -117,6 +155,20 @@
         has_versions: bool,
         has_parts: bool,
     ) -> io::Result<Self> {
+        let setup = Setup {
+            has_versions,
+            has_parts,
+            ..Setup::default()
+        };
+        Self::start_with(net, binary, dir, setup).await
+    }
+
+    /// Does the same for any setup.
+    pub async fn start_with(net: u8, binary: &Path, dir: &Path, setup: Setup) -> io::Result<Self> {
+        if !(1..=MAX_GATEWAYS).contains(&setup.gateways) {
+            let text = format!("the number of gateways must be from 1 to {MAX_GATEWAYS}");
+            return Err(io::Error::new(io::ErrorKind::InvalidInput, text));
+        }
         let store = Arc::new(Store::start(address(net, 1, 7000))?);
         let mut cluster = Self {
             store,
@@ -128,24 +180,25 @@
             engines: Vec::new(),
             removed_upstreams: Vec::new(),
             timeline: Timeline::default(),
+            lifetimes: Lifetimes::default(),
             net,
             binary: binary.to_owned(),
             started: 0,
             version: 0,
-            has_versions,
+            setup,
         };
         cluster.change_config();
-        for _ in 0..WORKERS_COUNT {
+        for _ in 0..setup.workers {
             cluster.add_worker().await?;
         }
-        let engines = match has_parts {
+        let engines = setup.engines.unwrap_or(match setup.has_parts {
             true => CRASHING_ENGINES_COUNT,
             false => ENGINES_COUNT,
-        };
+        });
         for _ in 0..engines {
-            cluster.add_engine(has_parts).await?;
+            cluster.add_engine(setup.has_parts).await?;
         }
-        for n in 0..GATEWAYS {
+        for n in 0..setup.gateways {
             cluster.add_gateway(n, dir)?;
         }
         Ok(cluster)
@@ -167,6 +220,7 @@
             name,
             settings: path,
         });
+        self.lifetimes.start_process(usize::from(n), Instant::now());
         Ok(())
     }
 
@@ -229,6 +283,7 @@
             stop.until = Some(now);
         }
         self.end_disruption(Some(n), now);
+        self.lifetimes.start_process(n, now);
         let gateway = &mut self.gateways[n];
         gateway.proc = Proc::start_gateway(&self.binary, &gateway.name, &gateway.settings)?;
         Ok(())
@@ -250,6 +305,14 @@
         self.gateways[n].proc.signal(signal);
     }
 
+    /// Kills the processes of all gateways at the same moment.
+    pub fn kill_all(&mut self) {
+        self.lifetimes.all_killed.push(Instant::now());
+        for n in 0..self.gateways.len() {
+            self.signal(n, Signal::Kill);
+        }
+    }
+
     /// Kills processes that haven't ended within the grace period, as the platform does. Such a
     /// kill excuses no cut answer.
     pub fn kill_overdue(&self) {
@@ -310,6 +373,7 @@
         self.register(&upstream, "ready");
         let (store, id, addr) = (self.store.clone(), upstream.id.clone(), upstream.addr);
         let version = upstream.version;
+        self.lifetimes.add_upstream(&id, version, Instant::now());
         upstream.worker.set_crash(Some(Crash {
             trigger: CRASHING_BODY.into(),
             downtime: CRASH_DOWNTIME,
@@ -351,7 +415,7 @@
         let listen = address(self.net, 50 + low, port);
         let worker = Worker::start_with_time(listen, &format!("i-{n}"), STARTED_AT_MS).await?;
         worker.set_default_action(Action::ServeFor(PIECES));
-        let version = match self.has_versions && n % 2 == 1 {
+        let version = match self.setup.has_versions && n % 2 == 1 {
             true => "v1.1",
             false => "v1",
         };
@@ -417,6 +481,8 @@
         // A crash must not register it again.
         upstream.worker.set_crash(None);
         self.store.remove(WORKER_TABLE, &upstream.id);
+        let now = Instant::now();
+        self.lifetimes.remove_upstream(&upstream.id, now);
         self.removed_upstreams.push(upstream);
         self.record_worker_links();
     }
@@ -426,6 +492,9 @@
         self.version += 3;
         let mut all = routes();
         if let Some(all) = all.as_array_mut() {
+            if self.setup.has_long_streams {
+                set_timeout(all, "resumable", LONG_STREAM_TIMEOUT);
+            }
             all.push(route(&format!("v{}", self.version), "idempotent", 2));
         }
         let config = config(self.version, &json!(all));
--- a/crates/soak/src/disruption.rs
+++ b/crates/soak/src/disruption.rs
@@ -114,6 +114,6 @@
     match &request.end {
         RequestEnd::Broken => request.delivery.answer_started || !own_runs.is_empty(),
         RequestEnd::Whole(502 | 504, _) => true,
-        RequestEnd::Whole(..) => false,
+        RequestEnd::Whole(..) | RequestEnd::Abandoned => false,
     }
 }
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -5,11 +5,14 @@
 pub mod checker;
 pub mod client;
 pub mod cluster;
+pub mod continuation;
 pub mod crashing;
 pub mod disruption;
 pub mod fault;
 pub mod keys;
 pub mod parts;
+pub mod restarts;
 pub mod schedule;
 pub mod statements;
 pub mod stops;
+pub mod streams;
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -9,13 +9,17 @@
     has_foreign_body, runs_of, sort_by_id,
 };
 use soak::client::{self, Client, History, Pace, Phase, Slow, Streams};
-use soak::cluster::{CRASHING_BODY, Cluster, Upstream};
+use soak::cluster::{
+    CRASHING_BODY, Cluster, GATEWAYS, LONG_STREAM_WORKERS_COUNT, Setup, Upstream, WORKERS_COUNT,
+};
+use soak::continuation::Continuations;
 use soak::disruption::{Timeline, is_aborted};
 use soak::fault::FaultSet;
 use soak::keys::{Key, LAST_TENANT, TENANTS, check_usage, reported_requests};
 use soak::parts::{CrashingParts, PartChecks};
 use soak::schedule::{self, Schedule};
-use soak::{crashing, fault, statements, stops};
+use soak::streams::{Continued, StreamClient};
+use soak::{crashing, fault, restarts, statements, stops};
 use standin::ReceivedRequest;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
@@ -26,6 +30,8 @@
 const RECOVERY_BOUND: Duration = Duration::from_secs(12);
 /// Longest wait for processes that were told to stop, longer than their grace period.
 const STOP_BOUND: Duration = Duration::from_secs(10);
+/// Time after the last restart in which clients may continue the streams that it broke.
+const CONTINUATION_TIME: Duration = Duration::from_secs(8);
 /// Length of the last phase, which has no faults. The usage of its requests must be reported
 /// correctly.
 const LAST_PHASE_TIME: Duration = Duration::from_secs(3);
@@ -60,9 +66,22 @@
     #[argh(switch)]
     stops: bool,
     /// also draw faults of streams, with workers of two versions and clients that take up
-    /// streams; seeds then draw other faults
+    /// streams; seeds then draw other faults; with --stops, make series of overlapping restarts
+    /// and kills instead, under which long streams must go on
     #[argh(switch)]
     streams: bool,
+    /// number of clients with long streams, with --stops and --streams
+    #[argh(option, default = "96")]
+    stream_clients: u32,
+    /// number of gateways, 20 at most
+    #[argh(option, default = "GATEWAYS")]
+    gateways: u8,
+    /// number of workers at the start, instead of 4, or 16 with --stops and --streams
+    #[argh(option)]
+    workers: Option<u8>,
+    /// number of engines, instead of 2, or 6 with --parts
+    #[argh(option)]
+    engines: Option<u8>,
     /// also send prompts that share a part which crashes engines
     #[argh(switch)]
     parts: bool,
@@ -97,6 +116,18 @@
     taken_up: usize,
     /// Those of them that got their last event.
     resumed: usize,
+    /// Long streams that clients continued and that the bound is held against.
+    continued: usize,
+    /// Those of them that went on.
+    went_on: usize,
+    /// New streams that began beside them.
+    began: usize,
+    /// Streams whose gateway processes had all been replaced, among those.
+    replaced_continued: usize,
+    /// Those of them that went on.
+    replaced_went_on: usize,
+    /// New streams that began beside them.
+    replaced_began: usize,
     #[serde(flatten)]
     verdict: Verdict,
 }
@@ -117,7 +148,19 @@
     let dir = std::env::temp_dir().join(format!("soak-{}-{}", std::process::id(), args.seed));
     std::fs::create_dir_all(&dir)?;
     println!("settings and logs: {}", dir.display());
-    let mut cluster = Cluster::start(args.net, &binary, &dir, args.streams, args.parts).await?;
+    let has_long_streams = args.stops && args.streams;
+    let setup = Setup {
+        gateways: args.gateways,
+        workers: args.workers.unwrap_or(match has_long_streams {
+            true => LONG_STREAM_WORKERS_COUNT,
+            false => WORKERS_COUNT,
+        }),
+        engines: args.engines,
+        has_versions: args.streams,
+        has_parts: args.parts,
+        has_long_streams,
+    };
+    let mut cluster = Cluster::start_with(args.net, &binary, &dir, setup).await?;
     cluster.all_serve(RECOVERY_BOUND).await;
     let history = History::default();
     let streams = Streams::default();
@@ -127,7 +170,7 @@
         longest_ms: args.longest_ms,
         one_in: args.one_in,
     };
-    let clients: Vec<_> = (0..args.clients + args.slow)
+    let mut clients: Vec<_> = (0..args.clients + args.slow)
         .map(|n| {
             let pace = match n < args.clients {
                 true => Pace::Quick,
@@ -144,13 +187,32 @@
             tokio::spawn(client::run(client, phase.subscribe(), seed))
         })
         .collect();
+    let continued = Continued::default();
+    if has_long_streams {
+        let names = (0..args.stream_clients).map(|n| args.clients + args.slow + n);
+        clients.extend(names.map(|name| {
+            let client = StreamClient {
+                client: Client {
+                    name,
+                    pace: Pace::Quick,
+                    gateways: addresses.clone(),
+                    history: history.clone(),
+                    streams: Some(streams.clone()),
+                },
+                continued: continued.clone(),
+                phase: phase.subscribe(),
+            };
+            tokio::spawn(client.run(args.seed.wrapping_mul(1000) + u64::from(name)))
+        }));
+    }
     let until = Instant::now() + Duration::from_secs(args.seconds);
     let crashing_parts = args
         .parts
         .then(|| CrashingParts::begin(&mut cluster, args.seed, until));
-    let done = match args.stops {
-        true => stops::run(&mut cluster, args.seed, until).await?,
-        false => {
+    let done = match (args.stops, args.streams) {
+        (true, true) => restarts::run(&mut cluster, args.seed, until).await?,
+        (true, false) => stops::run(&mut cluster, args.seed, until).await?,
+        (false, _) => {
             let schedule = match &args.schedule {
                 Some(path) => Schedule::read(path)?,
                 None => Schedule::from_seed(fault_set(args), args.seed),
@@ -164,6 +226,9 @@
     // If all of them were still stopping, nobody would be left to report the last phase.
     fault::finish_stops(&mut cluster, STOP_BOUND).await?;
     recovered &= fault::recover(&mut cluster, RECOVERY_BOUND).await?;
+    if has_long_streams {
+        tokio::time::sleep(CONTINUATION_TIME).await;
+    }
     phase.send_replace(Phase::Last);
     tokio::time::sleep(LAST_PHASE_TIME).await;
     phase.send_replace(Phase::Over);
@@ -205,6 +270,12 @@
     verdict.held_wrongly += part_checks.held_wrongly;
     let streams = streams.lock().expect("no panic while locked").clone();
     verdict.mixed_versions = count_mixed_versions(&streams);
+    let continued = continued.lock().expect("no panic while locked").clone();
+    let continuations = Continuations::count(&continued, &cluster.lifetimes);
+    if has_long_streams {
+        println!("{continuations:?}");
+    }
+    verdict.streams_lost = continuations.lost();
     verdict.not_recovered = usize::from(!recovered);
     let is_served = |a: &&ClientRequest| matches!(a.end, RequestEnd::Whole(200, _));
     Ok(Summary {
@@ -222,6 +293,12 @@
         in_stops: in_stops(&requests, &runs, &cluster.timeline),
         taken_up: streams.iter().filter(|s| s.tries > 1).count(),
         resumed: streams.iter().filter(|s| s.tries > 1 && s.is_whole).count(),
+        continued: continuations.counted.continued,
+        went_on: continuations.counted.went_on,
+        began: continuations.counted.began,
+        replaced_continued: continuations.replaced.continued,
+        replaced_went_on: continuations.replaced.went_on,
+        replaced_began: continuations.replaced.began,
         verdict,
     })
 }
--- a/crates/soak/src/stops.rs
+++ b/crates/soak/src/stops.rs
@@ -24,10 +24,10 @@
 
 /// A signal to send at a later time.
 #[derive(Debug, Clone, Copy)]
-struct ScheduledSignal {
-    at: Instant,
-    gateway: usize,
-    signal: Signal,
+pub(crate) struct ScheduledSignal {
+    pub(crate) at: Instant,
+    pub(crate) gateway: usize,
+    pub(crate) signal: Signal,
 }
 
 /// Runs series of planned stops until `until`, then clears all faults.
@@ -68,7 +68,7 @@
 }
 
 impl ScheduledSignal {
-    fn new(at: Instant, gateway: usize, signal: Signal) -> Self {
+    pub(crate) fn new(at: Instant, gateway: usize, signal: Signal) -> Self {
         Self {
             at,
             gateway,
@@ -77,7 +77,7 @@
     }
 }
 
-fn millis(rng: &mut fastrand::Rng, range: std::ops::Range<u64>) -> Duration {
+pub(crate) fn millis(rng: &mut fastrand::Rng, range: std::ops::Range<u64>) -> Duration {
     Duration::from_millis(rng.u64(range))
 }
 
@@ -96,7 +96,11 @@
 }
 
 /// Draws the signals that stop one process.
-fn signals(rng: &mut fastrand::Rng, at: Instant, gateway: usize) -> Vec<ScheduledSignal> {
+pub(crate) fn signals(
+    rng: &mut fastrand::Rng,
+    at: Instant,
+    gateway: usize,
+) -> Vec<ScheduledSignal> {
     let due = |at, signal| ScheduledSignal::new(at, gateway, signal);
     match rng.u32(..8) {
         0 => vec![
--- a/crates/soak/tests/checker.rs
+++ b/crates/soak/tests/checker.rs
@@ -3,6 +3,7 @@
 use soak::checker::{
     ClientRequest, Departure, RequestEnd, RequestKind, Verdict, WorkerRun, check_history,
 };
+use soak::continuation::{Continuation, Continuations, Count, Lifetimes, Outcome};
 use soak::disruption::{Delivery, Disruption, PlannedStop, STOP_GRACE, Timeline};
 use soak::keys::{Key, Keys, check_usage};
 use std::time::{Duration, Instant};
@@ -473,3 +474,184 @@
     let early = [report(1, 40, "a", 1, 0.0), report(2, 0, "b", 2, 0.2)];
     assert_eq!(check_usage(&early, 40).badly_fenced, 1);
 }
+
+/// Guards against counting requests that clients abandon as failures of the process.
+#[test]
+fn an_answer_that_its_client_abandons_is_not_cut_by_a_stop() {
+    let stop = StopCase {
+        signal: Instant::now() + Duration::from_secs_f64(FAR),
+    };
+    let runs = [run("x")];
+    let broken = stop.cut(RequestEnd::Broken, 3.985, 7.455);
+    assert_eq!(stop.count_cut(&broken, &runs, vec![]), 1);
+    let abandoned = stop.cut(RequestEnd::Abandoned, 3.985, 7.455);
+    assert_eq!(stop.count_cut(&abandoned, &runs, vec![]), 0);
+}
+
+/// Seconds after the start of the streams in the cases below.
+type AfterStart = f64;
+
+struct StreamCase {
+    begun: Instant,
+    lifetimes: Lifetimes,
+}
+
+impl StreamCase {
+    /// Three gateways and two upstreams of each of two versions, all started 10 s before the
+    /// streams.
+    fn new() -> Self {
+        let mut case = Self {
+            begun: Instant::now() + Duration::from_secs_f64(FAR),
+            lifetimes: Lifetimes::default(),
+        };
+        let from = case.at(-10.0);
+        for gateway in 0..3 {
+            case.lifetimes.start_process(gateway, from);
+        }
+        for (id, version) in [("a", "v1"), ("b", "v1"), ("c", "v1.1"), ("d", "v1.1")] {
+            case.lifetimes.add_upstream(id, version, from);
+        }
+        case
+    }
+
+    fn at(&self, s: AfterStart) -> Instant {
+        self.begun - Duration::from_secs_f64(FAR) + Duration::from_secs_f64(FAR + s)
+    }
+
+    /// A stream that its client continues from 10 s to 12 s after its start, with 18 s left.
+    fn stream(&self, rest: &Outcome, new: &Outcome) -> Continuation {
+        Continuation {
+            id: "s".into(),
+            version: "v1".into(),
+            begun: self.begun,
+            deadline: self.at(30.0),
+            is_named: true,
+            from: self.at(10.0),
+            to: self.at(12.0),
+            rest: rest.clone(),
+            new: new.clone(),
+        }
+    }
+
+    /// `on` streams that go on and `off` that don't, beside new streams that all begin.
+    fn streams(&self, on: usize, off: usize) -> Vec<Continuation> {
+        let failed = failed();
+        let on = std::iter::repeat_n(&Outcome::Began, on);
+        let off = std::iter::repeat_n(&failed, off);
+        on.chain(off)
+            .map(|rest| self.stream(rest, &Outcome::Began))
+            .collect()
+    }
+
+    fn count(&self, streams: &[Continuation]) -> Continuations {
+        Continuations::count(streams, &self.lifetimes)
+    }
+}
+
+fn failed() -> Outcome {
+    Outcome::Failed(vec!["503 stream_unknown".into()])
+}
+
+/// Guards against streams that became unknown without a violation: most of those that clients
+/// continued didn't go on while new ones began.
+#[test]
+fn streams_that_go_on_less_than_half_as_often_as_new_ones_begin_are_found() {
+    let case = StreamCase::new();
+    for (on, off, lost) in [
+        (24, 0, 0),
+        (12, 12, 0),
+        (11, 13, 13),
+        (0, 24, 24),
+        (0, 7, 0),
+    ] {
+        let found = case.count(&case.streams(on, off));
+        assert_eq!(found.lost(), lost, "{on} of {}", on + off);
+        let expected = Count {
+            continued: on + off,
+            went_on: on,
+            began: on + off,
+        };
+        assert_eq!(found.counted, expected);
+    }
+    // If few new streams begin, few need to go on.
+    let mut streams = case.streams(5, 5);
+    streams.extend(vec![case.stream(&failed(), &failed()); 20]);
+    assert_eq!(case.count(&streams).lost(), 0, "5 of 30, 10 new ones");
+    streams.extend(case.streams(0, 1));
+    assert_eq!(case.count(&streams).lost(), 26, "5 of 31, 11 new ones");
+}
+
+/// Guards against streams that are lost with the processes of their start and concealed by many
+/// others that went on.
+#[test]
+fn streams_lost_with_all_processes_of_their_start_are_found_among_others() {
+    let mut case = StreamCase::new();
+    let mut streams = case.streams(0, 8);
+    for stream in &mut streams {
+        stream.from = case.at(20.0);
+        stream.to = case.at(21.0);
+    }
+    streams.extend(case.streams(100, 0));
+    assert_eq!(case.count(&streams).lost(), 0);
+    for gateway in 0..2 {
+        let at = case.at(5.0);
+        case.lifetimes.start_process(gateway, at);
+    }
+    assert_eq!(case.count(&streams).lost(), 0, "one process remains");
+    let last = case.at(15.0);
+    case.lifetimes.start_process(2, last);
+    let found = case.count(&streams);
+    assert_eq!(found.replaced.continued, 8);
+    assert_eq!(found.lost(), 8, "all processes have been replaced");
+    // A process that starts later and has ended doesn't count as one that ran then.
+    let at = case.at(16.0);
+    case.lifetimes.start_process(0, at);
+    assert_eq!(case.count(&streams).lost(), 8);
+}
+
+#[test]
+fn streams_that_nothing_can_know_are_not_held_against_the_bound() {
+    let case = StreamCase::new();
+    let all_lost = || case.streams(0, 24);
+    let changed = |change: &dyn Fn(&mut Continuation)| {
+        let mut streams = all_lost();
+        streams.iter_mut().for_each(change);
+        case.count(&streams)
+    };
+    let unnamed = changed(&|s| s.is_named = false);
+    assert_eq!((unnamed.unnamed, unnamed.lost()), (24, 0));
+    let late = changed(&|s| s.to = s.deadline);
+    assert_eq!((late.past_deadline, late.lost()), (24, 0));
+    let other = changed(&|s| s.version = "v2".into());
+    assert_eq!((other.few_upstreams, other.lost()), (24, 0));
+
+    // An upstream that leaves while clients try, or before; one of another version.
+    for (id, at, few) in [
+        ("a", 11.0, true),
+        ("a", 9.0, true),
+        ("a", 13.0, false),
+        ("c", 9.0, false),
+    ] {
+        let mut case = StreamCase::new();
+        let at = case.at(at);
+        case.lifetimes.remove_upstream(id, at);
+        let found = case.count(&case.streams(0, 24));
+        assert_eq!(found.few_upstreams > 0, few, "{id}");
+        assert_eq!(found.lost() == 0, few, "{id}");
+    }
+    // Upstreams that have just been registered don't count.
+    let mut case = StreamCase::new();
+    let (gone, at) = (case.at(5.0), case.at(9.0));
+    case.lifetimes.remove_upstream("a", gone);
+    case.lifetimes.add_upstream("e", "v1", at);
+    assert_eq!(case.count(&case.streams(0, 24)).few_upstreams, 24);
+
+    for (at, excluded) in [(-1.0, 0), (1.0, 24), (11.0, 24), (13.0, 0)] {
+        let mut case = StreamCase::new();
+        let killed = case.at(at);
+        case.lifetimes.all_killed.push(killed);
+        let found = case.count(&case.streams(0, 24));
+        assert_eq!(found.all_killed, excluded, "killed at {at}");
+        assert_eq!(found.lost() == 0, excluded > 0, "killed at {at}");
+    }
+}
