--- a/crates/soak/tests/short.rs
+++ b/crates/soak/tests/short.rs
@@ -10,6 +10,7 @@
 const FIFTH_NET: u32 = 70;
 const SIXTH_NET: u32 = 95;
 const SEVENTH_NET: u32 = 145;
+const EIGHTH_NET: u32 = 45;
 /// Faults under which a common request was once blocked permanently.
 const COMMON_REQUEST: &str = concat!(env!("CARGO_MANIFEST_DIR"), "/cases/common-request.jsonl");
 
@@ -93,3 +94,16 @@
 fn unframed_streams_that_are_cut_do_not_look_complete() {
     soak(SIXTH_NET, &["--streams", "--seed", "3", "--seconds", "10"]);
 }
+
+/// Guards against streams being unknown after their hosts restarted in series that overlap, or all
+/// at once: of those whose processes had all been replaced, hardly any went on, while all new
+/// streams began. No stream may get events of two versions.
+#[test]
+fn streams_that_clients_continue_outlast_overlapping_restarts() {
+    let args = ["--stops", "--streams", "--seed", "24", "--seconds", "7"];
+    let summary = soak(EIGHTH_NET, &args);
+    assert!(
+        summary["replaced_began"].as_u64().unwrap() >= 8,
+        "{summary}"
+    );
+}
