Soak: count streams whose last tries the end of the faults cuts short

Streams that went on were counted until the end, those that didn't only until 10 s before it, as their further tries were cut short then. They count now if the new stream beside them has begun.

--- a/crates/soak/src/streams.rs
+++ b/crates/soak/src/streams.rs
@@ -14,7 +14,7 @@
 
 /// Duration of a stream, in milliseconds.
 const DURATION_MS: std::ops::Range<u64> = 2000..7000;
-/// Time in which clients want a stream to be complete.
+/// Deadline of a stream, from its start.
 const DEADLINE: Duration = Duration::from_secs(30);
 /// Time after the deadline for which a client waits for the end of an answer.
 const DEADLINE_GRACE: Duration = Duration::from_secs(2);
@@ -130,7 +130,7 @@
         let _ = tokio::time::timeout(Duration::from_millis(ms), self.over()).await;
     }
 
-    /// Begins a stream and continues it until it is complete or its deadline is up.
+    /// Begins a stream and continues it until it is complete or its deadline has passed.
     async fn receive(
         &self,
         n: u64,
@@ -195,15 +195,15 @@
         // Half of the open connections are for the new stream.
         let half = connections.0.len() / 2;
         let mut new_connections = Connections(connections.0.split_off(half));
-        let begin = self.begin_beside(&new_id, &tries, &mut new_connections);
+        let begin = self.begin_new_stream(&new_id, &tries, &mut new_connections);
         let resume = self.try_resume(received, after, is_named, &tries, connections);
         let (new, (rest, to)) = tokio::join!(begin, resume);
         connections.0.append(&mut new_connections.0);
         let goes_on = rest == Outcome::Began;
-        // At the end of the faults, tries are cut short.
-        if let Some(version) = received.version.clone()
-            && (goes_on || !self.is_over())
-        {
+        // The end of the faults cuts tries short. The outcome is then unknown if no new stream has
+        // begun either.
+        let is_known = goes_on || new == Outcome::Began || !self.is_over();
+        if let Some(version) = received.version.clone().filter(|_| is_known) {
             let continuation = Continuation {
                 id: received.stream.id.clone(),
                 version,
@@ -232,8 +232,8 @@
     ) -> (Outcome, Instant) {
         let mut reasons = Vec::new();
         let mut at = Instant::now();
-        for one in tries {
-            self.pause(one.pause_ms).await;
+        for attempt in tries {
+            self.pause(attempt.pause_ms).await;
             at = Instant::now();
             let left = received.deadline.saturating_duration_since(at);
             if left.is_zero() || self.is_over() {
@@ -254,7 +254,7 @@
                 timeout: left + DEADLINE_GRACE,
             };
             let answer = self
-                .exchange(connections, one.gateway, &sent, None, left)
+                .exchange(connections, attempt.gateway, &sent, None, left)
                 .await;
             received.stream.tries += 1;
             if answer.status == Some(200) {
@@ -269,21 +269,21 @@
     }
 
     /// Tries to begin a short stream until it begins.
-    async fn begin_beside(
+    async fn begin_new_stream(
         &self,
         id: &str,
         tries: &[Try],
         connections: &mut Connections,
     ) -> Outcome {
         let mut reasons = Vec::new();
-        for (n, one) in tries.iter().enumerate() {
-            self.pause(one.pause_ms).await;
+        for (n, attempt) in tries.iter().enumerate() {
+            self.pause(attempt.pause_ms).await;
             if self.is_over() {
                 break;
             }
             let sent = self.new_stream(&format!("{id}-{n}"), NEW_DURATION_MS);
             let answer = self
-                .exchange(connections, one.gateway, &sent, None, DEADLINE)
+                .exchange(connections, attempt.gateway, &sent, None, DEADLINE)
                 .await;
             if answer.status == Some(200) {
                 return Outcome::Began;
