Count a new host's share of quotas only once its peers are known

By reading: a host that found its own row before it had recorded any peer took its share of quotas at once, as if all of no peers had counted it. It now does so only after the peers of the same read are recorded, and never without a peer.

--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -397,7 +397,7 @@
             let status = p.status.as_ref();
             p.is_live(now, timeout) && status.is_some_and(|s| s.members >= position)
         };
-        self.is_direct() && self.all.iter().all(has_read)
+        self.is_direct() && !self.all.is_empty() && self.all.iter().all(has_read)
     }
 
     /// Whether an address belongs to a known peer.
--- a/crates/gateway/src/peers/membership.rs
+++ b/crates/gateway/src/peers/membership.rs
@@ -89,6 +89,7 @@
                 }
                 let is_first = *cursor.from() == Cursor::Start;
                 cursor.advance(change.next);
+                let mut listed_at = None;
                 for item in &change.items {
                     match item {
                         ProcessChange::Stopped { host } if *host == gateway.host().name => {
@@ -96,7 +97,7 @@
                         }
                         item if *item == own_row(&gateway) => {
                             row_era = Some(change.position.era);
-                            gateway.quotas.set_listed_at(change.position);
+                            listed_at = Some(change.position);
                         }
                         ProcessChange::Started { .. } | ProcessChange::Stopped { .. } => {}
                     }
@@ -107,6 +108,9 @@
                     false => Vec::new(),
                 };
                 merge(&gateway, change.items);
+                if let Some(position) = listed_at {
+                    gateway.quotas.set_listed_at(position);
+                }
                 remove_rows(&gateway, &mut client, &former).await;
                 let has_more_pages = is_first && cursor.has_more_pages();
                 if has_more_pages
