--- a/crates/origins/src/hosts.rs
+++ b/crates/origins/src/hosts.rs
@@ -129,7 +129,8 @@
             .map_or(Availability::Running, Host::availability)
     }
 
-    /// Availability of a process that holds a copy. `None` if its host is unknown or has been restarted.
+    /// Availability of a process that holds a copy. `None` if its host is unknown or has been
+    /// restarted.
     pub(crate) fn availability_of(&self, holder: HostStart) -> Option<Availability> {
         let host = self.find(holder.ip)?;
         (host.start() == Some(holder.start)).then(|| host.availability())
--- a/crates/origins/src/replication.rs
+++ b/crates/origins/src/replication.rs
@@ -14,8 +14,8 @@
 const RETRY_EVERY: Duration = Duration::from_secs(1);
 
 /// Copying of one origin to the first [`COPIES`] running hosts in the order of the stream, and to
-/// stopping hosts if too few are running. In each round, one more host is sent a copy besides those that haven't
-/// confirmed theirs, as these may be gone.
+/// stopping hosts if too few are running. In each round, one more host is sent a copy besides those
+/// that haven't confirmed theirs, as these may be gone.
 #[derive(Debug, Clone, Default)]
 pub(crate) struct Replication {
     /// Processes that hold the origin.
