--- a/review/stand.py
+++ b/review/stand.py
@@ -387,6 +387,8 @@
     temporary = tempfile.mkdtemp(prefix="review-")
     gateways = []
     code = 2
+    # A script that is ended early ends what it started, too.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(code))
     loop = asyncio.new_event_loop()
     loop.set_exception_handler(lambda _loop, _context: None)
     try:
@@ -397,6 +399,8 @@
         code = 0 if held else 1
     except CannotRun as why:
         record(f"can't run: {why}")
+    except (SystemExit, KeyboardInterrupt):
+        record("can't run: ended early")
     except Exception as why:  # A fault of the case itself isn't a fault of the system.
         record(f"can't run: {type(why).__name__}: {why}")
     finally:
