Buffer answers of unknown length up to the limit only

Callers saw: an upstream whose answer names no length and doesn't end (in chunks, or until the connection closes) took the process to 2 GB within seconds; the platform kills it at MemoryMb (260), and all its requests with it.

Cause: whether a plain answer is buffered was decided by the lower bound of its size, which is 0 where no length is named, and `read_first` collected the body without a limit. A usual size stood in for a limit.

Fix: `read_first` counts what it has read. The length that a head names only makes this decision earlier. `plain_delivery` and the second way to read a body are gone.

Why it works: no path reads a body of an upstream without a count now, whatever its framing, status or the sizes of its chunks. A sound answer above the limit is still delivered whole.

memory.rs: its set-up moved to tests/common; checks, bounds and load are the same.

--- /dev/null
+++ b/crates/arbutusquay/tests/common/mod.rs
@@ -0,0 +1,131 @@
+//! A gateway process with a store, for tests of its resources.
+
+use bench::deploy::reserve_subnet;
+use bench::probe::wait_serving;
+use bench::procs::{Proc, Signal};
+use bench::testbed::WAIT_TIMEOUT;
+use bench::usage;
+use serde_json::Value;
+use standin::Store;
+use standin::fixture::{CONFIG_ROW, settings};
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::path::{Path, PathBuf};
+use std::time::Duration;
+
+/// Path of the binary under test.
+const BINARY: &str = env!("CARGO_BIN_EXE_arbutusquay");
+/// `MemoryMb` of the settings. The platform kills a process whose resident memory exceeds it.
+pub const MEMORY_MB: u64 = 260;
+/// Period in which a process with a share of a core runs and is paused.
+const CPU_PERIOD: Duration = Duration::from_millis(20);
+/// Ports of the store and of the first worker.
+const STORE_PORT: u16 = 7003;
+const FIRST_WORKER_PORT: u16 = 7100;
+
+/// Addresses and the store of a gateway that has not started.
+pub struct Site {
+    ip: Ipv4Addr,
+    /// The store; `None` once a test has replaced it.
+    pub store: Option<Store>,
+    dir: PathBuf,
+    /// Reserves the addresses.
+    _subnet: std::net::TcpListener,
+}
+
+impl Drop for Site {
+    fn drop(&mut self) {
+        // If the directory can't be removed, the system cleans it up later.
+        let _ = std::fs::remove_dir_all(&self.dir);
+    }
+}
+
+impl Site {
+    /// Starts a store that contains a configuration.
+    pub fn new(config: &Value) -> Self {
+        let (subnet, lock) = reserve_subnet().unwrap();
+        let ip = Ipv4Addr::new(127, subnet, 1, 1);
+        let store = Store::start(SocketAddr::new(IpAddr::V4(ip), STORE_PORT)).unwrap();
+        store.put(CONFIG_ROW.0, CONFIG_ROW.1, config);
+        let dir = std::env::temp_dir().join(format!("gateway-{}-{subnet}", std::process::id()));
+        std::fs::create_dir_all(&dir).unwrap();
+        Self {
+            ip,
+            store: Some(store),
+            dir,
+            _subnet: lock,
+        }
+    }
+
+    fn at(&self, port: u16) -> SocketAddr {
+        SocketAddr::new(IpAddr::V4(self.ip), port)
+    }
+
+    /// Address of the store.
+    pub fn store_addr(&self) -> SocketAddr {
+        self.at(STORE_PORT)
+    }
+
+    /// Address of a worker.
+    pub fn worker_addr(&self, number: u16) -> SocketAddr {
+        self.at(FIRST_WORKER_PORT + number)
+    }
+
+    /// Address for clients.
+    pub fn clients_addr(&self) -> SocketAddr {
+        self.at(7000)
+    }
+
+    /// The store.
+    pub fn store(&self) -> &Store {
+        self.store.as_ref().expect("the store runs")
+    }
+
+    /// Starts the gateway and waits until it serves requests on the route `safe`.
+    pub async fn start_gateway(&self) -> GatewayProcess {
+        let file = self.dir.join("edge.toml");
+        let text = settings("edge", self.ip, self.store_addr());
+        assert!(text.contains(&format!("\nMemoryMb = {MEMORY_MB}\n")));
+        std::fs::write(&file, text).unwrap();
+        let proc = Proc::start_gateway(Path::new(BINARY), "edge", &file).unwrap();
+        tokio::time::timeout(WAIT_TIMEOUT, wait_serving(self.clients_addr(), ""))
+            .await
+            .expect("the gateway serves");
+        GatewayProcess {
+            proc,
+            log: file.with_extension("log"),
+        }
+    }
+}
+
+/// A running gateway.
+pub struct GatewayProcess {
+    /// The process.
+    pub proc: Proc,
+    log: PathBuf,
+}
+
+impl GatewayProcess {
+    /// Resident memory in bytes; 0 if the process has exited.
+    pub fn resident(&self) -> u64 {
+        let usage = self.proc.id().and_then(usage::read);
+        usage.map_or(0, |usage| usage.resident)
+    }
+
+    /// Pauses the process in turns, so that it has only a share of a core, until the future is
+    /// dropped. The process must be resumed then.
+    pub async fn limit_cpu(&self, share: f64) -> std::convert::Infallible {
+        loop {
+            self.proc.signal(Signal::Resume);
+            tokio::time::sleep(CPU_PERIOD.mul_f64(share)).await;
+            self.proc.signal(Signal::Pause);
+            tokio::time::sleep(CPU_PERIOD.mul_f64(1.0 - share)).await;
+        }
+    }
+
+    /// The log lines about an event.
+    pub fn log_lines(&self, event: &str) -> Vec<Value> {
+        let text = std::fs::read_to_string(&self.log).unwrap();
+        let lines = text.lines().filter_map(|l| serde_json::from_str(l).ok());
+        lines.filter(|l: &Value| l["event"] == event).collect()
+    }
+}
--- a/crates/arbutusquay/tests/memory.rs
+++ b/crates/arbutusquay/tests/memory.rs
@@ -1,24 +1,20 @@
 //! Memory of a gateway process under a burst of requests with long bodies.
 
-use bench::deploy::reserve_subnet;
-use bench::probe::wait_serving;
-use bench::procs::Proc;
+#[expect(dead_code, reason = "each test file uses a part of it")]
+mod common;
+
 use bench::testbed::{POLL_INTERVAL, WAIT_TIMEOUT};
-use bench::usage;
+use common::{GatewayProcess, MEMORY_MB, Site};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use hyper::header::HeaderName;
 use hyper::{Request, Response};
 use net::{Body, HeadLimits, Protocol, Server, Stop, bind, full};
 use serde_json::json;
-use standin::Store;
-use standin::fixture::{
-    CONFIG_ROW, HOST, WORKER_TABLE, config, route, set_timeout, settings, worker_row,
-};
+use standin::fixture::{HOST, WORKER_TABLE, config, route, set_timeout, worker_row};
 use std::collections::BTreeMap;
 use std::io;
-use std::net::{IpAddr, Ipv4Addr, SocketAddr};
-use std::path::PathBuf;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
@@ -27,10 +23,6 @@
 use tokio::sync::watch;
 use tokio::task::JoinSet;
 
-/// Path of the binary under test.
-const BINARY: &str = env!("CARGO_BIN_EXE_arbutusquay");
-/// `MemoryMb` of the settings. The platform kills a process whose resident memory exceeds it.
-const MEMORY_MB: u64 = 260;
 /// Size of each request's body, in bytes. It is also the configured maximum.
 const BODY_BYTES: usize = 4 << 20;
 /// Number of concurrent requests, whose bodies together exceed the memory limit.
@@ -169,26 +161,13 @@
 /// A gateway process with a store and a worker.
 struct Fixture {
     gateway: SocketAddr,
-    proc: Proc,
+    process: GatewayProcess,
     worker: Arc<HoldingWorker>,
-    dir: PathBuf,
-    _store: Store,
-    _subnet: std::net::TcpListener,
-}
-
-impl Drop for Fixture {
-    fn drop(&mut self) {
-        // If the directory can't be removed, the system cleans it up later.
-        let _ = std::fs::remove_dir_all(&self.dir);
-    }
+    _site: Site,
 }
 
 impl Fixture {
     async fn start() -> Self {
-        let (subnet, lock) = reserve_subnet().unwrap();
-        let ip = Ipv4Addr::new(127, subnet, 1, 1);
-        let at = |port| SocketAddr::new(IpAddr::V4(ip), port);
-        let store = Store::start(at(7003)).unwrap();
         let mut routes = [
             route("safe", "idempotent", 1),
             route("unsafe", "non_idempotent", 1),
@@ -196,36 +175,17 @@
         set_timeout(&mut routes, "unsafe", REQUEST_TIMEOUT);
         let mut config = config(1, &json!(routes));
         config["Limits"]["MaxBodyBytes"] = json!(BODY_BYTES);
-        store.put(CONFIG_ROW.0, CONFIG_ROW.1, &config);
-        let worker = HoldingWorker::start(at(7100));
-        let mut row = worker_row("plain", at(7100), "ready", None);
+        let site = Site::new(&config);
+        let worker = HoldingWorker::start(site.worker_addr(0));
+        let mut row = worker_row("plain", site.worker_addr(0), "ready", None);
         row["Slots"] = json!(REQUEST_COUNT);
-        store.put(WORKER_TABLE, WORKER_ID, &row);
-        let dir = std::env::temp_dir().join(format!("memory-{}-{subnet}", std::process::id()));
-        std::fs::create_dir_all(&dir).unwrap();
-        let file = dir.join("edge.toml");
-        let text = settings("edge", ip, store.addr);
-        assert!(text.contains(&format!("\nMemoryMb = {MEMORY_MB}\n")));
-        std::fs::write(&file, text).unwrap();
-        let proc = Proc::start_gateway(&PathBuf::from(BINARY), "edge", &file).unwrap();
-        let fixture = Self {
-            gateway: at(7000),
-            proc,
+        site.store().put(WORKER_TABLE, WORKER_ID, &row);
+        Self {
+            gateway: site.clients_addr(),
+            process: site.start_gateway().await,
             worker,
-            dir,
-            _store: store,
-            _subnet: lock,
-        };
-        tokio::time::timeout(WAIT_TIMEOUT, wait_serving(fixture.gateway, ""))
-            .await
-            .expect("the gateway serves");
-        fixture
-    }
-
-    /// Resident memory of the gateway process in bytes; 0 if it has exited.
-    fn resident(&self) -> u64 {
-        let usage = self.proc.id().and_then(usage::read);
-        usage.map_or(0, |usage| usage.resident)
+            _site: site,
+        }
     }
 
     /// Sends concurrent requests with long bodies. The worker holds back all responses until each
@@ -236,12 +196,12 @@
         let mut requests: JoinSet<RequestResult> =
             (0..count).map(|n| send_long_body(gateway, n)).collect();
         let mut results = BTreeMap::new();
-        let mut peak = self.resident();
+        let mut peak = self.process.resident();
         let since = Instant::now();
         loop {
             // Checked before sampling, so that a sample is taken while all bodies are held.
             let is_settled = self.worker.received() >= requests.len();
-            peak = peak.max(self.resident());
+            peak = peak.max(self.process.resident());
             if is_settled || since.elapsed() >= MAX_HOLD_TIME {
                 self.worker.release();
             }
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -13,7 +13,7 @@
 use crate::serve::Call;
 use crate::state::{Gateway, LoadGuard};
 use crate::statements;
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
 use hyper::body::{Body as _, Incoming};
 use hyper::header::{CONTENT_ENCODING, HeaderMap};
@@ -29,10 +29,10 @@
 use std::time::{Duration, Instant};
 
 /// Size up to which a plain answer is buffered completely, in bytes. Larger ones are streamed.
-const MAX_BUFFERED_BYTES: u64 = 256 << 10;
+const MAX_BUFFERED_BYTES: usize = 256 << 10;
 /// Size up to which a plain answer is buffered completely if the exit of the process could cut it
 /// off, in bytes. Larger ones are rejected.
-const MAX_BUFFERED_BYTES_IN_STOP: u64 = 4 << 20;
+const MAX_BUFFERED_BYTES_IN_STOP: usize = 4 << 20;
 /// Fraction of the upstream's idle timeout for which an idle connection is reused. A request on a
 /// connection that is being closed may be lost, and it is then unknown whether it has run.
 const IDLE_FRACTION: f64 = 0.5;
@@ -85,12 +85,33 @@
 /// How an answer is sent to the client.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Delivery {
-    /// Once it is complete.
-    Buffered,
-    /// While it is received from the upstream.
+    /// While it is received from the upstream, from its first bytes on.
     Streamed,
-    /// Not forwarded, as the exit of the process could cut it off and it is too large to buffer.
-    Rejected,
+    /// Once it is complete, or as a stream if it is larger than [`MAX_BUFFERED_BYTES`].
+    Buffered,
+    /// Once it is complete, as the exit of the process could cut off a stream. It is rejected if it
+    /// is larger than [`MAX_BUFFERED_BYTES_IN_STOP`].
+    Complete,
+}
+
+impl Delivery {
+    fn of(call: &Call) -> Self {
+        match call.target().route.kind.is_stream() {
+            true => Self::Streamed,
+            false if call.may_be_cut_off() => Self::Complete,
+            false => Self::Buffered,
+        }
+    }
+
+    /// Number of bytes that are buffered at most before the answer is streamed or rejected. A
+    /// chunk that exceeds it is added to them.
+    fn buffer_limit(self) -> usize {
+        match self {
+            Self::Streamed => 0,
+            Self::Buffered => MAX_BUFFERED_BYTES,
+            Self::Complete => MAX_BUFFERED_BYTES_IN_STOP,
+        }
+    }
 }
 
 /// Result of an attempt.
@@ -252,16 +273,8 @@
     }
     let framing = Framing::of(&head.headers, &body);
     let is_stream = call.target().route.kind.is_stream();
-    let delivery = match is_stream {
-        true => Delivery::Streamed,
-        false => plain_delivery(call, body.size_hint().lower()),
-    };
-    if delivery == Delivery::Rejected {
-        return AttemptResult::Unknown("answer too large for a stopping process".into());
-    }
     let mut monitor = BodyMonitor::new(framing, is_stream, head.status, &head.headers);
-    let rest = BodyRest { body, conn, idle };
-    let read = read_first(delivery, rest).await;
+    let read = read_first(Delivery::of(call), BodyRest { body, conn, idle }).await;
     let read = read.and_then(|(first, rest)| {
         monitor.push(first.as_deref().unwrap_or_default());
         match monitor.completeness() {
@@ -296,36 +309,34 @@
     }))
 }
 
-/// Determines how a plain answer with a body of at least `min_bytes` is sent to the client.
-fn plain_delivery(call: &Call, min_bytes: u64) -> Delivery {
-    match call.may_be_cut_off() {
-        _ if min_bytes <= MAX_BUFFERED_BYTES => Delivery::Buffered,
-        false => Delivery::Streamed,
-        true if min_bytes <= MAX_BUFFERED_BYTES_IN_STOP => Delivery::Buffered,
-        true => Delivery::Rejected,
-    }
-}
-
-/// Reads the first bytes of an answer, or its complete body if it is buffered.
+/// Reads the first bytes of an answer, or its complete body if it is buffered. The size of a body
+/// isn't known before its end unless the head names a length.
 async fn read_first(
     delivery: Delivery,
     mut rest: BodyRest,
 ) -> Result<(Option<Bytes>, Option<BodyRest>), String> {
-    if delivery == Delivery::Buffered {
-        let whole = rest.body.collect().await.map_err(|e| e.to_string())?;
-        rest.conn.release(Some(rest.idle));
-        return Ok((Some(whole.to_bytes()), None));
-    }
+    let limit = delivery.buffer_limit();
+    let named_size = usize::try_from(rest.body.size_hint().lower()).unwrap_or(usize::MAX);
+    let mut first = BytesMut::new();
     loop {
+        let size = first.len().max(named_size);
+        if size > limit && delivery == Delivery::Complete {
+            return Err(format!(
+                "answer of {size} bytes or more while stopping, limit {limit}"
+            ));
+        }
+        if size > limit && !first.is_empty() {
+            return Ok((Some(first.freeze()), Some(rest)));
+        }
         match rest.body.frame().await {
             None => {
                 rest.finish();
-                return Ok((None, None));
+                return Ok((Some(first.freeze()).filter(|data| !data.is_empty()), None));
             }
             Some(Err(e)) => return Err(e.to_string()),
             Some(Ok(frame)) => {
                 if let Ok(data) = frame.into_data() {
-                    return Ok((Some(data), Some(rest)));
+                    first.extend_from_slice(&data);
                 }
             }
         }
--- a/crates/gateway/tests/late_plain_answers.rs
+++ b/crates/gateway/tests/late_plain_answers.rs
@@ -5,7 +5,7 @@
 mod common;
 
 use common::{Client, TestGateway, WAIT_TIMEOUT, request, start, status, wait_for};
-use standin::{Action, Worker, fixture};
+use standin::{Action, Endless, Worker, fixture};
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::net::TcpStream;
@@ -214,6 +214,17 @@
     assert_no_answer_is_cut("/unsafe/", slow_answer(6 << 20)).await;
 }
 
+/// Guards against buffering an answer without a limit because it names no length.
+#[tokio::test]
+async fn late_answers_without_an_end_are_not_cut_off() {
+    let endless = Endless {
+        head: Some((200, "transfer-encoding: chunked\r\n".into())),
+        start: String::new(),
+        piece: format!("1000\r\n{}\r\n", "y".repeat(0x1000)),
+    };
+    assert_no_answer_is_cut("/unsafe/", Action::Endless(endless)).await;
+}
+
 /// Guards against rejecting large answers that end in time.
 #[tokio::test]
 async fn quick_large_late_answers_are_forwarded() {
--- a/crates/gateway/tests/relay.rs
+++ b/crates/gateway/tests/relay.rs
@@ -188,6 +188,34 @@
     assert!(res.contains("to the end"));
 }
 
+/// Guards against cutting off answers of unknown length at the size that is buffered.
+#[tokio::test]
+async fn answers_of_unknown_length_are_forwarded_whole_at_any_size() {
+    const BUFFERED: usize = 256 << 10;
+    let (bed, workers) = start(1).await;
+    let sizes = [BUFFERED - 1, BUFFERED, BUFFERED + 1, 2 * BUFFERED, 3 << 20];
+    for (number, size) in sizes.into_iter().enumerate() {
+        let body = "y".repeat(size);
+        for action in [
+            Action::CloseDelimited(body.clone()),
+            Action::ChunkedStream(body.clone()),
+        ] {
+            workers[0].script([action.clone()]);
+            let mut client = Client::connect(bed.callers).await;
+            let id = format!("size-{number}");
+            let req = request("POST", "/unsafe/", &id, "connection: close\r\n", "x");
+            client.send(&req).await;
+            let (text, _) = client.read_to_end().await;
+            assert_eq!(status(&text), 200);
+            let (head, body) = text.split_once("\r\n\r\n").unwrap();
+            let received = body.matches('y').count();
+            assert_eq!(received, size, "bytes of the body");
+            let is_chunked = head.contains("transfer-encoding: chunked");
+            assert!(!is_chunked || body.ends_with("\r\n0\r\n\r\n"));
+        }
+    }
+}
+
 #[tokio::test]
 async fn a_worker_with_another_id_at_the_same_address_runs_nothing() {
     let (bed, workers) = start(0).await;
