Break off streams with an endless event on all routes

Cause: only the splitter of resumable streams limited an incomplete event (1 MiB). Others were relayed without it, and no malformed stream counted in its upstream's health.

Fix: `BodyMonitor`, which reads along with every stream, limits the incomplete event; the splitter's own check is gone. A malformed stream (an event that is too long, a gap of ids) counts as a failure of its upstream. The `attempt_failed` line names upstream, size and limit.

Why it works: the monitor sees each byte of a stream before it is relayed, on each route, and its count starts anew with each blank line.

Evidence: endless_answers.rs, cases of events.

--- a/crates/arbutusquay/tests/endless_answers.rs
+++ b/crates/arbutusquay/tests/endless_answers.rs
@@ -33,16 +33,20 @@
 /// Bytes of a client's response that are kept, at its start and at its end.
 const KEPT_BYTES: usize = 4096;
 
-/// Runs futures, [`CONCURRENT_RUNS`] at once.
+/// Runs futures, [`CONCURRENT_RUNS`] at once, and fails after the last one if any has panicked.
 async fn run_all<F: Future<Output = ()> + Send + 'static>(futures: impl Iterator<Item = F>) {
     let mut running = JoinSet::new();
+    let mut panics = 0;
     for future in futures {
         if running.len() >= CONCURRENT_RUNS {
-            running.join_next().await.unwrap().unwrap();
+            panics += usize::from(running.join_next().await.is_some_and(|r| r.is_err()));
         }
         running.spawn(future);
     }
-    running.join_all().await;
+    while let Some(result) = running.join_next().await {
+        panics += usize::from(result.is_err());
+    }
+    assert_eq!(panics, 0, "cases failed");
 }
 
 /// What a client received.
@@ -109,10 +113,16 @@
 enum Relayed {
     /// None. The client receives a failure instead.
     Nothing,
+    /// An incomplete event until it exceeds the limit.
+    OneEvent,
     /// All until the deadline, as the response may have an end.
     All,
 }
 
+/// Maximum size of an incomplete event that is relayed, in bytes, including the framing of chunks
+/// of a few bytes each.
+const MAX_EVENT_BYTES: usize = 4 << 20;
+
 /// A response without an end, and the request that receives it.
 #[derive(Debug, Clone)]
 struct Case {
@@ -145,12 +155,14 @@
 }
 
 fn cases() -> Vec<Case> {
-    use Relayed::{All, Nothing};
+    use Relayed::{All, Nothing, OneEvent};
     let chunked = "content-type: text/plain\r\ntransfer-encoding: chunked\r\n";
     let unframed = "content-type: text/plain\r\nconnection: close\r\n";
     let events = "content-type: text/event-stream\r\ntransfer-encoding: chunked\r\n";
+    let open_events = "content-type: text/event-stream\r\nconnection: close\r\n";
     let huge = "content-type: text/plain\r\ncontent-length: 9000000000000\r\n";
     let text = "x".repeat(8000);
+    let first_event = chunk("id: 1\ndata: a\n\n");
     let case = |name, path, head: Option<(u16, &str)>, start: &str, piece: &str, relayed| {
         let head = head.map(|(status, lines)| (status, lines.to_owned()));
         let (start, piece) = (start.to_owned(), piece.to_owned());
@@ -251,6 +263,46 @@
             Nothing,
         ),
         case("newlines", "/unsafe/", None, "", "\r\n", Nothing),
+        case(
+            "one event",
+            "/stream/",
+            Some((200, events)),
+            "",
+            &chunk(&text),
+            OneEvent,
+        ),
+        case(
+            "a second event",
+            "/stream/",
+            Some((200, events)),
+            &first_event,
+            &chunk(&text),
+            OneEvent,
+        ),
+        case(
+            "one comment",
+            "/stream/",
+            Some((200, events)),
+            "",
+            &chunk(": xy"),
+            OneEvent,
+        ),
+        case(
+            "an unframed event",
+            "/stream/",
+            Some((200, open_events)),
+            "",
+            &text,
+            OneEvent,
+        ),
+        case(
+            "a resumable event",
+            "/resumable/",
+            Some((200, events)),
+            &first_event,
+            &chunk(&text),
+            OneEvent,
+        ),
         case(
             "events",
             "/stream/",
@@ -407,6 +459,7 @@
     );
     let is_allowed = match case.relayed {
         Relayed::Nothing => is_own_failure,
+        Relayed::OneEvent => received.bytes <= MAX_EVENT_BYTES,
         Relayed::All => true,
     };
     assert!(is_allowed, "{name}: {status:?}, {} bytes", received.bytes);
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -8,6 +8,7 @@
 use crate::completeness::{BodyMonitor, Completeness, Framing};
 use crate::crashes::broken::connection_broke;
 use crate::crashes::unanswered;
+use crate::fleet::UpstreamKey;
 use crate::fleet::latency::Task;
 use crate::quota::Grant;
 use crate::serve::Call;
@@ -276,7 +277,9 @@
     let mut monitor = BodyMonitor::new(framing, is_stream, head.status, &head.headers);
     let read = read_first(Delivery::of(call), BodyRest { body, conn, idle }).await;
     let read = read.and_then(|(first, rest)| {
-        monitor.push(first.as_deref().unwrap_or_default());
+        monitor
+            .push(first.as_deref().unwrap_or_default())
+            .map_err(|e| e.to_string())?;
         match monitor.completeness() {
             Completeness::BrokenOff(why) if rest.is_none() => Err(why.message().to_owned()),
             _ => Ok((first, rest)),
@@ -410,16 +413,21 @@
     }
 }
 
-/// Records a failure of an upstream, and logs if it is suspended.
+/// Records a failure of a plan's upstream, and logs if it is suspended.
 pub fn record_failure(gateway: &Arc<Gateway>, plan: &Plan, weight: f64) {
+    record_failure_at(gateway, plan.key, &plan.instance, weight);
+}
+
+/// Records a failure of an upstream, and logs if it is suspended.
+pub fn record_failure_at(gateway: &Arc<Gateway>, key: UpstreamKey, instance: &str, weight: f64) {
     let mut fleet = gateway.fleet();
-    let Some(upstream) = fleet.get_mut(plan.key) else {
+    let Some(upstream) = fleet.get_mut(key) else {
         return;
     };
     if let Some(suspended) = upstream.health.record_failure(weight, Instant::now()) {
         upstream.pool.close_idle();
         emit(&Event::UpstreamSuspended {
-            upstream: &plan.instance,
+            upstream: instance,
             failures: suspended.failure_rate,
             for_ms: suspended.duration.as_millis() as u64,
         });
--- a/crates/gateway/src/completeness.rs
+++ b/crates/gateway/src/completeness.rs
@@ -13,7 +13,10 @@
 use hyper::StatusCode;
 use hyper::body::{Body, Incoming};
 use hyper::header::{CONTENT_LENGTH, CONTENT_TYPE, HeaderMap, TRANSFER_ENCODING};
+use quick_error::quick_error;
 
+/// Maximum size of an event in bytes, including comments before it. Upstreams send smaller ones.
+pub const MAX_EVENT_BYTES: u64 = 1 << 20;
 const EVENT_STREAM: &str = "text/event-stream";
 
 /// How the end of an answer's body is known.
@@ -94,6 +97,15 @@
     }
 }
 
+quick_error! {
+    /// An incomplete event has exceeded [`MAX_EVENT_BYTES`].
+    #[derive(Debug, Clone, Copy, PartialEq, Eq)]
+    pub enum EventTooLong {
+        /// Size of the event so far, in bytes.
+        Bytes(n: u64) { display("event of {n} bytes or more, limit {MAX_EVENT_BYTES}") }
+    }
+}
+
 /// Reads along with an answer's body.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct BodyMonitor {
@@ -123,9 +135,14 @@
     }
 
     /// Reads the next bytes of the body.
-    pub fn push(&mut self, data: &[u8]) {
-        if let Some(events) = &mut self.events {
-            events.push(data);
+    pub fn push(&mut self, data: &[u8]) -> Result<(), EventTooLong> {
+        let Some(events) = &mut self.events else {
+            return Ok(());
+        };
+        events.push(data);
+        match events.incomplete_bytes() {
+            n if n > MAX_EVENT_BYTES => Err(EventTooLong::Bytes(n)),
+            _ => Ok(()),
         }
     }
 
--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -3,6 +3,7 @@
 //! Bytes are passed on unchanged; only the ends and ids of events are parsed. An upstream may
 //! stop in the middle of an event. Bytes after the last complete event are buffered until their
 //! event is complete, so that the stream can be resumed at another upstream after that event.
+//! [`BodyMonitor`](crate::completeness::BodyMonitor) limits their number.
 
 mod boundary;
 
@@ -10,9 +11,6 @@
 
 use bytes::{Bytes, BytesMut};
 
-/// Maximum length of an incomplete event. If it is exceeded, the stream counts as malformed.
-const MAX_EVENT_BYTES: usize = 1 << 20;
-
 /// Splits a stream into sequences of complete events.
 #[derive(Debug, Default)]
 pub struct EventSplitter {
@@ -27,8 +25,6 @@
 /// The stream is malformed or incomplete.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum BadStream {
-    /// An event is larger than any that upstreams send.
-    TooLong,
     /// An event's id doesn't follow the previous one.
     Gap,
 }
@@ -80,9 +76,6 @@
             }
         }
         self.scanned = self.partial.len();
-        if self.partial.len() > MAX_EVENT_BYTES {
-            return Err(BadStream::TooLong);
-        }
         Ok(out.freeze())
     }
 
--- a/crates/gateway/src/events/boundary.rs
+++ b/crates/gateway/src/events/boundary.rs
@@ -25,6 +25,8 @@
     has_field: bool,
     /// Number of events that have ended.
     events: u64,
+    /// Number of bytes since the last blank line.
+    incomplete_bytes: u64,
     /// Whether a line has ended with CRLF.
     uses_crlf: bool,
 }
@@ -41,6 +43,15 @@
     /// Reads bytes up to the end of the next blank line, which ends an event or a group of comments,
     /// and returns their number. Returns `None` after reading all of them if there is none.
     pub fn read_to_blank_line(&mut self, data: &[u8]) -> Option<usize> {
+        let len = self.find_blank_line(data);
+        self.incomplete_bytes = match len {
+            Some(_) => 0,
+            None => self.incomplete_bytes + data.len() as u64,
+        };
+        len
+    }
+
+    fn find_blank_line(&mut self, data: &[u8]) -> Option<usize> {
         for (at, byte) in data.iter().enumerate() {
             if let Position::AfterReturn { is_blank } = self.position {
                 self.position = Position::LineStart;
@@ -91,6 +102,11 @@
         }
     }
 
+    /// Number of bytes after the last complete event or group of comments.
+    pub fn incomplete_bytes(&self) -> u64 {
+        self.incomplete_bytes
+    }
+
     /// Number of complete events in the stream.
     pub fn events(&self) -> u64 {
         self.events
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -2,7 +2,10 @@
 
 use crate::account::Account;
 use crate::answer::{Outcome, Reason};
-use crate::attempt::{AttemptResult, BodyRest, StartedAnswer, log_failed_attempt};
+use crate::attempt::{
+    AttemptResult, BodyRest, CONNECTION_FAILURE_WEIGHT, StartedAnswer, log_failed_attempt,
+    record_failure_at,
+};
 use crate::completeness::{BodyMonitor, Completeness};
 use crate::crashes;
 use crate::crashes::broken::connection_broke;
@@ -103,6 +106,8 @@
     Whole,
     /// The upstream broke off the stream.
     Broken(String),
+    /// The upstream sent something other than the rest of the stream.
+    Malformed(String),
     /// The client disconnected.
     ClientGone,
     /// The deadline or the timeout passed, or the process exits.
@@ -139,6 +144,10 @@
                     return;
                 }
                 StreamEnd::Broken(why) => next = self.resume(why).await,
+                StreamEnd::Malformed(why) => {
+                    self.record_upstream_failure();
+                    next = self.resume(why).await;
+                }
             }
         }
         // The sender is dropped without an end marker, so the client sees a broken answer.
@@ -196,8 +205,11 @@
                         continue;
                     };
                     self.check_survival();
-                    self.monitor.push(&data);
+                    let pushed = self.monitor.push(&data);
                     self.account.body = Some(self.monitor);
+                    if let Err(e) = pushed {
+                        return StreamEnd::Malformed(e.to_string());
+                    }
                     match self.convert(data) {
                         Ok(data) => self.unsent = Some(data),
                         Err(end) => return end,
@@ -237,7 +249,7 @@
         match &mut self.splitter {
             Some(splitter) => splitter
                 .push(&data)
-                .map_err(|e| StreamEnd::Broken(format!("malformed stream: {e:?}"))),
+                .map_err(|e| StreamEnd::Malformed(format!("malformed stream: {e:?}"))),
             None => Ok(data),
         }
     }
@@ -257,6 +269,19 @@
         Ok(())
     }
 
+    fn record_upstream_failure(&self) {
+        let (Some(sent), Some(instance)) = (self.account.last_sent_to, &self.account.upstream)
+        else {
+            return;
+        };
+        record_failure_at(
+            &self.call.gateway,
+            sent.key,
+            instance,
+            CONNECTION_FAILURE_WEIGHT,
+        );
+    }
+
     /// Resumes the stream at another upstream after the last event that was relayed; `None` if
     /// that is not allowed or fails.
     async fn resume(&mut self, why: String) -> Option<(Option<Bytes>, Option<BodyRest>)> {
--- a/crates/gateway/tests/completeness.rs
+++ b/crates/gateway/tests/completeness.rs
@@ -1,6 +1,6 @@
 //! Tests which ends of answers count as whole, without a network.
 
-use gateway::completeness::{BodyMonitor, BreakOff, Completeness, Framing};
+use gateway::completeness::{BodyMonitor, BreakOff, Completeness, Framing, MAX_EVENT_BYTES};
 use gateway::events::EventSplitter;
 use hyper::StatusCode;
 use hyper::header::{CONTENT_LENGTH, CONTENT_TYPE, HeaderMap, HeaderValue, TRANSFER_ENCODING};
@@ -15,8 +15,12 @@
 ];
 
 fn runner() -> TestRunner {
+    runner_with(2000)
+}
+
+fn runner_with(cases: u32) -> TestRunner {
     TestRunner::new(Config {
-        cases: 2000,
+        cases,
         failure_persistence: None,
         rng_seed: RngSeed::Fixed(61),
         ..Config::default()
@@ -104,7 +108,7 @@
                 break;
             }
             let (chunk, later) = rest.split_at((*len).min(rest.len()));
-            monitor.push(chunk);
+            monitor.push(chunk).unwrap();
             relayed.extend_from_slice(&splitter.push(chunk).unwrap());
             rest = later;
         }
@@ -122,6 +126,49 @@
     Ok(())
 }
 
+/// Guards against events without an end, and against a limit that depends on how the body is split
+/// or counts earlier events.
+#[test]
+fn only_incomplete_events_above_the_limit_are_malformed() {
+    let starts = prop_oneof![
+        Just(""),
+        Just("data: "),
+        Just(": "),
+        Just("id: 1\ndata: a\n\n")
+    ];
+    let lines = prop_oneof![Just("x"), Just("x\ndata: "), Just("x\n: ")];
+    let cases = (starts, lines, 1..100_000usize, 0..3usize);
+    // Each case reads megabytes.
+    runner_with(60)
+        .run(&cases, |(start, piece, chunk_len, whole_events)| {
+            let mut monitor = monitor(Framing::Chunks);
+            let whole = format!("data: {}\n\n", "y".repeat(MAX_EVENT_BYTES as usize - 8));
+            for _ in 0..whole_events {
+                for chunk in whole.as_bytes().chunks(chunk_len) {
+                    prop_assert!(monitor.push(chunk).is_ok());
+                }
+            }
+            let endless = format!("{start}{}", piece.repeat(2 * MAX_EVENT_BYTES as usize));
+            let event_start = start.find("\n\n").map_or(0, |at| at + 2);
+            let mut sent = 0;
+            for chunk in endless.as_bytes().chunks(chunk_len) {
+                sent += chunk.len();
+                let is_over = sent > MAX_EVENT_BYTES as usize + event_start;
+                prop_assert_eq!(
+                    monitor.push(chunk).is_err(),
+                    is_over,
+                    "after {} bytes",
+                    sent
+                );
+                if is_over {
+                    break;
+                }
+            }
+            Ok(())
+        })
+        .unwrap();
+}
+
 /// Guards against errors, plain answers and other content being taken for events.
 #[test]
 fn answers_that_do_not_consist_of_events_may_end_anywhere() {
@@ -148,7 +195,7 @@
     for (is_stream, status, headers, consists_of_events) in cases {
         for framing in ALL_FRAMINGS {
             let mut monitor = BodyMonitor::new(framing, is_stream, status, &headers);
-            monitor.push(b"data: x");
+            monitor.push(b"data: x").unwrap();
             let is_cut = matches!(monitor.completeness(), Completeness::BrokenOff(_));
             assert_eq!(is_cut, consists_of_events, "{status} {headers:?}");
             assert_eq!(
