Accept completions of a stopping entry by their time limit

Callers saw: a completion that a stopping entry accepted ended with `unknown`, `process-ends` when the entry exited (5 of 6 concurrent streams of 2 s each had to wait for one another inside the engine).

Cause: its agent accepted it by the moving average of the time per token. An engine that is slower this time, or runs one request after the other, exceeds it: what was usual stood in for a limit.

Rule: a planned stop cuts off no request, so what may outlast the stop is refused at once as not run. A completion can take `idle_timeout` for its head, for each token still to come and for its end, and no longer; that is reserved, as for plain calls.

Why it works: the limit is enforced by the agent, whatever the engine does. Attempts after one that may have run are accepted as before, as their callers can't be told "not run". An engine that also breaks off during the stop can still exceed it.

One test held the former rule: a_stopping_entry_refuses_requests_that_would_outlast_it_and_serves_the_rest asked that 3 tokens be served with 8 s left and a limit of 20 s a token, which no rule can promise. It runs with `idle_timeout` 1 s now; its checks are the same, and a stream of 7 tokens, which the average would let in and the limit doesn't, must be refused.

--- a/crates/agent/src/run.rs
+++ b/crates/agent/src/run.rs
@@ -162,11 +162,7 @@
             .cached_len(&prefix::hashes(c.prompt.as_bytes())),
         Call::Plain(_) => 0,
     };
-    // Reserves the full timeout of a plain call, as it may be slower than earlier calls.
-    let reserved_time = match call {
-        Call::Completion(_) => Duration::ZERO,
-        Call::Plain(_) => attempt.agent.node.settings.limits.idle_timeout,
-    };
+    let reserved_time = max_duration(call, attempt.agent.node.settings.limits.idle_timeout);
     let slot_request = SlotRequest {
         class: attempt.class,
         tenant: &attempt.cx.tenant,
@@ -182,6 +178,17 @@
     attempt.agent.admission.admit(slot_request).await
 }
 
+/// Maximum time that a call can take at the upstream without being broken off by the idle timeout.
+/// The measured speed isn't used, as the upstream may be slower this time.
+fn max_duration(call: &Call, idle_timeout: Duration) -> Duration {
+    let waits = match call {
+        // For the head, each token and the end.
+        Call::Completion(c) => c.max_tokens.saturating_sub(c.resume_from).saturating_add(2),
+        Call::Plain(_) => 1,
+    };
+    idle_timeout.saturating_mul(waits)
+}
+
 async fn run(attempt: &mut Attempt<'_>, call: &Call) -> AttemptResult {
     match (call, &attempt.doc.doc.kind) {
         (Call::Completion(c), conf::Kind::Engine(model)) => {
--- a/crates/arbutusquay/tests/stopping.rs
+++ b/crates/arbutusquay/tests/stopping.rs
@@ -21,6 +21,9 @@
 const STEP_TIME: Duration = Duration::from_millis(20);
 /// Tokens of a stream that lasts longer than any stop in these tests.
 const LONG_STREAM_TOKENS: u32 = 1200;
+/// Tokens of a stream that outlasts a stop of 8 s only if its engine takes an idle timeout of 1 s per
+/// token.
+const MAYBE_SLOW_TOKENS: u32 = 7;
 /// Duration of a plain call that lasts longer than any stop in these tests.
 const LONG_CALL_TIME: Duration = Duration::from_secs(12);
 /// Tokens of a stream from which an agent measures the time per token.
@@ -84,17 +87,22 @@
     task
 }
 
+/// Guards against refusing completions whose time limit ends before the process exits, and against
+/// accepting others because their engine was quick before.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_stopping_entry_refuses_requests_that_would_outlast_it_and_serves_the_rest() {
-    let mut bed = slow_bed(1, "linger: 6s").await;
+    let mut bed = slow_bed(1, "linger: 6s, idle_timeout: 1s").await;
     assert!(is_complete(
         &bed.client(0).send(reply("learn", WARM_UP_TOKENS)).await
     ));
     bed.site.entries[0].process.signal(Signal::Term);
     wait_until_not_ready(admin_addr(bed.site.entries[0].addr)).await;
     let long = bed.client(0).send(reply("long", LONG_STREAM_TOKENS)).await;
+    let may_be_slow = reply("may be slow", MAYBE_SLOW_TOKENS);
+    let may_be_slow = bed.client(0).send(may_be_slow).await;
     let short = bed.client(0).send(reply("short", 3)).await;
     assert_eq!(refused(&long), (Outcome::NotRun, "leaving"));
+    assert_eq!(refused(&may_be_slow), (Outcome::NotRun, "leaving"));
     assert!(is_complete(&short), "{:?}", short.result);
     assert!(bed.site.entries[0].process.wait().await.unwrap().success());
     let requests = log_lines(&bed, "entry-1", "request");
