Keep the registry's position until a peer's changes lead to its registry

Cause: a peer sends the upstreams that changed in its own registry. If a row expires and is written again, a host that removed the upstream meanwhile misses it in the changes of a peer for which nothing has changed. The hash showed the difference, but the position was already that of the peer, so the whole registry that was then fetched was dropped as not newer. Hosts with fewer rows never learned of later removals either, and passed neither on. A check that is right most of the time (equal positions) stood in for equal rows.

Fix: if a peer's changes don't lead to the peer's registry, the position stays, and the whole registry counts as newer. A host's rows at a position therefore always equal those of a host that read them from the store. The log line tells which of both differed.

--- a/crates/gateway/src/follow/registry.rs
+++ b/crates/gateway/src/follow/registry.rs
@@ -298,11 +298,16 @@
 /// whole registry, upstreams that are absent are removed. Peers share their registry only while
 /// no upstream is missing there, so absent ones are really gone, unless the store was restored:
 /// then the peer may have started after it and never have known them.
+///
+/// `view` is the hash of the peer's registry. A peer's changes are those of its own registry, so they
+/// lack an upstream that only this process has removed. If they don't lead to the peer's registry,
+/// this process stays at its position, and the whole registry must be applied.
 pub fn merge_from_peer(
     gateway: &Arc<Gateway>,
     mut changes: Vec<Registration>,
     is_whole: bool,
     position: Position,
+    view: u64,
     now: Instant,
 ) {
     let known = gateway.registry().position;
@@ -328,7 +333,8 @@
     for id in &gone {
         remove(gateway, id, NOT_REGISTERED, position);
     }
-    gateway.set_registry(position);
+    let is_complete = is_whole || gateway.fleet().view() == view;
+    gateway.set_registry(if is_complete { position } else { known });
     gateway.fleet().assume_empty_caches();
     if is_restored {
         log_restored(gateway, known, position, kept);
--- a/crates/gateway/src/peers/catch_up.rs
+++ b/crates/gateway/src/peers/catch_up.rs
@@ -3,7 +3,7 @@
 //!
 //! Peers send only the changes of the registry if they still know them. A hash of the whole
 //! registry shows whether applying the changes gave the same result; if not, the whole registry is
-//! fetched.
+//! fetched, and until it has been applied the position doesn't advance.
 
 use crate::duty::usage::transfer;
 use crate::fleet::durations::DurationSnapshot;
@@ -237,7 +237,7 @@
     let gone = changes.gone.into_iter();
     let gone = gone.map(|id| Registration::Removed { id });
     let present = present.chain(gone).collect();
-    follow::merge_from_peer(gateway, present, is_whole, position, Instant::now());
+    follow::merge_from_peer(gateway, present, is_whole, position, view, Instant::now());
     let age = Duration::from_millis(read_ms_ago.into());
     if let Some(read_at) = asked_at.checked_sub(age) {
         gateway.record_read(position, read_at, store_ms);
@@ -247,7 +247,10 @@
     if !is_same {
         emit(&Event::Undecodable {
             what: "changes of a peer",
-            why: format!("the registry differs from the peer's at version {position}"),
+            why: format!(
+                "the registry differs from the peer's at version {position} after {}",
+                if is_whole { "all of it" } else { "its changes" }
+            ),
         });
     }
     is_same
--- a/crates/gateway/tests/peers.rs
+++ b/crates/gateway/tests/peers.rs
@@ -110,7 +110,7 @@
     assert_eq!(gateway.fleet().len(), 2);
     // A peer has read since the removal; then an older read arrives late.
     let view = vec![Registration::Registered(kept.clone())];
-    merge_from_peer(&gateway, view, true, at(9), Instant::now());
+    merge_from_peer(&gateway, view, true, at(9), 0, Instant::now());
     let late = both().into_iter().map(Registration::Registered).collect();
     merge_from_store(&gateway, late, false, at(7), now);
     assert!(gateway.fleet().find("i-2").is_none());
@@ -245,7 +245,7 @@
         now,
     );
     let view = vec![Registration::Registered(kept)];
-    merge_from_peer(&gateway, view, true, at(11), Instant::now());
+    merge_from_peer(&gateway, view, true, at(11), 0, Instant::now());
     assert!(gateway.fleet().find("i-2").is_none());
     assert_eq!(gateway.shareable_registry().unwrap().position, at(11));
 }
--- a/crates/gateway/tests/starts.rs
+++ b/crates/gateway/tests/starts.rs
@@ -303,7 +303,8 @@
         merge_from_store(&gateway, vec![row], false, at(version), now);
     }
     let earlier = vec![Registration::Registered(draining(Some(1), 4))];
-    merge_from_peer(&gateway, earlier, false, at(9), Instant::now());
+    let view = gateway.fleet().view();
+    merge_from_peer(&gateway, earlier, false, at(9), view, Instant::now());
     assert_eq!(start_and_draining(&gateway.fleet()), Some((Some(2), false)));
 }
 
