Test drawn endless answers beside a stop

Route, status, framing, size of the pieces, where the endless part begins, and whether the request is sent before a stop or 2.7 s after the signal are drawn from a seed; a prompt's prefill may succeed and its generator flood. Guards against limits that hold for the listed cases only. The verdict is as before: MemoryMb, the target of sound requests before the stop, no answer that looks whole or says "not run" falsely, and an exit within the grace period.

--- a/crates/arbutusquay/tests/endless_answers.rs
+++ b/crates/arbutusquay/tests/endless_answers.rs
@@ -8,7 +8,9 @@
 use bench::testbed::{POLL_INTERVAL, WAIT_TIMEOUT};
 use common::{GatewayProcess, MEMORY_MB, Site};
 use serde_json::{Value, json};
-use standin::fixture::{WORKER_TABLE, config, prompt_headers, request, route, routes, worker_row};
+use standin::fixture::{
+    WORKER_TABLE, config, prompt_headers, request, route, routes, with_deadline, worker_row,
+};
 use standin::{Action, Endless, Worker};
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
@@ -343,7 +345,7 @@
     site: Site,
     gateway: GatewayProcess,
     flooding: Vec<Worker>,
-    _sound: Worker,
+    sound: Worker,
 }
 
 impl Fixture {
@@ -377,7 +379,7 @@
             gateway: site.start_gateway().await,
             site,
             flooding,
-            _sound: sound,
+            sound,
         }
     }
 
@@ -392,19 +394,19 @@
     /// bytes.
     async fn send_sound_requests(&self, name: &str) -> (Vec<Duration>, u64) {
         let measured = tokio::select! {
-            measured = self.measure_sound_requests(name) => measured,
+            measured = self.measure_sound_requests(name, SOUND_TIME) => measured,
             never = self.gateway.limit_cpu(CPU_SHARE) => match never {},
         };
         self.gateway.proc.signal(Signal::Resume);
         measured
     }
 
-    async fn measure_sound_requests(&self, name: &str) -> (Vec<Duration>, u64) {
+    async fn measure_sound_requests(&self, name: &str, time: Duration) -> (Vec<Duration>, u64) {
         let since = Instant::now();
         let mut peak = 0;
         let mut requests = JoinSet::new();
         let mut next = since;
-        while since.elapsed() < SOUND_TIME {
+        while since.elapsed() < time {
             peak = peak.max(self.gateway.resident());
             if Instant::now() >= next {
                 next += SOUND_INTERVAL;
@@ -496,13 +498,171 @@
         let text = case.request(&format!("endless-{number}"));
         flooded.spawn(exchange(fixture.site.clients_addr(), text));
     }
-    let (times, peak) = fixture.measure_sound_requests("many").await;
+    let (times, peak) = fixture.measure_sound_requests("many", SOUND_TIME).await;
     for received in flooded.join_all().await {
         check_received(&case, &received);
     }
     fixture.check("many", &times, peak);
 }
 
+/// Seed of the drawn cases, and their number. `PROPTEST_CASES` sets another number.
+const DRAWN_SEED: u64 = 76;
+const DRAWN_CASES: u64 = 8;
+/// Time between the stop signal and a late request, and after which the process must have exited:
+/// `GraceS`.
+const LATE_AFTER: Duration = Duration::from_millis(2700);
+const GRACE: Duration = Duration::from_secs(8);
+
+/// A drawn response without an end, beside a stop.
+#[derive(Debug, Clone)]
+struct DrawnCase {
+    case: Case,
+    /// Time after which the gateway is told to stop.
+    stop_after: Duration,
+    /// Whether the request is sent late in the stop, and not before it.
+    is_late: bool,
+    /// Deadline of a late request. An early deadline ends before the gateway exits.
+    deadline: Duration,
+}
+
+/// Draws the route, the status, the framing, the size of the pieces, and where the endless part
+/// begins.
+fn draw(seed: u64) -> DrawnCase {
+    let mut rng = fastrand::Rng::with_seed(seed);
+    let paths = [
+        "/unsafe/",
+        "/safe/",
+        "/twice/",
+        "/stream/",
+        "/resumable/",
+        "/prompt/",
+    ];
+    let path = paths[rng.usize(..paths.len())];
+    let status = [200, 200, 200, 404, 500][rng.usize(..5)];
+    let is_event_route = matches!(path, "/stream/" | "/resumable/" | "/prompt/");
+    let content_type = match is_event_route {
+        true => "content-type: text/event-stream\r\n",
+        false => "content-type: text/plain\r\n",
+    };
+    let (framing, is_chunked) = match rng.u8(..3) {
+        0 => ("transfer-encoding: chunked\r\n", true),
+        1 => ("connection: close\r\n", false),
+        _ => ("content-length: 9000000000000\r\n", false),
+    };
+    let frame = |data: String| match is_chunked && !data.is_empty() {
+        true => chunk(&data),
+        false => data,
+    };
+    let before = match is_event_route {
+        true => (1..=rng.usize(..20))
+            .map(|id| format!("id: {id}\ndata: a\n\n"))
+            .collect(),
+        false => "y".repeat(rng.usize(..1 << 20)),
+    };
+    let text = "x".repeat(1 << rng.u32(..17));
+    let (start, piece) = (frame(before), frame(text));
+    let (head, start, piece) = match rng.u8(..4) {
+        0 => (
+            None,
+            "HTTP/1.1 200 OK\r\n".to_owned(),
+            "a: b\r\n".to_owned(),
+        ),
+        1 => (None, String::new(), "HTTP/1.1 103 Early\r\n\r\n".to_owned()),
+        _ => (
+            Some((status, format!("{content_type}{framing}"))),
+            start,
+            piece,
+        ),
+    };
+    let relayed = match (&head, is_event_route && status == 200) {
+        (None, _) => Relayed::Nothing,
+        (Some(_), true) => Relayed::OneEvent,
+        (Some(_), false) => Relayed::All,
+    };
+    DrawnCase {
+        case: Case {
+            name: "drawn",
+            path,
+            endless: Endless { head, start, piece },
+            relayed,
+        },
+        stop_after: Duration::from_millis(rng.u64(200..3000)),
+        is_late: rng.bool(),
+        deadline: if rng.bool() { GRACE / 2 } else { GRACE },
+    }
+}
+
+/// Runs a drawn case at a fixture of its own.
+async fn run_drawn(seed: u64) {
+    let drawn = draw(seed);
+    let DrawnCase {
+        case,
+        stop_after,
+        is_late,
+        deadline,
+    } = &drawn;
+    let mut fixture = Fixture::start().await;
+    fixture.flood(&case.endless);
+    if case.is_prompt() {
+        fixture.flooding[1].set_default_action(Action::Prefilled(format!("handle-{seed}")));
+    }
+    let name = format!("seed {seed}, {}, late {is_late}", case.path);
+    let addr = fixture.site.clients_addr();
+    let early = (!is_late).then(|| tokio::spawn(exchange(addr, case.request("endless"))));
+    let (times, peak) = fixture.measure_sound_requests(&name, *stop_after).await;
+    fixture.check(&name, &times, peak);
+    // An unanswered request keeps the gateway running until the late request arrives.
+    fixture.sound.script([Action::Hang]);
+    let held = request("POST", "/sound/", "held", "connection: close\r\n", "x");
+    let _held = tokio::spawn(exchange(addr, held));
+    let held_count = times.len() + 1;
+    fixture.sound.wait_for_requests(held_count).await;
+    fixture.gateway.proc.signal(Signal::Term);
+    let signal_at = Instant::now();
+    let late = is_late.then(|| {
+        let text = with_deadline(&case.request("endless"), *deadline);
+        tokio::spawn(async move {
+            tokio::time::sleep(LATE_AFTER).await;
+            exchange(addr, text).await
+        })
+    });
+    let mut peak = 0;
+    while !fixture.gateway.proc.has_ended() {
+        peak = peak.max(fixture.gateway.resident());
+        assert!(signal_at.elapsed() < GRACE, "{name}: the gateway runs");
+        tokio::time::sleep(POLL_INTERVAL).await;
+    }
+    let peak_mb = peak >> 20;
+    assert!(
+        peak <= MEMORY_MB << 20,
+        "{name}: {peak_mb} MB while stopping"
+    );
+    for flooded in [early, late].into_iter().flatten() {
+        let received = flooded.await.unwrap();
+        println!(
+            "{name}: {:?}, {} bytes, {peak_mb} MB",
+            received.status(),
+            received.bytes
+        );
+        // A late request may be rejected before it runs.
+        let is_rejected = *is_late && received.status() == Some(503);
+        if !is_rejected {
+            check_received(case, &received);
+        }
+    }
+}
+
+/// Guards against limits that depend on the route, the framing, the sizes of pieces or where the
+/// endless part begins, also while the gateway stops.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn drawn_endless_answers_do_not_fill_the_memory_beside_a_stop() {
+    let count = std::env::var("PROPTEST_CASES")
+        .ok()
+        .and_then(|n| n.parse().ok());
+    let seeds = DRAWN_SEED..DRAWN_SEED + count.unwrap_or(DRAWN_CASES);
+    run_all(seeds.map(run_drawn)).await;
+}
+
 /// Guards against waiting for the store's responses, or buffering them, without a limit.
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn endless_responses_of_the_store_neither_fill_the_memory_nor_delay_requests() {
