Soak: count each request to a stopping process by its end

The columns `unread` (the connection closed before an answer or a worker), `abandoned` (given up by the client) and `other` (another status) complete the others; `sent` is their sum. The test covers one of each.

--- a/crates/soak/src/disruption.rs
+++ b/crates/soak/src/disruption.rs
@@ -135,7 +135,7 @@
 /// Numbers of requests to stopping processes, by how they ended.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize)]
 pub struct EndCounts {
-    /// All requests, including those that ended in another way than the ones below.
+    /// All requests. Each is also in one of the numbers below.
     pub sent: usize,
     /// Answered with status 200.
     pub served: usize,
@@ -145,6 +145,12 @@
     pub failed: usize,
     /// Cut before the answer was complete.
     pub cut: usize,
+    /// Not answered and not received by a worker, as the connection was closed before.
+    pub unread: usize,
+    /// Given up by the client.
+    pub abandoned: usize,
+    /// Answered with another status.
+    pub other: usize,
 }
 
 impl EndCounts {
@@ -155,7 +161,9 @@
             RequestEnd::Whole(503, _) => self.rejected += 1,
             RequestEnd::Whole(502 | 504, _) => self.failed += 1,
             RequestEnd::Broken if is_aborted(request, own_runs) => self.cut += 1,
-            RequestEnd::Whole(..) | RequestEnd::Broken | RequestEnd::Abandoned => {}
+            RequestEnd::Broken => self.unread += 1,
+            RequestEnd::Abandoned => self.abandoned += 1,
+            RequestEnd::Whole(..) => self.other += 1,
         }
     }
 }
--- a/crates/soak/tests/checker.rs
+++ b/crates/soak/tests/checker.rs
@@ -512,6 +512,9 @@
         signal: Instant::now() + Duration::from_secs_f64(FAR),
     };
     let whole = |status| RequestEnd::Whole(status, "x".into());
+    let mut unread = stop.cut(RequestEnd::Broken, 4.0, 4.1);
+    unread.id = "unread".into();
+    unread.delivery.answer_started = false;
     let requests = [
         stop.cut(whole(200), -1.0, 1.0),
         stop.cut(RequestEnd::Broken, 2.9, 6.7),
@@ -520,6 +523,9 @@
         stop.cut(whole(503), 3.1, 3.2),
         stop.cut(whole(504), 4.0, 7.5),
         stop.cut(RequestEnd::Broken, 4.0, 7.7),
+        unread,
+        stop.cut(RequestEnd::Abandoned, 4.0, 4.5),
+        stop.cut(whole(429), 4.0, 4.1),
     ];
     let timeline = Timeline {
         stops: vec![PlannedStop {
@@ -540,11 +546,14 @@
         },
         early: EndCounts { cut: 1, ..single },
         late: EndCounts {
-            sent: 4,
+            sent: 7,
             served: 1,
             rejected: 1,
             failed: 1,
             cut: 1,
+            unread: 1,
+            abandoned: 1,
+            other: 1,
         },
     };
     let counts = StopCounts::count(&requests, &[&run("x")], &timeline);
