--- a/crates/gateway/tests/streams.rs
+++ b/crates/gateway/tests/streams.rs
@@ -6,7 +6,7 @@
 
 use common::{Client, config, exchange, request, routes, start, status, wait_for};
 use serde_json::json;
-use standin::Action;
+use standin::{Action, Endless};
 use std::time::Duration;
 
 #[tokio::test]
@@ -90,6 +90,29 @@
     assert_eq!(seen, 1);
 }
 
+/// Guards against sending streams again and again to an upstream whose events have no end.
+#[tokio::test]
+async fn an_upstream_whose_streams_are_malformed_is_suspended() {
+    let (bed, workers) = start(2).await;
+    workers[0].set_default_action(Action::Endless(Endless {
+        head: Some((200, "content-type: text/event-stream\r\n".into())),
+        start: "data: ".into(),
+        piece: "x".into(),
+    }));
+    workers[1].set_default_action(Action::Events(1..=2));
+    let mut broken = 0;
+    for n in 0..60 {
+        let req = request("POST", "/stream/", &format!("id-{n}"), "", "x");
+        let mut client = Client::connect(bed.callers).await;
+        client
+            .send(&req.replace("host:", "connection: close\r\nhost:"))
+            .await;
+        let (res, _) = client.read_to_end().await;
+        broken += u32::from(!res.ends_with("0\r\n\r\n"));
+    }
+    assert!((1..=10).contains(&broken), "{broken} of 60 broken off");
+}
+
 #[tokio::test]
 async fn a_resumable_stream_lost_before_its_first_event_is_retried() {
     let (bed, workers) = start(2).await;
