Count all bytes of informational responses

Callers saw: nothing yet; found when reading again. Responses `102` with a long reason phrase pass its limit: 1,000 of 30 KB each were skipped, 30 MB.

Cause: hyper's callback names status and headers only, so a head without headers counted 16 bytes whatever its reason phrase.

Fix: the connection counts what it reads from the request on. An informational response after 192 KiB (the limit of 64 and two read buffers, which may already hold the start of the response) makes its reads fail. The estimate from the headers is gone.

--- a/crates/net/src/h1.rs
+++ b/crates/net/src/h1.rs
@@ -22,7 +22,7 @@
 const MAX_IDLE: usize = 32;
 /// Maximum size of a connection's read buffer, and so of a response's head and of each chunk of its
 /// body, in bytes.
-const MAX_READ_BUFFER: usize = 64 << 10;
+pub(crate) const MAX_READ_BUFFER: usize = 64 << 10;
 
 /// A pool of connections to one address.
 #[derive(Debug, Clone)]
@@ -88,7 +88,7 @@
     /// Describes why a request failed.
     fn describe(&self, e: &hyper::Error) -> String {
         match self.informational.is_exceeded() {
-            true => format!("over {MAX_INFORMATIONAL_BYTES} bytes of informational responses"),
+            true => format!("informational responses of over {MAX_INFORMATIONAL_BYTES} bytes"),
             false => e.to_string(),
         }
     }
--- a/crates/net/src/informational.rs
+++ b/crates/net/src/informational.rs
@@ -4,38 +4,48 @@
 //! busy until the caller gives up.
 
 use crate::body::Body;
+use crate::h1::MAX_READ_BUFFER;
 use hyper::Request;
 use hyper::ext::on_informational;
-use hyper::header::HeaderMap;
 use std::io;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 
 /// Maximum total size of the informational responses to a request, in bytes.
 pub const MAX_INFORMATIONAL_BYTES: usize = 64 << 10;
-/// Size of a status line without its reason phrase, and of the blank line after the headers.
-const MIN_HEAD_BYTES: usize = "HTTP/1.1 100\r\n\r\n".len();
+/// Number of bytes read for a request above which the limit is certainly exceeded. A full read buffer,
+/// which may be allocated with twice its size, can contain the start of the response itself.
+const MAX_BYTES_READ: usize = MAX_INFORMATIONAL_BYTES + 2 * MAX_READ_BUFFER;
 
-/// Counts the informational responses to the current request of a connection. Clones share the
-/// count.
+/// Limits the informational responses to the current request of a connection. Clones share the
+/// state.
 #[derive(Debug, Clone, Default)]
 pub struct InformationalLimit {
-    received: Arc<AtomicUsize>,
+    state: Arc<State>,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    /// Number of bytes read since the request was sent.
+    bytes_read: AtomicUsize,
+    is_exceeded: AtomicBool,
 }
 
 impl InformationalLimit {
-    /// Counts the informational responses to this request, which is sent next.
+    /// Limits the informational responses to this request, which is sent next.
     pub fn watch(&self, req: &mut Request<Body>) {
-        self.received.store(0, Ordering::Relaxed);
-        let received = self.received.clone();
-        on_informational(req, move |res| {
-            received.fetch_add(head_len(res.headers()), Ordering::Relaxed);
+        self.state.bytes_read.store(0, Ordering::Relaxed);
+        let state = self.state.clone();
+        on_informational(req, move |_| {
+            if state.bytes_read.load(Ordering::Relaxed) > MAX_BYTES_READ {
+                state.is_exceeded.store(true, Ordering::Relaxed);
+            }
         });
     }
 
     /// Whether the informational responses have exceeded the limit.
     pub fn is_exceeded(&self) -> bool {
-        self.received.load(Ordering::Relaxed) > MAX_INFORMATIONAL_BYTES
+        self.state.is_exceeded.load(Ordering::Relaxed)
     }
 
     /// Fails if the limit is exceeded, so that the connection is closed.
@@ -45,12 +55,9 @@
             false => Ok(()),
         }
     }
-}
 
-/// Size of a response's head without its reason phrase, in bytes.
-fn head_len(headers: &HeaderMap) -> usize {
-    let line_len = |name: &str, value: &[u8]| name.len() + value.len() + ": \r\n".len();
-    let lines = headers.iter();
-    let lines = lines.map(|(name, value)| line_len(name.as_str(), value.as_bytes()));
-    MIN_HEAD_BYTES + lines.sum::<usize>()
+    /// Counts bytes that were read from the connection.
+    pub fn record_read(&self, bytes: usize) {
+        self.state.bytes_read.fetch_add(bytes, Ordering::Relaxed);
+    }
 }
--- a/crates/net/src/meter.rs
+++ b/crates/net/src/meter.rs
@@ -44,7 +44,7 @@
         }
     }
 
-    /// The limit on informational responses, which counts those of requests that it watches.
+    /// The limit on informational responses, which applies to requests that it watches.
     pub fn informational_limit(&self) -> InformationalLimit {
         self.informational.clone()
     }
@@ -59,7 +59,9 @@
         self.informational.check()?;
         let before = buf.filled().len();
         let polled = Pin::new(&mut self.inner).poll_read(cx, buf);
-        self.meter.add(buf.filled().len() - before);
+        let bytes = buf.filled().len() - before;
+        self.meter.add(bytes);
+        self.informational.record_read(bytes);
         polled
     }
 }
