Test that one log line names the upstream of an endless response

Each response over a limit must leave one `attempt_failed` line with its request, upstream and reason.

--- a/crates/arbutusquay/tests/endless_answers.rs
+++ b/crates/arbutusquay/tests/endless_answers.rs
@@ -1,7 +1,6 @@
 //! Responses of upstreams and of the store that have no end: what a gateway process holds of them,
 //! and whether it serves other requests meanwhile.
 
-#[expect(dead_code, reason = "each test file uses a part of it")]
 mod common;
 
 use bench::procs::Signal;
@@ -285,8 +284,8 @@
             "one comment",
             "/stream/",
             Some((200, events)),
-            "",
-            &chunk(": xy"),
+            &chunk(": "),
+            &chunk(&text),
             OneEvent,
         ),
         case(
@@ -430,6 +429,15 @@
         (times, peak)
     }
 
+    /// Checks that one line names the upstream of the endless response.
+    fn check_log(&self, name: &str) {
+        let lines = self.gateway.log_lines("attempt_failed");
+        let lines: Vec<_> = lines.iter().filter(|l| l["request"] == "endless").collect();
+        assert_eq!(lines.len(), 1, "{name}: {lines:?}");
+        assert_eq!(lines[0]["upstream"], "i-0", "{name}");
+        println!("{name}: {}", lines[0]["why"]);
+    }
+
     /// Checks the memory of the gateway and the times of sound requests.
     fn check(&self, name: &str, times: &[Duration], peak: u64) {
         let peak_mb = peak >> 20;
@@ -478,6 +486,9 @@
     let (times, peak) = fixture.send_sound_requests(case.name).await;
     check_received(&case, &flooded.await.unwrap());
     fixture.check(case.name, &times, peak);
+    if case.relayed != Relayed::All && !case.is_prompt() {
+        fixture.check_log(case.name);
+    }
 }
 
 /// Guards against buffering responses without a limit, and against tasks that read them without
