Limit the memory of all buffered bodies

Clients saw connections close without a response: nothing limited the total size of the request bodies that a gateway buffers, so a burst exceeded MemoryMb, and the platform kills such a process along with all its requests. 70 concurrent bodies of 4 MiB took a gateway with MemoryMb 260 to 577 MiB: each was held twice, as the received chunks and as a whole, and the memory of the chunks was returned late. Plain answers that a stopping gateway holds back until they are complete, up to 4 MiB each, had no common limit either (319 MiB).

Each body is now collected in a single buffer. Its memory is reserved from a budget of half of MemoryMb and released with the last reference. For a body of known length, memory is reserved before reading, so it is rejected immediately (503 no_memory, with Retry-After) or not at all; a body of unknown length is rejected when the budget is exhausted. A plain answer that doesn't fit is streamed or, during a stop, rejected like one over 4 MiB. A body whose length exceeds MaxBodyBytes is rejected before it is read. The rest of a rejected body is read and discarded, as a reset could reach the client ahead of the response. New metric: buffered_bytes.

--- a/crates/bench/src/restore.rs
+++ b/crates/bench/src/restore.rs
@@ -122,6 +122,7 @@
         origin_port: 7006,
         quota: platform::QuotaBounds::default(),
         cpu_share: 1.0,
+        memory: None,
         cloud: None,
     };
     let path = PathBuf::from("/nonexistent/settings");
--- a/crates/entry/src/api.rs
+++ b/crates/entry/src/api.rs
@@ -150,6 +150,7 @@
             BodyError::TooLarge => Reason::TooLarge,
             BodyError::Slow => Reason::SlowRequest,
             BodyError::Broken => Reason::CallerGone,
+            BodyError::NoMemory => Reason::QueueFull,
         })?;
     let (call, mode) = if doc.doc.is_engine() {
         let endpoint = parse_endpoint(head, path)?;
--- a/crates/gateway/src/answer.rs
+++ b/crates/gateway/src/answer.rs
@@ -21,6 +21,8 @@
     SlowBody,
     /// The body is malformed or incomplete.
     BrokenBody,
+    /// The memory budget has too little left to buffer the body.
+    NoMemory,
     /// No route matches.
     NoRoute,
     /// The route requires the key of a tenant, and the request has none or another one.
@@ -106,6 +108,7 @@
             Self::TooLarge => "too_large",
             Self::SlowBody => "slow_body",
             Self::BrokenBody => "broken_body",
+            Self::NoMemory => "no_memory",
             Self::NoRoute => "no_route",
             Self::NoTenant(Denied::NoKey) => "no_key",
             Self::NoTenant(Denied::UnknownKey) => "unknown_key",
@@ -161,6 +164,7 @@
             Self::TooLarge => "the body is over the size limit".into(),
             Self::SlowBody => "the body took too long to arrive".into(),
             Self::BrokenBody => "the body is malformed or incomplete".into(),
+            Self::NoMemory => "the process has too little memory left for the body".into(),
             Self::NoRoute => "no route matches the host and path".into(),
             Self::NoTenant(Denied::NoKey) => "the route needs a key".into(),
             Self::NoTenant(_) => "no tenant holds the key".into(),
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -14,13 +14,13 @@
 use crate::serve::Call;
 use crate::state::{Gateway, LoadGuard};
 use crate::statements;
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::body::{Body as _, Incoming};
 use hyper::header::{CONTENT_ENCODING, HeaderMap};
 use hyper::{Request, StatusCode};
 use net::h1::PooledConnection;
-use net::{Body, CallError, full};
+use net::{Body, BufferBudget, CallError, full};
 use observe::{Event, emit};
 use origins::NameHash;
 use platform::header::{self, Phases, UpstreamRequest};
@@ -275,7 +275,8 @@
     let framing = Framing::of(&head.headers, &body);
     let is_stream = call.target().route.kind.is_stream();
     let mut monitor = BodyMonitor::new(framing, is_stream, head.status, &head.headers);
-    let read = read_first(Delivery::of(call), BodyRest { body, conn, idle }).await;
+    let rest = BodyRest { body, conn, idle };
+    let read = read_first(&gateway.buffer_budget, Delivery::of(call), rest).await;
     let read = read.and_then(|(first, rest)| {
         monitor
             .push(first.as_deref().unwrap_or_default())
@@ -313,14 +314,17 @@
 }
 
 /// Reads the first bytes of an answer, or its complete body if it is buffered. The size of a body
-/// isn't known before its end unless the head names a length.
+/// isn't known before its end unless the head names a length. An answer that exceeds the memory
+/// budget is streamed or rejected, like one that is over the size limit.
 async fn read_first(
+    budget: &BufferBudget,
     delivery: Delivery,
     mut rest: BodyRest,
 ) -> Result<(Option<Bytes>, Option<BodyRest>), String> {
     let limit = delivery.buffer_limit();
     let named_size = usize::try_from(rest.body.size_hint().lower()).unwrap_or(usize::MAX);
-    let mut first = BytesMut::new();
+    let mut first = budget.buffer();
+    let mut has_room = true;
     loop {
         let size = first.len().max(named_size);
         if size > limit && delivery == Delivery::Complete {
@@ -328,7 +332,7 @@
                 "answer of {size} bytes or more while stopping, limit {limit}"
             ));
         }
-        if size > limit && !first.is_empty() {
+        if (size > limit || !has_room) && !first.is_empty() {
             return Ok((Some(first.freeze()), Some(rest)));
         }
         match rest.body.frame().await {
@@ -338,8 +342,15 @@
             }
             Some(Err(e)) => return Err(e.to_string()),
             Some(Ok(frame)) => {
-                if let Ok(data) = frame.into_data() {
-                    first.extend_from_slice(&data);
+                let Ok(data) = frame.into_data() else {
+                    continue;
+                };
+                has_room = first.push(&data).is_ok();
+                if !has_room && delivery == Delivery::Complete {
+                    return Err("no memory left to buffer the answer while stopping".into());
+                }
+                if !has_room {
+                    first.push_over_limit(&data);
                 }
             }
         }
--- a/crates/gateway/src/ready.rs
+++ b/crates/gateway/src/ready.rs
@@ -45,6 +45,7 @@
             metrics.set_control_bytes("store", gateway.store_bytes.bytes());
             metrics.set_control_bytes("peers", gateway.peer_bytes.bytes());
             metrics.set_control_bytes("upstreams", gateway.upstream_bytes.bytes());
+            metrics.set_buffered_bytes(gateway.buffer_budget.used());
             for (labels, count) in gateway.store_calls.counts() {
                 metrics.set_store_calls(
                     labels.table,
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -22,8 +22,8 @@
 use hyper::header::HeaderMap;
 use hyper::http::request::Parts;
 use hyper::{Method, Request, Response, Uri};
-use net::Body;
-use net::server::{BodyError, read_body};
+use net::server::{BodyError, read_body_within};
+use net::{Body, BufferBudget};
 use origins::Origin;
 use platform::{RequestHeaders, header};
 use resilience::Fingerprint;
@@ -140,7 +140,12 @@
                 time::wait_for_timeout(gateway.clone(), time_left, AnswerProgress::Pending);
             tokio::select! {
                 biased;
-                body = read_full_body(body, table.limits.body_bytes, time_left) => body?,
+                body = read_full_body(
+                    &gateway.buffer_budget,
+                    body,
+                    table.limits.body_bytes,
+                    time_left,
+                ) => body?,
                 why = timeout => return Err(why.into()),
             }
         }
@@ -167,16 +172,18 @@
 }
 
 async fn read_full_body(
+    budget: &BufferBudget,
     body: IncomingBody,
     limit: usize,
     time_left: Duration,
 ) -> Result<Bytes, Reason> {
-    read_body(body, limit, time_left)
+    read_body_within(budget, body, limit, time_left)
         .await
         .map_err(|e| match e {
             BodyError::TooLarge => Reason::TooLarge,
             BodyError::Slow => Reason::SlowBody,
             BodyError::Broken => Reason::BrokenBody,
+            BodyError::NoMemory => Reason::NoMemory,
         })
 }
 
--- a/crates/gateway/src/serve/refusal.rs
+++ b/crates/gateway/src/serve/refusal.rs
@@ -16,6 +16,8 @@
 const NO_UPSTREAM_RETRY_AFTER: Duration = Duration::from_millis(300);
 /// Time after which a client may retry if no grantor of its quota can be reached.
 const NO_QUOTA_RETRY_AFTER: Duration = Duration::from_millis(400);
+/// Time after which a client may retry if the memory budget has too little left for its body.
+const NO_MEMORY_RETRY_AFTER: Duration = Duration::from_millis(300);
 /// Time after which a client may retry while a trial determines whether its request crashes
 /// upstreams. A trial takes as long as an answer.
 const SUSPECT_RETRY_AFTER: Duration = Duration::from_millis(500);
@@ -45,6 +47,7 @@
             Reason::StreamUnknown => Some(NO_UPSTREAM_RETRY_AFTER),
             Reason::Stopping | Reason::ProcessEnds => Some(NO_UPSTREAM_RETRY_AFTER),
             Reason::QuotaUnknown => Some(NO_QUOTA_RETRY_AFTER),
+            Reason::NoMemory => Some(NO_MEMORY_RETRY_AFTER),
             Reason::CrashSuspected | Reason::PartCrashSuspected => Some(SUSPECT_RETRY_AFTER),
             _ => None,
         };
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -22,7 +22,7 @@
 use crate::routes::RouteTable;
 use crate::stop::{ShutdownSchedule, StallDetector};
 use crate::versions::Versions;
-use net::{HeadLimits, Meter, Stop};
+use net::{BufferBudget, HeadLimits, Meter, Stop};
 use observe::Metrics;
 use platform::{CallCounts, EraTracker, HostSettings, Position};
 use quota::ReturnTimes;
@@ -44,6 +44,10 @@
 const INITIAL_IDLE_TIMEOUT: Duration = Duration::from_secs(15);
 const INITIAL_MAX_HEAD_BYTES: usize = 16 << 10;
 
+/// Fraction of the memory limit that buffered bodies may use. The rest is left for process state,
+/// connections, and chunks of streamed bodies.
+const BUFFER_MEMORY_SHARE: f64 = 0.5;
+
 /// State of a gateway process.
 #[derive(Debug)]
 pub struct Gateway {
@@ -87,6 +91,8 @@
     pub catch_up: Notify,
     /// Limits on request heads, set by the current configuration.
     pub head_limits: HeadLimits,
+    /// Memory budget for buffered bodies of requests and answers.
+    pub buffer_budget: BufferBudget,
     /// Metrics.
     pub metrics: Metrics,
     /// Bytes exchanged with upstreams.
@@ -119,6 +125,13 @@
     pub view: u64,
 }
 
+/// Returns the maximum memory of buffered bodies, in bytes.
+fn buffer_limit(host: &HostSettings) -> usize {
+    host.memory.map_or(usize::MAX, |limit| {
+        (limit as f64 * BUFFER_MEMORY_SHARE) as usize
+    })
+}
+
 impl Gateway {
     /// Creates a gateway that has no configuration yet.
     pub fn new(host: HostSettings, stop: Stop) -> Arc<Self> {
@@ -126,7 +139,10 @@
             ip: host.ip,
             zone: zone_hash(&host.zone),
         };
+        let buffer_budget = BufferBudget::default();
+        buffer_budget.set_limit(buffer_limit(&host));
         Arc::new(Self {
+            buffer_budget,
             quotas: Quotas::new(host.ip),
             host: Mutex::new(Arc::new(host)),
             routes: Mutex::default(),
@@ -177,6 +193,7 @@
 
     /// Replaces the settings.
     pub fn set_host(&self, host: HostSettings) {
+        self.buffer_budget.set_limit(buffer_limit(&host));
         *lock(&self.host) = Arc::new(host);
     }
 
--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -68,6 +68,7 @@
         origin_port: 7006,
         quota: platform::QuotaBounds::default(),
         cpu_share: 1.0,
+        memory: None,
         cloud: None,
     }
 }
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -4,6 +4,7 @@
 //! HTTP/2 connection to each peer, and a small pool of HTTP/1 connections.
 
 pub mod body;
+pub mod budget;
 pub mod client;
 pub mod error;
 pub mod h1;
@@ -13,6 +14,7 @@
 pub mod server;
 
 pub use body::{Body, BodySender, empty, full, stream};
+pub use budget::BufferBudget;
 pub use error::CallError;
 pub use h1::Pool;
 pub use meter::Meter;
--- a/crates/net/src/server.rs
+++ b/crates/net/src/server.rs
@@ -1,9 +1,10 @@
 //! HTTP servers: exclusive listener, one task per connection, graceful shutdown.
 
 use crate::body::Body;
+use crate::budget::{BudgetExhausted, BufferBudget};
 use bytes::Bytes;
-use http_body_util::{BodyExt, LengthLimitError, Limited};
-use hyper::body::Incoming;
+use http_body_util::BodyExt;
+use hyper::body::{Body as _, Incoming};
 use hyper::server::conn::http1;
 use hyper::{Request, Response};
 use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
@@ -23,6 +24,8 @@
 const MAX_STREAMS: u32 = 4096;
 /// Minimum buffer size for a head that hyper accepts.
 const MIN_HEAD_BYTES: usize = 8192;
+/// Maximum time spent reading and discarding the rest of a rejected body.
+const DISCARD_TIMEOUT: Duration = Duration::from_secs(5);
 /// Delay after a failed accept, for example when no file descriptors are left.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 
@@ -238,6 +241,14 @@
     Slow,
     /// The connection broke.
     Broken,
+    /// The memory budget has too little left for it.
+    NoMemory,
+}
+
+impl From<BudgetExhausted> for BodyError {
+    fn from(BudgetExhausted: BudgetExhausted) -> Self {
+        Self::NoMemory
+    }
 }
 
 /// Reads a whole body with a size limit and a timeout.
@@ -246,10 +257,62 @@
     limit: usize,
     timeout: Duration,
 ) -> Result<Bytes, BodyError> {
-    match tokio::time::timeout(timeout, Limited::new(body, limit).collect()).await {
-        Err(_) => Err(BodyError::Slow),
-        Ok(Err(e)) if e.is::<LengthLimitError>() => Err(BodyError::TooLarge),
-        Ok(Err(_)) => Err(BodyError::Broken),
-        Ok(Ok(body)) => Ok(body.to_bytes()),
+    read_body_within(&BufferBudget::default(), body, limit, timeout).await
+}
+
+/// Reads a whole body with a size limit and a timeout, using memory of a budget. The memory for a
+/// body of known length is reserved before reading, so it is rejected for lack of memory either
+/// immediately or not at all.
+pub async fn read_body_within(
+    budget: &BufferBudget,
+    mut body: Incoming,
+    limit: usize,
+    timeout: Duration,
+) -> Result<Bytes, BodyError> {
+    let read = tokio::time::timeout(timeout, collect_body(budget, &mut body, limit))
+        .await
+        .unwrap_or(Err(BodyError::Slow));
+    if matches!(read, Err(BodyError::TooLarge | BodyError::NoMemory)) {
+        tokio::spawn(discard_body(body, limit));
+    }
+    read
+}
+
+/// Reads and discards the rest of a rejected body. Closing the connection with unread data would
+/// send a reset, which could reach the client ahead of the response.
+async fn discard_body(mut body: Incoming, limit: usize) {
+    let discard = async {
+        let mut remaining = limit;
+        while let Some(Ok(frame)) = body.frame().await {
+            remaining = remaining.saturating_sub(frame.data_ref().map_or(0, Bytes::len));
+            if remaining == 0 {
+                return;
+            }
+        }
+    };
+    // On a timeout, dropping the body closes the connection.
+    let _ = tokio::time::timeout(DISCARD_TIMEOUT, discard).await;
+}
+
+async fn collect_body(
+    budget: &BufferBudget,
+    body: &mut Incoming,
+    limit: usize,
+) -> Result<Bytes, BodyError> {
+    let named_size = usize::try_from(body.size_hint().lower()).unwrap_or(usize::MAX);
+    if named_size > limit {
+        return Err(BodyError::TooLarge);
+    }
+    let mut buf = budget.buffer();
+    buf.reserve(named_size)?;
+    while let Some(frame) = body.frame().await {
+        let Ok(data) = frame.map_err(|_| BodyError::Broken)?.into_data() else {
+            continue;
+        };
+        if buf.len() + data.len() > limit {
+            return Err(BodyError::TooLarge);
+        }
+        buf.push(&data)?;
     }
+    Ok(buf.freeze())
 }
--- a/crates/observe/src/metrics.rs
+++ b/crates/observe/src/metrics.rs
@@ -48,6 +48,7 @@
     docs: IntGaugeVec,
     bytes: IntGaugeVec,
     store_calls: IntGaugeVec,
+    buffered: IntGaugeVec,
     store_reads: IntCounterVec,
     unreadable: IntCounterVec,
     statements: IntCounterVec,
@@ -113,6 +114,12 @@
                 "Bytes of control traffic so far, in both directions, by other side.",
                 &["link"],
             ),
+            buffered: gauge(
+                &registry,
+                "buffered_bytes",
+                "Memory of buffered bodies of requests and answers.",
+                &[],
+            ),
             store_calls: gauge(
                 &registry,
                 "store_calls",
@@ -195,6 +202,13 @@
         self.bytes.with_label_values(&[link]).set(bytes as i64);
     }
 
+    /// Sets the memory of buffered bodies, in bytes.
+    pub fn set_buffered_bytes(&self, bytes: usize) {
+        self.buffered
+            .with_label_values::<&str>(&[])
+            .set(bytes as i64);
+    }
+
     /// Sets the total number of calls to the store for a table, kind and end.
     pub fn set_store_calls(&self, table: &str, kind: &str, end: &str, count: u64) {
         let calls = self.store_calls.with_label_values(&[table, kind, end]);
