Test signals, pauses and a silent store beside a gateway's stop

Cause: the soak draws second stop signals, reloads, pauses and a silent store beside stops, but asserts only its verdict; no test runs a real process for each of them and asserts that it exits within its grace period, cuts no streamed answer to a request that was sent later than 3 s after the signal, and answers each request that it has read.

The site of these tests waits for addresses that are still in use. No product code is changed.

--- a/crates/arbutusquay/tests/common/mod.rs
+++ b/crates/arbutusquay/tests/common/mod.rs
@@ -3,14 +3,14 @@
 use bench::deploy::reserve_subnet;
 use bench::probe::wait_serving;
 use bench::procs::{Proc, Signal};
-use bench::testbed::WAIT_TIMEOUT;
+use bench::testbed::{POLL_INTERVAL, WAIT_TIMEOUT};
 use bench::usage;
 use serde_json::Value;
-use standin::Store;
 use standin::fixture::{CONFIG_ROW, settings};
+use standin::{Store, Worker};
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::path::{Path, PathBuf};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// Path of the binary under test.
 const BINARY: &str = env!("CARGO_BIN_EXE_arbutusquay");
@@ -42,9 +42,18 @@
 impl Site {
     /// Starts a store that contains a configuration.
     pub fn new(config: &Value) -> Self {
-        let (subnet, lock) = reserve_subnet().unwrap();
-        let ip = Ipv4Addr::new(127, subnet, 1, 1);
-        let store = Store::start(SocketAddr::new(IpAddr::V4(ip), STORE_PORT)).unwrap();
+        let since = Instant::now();
+        let (ip, subnet, lock, store) = loop {
+            let (subnet, lock) = reserve_subnet().unwrap();
+            let ip = Ipv4Addr::new(127, subnet, 1, 1);
+            match Store::start(SocketAddr::new(IpAddr::V4(ip), STORE_PORT)) {
+                Ok(store) => break (ip, subnet, lock, store),
+                // A child process holds the sockets of an earlier site until it has executed its
+                // program.
+                Err(e) => assert!(since.elapsed() < WAIT_TIMEOUT, "{ip}: {e}"),
+            }
+            std::thread::sleep(POLL_INTERVAL);
+        };
         store.put(CONFIG_ROW.0, CONFIG_ROW.1, config);
         let dir = std::env::temp_dir().join(format!("gateway-{}-{subnet}", std::process::id()));
         std::fs::create_dir_all(&dir).unwrap();
@@ -82,14 +91,32 @@
 
     /// Starts the gateway and waits until it serves requests on the route `safe`.
     pub async fn start_gateway(&self) -> GatewayProcess {
-        let file = self.dir.join("edge.toml");
+        let gateway = self.spawn_gateway();
+        tokio::time::timeout(WAIT_TIMEOUT, wait_serving(self.clients_addr(), ""))
+            .await
+            .expect("the gateway serves");
+        gateway
+    }
+
+    fn settings_file(&self) -> PathBuf {
+        self.dir.join("edge.toml")
+    }
+
+    /// Replaces a part of the gateway's settings.
+    pub fn change_settings(&self, from: &str, to: &str) {
+        let file = self.settings_file();
+        let text = std::fs::read_to_string(&file).unwrap();
+        assert!(text.contains(from), "{text}");
+        std::fs::write(&file, text.replace(from, to)).unwrap();
+    }
+
+    /// Starts the gateway without waiting for it.
+    pub fn spawn_gateway(&self) -> GatewayProcess {
+        let file = self.settings_file();
         let text = settings("edge", self.ip, self.store_addr());
         assert!(text.contains(&format!("\nMemoryMb = {MEMORY_MB}\n")));
         std::fs::write(&file, text).unwrap();
         let proc = Proc::start_gateway(Path::new(BINARY), "edge", &file).unwrap();
-        tokio::time::timeout(WAIT_TIMEOUT, wait_serving(self.clients_addr(), ""))
-            .await
-            .expect("the gateway serves");
         GatewayProcess {
             proc,
             log: file.with_extension("log"),
@@ -97,6 +124,18 @@
     }
 }
 
+/// Starts a worker at an address that another server may have used just before.
+pub async fn start_worker(addr: SocketAddr, id: &str) -> Worker {
+    let since = Instant::now();
+    loop {
+        match Worker::start(addr, id).await {
+            Ok(worker) => return worker,
+            Err(e) => assert!(since.elapsed() < WAIT_TIMEOUT, "{addr}: {e}"),
+        }
+        tokio::time::sleep(POLL_INTERVAL).await;
+    }
+}
+
 /// A running gateway.
 pub struct GatewayProcess {
     /// The process.
--- a/crates/arbutusquay/tests/endless_answers.rs
+++ b/crates/arbutusquay/tests/endless_answers.rs
@@ -1,11 +1,12 @@
 //! Responses of upstreams and of the store that have no end: what a gateway process holds of them,
 //! and whether it serves other requests meanwhile.
 
+#[expect(dead_code, reason = "each test file uses a part of it")]
 mod common;
 
 use bench::procs::Signal;
-use bench::testbed::{POLL_INTERVAL, WAIT_TIMEOUT};
-use common::{GatewayProcess, MEMORY_MB, Site};
+use bench::testbed::POLL_INTERVAL;
+use common::{GatewayProcess, MEMORY_MB, Site, start_worker};
 use serde_json::{Value, json};
 use standin::fixture::{
     WORKER_TABLE, config, prompt_headers, request, route, routes, with_deadline, worker_row,
@@ -691,18 +692,6 @@
     fixture.check(name, &times, peak);
 }
 
-/// Starts a worker at an address that another server has used.
-async fn start_worker(addr: SocketAddr, id: &str) -> Worker {
-    let since = Instant::now();
-    loop {
-        match Worker::start(addr, id).await {
-            Ok(worker) => return worker,
-            Err(e) => assert!(since.elapsed() < WAIT_TIMEOUT, "{addr}: {e}"),
-        }
-        tokio::time::sleep(POLL_INTERVAL).await;
-    }
-}
-
 /// Responses of the store that have no end, with their names.
 fn store_responses() -> Vec<(&'static str, Endless)> {
     let json = "content-type: application/json\r\n";
