Tests: a signal noticed late after a pause, and short grace periods (red)

Cause: StallDetector relates a signal to a pause only if it is noticed at most 0.3 s after the pause, although a pause of up to 0.5 s after it isn't detected. finish_by doesn't allow for such a pause, so it may be later than the kill where the grace period is below 6.67 s.

The product isn't changed.

--- a/crates/gateway/tests/late_decisions.rs
+++ b/crates/gateway/tests/late_decisions.rs
@@ -262,3 +262,33 @@
     assert!(counts.rejected_streams.get() > 0, "{counts:?}");
     assert!(counts.accepted_plain.get() > 0, "{counts:?}");
 }
+
+/// Guards against a host that was paused, noticed its signal later than 0.3 s after the pause, and
+/// accepted streams by observed durations later than 3 s after the signal.
+#[test]
+fn a_signal_noticed_late_after_a_pause_counts_from_the_pause() {
+    for notice_ms in [299, 301, 350, 400, 499] {
+        let pause = Pause {
+            length: Duration::from_secs(5),
+            signal_share: 0.0,
+            notice: Duration::from_millis(notice_ms),
+        };
+        let signal_at = Instant::now();
+        let (noticed_at, earliest_signal) = pause.notice(signal_at);
+        let schedule = ShutdownSchedule::new(noticed_at, earliest_signal, Duration::from_secs(8));
+        let late_from = (signal_at + LATE_AFTER).max(noticed_at);
+        assert!(schedule.own_deadline_from <= late_from, "{notice_ms} ms");
+    }
+}
+
+/// Guards against accepting streams that end after the host is killed, as it noticed its signal late.
+#[test]
+fn accepted_streams_end_before_the_host_is_killed_for_any_grace_period() {
+    for grace in [4.0, 5.0, 6.0, 6.6, 6.7, 8.0, 30.0].map(Duration::from_secs_f64) {
+        let signal_at = Instant::now();
+        let noticed_at = signal_at + Duration::from_secs_f64(MAX_UNDETECTED_S);
+        let earliest_signal = StallDetector::new(signal_at).earliest_signal(noticed_at);
+        let schedule = ShutdownSchedule::new(noticed_at, earliest_signal, grace);
+        assert!(schedule.finish_by <= signal_at + grace, "{grace:?}");
+    }
+}
