Count the shutdown from the earliest time of the signal

Callers saw connections close without an answer to requests that a host had already read. A host that was paused when its stop signal arrived exited, and answered pending requests, on a schedule counted from the time at which it noticed the signal, so it was killed before the schedule ended (4 to 7 plain requests per stop that were sent later than 3 s after the signal, with pauses of more than about 0.4 s). Signals noticed up to 0.5 s late were not detected as late, although only 0.24 s lie between exit and kill. A signal sent during a long pause was counted from when it was noticed if that was 301 ms after the pause.

Only finish_by and own_deadline_from used the earliest time of the signal. Now requests without an answer are refused in time for it, and the whole schedule counts from it if the delay is at most a quarter of the grace period. After a longer delay, answers in progress continue as before, since the signal may have been sent at the end of the pause. Delays count from 0.2 s on, also if a shorter pause follows a longer one. Datagrams keep the previous threshold of 0.5 s.

--- a/crates/gateway/src/stop.rs
+++ b/crates/gateway/src/stop.rs
@@ -41,8 +41,17 @@
 /// Time without a timer tick after which the process counts as having been paused, as on a
 /// suspended host. It is five times the longest delay seen with a tenth of a core.
 const MIN_STALL: Duration = Duration::from_millis(500);
-/// Time after a stall within which a signal sent during the stall is noticed.
-const SIGNAL_DELAY: Duration = Duration::from_millis(300);
+/// Longest time without a timer tick after which a stop signal still counts as noticed without
+/// delay. With a grace period of 8 s, it is shorter than the time between the exit of the process
+/// and SIGKILL.
+pub const MAX_UNDETECTED_DELAY: Duration = Duration::from_millis(200);
+/// Longest signal delay, as a fraction of the grace period, that is subtracted from the exit time.
+/// Subtracting a longer delay would leave answers in progress too little time, although the
+/// signal may have been sent at the end of the delay.
+const MAX_EARLY_EXIT_SHARE: f64 = 0.25;
+/// Time after a stall within which a signal sent during the stall is noticed, even if a shorter
+/// stall follows.
+const SIGNAL_DELAY: Duration = Duration::from_millis(500);
 
 /// Time after a stall within which datagrams from before it are still received.
 const QUEUE_DRAIN_TIME: Duration = Duration::from_millis(200);
@@ -78,10 +87,20 @@
     ///
     /// A process that was paused when the signal arrived notices it late, and may be killed that
     /// much earlier than it assumes. `earliest_signal` is the earliest time at which the signal
-    /// may have arrived. New requests must end within the schedule counted from that time; running
-    /// requests continue, as they may still end in time.
+    /// may have arrived. New requests must end, and requests without an answer are refused, within
+    /// the schedule counted from that time. If the delay exceeds [`MAX_EARLY_EXIT_SHARE`], answers
+    /// in progress continue on the schedule counted from `signal_at`, as they may still end in time.
     pub fn new(signal_at: Instant, earliest_signal: Instant, grace: Duration) -> Self {
-        let exit_at = signal_at + grace.mul_f64(GRACE_SHARE);
+        let delay = signal_at - earliest_signal;
+        let assumed_signal_at = match delay <= grace.mul_f64(MAX_EARLY_EXIT_SHARE) {
+            true => earliest_signal,
+            false => signal_at,
+        };
+        let exit_at = assumed_signal_at + grace.mul_f64(GRACE_SHARE);
+        let refuse_at = (earliest_signal + grace.mul_f64(GRACE_SHARE))
+            .checked_sub(ANSWER_MARGIN)
+            .unwrap_or(signal_at)
+            .max(signal_at);
         let drain_at = signal_at + DRAIN_DELAY.min(grace.mul_f64(MAX_DRAIN_DELAY_SHARE));
         let before_end = |margin| {
             exit_at
@@ -94,8 +113,8 @@
             drain_at,
             own_deadline_from: earliest_signal + REDIRECT_DELAY.saturating_sub(MIN_STALL),
             close_at: before_end(CLOSE_MARGIN).max(drain_at),
-            finish_by: before_end(ANSWER_MARGIN + (signal_at - earliest_signal)),
-            refuse_at: before_end(ANSWER_MARGIN),
+            finish_by: refuse_at,
+            refuse_at,
             hand_over_at: before_end(HAND_OVER_MARGIN),
             abort_at: before_end(ABORT_MARGIN),
             exit_at,
@@ -114,7 +133,10 @@
 #[derive(Debug)]
 pub struct StallDetector {
     last_tick: Instant,
+    /// Last stall longer than [`MAX_UNDETECTED_DELAY`].
     last_stall: Option<Stall>,
+    /// Last stall longer than [`MIN_STALL`].
+    last_long_stall: Option<Stall>,
 }
 
 impl StallDetector {
@@ -123,14 +145,22 @@
         Self {
             last_tick: now,
             last_stall: None,
+            last_long_stall: None,
         }
     }
 
     /// Records that the process is running.
     pub fn tick(&mut self, now: Instant) {
-        if now.saturating_duration_since(self.last_tick) > MIN_STALL {
-            let from = self.last_tick;
-            self.last_stall = Some(Stall { from, until: now });
+        let pause = now.saturating_duration_since(self.last_tick);
+        let stall = Stall {
+            from: self.last_tick,
+            until: now,
+        };
+        if pause > MIN_STALL {
+            self.last_long_stall = Some(stall);
+        }
+        if pause > MAX_UNDETECTED_DELAY {
+            self.last_stall = Some(stall);
         }
         self.last_tick = now;
     }
@@ -139,15 +169,17 @@
     pub fn may_have_waited(&self, now: Instant) -> bool {
         let is_stalled = now.saturating_duration_since(self.last_tick) > MIN_STALL;
         let was_stalled = |s: Stall| now.saturating_duration_since(s.until) <= QUEUE_DRAIN_TIME;
-        is_stalled || self.last_stall.is_some_and(was_stalled)
+        is_stalled || self.last_long_stall.is_some_and(was_stalled)
     }
 
     /// Earliest time at which a signal noticed now may have been sent.
     pub fn earliest_signal(&mut self, now: Instant) -> Instant {
         self.tick(now);
-        match self.last_stall {
-            Some(stall) if now - stall.until <= SIGNAL_DELAY => stall.from,
-            _ => now,
-        }
+        // A short stall may follow a long one before the signal is noticed.
+        let stalls = [self.last_long_stall, self.last_stall]
+            .into_iter()
+            .flatten();
+        let recent = stalls.filter(|stall| now - stall.until <= SIGNAL_DELAY);
+        recent.map(|stall| stall.from).min().unwrap_or(now)
     }
 }
