Handle SIGHUP before the listener is bound

Callers saw connections to a starting host reset. The handler is now set before the listener is bound.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -42,6 +42,7 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::time::{Duration, Instant};
+use tokio::signal::unix::{SignalKind, signal};
 
 /// Interval between checks whether requests are still running.
 const IDLE_CHECK_EVERY: Duration = Duration::from_millis(50);
@@ -65,6 +66,9 @@
     let ready = host
         .readiness_addr
         .ok_or(StartError::NoAddress("readiness"))?;
+    // The default action of SIGHUP ends the process, so the handler is set before the listener
+    // accepts connections.
+    let hangup = signal(SignalKind::hangup()).expect("a handler for a plain signal can be set");
     let listener = bind(callers).map_err(|e| StartError::Bind(callers, e))?;
     let gateway = Gateway::new(host, stop.clone());
     ready::serve(&gateway, ready)?;
@@ -90,7 +94,7 @@
     tokio::spawn(versions::follow(gateway.clone()));
     tokio::spawn(duty::usage::run(gateway.clone()));
     tokio::spawn(duty::scaling::run(gateway.clone()));
-    tokio::spawn(reload::follow_settings(gateway.clone(), path));
+    tokio::spawn(reload::follow_settings(gateway.clone(), path, hangup));
     let (drain, serving) = (Stop::default(), Stop::default());
     let server = Server {
         head: gateway.head_limits.clone(),
--- a/crates/gateway/src/reload.rs
+++ b/crates/gateway/src/reload.rs
@@ -6,15 +6,14 @@
 use std::path::{Path, PathBuf};
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::signal::unix::{SignalKind, signal};
+use tokio::signal::unix::Signal;
 
 /// Interval between checks of the file. Changes occur a few times a day and should take effect
 /// within seconds; a check is one small read.
 const CHECK_EVERY: Duration = Duration::from_secs(2);
 
 /// Watches the settings file until the process ends.
-pub async fn follow_settings(gateway: Arc<Gateway>, path: PathBuf) {
-    let mut hangup = signal(SignalKind::hangup()).expect("a handler for a plain signal can be set");
+pub async fn follow_settings(gateway: Arc<Gateway>, path: PathBuf, mut hangup: Signal) {
     loop {
         let is_signalled = tokio::select! {
             _ = hangup.recv() => true,
