Tests: streams after stops with one host left, store failures, kills and versions that leave

Cause: tests played overlapping restarts of all hosts, but not a single host that is left of three, a store that is slow or silent while hosts stop, kills of hosts that received copies, nor upstreams that leave while hosts restart.

Change: stream_survivors.rs with 14 tests. The stand-in store gets a mode in which it answers after 0.2 to 1 s. No product code changes.

--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -1,6 +1,7 @@
 //! Runs a gateway in the test process, with stand-ins for store and workers, on its own loopback
 //! addresses.
 
+pub mod continued;
 pub mod crashing;
 pub mod versions;
 
--- a/crates/gateway/tests/common/versions.rs
+++ b/crates/gateway/tests/common/versions.rs
@@ -75,6 +75,14 @@
 
     /// Starts the host again once its process has ended or was killed, and waits until it is ready.
     pub async fn restart(&mut self) {
+        self.wait_for_end().await;
+        self.settings.is_first_start = false;
+        self.run();
+        self.wait_ready().await;
+    }
+
+    /// Waits until a process that was told to stop or killed has ended.
+    pub async fn wait_for_end(&mut self) {
         if let Some(running) = self.running.take()
             && self.runtime.is_some()
         {
@@ -82,9 +90,6 @@
         }
         self.kill();
         self.wait_for_shutdown().await;
-        self.settings.is_first_start = false;
-        self.run();
-        self.wait_ready().await;
     }
 
     /// Waits until the sockets of a killed process are closed.
--- a/crates/gateway/tests/stream_restarts.rs
+++ b/crates/gateway/tests/stream_restarts.rs
@@ -4,76 +4,12 @@
 #[expect(dead_code, reason = "each test file uses a part of it")]
 mod common;
 
-use common::versions::{Bed, EVENTS_BEFORE_BREAK, ONCE};
+use common::continued::{
+    ONE_VERSION, STOP_GAP, STREAMS, TWO_VERSIONS, begin, count_resumed, restart_in_series,
+};
+use common::versions::Bed;
 use std::time::{Duration, Instant};
 
-/// Number of streams that a test begins and continues.
-const STREAMS: usize = 24;
-/// Time between two stop signals of a series. All four hosts get theirs before the first one ends,
-/// as a host without requests takes 2.3 s to stop.
-const STOP_GAP: Duration = Duration::from_millis(500);
-/// Two upstreams of each of two versions.
-const TWO_VERSIONS: [&str; 4] = ["v1", "v1", "v1.1", "v1.1"];
-/// Two upstreams of one version.
-const ONE_VERSION: [&str; 2] = ["v1", "v1"];
-
-/// Deadline of the streams, longer than any test takes.
-const DEADLINE_MS: u64 = 60_000;
-
-/// Begins the streams at all hosts in turn.
-async fn begin(bed: &mut Bed) {
-    bed.deadline_ms = DEADLINE_MS;
-    for n in 0..STREAMS {
-        let part = bed
-            .send(n % bed.hosts.len(), ONCE, &format!("begun-{n}"), "")
-            .await;
-        assert_eq!(part.events() as u64, EVENTS_BEFORE_BREAK, "{part:?}");
-    }
-}
-
-/// Continues the streams at all hosts in turn, and begins a new one beside each. Returns how many
-/// went on. `is_named` is false if the clients don't name the attempts that began the streams.
-async fn count_resumed(bed: &Bed, is_named: bool) -> usize {
-    let mut resumed = 0;
-    for n in 0..STREAMS {
-        let host = n % bed.hosts.len();
-        let (begun, next) = (format!("begun-{n}"), format!("next-{n}"));
-        let rest = match is_named {
-            true => bed.resume(host, &next, &begun).await,
-            false => {
-                let after = format!("last-event-id: {EVENTS_BEFORE_BREAK}\r\n");
-                bed.send(host, ONCE, &next, &after).await
-            }
-        };
-        match rest.status {
-            200 => assert!(rest.is_whole(), "{rest:?}"),
-            _ => assert!(rest.text.contains("not_run"), "{rest:?}"),
-        }
-        resumed += usize::from(rest.is_whole());
-        assert_eq!(
-            bed.versions_of(&[&begun, &next]).len(),
-            1,
-            "a stream over two versions"
-        );
-        let new = bed.send(host, ONCE, &format!("new-{n}"), "").await;
-        assert_eq!(new.events() as u64, EVENTS_BEFORE_BREAK, "{new:?}");
-    }
-    resumed
-}
-
-/// Tells hosts to stop, with a gap between two signals, and starts each again as it has ended.
-async fn restart_in_series(bed: &mut Bed, hosts: std::ops::Range<usize>, gap: Duration) {
-    let restarts = bed.hosts[hosts]
-        .iter_mut()
-        .enumerate()
-        .map(async |(n, host)| {
-            tokio::time::sleep(gap * n as u32).await;
-            host.stop();
-            host.restart().await;
-        });
-    common::join_all(restarts).await;
-}
-
 /// Guards against streams being unknown after their hosts were told to stop one after the other,
 /// each while the former ones were still stopping: their origins had been handed over to hosts that
 /// were about to stop as well.
