Limit each attempt to save streams at shutdown

When all hosts stopped at once and the store did not respond from 2 to 4 s after the signal, callers could continue none of their streams (0 of 24). The second save began 3.6 s after the signal, and its first call hung until the process exited, so it was never retried although the store was available again. Each attempt now has the same timeout as other calls to the store.

--- a/crates/gateway/src/origins/rows.rs
+++ b/crates/gateway/src/origins/rows.rs
@@ -27,7 +27,7 @@
 use std::time::{Duration, Instant};
 use tokio::sync::{Notify, watch};
 
-/// Timeout for the read of a page and for the removal of rows.
+/// Timeout for the read of a page, the removal of rows, and each attempt to save them.
 const CALL_TIMEOUT: Duration = Duration::from_millis(800);
 /// Maximum number of pages of a read. Full rows of 629 hosts take 42 MB.
 const MAX_PAGES: u32 = 64;
@@ -434,8 +434,13 @@
         return;
     }
     let began_at = Instant::now();
-    let timeout = until.saturating_duration_since(began_at);
-    let mut written = write(gateway, records, timeout).await;
+    // Limits each attempt, so that an unresponsive store leaves time for a retry.
+    let attempt_timeout = || {
+        until
+            .saturating_duration_since(Instant::now())
+            .min(CALL_TIMEOUT)
+    };
+    let mut written = write(gateway, records, attempt_timeout()).await;
     for _ in 1..MAX_SAVE_ATTEMPTS {
         let pause =
             SAVE_RETRY_PAUSE + (SAVE_RETRY_SPREAD * host_count(gateway)).mul_f64(fastrand::f64());
@@ -444,8 +449,7 @@
             break;
         }
         tokio::time::sleep_until(retry_at.into()).await;
-        let timeout = until.saturating_duration_since(Instant::now());
-        written = write(gateway, records, timeout).await;
+        written = write(gateway, records, attempt_timeout()).await;
     }
     emit(&Event::StreamsSaved {
         streams: *written.as_ref().unwrap_or(&0),
