Refuse requests that may not complete before exit

Callers received unknown (process-ends) for requests that a stopping entry had accepted. The wait for a slot was limited only by the deadline of the request, so it lasted until the entry exited (8 of 8 completions and 4 of 4 plain calls, none of which had reached the upstream). A call could also start after a slow claim, or up to 1 s after its agent began to stop, although its time limit was later than the exit (2 of 12 and 1 of 1).

A wait for a slot now ends once the response might not complete before the entry exits. A claimed call starts only if its time limit expires before the entry and the agent exit; otherwise its claim is released. In both cases the request is refused as not run.

--- a/crates/agent/src/admission.rs
+++ b/crates/agent/src/admission.rs
@@ -42,7 +42,8 @@
     pub cost: Cost,
     /// Latest time for the first byte of the response.
     pub deadline: Instant,
-    /// Time at which the entry exits; the response must be complete by then.
+    /// Time at which the entry exits, less the time reserved for the response. The request must
+    /// start by then.
     pub must_end_by: Option<Instant>,
 }
 
@@ -118,7 +119,8 @@
         self.lock().expected_wait_ms(class.urgency, Instant::now())
     }
 
-    /// Waits for a slot until the deadline of the request. Dropping the future leaves the queue.
+    /// Waits for a slot until the deadline of the request, or until `must_end_by` if that is earlier.
+    /// Dropping the future leaves the queue.
     pub async fn admit(self: &Arc<Self>, request: SlotRequest<'_>) -> Result<SlotGuard, Refusal> {
         let (tx, mut rx) = oneshot::channel();
         let now = Instant::now();
@@ -128,7 +130,10 @@
             id,
         };
         self.clone().deliver_grants(grants);
-        let left = request.deadline.saturating_duration_since(now);
+        let must_end_by = request.must_end_by.filter(|at| *at < request.deadline);
+        let left = must_end_by
+            .unwrap_or(request.deadline)
+            .saturating_duration_since(now);
         match tokio::time::timeout(left, &mut rx).await {
             Ok(Ok(answer)) => answer,
             // Unreachable: the queue answers every waiter before it drops the sender.
@@ -137,6 +142,9 @@
                 // A slot may have been granted after the timeout; dropping it here releases it.
                 rx.close();
                 drop(rx.try_recv());
+                if must_end_by.is_some() {
+                    return Err(Refusal::not_run(Reason::Leaving).retry_in(MIN_RETRY_MS));
+                }
                 let wait_ms = self.expected_wait_ms(request.class);
                 Err(Refusal::not_run(Reason::DeadlinePassed).retry_in(retry_after_ms(wait_ms)))
             }
--- a/crates/agent/src/plain.rs
+++ b/crates/agent/src/plain.rs
@@ -128,7 +128,7 @@
     call: &PlainCall,
     held: HeldClaim,
 ) -> AttemptResult {
-    if !attempt.agent.may_start_call() {
+    if !attempt.agent.may_start_call() || !completes_before_exit(attempt) {
         attempt.agent.claims.finish(held, ClaimState::Released);
         return AttemptResult::Refused(Refusal::not_run(Reason::Leaving));
     }
@@ -153,6 +153,19 @@
     }
 }
 
+/// Returns whether the time limit of a call that starts now expires before the entry and this
+/// process exit.
+fn completes_before_exit(attempt: &Attempt<'_>) -> bool {
+    let node = &attempt.agent.node;
+    let times_out_at = Instant::now() + node.settings.limits.idle_timeout;
+    let entry_exit = attempt
+        .cx
+        .ends_ms
+        .map(|ms| attempt.received_at + Duration::from_millis(ms));
+    let exits = [entry_exit, node.stop_deadline()];
+    exits.into_iter().flatten().all(|exit| times_out_at <= exit)
+}
+
 fn answered_state(attempt: &Attempt<'_>, response: &UpstreamResponse) -> ClaimState {
     let limit = attempt.agent.node.settings.limits.kept_answer;
     match std::str::from_utf8(&response.body) {
