Soak: stop gateways that have a small share of a core

Cause: no soak limited the CPU time of stopping processes. Such a process may notice the signal and the end of its time late, and the rule counts from the signal.

Change: `--cpu-share S` pauses and resumes each gateway process in turns of 20 ms, also after a restart. The turns leave a process alone that a fault has paused or that has ended, and they record no disruption, so they excuse nothing.

Seeds of `--stops` therefore draw other series than before.

--- a/crates/soak/src/cluster.rs
+++ b/crates/soak/src/cluster.rs
@@ -5,8 +5,9 @@
 use crate::crashing::CrashingRequest;
 use crate::disruption::{Disruption, PlannedStop, STOP_GRACE, Timeline};
 use crate::keys::{HOLDER_GAP, Key, Keys, WINDOW};
+use crate::process::Process;
 use bench::probe::wait_serving;
-use bench::procs::{Proc, Signal};
+use bench::procs::Signal;
 use bench::relay::{Link, Relay};
 use serde_json::json;
 use standin::fixture::{
@@ -57,7 +58,7 @@
 const STARTED_AT_MS: u64 = 1_700_000_000_000;
 
 /// Composition of a cluster.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Setup {
     /// Number of gateways, [`MAX_GATEWAYS`] at most.
     pub gateways: u8,
@@ -73,6 +74,8 @@
     pub has_long_streams: bool,
     /// Whether answers slow down until they take longer than a stop.
     pub has_slowdown: bool,
+    /// Share of a core that each gateway process has, or `None` for no limit.
+    pub cpu_share: Option<f64>,
 }
 
 impl Default for Setup {
@@ -85,6 +88,7 @@
             has_parts: false,
             has_long_streams: false,
             has_slowdown: false,
+            cpu_share: None,
         }
     }
 }
@@ -93,7 +97,7 @@
 #[derive(Debug)]
 pub struct Gateway {
     /// The process.
-    pub proc: Proc,
+    pub proc: Process,
     /// The address for clients.
     pub client_addr: SocketAddr,
     /// The relay between the process and the store.
@@ -176,6 +180,10 @@
             let text = format!("the number of gateways must be from 1 to {MAX_GATEWAYS}");
             return Err(io::Error::new(io::ErrorKind::InvalidInput, text));
         }
+        if setup.cpu_share.is_some_and(|s| !(s > 0.0 && s <= 1.0)) {
+            let text = "the share of a core must be above 0 and at most 1";
+            return Err(io::Error::new(io::ErrorKind::InvalidInput, text));
+        }
         let store = Arc::new(Store::start(address(net, 1, 7000))?);
         let mut cluster = Self {
             store,
@@ -221,7 +229,7 @@
         let text = with_usage_reports(&text, self.cloud.addr, WINDOW, HOLDER_GAP);
         std::fs::write(&path, text)?;
         self.gateways.push(Gateway {
-            proc: Proc::start_gateway(&self.binary, &name, &path)?,
+            proc: Process::start(&self.binary, &name, &path, self.setup.cpu_share)?,
             client_addr: SocketAddr::new(IpAddr::V4(ip), 7000),
             store,
             name,
@@ -292,7 +300,8 @@
         self.end_disruption(Some(n), now);
         self.lifetimes.start_process(n, now);
         let gateway = &mut self.gateways[n];
-        gateway.proc = Proc::start_gateway(&self.binary, &gateway.name, &gateway.settings)?;
+        let share = self.setup.cpu_share;
+        gateway.proc = Process::start(&self.binary, &gateway.name, &gateway.settings, share)?;
         Ok(())
     }
 
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod fault;
 pub mod keys;
 pub mod parts;
+pub mod process;
 pub mod restarts;
 pub mod schedule;
 pub mod statements;
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -90,6 +90,10 @@
     /// number of engines, instead of 2, or 6 with --parts
     #[argh(option)]
     engines: Option<u8>,
+    /// share of one core that each gateway process has, above 0 and at most 1; it is paused and
+    /// resumed in turns, which excuses no violation
+    #[argh(option)]
+    cpu_share: Option<f64>,
     /// also send prompts that share a part which crashes engines
     #[argh(switch)]
     parts: bool,
@@ -170,6 +174,7 @@
         has_parts: args.parts,
         has_long_streams,
         has_slowdown: args.slowdown,
+        cpu_share: args.cpu_share,
     };
     let mut cluster = Cluster::start_with(args.net, &binary, &dir, setup).await?;
     cluster.all_serve(RECOVERY_BOUND).await;
--- a/crates/soak/src/stops.rs
+++ b/crates/soak/src/stops.rs
@@ -40,9 +40,11 @@
 /// Runs series of planned stops until `until`, then clears all faults.
 pub async fn run(cluster: &mut Cluster, seed: u64, until: Instant) -> io::Result<FaultLog> {
     let mut rng = fastrand::Rng::with_seed(seed);
+    // The other draws depend on timing, which must not change the series of a seed.
+    let mut series_rng = rng.fork();
     let mut done = FaultLog::default();
     let mut due = Vec::new();
-    let mut next = Instant::now() + millis(&mut rng, 500..2500);
+    let mut next = Instant::now() + millis(&mut series_rng, 500..2500);
     if cluster.setup.has_slowdown {
         next += SLOWDOWN_AFTER;
     }
@@ -55,13 +57,13 @@
             }
         }
         if Instant::now() >= next {
-            let series = series(&mut rng, cluster);
+            let series = series(&mut series_rng, cluster);
             let last = series.iter().map(|d| d.at).max();
             let max_gap_ms = match cluster.setup.has_slowdown {
                 true => MAX_SLOWDOWN_SERIES_GAP_MS,
                 false => MAX_SERIES_GAP_MS,
             };
-            next = last.unwrap_or(next) + millis(&mut rng, 0..max_gap_ms);
+            next = last.unwrap_or(next) + millis(&mut series_rng, 0..max_gap_ms);
             due.extend(series);
         }
         for signal in due.extract_if(.., |d| d.at <= Instant::now()) {
--- a/crates/soak/tests/short.rs
+++ b/crates/soak/tests/short.rs
@@ -12,6 +12,7 @@
 const SEVENTH_NET: u32 = 145;
 const EIGHTH_NET: u32 = 45;
 const NINTH_NET: u32 = 195;
+const TENTH_NET: u32 = 8;
 /// Faults under which a common request was once blocked permanently.
 const COMMON_REQUEST: &str = concat!(env!("CARGO_MANIFEST_DIR"), "/cases/common-request.jsonl");
 
@@ -75,6 +76,20 @@
     assert!(late["sent"].as_u64().unwrap() > 10, "{summary}");
 }
 
+/// Guards against cutting streams that processes with little CPU time accepted late in their stop,
+/// as they notice the signal and the end of their time late. Each has a share of a core, in turns,
+/// and all are told to stop at once.
+#[test]
+fn processes_with_a_small_share_of_a_core_cut_no_stream_late_in_a_stop() {
+    let mode = ["--stops", "--slowdown", "--seed", "36", "--seconds", "10"];
+    let load = ["--slow", "36", "--workers", "8", "--engines", "6"];
+    let share = ["--cpu-share", "0.19"];
+    let summary = soak(TENTH_NET, &[&mode[..], &load[..], &share[..]].concat());
+    let late = &summary["stop_counts"]["late"];
+    assert_eq!(late["cut"], 0, "{summary}");
+    assert!(late["sent"].as_u64().unwrap() > 10, "{summary}");
+}
+
 /// Guards against blocking a harmless request. Four requests that crash workers are sent at once,
 /// while links are cut, the store is lost and processes restart. In one of eight such runs a
 /// request that every client sends was blocked permanently, because a crash that no trial had
