Close the listener before a paused host may be killed

The listener now closes by the earliest time too.

the_listener_closes_before_a_host_that_was_paused_may_be_killed failed before with a delay of 2.1 s (0 s left between the close and the kill).

--- a/crates/gateway/src/stop.rs
+++ b/crates/gateway/src/stop.rs
@@ -97,10 +97,14 @@
             false => signal_at,
         };
         let exit_at = assumed_signal_at + grace.mul_f64(GRACE_SHARE);
-        let refuse_at = (earliest_signal + grace.mul_f64(GRACE_SHARE))
-            .checked_sub(ANSWER_MARGIN)
-            .unwrap_or(signal_at)
-            .max(signal_at);
+        let earliest_exit = earliest_signal + grace.mul_f64(GRACE_SHARE);
+        let before_earliest_exit = |margin| {
+            earliest_exit
+                .checked_sub(margin)
+                .unwrap_or(signal_at)
+                .max(signal_at)
+        };
+        let refuse_at = before_earliest_exit(ANSWER_MARGIN);
         let drain_at = signal_at + DRAIN_DELAY.min(grace.mul_f64(MAX_DRAIN_DELAY_SHARE));
         let before_end = |margin| {
             exit_at
@@ -112,7 +116,8 @@
             signal_at,
             drain_at,
             own_deadline_from: earliest_signal + REDIRECT_DELAY.saturating_sub(MIN_STALL),
-            close_at: before_end(CLOSE_MARGIN).max(drain_at),
+            // The first save and hand-over begin then, so they precede a possible SIGKILL.
+            close_at: before_earliest_exit(CLOSE_MARGIN).max(drain_at),
             finish_by: refuse_at,
             refuse_at,
             hand_over_at: before_end(HAND_OVER_MARGIN),
--- a/crates/gateway/tests/shutdown_schedule.rs
+++ b/crates/gateway/tests/shutdown_schedule.rs
@@ -72,6 +72,18 @@
     assert_eq!(stalls.earliest_signal(tick), tick);
 }
 
+/// Guards against being killed before streams and usage are first saved, which begins once the
+/// listener is closed, if the signal was sent at the start of a pause.
+#[test]
+fn the_listener_closes_before_a_host_that_was_paused_may_be_killed() {
+    let signal_at = Instant::now();
+    for delay in [0.0, 0.1, 0.5, 1.9, 2.1, 3.0, 5.0] {
+        let schedule = ShutdownSchedule::new(signal_at + secs(delay), signal_at, GRACE);
+        let left = (signal_at + GRACE).saturating_duration_since(schedule.close_at);
+        assert!(left >= secs(0.5), "{delay} s: {left:?}");
+    }
+}
+
 /// Guards against a host that was frozen for 3 s and took datagrams from before as new.
 #[test]
 fn datagrams_that_may_have_waited_during_a_stall_are_recognized() {
