Spread attempts to save streams over the remaining time

Each attempt now has an equal part of the remaining time, 0.8 s at least.

a_save_outlasts_a_silent_store (silent for 4.5 of 6 s) failed before: nothing was saved. It passes, as do the tests of refused writes.

--- a/crates/gateway/src/origins/rows.rs
+++ b/crates/gateway/src/origins/rows.rs
@@ -27,7 +27,8 @@
 use std::time::{Duration, Instant};
 use tokio::sync::{Notify, watch};
 
-/// Timeout for the read of a page, the removal of rows, and each attempt to save them.
+/// Timeout for the read of a page and the removal of rows, and minimum timeout of an attempt to
+/// save them.
 const CALL_TIMEOUT: Duration = Duration::from_millis(800);
 /// Maximum number of pages of a read. Full rows of 629 hosts take 42 MB.
 const MAX_PAGES: u32 = 64;
@@ -434,14 +435,13 @@
         return;
     }
     let began_at = Instant::now();
-    // Limits each attempt, so that an unresponsive store leaves time for a retry.
-    let attempt_timeout = || {
-        until
-            .saturating_duration_since(Instant::now())
-            .min(CALL_TIMEOUT)
+    // Limits each attempt, so that an unresponsive store leaves time for the remaining ones.
+    let attempt_timeout = |attempts_left: u32| {
+        let time_left = until.saturating_duration_since(Instant::now());
+        (time_left / attempts_left).max(CALL_TIMEOUT).min(time_left)
     };
-    let mut written = write(gateway, records, attempt_timeout()).await;
-    for _ in 1..MAX_SAVE_ATTEMPTS {
+    let mut written = write(gateway, records, attempt_timeout(MAX_SAVE_ATTEMPTS)).await;
+    for attempts_left in (1..MAX_SAVE_ATTEMPTS).rev() {
         let pause =
             SAVE_RETRY_PAUSE + (SAVE_RETRY_SPREAD * host_count(gateway)).mul_f64(fastrand::f64());
         let retry_at = Instant::now() + pause;
@@ -449,7 +449,7 @@
             break;
         }
         tokio::time::sleep_until(retry_at.into()).await;
-        written = write(gateway, records, attempt_timeout()).await;
+        written = write(gateway, records, attempt_timeout(attempts_left)).await;
     }
     emit(&Event::StreamsSaved {
         streams: *written.as_ref().unwrap_or(&0),
--- a/crates/gateway/tests/stream_rows.rs
+++ b/crates/gateway/tests/stream_rows.rs
@@ -277,6 +277,23 @@
     assert_eq!(numbers(&rows::read(&process).await.unwrap()), [0, 1, 2]);
 }
 
+/// Guards against losing streams when the store doesn't respond for most of the time that a save
+/// has.
+#[tokio::test]
+async fn a_save_outlasts_a_silent_store() {
+    let store = store();
+    let process = process(&store, "a");
+    let all = streams(0..3, REMAINING);
+    store.set_mode(StoreMode::Silent);
+    let save = rows::save(&process, &all, Instant::now() + Duration::from_secs(6));
+    let recover = async {
+        tokio::time::sleep(Duration::from_millis(4500)).await;
+        store.set_mode(StoreMode::Serve);
+    };
+    tokio::join!(save, recover);
+    assert_eq!(numbers(&rows::read(&process).await.unwrap()), [0, 1, 2]);
+}
+
 /// Guards against a host that can no longer write after the store was restored from a copy in which
 /// its row is absent or older.
 #[tokio::test]
