Test: wait for addresses in use at the start of endless responses

Two runs beside other test processes failed as the address of a stand-in was still in use: a child process holds the sockets of an earlier fixture until it has executed its program. The fixture now waits as the other one of this file does; no check is changed.

--- a/crates/arbutusquay/tests/endless_answers.rs
+++ b/crates/arbutusquay/tests/endless_answers.rs
@@ -367,12 +367,12 @@
         for (number, (service, stage)) in services.into_iter().enumerate() {
             let addr = site.worker_addr(number as u16);
             let id = format!("i-{number}");
-            flooding.push(Worker::start(addr, &id).await.unwrap());
+            flooding.push(start_worker(addr, &id).await);
             let row = worker_row(service, addr, "ready", stage);
             site.store().put(WORKER_TABLE, &id, &row);
         }
         let addr = site.worker_addr(9);
-        let sound = Worker::start(addr, "i-9").await.unwrap();
+        let sound = start_worker(addr, "i-9").await;
         let row = worker_row("sound", addr, "ready", None);
         site.store().put(WORKER_TABLE, "i-9", &row);
         Self {
