Notice a stop signal before requests buffered during a pause

Streams that callers requested on open connections later than 3 s after the stop signal of a host were cut. The host was paused (SIGSTOP) while the signal was sent, and for 3.2 s or more after it. On resuming, it read the requests buffered by the kernel before the task that waits for the signal ran, and accepted them without a limit; they were cut when the host was killed 8 s after the signal.

The gateway's runtime has one thread, which wakes the tasks of readable connections before the signal task. A request whose body has been read within 0.2 s after a pause of more than 0.5 s now waits another 10 ms, so that the signal is noticed first and the usual decisions of a stop apply.

--- a/crates/arbutusquay/tests/stop_signals.rs
+++ b/crates/arbutusquay/tests/stop_signals.rs
@@ -77,6 +77,8 @@
     has_cpu_limit: bool,
     /// Whether the process has observed enough quick answers to accept late plain requests.
     has_observed: bool,
+    /// Whether clients send on connections that were opened before the first step.
+    has_open_connections: bool,
 }
 
 impl Case {
@@ -90,6 +92,7 @@
             is_store_silent: false,
             has_cpu_limit: false,
             has_observed: false,
+            has_open_connections: false,
         }
     }
 }
@@ -188,8 +191,16 @@
     len.is_some_and(|len: usize| body.len() == len)
 }
 
+/// Connection on which a request is sent.
+enum Connection {
+    /// A new connection to this address.
+    New(SocketAddr),
+    /// A connection that is already open.
+    Open(TcpStream),
+}
+
 /// Sends a request, and reads until the connection closes or the deadline has passed by far.
-async fn send(addr: SocketAddr, path: String, id: String, deadline: Duration) -> Sent {
+async fn send(connection: Connection, path: String, id: String, deadline: Duration) -> Sent {
     let more = match path.as_str() {
         "/prompt/" => PROMPT_HEADERS,
         _ => "",
@@ -206,7 +217,10 @@
     let mut received = Vec::new();
     let mut is_connected = false;
     let exchange = async {
-        let mut tcp = TcpStream::connect(addr).await?;
+        let mut tcp = match connection {
+            Connection::New(addr) => TcpStream::connect(addr).await?,
+            Connection::Open(tcp) => tcp,
+        };
         is_connected = true;
         tcp.write_all(text.as_bytes()).await?;
         while tcp.read_buf(&mut received).await? > 0 {}
@@ -242,7 +256,12 @@
 }
 
 /// Sends requests of all kinds with drawn deadlines until the given time.
-async fn send_all(addr: SocketAddr, mut rng: fastrand::Rng, until: Instant) -> Vec<Sent> {
+async fn send_all(
+    addr: SocketAddr,
+    mut open_connections: Vec<TcpStream>,
+    mut rng: fastrand::Rng,
+    until: Instant,
+) -> Vec<Sent> {
     let kinds = actions();
     let mut requests = JoinSet::new();
     let mut number = 0;
@@ -257,7 +276,9 @@
             false => Duration::from_millis(rng.u64(900..4000)),
         };
         let (path, id) = (format!("/{name}/"), format!("{name}-{number}"));
-        requests.spawn(send(addr, path, id, deadline));
+        let open = open_connections.pop();
+        let connection = open.map_or(Connection::New(addr), Connection::Open);
+        requests.spawn(send(connection, path, id, deadline));
         number += 1;
         tokio::time::sleep(SEND_INTERVAL).await;
     }
@@ -270,7 +291,7 @@
         tokio::time::sleep(OBSERVED_TIME * round).await;
         for number in 0..OBSERVED_PER_ROUND {
             let id = format!("quick-{round}-{number}");
-            let sent = send(addr, "/safe/".into(), id, LONG_DEADLINE).await;
+            let sent = send(Connection::New(addr), "/safe/".into(), id, LONG_DEADLINE).await;
             assert_eq!(sent.end, End::Complete(200));
         }
     }
@@ -368,7 +389,13 @@
     let term = case.steps.iter().find(|(_, step)| *step == TERM);
     let (term_after, _) = term.expect("each case has a stop signal");
     let until = start + *term_after + SEND_UNTIL;
-    let clients = tokio::spawn(send_all(site.clients_addr(), rng, until));
+    let mut open_connections = Vec::new();
+    if case.has_open_connections {
+        for _ in 0..(until - start).div_duration_f64(SEND_INTERVAL) as usize {
+            open_connections.push(TcpStream::connect(site.clients_addr()).await.unwrap());
+        }
+    }
+    let clients = tokio::spawn(send_all(site.clients_addr(), open_connections, rng, until));
     let stopped = stop(&case, (&site, &workers), &mut gateway, start).await;
     let (signal_at, status) = (stopped.signal_at, stopped.status);
     let took = signal_at.elapsed();
@@ -521,6 +548,24 @@
     .await;
 }
 
+/// Guards against accepting requests that were sent during a long pause as if no stop signal had
+/// arrived.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_stop_signal_during_a_long_pause_loses_no_request() {
+    run_all(|rng| {
+        let signal = 500 + rng.u64(0..300);
+        Case {
+            has_open_connections: true,
+            ..Case::new([
+                (500, PAUSE),
+                (signal, TERM),
+                (signal + rng.u64(3200..5000), RESUME),
+            ])
+        }
+    })
+    .await;
+}
+
 /// Guards against losing requests if the process is paused before the stop signal or during the
 /// stop.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -150,6 +150,7 @@
             }
         }
     };
+    gateway.wait_for_pending_signal().await;
     Ok(Call {
         since: account.received_at,
         read_at: Instant::now(),
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -48,6 +48,10 @@
 /// connections, and chunks of streamed bodies.
 const BUFFER_MEMORY_SHARE: f64 = 0.5;
 
+/// Delay of a request received after a pause of this process, so that a stop signal sent during the
+/// pause is noticed first.
+const PENDING_SIGNAL_DELAY: Duration = Duration::from_millis(10);
+
 /// State of a gateway process.
 #[derive(Debug)]
 pub struct Gateway {
@@ -534,11 +538,19 @@
         lock(&self.stalls).tick(Instant::now());
     }
 
-    /// Whether a datagram received now may have waited while this process was paused.
+    /// Whether a datagram or request received now may have waited while this process was paused.
     pub fn may_have_waited(&self, now: Instant) -> bool {
         lock(&self.stalls).may_have_waited(now)
     }
 
+    /// After a pause of this process, gives the signal task time to notice a stop signal sent during
+    /// the pause, as requests buffered by the kernel may be read before that task runs.
+    pub async fn wait_for_pending_signal(&self) {
+        if self.may_have_waited(Instant::now()) {
+            tokio::time::sleep(PENDING_SIGNAL_DELAY).await;
+        }
+    }
+
     /// Counts a request as running until the guard is dropped.
     pub fn begin_request(self: &Arc<Self>) -> RunningGuard {
         self.running.fetch_add(1, Ordering::Relaxed);
