Flush a response before its body breaks off

Callers of a stream that broke off got fewer events than the gateway had received, in the tests 0 or 1 of 2: the end of the upstream's connection was handled before the caller's connection had written the events. The response head was lost too if nothing had been written yet.

hyper's HTTP/1 server polls the body before it flushes, and drops the connection with everything buffered as soon as the body returns an error. A body whose sender is dropped is now pending once before it returns the error. hyper flushes when the body is pending, so only data that a caller's full socket doesn't accept can still be lost.

--- a/crates/net/src/body.rs
+++ b/crates/net/src/body.rs
@@ -13,7 +13,8 @@
 pub type Body = BoxBody<Bytes, io::Error>;
 
 /// Sends a streamed body. If it is dropped without [`BodySender::finish`], the body breaks off with
-/// an error that the peer can detect.
+/// an error that the peer can detect. Over HTTP/1, chunks sent before the drop are written
+/// first, unless the peer has stopped reading.
 #[derive(Debug)]
 pub struct BodySender {
     tx: mpsc::Sender<Message>,
@@ -92,6 +93,8 @@
 
 struct Streamed {
     rx: mpsc::Receiver<Message>,
+    /// Whether the body has been pending once since its sender was dropped.
+    error_deferred: bool,
     done: bool,
 }
 
@@ -115,6 +118,13 @@
                 self.done = true;
                 Poll::Ready(None)
             }
+            // hyper flushes its write buffer when the body is pending and discards it when the body
+            // returns an error, so the error is deferred to the next poll.
+            None if !self.error_deferred => {
+                self.error_deferred = true;
+                cx.waker().wake_by_ref();
+                Poll::Pending
+            }
             None => {
                 self.done = true;
                 Poll::Ready(Some(Err(io::Error::other(
@@ -148,5 +158,10 @@
 /// Creates a body whose chunks are sent by a task, with a buffer of `buffer` chunks.
 pub fn stream(buffer: usize) -> (BodySender, Body) {
     let (tx, rx) = mpsc::channel(buffer);
-    (BodySender { tx }, Streamed { rx, done: false }.boxed())
+    let body = Streamed {
+        rx,
+        error_deferred: false,
+        done: false,
+    };
+    (BodySender { tx }, body.boxed())
 }
