Reclaim a lent share as soon as a stopping grantor returns it

Callers far within their tenant's quota got 429 or 503 `quota_unknown` for up to 0.1 s after several hosts had been told to stop at once. A stopping grantor returns the shares that it had borrowed, but a lender used its share only from its next round on, and until then had neither a share nor a grantor to ask.

A lender now reclaims its share when it receives the return, as the documentation of stop_collecting says.

In the simulated fleet, a host no longer asks its own pool if that has no share, as in the gateway; asking it left an empty bucket behind.

--- a/crates/quota/src/lending.rs
+++ b/crates/quota/src/lending.rs
@@ -230,6 +230,7 @@
     fn end_lease(&mut self, from: IpAddr, now: Instant) {
         if self.lease.is_some_and(|lease| lease.to == from) {
             self.lease = None;
+            self.reclaim_share(now);
         }
         if self.last_collect.is_some_and(|(ip, _)| ip == from) {
             self.last_collect = now
--- a/crates/quota/tests/fleet.rs
+++ b/crates/quota/tests/fleet.rs
@@ -263,3 +263,20 @@
     let served = sim.granted() / requested;
     assert!(served >= 0.95, "{served}");
 }
+
+/// Guards against refusals between the return of a share by a stopping grantor and the next
+/// round of the lender.
+#[test]
+fn lenders_use_their_shares_as_soon_as_a_stopping_grantor_returns_them() {
+    let mut sim = Sim::new(&[4], 13);
+    sim.warm_up();
+    // Just after a round, when the wait for the next one is longest.
+    for host in 0..4 {
+        sim.schedule(1_020, Event::Drain { host, ms: 2_000 });
+    }
+    let cost = COST / 10.0;
+    sim.run(2_000, |sim| {
+        submit_requests(sim, QUOTA * 0.3 / cost, cost, |sim| sim.random_host(4));
+    });
+    assert_eq!(sim.refused(), 0);
+}
--- a/crates/quota/tests/sim/mod.rs
+++ b/crates/quota/tests/sim/mod.rs
@@ -364,15 +364,16 @@
         Some(spent.is_ok())
     }
 
-    /// Submits a request to a host, which tries its own pool, its grantor's and those of the
-    /// grantors of other zones.
+    /// Submits a request to a host, which tries its own pool if that has a share, its grantor's
+    /// and those of the grantors of other zones.
     pub fn submit(&mut self, host: usize, cost: f64) {
         let now = self.at(self.now);
+        let pool_has_share = self.hosts[host].lending.pool.share(now) > 0.0;
         let grantor = self.hosts[host].lending.grantor(self.zone(host), now);
         let own = self.hosts[host].zone;
         let others = (0..self.hosts.len()).filter(|h| self.hosts[*h].zone != own);
         let others = others.filter(|h| self.hosts[*h].lending.is_grantor());
-        let mut targets = vec![host];
+        let mut targets: Vec<usize> = pool_has_share.then_some(host).into_iter().collect();
         targets.extend((0..self.hosts.len()).find(|h| Some(ip(*h)) == grantor));
         targets.extend(others);
         let is_granted = targets
