Test: don't reduce a limited process's CPU share on a busy machine

limit_cpu resumed the process for 3.8 ms of wall time in each 20 ms. Time in which it waited for a core was lost. Beside builds (load of 5 to 6) a gateway that relays a flood got 0.131 to 0.134 of a core instead of 0.19, and waited 0.21 to 0.25 s a second in run queues. The late cases include those whose response is closed at once: with no limit those gateways use 0.06 to 0.09 of a core, so the code under test isn't the cause.

A turn now lasts until the process has used its share by its CPU clock, or sleeps after the share of a period.

usage::read takes the CPU time from the same clock.

--- a/crates/arbutusquay/tests/common/mod.rs
+++ b/crates/arbutusquay/tests/common/mod.rs
@@ -18,6 +18,8 @@
 pub const MEMORY_MB: u64 = 260;
 /// Period in which a process with a share of a core runs and is paused.
 const CPU_PERIOD: Duration = Duration::from_millis(20);
+/// Interval between checks whether a process has used its share.
+const CPU_CHECK_INTERVAL: Duration = Duration::from_millis(1);
 /// Ports of the store and of the first worker.
 const STORE_PORT: u16 = 7003;
 const FIRST_WORKER_PORT: u16 = 7100;
@@ -151,16 +153,40 @@
     }
 
     /// Pauses the process in turns, so that it has only a share of a core, until the future is
-    /// dropped. The process must be resumed then.
+    /// dropped. The process must be resumed then. A turn lasts for the share of a period, or longer
+    /// if the process has waited for a core in it, so that a busy machine doesn't reduce the share.
     pub async fn limit_cpu(&self, share: f64) -> std::convert::Infallible {
+        let quota = CPU_PERIOD.mul_f64(share);
+        let mut allowed = self.cpu_time() + quota;
         loop {
-            self.proc.signal(Signal::Resume);
-            tokio::time::sleep(CPU_PERIOD.mul_f64(share)).await;
+            let since = Instant::now();
+            while since.elapsed() < CPU_PERIOD
+                && self.cpu_time() < allowed
+                && (since.elapsed() < quota || self.is_runnable())
+            {
+                self.proc.signal(Signal::Resume);
+                tokio::time::sleep(CPU_CHECK_INTERVAL).await;
+            }
             self.proc.signal(Signal::Pause);
-            tokio::time::sleep(CPU_PERIOD.mul_f64(1.0 - share)).await;
+            tokio::time::sleep_until((since + CPU_PERIOD).into()).await;
+            // An unused share expires, and what was used above the share is subtracted.
+            allowed = allowed.min(self.cpu_time()) + since.elapsed().mul_f64(share);
         }
     }
 
+    /// Whether the process runs or waits for a core.
+    fn is_runnable(&self) -> bool {
+        let stat = |id| std::fs::read_to_string(format!("/proc/{id}/stat")).ok();
+        let stat = self.proc.id().and_then(stat);
+        stat.is_some_and(|stat| stat.contains(") R "))
+    }
+
+    /// Processor time of the process; 0 if it has exited.
+    fn cpu_time(&self) -> Duration {
+        let time = self.proc.id().and_then(usage::cpu_time);
+        time.unwrap_or_default()
+    }
+
     /// The log lines about an event.
     pub fn log_lines(&self, event: &str) -> Vec<Value> {
         let text = std::fs::read_to_string(&self.log).unwrap();
--- a/crates/bench/src/usage.rs
+++ b/crates/bench/src/usage.rs
@@ -1,4 +1,4 @@
-//! Processor time and memory of a process, read from /proc.
+//! Processor time and memory of a process.
 
 use std::fs;
 use std::time::Duration;
@@ -14,25 +14,30 @@
 
 /// Reads the usage of a process; `None` if it has exited.
 pub fn read(pid: u32) -> Option<Usage> {
-    let stat = fs::read_to_string(format!("/proc/{pid}/stat")).ok()?;
-    // The name in parentheses may contain spaces, so fields are counted after it.
-    let rest = stat.rsplit_once(')')?.1;
-    let fields: Vec<u64> = rest
-        .split_whitespace()
-        .map(|f| f.parse().unwrap_or(0))
-        .collect();
-    let ticks = fields.get(11)? + fields.get(12)?;
     let status = fs::read_to_string(format!("/proc/{pid}/status")).ok()?;
     let line = status.lines().find(|l| l.starts_with("VmRSS:"))?;
     let resident = line.split_whitespace().nth(1)?.parse::<u64>().ok()? * 1024;
     Some(Usage {
-        cpu: Duration::from_secs_f64(ticks as f64 / ticks_per_second()),
+        cpu: cpu_time(pid)?,
         resident,
     })
 }
 
-fn ticks_per_second() -> f64 {
-    // SAFETY: sysconf takes a plain number and has no side effects.
-    let ticks = unsafe { libc::sysconf(libc::_SC_CLK_TCK) };
-    ticks.max(1) as f64
+/// Reads the processor time of a process from its clock, which unlike /proc doesn't count in ticks;
+/// `None` if it has exited.
+pub fn cpu_time(pid: u32) -> Option<Duration> {
+    let mut clock = 0;
+    // SAFETY: `clock` is valid for writes.
+    if unsafe { libc::clock_getcpuclockid(pid as libc::pid_t, &mut clock) } != 0 {
+        return None;
+    }
+    let mut time = libc::timespec {
+        tv_sec: 0,
+        tv_nsec: 0,
+    };
+    // SAFETY: `time` is valid for writes.
+    if unsafe { libc::clock_gettime(clock, &mut time) } != 0 {
+        return None;
+    }
+    Some(Duration::new(time.tv_sec as u64, time.tv_nsec as u32))
 }
