Test: run the tests of endless responses one at a time

Beside other work, gateways with a share of a core competed with the test file's own gateways that have no limit. In the first 4 s of the file, when all four tests run, limited gateways waited 0.05 to 0.09 s a second for a core, and 0.01 to 0.03 when fewer tests were left.

A lock makes the tests run one at a time.

--- a/crates/arbutusquay/tests/endless_answers.rs
+++ b/crates/arbutusquay/tests/endless_answers.rs
@@ -16,6 +16,7 @@
 use std::time::{Duration, Instant};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
+use tokio::sync::Mutex;
 use tokio::task::JoinSet;
 
 /// Time after which a request must have ended: its deadline is 4 s.
@@ -32,6 +33,8 @@
 const CONCURRENT: usize = 20;
 /// Number of gateways that run at once.
 const CONCURRENT_RUNS: usize = 4;
+/// Held by the test that runs. Gateways without a CPU limit would slow down those with one.
+static RUNNING: Mutex<()> = Mutex::const_new(());
 /// Bytes of a client's response that are kept, at its start and at its end.
 const KEPT_BYTES: usize = 4096;
 
@@ -496,12 +499,14 @@
 /// yielding to others.
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn endless_answers_neither_fill_the_memory_nor_delay_other_requests() {
+    let _running = RUNNING.lock().await;
     run_all(cases().into_iter().map(run)).await;
 }
 
 /// Guards against limits that hold for each response, but not for many at once.
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn many_endless_answers_do_not_fill_the_memory() {
+    let _running = RUNNING.lock().await;
     let fixture = Fixture::start().await;
     let case = cases().swap_remove(0);
     fixture.flood(&case.endless);
@@ -668,6 +673,7 @@
 /// endless part begins, also while the gateway stops.
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn drawn_endless_answers_do_not_fill_the_memory_beside_a_stop() {
+    let _running = RUNNING.lock().await;
     let count = std::env::var("PROPTEST_CASES")
         .ok()
         .and_then(|n| n.parse().ok());
@@ -678,6 +684,7 @@
 /// Guards against waiting for the store's responses, or buffering them, without a limit.
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn endless_responses_of_the_store_neither_fill_the_memory_nor_delay_requests() {
+    let _running = RUNNING.lock().await;
     run_all(store_responses().into_iter().map(run_beside_store)).await;
 }
 
