--- a/crates/soak/src/disruption.rs
+++ b/crates/soak/src/disruption.rs
@@ -111,11 +111,13 @@
         let stop = self.stops.iter().find(covers)?;
         let is_past_deadline = ended.duration_since(sent) + DEADLINE_TOLERANCE >= deadline;
         let is_broken = own_runs.iter().any(|r| r.by_script);
+        // A process that was paused learns late of its own stop.
+        let since = |t: &Disruption| t.gateway.map_or(sent, |_| sent.min(stop.signal));
         let is_disrupted = self
             .disruptions
             .iter()
             .filter(|t| t.gateway.is_none_or(|g| g == gateway))
-            .any(|t| t.overlaps(sent, ended));
+            .any(|t| t.overlaps(since(t), ended));
         (!is_past_deadline && !is_broken && !is_disrupted).then_some(stop)
     }
 }
