Store the origins of open streams while several versions are in service

Cause: only hosts that stop wrote origins to the store. A killed host writes nothing, and with two versions in service nothing else tells the version of a single stream.

If a service has more than one version, each host now reports the streams of that service that it serves to two writers: the first running hosts in an order that is the same at all hosts. With a single version, nothing is reported or written. Streams that end whole are removed. A restarted writer keeps the streams in its row. Reading the rows and checking that the upstream's start is still the same are unchanged, so unknown origins stay unknown. `answered` names the origin `store`.

streams_of_two_versions_are_rejected_at_once_after_all_hosts_were_killed required that no stream of two versions is resumed after a kill. It now runs with a store that refuses to write origins, with the same checks.

--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -294,6 +294,17 @@
         versions
     }
 
+    /// Services that may have open streams of more than one version, sorted.
+    pub fn services_with_several_versions(&self, now: Instant) -> Vec<NameHash> {
+        let mut versions = self.present_versions();
+        versions.extend(self.former_versions(now).into_iter().map(|(of, _)| of));
+        versions.sort_unstable();
+        versions.dedup();
+        let by_service = versions.chunk_by(|a, b| a.service == b.service);
+        let several = by_service.filter(|versions| versions.len() > 1);
+        several.map(|versions| versions[0].service).collect()
+    }
+
     /// Versions whose upstreams left within [`VERSION_LIFETIME`], with the times at which they left.
     pub fn former_versions(&self, now: Instant) -> Vec<(ServiceVersion, Instant)> {
         let known = self.services.iter().flat_map(|info| {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -91,6 +91,7 @@
     quota::start(&gateway)?;
     origins::start(&gateway)?;
     tokio::spawn(origins::rows::follow(gateway.clone()));
+    tokio::spawn(origins::write_checkpoints(gateway.clone()));
     tokio::spawn(versions::follow(gateway.clone()));
     tokio::spawn(duty::usage::run(gateway.clone()));
     tokio::spawn(duty::scaling::run(gateway.clone()));
--- a/crates/gateway/src/origins.rs
+++ b/crates/gateway/src/origins.rs
@@ -4,10 +4,12 @@
 //! Its origin is recorded when its answer begins, and copied to other hosts at once. A client that
 //! takes it up names the attempt that got its first event.
 
+mod checkpoint;
 mod exchange;
 mod message;
 pub mod rows;
 
+pub use checkpoint::{end as end_stream, write as write_checkpoints};
 pub use exchange::start;
 
 use crate::fleet::ServiceKey;
@@ -15,8 +17,8 @@
 use crate::state::Gateway;
 use observe::{Event, StreamSearchAnswer, emit};
 use origins::{
-    HandOver, HostLocation, HostStart, Lookup, MAX_STREAM_LIFETIME, Origin, OriginRecord, Replicas,
-    ReplicatedBy, StreamId, VERSION_LIFETIME,
+    Checkpoint, HandOver, HostLocation, HostStart, Lookup, MAX_STREAM_LIFETIME, OpenStreams,
+    Origin, OriginRecord, Replicas, ReplicatedBy, StreamId, VERSION_LIFETIME,
 };
 use platform::MAX_STREAM_RECORDS;
 use std::net::IpAddr;
@@ -36,8 +38,14 @@
 #[derive(Debug)]
 pub struct Origins {
     replicas: Mutex<Replicas>,
-    /// Notified when copies may be due.
+    /// Notified when copies or reports may be due.
     changed: Notify,
+    open_streams: Mutex<OpenStreams>,
+    checkpoint: Mutex<Checkpoint>,
+    /// Notified when a write of the checkpoint may be due.
+    checkpoint_changed: Notify,
+    /// Streams whose origins were read from the store, sorted.
+    stored_streams: Mutex<Vec<StreamId>>,
     /// Tasks that expect replies about a stream.
     expected: Mutex<Vec<(StreamId, ReplySender)>>,
     socket: OnceLock<Arc<UdpSocket>>,
@@ -66,6 +74,8 @@
     Own,
     /// Another host was asked.
     Peer(IpAddr),
+    /// It was read from the store.
+    Store,
     /// There is a single version.
     OnlyVersion,
 }
@@ -108,6 +118,10 @@
         Self {
             replicas: Mutex::new(Replicas::new(HostLocation { ip, zone })),
             changed: Notify::new(),
+            open_streams: Mutex::default(),
+            checkpoint: Mutex::default(),
+            checkpoint_changed: Notify::new(),
+            stored_streams: Mutex::default(),
             expected: Mutex::default(),
             socket: OnceLock::new(),
             start: fastrand::u32(..),
@@ -119,6 +133,14 @@
         self.replicas.lock().expect("no panic while locked")
     }
 
+    fn open_streams(&self) -> MutexGuard<'_, OpenStreams> {
+        self.open_streams.lock().expect("no panic while locked")
+    }
+
+    fn stored_streams(&self) -> MutexGuard<'_, Vec<StreamId>> {
+        self.stored_streams.lock().expect("no panic while locked")
+    }
+
     fn expect_replies(&self, stream: StreamId) -> Replies {
         let (tx, rx) = mpsc::unbounded_channel();
         let mut expected = self.expected.lock().expect("no panic while locked");
@@ -162,6 +184,16 @@
     replicas.record(stream, record, None, ReplicatedBy::ThisHost, now);
     drop(replicas);
     exchange::send_first_copies(gateway, stream, record);
+    checkpoint::open(gateway, stream, record);
+}
+
+/// Records that this host serves the rest of the stream that an attempt began.
+pub fn record_continued(gateway: &Gateway, attempt: &str) {
+    let stream = StreamId::of(attempt);
+    let found = gateway.origins.replicas().find(stream, Instant::now());
+    if let Lookup::Known(record) = found {
+        checkpoint::open(gateway, stream, record);
+    }
 }
 
 /// Logs which hosts hold the origins of this process when it exits.
@@ -184,25 +216,43 @@
     let now = Instant::now();
     let own = gateway.host().name.clone();
     let mut replicas = gateway.origins.replicas();
+    let mut checkpoint = gateway.origins.checkpoint();
+    let mut stored_streams = gateway.origins.stored_streams();
+    stored_streams.retain(|stream| replicas.find(*stream, now) != Lookup::Unknown);
     for origin in stored {
         let replicated_by = match origin.host == own {
             true => ReplicatedBy::ThisHost,
             false => ReplicatedBy::OtherHost,
         };
-        replicas.record(origin.stream, origin.record, None, replicated_by, now);
+        if origin.host == own {
+            // The next write replaces the row, so it must contain this stream too.
+            checkpoint.restore(origin.stream, origin.record, now);
+        }
+        let is_new = replicas.record(origin.stream, origin.record, None, replicated_by, now);
+        if is_new {
+            stored_streams.push(origin.stream);
+        }
     }
+    stored_streams.sort_unstable();
+    drop(stored_streams);
+    drop(checkpoint);
     drop(replicas);
     gateway.origins.changed.notify_one();
 }
 
-/// Writes the under-replicated origins to the store, as this process stops.
+/// Writes the under-replicated origins and the checkpoint to the store, as this process stops.
 pub async fn save(gateway: &Arc<Gateway>, until: Instant) {
     let now = Instant::now();
+    let checkpointed = gateway.origins.checkpoint().streams(now);
+    let mut saved = checkpoint::certain_streams(gateway, checkpointed);
     let under_replicated = gateway
         .origins
         .replicas()
         .under_replicated(MAX_STREAM_RECORDS, now);
-    rows::save(gateway, &under_replicated, until).await;
+    saved.extend(under_replicated);
+    saved.sort_unstable_by_key(|(stream, _)| *stream);
+    saved.dedup_by_key(|(stream, _)| *stream);
+    rows::save(gateway, &saved, until).await;
 }
 
 /// Finds the origin of the stream that an attempt began: here, at other hosts, or as the service
@@ -217,7 +267,7 @@
     if let Some(stream) = attempt.map(StreamId::of) {
         let found = gateway.origins.replicas().find(stream, Instant::now());
         match found {
-            Lookup::Known(record) => return Ok(KnownOrigin::new(&record, Source::Own)),
+            Lookup::Known(record) => return Ok(KnownOrigin::from_record(gateway, stream, &record)),
             Lookup::Uncertain => return Err(asked),
             Lookup::Unknown => {}
         }
@@ -229,7 +279,9 @@
         if rows::request_read(gateway).await.is_some() {
             let found = gateway.origins.replicas().find(stream, Instant::now());
             match found {
-                Lookup::Known(record) => return Ok(KnownOrigin::new(&record, Source::Own)),
+                Lookup::Known(record) => {
+                    return Ok(KnownOrigin::from_record(gateway, stream, &record));
+                }
                 Lookup::Uncertain => return Err(asked),
                 Lookup::Unknown => {}
             }
@@ -298,6 +350,17 @@
 }
 
 impl KnownOrigin {
+    /// Origin from a record of this host.
+    fn from_record(gateway: &Gateway, stream: StreamId, record: &OriginRecord) -> Self {
+        let stored_streams = gateway.origins.stored_streams();
+        let is_stored = stored_streams.binary_search(&stream).is_ok();
+        let source = match is_stored {
+            true => Source::Store,
+            false => Source::Own,
+        };
+        Self::new(record, source)
+    }
+
     fn new(record: &OriginRecord, source: Source) -> Self {
         Self {
             origin: record.origin,
@@ -337,7 +400,7 @@
     pub fn host(self) -> Option<String> {
         match self {
             Self::Peer(ip) => Some(ip.to_string()),
-            Self::Own | Self::OnlyVersion => None,
+            Self::Own | Self::Store | Self::OnlyVersion => None,
         }
     }
 
@@ -346,6 +409,7 @@
         match self {
             Self::Own => "own",
             Self::Peer(_) => "peer",
+            Self::Store => "store",
             Self::OnlyVersion => "only_version",
         }
     }
--- a/crates/gateway/src/origins/exchange.rs
+++ b/crates/gateway/src/origins/exchange.rs
@@ -1,5 +1,6 @@
 //! Copies the origins of streams to other hosts, and asks these for them, in datagrams.
 
+use super::checkpoint;
 use super::message::{Message, RawCopy, RawRecord, RawStatus, RawStream};
 use super::{AskedHost, FoundOrigin, Replies, Reply};
 use crate::StartError;
@@ -17,7 +18,7 @@
 /// Maximum size of a datagram.
 const MAX_DATAGRAM_BYTES: usize = 1200;
 /// Maximum number of origins in a datagram; each takes up to 64 bytes.
-const MAX_ORIGINS_PER_DATAGRAM: usize = 16;
+pub(super) const MAX_ORIGINS_PER_DATAGRAM: usize = 16;
 /// Maximum interval between checks for copies and probes that are due.
 const CHECK_EVERY: Duration = Duration::from_millis(200);
 /// Number of times that each host is notified when this process stops, as datagrams may be lost,
@@ -115,6 +116,21 @@
             send(gateway, from, &Message::Status(own_status(gateway)));
         }
         Message::Status(status) => origins.replicas().record_heard(from, status.into(), now),
+        Message::Report(status, copies, ended) => {
+            origins.replicas().record_heard(from, status.into(), now);
+            let streams = checkpoint::record_report(gateway, &copies, &ended, now);
+            if !copies.is_empty() {
+                send(
+                    gateway,
+                    from,
+                    &Message::Reported(own_status(gateway), streams),
+                );
+            }
+        }
+        Message::Reported(status, streams) => {
+            origins.replicas().record_heard(from, status.into(), now);
+            checkpoint::record_confirmation(gateway, from, status, streams);
+        }
         Message::Unknown(status, stream) => {
             origins.replicas().record_heard(from, status.into(), now);
             origins.reply(stream.into(), from, Reply::NotFound);
@@ -152,7 +168,7 @@
     recorded
 }
 
-fn host_start(ip: IpAddr, status: RawStatus) -> HostStart {
+pub(super) fn host_start(ip: IpAddr, status: RawStatus) -> HostStart {
     let HostStatus { start, .. } = status.into();
     HostStart { ip, start }
 }
@@ -214,7 +230,7 @@
     }
 }
 
-fn own_status(gateway: &Gateway) -> RawStatus {
+pub(super) fn own_status(gateway: &Gateway) -> RawStatus {
     let origins = &gateway.origins;
     let status = HostStatus {
         start: origins.start,
@@ -224,7 +240,7 @@
     status.into()
 }
 
-fn send(gateway: &Gateway, to: IpAddr, message: &Message) {
+pub(super) fn send(gateway: &Gateway, to: IpAddr, message: &Message) {
     if let Some(socket) = gateway.origins.socket.get() {
         let buf = wire::encode_compact(message);
         // A lost datagram is sent again.
@@ -233,7 +249,7 @@
 }
 
 /// Updates the list of other hosts that can hold copies.
-fn update_members(gateway: &Gateway) {
+pub(super) fn update_members(gateway: &Gateway) {
     let locations = gateway.peers().locations();
     let members = locations.iter().map(|host| HostLocation {
         ip: host.ip,
@@ -256,7 +272,8 @@
     gateway.origins.changed.notify_one();
 }
 
-/// Renews copies, and probes the hosts that hold them, until the process ends.
+/// Renews copies, probes the hosts that hold them, and reports open streams, until the process
+/// ends.
 async fn renew_copies(gateway: Arc<Gateway>) {
     loop {
         update_members(&gateway);
@@ -269,6 +286,7 @@
         for ip in probes {
             send(&gateway, ip, &Message::Probe(own_status(&gateway)));
         }
+        checkpoint::send_reports(&gateway);
         let has_missing = gateway
             .origins
             .replicas()
@@ -298,14 +316,21 @@
 }
 
 fn send_copies(gateway: &Gateway, to: IpAddr, copies: &[(StreamId, OriginRecord)]) {
-    let now = Instant::now();
-    let copies = copies
-        .iter()
-        .map(|(stream, record)| encode_copy(gateway, (*stream).into(), record, now));
-    let message = Message::Keep(own_status(gateway), copies.collect());
+    let message = Message::Keep(own_status(gateway), encode_copies(gateway, copies));
     send(gateway, to, &message);
 }
 
+pub(super) fn encode_copies(
+    gateway: &Gateway,
+    copies: &[(StreamId, OriginRecord)],
+) -> Vec<RawCopy> {
+    let now = Instant::now();
+    let encode = |(stream, record): &(StreamId, OriginRecord)| {
+        encode_copy(gateway, (*stream).into(), record, now)
+    };
+    copies.iter().map(encode).collect()
+}
+
 /// Asks other hosts for the origin of a stream. Returns it with the host that knew it, or all hosts
 /// that were asked if none did.
 pub(super) async fn search(
--- a/crates/gateway/src/origins/message.rs
+++ b/crates/gateway/src/origins/message.rs
@@ -31,6 +31,10 @@
     Unknown(RawStatus, RawStream),
     /// Answer to `Find` with the origin. Sent to processes that have sent their status.
     Known(RawStatus, RawCopy),
+    /// Reports open and complete streams to a host that writes checkpoints.
+    Report(RawStatus, Vec<RawCopy>, Vec<RawStream>),
+    /// Confirms the open streams in a `Report`.
+    Reported(RawStatus, Vec<RawStream>),
 }
 
 /// Status of the sender of a datagram.
--- a/crates/gateway/src/origins/rows.rs
+++ b/crates/gateway/src/origins/rows.rs
@@ -1,7 +1,8 @@
 //! Origins of streams in the store.
 //!
 //! The store keeps origins while no host runs. A host that stops writes to its own row the origins
-//! that would otherwise be lost; hosts that start read all rows once. A lookup of a stream that no
+//! that would otherwise be lost, and writers of checkpoints write those of open streams while
+//! they run (see [`super::checkpoint`]); hosts that start read all rows once. A lookup of a stream that no
 //! host knows triggers another read, one at a time. Rows are removed once their streams have
 //! expired: each host removes its own, and the host of rank 0 removes those of hosts that didn't
 //! restart.
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -44,6 +44,7 @@
         None => {
             if started.monitor.completeness() == Completeness::Whole {
                 crashes::mark_answered(&call, &mut account);
+                call.end_stream();
             }
             call.record_duration(&account, Duration::ZERO);
             account.close(Outcome::Answered, None);
@@ -127,6 +128,7 @@
                 StreamEnd::Whole => {
                     if self.monitor.completeness() == Completeness::Whole {
                         crashes::mark_answered(&self.call, &mut self.account);
+                        self.call.end_stream();
                     }
                     self.call.record_duration(&self.account, self.client_wait);
                     self.tx.finish().await;
--- a/crates/gateway/src/serve/origin.rs
+++ b/crates/gateway/src/serve/origin.rs
@@ -68,7 +68,11 @@
     /// Records where the stream begins, as its answer starts at an upstream of the given
     /// version. The rest of a stream keeps its origin.
     pub fn begin_stream(&mut self, account: &mut Account, version: NameHash) {
-        let Some(sent) = account.last_sent_to.filter(|_| self.origin.is_none()) else {
+        if self.origin.is_some() {
+            known_origins::record_continued(&self.gateway, self.first_attempt());
+            return;
+        }
+        let Some(sent) = account.last_sent_to else {
             return;
         };
         let origin = Origin {
@@ -83,11 +87,22 @@
         known_origins::record(&self.gateway, &self.parsed_headers.id, origin, deadline);
     }
 
+    /// Records that the stream is complete.
+    pub fn end_stream(&self) {
+        if self.origin.is_some() {
+            known_origins::end_stream(&self.gateway, self.first_attempt());
+        }
+    }
+
     /// Whether the origin of the stream is still certain.
     pub(super) fn is_origin_certain(&self) -> bool {
+        self.gateway.origins.is_certain(self.first_attempt())
+    }
+
+    /// Attempt with which the stream began.
+    fn first_attempt(&self) -> &str {
         let headers = &self.parsed_headers;
-        let began_as = headers.resumes.as_deref().unwrap_or(&headers.id);
-        self.gateway.origins.is_certain(began_as)
+        headers.resumes.as_deref().unwrap_or(&headers.id)
     }
 
     fn route_hash(&self) -> NameHash {
--- a/crates/gateway/tests/common/versions.rs
+++ b/crates/gateway/tests/common/versions.rs
@@ -1,7 +1,9 @@
 //! Runs several hosts, each in a runtime of its own so that it can be killed, and workers of
 //! several software versions.
 
-use super::{Client, WAIT_TIMEOUT, address, config, exchange, host, request, routes, wait_for};
+use super::{
+    Client, WAIT_TIMEOUT, address, config, exchange, host, join_all, request, routes, wait_for,
+};
 use net::Stop;
 use serde_json::json;
 use standin::{Action, Store, Worker, fixture};
@@ -213,6 +215,16 @@
         tokio::time::sleep(REFRESH_TIME).await;
     }
 
+    /// Kills all hosts at once and restarts them.
+    pub async fn kill_all_and_restart(&mut self) {
+        for host in &mut self.hosts {
+            host.kill();
+        }
+        let restarts = self.hosts.iter_mut();
+        let restarts = restarts.map(async |host| host.restart().await);
+        join_all(restarts).await;
+    }
+
     /// Starts a worker that breaks off each stream and serves the rest of a resumed one.
     pub async fn add_worker(&mut self, version: &str) {
         let id = format!("i-{}", self.workers.len());
--- /dev/null
+++ b/crates/gateway/tests/stream_kills.rs
@@ -0,0 +1,80 @@
+//! Tests that streams can be resumed at their version after all hosts are killed while several
+//! versions are in service.
+
+#[expect(dead_code, reason = "each test file uses a part of it")]
+mod common;
+
+use common::continued::{ONE_VERSION, STREAMS, TWO_VERSIONS, begin, count_resumed};
+use common::versions::Bed;
+use std::time::Duration;
+
+/// Time between the start of the last stream and the kill.
+const STREAM_AGE: Duration = Duration::from_secs(1);
+/// Minimum number of streams that must be resumed: 90% of all.
+const MIN_RESUMED: usize = STREAMS * 9 / 10;
+
+/// Guards against streams being unknown after all hosts are killed at once, if only hosts that stop
+/// store origins.
+#[tokio::test]
+async fn streams_of_two_versions_go_on_after_all_hosts_were_killed() {
+    let mut bed = Bed::start_system(3, &TWO_VERSIONS).await;
+    begin(&mut bed).await;
+    tokio::time::sleep(STREAM_AGE).await;
+    bed.kill_all_and_restart().await;
+    let resumed = count_resumed(&bed, true).await;
+    assert!(resumed >= MIN_RESUMED, "{resumed} of {STREAMS}");
+}
+
+/// Guards against a restarted writer overwriting the streams that were stored before it was killed.
+#[tokio::test]
+async fn streams_go_on_after_all_hosts_were_killed_twice() {
+    let mut bed = Bed::start_system(3, &TWO_VERSIONS).await;
+    begin(&mut bed).await;
+    tokio::time::sleep(STREAM_AGE).await;
+    bed.kill_all_and_restart().await;
+    for n in 0..3 {
+        bed.send(n, common::versions::ONCE, &format!("between-{n}"), "")
+            .await;
+    }
+    tokio::time::sleep(STREAM_AGE).await;
+    bed.kill_all_and_restart().await;
+    let resumed = count_resumed(&bed, true).await;
+    assert!(resumed >= MIN_RESUMED, "{resumed} of {STREAMS}");
+}
+
+/// Guards against streams being lost if their origins are stored by a single host that is killed
+/// before the others.
+#[tokio::test]
+async fn streams_go_on_after_hosts_were_killed_one_after_the_other() {
+    let mut bed = Bed::start_system(3, &TWO_VERSIONS).await;
+    begin(&mut bed).await;
+    tokio::time::sleep(STREAM_AGE).await;
+    for host in &mut bed.hosts {
+        host.kill();
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    }
+    bed.kill_all_and_restart().await;
+    let resumed = count_resumed(&bed, true).await;
+    assert!(resumed >= MIN_RESUMED, "{resumed} of {STREAMS}");
+}
+
+/// Guards against origins not being stored by a host that has no peers.
+#[tokio::test]
+async fn streams_go_on_after_the_only_host_was_killed() {
+    let mut bed = Bed::start_system(1, &TWO_VERSIONS).await;
+    begin(&mut bed).await;
+    tokio::time::sleep(STREAM_AGE).await;
+    bed.kill_all_and_restart().await;
+    let resumed = count_resumed(&bed, true).await;
+    assert!(resumed >= MIN_RESUMED, "{resumed} of {STREAMS}");
+}
+
+/// Guards against writes to the store while a single version is in service, as origins aren't
+/// needed then.
+#[tokio::test]
+async fn streams_of_a_single_version_are_not_stored() {
+    let mut bed = Bed::start_system(3, &ONE_VERSION).await;
+    begin(&mut bed).await;
+    tokio::time::sleep(STREAM_AGE).await;
+    assert!(bed.store.keys("streams").is_empty());
+}
--- a/crates/gateway/tests/stream_restarts.rs
+++ b/crates/gateway/tests/stream_restarts.rs
@@ -8,6 +8,7 @@
     ONE_VERSION, STOP_GAP, STREAMS, TWO_VERSIONS, begin, count_resumed, restart_in_series,
 };
 use common::versions::Bed;
+use standin::StoreMode;
 use std::time::{Duration, Instant};
 
 /// Guards against streams being unknown after their hosts were told to stop one after the other,
@@ -84,7 +85,7 @@
 async fn streams_of_the_only_version_go_on_after_all_hosts_were_killed() {
     let mut bed = Bed::start_system(4, &ONE_VERSION).await;
     begin(&mut bed).await;
-    kill_all_and_restart(&mut bed).await;
+    bed.kill_all_and_restart().await;
     assert_eq!(count_resumed(&bed, true).await, STREAMS);
 }
 
@@ -99,12 +100,13 @@
 }
 
 /// Guards against a stream of unknown version being run, or kept waiting, after all hosts were
-/// killed.
+/// killed. The store refuses to write origins, so that they are lost.
 #[tokio::test]
 async fn streams_of_two_versions_are_rejected_at_once_after_all_hosts_were_killed() {
     let mut bed = Bed::start_system(4, &TWO_VERSIONS).await;
+    bed.store.set_mode(StoreMode::RefuseWritesTo("streams"));
     begin(&mut bed).await;
-    kill_all_and_restart(&mut bed).await;
+    bed.kill_all_and_restart().await;
     for n in 0..STREAMS {
         let since = Instant::now();
         let res = bed
@@ -119,11 +121,3 @@
         );
     }
 }
-
-async fn kill_all_and_restart(bed: &mut Bed) {
-    for host in &mut bed.hosts {
-        host.kill();
-    }
-    let restarts = bed.hosts.iter_mut().map(async |host| host.restart().await);
-    common::join_all(restarts).await;
-}
--- a/crates/observe/src/event.rs
+++ b/crates/observe/src/event.rs
@@ -731,6 +731,18 @@
         #[serde(skip_serializing_if = "Option::is_none")]
         why: Option<String>,
     },
+    /// This process wrote its checkpoint of open streams to the store, or failed to.
+    StreamsCheckpointed {
+        /// Number of streams that were written.
+        streams: usize,
+        /// Number of streams that were to be written.
+        total: usize,
+        /// Duration of the write, in milliseconds.
+        took_ms: u64,
+        /// The error, if nothing was written.
+        #[serde(skip_serializing_if = "Option::is_none")]
+        why: Option<String>,
+    },
     /// The rows with the origins of streams were read.
     StreamRowsRead {
         /// Number of rows.
@@ -969,6 +981,7 @@
             | Self::UsageNotSent { .. }
             | Self::CrashRowsNotWritten { .. }
             | Self::StreamsSaved { why: Some(_), .. }
+            | Self::StreamsCheckpointed { why: Some(_), .. }
             | Self::StreamRowsNotRead { .. }
             | Self::StreamRowsRemoved { why: Some(_), .. } => Level::Warn,
             Self::RecordsDropped { .. } | Self::LinesDropped { .. } => Level::Error,
--- a/crates/origins/src/lib.rs
+++ b/crates/origins/src/lib.rs
@@ -10,10 +10,12 @@
 //! Nothing depends on an origin being found: a stream whose origin is unknown isn't run, unless
 //! there has been a single version for longer than any stream lasts ([`VersionHistory`]). An origin
 //! never changes, so a copy can be missing but not outdated. Hosts that
-//! start later read from the store whether there was a single version ([`VersionRecord`]).
+//! start later read from the store whether there was a single version ([`VersionRecord`]), and the
+//! origins of streams that were open while there were several versions ([`Checkpoint`]).
 //!
 //! Everything here is told the time and does no I/O.
 
+mod checkpoint;
 mod history;
 mod hosts;
 mod order;
@@ -23,6 +25,7 @@
 mod table;
 mod versions;
 
+pub use checkpoint::{CHECKPOINT_WRITERS, Checkpoint, CheckpointWriter, OpenStreams, Report};
 pub use history::{
     Continuation, Continued, FormerVersion, KnownSince, MAX_RECORD_AGE, NotContinued,
     ServiceVersion, StorePosition, UpstreamChange, UpstreamHash, VersionRecord,
--- a/crates/origins/src/replicas.rs
+++ b/crates/origins/src/replicas.rs
@@ -7,6 +7,7 @@
 //! returned by [`Replicas::under_replicated`].
 
 use crate::StreamId;
+use crate::checkpoint::{CHECKPOINT_WRITERS, CheckpointWriter};
 use crate::hosts::{Availability, HostStart, HostStatus, Hosts};
 use crate::order::{HostLocation, host_order};
 use crate::replication::{COPIES, Replication};
@@ -22,6 +23,8 @@
 /// bound the time for which the origins are locked in large fleets.
 const MAX_ORDERS_PER_CALL: usize = 64;
 const MAX_CHECKS_PER_CALL: usize = 1024;
+/// Key from which the order of the checkpoint writers is computed.
+const WRITER_ORDER_KEY: StreamId = StreamId(0);
 /// Table size from which on origins of other hosts aren't recorded, so that they don't evict this
 /// host's own.
 const MAX_FOREIGN_RECORDS: usize = MAX_RECORDS / 2;
@@ -68,6 +71,10 @@
     members_revision: u64,
     /// Origin that was checked last.
     last_checked: Option<StreamId>,
+    /// All hosts in the order in which they are chosen as checkpoint writers.
+    writer_order: Vec<IpAddr>,
+    /// Revision of the members from which `writer_order` was computed.
+    writer_order_revision: Option<u64>,
 }
 
 /// Numbers of orders and checks left for a call.
@@ -98,6 +105,8 @@
             location,
             members_revision: 0,
             last_checked: None,
+            writer_order: Vec::new(),
+            writer_order_revision: None,
         }
     }
 
@@ -302,6 +311,30 @@
         hand_over
     }
 
+    /// Hosts to which open streams are reported. `is_stopping` is whether this process is stopping.
+    /// Hosts that know the same members and consider the same ones running choose the same writers.
+    pub fn checkpoint_writers(&mut self, is_stopping: bool) -> Vec<CheckpointWriter> {
+        if self.writer_order_revision != Some(self.members_revision) {
+            self.writer_order = order_of(WRITER_ORDER_KEY, &self.members, self.location);
+            self.writer_order_revision = Some(self.members_revision);
+        }
+        let is_running = |ip: &&IpAddr| match **ip == self.own {
+            true => !is_stopping,
+            false => self.hosts.availability(**ip) == Availability::Running,
+        };
+        let running = self.writer_order.iter().filter(is_running);
+        let writers = running.take(CHECKPOINT_WRITERS).map(|ip| CheckpointWriter {
+            ip: *ip,
+            start: self.hosts.status(*ip).map(|(status, _)| status.start),
+        });
+        writers.collect()
+    }
+
+    /// Records that a datagram that requires an answer was sent to a host.
+    pub fn record_request(&mut self, ip: IpAddr, now: Instant) {
+        self.hosts.record_request(ip, now);
+    }
+
     /// Starts a search for a stream. Hosts that are stopping or silent are asked last.
     pub fn search(&self, stream: StreamId) -> Search {
         let mut order = order_of(stream, &self.members, self.location);
