Keep unread records of a stream row across later writes

If the store didn't answer and a host couldn't read the stream rows, its first write keeps the records that its previous process left in its row. The second write dropped them, so another kill made these streams unknown. The cause was that the records were discarded once the first write had succeeded. They are now kept until all rows are read.

The new test failed before the fix: of records 0 to 8, only 5 to 8 were left.

--- a/crates/gateway/src/origins/rows.rs
+++ b/crates/gateway/src/origins/rows.rs
@@ -516,6 +516,8 @@
                 next.expires_at = has_records.then(|| own.clock.stream_expiry(row.expires_ms()));
                 next.written = row.records.iter().map(|r| StreamId(r.stream)).collect();
                 next.written.sort_unstable();
+                next.unread_verified_ms = own.unread_verified_ms;
+                next.unread = own.unread;
                 rows.set_own(Some(next));
                 return Ok(records.len());
             }
--- a/crates/gateway/tests/stream_rows.rs
+++ b/crates/gateway/tests/stream_rows.rs
@@ -170,6 +170,24 @@
     assert_eq!(numbers(&read), (0..8).collect::<Vec<_>>());
 }
 
+/// Guards against a second write dropping the records of an earlier process that weren't read.
+#[tokio::test]
+async fn a_host_that_has_not_read_its_row_keeps_its_records_in_later_writes() {
+    let store = store();
+    let earlier = process(&store, "a");
+    rows::write(&earlier, &streams(0..5, REMAINING), TIMEOUT)
+        .await
+        .unwrap();
+    let next = process(&store, "a");
+    for end in [8, 9] {
+        rows::write(&next, &streams(5..end, REMAINING), TIMEOUT)
+            .await
+            .unwrap();
+    }
+    let read = rows::read(&process(&store, "b")).await.unwrap();
+    assert_eq!(numbers(&read), (0..9).collect::<Vec<_>>());
+}
+
 /// Guards against a delayed write replacing a later one, and against a wrong origin from it.
 #[tokio::test]
 async fn a_delayed_write_replaces_nothing() {
