Interleave the writes of the checkpoint writers

Both writers wrote at the same times, 30 ms after a new stream and every 750 ms, so a kill lost all streams younger than 750 ms.

The writers now write in slots with a period of 750 ms on the store's clock, which all hosts share. The slots of the second writer are midway between those of the first. Writes of both are thus at most 375 ms apart, and there are at most 3 in any second, as far as hosts agree on the clock and the members. A single host uses all slots.

All hosts now read the rows when they start, also at a first start, so a writer neither reads its row before a write nor drops what the row holds.

--- a/crates/origins/src/lib.rs
+++ b/crates/origins/src/lib.rs
@@ -25,7 +25,9 @@
 mod table;
 mod versions;
 
-pub use checkpoint::{CHECKPOINT_WRITERS, Checkpoint, CheckpointWriter, OpenStreams, Report};
+pub use checkpoint::{
+    CHECKPOINT_WRITERS, Checkpoint, CheckpointWriter, OpenStreams, Report, WriteSlots,
+};
 pub use history::{
     Continuation, Continued, FormerVersion, KnownSince, MAX_RECORD_AGE, NotContinued,
     ServiceVersion, StorePosition, UpstreamChange, UpstreamHash, VersionRecord,
