Decide from the store whether the system starts for the first time

Cause: a restarted host whose settings still claimed the first start of the whole system took the versions that it saw for the only ones there ever were. After a kill of all hosts, clients that resumed streams got the rest at the version in service. It also started as slowly as at a first start.

Change: the claim is checked once at the start: it holds only if the store answers, has no version record and is in its first era. Coverage of the registry reaches back to the first start only if there still is no record once the registry is known. So that its absence shows that no stream began, a process whose settings claim the first start begins no resumable stream before the record exists; these processes create it. The server for clients starts before the check. A record that doesn't fit a row is created without upstreams.

--- a/crates/gateway/src/answer.rs
+++ b/crates/gateway/src/answer.rs
@@ -33,7 +33,7 @@
     OverQuota,
     /// No quota grantor is reachable, and this host has no share of its own.
     QuotaUnknown,
-    /// No configuration has been read yet.
+    /// No configuration has been read yet, or no version record at a first start.
     NoConfig,
     /// No upstream of the service is available.
     NoUpstream,
--- a/crates/gateway/src/crashes/rows.rs
+++ b/crates/gateway/src/crashes/rows.rs
@@ -57,7 +57,7 @@
     tokio::time::sleep(FIRST_READ_SPREAD.mul_f64(fastrand::f64())).await;
     gateway
         .startup_load
-        .finished(gateway.host().is_first_start)
+        .finished(gateway.is_first_start())
         .await;
     let mut client = StoreClient::new(&gateway);
     let mut dependency = Dependency::new("store/crashes");
--- a/crates/gateway/src/division/orders.rs
+++ b/crates/gateway/src/division/orders.rs
@@ -128,7 +128,7 @@
             return SAMPLE_EVERY;
         }
         let division = division(&fleet, service);
-        let is_first_start = gateway.host().is_first_start;
+        let is_first_start = gateway.is_first_start();
         let wanted = watched.demand.wanted_change(division, is_first_start);
         let change = fleet.info(service).engine.map(|e| e.stage_change);
         (wanted, division, change.unwrap_or_default())
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -153,7 +153,7 @@
     let mut cursor = TableCursor::new("configuration");
     gateway
         .startup_load
-        .finished(gateway.host().is_first_start)
+        .finished(gateway.is_first_start())
         .await;
     loop {
         wait_until_feed_reader(&gateway, gateway.config_version() == 0).await;
--- a/crates/gateway/src/follow/registry.rs
+++ b/crates/gateway/src/follow/registry.rs
@@ -54,7 +54,7 @@
     let mut has_waited = false;
     gateway
         .startup_load
-        .finished(gateway.host().is_first_start)
+        .finished(gateway.is_first_start())
         .await;
     if gateway.registry().position.is_known() {
         cursor.advance(Cursor::Since(gateway.registry().position));
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod division;
 pub mod duty;
 pub mod events;
+pub mod first_start;
 pub mod fleet;
 pub mod follow;
 pub mod history;
@@ -76,7 +77,18 @@
         listen: callers.to_string(),
         admin: ready.to_string(),
     });
-    if gateway.host().is_first_start {
+    let (drain, serving) = (Stop::default(), Stop::default());
+    let server = Server {
+        head: gateway.head_limits.clone(),
+        protocol: Protocol::Http1,
+        drain: drain.clone(),
+        stop: serving.clone(),
+    };
+    let served = gateway.clone();
+    let server = tokio::spawn(server.run(listener, move |req| serve::serve(served.clone(), req)));
+    // Decided before the configuration is followed; the server rejects requests until then.
+    first_start::decide(&gateway).await;
+    if gateway.is_first_start() {
         gateway.fleet().assume_empty_caches();
     }
     tokio::spawn(follow::era::log_changes(gateway.clone()));
@@ -96,15 +108,6 @@
     tokio::spawn(duty::usage::run(gateway.clone()));
     tokio::spawn(duty::scaling::run(gateway.clone()));
     tokio::spawn(reload::follow_settings(gateway.clone(), path, hangup));
-    let (drain, serving) = (Stop::default(), Stop::default());
-    let server = Server {
-        head: gateway.head_limits.clone(),
-        protocol: Protocol::Http1,
-        drain: drain.clone(),
-        stop: serving.clone(),
-    };
-    let served = gateway.clone();
-    let server = tokio::spawn(server.run(listener, move |req| serve::serve(served.clone(), req)));
     let schedule = gateway.wait_for_stop().await;
     emit(&Event::Stopping { why: "signal" });
     quota::release_shares(&gateway);
--- a/crates/gateway/src/peers/membership.rs
+++ b/crates/gateway/src/peers/membership.rs
@@ -39,7 +39,7 @@
     let mut row_era = None;
     // Whether the table is read in full since the store was restored.
     let mut is_restored = false;
-    if gateway.host().is_first_start {
+    if gateway.is_first_start() {
         // All rows are written before the first read, so that one read finds all of them.
         let read_at = Instant::now()
             + FIRST_START_WRITE_SPREAD
--- a/crates/gateway/src/peers/startup_load.rs
+++ b/crates/gateway/src/peers/startup_load.rs
@@ -127,7 +127,7 @@
 /// was loaded.
 pub async fn load_snapshot(gateway: &Arc<Gateway>) -> bool {
     gateway.startup_load.start();
-    let max_time = match gateway.host().is_first_start {
+    let max_time = match gateway.is_first_start() {
         true => FIRST_START_MAX_ASK_TIME,
         false => MAX_ASK_TIME,
     };
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -25,7 +25,7 @@
 use net::server::{BodyError, read_body_within};
 use net::{Body, BufferBudget};
 use origins::Origin;
-use platform::{RequestHeaders, header};
+use platform::{RequestHeaders, RouteKind, header};
 use resilience::Fingerprint;
 use resilience::crashes::{MAX_PARTS, Run};
 use std::sync::{Arc, OnceLock};
@@ -270,6 +270,11 @@
             return Err(Reason::Stopping.into());
         }
         self.find_origin(account).await?;
+        let is_new_stream =
+            self.origin.is_none() && self.target().route.kind == RouteKind::ResumableStream;
+        if is_new_stream && !self.gateway.versions.wait_until_streams_may_begin().await {
+            return Err(Reason::NoConfig.into());
+        }
         let mut last = Refusal::from(match self.origin {
             Some(_) => Reason::StreamVersionGone,
             None => Reason::NoUpstream,
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -91,8 +91,9 @@
     pub origins: Origins,
     /// Rows in the store with the origins of streams.
     pub stream_rows: StreamRows,
-    /// Progress of reading the version record from the store.
+    /// What is known of the version record in the store.
     pub versions: Versions,
+    is_first_start: OnceLock<bool>,
     /// Notified when a peer has newer state than this process.
     pub catch_up: Notify,
     /// Limits on request heads, set by the current configuration.
@@ -147,6 +148,7 @@
         };
         let buffer_budget = BufferBudget::default();
         buffer_budget.set_limit(buffer_limit(&host));
+        let is_first_start_claimed = host.is_first_start;
         Arc::new(Self {
             buffer_budget,
             quotas: Quotas::new(host.ip),
@@ -178,7 +180,8 @@
             usage: Usage::default(),
             origins: Origins::new(location),
             stream_rows: StreamRows::default(),
-            versions: Versions::default(),
+            versions: Versions::new(is_first_start_claimed),
+            is_first_start: OnceLock::new(),
             catch_up: Notify::new(),
             head_limits: HeadLimits::new(INITIAL_IDLE_TIMEOUT, INITIAL_MAX_HEAD_BYTES),
             metrics: Metrics::new(MAX_TENANT_METRICS),
@@ -198,6 +201,17 @@
         lock(&self.host).clone()
     }
 
+    /// Whether the whole system starts for the first time, as checked against the store; false until
+    /// that is decided. See [`crate::first_start`].
+    pub fn is_first_start(&self) -> bool {
+        self.is_first_start.get().copied().unwrap_or_default()
+    }
+
+    /// Sets whether the whole system starts for the first time. Only the first call has an effect.
+    pub fn set_first_start(&self, is_first_start: bool) {
+        self.is_first_start.get_or_init(|| is_first_start);
+    }
+
     /// Replaces the settings.
     pub fn set_host(&self, host: HostSettings) {
         self.buffer_budget.set_limit(buffer_limit(&host));
@@ -280,8 +294,7 @@
         if position == registry.position && store_ms >= registry.store_ms {
             registry.read_at = asked_at;
             registry.store_ms = store_ms;
-            let is_system_start = self.host().is_first_start;
-            lock(&self.coverage).record_read(asked_at, true, is_system_start);
+            lock(&self.coverage).record_read(asked_at, true);
         }
     }
 
@@ -373,7 +386,7 @@
             && (read_era > era || read.store_ms > registry.store_ms);
         if read.view == registry.view && is_later {
             *registry = read;
-            lock(&self.coverage).record_read(read.read_at, false, false);
+            lock(&self.coverage).record_read(read.read_at, false);
         }
     }
 
--- a/crates/gateway/src/state/coverage.rs
+++ b/crates/gateway/src/state/coverage.rs
@@ -16,7 +16,7 @@
 /// Start of the period in which every upstream is known.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum CoveredSince {
-    /// The first start of the whole system, before which there were no requests.
+    /// The first start of the whole system, before which there were no streams.
     SystemStart,
     /// The first read, the first one after a gap, or the start of the coverage that was taken from
     /// the version record of another process.
@@ -25,11 +25,9 @@
 
 impl RegistryCoverage {
     /// Records a read that was requested at a time, by this process or by a peer.
-    /// `is_system_start` is true if the whole system has just started for the first time.
-    pub fn record_read(&mut self, at: Instant, is_own: bool, is_system_start: bool) {
+    pub fn record_read(&mut self, at: Instant, is_own: bool) {
         let gap = self.read_at.map(|last| at.saturating_duration_since(last));
         match gap {
-            None if is_system_start => self.since = Some(CoveredSince::SystemStart),
             Some(gap) if gap <= MAX_GAP && self.since.is_some() => {}
             None | Some(_) => self.since = Some(CoveredSince::Read(at)),
         }
--- a/crates/gateway/src/versions.rs
+++ b/crates/gateway/src/versions.rs
@@ -4,6 +4,9 @@
 //! version for longer than any stream lasts; see [`crate::origins`]. A host determines that from
 //! its own reads of the registry and from the stored record. The host of rank 0 writes the record;
 //! a host that starts reads it and the changes of the registry since.
+//!
+//! At the first start of the whole system there is no record. A process whose settings claim the
+//! first start begins no stream before the record exists, so its absence shows that no stream began.
 
 use crate::fleet::{Fleet, version_of};
 use crate::follow::{Dependency, StoreClient};
@@ -36,13 +39,22 @@
 /// Added when times of this host's clock are converted to the store's. A registry read that a
 /// peer reports is older than its receipt by the transit time of the datagram.
 const CLOCK_MARGIN: Duration = Duration::from_secs(1);
+/// Time after the start of a process from which on it creates the record at a first start. All
+/// processes that start together have read the registry by then, and found no record.
+const CREATE_AFTER: Duration = Duration::from_millis(4200);
+/// Time per host over which processes spread the creation of the record, so that few of them write.
+const CREATE_SPREAD_PER_HOST: Duration = Duration::from_millis(5);
 /// Maximum number of reads of the registry's changes since the record.
 const MAX_FEED_READS: usize = 8;
 
-/// Whether the first attempt to read the record has ended.
+/// What this process knows of the stored record.
 #[derive(Debug)]
 pub struct Versions {
+    /// Whether the first attempt to read it has ended.
     is_attempted: watch::Sender<bool>,
+    /// Whether streams may begin here. If the settings claim the first start of the whole system,
+    /// they may only once the record exists.
+    may_begin_streams: watch::Sender<bool>,
 }
 
 quick_error! {
@@ -58,6 +70,7 @@
             from()
         }
         Absent { display("there is no record") }
+        FirstStart { display("there is no record, as the system starts for the first time") }
         Undecodable(why: String) { display("the record can't be decoded: {why}") }
         Gap { display("this process missed reads of the registry meanwhile") }
     }
@@ -80,15 +93,33 @@
     Known(u64, Option<VersionRecord>),
 }
 
-impl Default for Versions {
-    fn default() -> Self {
+impl Versions {
+    /// Creates the state of a process. Streams may begin at once unless its settings claim the first
+    /// start of the whole system.
+    pub fn new(is_first_start_claimed: bool) -> Self {
         Self {
             is_attempted: watch::Sender::new(false),
+            may_begin_streams: watch::Sender::new(!is_first_start_claimed),
         }
     }
-}
 
-impl Versions {
+    /// Waits until streams may begin, for `READ_TIMEOUT` at most, and returns whether they may.
+    pub async fn wait_until_streams_may_begin(&self) -> bool {
+        let mut may_begin = self.may_begin_streams.subscribe();
+        let allowed = may_begin.wait_for(|may_begin| *may_begin);
+        tokio::time::timeout(READ_TIMEOUT, allowed).await.is_ok()
+    }
+
+    /// Whether streams may begin.
+    fn may_streams_begin(&self) -> bool {
+        *self.may_begin_streams.borrow()
+    }
+
+    /// Allows streams to begin.
+    fn allow_streams(&self) {
+        self.may_begin_streams.send_replace(true);
+    }
+
     /// Waits until the first attempt to read the record has ended, for `READ_TIMEOUT` at most.
     pub async fn wait_until_read(&self) {
         let mut is_attempted = self.is_attempted.subscribe();
@@ -98,16 +129,34 @@
     }
 }
 
-/// Reads the record once, and writes it while this process has rank 0, until the process ends.
+/// Reads the record once, creates it at a first start, and writes it while this process has rank 0,
+/// until the process ends.
 pub async fn follow(gateway: Arc<Gateway>) {
+    let create_at = Instant::now() + CREATE_AFTER;
     let mut client = StoreClient::new(&gateway);
-    if !gateway.host().is_first_start {
-        read(&gateway, &mut client).await;
-    }
+    read(&gateway, &mut client).await;
     gateway.versions.is_attempted.send_replace(true);
+    create(&gateway, &mut client, create_at).await;
     write(&gateway, &mut client).await;
 }
 
+/// Checks a read of the record for a first start of the whole system. Returns why it isn't
+/// confirmed, or `None` if it is. Allows streams to begin if the record exists or the store was
+/// restored, as its absence shows nothing then.
+pub(crate) fn check_first_start(
+    gateway: &Gateway,
+    read: &Result<StoredVersions, StoreError>,
+) -> Option<String> {
+    let why = match read {
+        Ok(stored) if stored.row.is_some() => "there is a version record",
+        Ok(_) if !gateway.store_era.is_first() => "the store was restored from a copy",
+        Ok(_) => return None,
+        Err(e) => return Some(e.to_string()),
+    };
+    gateway.versions.allow_streams();
+    Some(why.to_owned())
+}
+
 /// Continues the record, and retries temporary failures until it would be too old.
 async fn read(gateway: &Arc<Gateway>, client: &mut StoreClient) {
     let mut dependency = Dependency::new("store/versions");
@@ -118,7 +167,16 @@
         };
         match continue_record(gateway, client, own_since).await {
             Ok(()) => return,
-            Err(ContinueError::Gap) => {}
+            Err(ContinueError::FirstStart)
+                if gateway.extend_coverage(own_since, CoveredSince::SystemStart) =>
+            {
+                emit(&Event::FirstStart {
+                    is_shown: true,
+                    why: "no version record since all upstreams are known".to_owned(),
+                });
+                return;
+            }
+            Err(ContinueError::Gap | ContinueError::FirstStart) => {}
             Err(ContinueError::Store(e)) if is_temporary(&e) => {
                 dependency.record_failure(&e);
             }
@@ -176,7 +234,12 @@
     own_since: CoveredSince,
 ) -> Result<(), ContinueError> {
     gateway.metrics.count_store_read("versions", "initial");
-    let stored = client.store().versions(ANSWER_TIMEOUT).await?;
+    let is_first_start_claimed = !gateway.versions.may_streams_begin();
+    let read = client.store().versions(ANSWER_TIMEOUT).await;
+    if check_first_start(gateway, &read).is_none() && is_first_start_claimed {
+        return Err(ContinueError::FirstStart);
+    }
+    let stored = read?;
     let now = StoreTime::now(stored.now_ms);
     let row = stored.row.ok_or(ContinueError::Absent)?;
     let row = row.map_err(ContinueError::Undecodable)?;
@@ -246,6 +309,60 @@
     gateway.extend_coverage(own_since, since)
 }
 
+/// Creates the record unless it exists, if the settings claim the first start of the whole system.
+/// Streams may begin afterwards.
+async fn create(gateway: &Arc<Gateway>, client: &mut StoreClient, at: Instant) {
+    let mut dependency = Dependency::new("store/versions");
+    while !gateway.versions.may_streams_begin() {
+        let hosts = gateway.peers().len() as u32 + 1;
+        let pause = (CHECK_EVERY + CREATE_SPREAD_PER_HOST * hosts).mul_f64(fastrand::f64());
+        let due_at = at.max(Instant::now()) + pause;
+        tokio::select! {
+            () = tokio::time::sleep_until(due_at.into()) => {}
+            () = gateway.stop.stopped() => return,
+        }
+        if !gateway.routes().is_some_and(|r| r.has_resumable()) {
+            continue;
+        }
+        let Some(record) = own_record(gateway) else {
+            continue;
+        };
+        if let Err(e) = create_once(gateway, client, record).await {
+            dependency.record_failure(&e);
+            dependency.pause(gateway).await;
+        }
+    }
+}
+
+/// Creates the record unless it exists, and allows streams to begin.
+async fn create_once(
+    gateway: &Gateway,
+    client: &mut StoreClient,
+    record: VersionRecord,
+) -> Result<(), StoreError> {
+    gateway.metrics.count_store_read("versions", "initial");
+    let read = client.store().versions(ANSWER_TIMEOUT).await;
+    if check_first_start(gateway, &read).is_some() {
+        return read.map(|_| ());
+    }
+    let mut row = to_row(&record, &gateway.host().name);
+    loop {
+        let write = client.store().write_versions(&row, 0, ANSWER_TIMEOUT);
+        match write.await? {
+            VersionsWrite::Written(_) | VersionsWrite::Superseded => {
+                gateway.versions.allow_streams();
+                return Ok(());
+            }
+            // A record without upstreams isn't continued once one of them has left.
+            VersionsWrite::TooLong(_) if !row.upstreams.is_empty() => row.upstreams.clear(),
+            VersionsWrite::TooLong(bytes) => {
+                let why = format!("the record has {bytes} bytes, more than a row can hold");
+                return Err(StoreError::Malformed(why));
+            }
+        }
+    }
+}
+
 /// Writes the record at intervals while this process has rank 0, and once more as it stops.
 async fn write(gateway: &Arc<Gateway>, client: &mut StoreClient) {
     let mut dependency = Dependency::new("store/versions");
--- a/crates/gateway/tests/common/versions.rs
+++ b/crates/gateway/tests/common/versions.rs
@@ -77,8 +77,13 @@
 
     /// Starts the host again once its process has ended or was killed, and waits until it is ready.
     pub async fn restart(&mut self) {
-        self.wait_for_end().await;
         self.settings.is_first_start = false;
+        self.restart_with_same_settings().await;
+    }
+
+    /// Restarts the host like [`Self::restart`], but with the settings that it had.
+    pub async fn restart_with_same_settings(&mut self) {
+        self.wait_for_end().await;
         self.run();
         self.wait_ready().await;
     }
--- a/crates/observe/src/event.rs
+++ b/crates/observe/src/event.rs
@@ -217,6 +217,14 @@
         /// Latest known era.
         era: u64,
     },
+    /// The settings claim that the whole system starts for the first time, and this was checked
+    /// against the store.
+    FirstStart {
+        /// Whether the store confirms it.
+        is_shown: bool,
+        /// What the store shows, or why it couldn't be read.
+        why: String,
+    },
     /// A started host continues the version record that another host wrote to the store.
     VersionsContinued {
         /// Host that wrote the record.
