--- a/crates/gateway/src/origins/checkpoint.rs
+++ b/crates/gateway/src/origins/checkpoint.rs
@@ -5,7 +5,7 @@
 use super::{exchange, rows};
 use crate::state::Gateway;
 use observe::{Event, emit};
-use origins::{Checkpoint, Lookup, OriginRecord, ReplicatedBy, Report, StreamId, WriteSlots};
+use origins::{Checkpoint, Lookup, OriginRecord, ReplicatedBy, Report, StreamId};
 use std::net::IpAddr;
 use std::sync::{Arc, MutexGuard};
 use std::time::{Duration, Instant};
@@ -148,11 +148,8 @@
 
 /// Writes the checkpoint to the row of this host whenever a write is due, until the process stops.
 pub async fn write(gateway: Arc<Gateway>) {
-    // A write replaces this host's row, so the streams that the row holds are read first.
-    rows::wait_for_first_read(&gateway).await;
     loop {
-        let slots = write_slots(&gateway);
-        let write_at = gateway.origins.checkpoint().write_at(slots);
+        let write_at = gateway.origins.checkpoint().write_at();
         let due = async {
             match write_at {
                 Some(at) => tokio::time::sleep_until(at.into()).await,
@@ -184,18 +181,6 @@
     });
 }
 
-/// Write slots of this host; `None` if its own view of the members doesn't make it a checkpoint
-/// writer.
-fn write_slots(gateway: &Gateway) -> Option<WriteSlots> {
-    let is_stopping = gateway.stop.is_stopped();
-    let writers = gateway.origins.replicas().checkpoint_writers(is_stopping);
-    let own = gateway.host().ip;
-    let rank = writers.iter().position(|writer| writer.ip == own)?;
-    let registry = gateway.registry();
-    let (store_ms, read_at) = (registry.store_ms, registry.read_at);
-    Some(WriteSlots::new(rank, writers.len(), store_ms, read_at))
-}
-
 impl super::Origins {
     /// Streams that this host stores as a checkpoint writer.
     pub(super) fn checkpoint(&self) -> MutexGuard<'_, Checkpoint> {
--- a/crates/gateway/src/origins/rows.rs
+++ b/crates/gateway/src/origins/rows.rs
@@ -202,7 +202,9 @@
 /// Reads the rows when this process starts and when lookups request it, and removes the row of this
 /// host once it has expired, until the process ends.
 pub async fn follow(gateway: Arc<Gateway>) {
-    read_first(&gateway).await;
+    if !gateway.host().is_first_start {
+        read_first(&gateway).await;
+    }
     loop {
         let remove_at = gateway.stream_rows.remove_at();
         let expiry = async {
@@ -239,13 +241,6 @@
     }
 }
 
-/// Waits until the first read of the rows has succeeded or failed.
-pub(super) async fn wait_for_first_read(gateway: &Gateway) {
-    let mut last_read = gateway.stream_rows.last_read.subscribe();
-    // Fails only if the sender is dropped, but the sender lives as long as the process.
-    let _ = last_read.wait_for(|last| last.completed > 0).await;
-}
-
 fn host_count(gateway: &Gateway) -> u32 {
     u32::try_from(gateway.peers().len()).unwrap_or(u32::MAX - 1) + 1
 }
--- a/crates/origins/src/checkpoint.rs
+++ b/crates/origins/src/checkpoint.rs
@@ -17,14 +17,8 @@
 pub const CHECKPOINT_WRITERS: usize = 2;
 /// Delay of a write after an addition, so that streams that begin together are written together.
 const WRITE_DELAY: Duration = Duration::from_millis(30);
-/// Interval between consecutive write slots, which are assigned to the writers in rotation.
-const SLOT_INTERVAL: Duration = Duration::from_millis(375);
-/// Minimum interval between two writes of a writer. Shorter than a slot interval, as the estimate of
-/// the shared clock varies.
-const MIN_SLOTTED_WRITE_INTERVAL: Duration =
-    SLOT_INTERVAL.checked_div(2).expect("divisor is not zero");
-/// Minimum interval between two writes of a host that receives reports but has no slots, as its own
-/// view of the members doesn't make it a writer.
+/// Minimum interval between two writes of a host. Keeps the rate below 4 writes per second when both
+/// writers are replaced by other hosts.
 const MIN_WRITE_INTERVAL: Duration = Duration::from_millis(750);
 /// Time without a confirmation after which a report is sent again.
 const REPORT_TIMEOUT: Duration = Duration::from_millis(100);
@@ -181,14 +175,6 @@
     }
 }
 
-/// Periodic times at which a writer may write. The slots of all writers are interleaved on a shared
-/// clock, which keeps their total rate below 4 writes per second.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct WriteSlots {
-    first: Instant,
-    period: Duration,
-}
-
 /// Streams that this host stores as a checkpoint writer.
 #[derive(Debug, Default)]
 pub struct Checkpoint {
@@ -200,29 +186,6 @@
     written_at: Option<Instant>,
 }
 
-impl WriteSlots {
-    /// Slots of the writer with this zero-based rank. `shared_ms` is the time of the shared clock at
-    /// `now`, in milliseconds.
-    pub fn new(rank: usize, writer_count: usize, shared_ms: u64, now: Instant) -> Self {
-        let period = SLOT_INTERVAL * writer_count as u32;
-        let offset = SLOT_INTERVAL * rank as u32;
-        let elapsed = Duration::from_millis(shared_ms % period.as_millis() as u64);
-        // The period may have started before the earliest time that an `Instant` can represent.
-        let period_start = now.checked_sub(elapsed).unwrap_or(now);
-        Self {
-            first: period_start + offset,
-            period,
-        }
-    }
-
-    /// First slot at or after `at`.
-    fn next(self, at: Instant) -> Instant {
-        let elapsed = at.saturating_duration_since(self.first);
-        let periods = elapsed.as_nanos().div_ceil(self.period.as_nanos());
-        self.first + self.period * periods as u32
-    }
-}
-
 impl Checkpoint {
     /// Adds a stream that was reported.
     pub fn add(&mut self, stream: StreamId, record: OriginRecord, now: Instant) {
@@ -243,17 +206,11 @@
         }
     }
 
-    /// Time of the next write; `None` if nothing was added since the last one. `slots` are the
-    /// write slots of this host, if it is a writer.
-    pub fn write_at(&self, slots: Option<WriteSlots>) -> Option<Instant> {
+    /// Time of the next write; `None` if nothing was added since the last one.
+    pub fn write_at(&self) -> Option<Instant> {
         let at = self.changed_at? + WRITE_DELAY;
-        let min_interval = match slots {
-            Some(_) => MIN_SLOTTED_WRITE_INTERVAL,
-            None => MIN_WRITE_INTERVAL,
-        };
-        let earliest = self.written_at.map(|written| written + min_interval);
-        let at = earliest.map_or(at, |earliest| earliest.max(at));
-        Some(slots.map_or(at, |slots| slots.next(at)))
+        let earliest = self.written_at.map(|written| written + MIN_WRITE_INTERVAL);
+        Some(earliest.map_or(at, |earliest| earliest.max(at)))
     }
 
     /// Begins a write, and returns the streams to write.
--- a/crates/origins/src/lib.rs
+++ b/crates/origins/src/lib.rs
@@ -25,9 +25,7 @@
 mod table;
 mod versions;
 
-pub use checkpoint::{
-    CHECKPOINT_WRITERS, Checkpoint, CheckpointWriter, OpenStreams, Report, WriteSlots,
-};
+pub use checkpoint::{CHECKPOINT_WRITERS, Checkpoint, CheckpointWriter, OpenStreams, Report};
 pub use history::{
     Continuation, Continued, FormerVersion, KnownSince, MAX_RECORD_AGE, NotContinued,
     ServiceVersion, StorePosition, UpstreamChange, UpstreamHash, VersionRecord,
