Checkpoint writers write in turn, and stay below 4 calls a second

Both writers began with the same stream and wrote at the same moments, so the second one didn't shorten the time until a stream was stored. After a kill of all hosts, hosts that were up early took others for silent, and more than two hosts wrote.

A host now writes once a second at most. The second writer is 0.5 s later, and 1.5 s at its first write and after a failure, when the row is read before. A host writes only if it is a writer by what it knows.

--- a/crates/gateway/src/origins/checkpoint.rs
+++ b/crates/gateway/src/origins/checkpoint.rs
@@ -149,7 +149,8 @@
 /// Writes the checkpoint to the row of this host whenever a write is due, until the process stops.
 pub async fn write(gateway: Arc<Gateway>) {
     loop {
-        let write_at = gateway.origins.checkpoint().write_at();
+        let place = gateway.origins.replicas().checkpoint_place();
+        let write_at = gateway.origins.checkpoint().write_at(place);
         let due = async {
             match write_at {
                 Some(at) => tokio::time::sleep_until(at.into()).await,
--- a/crates/origins/src/checkpoint.rs
+++ b/crates/origins/src/checkpoint.rs
@@ -17,9 +17,13 @@
 pub const CHECKPOINT_WRITERS: usize = 2;
 /// Delay of a write after an addition, so that streams that begin together are written together.
 const WRITE_DELAY: Duration = Duration::from_millis(30);
-/// Minimum interval between two writes of a host. Keeps the rate below 4 writes per second when both
-/// writers are replaced by other hosts.
-const MIN_WRITE_INTERVAL: Duration = Duration::from_millis(750);
+/// Minimum interval between two writes of a host.
+const MIN_WRITE_INTERVAL: Duration = Duration::from_secs(1);
+/// Additional delay of the second writer, so that the writes of both alternate.
+const SECOND_WRITER_DELAY: Duration = Duration::from_millis(500);
+/// Additional delay of the second writer's first write, and of its write after a failure. These
+/// read the row first, and the first writer may do so at the same time.
+const SECOND_WRITER_FIRST_DELAY: Duration = Duration::from_millis(1500);
 /// Time without a confirmation after which a report is sent again.
 const REPORT_TIMEOUT: Duration = Duration::from_millis(100);
 /// Number of times that the end of a stream is reported. Ends aren't confirmed, as a stream whose
@@ -184,6 +188,8 @@
     changed_at: Option<Instant>,
     /// Time at which the last write began.
     written_at: Option<Instant>,
+    /// Whether the last write failed.
+    has_failed: bool,
 }
 
 impl Checkpoint {
@@ -206,9 +212,17 @@
         }
     }
 
-    /// Time of the next write; `None` if nothing was added since the last one.
-    pub fn write_at(&self) -> Option<Instant> {
-        let at = self.changed_at? + WRITE_DELAY;
+    /// Time of the next write; `None` if nothing was added since the last one. `place` is this
+    /// host's position among the writers; `None` if it isn't a writer by its own view. Hosts that
+    /// start at different times report to different writers until they know the same members.
+    pub fn write_at(&self, place: Option<usize>) -> Option<Instant> {
+        let is_first = self.written_at.is_none() || self.has_failed;
+        let delay = match (place?, is_first) {
+            (0, _) => Duration::ZERO,
+            (_, false) => SECOND_WRITER_DELAY,
+            (_, true) => SECOND_WRITER_FIRST_DELAY,
+        };
+        let at = self.changed_at? + WRITE_DELAY + delay;
         let earliest = self.written_at.map(|written| written + MIN_WRITE_INTERVAL);
         Some(earliest.map_or(at, |earliest| earliest.max(at)))
     }
@@ -217,12 +231,14 @@
     pub fn begin_write(&mut self, now: Instant) -> Vec<(StreamId, OriginRecord)> {
         self.changed_at = None;
         self.written_at = Some(now);
+        self.has_failed = false;
         self.streams(now)
     }
 
     /// Records that a write failed, and schedules another one.
     pub fn record_failure(&mut self, now: Instant) {
         self.changed_at = self.changed_at.or(Some(now));
+        self.has_failed = true;
     }
 
     /// Removes expired streams, and returns the others.
--- a/crates/origins/src/replicas.rs
+++ b/crates/origins/src/replicas.rs
@@ -330,6 +330,12 @@
         writers.collect()
     }
 
+    /// Place of this host among the checkpoint writers, if it is one.
+    pub fn checkpoint_place(&mut self) -> Option<usize> {
+        let writers = self.checkpoint_writers(false);
+        writers.iter().position(|writer| writer.ip == self.own)
+    }
+
     /// Records that a datagram that requires an answer was sent to a host.
     pub fn record_request(&mut self, ip: IpAddr, now: Instant) {
         self.hosts.record_request(ip, now);
