Read the rows before the first checkpoint, and again after a failed one

A checkpoint that began before the first read of the rows ended could take its streams before those of the former process's row were known, and then replace that row by one without them (found by reading: the position is set before the streams are recorded, and expired rows are removed in between). It also cost a read of its own.

A write that wasn't answered may have taken effect. The next one was then refused, followed by a read and a third call. The row is now read first, which is one call less.

--- a/crates/gateway/src/origins/checkpoint.rs
+++ b/crates/gateway/src/origins/checkpoint.rs
@@ -148,6 +148,8 @@
 
 /// Writes the checkpoint to the row of this host whenever a write is due, until the process stops.
 pub async fn write(gateway: Arc<Gateway>) {
+    // The row of a former process is read with the others, and its streams are written again.
+    rows::wait_for_first_read(&gateway).await;
     loop {
         let place = gateway.origins.replicas().checkpoint_place();
         let write_at = gateway.origins.checkpoint().write_at(place);
--- a/crates/gateway/src/origins/rows.rs
+++ b/crates/gateway/src/origins/rows.rs
@@ -241,6 +241,15 @@
     }
 }
 
+/// Waits until the first read of the rows has succeeded or failed, if this process makes one.
+pub async fn wait_for_first_read(gateway: &Gateway) {
+    if !gateway.host().is_first_start {
+        let mut last_read = gateway.stream_rows.last_read.subscribe();
+        // An error means that the process is ending.
+        let _ = last_read.wait_for(|last| last.completed > 0).await;
+    }
+}
+
 fn host_count(gateway: &Gateway) -> u32 {
     u32::try_from(gateway.peers().len()).unwrap_or(u32::MAX - 1) + 1
 }
@@ -476,7 +485,13 @@
     let until = Instant::now() + timeout;
     let written = write_until(gateway, records, until);
     let written = tokio::time::timeout_at(until.into(), written).await;
-    written.unwrap_or_else(|_| Err(StoreError::Unreachable("no answer in time".into())))
+    let written =
+        written.unwrap_or_else(|_| Err(StoreError::Unreachable("no answer in time".into())));
+    if written.is_err() {
+        // The row may have been written, so it is read again before the next write.
+        gateway.stream_rows.set_own(None);
+    }
+    written
 }
 
 async fn write_until(
