Create the version record as soon as the registry is known

The record is now created once a host knows the registry. Hosts that read it later continue it, as after a restart. first_starts (11 tests) and stream_kills pass.

--- a/crates/gateway/src/versions.rs
+++ b/crates/gateway/src/versions.rs
@@ -39,9 +39,6 @@
 /// Added when times of this host's clock are converted to the store's. A registry read that a
 /// peer reports is older than its receipt by the transit time of the datagram.
 const CLOCK_MARGIN: Duration = Duration::from_secs(1);
-/// Time after the start of a process from which on it creates the record at a first start. All
-/// processes that start together have read the registry by then, and found no record.
-const CREATE_AFTER: Duration = Duration::from_millis(4200);
 /// Time per host over which processes spread the creation of the record, so that few of them write.
 const CREATE_SPREAD_PER_HOST: Duration = Duration::from_millis(5);
 /// Maximum number of reads of the registry's changes since the record.
@@ -132,11 +129,10 @@
 /// Reads the record once, creates it at a first start, and writes it while this process has rank 0,
 /// until the process ends.
 pub async fn follow(gateway: Arc<Gateway>) {
-    let create_at = Instant::now() + CREATE_AFTER;
     let mut client = StoreClient::new(&gateway);
     read(&gateway, &mut client).await;
     gateway.versions.is_attempted.send_replace(true);
-    create(&gateway, &mut client, create_at).await;
+    create(&gateway, &mut client).await;
     write(&gateway, &mut client).await;
 }
 
@@ -311,14 +307,13 @@
 
 /// Creates the record unless it exists, if the settings claim the first start of the whole system.
 /// Streams may begin afterwards.
-async fn create(gateway: &Arc<Gateway>, client: &mut StoreClient, at: Instant) {
+async fn create(gateway: &Arc<Gateway>, client: &mut StoreClient) {
     let mut dependency = Dependency::new("store/versions");
     while !gateway.versions.may_streams_begin() {
         let hosts = gateway.peers().len() as u32 + 1;
         let pause = (CHECK_EVERY + CREATE_SPREAD_PER_HOST * hosts).mul_f64(fastrand::f64());
-        let due_at = at.max(Instant::now()) + pause;
         tokio::select! {
-            () = tokio::time::sleep_until(due_at.into()) => {}
+            () = tokio::time::sleep(pause) => {}
             () = gateway.stop.stopped() => return,
         }
         if !gateway.routes().is_some_and(|r| r.has_resumable()) {
