Read the stream rows at each start

Whether it is a first start no longer decides whether the rows are read, which costs a call for each host then, and a checkpoint writer knows the version of its row before it writes.

--- a/crates/gateway/src/origins/rows.rs
+++ b/crates/gateway/src/origins/rows.rs
@@ -202,9 +202,7 @@
 /// Reads the rows when this process starts and when lookups request it, and removes the row of this
 /// host once it has expired, until the process ends.
 pub async fn follow(gateway: Arc<Gateway>) {
-    if !gateway.host().is_first_start {
-        read_first(&gateway).await;
-    }
+    read_first(&gateway).await;
     loop {
         let remove_at = gateway.stream_rows.remove_at();
         let expiry = async {
@@ -241,13 +239,11 @@
     }
 }
 
-/// Waits until the first read of the rows has succeeded or failed, if this process makes one.
+/// Waits until the first read of the rows has succeeded or failed.
 pub async fn wait_for_first_read(gateway: &Gateway) {
-    if !gateway.host().is_first_start {
-        let mut last_read = gateway.stream_rows.last_read.subscribe();
-        // An error means that the process is ending.
-        let _ = last_read.wait_for(|last| last.completed > 0).await;
-    }
+    let mut last_read = gateway.stream_rows.last_read.subscribe();
+    // An error means that the process is ending.
+    let _ = last_read.wait_for(|last| last.completed > 0).await;
 }
 
 fn host_count(gateway: &Gateway) -> u32 {
@@ -322,7 +318,6 @@
     let position = own.map_or(Position { era, version: 0 }, |stored| stored.position);
     let mut own_row = OwnRow::new(position, clock);
     own_row.expires_at = own.map(|stored| clock.stream_expiry(stored.row.expires_ms()));
-    gateway.stream_rows.set_own(Some(own_row));
 
     let valid = rows.iter().filter(|s| s.row.expires_ms() > now_ms);
     let age = valid.map(|s| now_ms.saturating_sub(s.row.written_ms)).max();
@@ -343,6 +338,8 @@
         .map(|(row, r)| decode(&row.host, r, clock))
         .collect();
     remove_expired(gateway, &mut client, &rows, now_ms).await;
+    // Set last, so that the streams are recorded before another write.
+    gateway.stream_rows.set_own(Some(own_row));
     Ok(stored)
 }
 
