Write checkpoints while all hosts stop

Cause: stopping hosts were no checkpoint writers, and the writers ended their writes at the signal. Now stopping hosts are chosen last, and a writer writes until its process ends; while it stops the row also holds what it saves for its end.

--- a/crates/gateway/src/origins.rs
+++ b/crates/gateway/src/origins.rs
@@ -240,19 +240,25 @@
     gateway.origins.changed.notify_one();
 }
 
-/// Writes the under-replicated origins and the checkpoint to the store, as this process stops.
+/// Writes the under-replicated origins and those of the checkpoint to the store, as this process
+/// stops.
 pub async fn save(gateway: &Arc<Gateway>, until: Instant) {
+    rows::save(gateway, &unsaved_origins(gateway), until).await;
+}
+
+/// Origins of the checkpoint, and those that too few running hosts hold, sorted by stream.
+fn unsaved_origins(gateway: &Gateway) -> Vec<(StreamId, OriginRecord)> {
     let now = Instant::now();
     let checkpointed = gateway.origins.checkpoint().streams(now);
-    let mut saved = checkpoint::certain_streams(gateway, checkpointed);
+    let mut unsaved = checkpoint::certain_streams(gateway, checkpointed);
     let under_replicated = gateway
         .origins
         .replicas()
         .under_replicated(MAX_STREAM_RECORDS, now);
-    saved.extend(under_replicated);
-    saved.sort_unstable_by_key(|(stream, _)| *stream);
-    saved.dedup_by_key(|(stream, _)| *stream);
-    rows::save(gateway, &saved, until).await;
+    unsaved.extend(under_replicated);
+    unsaved.sort_unstable_by_key(|(stream, _)| *stream);
+    unsaved.dedup_by_key(|(stream, _)| *stream);
+    unsaved
 }
 
 /// Finds the origin of the stream that an attempt began: here, at other hosts, or as the service
--- a/crates/gateway/src/origins/checkpoint.rs
+++ b/crates/gateway/src/origins/checkpoint.rs
@@ -2,7 +2,7 @@
 
 use super::exchange::{can_accept_record, host_start, own_status, send, update_members};
 use super::message::{Message, RawCopy, RawStatus, RawStream};
-use super::{exchange, rows};
+use super::{exchange, rows, unsaved_origins};
 use crate::state::Gateway;
 use observe::{Event, emit};
 use origins::{Checkpoint, Lookup, OriginRecord, ReplicatedBy, Report, StreamId};
@@ -146,12 +146,15 @@
     streams.filter(|(stream, _)| is_certain(*stream)).collect()
 }
 
-/// Writes the checkpoint to the row of this host whenever a write is due, until the process stops.
+/// Writes the checkpoint to the row of this host whenever a write is due, until the process ends.
 pub async fn write(gateway: Arc<Gateway>) {
     // The row of a former process is read with the others, and its streams are written again.
     rows::wait_for_first_read(&gateway).await;
     loop {
-        let place = gateway.origins.replicas().checkpoint_place();
+        let place = {
+            let is_stopping = gateway.stop.is_stopped();
+            gateway.origins.replicas().checkpoint_place(is_stopping)
+        };
         let write_at = gateway.origins.checkpoint().write_at(place);
         let due = async {
             match write_at {
@@ -162,7 +165,6 @@
         tokio::select! {
             () = due => write_once(&gateway).await,
             () = gateway.origins.checkpoint_changed.notified() => {}
-            () = gateway.stop.stopped() => return,
         }
     }
 }
@@ -171,7 +173,11 @@
 async fn write_once(gateway: &Arc<Gateway>) {
     let began_at = Instant::now();
     let streams = gateway.origins.checkpoint().begin_write(began_at);
-    let streams = certain_streams(gateway, streams);
+    let streams = match gateway.stop.is_stopped() {
+        false => certain_streams(gateway, streams),
+        // The row may already hold what was saved for the end of this process.
+        true => unsaved_origins(gateway),
+    };
     let written = rows::write(gateway, &streams, WRITE_TIMEOUT).await;
     if written.is_err() {
         gateway.origins.checkpoint().record_failure(Instant::now());
--- a/crates/gateway/tests/stream_kills.rs
+++ b/crates/gateway/tests/stream_kills.rs
@@ -4,8 +4,8 @@
 #[expect(dead_code, reason = "each test file uses a part of it")]
 mod common;
 
-use common::continued::{ONE_VERSION, STREAMS, TWO_VERSIONS, begin, count_resumed};
-use common::versions::Bed;
+use common::continued::{DEADLINE_MS, ONE_VERSION, STREAMS, TWO_VERSIONS, begin, count_resumed};
+use common::versions::{Bed, ONCE};
 use std::time::Duration;
 
 /// Time between the start of the last stream and the kill.
@@ -33,8 +33,7 @@
     tokio::time::sleep(STREAM_AGE).await;
     bed.kill_all_and_restart().await;
     for n in 0..3 {
-        bed.send(n, common::versions::ONCE, &format!("between-{n}"), "")
-            .await;
+        bed.send(n, ONCE, &format!("between-{n}"), "").await;
     }
     tokio::time::sleep(STREAM_AGE).await;
     bed.kill_all_and_restart().await;
@@ -78,3 +77,19 @@
     tokio::time::sleep(STREAM_AGE).await;
     assert!(bed.store.keys("streams").is_empty());
 }
+
+/// Guards against streams of stopping hosts being unknown after a kill, as no running host is left
+/// that stores their origins.
+#[tokio::test]
+async fn streams_of_stopping_hosts_go_on_after_they_were_killed() {
+    let mut bed = Bed::start_system(3, &TWO_VERSIONS).await;
+    for host in &bed.hosts {
+        host.stop();
+    }
+    tokio::time::sleep(Duration::from_millis(200)).await;
+    begin(&mut bed).await;
+    tokio::time::sleep(STREAM_AGE).await;
+    bed.kill_all_and_restart().await;
+    let resumed = count_resumed(&bed, true).await;
+    assert!(resumed >= MIN_RESUMED, "{resumed} of {STREAMS}");
+}
--- a/crates/origins/src/replicas.rs
+++ b/crates/origins/src/replicas.rs
@@ -311,28 +311,36 @@
         hand_over
     }
 
-    /// Hosts to which open streams are reported. `is_stopping` is whether this process is stopping.
-    /// Hosts that know the same members and consider the same ones running choose the same writers.
+    /// Hosts to which open streams are reported. `is_stopping` is true while this process stops.
+    /// Stopping hosts are chosen last. Hosts that know the same members and can reach the same ones
+    /// choose the same writers.
     pub fn checkpoint_writers(&mut self, is_stopping: bool) -> Vec<CheckpointWriter> {
         if self.writer_order_revision != Some(self.members_revision) {
             self.writer_order = order_of(WRITER_ORDER_KEY, &self.members, self.location);
             self.writer_order_revision = Some(self.members_revision);
         }
-        let is_running = |ip: &&IpAddr| match **ip == self.own {
-            true => !is_stopping,
-            false => self.hosts.availability(**ip) == Availability::Running,
+        let availability = |ip: &IpAddr| match (*ip == self.own, is_stopping) {
+            (true, false) => Availability::Running,
+            (true, true) => Availability::Stopping,
+            (false, _) => self.hosts.availability(*ip),
         };
-        let running = self.writer_order.iter().filter(is_running);
-        let writers = running.take(CHECKPOINT_WRITERS).map(|ip| CheckpointWriter {
-            ip: *ip,
-            start: self.hosts.status(*ip).map(|(status, _)| status.start),
-        });
+        let of = |wanted: Availability| {
+            let order = self.writer_order.iter();
+            order.filter(move |ip| availability(ip) == wanted)
+        };
+        let answering = of(Availability::Running).chain(of(Availability::Stopping));
+        let writers = answering
+            .take(CHECKPOINT_WRITERS)
+            .map(|ip| CheckpointWriter {
+                ip: *ip,
+                start: self.hosts.status(*ip).map(|(status, _)| status.start),
+            });
         writers.collect()
     }
 
     /// Place of this host among the checkpoint writers, if it is one.
-    pub fn checkpoint_place(&mut self) -> Option<usize> {
-        let writers = self.checkpoint_writers(false);
+    pub fn checkpoint_place(&mut self, is_stopping: bool) -> Option<usize> {
+        let writers = self.checkpoint_writers(is_stopping);
         writers.iter().position(|writer| writer.ip == self.own)
     }
 
--- a/crates/origins/tests/checkpoints/fleet.rs
+++ b/crates/origins/tests/checkpoints/fleet.rs
@@ -722,7 +722,7 @@
         if process.writing.is_none()
             && let Some(at) = process
                 .checkpoint
-                .write_at(process.replicas.checkpoint_place())
+                .write_at(process.replicas.checkpoint_place(process.is_stopping))
         {
             self.schedule(at.saturating_duration_since(now), Event::WriteDue(of));
         }
@@ -736,7 +736,7 @@
         if process.writing.is_some() || process.is_stopping || !process.is_ready {
             return;
         }
-        let place = process.replicas.checkpoint_place();
+        let place = process.replicas.checkpoint_place(process.is_stopping);
         match process.checkpoint.write_at(place) {
             Some(at) if at <= now => {}
             // The place has changed.
