Report a second origin of a stream to the checkpoint writers

Cause: only the first origin was reported, so the writers took it for certain. A second one is now reported as well, which makes the stream uncertain, and the row is written again without it. The test failed before. Until that write, at most 1 s, the row still names the first origin.

--- a/crates/gateway/tests/stream_kills.rs
+++ b/crates/gateway/tests/stream_kills.rs
@@ -93,3 +93,31 @@
     let resumed = count_resumed(&bed, true).await;
     assert!(resumed >= MIN_RESUMED, "{resumed} of {STREAMS}");
 }
+
+/// Guards against a stream of two versions where one attempt began two streams and the writers know
+/// only the origin of the first one.
+#[tokio::test]
+async fn streams_of_an_attempt_that_began_two_are_not_mixed_after_all_hosts_were_killed() {
+    const ATTEMPTS: usize = 8;
+    const MAX_REPEATS: usize = 12;
+    let mut bed = Bed::start_system(3, &TWO_VERSIONS).await;
+    bed.deadline_ms = DEADLINE_MS;
+    let mut repeated = Vec::new();
+    for n in 0..ATTEMPTS {
+        let id = format!("twice-{n}");
+        for _ in 0..MAX_REPEATS {
+            bed.send(0, ONCE, &id, "").await;
+            if bed.versions_of(&[&id]).len() == 2 {
+                repeated.push(id);
+                break;
+            }
+        }
+    }
+    assert!(!repeated.is_empty());
+    tokio::time::sleep(STREAM_AGE).await;
+    bed.kill_all_and_restart().await;
+    for id in &repeated {
+        let rest = bed.resume(0, &format!("next-{id}"), id).await;
+        assert!(!rest.is_whole(), "{rest:?}");
+    }
+}
--- a/crates/origins/src/checkpoint.rs
+++ b/crates/origins/src/checkpoint.rs
@@ -81,17 +81,18 @@
     pub fn open(&mut self, stream: StreamId, record: OriginRecord, now: Instant) {
         self.open.retain(|open| open.record.expires_at > now);
         self.ended.retain(|ended| ended.stream != stream);
-        let found = self.open.binary_search_by_key(&stream, |open| open.stream);
-        if let Err(at) = found
-            && self.open.len() < MAX_STREAMS
-        {
-            let open = OpenStream {
-                stream,
-                record,
-                confirmed: Vec::new(),
-                sent_at: None,
-            };
-            self.open.insert(at, open);
+        let new = OpenStream {
+            stream,
+            record,
+            confirmed: Vec::new(),
+            sent_at: None,
+        };
+        match self.open.binary_search_by_key(&stream, |open| open.stream) {
+            // A second origin makes the stream uncertain, so the writers have to know it.
+            Ok(at) if self.open[at].record.origin != record.origin => self.open[at] = new,
+            Ok(_) => {}
+            Err(at) if self.open.len() < MAX_STREAMS => self.open.insert(at, new),
+            Err(_) => {}
         }
     }
 
@@ -247,9 +248,13 @@
         self.streams.clone()
     }
 
+    /// Adds a stream. Returns whether the row has to be written, also if the stream has another
+    /// origin already, as it is uncertain then.
     fn insert(&mut self, stream: StreamId, record: OriginRecord, now: Instant) -> bool {
-        let found = self.streams.binary_search_by_key(&stream, |(s, _)| *s);
-        let Err(at) = found else { return false };
+        let at = match self.streams.binary_search_by_key(&stream, |(s, _)| *s) {
+            Ok(at) => return self.streams[at].1.origin != record.origin,
+            Err(at) => at,
+        };
         let is_valid = record.expires_at > now && self.streams.len() < MAX_STREAMS;
         if is_valid {
             self.streams.insert(at, (stream, record));
