Soak: kills of all gateways while two versions serve

Cause: streams older than any kill of all gateways were excluded from the bound on streams that go on, as nothing could know their versions, and only one in ten series killed all gateways. So the loss that users reported couldn't show.

Streams that were requested a second or more before the first kill now count, separately from the others so that neither conceals the other; only younger ones are excluded. streams_lost is the maximum of the three comparisons, each with the users' bound of half the share of new streams. killed_share is reported, and whether it is below 0.9, our own aim.

Checks changed: the exclusion of streams that began before a kill of all gateways is replaced by the narrower one of streams younger than a second (tests/checker.rs); both bounds that existed stay as they are.

--- a/crates/soak/src/continuation.rs
+++ b/crates/soak/src/continuation.rs
@@ -3,15 +3,17 @@
 //! The share of continued streams that go on must be at least half the share of new streams that
 //! begin, which the same clients send at the same moment to the same gateways. The bound also
 //! applies separately to streams whose gateway processes have all been replaced since they began,
-//! as otherwise streams that a running process knows could conceal the loss of the others.
+//! as otherwise streams that a running process knows could conceal the loss of the others. Streams
+//! that were older than [`MIN_AGE`] when all gateways were killed at the same moment are compared
+//! separately for the same reason.
 //!
 //! The bound doesn't apply to streams
 //!
 //! - whose clients don't name the attempt that began them;
 //! - whose deadline has passed, after which their records expire;
 //! - of a version with fewer than two serving upstreams;
-//! - that began before all gateways were killed at the same moment. No process could pass on or
-//!   store its records, so the version of a stream is unknown while two versions serve.
+//! - that were younger than [`MIN_AGE`] when all gateways were killed at the same moment. Their
+//!   records may not have been stored yet, and no process could pass them on.
 
 use std::time::{Duration, Instant};
 
@@ -19,6 +21,11 @@
 const REGISTRATION_DELAY: Duration = Duration::from_secs(2);
 /// Minimum time left to a stream that is counted. With less, its deadline could pass in transit.
 const MIN_TIME_LEFT: Duration = Duration::from_secs(1);
+/// Minimum age of a stream that must outlast a kill of all gateways.
+pub const MIN_AGE: Duration = Duration::from_secs(1);
+/// Share of such streams that should go on, relative to new ones. Unlike half of it, a smaller share
+/// is reported but isn't a violation.
+pub const KILLED_SHARE_AIM: f64 = 0.9;
 /// Number of upstreams of a version that must serve.
 const MIN_UPSTREAMS: usize = 2;
 /// Minimum number of streams for a comparison of shares.
@@ -142,17 +149,23 @@
         self.upstreams.iter().filter(serves).count()
     }
 
+    /// Returns when all gateways were killed for the first time since a stream began, if they were.
+    fn all_killed_since(&self, stream: &Continuation) -> Option<Instant> {
+        let is_between = |at: &&Instant| stream.begun <= **at && **at <= stream.to;
+        self.all_killed.iter().filter(is_between).min().copied()
+    }
+
     /// Returns why the bound doesn't apply to a stream, if it doesn't.
     fn exclusion(&self, stream: &Continuation) -> Option<Exclusion> {
-        let is_between = |at: &Instant| stream.begun <= *at && *at <= stream.to;
+        let is_just_begun = |killed: Instant| killed.duration_since(stream.begun) < MIN_AGE;
         if !stream.is_named {
             Some(Exclusion::Unnamed)
         } else if stream.to + MIN_TIME_LEFT > stream.deadline {
             Some(Exclusion::PastDeadline)
         } else if self.serving(&stream.version, stream.from, stream.to) < MIN_UPSTREAMS {
             Some(Exclusion::FewUpstreams)
-        } else if self.all_killed.iter().any(is_between) {
-            Some(Exclusion::AllKilled)
+        } else if self.all_killed_since(stream).is_some_and(is_just_begun) {
+            Some(Exclusion::JustBegun)
         } else {
             None
         }
@@ -164,7 +177,7 @@
     Unnamed,
     PastDeadline,
     FewUpstreams,
-    AllKilled,
+    JustBegun,
 }
 
 /// Numbers of streams.
@@ -185,6 +198,12 @@
         self.began += usize::from(stream.new == Outcome::Began);
     }
 
+    /// Returns the number of streams that went on per new stream that began, unless there are too
+    /// few for a comparison.
+    pub fn share(&self) -> Option<f64> {
+        (self.began >= MIN_STREAMS).then(|| self.went_on as f64 / self.began as f64)
+    }
+
     /// Returns the number of streams that didn't go on if it is too large, else 0.
     fn lost(&self) -> usize {
         // There are as many new streams as continued ones, so numbers compare like shares.
@@ -199,18 +218,20 @@
 /// Streams that clients continued.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct Continuations {
-    /// Streams that the bound applies to.
+    /// Streams that the bound applies to, without those of `killed`.
     pub counted: Count,
     /// Those whose gateway processes had all been replaced by the last try to continue them.
     pub replaced: Count,
+    /// Streams that were older than [`MIN_AGE`] when all gateways were killed at the same moment.
+    pub killed: Count,
     /// Streams whose clients don't name the attempt that began them.
     pub unnamed: usize,
     /// Streams whose deadline had passed.
     pub past_deadline: usize,
     /// Streams of a version with too few upstreams.
     pub few_upstreams: usize,
-    /// Streams that began before all gateways were killed.
-    pub all_killed: usize,
+    /// Streams that were younger than that.
+    pub just_begun: usize,
 }
 
 impl Continuations {
@@ -223,16 +244,21 @@
                 Some(Exclusion::Unnamed) => out.unnamed += 1,
                 Some(Exclusion::PastDeadline) => out.past_deadline += 1,
                 Some(Exclusion::FewUpstreams) => out.few_upstreams += 1,
-                Some(Exclusion::AllKilled) => out.all_killed += 1,
+                Some(Exclusion::JustBegun) => out.just_begun += 1,
                 None => {
                     let are_replaced = lifetimes.are_all_replaced(stream.begun, stream.to);
-                    out.counted.add(stream);
-                    if are_replaced {
-                        out.replaced.add(stream);
+                    let killed = lifetimes.all_killed_since(stream);
+                    if killed.is_some() {
+                        out.killed.add(stream);
+                    } else {
+                        out.counted.add(stream);
+                        if are_replaced {
+                            out.replaced.add(stream);
+                        }
                     }
                     if stream.rest != Outcome::Began && lost < MAX_PRINTED {
                         lost += 1;
-                        print_lost(stream, are_replaced);
+                        print_lost(stream, killed, are_replaced);
                     }
                 }
             }
@@ -243,11 +269,12 @@
     /// Returns the number of streams that didn't go on if fewer went on than the bound requires,
     /// else 0.
     pub fn lost(&self) -> usize {
-        self.counted.lost().max(self.replaced.lost())
+        let counts = [self.counted, self.replaced, self.killed];
+        counts.iter().map(Count::lost).max().unwrap_or_default()
     }
 }
 
-fn print_lost(stream: &Continuation, are_replaced: bool) {
+fn print_lost(stream: &Continuation, killed: Option<Instant>, are_replaced: bool) {
     let Continuation {
         id,
         version,
@@ -256,9 +283,10 @@
         ..
     } = stream;
     let age = stream.to.duration_since(stream.begun);
-    let processes = match are_replaced {
-        true => "all processes replaced since",
-        false => "a process of its start still runs",
+    let processes = match killed {
+        Some(at) => format!("all processes killed {:?} after it", at - stream.begun),
+        None if are_replaced => "all processes replaced since".to_owned(),
+        None => "a process of its start still runs".to_owned(),
     };
     println!(
         "stream not continued: {id} of {version}, {age:?} after its start ({processes}): {rest:?}, \
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -12,14 +12,15 @@
 use soak::cluster::{
     CRASHING_BODY, Cluster, GATEWAYS, LONG_STREAM_WORKERS_COUNT, Setup, Upstream, WORKERS_COUNT,
 };
-use soak::continuation::Continuations;
+use soak::continuation::{Continuations, KILLED_SHARE_AIM};
 use soak::disruption::{StopCounts, Timeline, is_aborted};
 use soak::fault::FaultSet;
 use soak::keys::{Key, LAST_TENANT, TENANTS, check_usage, reported_requests};
 use soak::parts::{CrashingParts, PartChecks};
+use soak::restarts::{self, SeriesSet};
 use soak::schedule::{self, Schedule};
 use soak::streams::{Continued, StreamClient};
-use soak::{crashing, fault, restarts, statements, stops};
+use soak::{crashing, fault, statements, stops};
 use standin::ReceivedRequest;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
@@ -70,6 +71,10 @@
     /// and kills instead, under which long streams must go on
     #[argh(switch)]
     streams: bool,
+    /// with --stops and --streams, make mostly series in which all processes are killed at the same
+    /// moment, once or twice
+    #[argh(switch)]
+    kills: bool,
     /// with --stops, let streams of the slow clients slow down after some seconds until they take
     /// longer than a stop, with longer deadlines and timeouts; some series stop all processes at
     /// once
@@ -142,6 +147,16 @@
     replaced_went_on: usize,
     /// New streams that began beside them.
     replaced_began: usize,
+    /// Streams that were older than a second when all gateways were killed at the same moment.
+    killed_continued: usize,
+    /// Those of them that went on.
+    killed_went_on: usize,
+    /// New streams that began beside them.
+    killed_began: usize,
+    /// Number of those that went on per new stream, if there are enough.
+    killed_share: Option<f64>,
+    /// Whether that is less than [`KILLED_SHARE_AIM`].
+    is_killed_share_below_aim: bool,
     #[serde(flatten)]
     verdict: Verdict,
 }
@@ -232,7 +247,13 @@
         .parts
         .then(|| CrashingParts::begin(&mut cluster, args.seed, until));
     let done = match (args.stops, args.streams) {
-        (true, true) => restarts::run(&mut cluster, args.seed, until).await?,
+        (true, true) => {
+            let set = match args.kills {
+                true => SeriesSet::Kills,
+                false => SeriesSet::Stops,
+            };
+            restarts::run(&mut cluster, set, args.seed, until).await?
+        }
         (true, false) => stops::run(&mut cluster, args.seed, until).await?,
         (false, _) => {
             let schedule = match &args.schedule {
@@ -298,6 +319,7 @@
         println!("{continuations:?}");
     }
     verdict.streams_lost = continuations.lost();
+    let killed_share = continuations.killed.share();
     verdict.not_recovered = usize::from(!recovered);
     let is_served = |a: &&ClientRequest| matches!(a.end, RequestEnd::Whole(200, _));
     Ok(Summary {
@@ -322,6 +344,11 @@
         replaced_continued: continuations.replaced.continued,
         replaced_went_on: continuations.replaced.went_on,
         replaced_began: continuations.replaced.began,
+        killed_continued: continuations.killed.continued,
+        killed_went_on: continuations.killed.went_on,
+        killed_began: continuations.killed.began,
+        killed_share,
+        is_killed_share_below_aim: killed_share.is_some_and(|share| share < KILLED_SHARE_AIM),
         verdict,
     })
 }
--- a/crates/soak/src/restarts.rs
+++ b/crates/soak/src/restarts.rs
@@ -27,6 +27,10 @@
 const STOP_AT_START_ONE_IN: u32 = 6;
 /// Longest time from the start of a process to such a stop, in milliseconds.
 const MAX_STOP_AFTER_START_MS: u64 = 1500;
+/// Time between two kills of all processes in a series, in milliseconds.
+const SECOND_KILL_MS: std::ops::Range<u64> = 1000..3000;
+/// Longest time for which processes stay down after all were killed, in milliseconds.
+const MAX_DOWN_MS: u64 = 2500;
 /// One in so many checks also makes a change that isn't a restart.
 const SIDE_CHANGE_ONE_IN: u32 = 12;
 /// Number of upstreams of a version that removals leave, with exceptions.
@@ -45,10 +49,35 @@
     StaggeredWithKill,
     /// All processes are killed at the same moment.
     AllKilled,
+    /// All processes are killed at the same moment, and again soon after.
+    AllKilledTwice,
+    /// As [`Series::Staggered`], but all processes are killed meanwhile.
+    StaggeredWithAllKilled,
+}
+
+/// Kinds of series that a run makes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum SeriesSet {
+    /// Mostly planned stops, the series that seeds of earlier runs draw.
+    Stops,
+    /// Mostly kills of all processes.
+    Kills,
 }
 
 impl Series {
-    fn draw(rng: &mut fastrand::Rng, gateways: usize) -> Self {
+    fn draw(set: SeriesSet, rng: &mut fastrand::Rng, gateways: usize) -> Self {
+        match set {
+            SeriesSet::Stops => Self::draw_stops(rng, gateways),
+            SeriesSet::Kills => match rng.u32(..10) {
+                0..3 => Self::AllKilled,
+                3..6 => Self::AllKilledTwice,
+                6..9 => Self::StaggeredWithAllKilled,
+                _ => Self::draw_stops(rng, gateways),
+            },
+        }
+    }
+
+    fn draw_stops(rng: &mut fastrand::Rng, gateways: usize) -> Self {
         match rng.u32(..10) {
             0..4 => Self::Staggered,
             4..7 => Self::AtOnce,
@@ -58,8 +87,17 @@
         }
     }
 
-    /// Draws the signals of a series that begins at `now`. Those of [`Series::AllKilled`] are sent
-    /// at once, by the cluster.
+    /// Draws when all processes are killed in a series that begins at `now`.
+    fn kills(self, rng: &mut fastrand::Rng, now: Instant) -> Vec<Instant> {
+        match self {
+            Self::Staggered | Self::AtOnce | Self::StaggeredWithKill => Vec::new(),
+            Self::AllKilled => vec![now],
+            Self::AllKilledTwice => vec![now, now + millis(rng, SECOND_KILL_MS)],
+            Self::StaggeredWithAllKilled => vec![now + millis(rng, 0..MAX_SERIES_MS)],
+        }
+    }
+
+    /// Draws the signals of a series that begins at `now`, except for kills of all processes.
     fn signals(
         self,
         rng: &mut fastrand::Rng,
@@ -69,12 +107,12 @@
         let mut order: Vec<usize> = (0..gateways).collect();
         rng.shuffle(&mut order);
         let gap = match self {
-            Self::Staggered | Self::StaggeredWithKill => {
+            Self::Staggered | Self::StaggeredWithKill | Self::StaggeredWithAllKilled => {
                 let max = MAX_STOP_GAP_MS.min(MAX_SERIES_MS / gateways as u64);
                 millis(rng, 0..max)
             }
             Self::AtOnce => Duration::ZERO,
-            Self::AllKilled => return Vec::new(),
+            Self::AllKilled | Self::AllKilledTwice => return Vec::new(),
         };
         let mut all = Vec::new();
         if self == Self::StaggeredWithKill
@@ -95,16 +133,27 @@
 }
 
 /// Runs series of restarts until `until`, then clears all faults.
-pub async fn run(cluster: &mut Cluster, seed: u64, until: Instant) -> io::Result<FaultLog> {
+pub async fn run(
+    cluster: &mut Cluster,
+    set: SeriesSet,
+    seed: u64,
+    until: Instant,
+) -> io::Result<FaultLog> {
     let mut rng = fastrand::Rng::with_seed(seed);
     // The other draws depend on timing, which must not change the series of a seed.
     let mut series_rng = rng.fork();
     let mut done = FaultLog::default();
     let mut due: Vec<ScheduledSignal> = Vec::new();
+    let mut kills: Vec<Instant> = Vec::new();
+    let mut down_until = Instant::now();
     let mut next = Instant::now() + millis(&mut series_rng, FIRST_SERIES_MS);
     while Instant::now() < until {
         tokio::time::sleep(POLL_INTERVAL).await;
-        for started in restart_ended(cluster)? {
+        let started = match Instant::now() < down_until {
+            true => Vec::new(),
+            false => restart_ended(cluster)?,
+        };
+        for started in started {
             if rng.u32(..STOP_AT_START_ONE_IN) == 0 {
                 let at = Instant::now() + millis(&mut rng, 0..MAX_STOP_AFTER_START_MS);
                 due.push(ScheduledSignal::new(at, started, Signal::Term));
@@ -113,16 +162,21 @@
         let now = Instant::now();
         if now >= next {
             let gateways = cluster.gateways.len();
-            let series = Series::draw(&mut series_rng, gateways);
+            let series = Series::draw(set, &mut series_rng, gateways);
             println!("{series:?}");
-            if series == Series::AllKilled {
-                cluster.kill_all();
-                done.faults += gateways;
-            }
+            let series_kills = series.kills(&mut series_rng, now);
             let signals = series.signals(&mut series_rng, gateways, now);
-            let last = signals.iter().map(|s| s.at).max().unwrap_or(now);
-            next = last + millis(&mut series_rng, SERIES_GAP_MS);
+            let times = signals.iter().map(|s| s.at).chain(series_kills.clone());
+            next = times.max().unwrap_or(now) + millis(&mut series_rng, SERIES_GAP_MS);
             due.extend(signals);
+            kills.extend(series_kills);
+        }
+        for _ in kills.extract_if(.., |at| *at <= now) {
+            cluster.kill_all();
+            done.faults += cluster.gateways.len();
+            if set == SeriesSet::Kills {
+                down_until = now + millis(&mut rng, 0..MAX_DOWN_MS);
+            }
         }
         for signal in due.extract_if(.., |d| d.at <= now) {
             cluster.signal(signal.gateway, signal.signal);
--- a/crates/soak/tests/checker.rs
+++ b/crates/soak/tests/checker.rs
@@ -718,12 +718,49 @@
     case.lifetimes.add_upstream("e", "v1", at);
     assert_eq!(case.count(&case.streams(0, 24)).few_upstreams, 24);
 
-    for (at, excluded) in [(-1.0, 0), (1.0, 24), (11.0, 24), (13.0, 0)] {
+    // Kills of all processes, some before a stream is old enough to be stored.
+    for (kills, excluded) in [
+        (&[-1.0][..], 0),
+        (&[0.9], 24),
+        (&[1.1], 0),
+        (&[11.0], 0),
+        (&[13.0], 0),
+        (&[3.0, 0.9], 24),
+    ] {
         let mut case = StreamCase::new();
-        let killed = case.at(at);
-        case.lifetimes.all_killed.push(killed);
+        case.lifetimes.all_killed = kills.iter().map(|at| case.at(*at)).collect();
         let found = case.count(&case.streams(0, 24));
-        assert_eq!(found.all_killed, excluded, "killed at {at}");
-        assert_eq!(found.lost() == 0, excluded > 0, "killed at {at}");
+        assert_eq!(found.just_begun, excluded, "killed at {kills:?}");
+        assert_eq!(found.lost() == 0, excluded > 0, "killed at {kills:?}");
     }
 }
+
+/// Guards against streams that are lost when all processes are killed at the same moment and are
+/// concealed by others that went on, and against the reverse.
+#[test]
+fn streams_lost_when_all_processes_were_killed_are_found_among_others() {
+    let mut case = StreamCase::new();
+    case.lifetimes.all_killed.push(case.at(15.0));
+    let killed = |case: &StreamCase, on, off| {
+        let mut streams = case.streams(on, off);
+        for stream in &mut streams {
+            stream.from = case.at(20.0);
+            stream.to = case.at(21.0);
+        }
+        streams
+    };
+    let mut streams = killed(&case, 3, 5);
+    streams.extend(case.streams(100, 0));
+    let found = case.count(&streams);
+    assert_eq!((found.killed.continued, found.lost()), (8, 5));
+    assert_eq!(found.killed.share(), Some(0.375));
+    let mut streams = killed(&case, 100, 0);
+    streams.extend(case.streams(3, 5));
+    let found = case.count(&streams);
+    assert_eq!((found.counted.continued, found.lost()), (8, 5));
+    assert_eq!(found.killed.share(), Some(1.0));
+    let found = case.count(&killed(&case, 4, 4));
+    assert_eq!((found.killed.share(), found.lost()), (Some(0.5), 0));
+    let found = case.count(&killed(&case, 0, 7));
+    assert_eq!((found.killed.share(), found.lost()), (None, 0));
+}
--- a/crates/soak/tests/short.rs
+++ b/crates/soak/tests/short.rs
@@ -13,6 +13,7 @@
 const EIGHTH_NET: u32 = 45;
 const NINTH_NET: u32 = 195;
 const TENTH_NET: u32 = 8;
+const ELEVENTH_NET: u32 = 33;
 /// Faults under which a common request was once blocked permanently.
 const COMMON_REQUEST: &str = concat!(env!("CARGO_MANIFEST_DIR"), "/cases/common-request.jsonl");
 
@@ -136,3 +137,14 @@
         "{summary}"
     );
 }
+
+/// Guards against streams of two versions being unknown after all hosts were killed at the same
+/// moment, once or twice: none of those that clients continued went on, while all new streams
+/// began. No stream may get events of two versions.
+#[test]
+fn streams_of_two_versions_outlast_kills_of_all_hosts() {
+    let mode = ["--stops", "--streams", "--kills"];
+    let args = [&mode[..], &["--seed", "4", "--seconds", "40"]].concat();
+    let summary = soak(ELEVENTH_NET, &args);
+    assert!(summary["killed_began"].as_u64().unwrap() >= 40, "{summary}");
+}
