--- a/crates/gateway/src/account.rs
+++ b/crates/gateway/src/account.rs
@@ -5,6 +5,7 @@
 use crate::duty::usage::UsageState;
 use crate::fleet::UpstreamKey;
 use crate::fleet::latency::{Backlog, Task};
+use crate::monotonic;
 use crate::origins::KnownOrigin;
 use crate::quota::Grant;
 use crate::serve::FinishEstimate;
@@ -248,7 +249,7 @@
         {
             grant.commit();
         }
-        let total = self.received_at.elapsed();
+        let total = monotonic::elapsed(self.received_at);
         let reason = reason.map(Reason::name);
         let millis = |d: Duration| d.as_millis() as u64;
         let bound = self.outlook.and_then(|o| o.bound);
@@ -267,7 +268,7 @@
             origin_host: self.origin.and_then(|known| known.source.host()),
             origin_ms: self
                 .origin
-                .and_then(|known| Some(millis(known.began_at?.elapsed()))),
+                .and_then(|known| Some(millis(monotonic::elapsed(known.began_at?)))),
             events: self.body.and_then(|body| body.events()),
         };
         emit(&Event::Answered {
@@ -347,7 +348,7 @@
 impl Drop for Account {
     fn drop(&mut self) {
         let schedule = self.gateway.shutdown_schedule();
-        let reason = match schedule.is_some_and(|s| s.refuse_at <= Instant::now()) {
+        let reason = match schedule.is_some_and(|s| s.refuse_at <= monotonic::now()) {
             true => Reason::ProcessEnds,
             false => Reason::ClientGone,
         };
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -10,6 +10,7 @@
 use crate::crashes::unanswered;
 use crate::fleet::UpstreamKey;
 use crate::fleet::latency::Task;
+use crate::monotonic;
 use crate::quota::Grant;
 use crate::serve::Call;
 use crate::state::{Gateway, LoadGuard};
@@ -160,7 +161,7 @@
     plan: &Plan,
     requirements: &Requirements<'_>,
 ) -> AttemptResult {
-    let since = Instant::now();
+    let since = monotonic::now();
     account.upstream = Some(plan.instance.clone());
     account.software_version = plan.software_version.clone();
     account.last_sent_to = Some(plan.sent_to());
@@ -175,7 +176,7 @@
         AttemptResult::NotRun(why) => ("not_run", why.name()),
         AttemptResult::Unknown(why) => ("unknown", why.as_str()),
     };
-    log_failed_attempt(account, outcome, why, since.elapsed());
+    log_failed_attempt(account, outcome, why, monotonic::elapsed(since));
     result
 }
 
@@ -196,7 +197,7 @@
     let parts = &call.parsed_headers.prompt_parts;
     call.gateway
         .fleet()
-        .record_parts(plan.key, parts, Instant::now());
+        .record_parts(plan.key, parts, monotonic::now());
 }
 
 /// Sends the whole request to an upstream.
@@ -211,7 +212,7 @@
     if call.is_engine && plan.task == Task::Generate {
         record_parts(call, plan);
     }
-    let since = Instant::now();
+    let since = monotonic::now();
     let Some(req) = build_request(call, plan, phases) else {
         return AttemptResult::NotRun(NotRun::NotSent);
     };
@@ -297,7 +298,7 @@
     if head.status.is_server_error() {
         record_failure(gateway, plan, ERROR_ANSWER_WEIGHT);
     } else {
-        record_first_byte(gateway, call, plan, since.elapsed());
+        record_first_byte(gateway, call, plan, monotonic::elapsed(since));
     }
     let mut load = load;
     load.first_byte_received();
@@ -435,7 +436,7 @@
     let Some(upstream) = fleet.get_mut(key) else {
         return;
     };
-    if let Some(suspended) = upstream.health.record_failure(weight, Instant::now()) {
+    if let Some(suspended) = upstream.health.record_failure(weight, monotonic::now()) {
         upstream.pool.close_idle();
         emit(&Event::UpstreamSuspended {
             upstream: instance,
--- a/crates/gateway/src/attempt/split.rs
+++ b/crates/gateway/src/attempt/split.rs
@@ -8,6 +8,7 @@
 use crate::choose::{Choice, Plan, Requirements, choose_generator, choose_with_room};
 use crate::crashes::broken::connection_broke;
 use crate::crashes::{self, Admission};
+use crate::monotonic;
 use crate::quota::Grant;
 use crate::serve::Call;
 use crate::statements;
@@ -16,7 +17,7 @@
 use net::{CallError, Pool};
 use platform::engine::Prefilled;
 use platform::header::{self, Phases};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 /// Maximum size of an engine's answer to a prefill, in bytes.
 const MAX_PREFILL_ANSWER: usize = 4096;
@@ -39,7 +40,7 @@
     let Some(prefilled) = prefill(call, account, plan).await else {
         return AttemptResult::NotRun(NotRun::PrefillFailed);
     };
-    account.prefill_after = Some(account.received_at.elapsed());
+    account.prefill_after = Some(monotonic::elapsed(account.received_at));
     let result = generate_from_cache(call, account, plan, requirements, &prefilled).await;
     if matches!(result, AttemptResult::NotRun(_)) && !has_restarted(call, plan) {
         release_cache(plan.pool.clone(), &prefilled);
@@ -95,13 +96,13 @@
         account.upstream = Some(generator.instance.clone());
         account.software_version = generator.software_version.clone();
         account.last_sent_to = Some(generator.sent_to());
-        let since = Instant::now();
+        let since = monotonic::now();
         last = send_to(call, account, &generator, Phases::Decode(&source)).await;
         let AttemptResult::NotRun(why) = last else {
             break;
         };
         was_rejected = why == NotRun::Rejected;
-        log_failed_attempt(account, "not_run", why.name(), since.elapsed());
+        log_failed_attempt(account, "not_run", why.name(), monotonic::elapsed(since));
         excluded.push(generator.key);
     }
     last
@@ -126,7 +127,7 @@
     let gateway = &call.gateway;
     let mut load = gateway.add_load(plan.key, plan.inputs.uncached, false);
     record_parts(call, plan);
-    let since = Instant::now();
+    let since = monotonic::now();
     let req = build_request(call, plan, Phases::Prefill)?;
     let grant = account.commit_request();
     let response = match plan.pool.send_once(req).await {
@@ -166,7 +167,7 @@
         Ok(prefilled) => {
             record_alive(gateway, plan, since);
             conn.release(Some(idle_time(&head.headers)));
-            record_first_byte(gateway, call, plan, since.elapsed());
+            record_first_byte(gateway, call, plan, monotonic::elapsed(since));
             Some(prefilled)
         }
         Err(why) => {
--- a/crates/gateway/src/choose.rs
+++ b/crates/gateway/src/choose.rs
@@ -12,6 +12,7 @@
 use crate::account::{ChoiceInputs, SentTo};
 use crate::fleet::latency::Task;
 use crate::fleet::{Fleet, ServiceKey, Upstream, UpstreamKey};
+use crate::monotonic;
 use crate::state::Gateway;
 use net::Pool;
 use origins::NameHash;
@@ -162,7 +163,7 @@
 
 /// Selects an upstream for a request.
 pub fn choose(gateway: &Gateway, requirements: &Requirements<'_>) -> Choice {
-    let now = Instant::now();
+    let now = monotonic::now();
     let fleet = gateway.fleet();
     let choice = if requirements.is_isolated {
         choose_isolated(&fleet, requirements, now)
@@ -205,7 +206,7 @@
     requirements: &Requirements<'_>,
     holder: UpstreamKey,
 ) -> Choice {
-    let now = Instant::now();
+    let now = monotonic::now();
     let fleet = gateway.fleet();
     let zone = fleet.get(holder).map_or("", |u| &u.instance.zone);
     match best_generator(&fleet, zone, requirements, now) {
--- a/crates/gateway/src/choose/admit.rs
+++ b/crates/gateway/src/choose/admit.rs
@@ -2,12 +2,13 @@
 
 use super::{Choice, Plan, Requirements};
 use crate::fleet::AtLimit;
+use crate::monotonic;
 use crate::quota::{AcquireError, Grant, acquire_request, request_limit};
 use crate::state::Gateway;
 use observe::{Event, emit};
 use platform::header::RequestRate;
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 /// Maximum number of upstreams whose limits are asked for room for one request.
 const MAX_ASKED: usize = 8;
@@ -56,7 +57,7 @@
 fn is_available(gateway: &Gateway, plan: &Plan) -> bool {
     let fleet = gateway.fleet();
     let upstream = fleet.get(plan.key);
-    upstream.is_some_and(|u| u.is_open() && u.pause_end(Instant::now()).is_none())
+    upstream.is_some_and(|u| u.is_open() && u.pause_end(monotonic::now()).is_none())
 }
 
 /// Interval until this host asks for room again after a refusal, with jitter.
@@ -77,7 +78,7 @@
     request: &str,
     error: AcquireError,
 ) {
-    let now = Instant::now();
+    let now = monotonic::now();
     let (wait, share, by) = match error {
         AcquireError::OverQuota(refusal) => {
             let by = Some(refusal.grantor.to_string());
--- a/crates/gateway/src/crashes.rs
+++ b/crates/gateway/src/crashes.rs
@@ -17,6 +17,7 @@
 pub use fingerprint::fingerprint;
 
 use crate::account::Account;
+use crate::monotonic;
 use crate::peers::{CrashReport, PeerStatus, Scope};
 use crate::serve::Call;
 use crate::state::Gateway;
@@ -63,7 +64,7 @@
     let change = gateway
         .crashes
         .lock()
-        .apply(observation, source, forward, Instant::now());
+        .apply(observation, source, forward, monotonic::now());
     if let Some(fingerprint) = request {
         log_change(fingerprint, change, source);
     }
@@ -76,7 +77,7 @@
 
 /// Updates which parts of prompts are blocked, and logs the changes. Returns whether there were any.
 fn update_parts(gateway: &Gateway) -> bool {
-    let changes = gateway.crashes.lock().update_explanation(Instant::now());
+    let changes = gateway.crashes.lock().update_explanation(monotonic::now());
     for change in &changes {
         match *change {
             PartChange::Blocked {
@@ -127,7 +128,7 @@
     if !is_generated(account) {
         return;
     }
-    let (gateway, now) = (&call.gateway, Instant::now());
+    let (gateway, now) = (&call.gateway, monotonic::now());
     {
         let mut crashes = gateway.crashes.lock();
         if crashes.is_empty() {
@@ -151,7 +152,7 @@
 /// Records that a request was answered completely.
 pub fn mark_answered(call: &Call, account: &mut Account) {
     let gateway = &call.gateway;
-    let now = Instant::now();
+    let now = monotonic::now();
     let is_generated = is_generated(account);
     {
         let mut crashes = gateway.crashes.lock();
--- a/crates/gateway/src/crashes/admit.rs
+++ b/crates/gateway/src/crashes/admit.rs
@@ -4,10 +4,10 @@
 use super::rows;
 use crate::account::{Account, Trial};
 use crate::answer::Reason;
+use crate::monotonic;
 use crate::serve::Call;
 use resilience::Verdict;
 use resilience::crashes::{Confidence, Subject};
-use std::time::Instant;
 
 /// How a request may be sent.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -65,7 +65,7 @@
 
 /// Verdict on a request by its parts, or by the request as a whole if none of them is blocked.
 fn verdict(call: &Call, account: &mut Account) -> (Subject, Verdict) {
-    let now = Instant::now();
+    let now = monotonic::now();
     let parts: Vec<u64> = call.shared_part_ids().collect();
     let fingerprint = call.fingerprint();
     let mut crashes = call.gateway.crashes.lock();
--- a/crates/gateway/src/crashes/broken.rs
+++ b/crates/gateway/src/crashes/broken.rs
@@ -3,6 +3,7 @@
 use super::part_names;
 use crate::account::{Account, SentTo};
 use crate::fleet::UpstreamKey;
+use crate::monotonic;
 use crate::serve::Call;
 use crate::state::Gateway;
 use observe::{Event, emit};
@@ -44,7 +45,7 @@
         tag,
         instance,
         in_trial: account.trial.is_some(),
-        at: Instant::now(),
+        at: monotonic::now(),
     };
     tokio::spawn(broken.report());
 }
--- a/crates/gateway/src/crashes/rows.rs
+++ b/crates/gateway/src/crashes/rows.rs
@@ -8,6 +8,7 @@
 use super::{SharedCrashes, apply, log_change, update_parts};
 use crate::follow::cursor::{RESTORE_READ_SPREAD, TableCursor};
 use crate::follow::{Dependency, StoreClient, hold_time, wait_until_feed_reader};
+use crate::monotonic;
 use crate::state::Gateway;
 use crate::store_clock::StoreClock;
 use observe::{Event, emit};
@@ -182,7 +183,7 @@
     }
     // On a host that has started since, the time may be before the start of its clock. Only the
     // fact that the row hasn't expired matters then.
-    let now = Instant::now();
+    let now = monotonic::now();
     let at = clock.to_instant(row.at_ms).unwrap_or(now);
     match (row.key.kind, from_row_subject(row.key.subject)) {
         (CrashRowKind::End(upstream), Subject::Request(fingerprint)) => {
@@ -219,7 +220,9 @@
 }
 
 fn is_expired(row: &CrashRow, clock: StoreClock) -> bool {
-    let age_ms = clock.to_store_ms(Instant::now()).saturating_sub(row.at_ms);
+    let age_ms = clock
+        .to_store_ms(monotonic::now())
+        .saturating_sub(row.at_ms);
     Duration::from_millis(age_ms) >= RETENTION
 }
 
@@ -314,7 +317,7 @@
 /// Whether there are peers but none is live. Crash reports can then be exchanged only by the store.
 fn has_no_live_peer(gateway: &Gateway) -> bool {
     let peers = gateway.peers();
-    !peers.is_empty() && peers.live(Instant::now()).next().is_none()
+    !peers.is_empty() && peers.live(monotonic::now()).next().is_none()
 }
 
 /// Crashes to write now. A host that has no live peer or is stopping writes from the first crash of
@@ -344,7 +347,7 @@
 /// own.
 fn takeover_before(gateway: &Gateway) -> Option<Instant> {
     let is_writer = gateway.rank() < TAKEOVER_WRITERS;
-    Instant::now()
+    monotonic::now()
         .checked_sub(TAKEOVER_AFTER)
         .filter(|_| is_writer)
 }
@@ -414,7 +417,7 @@
 
 fn trial_taken(gateway: &Gateway, subject: Subject, number: usize) {
     let mut crashes = gateway.crashes.lock();
-    crashes.trial_taken(subject, number, Instant::now());
+    crashes.trial_taken(subject, number, monotonic::now());
 }
 
 /// Writes a trial's row unless another host has done so.
@@ -427,7 +430,7 @@
     let row = CrashRow {
         key: trial_key(subject, number),
         host: gateway.host().name.clone(),
-        at_ms: clock.to_store_ms(Instant::now()),
+        at_ms: clock.to_store_ms(monotonic::now()),
         in_trial: false,
         parts: Vec::new(),
     };
--- a/crates/gateway/src/crashes/unanswered.rs
+++ b/crates/gateway/src/crashes/unanswered.rs
@@ -6,6 +6,7 @@
 
 use super::part_names;
 use crate::account::{Account, SentTo};
+use crate::monotonic;
 use crate::serve::Call;
 use crate::state::Gateway;
 use observe::{Event, emit};
@@ -114,12 +115,12 @@
             parts: part_names(call),
             to: account.last_sent_to?,
             upstream: account.upstream.clone()?,
-            at: Instant::now(),
+            at: monotonic::now(),
         })
     }
 
     async fn watch(self) {
-        while self.at.elapsed() < WATCH_TIME {
+        while monotonic::elapsed(self.at) < WATCH_TIME {
             tokio::time::sleep(CHECK_EVERY).await;
             // The request was answered and thereby cleared.
             if let Some(subject) = self.trial_of
--- a/crates/gateway/src/division/orders.rs
+++ b/crates/gateway/src/division/orders.rs
@@ -8,6 +8,7 @@
 use crate::duty::take_lease;
 use crate::fleet::{Fleet, ServiceKey, Upstream, UpstreamKey};
 use crate::follow::StoreClient;
+use crate::monotonic;
 use crate::peers::exchange;
 use crate::state::Gateway;
 use hyper::StatusCode;
@@ -54,10 +55,10 @@
 pub async fn run(gateway: Arc<Gateway>) {
     let mut client = StoreClient::new(&gateway);
     let mut all: Vec<WatchedService> = Vec::new();
-    let mut last = Instant::now();
+    let mut last = monotonic::now();
     loop {
         tokio::time::sleep(SAMPLE_EVERY).await;
-        let now = Instant::now();
+        let now = monotonic::now();
         sample_demand(&gateway, &mut all, now - last);
         last = now;
         if gateway.rank() != 0 || !gateway.is_ready() {
@@ -66,7 +67,7 @@
         for watched in &mut all {
             if now >= watched.paused_until {
                 let pause = decide_and_order(&gateway, &mut client, watched).await;
-                watched.paused_until = Instant::now() + pause;
+                watched.paused_until = monotonic::now() + pause;
             }
         }
     }
@@ -81,7 +82,7 @@
             let watched = WatchedService {
                 service,
                 demand: Demand::default(),
-                paused_until: Instant::now(),
+                paused_until: monotonic::now(),
             };
             all.insert(at, watched);
             at
@@ -121,7 +122,7 @@
     watched: &WatchedService,
 ) -> Duration {
     let service = watched.service;
-    let now = Instant::now();
+    let now = monotonic::now();
     let (wanted, division, change) = {
         let fleet = gateway.fleet();
         if engines(&fleet, service).any(|(_, u)| u.is_changing(now)) {
@@ -257,7 +258,7 @@
     let Some(req) = order.request(target.addr) else {
         return log_order(target, stage, held, Some(report), "can't be built", false);
     };
-    if !held.is_valid(Instant::now()) {
+    if !held.is_valid(monotonic::now()) {
         return log_order(target, stage, held, Some(report), "lease is over", false);
     }
     let (outcome, may_run) = match call(&pool, req).await {
--- a/crates/gateway/src/duty.rs
+++ b/crates/gateway/src/duty.rs
@@ -9,12 +9,13 @@
 pub mod usage;
 
 use crate::follow::StoreClient;
+use crate::monotonic;
 use crate::state::Gateway;
 use lease::{Candidate, Decision, HeldLease};
 use observe::{Event, emit};
 use platform::{Duty, LeaseWrite};
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 /// Timeout for an answer of the store.
 pub(crate) const STORE_TIMEOUT: Duration = Duration::from_millis(800);
@@ -29,7 +30,7 @@
 ) -> Result<HeldLease, Duration> {
     let host = gateway.host();
     let holder = host.ip.to_string();
-    let since = Instant::now();
+    let since = monotonic::now();
     let store = client.store();
     let read = match store.lease(duty, STORE_TIMEOUT).await {
         Ok(read) => read,
--- a/crates/gateway/src/duty/scaling.rs
+++ b/crates/gateway/src/duty/scaling.rs
@@ -8,6 +8,7 @@
 use super::{STORE_TIMEOUT, take_lease};
 use crate::fleet::{Fleet, ServiceKey};
 use crate::follow::StoreClient;
+use crate::monotonic;
 use crate::state::Gateway;
 use observe::{Event, emit};
 use platform::cloud::{Cloud, LeaseRef, ScaleOrder};
@@ -117,7 +118,7 @@
         if !has_duty {
             continue;
         }
-        let now = Instant::now();
+        let now = monotonic::now();
         let orders = plan_orders(&gateway, &mut zones, now);
         if gateway.rank() != 0 || !gateway.is_ready() {
             continue;
@@ -130,7 +131,7 @@
                 Ok(()) => ORDER_COOLDOWN + bounds.start,
                 Err(pause) => pause,
             };
-            zones[index].cooldown_until = Instant::now() + pause;
+            zones[index].cooldown_until = monotonic::now() + pause;
         }
     }
 }
@@ -215,7 +216,7 @@
         host: &host.name,
         token: held.token,
     };
-    if !held.is_valid(Instant::now()) {
+    if !held.is_valid(monotonic::now()) {
         return Err(ORDER_COOLDOWN);
     }
     let cloud = Cloud::new(addr, &gateway.store_bytes);
--- a/crates/gateway/src/duty/usage.rs
+++ b/crates/gateway/src/duty/usage.rs
@@ -16,6 +16,7 @@
 pub mod request_log;
 pub mod transfer;
 
+use crate::monotonic;
 use crate::state::Gateway;
 use clock::FleetClock;
 use collection::Collection;
@@ -77,7 +78,7 @@
 
 impl Default for Usage {
     fn default() -> Self {
-        let now = Instant::now();
+        let now = monotonic::now();
         Self {
             request_log: Mutex::new(RequestLog::new(fastrand::u32(1..), time_of_day_ms)),
             ledger: Mutex::default(),
@@ -103,13 +104,13 @@
     pub fn record_now(&self, tenant: &Arc<str>) {
         let mut request_log = self.request_log();
         // The log may have been read up to an earlier time.
-        request_log.record(Instant::now(), tenant.clone());
+        request_log.record(monotonic::now(), tenant.clone());
     }
 
     /// Registers a request that is about to be sent.
     pub fn open(&self, tenant: &Arc<str>) -> OpenKey {
         let mut request_log = self.request_log();
-        request_log.open(Instant::now(), tenant.clone())
+        request_log.open(monotonic::now(), tenant.clone())
     }
 
     /// Counts an open request that may have run, from when it was sent.
--- a/crates/gateway/src/duty/usage/exchange.rs
+++ b/crates/gateway/src/duty/usage/exchange.rs
@@ -8,6 +8,7 @@
 use super::message::{Message, Query, QueryAnswer, READS_COMPLETE};
 use super::{Collector, Usage, is_collector, is_enabled, read_log, time_of_day_ms};
 use crate::StartError;
+use crate::monotonic;
 use crate::state::Gateway;
 use observe::{Event, emit};
 use std::net::{IpAddr, SocketAddr};
@@ -127,7 +128,7 @@
         let Ok((len, from)) = exchange.socket.recv_from(&mut buf).await else {
             continue;
         };
-        let now = Instant::now();
+        let now = monotonic::now();
         match wire::decode::<Message>(&buf[..len]) {
             // Other senders must not learn the tenants' names or report windows as done.
             Some(Message::Ask(query)) if gateway.peers().knows(from.ip()) => {
@@ -266,15 +267,15 @@
 
 /// Polls all processes while this one is a collector, until it ends.
 async fn poll_peers(gateway: Arc<Gateway>, exchange: Arc<Exchange>) {
-    let mut silent_polled_at = Instant::now();
+    let mut silent_polled_at = monotonic::now();
     let mut was_collecting = false;
-    let mut expired_at = Instant::now();
+    let mut expired_at = monotonic::now();
     loop {
         let peers = gateway.peers().addresses();
         let pause = POLL_EVERY.max(POLL_EVERY_PER_PEER * peers.len() as u32);
         let pause = pause.min(MAX_POLL_PAUSE);
         tokio::time::sleep(pause).await;
-        let now = Instant::now();
+        let now = monotonic::now();
         if now.saturating_duration_since(expired_at) >= EXPIRE_EVERY {
             expired_at = now;
             expire(&gateway.usage, now);
--- a/crates/gateway/src/duty/usage/hand_over.rs
+++ b/crates/gateway/src/duty/usage/hand_over.rs
@@ -5,6 +5,7 @@
 use super::{Collector, read_log, time_of_day_ms, transfer};
 use crate::duty::STORE_TIMEOUT;
 use crate::follow::StoreClient;
+use crate::monotonic;
 use crate::state::Gateway;
 use observe::{Event, emit};
 use platform::store::unconfirmed::MAX_UNCONFIRMED_ROWS;
@@ -32,7 +33,7 @@
 /// sends what it holds of other processes. Returns the number of requests that are likely to be
 /// lost.
 pub async fn send_remaining(gateway: &Arc<Gateway>) -> u64 {
-    let now = Instant::now();
+    let now = monotonic::now();
     let collectors: Vec<Collector> = {
         let polls = gateway.usage.polls();
         let recent = polls
@@ -42,7 +43,7 @@
         recent.copied().collect()
     };
     let mut sent = send_last(gateway, &collectors).await;
-    add_own_requests(gateway, Instant::now());
+    add_own_requests(gateway, monotonic::now());
     // Datagrams aren't acknowledged, and the process that polled from an address may have exited
     // or been replaced by one that holds no requests.
     let to: Vec<IpAddr> = collectors.iter().map(|c| c.ip).collect();
@@ -64,7 +65,7 @@
 /// Writes the requests of windows whose report isn't done to the store, for the case that no other
 /// process confirmed them. Returns whether that succeeded.
 async fn store(gateway: &Arc<Gateway>) -> bool {
-    let now = Instant::now();
+    let now = monotonic::now();
     let usage = &gateway.usage;
     let from = first_unreported(gateway);
     let groups = {
@@ -127,7 +128,7 @@
             let to = SocketAddr::new(collector.ip, host.usage_port);
             let (mut next, mut requests) = (collector.next_needed, 0);
             loop {
-                let mut answer = read_log(gateway, collector.start, next, 0, Instant::now());
+                let mut answer = read_log(gateway, collector.start, next, 0, monotonic::now());
                 if !collector.reads_complete {
                     answer.complete_ms_ago = None;
                 }
--- a/crates/gateway/src/duty/usage/reports.rs
+++ b/crates/gateway/src/duty/usage/reports.rs
@@ -8,6 +8,7 @@
 use super::{is_collector, is_enabled, transfer};
 use crate::duty::{STORE_TIMEOUT, log_not_taken, log_taken};
 use crate::follow::StoreClient;
+use crate::monotonic;
 use crate::state::Gateway;
 use observe::{Event, emit};
 use platform::cloud::{Cloud, CloudAnswer, LeaseRef};
@@ -48,7 +49,7 @@
     let mut reporter: Option<Reporter> = None;
     loop {
         tokio::time::sleep(CHECK_EVERY).await;
-        let now = Instant::now();
+        let now = monotonic::now();
         if !is_enabled(&gateway) || !is_collector(&gateway, now) {
             continue;
         }
@@ -146,14 +147,14 @@
         });
         for (ip, is_done) in calls.collect::<JoinSet<_>>().join_all().await {
             let mut collection = self.gateway.usage.collection();
-            collection.record_fetch(ip, is_done, Instant::now());
+            collection.record_fetch(ip, is_done, monotonic::now());
         }
     }
 
     /// Whether to wait with a report as requests may be missing that this process can get. Fetches
     /// those that others hold.
     async fn is_withheld(&mut self, window: u64) -> bool {
-        let now = Instant::now();
+        let now = monotonic::now();
         let Some(span) = self.window(window) else {
             return true;
         };
@@ -190,7 +191,7 @@
             window,
             why,
             peers: first.map(IpAddr::to_string).collect(),
-            after_ms: span.until.elapsed().as_millis() as u64,
+            after_ms: monotonic::elapsed(span.until).as_millis() as u64,
         });
     }
 
@@ -238,7 +239,7 @@
 
     fn track_store(&self, is_reached: bool) {
         let mut peers = self.gateway.peers();
-        peers.record_store_call(is_reached, Instant::now());
+        peers.record_store_call(is_reached, monotonic::now());
     }
 
     /// First window that this process can have data for.
@@ -415,7 +416,7 @@
             .map(|((number, _), counted)| UsageReport::new(number, &counted.counts))
             .or(lost);
         let before = self.holder.decided_window();
-        let asked_at = Instant::now();
+        let asked_at = monotonic::now();
         let store = client.store();
         let written = store.write_usage(&lease, expected, report.as_ref(), STORE_TIMEOUT);
         let written = written.await;
@@ -451,7 +452,7 @@
         let open = {
             let collection = self.gateway.usage.collection();
             let ledger = self.gateway.usage.ledger();
-            collection.open(&ledger, bounds.until, Instant::now())
+            collection.open(&ledger, bounds.until, monotonic::now())
         };
         let peers = self.gateway.peers().addresses();
         let mut ledger = self.gateway.usage.ledger();
@@ -466,7 +467,7 @@
             silent: counted.silent,
             incomplete: incomplete.iter().map(IpAddr::to_string).collect(),
             open: open.iter().map(IpAddr::to_string).collect(),
-            after_ms: bounds.until.elapsed().as_millis() as u64,
+            after_ms: monotonic::elapsed(bounds.until).as_millis() as u64,
             rank: self.gateway.rank(),
             token,
         });
@@ -486,7 +487,7 @@
         let bounds = self.window(report.window);
         emit(&Event::UsageReported {
             window: report.window,
-            after_ms: bounds.map(|w| w.until.elapsed().as_millis() as u64),
+            after_ms: bounds.map(|w| monotonic::elapsed(w.until).as_millis() as u64),
             token,
             outcome: answer.text(),
         });
@@ -513,7 +514,7 @@
         let is_lost = matches!(answer, CloudAnswer::Busy(_) | CloudAnswer::Unknown(_));
         match (is_lost, self.cloud_lost_at) {
             (true, None) => {
-                self.cloud_lost_at = Some(Instant::now());
+                self.cloud_lost_at = Some(monotonic::now());
                 emit(&Event::DependencyLost {
                     dependency: CLOUD_DEPENDENCY,
                     why: answer.text(),
@@ -523,7 +524,7 @@
                 self.cloud_lost_at = None;
                 emit(&Event::DependencyBack {
                     dependency: CLOUD_DEPENDENCY,
-                    lost_ms: since.elapsed().as_millis() as u64,
+                    lost_ms: monotonic::elapsed(since).as_millis() as u64,
                 });
             }
             (true, Some(_)) | (false, None) => {}
--- a/crates/gateway/src/duty/usage/transfer.rs
+++ b/crates/gateway/src/duty/usage/transfer.rs
@@ -6,6 +6,7 @@
 //! requests are complete, as processes of former versions can't decode that.
 
 use super::message::{HeldLog, KnownLog};
+use crate::monotonic;
 use crate::peers::catch_up;
 use crate::state::Gateway;
 use http_body_util::{BodyExt, Limited};
@@ -33,10 +34,10 @@
 /// Fetches the requests that a process holds and this one doesn't. Returns whether it answered.
 pub async fn fetch_held(gateway: &Gateway, from: IpAddr) -> bool {
     let known = gateway.usage.ledger().known_logs();
-    let asked_at = Instant::now();
+    let asked_at = monotonic::now();
     let call = call::<Vec<HeldLog>>(gateway, from, Method::POST, &known, FETCH_TIMEOUT);
     let fetched = call.await;
-    let now = Instant::now();
+    let now = monotonic::now();
     let added = fetched.and_then(|held| match gateway.may_have_waited(now) {
         // The time at which the answer was made is unknown.
         true => Err("this process was paused".to_owned()),
@@ -63,7 +64,7 @@
         // This process's own requests are few, and the receiver ignores those that it knows.
         false => Vec::new(),
     };
-    let mut held = gateway.usage.ledger().held_beyond(&known, Instant::now());
+    let mut held = gateway.usage.ledger().held_beyond(&known, monotonic::now());
     held.iter_mut().for_each(|log| log.complete_ms_ago = None);
     call(gateway, to, Method::PUT, &held, SEND_TIMEOUT).await
 }
@@ -77,14 +78,14 @@
     let answer = match (method, body) {
         (Method::GET, _) => Some(wire::encode_compact(&gateway.usage.ledger().known_logs())),
         (Method::POST, Some(body)) => wire::decode::<Vec<KnownLog>>(&body).map(|known| {
-            let mut held = gateway.usage.ledger().held_beyond(&known, Instant::now());
+            let mut held = gateway.usage.ledger().held_beyond(&known, monotonic::now());
             if !reads_complete {
                 held.iter_mut().for_each(|log| log.complete_ms_ago = None);
             }
             wire::encode_compact(&held)
         }),
         (Method::PUT, Some(body)) => wire::decode::<Vec<HeldLog>>(&body)
-            .and_then(|held| add(gateway, &held, Instant::now()))
+            .and_then(|held| add(gateway, &held, monotonic::now()))
             .map(|added| wire::encode_compact(&added)),
         _ => None,
     };
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -18,6 +18,7 @@
 pub use merge::MergeOutcome;
 pub use upstream::{AtLimit, PeerLoad, Upstream};
 
+use crate::monotonic;
 use crate::peers::{Placement, StageChange};
 use durations::{DurationSnapshot, Durations};
 use latency::{Backlog, LatencyModel, Task};
@@ -113,7 +114,7 @@
 
     fn add_service(&mut self, name: &str) {
         let mut info = ServiceInfo::new(name);
-        let (service, now) = (info.name_hash(), Instant::now());
+        let (service, now) = (info.name_hash(), monotonic::now());
         self.former_of_unknown_services.retain(|(of, left_at)| {
             if of.service == service {
                 info.former_versions
--- a/crates/gateway/src/fleet/merge.rs
+++ b/crates/gateway/src/fleet/merge.rs
@@ -4,9 +4,9 @@
 //! the start, as an upstream's clock may jump back between two starts.
 
 use super::{ArenaSlot, CONNECT_TIMEOUT, Fleet, Upstream, UpstreamKey, id_hash, tag_of};
+use crate::monotonic;
 use net::{Meter, Pool};
 use platform::{Instance, Start};
-use std::time::Instant;
 
 /// Maximum number of removed starts that are remembered.
 const MAX_REMOVED: usize = 1024;
@@ -180,7 +180,7 @@
         self.removed.push_back(removed.tag());
         self.keep_statements(&mut removed);
         let service = &mut self.services[usize::from(removed.service.0)];
-        let now = Instant::now();
+        let now = monotonic::now();
         service.former_versions.record_left(removed.version(), now);
         removed.pool.close_idle();
         self.view = self.view.wrapping_sub(instance_hash(&removed.instance));
--- a/crates/gateway/src/fleet/upstream.rs
+++ b/crates/gateway/src/fleet/upstream.rs
@@ -4,6 +4,7 @@
 use super::latency::{Backlog, Slowdown};
 use super::stated::Statements;
 use super::{ServiceKey, id_hash, tag_of, version_of};
+use crate::monotonic;
 use crate::peers::Load;
 use net::Pool;
 use origins::NameHash;
@@ -251,7 +252,7 @@
     /// Applies a new stage from the registry. An ordered change then ends as soon as the other
     /// processes have read the registry too.
     pub(super) fn handle_stage_change(&mut self, stage: Option<Stage>) {
-        let now = Instant::now();
+        let now = monotonic::now();
         self.stage_changed_at = Some(now);
         self.cache.clear();
         self.is_cache_known = true;
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -11,6 +11,7 @@
 
 pub use registry::{follow_registry, merge_from_peer, merge_from_store};
 
+use crate::monotonic;
 use crate::routes::RouteTable;
 use crate::state::Gateway;
 use cursor::{RESTORE_READ_SPREAD, TableCursor};
@@ -60,8 +61,8 @@
     pub(crate) fn new(name: &'static str) -> Self {
         Self {
             name,
-            last_success: Instant::now(),
-            last_failure: Instant::now(),
+            last_success: monotonic::now(),
+            last_failure: monotonic::now(),
             is_lost: false,
             failures: 0,
         }
@@ -75,18 +76,18 @@
         if lost {
             emit(&Event::DependencyBack {
                 dependency: self.name,
-                lost_ms: self.last_success.elapsed().as_millis() as u64,
+                lost_ms: monotonic::elapsed(self.last_success).as_millis() as u64,
             });
         }
-        self.last_success = Instant::now();
+        self.last_success = monotonic::now();
         lost.then_some(self.last_failure)
     }
 
     /// Records a failed read, and logs the loss of the store if this read establishes it.
     pub(crate) fn record_failure(&mut self, e: &StoreError) {
-        self.last_failure = Instant::now();
+        self.last_failure = monotonic::now();
         self.failures = self.failures.saturating_add(1);
-        if !self.is_lost && self.last_success.elapsed() >= LOST_AFTER {
+        if !self.is_lost && monotonic::elapsed(self.last_success) >= LOST_AFTER {
             self.is_lost = true;
             emit(&Event::DependencyLost {
                 dependency: self.name,
--- a/crates/gateway/src/follow/cursor.rs
+++ b/crates/gateway/src/follow/cursor.rs
@@ -1,6 +1,7 @@
 //! Position of a reader in a table of the store, and the reason for its next read.
 
 use super::retry_pause;
+use crate::monotonic;
 use crate::state::Gateway;
 use platform::{Cursor, StoreError};
 use std::time::{Duration, Instant};
@@ -90,12 +91,12 @@
     pub(crate) async fn begin_read(&mut self, gateway: &Gateway) {
         if !self.has_more_pages() {
             let due = self.last_read_at.map(|at| at + MIN_READ_INTERVAL);
-            let early = due.filter(|due| Instant::now() < *due);
+            let early = due.filter(|due| monotonic::now() < *due);
             self.quick_reads = early.map_or(0, |_| self.quick_reads + 1);
             if let Some(due) = early.filter(|_| self.quick_reads > MAX_QUICK_READS) {
                 tokio::time::sleep_until(due.into()).await;
             }
-            self.last_read_at = Some(Instant::now());
+            self.last_read_at = Some(monotonic::now());
         }
         let metrics = &gateway.metrics;
         metrics.count_store_read(self.table, self.reason.name());
--- a/crates/gateway/src/follow/registry.rs
+++ b/crates/gateway/src/follow/registry.rs
@@ -7,6 +7,7 @@
 use super::{ANSWER_TIMEOUT, Dependency, FREQUENT_READERS, StoreClient, log_malformed};
 use crate::fleet::{Fleet, MergeOutcome, UpstreamKey};
 use crate::missing::MissingUpstreams;
+use crate::monotonic;
 use crate::state::Gateway;
 use net::Meter;
 use observe::{Event, emit};
@@ -61,11 +62,11 @@
         wait_until_stale(&gateway).await;
     }
     loop {
-        if !cursor.is_whole_read() && gateway.missing().needs_whole_read(Instant::now()) {
+        if !cursor.is_whole_read() && gateway.missing().needs_whole_read(monotonic::now()) {
             cursor.restart_after_restore(Duration::ZERO).await;
         }
         cursor.begin_read(&gateway).await;
-        let asked_at = Instant::now();
+        let asked_at = monotonic::now();
         let read = client.store().upstreams(cursor.from(), ANSWER_TIMEOUT);
         match cursor.run(&gateway, read).await {
             Ok(change) => {
@@ -88,7 +89,7 @@
                     continue;
                 }
                 let changes = std::mem::take(&mut pages);
-                let now = Instant::now();
+                let now = monotonic::now();
                 merge_from_store(&gateway, changes, is_whole, change.position, now);
                 gateway.record_read(change.position, asked_at, store_ms);
                 first_page = None;
@@ -135,14 +136,14 @@
 /// one has. When all of 300 hosts read 3,000 upstreams themselves, at 180 bytes each, they
 /// transferred 160 MB from the store.
 async fn wait_for_peers(gateway: &Gateway) -> bool {
-    let started_at = Instant::now();
+    let started_at = monotonic::now();
     while !gateway.registry().position.is_known() {
         let longest = match gateway.startup_read_place() {
             Some(place) if place < STARTUP_READERS => return false,
             Some(place) => STARTUP_WAIT + STARTUP_WAIT_PER_PLACE * place,
             None => STARTUP_WAIT,
         };
-        if started_at.elapsed() >= longest {
+        if monotonic::elapsed(started_at) >= longest {
             return false;
         }
         tokio::time::sleep(STARTUP_CHECK_EVERY).await;
@@ -165,7 +166,7 @@
         let mut left = bound.saturating_sub(gateway.registry_age());
         if let Some(until) = gateway.missing().expires_at() {
             // Upstreams that haven't returned by then must be removed without delay.
-            left = left.min(until.saturating_duration_since(Instant::now()));
+            left = left.min(until.saturating_duration_since(monotonic::now()));
         }
         if left.is_zero() {
             return;
@@ -493,7 +494,7 @@
 /// Removes the upstream of a row that can't be decoded, if that row is newer than the known one.
 fn remove_unreadable(gateway: &Gateway, row: &UnreadableRow, registry: Position) {
     let metrics = &gateway.metrics;
-    gateway.unreadable().report(row, metrics, Instant::now());
+    gateway.unreadable().report(row, metrics, monotonic::now());
     let is_newer = {
         let fleet = gateway.fleet();
         let known = fleet.find(&row.id).and_then(|key| fleet.get(key));
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod follow;
 pub mod history;
 pub mod missing;
+mod monotonic;
 pub mod origins;
 pub mod peers;
 pub mod quota;
@@ -113,7 +114,7 @@
     serving.stop();
     let save_until = schedule
         .hand_over_at
-        .min(Instant::now() + FIRST_SAVE_TIMEOUT);
+        .min(monotonic::now() + FIRST_SAVE_TIMEOUT);
     let handed_over = duty::usage::hand_over_first(&gateway);
     let handed_over = tokio::time::timeout_at(schedule.hand_over_at.into(), handed_over);
     // Both are repeated before the process exits.
@@ -153,7 +154,7 @@
 /// the balancer sends them to a stopping host only while no other host is ready, for example when
 /// all hosts are stopped in turn.
 async fn wait_until_idle(gateway: &Gateway, until: Instant) {
-    while gateway.running() > 0 && Instant::now() < until {
+    while gateway.running() > 0 && monotonic::now() < until {
         tokio::time::sleep(IDLE_CHECK_EVERY).await;
     }
 }
--- a/crates/gateway/src/origins.rs
+++ b/crates/gateway/src/origins.rs
@@ -11,6 +11,7 @@
 pub use exchange::start;
 
 use crate::fleet::ServiceKey;
+use crate::monotonic;
 use crate::peers::Location;
 use crate::state::Gateway;
 use observe::{Event, StreamSearchAnswer, emit};
@@ -111,7 +112,7 @@
             expected: Mutex::default(),
             socket: OnceLock::new(),
             start: fastrand::u32(..),
-            started_at: Instant::now(),
+            started_at: monotonic::now(),
         }
     }
 
@@ -142,7 +143,9 @@
 
     /// Whether the origin that was recorded for an attempt is still certain.
     pub fn is_certain(&self, attempt: &str) -> bool {
-        let found = self.replicas().find(StreamId::of(attempt), Instant::now());
+        let found = self
+            .replicas()
+            .find(StreamId::of(attempt), monotonic::now());
         found != Lookup::Uncertain
     }
 }
@@ -150,7 +153,7 @@
 /// Records that a stream begins now, and sends copies to other hosts. `deadline` is the time for
 /// which its client waits, if known.
 pub fn record(gateway: &Arc<Gateway>, attempt: &str, origin: Origin, deadline: Option<Duration>) {
-    let now = Instant::now();
+    let now = monotonic::now();
     let lifetime = deadline.map_or(MAX_STREAM_LIFETIME, |d| d + DEADLINE_MARGIN);
     let record = OriginRecord {
         origin,
@@ -170,7 +173,7 @@
         streams,
         under_replicated,
         receivers,
-    } = gateway.origins.replicas().hand_over(Instant::now());
+    } = gateway.origins.replicas().hand_over(monotonic::now());
     emit(&Event::StreamsHandedOver {
         streams,
         under_replicated,
@@ -181,7 +184,7 @@
 /// Records origins that were read from the store. This process replicates only those from its own
 /// host's row.
 fn record_stored(gateway: &Gateway, stored: Vec<rows::StoredOrigin>) {
-    let now = Instant::now();
+    let now = monotonic::now();
     let own = gateway.host().name.clone();
     let mut replicas = gateway.origins.replicas();
     for origin in stored {
@@ -197,7 +200,7 @@
 
 /// Writes the under-replicated origins to the store, as this process stops.
 pub async fn save(gateway: &Arc<Gateway>, until: Instant) {
-    let now = Instant::now();
+    let now = monotonic::now();
     let under_replicated = gateway
         .origins
         .replicas()
@@ -215,7 +218,7 @@
 ) -> Result<KnownOrigin, Vec<AskedHost>> {
     let mut asked = Vec::new();
     if let Some(stream) = attempt.map(StreamId::of) {
-        let found = gateway.origins.replicas().find(stream, Instant::now());
+        let found = gateway.origins.replicas().find(stream, monotonic::now());
         match found {
             Lookup::Known(record) => return Ok(KnownOrigin::new(&record, Source::Own)),
             Lookup::Uncertain => return Err(asked),
@@ -227,7 +230,7 @@
         }
         // A host that has exited may have written it to the store.
         if rows::request_read(gateway).await.is_some() {
-            let found = gateway.origins.replicas().find(stream, Instant::now());
+            let found = gateway.origins.replicas().find(stream, monotonic::now());
             match found {
                 Lookup::Known(record) => return Ok(KnownOrigin::new(&record, Source::Own)),
                 Lookup::Uncertain => return Err(asked),
@@ -255,7 +258,7 @@
     if !exchange::can_accept_record(gateway, &record, is_verified) {
         return None;
     }
-    let now = Instant::now();
+    let now = monotonic::now();
     let mut replicas = gateway.origins.replicas();
     let holder = replicas.status(from).map(|(status, _)| HostStart {
         ip: from,
@@ -286,7 +289,7 @@
 
 /// Reads the registry; `None` if that takes too long.
 async fn wait_for_fresh_read(gateway: &Gateway) -> Option<()> {
-    let now = Instant::now();
+    let now = monotonic::now();
     gateway.registry_wanted.notify_one();
     let is_read = async {
         while gateway.registry_coverage().own_read_at() < Some(now) {
@@ -314,7 +317,7 @@
     service: ServiceKey,
     route: origins::NameHash,
 ) -> Option<KnownOrigin> {
-    let now = Instant::now();
+    let now = monotonic::now();
     if !gateway.registry_coverage().covers(VERSION_LIFETIME, now) {
         return None;
     }
--- a/crates/gateway/src/origins/exchange.rs
+++ b/crates/gateway/src/origins/exchange.rs
@@ -4,6 +4,7 @@
 use super::{AskedHost, FoundOrigin, Replies, Reply};
 use crate::StartError;
 use crate::follow::registry::last_known_running;
+use crate::monotonic;
 use crate::state::Gateway;
 use origins::{
     CONFIRM_TIMEOUT, DueSends, HostLocation, HostStart, HostStatus, Lookup, OriginRecord,
@@ -63,7 +64,7 @@
 
 fn handle(gateway: &Gateway, from: IpAddr, message: Message) {
     let origins = &gateway.origins;
-    let now = Instant::now();
+    let now = monotonic::now();
     match message {
         Message::Copy(stream, record) => {
             let record = record.decode(now);
@@ -166,7 +167,7 @@
     record: &OriginRecord,
     is_verified: bool,
 ) -> bool {
-    let now = Instant::now();
+    let now = monotonic::now();
     let age = now.saturating_duration_since(record.began_at);
     is_verified
         || gateway.registry_coverage().covers(age, now)
@@ -181,7 +182,7 @@
     stream: RawStream,
     record: &OriginRecord,
 ) -> Message {
-    let now = Instant::now();
+    let now = monotonic::now();
     let has_status = gateway.origins.replicas().status(to).is_some();
     match has_status {
         true => Message::Known(
@@ -219,7 +220,7 @@
     let status = HostStatus {
         start: origins.start,
         is_stopping: gateway.stop.is_stopped(),
-        running_for: origins.started_at.elapsed(),
+        running_for: monotonic::elapsed(origins.started_at),
     };
     status.into()
 }
@@ -248,7 +249,7 @@
     let targets = gateway
         .origins
         .replicas()
-        .due_copies_of(stream, Instant::now());
+        .due_copies_of(stream, monotonic::now());
     for ip in targets {
         send_copies(gateway, ip, &[(stream, record)]);
     }
@@ -260,7 +261,7 @@
 async fn renew_copies(gateway: Arc<Gateway>) {
     loop {
         update_members(&gateway);
-        let DueSends { copies, probes } = gateway.origins.replicas().due(Instant::now());
+        let DueSends { copies, probes } = gateway.origins.replicas().due(monotonic::now());
         for (ip, copies) in copies {
             for batch in copies.chunks(MAX_ORIGINS_PER_DATAGRAM) {
                 send_copies(&gateway, ip, batch);
@@ -272,7 +273,7 @@
         let has_missing = gateway
             .origins
             .replicas()
-            .has_missing_copies(Instant::now());
+            .has_missing_copies(monotonic::now());
         match has_missing {
             true => tokio::time::sleep(CONFIRM_TIMEOUT).await,
             false => {
@@ -298,7 +299,7 @@
 }
 
 fn send_copies(gateway: &Gateway, to: IpAddr, copies: &[(StreamId, OriginRecord)]) {
-    let now = Instant::now();
+    let now = monotonic::now();
     let copies = copies
         .iter()
         .map(|(stream, record)| encode_copy(gateway, (*stream).into(), record, now));
@@ -353,7 +354,7 @@
 
 fn asked_hosts(gateway: &Gateway, search: &Search) -> Vec<AskedHost> {
     let replicas = gateway.origins.replicas();
-    let now = Instant::now();
+    let now = monotonic::now();
     let asked = search.asked().iter().map(|ip| AskedHost {
         ip: *ip,
         has_answered: search.is_unaware(*ip),
--- a/crates/gateway/src/origins/rows.rs
+++ b/crates/gateway/src/origins/rows.rs
@@ -15,6 +15,7 @@
 use super::record_stored;
 use crate::follow::registry::last_known_running;
 use crate::follow::{StoreClient, retry_pause};
+use crate::monotonic;
 use crate::state::Gateway;
 use crate::store_clock::StoreClock;
 use observe::{Event, emit};
@@ -176,7 +177,7 @@
         let clock = self.clock;
         let mut streams: Vec<StreamId> = records.iter().map(|(stream, _)| *stream).collect();
         streams.sort_unstable();
-        let now_ms = clock.to_store_ms(Instant::now());
+        let now_ms = clock.to_store_ms(monotonic::now());
         let is_kept = |r: &&StreamRecord| {
             r.expires_ms > now_ms && streams.binary_search(&StreamId(r.stream)).is_err()
         };
@@ -223,14 +224,14 @@
 
 /// Reads the rows once. A failed read is retried while the rows may hold unexpired streams.
 async fn read_first(gateway: &Arc<Gateway>) {
-    let started_at = Instant::now();
+    let started_at = monotonic::now();
     gateway.startup_load.finished(false).await;
     let spread = FIRST_READ_SPREAD * host_count(gateway);
     // A lookup ends the delay.
     let requested = gateway.stream_rows.read_requested.notified();
     let _ = tokio::time::timeout(spread.mul_f64(fastrand::f64()), requested).await;
     let mut failures = 0;
-    while !read_and_record(gateway).await && started_at.elapsed() < MAX_STREAM_LIFETIME {
+    while !read_and_record(gateway).await && monotonic::elapsed(started_at) < MAX_STREAM_LIFETIME {
         failures += 1;
         let pause = retry_pause(failures, true, fastrand::f64());
         let pause = pause * 2u32.pow(failures.min(MAX_PAUSE_DOUBLINGS));
@@ -270,7 +271,7 @@
     let before = *last_read.borrow_and_update();
     {
         let mut state = rows.state();
-        let now = Instant::now();
+        let now = monotonic::now();
         if !state.is_reading {
             if state.next_read_at.is_some_and(|at| now < at) {
                 return None;
@@ -351,7 +352,7 @@
             // only make the origin uncertain.
             began_at: clock
                 .to_instant(record.began_ms)
-                .unwrap_or_else(Instant::now),
+                .unwrap_or_else(monotonic::now),
             expires_at: clock.stream_expiry(record.expires_ms),
         },
     }
@@ -386,10 +387,10 @@
 async fn remove_own(gateway: &Arc<Gateway>) {
     let rows = &gateway.stream_rows;
     let _write_guard = rows.write_lock.lock().await;
-    let is_due = |own: &OwnRow| own.expires_at.is_some_and(|at| at <= Instant::now());
+    let is_due = |own: &OwnRow| own.expires_at.is_some_and(|at| at <= monotonic::now());
     let Some(mut own) = rows.own(gateway).filter(is_due) else {
         // After a restore of the store, the row is read again before it is changed.
-        if rows.remove_at().is_some_and(|at| at <= Instant::now()) {
+        if rows.remove_at().is_some_and(|at| at <= monotonic::now()) {
             rows.set_own(None);
         }
         return;
@@ -406,7 +407,7 @@
         }
         Ok(StreamWrite::Conflict) => None,
         Err(_) => {
-            own.expires_at = Some(Instant::now() + REMOVAL_RETRY_PAUSE);
+            own.expires_at = Some(monotonic::now() + REMOVAL_RETRY_PAUSE);
             Some(own)
         }
     };
@@ -434,17 +435,17 @@
     if is_saved {
         return;
     }
-    let began_at = Instant::now();
+    let began_at = monotonic::now();
     // Limits each attempt, so that an unresponsive store leaves time for the remaining ones.
     let attempt_timeout = |attempts_left: u32| {
-        let time_left = until.saturating_duration_since(Instant::now());
+        let time_left = until.saturating_duration_since(monotonic::now());
         (time_left / attempts_left).max(CALL_TIMEOUT).min(time_left)
     };
     let mut written = write(gateway, records, attempt_timeout(MAX_SAVE_ATTEMPTS)).await;
     for attempts_left in (1..MAX_SAVE_ATTEMPTS).rev() {
         let pause =
             SAVE_RETRY_PAUSE + (SAVE_RETRY_SPREAD * host_count(gateway)).mul_f64(fastrand::f64());
-        let retry_at = Instant::now() + pause;
+        let retry_at = monotonic::now() + pause;
         if written.is_ok() || retry_at >= until {
             break;
         }
@@ -454,7 +455,7 @@
     emit(&Event::StreamsSaved {
         streams: *written.as_ref().unwrap_or(&0),
         total: records.len(),
-        took_ms: began_at.elapsed().as_millis() as u64,
+        took_ms: monotonic::elapsed(began_at).as_millis() as u64,
         why: written.err().map(|e| e.to_string()),
     });
 }
@@ -472,7 +473,7 @@
     records: &[(StreamId, OriginRecord)],
     timeout: Duration,
 ) -> Result<usize, StoreError> {
-    let until = Instant::now() + timeout;
+    let until = monotonic::now() + timeout;
     let written = write_until(gateway, records, until);
     let written = tokio::time::timeout_at(until.into(), written).await;
     written.unwrap_or_else(|_| Err(StoreError::Unreachable("no answer in time".into())))
@@ -496,7 +497,7 @@
             None => read_own(gateway, &mut client, until).await?,
         };
         let row = own.updated(gateway, records);
-        let timeout = until.saturating_duration_since(Instant::now());
+        let timeout = until.saturating_duration_since(monotonic::now());
         let store = client.store();
         let written = match (row.records.is_empty(), own.exists()) {
             (true, false) => return Ok(0),
@@ -532,7 +533,7 @@
     until: Instant,
 ) -> Result<OwnRow, StoreError> {
     let host = gateway.host().name.clone();
-    let timeout = until.saturating_duration_since(Instant::now());
+    let timeout = until.saturating_duration_since(monotonic::now());
     gateway.metrics.count_store_read("streams", "own");
     let read = client.store().stream_row(&host, timeout).await?;
     let mut own = OwnRow::new(read.position, StoreClock::new(read.now_ms));
--- a/crates/gateway/src/peers/catch_up.rs
+++ b/crates/gateway/src/peers/catch_up.rs
@@ -8,6 +8,7 @@
 use crate::duty::usage::transfer;
 use crate::fleet::durations::DurationSnapshot;
 use crate::follow;
+use crate::monotonic;
 use crate::peers::startup_load::{self, Snapshot};
 use crate::peers::{Member, PeerStatus};
 use crate::state::Gateway;
@@ -80,7 +81,7 @@
 
 /// Fetches newer state from peers until the process ends.
 pub async fn fetch_updates(gateway: Arc<Gateway>) {
-    let started_at = Instant::now();
+    let started_at = monotonic::now();
     let mut config_ahead_since = None;
     let mut members_fetched_at = started_at;
     loop {
@@ -88,7 +89,7 @@
             () = tokio::time::sleep(CHECK_EVERY) => {}
             () = gateway.catch_up.notified() => {}
         }
-        let now = Instant::now();
+        let now = monotonic::now();
         match peer_with_newer(&gateway, |status| status.config, gateway.config_version()) {
             None => config_ahead_since = None,
             Some(ip) if now - *config_ahead_since.get_or_insert(now) >= config_delay(&gateway) => {
@@ -174,7 +175,7 @@
 /// more requests. Each peer has seen a part of the slow requests.
 pub async fn fetch_all_durations(gateway: Arc<Gateway>) {
     let schedule = gateway.wait_for_stop().await;
-    while Instant::now() < schedule.close_at {
+    while monotonic::now() < schedule.close_at {
         // Concurrently, so that a peer that doesn't answer doesn't delay the others.
         let requests = live_peers(&gateway)
             .into_iter()
@@ -190,13 +191,15 @@
     let Some(durations) = fetch::<Vec<DurationSnapshot>>(gateway, ip, DURATIONS_PATH).await else {
         return false;
     };
-    gateway.fleet().merge_durations(&durations, Instant::now());
+    gateway
+        .fleet()
+        .merge_durations(&durations, monotonic::now());
     !durations.is_empty()
 }
 
 fn live_peers(gateway: &Gateway) -> Vec<IpAddr> {
     let peers = gateway.peers();
-    let live = peers.live(Instant::now());
+    let live = peers.live(monotonic::now());
     live.map(|(peer, _)| peer.ip).collect()
 }
 
@@ -211,7 +214,7 @@
     };
     for since in [since, Position::NONE] {
         let path = format!("{REGISTRY_PATH}{since}");
-        let asked_at = Instant::now();
+        let asked_at = monotonic::now();
         let Some(changes) = fetch::<RegistryChanges>(gateway, ip, &path).await else {
             return false;
         };
@@ -237,7 +240,7 @@
     let gone = changes.gone.into_iter();
     let gone = gone.map(|id| Registration::Removed { id });
     let present = present.chain(gone).collect();
-    follow::merge_from_peer(gateway, present, is_whole, position, view, Instant::now());
+    follow::merge_from_peer(gateway, present, is_whole, position, view, monotonic::now());
     let age = Duration::from_millis(read_ms_ago.into());
     if let Some(read_at) = asked_at.checked_sub(age) {
         gateway.record_read(position, read_at, store_ms);
@@ -264,7 +267,7 @@
     known: T,
 ) -> Option<IpAddr> {
     let peers = gateway.peers();
-    let now = Instant::now();
+    let now = monotonic::now();
     let newest = peers.live(now).map(|(_, status)| version(status)).max()?;
     if newest <= known {
         return None;
@@ -351,7 +354,7 @@
 }
 
 fn encode_durations(gateway: &Gateway) -> Vec<u8> {
-    let durations = gateway.fleet().duration_snapshots(Instant::now());
+    let durations = gateway.fleet().duration_snapshots(monotonic::now());
     wire::encode_compact(&durations)
 }
 
--- a/crates/gateway/src/peers/exchange.rs
+++ b/crates/gateway/src/peers/exchange.rs
@@ -2,6 +2,7 @@
 
 use crate::StartError;
 use crate::crashes;
+use crate::monotonic;
 use crate::peers::{Load, PeerStatus, Scope, catch_up, changes};
 use crate::state::{Gateway, RegistryState};
 use crate::statements;
@@ -121,7 +122,7 @@
             continue;
         };
         unreadable.record_success(from.ip());
-        let now = Instant::now();
+        let now = monotonic::now();
         crashes::receive(&gateway, &status, now);
         statements::receive(&gateway, &status.statements, now);
         gateway.store_era.raise(status.era);
@@ -172,7 +173,7 @@
         let revision = gateway.peers().revision();
         let is_same = last.as_ref().is_some_and(|sent| {
             let is_same = sent.revision == revision && is_equivalent(&sent.status, &status);
-            is_same && sent.at.elapsed() < MAX_SEND_INTERVAL
+            is_same && monotonic::elapsed(sent.at) < MAX_SEND_INTERVAL
         });
         if is_same {
             continue;
@@ -181,7 +182,7 @@
         status.start = start;
         status.number = number;
         let len = send(&gateway, &socket, &status);
-        let at = Instant::now();
+        let at = monotonic::now();
         last = Some(LastSent {
             at,
             status,
@@ -193,7 +194,7 @@
 
 /// The status of this process alone.
 fn own_status(gateway: &Gateway, placements_within: Duration) -> PeerStatus {
-    let now = Instant::now();
+    let now = monotonic::now();
     let shareable = gateway.shareable_registry();
     let mut fleet = gateway.fleet();
     let mut loads: Vec<Load> = fleet.iter().filter_map(|(_, u)| u.load()).collect();
@@ -208,7 +209,9 @@
         era: gateway.store_era.current(),
         members: gateway.members_position(),
         registry: shareable.map_or(Position::NONE, |r| r.position),
-        registry_ms: shareable.map_or(u32::MAX, |r| r.read_at.elapsed().as_millis() as u32),
+        registry_ms: shareable.map_or(u32::MAX, |r| {
+            monotonic::elapsed(r.read_at).as_millis() as u32
+        }),
         registry_at_ms: shareable.map_or(0, |r| r.store_ms),
         view: shareable.map_or(0, |r| r.view),
         loads,
@@ -239,7 +242,7 @@
 fn send(gateway: &Gateway, socket: &UdpSocket, status: &PeerStatus) -> usize {
     let outgoing = gateway
         .peers()
-        .outgoing(gateway.location(), status, Instant::now());
+        .outgoing(gateway.location(), status, monotonic::now());
     let port = gateway.host().peer_port;
     let mut longest = 0;
     let mut encoded: Option<(Scope, Vec<u8>)> = None;
@@ -301,7 +304,7 @@
 
 /// Removes the load of silent peers, and chooses the parent.
 fn expire(gateway: &Gateway) {
-    let now = Instant::now();
+    let now = monotonic::now();
     let own = gateway.location();
     let mut peers = gateway.peers();
     let mut fleet = gateway.fleet();
--- a/crates/gateway/src/peers/membership.rs
+++ b/crates/gateway/src/peers/membership.rs
@@ -2,12 +2,13 @@
 
 use crate::follow::cursor::{RESTORE_READ_SPREAD, TableCursor};
 use crate::follow::{Dependency, StoreClient, hold_time, wait_until_feed_reader};
+use crate::monotonic;
 use crate::peers::{startup_load, zone_hash};
 use crate::state::Gateway;
 use observe::{Event, emit};
 use platform::{Cursor, ProcessChange, StoreError};
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 /// Time for which the store may hold a read. Members change a few times a day, and a new process
 /// becomes known by its datagrams, so this is the maximum that the store allows.
@@ -41,7 +42,7 @@
     let mut is_restored = false;
     if gateway.host().is_first_start {
         // All rows are written before the first read, so that one read finds all of them.
-        let read_at = Instant::now()
+        let read_at = monotonic::now()
             + FIRST_START_WRITE_SPREAD
             + FIRST_START_READ_SPREAD.mul_f64(fastrand::f64());
         tokio::time::sleep(FIRST_START_WRITE_SPREAD.mul_f64(fastrand::f64())).await;
@@ -129,7 +130,7 @@
                 }
                 if let Cursor::Since(position) = cursor.from() {
                     gateway.set_members_position(*position);
-                    gateway.peers().set_membership_known(Instant::now());
+                    gateway.peers().set_membership_known(monotonic::now());
                 }
                 if has_changes && is_read {
                     let pause = pause_for(gateway.peers().len());
@@ -141,7 +142,7 @@
             Err(StoreError::HistoryGone) => cursor.restart_after_lost_history().await,
             Err(StoreError::EraChanged) => {
                 // Processes whose rows are lost may be unknown for a while, as in an outage.
-                gateway.peers().record_store_call(false, Instant::now());
+                gateway.peers().record_store_call(false, monotonic::now());
                 if row_era.is_some_and(|era| era < gateway.store_era.current()) {
                     row_era = None;
                 }
@@ -152,7 +153,7 @@
                 cursor.record_failure();
                 gateway.startup_load.finish();
                 dependency.record_failure(&e);
-                gateway.peers().record_store_call(false, Instant::now());
+                gateway.peers().record_store_call(false, monotonic::now());
                 dependency.pause(&gateway).await;
             }
         }
--- a/crates/gateway/src/peers/startup_load.rs
+++ b/crates/gateway/src/peers/startup_load.rs
@@ -6,6 +6,7 @@
 
 use super::catch_up::{self, RegistryChanges};
 use super::{CrashReport, Member};
+use crate::monotonic;
 use crate::state::Gateway;
 use crate::{crashes, follow};
 use platform::{Config, Position};
@@ -13,7 +14,7 @@
 use std::net::IpAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 use tokio::sync::watch;
 
 /// Maximum time for which readers of other tables wait for the first page of the processes.
@@ -119,7 +120,7 @@
         members,
         config: gateway.routes()?.config.clone(),
         registry: gateway.changes_since(Position::NONE)?,
-        crashes: crashes::recorded_crashes(gateway, Instant::now()),
+        crashes: crashes::recorded_crashes(gateway, monotonic::now()),
     })
 }
 
@@ -131,7 +132,7 @@
         true => FIRST_START_MAX_ASK_TIME,
         false => MAX_ASK_TIME,
     };
-    let until = Instant::now() + max_time.mul_f64(fastrand::f64());
+    let until = monotonic::now() + max_time.mul_f64(fastrand::f64());
     let has_loaded = loop {
         let peers = gateway.peers().addresses();
         if let Some(ip) = fastrand::choice(peers)
@@ -139,7 +140,7 @@
         {
             break true;
         }
-        if Instant::now() >= until {
+        if monotonic::now() >= until {
             break false;
         }
         tokio::time::sleep(RETRY_PAUSE).await;
@@ -153,7 +154,7 @@
 }
 
 async fn load_from(gateway: &Arc<Gateway>, ip: IpAddr) -> bool {
-    let asked_at = Instant::now();
+    let asked_at = monotonic::now();
     let Some(snapshot) = catch_up::fetch_snapshot(gateway, ip).await else {
         return false;
     };
@@ -165,6 +166,6 @@
     gateway.set_members_position(snapshot.members_position);
     follow::apply_config(gateway, snapshot.config, "peer");
     catch_up::apply_changes(gateway, snapshot.registry, asked_at);
-    crashes::apply_recorded(gateway, &snapshot.crashes, Instant::now());
+    crashes::apply_recorded(gateway, &snapshot.crashes, monotonic::now());
     true
 }
--- a/crates/gateway/src/quota.rs
+++ b/crates/gateway/src/quota.rs
@@ -13,6 +13,7 @@
 pub use exchange::{release_shares, start};
 pub use upstream::{acquire_request, request_limit};
 
+use crate::monotonic;
 use crate::state::Gateway;
 use message::{Message, Spend, SpendRequest};
 use platform::{Position, Quota};
@@ -91,7 +92,7 @@
 impl Quotas {
     /// Initial state of a process on the given host.
     pub fn new(ip: IpAddr) -> Self {
-        let now = Instant::now();
+        let now = monotonic::now();
         Self {
             lending: Mutex::new(Lending::new(ip, fastrand::u64(..), now)),
             zone: Mutex::new(Zone { hosts: 1, place: 0 }),
@@ -244,7 +245,7 @@
     cost: u32,
 ) -> Result<Grant, AcquireError> {
     let quotas = &gateway.quotas;
-    let cached = lock(&quotas.refusals).get(tenant, cost, Instant::now());
+    let cached = lock(&quotas.refusals).get(tenant, cost, monotonic::now());
     if let Some(refusal) = cached {
         return Err(AcquireError::OverQuota(refusal));
     }
@@ -275,7 +276,7 @@
         Some(Answer::UnknownTenant) | None => {}
     }
     let mut silent_count = 0;
-    for ip in quotas.grantors_to_ask(number, Instant::now()) {
+    for ip in quotas.grantors_to_ask(number, monotonic::now()) {
         if silent_count >= MAX_SILENT_GRANTORS {
             break;
         }
@@ -288,7 +289,7 @@
             Some(Answer::Refused(_) | Answer::UnknownTenant) => {}
             None => {
                 silent_count += 1;
-                quotas.mark_silent(ip, Instant::now());
+                quotas.mark_silent(ip, monotonic::now());
             }
         }
     }
@@ -298,7 +299,7 @@
 
 /// Takes a request's cost from this host's own pool; `None` if the pool has no share.
 fn spend_from_own_pool(gateway: &Gateway, number: u64, request: &Request) -> Option<Answer> {
-    let now = Instant::now();
+    let now = monotonic::now();
     let own = gateway.host().ip;
     let mut lending = gateway.quotas.lending();
     let share = lending.pool.share(now);
@@ -374,7 +375,7 @@
         let number = self.number;
         match self.grantor {
             None => {
-                let now = Instant::now();
+                let now = monotonic::now();
                 quotas.lending().pool.refund(host.ip, number, now);
             }
             Some(ip) => {
--- a/crates/gateway/src/quota/exchange.rs
+++ b/crates/gateway/src/quota/exchange.rs
@@ -4,6 +4,7 @@
 use super::refusals::QuotaRefusal;
 use super::{Answer, Quotas, limit, lock};
 use crate::StartError;
+use crate::monotonic;
 use crate::state::Gateway;
 use observe::{Event, emit};
 use platform::HostSettings;
@@ -94,7 +95,7 @@
                 answer_collect(&gateway, from, &collect);
             }
             Message::Lend(lend) if gateway.peers().knows(from) => {
-                let now = Instant::now();
+                let now = monotonic::now();
                 let mut lending = gateway.quotas.lending();
                 lending.receive_share(from, lend.round, lend.share, now);
             }
@@ -110,7 +111,7 @@
             Message::Refused(refused) => {
                 let refusal = QuotaRefusal {
                     grantor: from,
-                    at: Instant::now(),
+                    at: monotonic::now(),
                     wait: Duration::from_millis(refused.wait_ms.into()),
                     left: refused.left,
                     share: refused.share,
@@ -122,7 +123,7 @@
                 gateway.quotas.complete(number, Answer::UnknownTenant);
             }
             Message::Refund { number } => {
-                let now = Instant::now();
+                let now = monotonic::now();
                 gateway.quotas.lending().pool.refund(from, number, now);
             }
             Message::SpendRequest(query) if gateway.peers().knows(from) => {
@@ -143,7 +144,7 @@
 fn answer_collect(gateway: &Gateway, from: IpAddr, asked: &message::Collect) {
     let quotas = &gateway.quotas;
     let host = gateway.host();
-    let now = Instant::now();
+    let now = monotonic::now();
     let collect = Collect {
         round: asked.round,
         lease: Duration::from_millis(asked.lease_ms.into()),
@@ -173,7 +174,7 @@
         let lending = quotas.lending();
         match lending.is_grantor() {
             true => Some(host.ip),
-            false => lending.grantor(quotas.zone(), Instant::now()),
+            false => lending.grantor(quotas.zone(), monotonic::now()),
         }
     };
     quotas.send(from, host.quota_port, &Message::Grantor { ip });
@@ -190,7 +191,7 @@
         // The tenant has no quota in this host's configuration.
         Some(None) => Message::Granted { number },
         Some(Some(quota)) => {
-            let now = Instant::now();
+            let now = monotonic::now();
             let limit = limit(gateway, quota);
             let mut lending = quotas.lending();
             let share = lending.pool.share(now);
@@ -216,7 +217,7 @@
     mut grantor_replies: tokio::sync::mpsc::UnboundedReceiver<GrantorReply>,
 ) {
     let mut zone_grantors: Vec<ZoneGrantor> = Vec::new();
-    let mut active_at = Instant::now();
+    let mut active_at = monotonic::now();
     loop {
         let pause = match gateway.peers().is_membership_known() {
             true => collect_pause(gateway.quotas.zone().hosts),
@@ -225,12 +226,12 @@
         tokio::time::sleep(pause).await;
         while let Ok((from, ip)) = grantor_replies.try_recv() {
             let zone = gateway.peers().zone_of(from);
-            record_grantor(&mut zone_grantors, zone, ip, Instant::now());
+            record_grantor(&mut zone_grantors, zone, ip, monotonic::now());
         }
         if !is_limit_in_force(&gateway) {
             continue;
         }
-        let now = Instant::now();
+        let now = monotonic::now();
         if gateway.stop.is_stopped() {
             // A stopping host still serves, and the grantor of its share may be stopping as well.
             gateway.quotas.lending().reclaim_share(now);
@@ -250,7 +251,7 @@
 /// Updates the state of the zone, and returns whether this host is its grantor.
 fn update_zone(gateway: &Gateway) -> bool {
     let quotas = &gateway.quotas;
-    let now = Instant::now();
+    let now = monotonic::now();
     let listed_at = *lock(&quotas.listed_at);
     let (hosts, mut zone) = {
         let peers = gateway.peers();
@@ -293,7 +294,7 @@
 fn begin_round(gateway: &Gateway, zone_grantors: &mut Vec<ZoneGrantor>) {
     let quotas = &gateway.quotas;
     let host = gateway.host();
-    let now = Instant::now();
+    let now = monotonic::now();
     let own = gateway.location();
     let (peers, zones) = {
         let peers = gateway.peers();
@@ -357,7 +358,7 @@
         if !lending.is_grantor() {
             return;
         }
-        lending.stop_collecting(Instant::now())
+        lending.stop_collecting(monotonic::now())
     };
     let grantors = lock(&quotas.remote_grantors).grantors.clone();
     let message = Message::Collect(message::Collect {
--- a/crates/gateway/src/quota/upstream.rs
+++ b/crates/gateway/src/quota/upstream.rs
@@ -4,13 +4,14 @@
 //! a prefill, and the rest of a broken stream.
 
 use super::{AcquireError, Grant, Query, Request, acquire_units};
+use crate::monotonic;
 use crate::quota::message::{self, SpendRequest};
 use crate::state::Gateway;
 use platform::header::RequestRate;
 use quota::{Cost, Limit, LimitKey};
 use std::net::IpAddr;
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 /// Requests are counted in any window of this length. An upstream may get half as many again as
 /// its limit allows in it, and a number of requests besides.
@@ -72,7 +73,7 @@
     let limit = request_limit(known.unwrap_or(RequestRate(query.rate)));
     let key = LimitKey::Upstream(query.upstream);
     let cost = request_cost(query.reserve_percent);
-    let now = Instant::now();
+    let now = monotonic::now();
     let mut lending = gateway.quotas.lending();
     let share = lending.pool.share(now);
     match lending.pool.spend(from, number, key, limit, cost, now) {
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -11,6 +11,7 @@
 use crate::crashes::broken::connection_broke;
 use crate::crashes::unanswered;
 use crate::events::EventSplitter;
+use crate::monotonic;
 use crate::serve::{AnswerProgress, Call, StreamGuard};
 use crate::state::LoadGuard;
 use bytes::Bytes;
@@ -36,7 +37,7 @@
     mut account: Account,
     started: StartedAnswer,
 ) -> Response<Body> {
-    account.first_byte_after = Some(account.received_at.elapsed());
+    account.first_byte_after = Some(monotonic::elapsed(account.received_at));
     account.status = started.status.as_u16();
     account.body = Some(started.monitor);
     let headers = header::client_response_headers(&started.headers);
@@ -66,7 +67,7 @@
                 unsent: None,
                 client_wait: Duration::ZERO,
                 monitor: started.monitor,
-                begun_at: Instant::now(),
+                begun_at: monotonic::now(),
                 has_survived: false,
             };
             tokio::spawn(stream_relay.run(started.first, rest));
@@ -222,7 +223,7 @@
     /// Records once that the upstream has generated for so long that no part of the prompt crashes
     /// it. Long streams are rarely complete while upstreams crash.
     fn check_survival(&mut self) {
-        if !self.has_survived && self.begun_at.elapsed() >= SURVIVAL_TIME {
+        if !self.has_survived && monotonic::elapsed(self.begun_at) >= SURVIVAL_TIME {
             self.has_survived = true;
             crashes::mark_survived(&self.call, &self.account);
         }
@@ -258,12 +259,12 @@
     /// as such a client must not hold the upstream's slot.
     async fn send_unsent(&mut self) -> Result<(), StreamEnd> {
         if let Some(data) = self.unsent.clone().filter(|data| !data.is_empty()) {
-            let since = Instant::now();
+            let since = monotonic::now();
             self.tx
                 .send(data)
                 .await
                 .map_err(|_| StreamEnd::ClientGone)?;
-            self.client_wait += since.elapsed();
+            self.client_wait += monotonic::elapsed(since);
         }
         self.unsent = None;
         Ok(())
@@ -285,7 +286,7 @@
     /// Resumes the stream at another upstream after the last event that was relayed; `None` if
     /// that is not allowed or fails.
     async fn resume(&mut self, why: String) -> Option<(Option<Bytes>, Option<BodyRest>)> {
-        let elapsed = self.account.received_at.elapsed();
+        let elapsed = monotonic::elapsed(self.account.received_at);
         log_failed_attempt(&self.account, Outcome::BrokenOff.name(), &why, elapsed);
         connection_broke(&self.call, &mut self.account);
         let splitter = self.splitter.as_ref()?;
@@ -304,7 +305,7 @@
         }
         self.load = started.load;
         self.monitor = started.monitor;
-        (self.begun_at, self.has_survived) = (Instant::now(), false);
+        (self.begun_at, self.has_survived) = (monotonic::now(), false);
         self.account.body = Some(started.monitor);
         Some((started.first, started.rest))
     }
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -14,6 +14,7 @@
 use crate::choose::{Choice, Plan, Requirements, Unavailable, choose, choose_with_room};
 use crate::crashes::{self, Admission, fingerprint, unanswered};
 use crate::fleet::{ServiceKey, UpstreamKey};
+use crate::monotonic;
 use crate::relay;
 use crate::routes::{Caller, ResolvedRoute, RouteTable};
 use crate::state::Gateway;
@@ -80,7 +81,7 @@
 
 /// Handles a request and returns the response to the client.
 pub async fn serve(gateway: Arc<Gateway>, req: Request<IncomingBody>) -> Response<Body> {
-    let since = Instant::now();
+    let since = monotonic::now();
     let (mut head, body) = req.into_parts();
     header::mark_key_sensitive(&mut head.headers);
     let authority = head.uri.authority().map(|a| a.as_str());
@@ -120,7 +121,10 @@
     let caller = caller::authenticate(&gateway, &table, target, &parsed_headers, account)?;
     let acquired = caller::acquire_quota(&gateway, &table, caller, &parsed_headers, account);
     account.grant = acquired.await?;
-    let time_left = target.time_left(parsed_headers.deadline, account.received_at.elapsed());
+    let time_left = target.time_left(
+        parsed_headers.deadline,
+        monotonic::elapsed(account.received_at),
+    );
     let service = target.pick_service().ok_or(Reason::NoUpstream)?;
     let is_engine = {
         let fleet = gateway.fleet();
@@ -153,7 +157,7 @@
     gateway.wait_for_pending_signal().await;
     Ok(Call {
         since: account.received_at,
-        read_at: Instant::now(),
+        read_at: monotonic::now(),
         last_event: parsed_headers.last_event_id,
         method: head.method,
         path: path_and_query(&head.uri),
@@ -352,7 +356,7 @@
                 Refusal::with_retry_after(Reason::UpstreamLimit, wait)
             }
             Unavailable::Paused => {
-                let left = at.saturating_duration_since(Instant::now());
+                let left = at.saturating_duration_since(monotonic::now());
                 let wait = left + PAUSE_RETURN_SPREAD.mul_f64(fastrand::f64());
                 Refusal::with_retry_after(Reason::UpstreamPause, wait)
             }
--- a/crates/gateway/src/serve/caller.rs
+++ b/crates/gateway/src/serve/caller.rs
@@ -3,6 +3,7 @@
 use super::{Call, Refusal};
 use crate::account::Account;
 use crate::answer::Reason;
+use crate::monotonic;
 use crate::quota::{self, Grant};
 use crate::routes::{Caller, Denied, ResolvedRoute, RouteTable};
 use crate::state::Gateway;
@@ -67,7 +68,7 @@
                 left: refusal.left as i64,
                 share: refusal.share,
                 by: refusal.grantor.to_string(),
-                age_ms: refusal.at.elapsed().as_millis() as u64,
+                age_ms: monotonic::elapsed(refusal.at).as_millis() as u64,
                 retry_ms: wait.as_millis() as u64,
             });
             Err(Refusal::with_retry_after(Reason::OverQuota, wait))
--- a/crates/gateway/src/serve/time.rs
+++ b/crates/gateway/src/serve/time.rs
@@ -5,6 +5,7 @@
 use crate::answer::Reason;
 use crate::fleet::ServiceKey;
 use crate::fleet::durations::{Bound, Durations, Length};
+use crate::monotonic;
 use crate::state::Gateway;
 use crate::stop::ShutdownSchedule;
 use std::sync::Arc;
@@ -115,7 +116,7 @@
 
     /// Time left for an upstream: the request's own, limited by the process's shutdown.
     pub fn time_left(&self) -> Duration {
-        let now = Instant::now();
+        let now = monotonic::now();
         let time_left = self.own_time_left(now);
         let schedule = self.gateway.shutdown_schedule();
         let process = schedule.map(|e| e.abort_at.saturating_duration_since(now));
@@ -129,7 +130,7 @@
     ) -> impl Future<Output = Reason> + use<> {
         wait_for_timeout(
             self.gateway.clone(),
-            self.own_time_left(Instant::now()),
+            self.own_time_left(monotonic::now()),
             progress,
         )
     }
@@ -138,7 +139,7 @@
     /// process exits; `None` if the process isn't stopping.
     fn finish_estimate(&self, estimate_ms: f64) -> Option<FinishEstimate> {
         let schedule = self.gateway.shutdown_schedule()?;
-        let now = Instant::now();
+        let now = monotonic::now();
         let pending = PendingAnswer {
             received_at: self.read_at,
             length: self.length(),
@@ -172,7 +173,7 @@
     /// received. Always false for requests received before
     /// [`ShutdownSchedule::own_deadline_from`].
     pub fn may_be_cut_off(&self) -> bool {
-        let now = Instant::now();
+        let now = monotonic::now();
         self.gateway.shutdown_schedule().is_some_and(|schedule| {
             let process_left = schedule.finish_by.saturating_duration_since(now);
             self.read_at >= schedule.own_deadline_from && self.own_time_left(now) > process_left
@@ -201,11 +202,11 @@
             return;
         }
         let estimate = duration_from_ms(account.inputs.map_or(0.0, |i| i.estimate_ms));
-        let took = self.since.elapsed().saturating_sub(waited_for_client);
+        let took = monotonic::elapsed(self.since).saturating_sub(waited_for_client);
         let mut fleet = self.gateway.fleet();
         let durations = fleet.durations_mut(self.service);
         let took = took.saturating_sub(estimate);
-        durations.record(self.length(), took, Instant::now());
+        durations.record(self.length(), took, monotonic::now());
     }
 
     /// Counts the answer as being streamed until the guard is dropped.
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -13,6 +13,7 @@
 use crate::follow;
 use crate::history::ChangeHistory;
 use crate::missing::MissingUpstreams;
+use crate::monotonic;
 use crate::origins::Origins;
 use crate::origins::rows::StreamRows;
 use crate::peers::catch_up::RegistryChanges;
@@ -159,7 +160,7 @@
             return_times: Mutex::default(),
             registry: Mutex::new(RegistryState {
                 position: Position::NONE,
-                read_at: Instant::now(),
+                read_at: monotonic::now(),
                 store_ms: 0,
                 view: 0,
             }),
@@ -188,7 +189,7 @@
             store_calls: CallCounts::default(),
             store_era: EraTracker::default(),
             stop,
-            stalls: Mutex::new(StallDetector::new(Instant::now())),
+            stalls: Mutex::new(StallDetector::new(monotonic::now())),
             shutdown_schedule: OnceLock::new(),
         })
     }
@@ -203,7 +204,7 @@
         self.buffer_budget.set_limit(buffer_limit(&host));
         let mut current = lock(&self.host);
         if current.stop_grace != host.stop_grace {
-            *lock(&self.previous_grace) = Some((current.stop_grace, Instant::now()));
+            *lock(&self.previous_grace) = Some((current.stop_grace, monotonic::now()));
         }
         *current = Arc::new(host);
     }
@@ -221,7 +222,7 @@
     /// Time since the current configuration was applied.
     pub fn config_age(&self) -> Duration {
         let since = *lock(&self.config_applied_at);
-        since.map_or(Duration::ZERO, |since| since.elapsed())
+        since.map_or(Duration::ZERO, monotonic::elapsed)
     }
 
     /// Whether a peer has a newer configuration.
@@ -229,7 +230,7 @@
         let known = self.config_version();
         let peers = self.peers();
         let newest = peers
-            .live(Instant::now())
+            .live(monotonic::now())
             .map(|(_, status)| status.config)
             .max();
         newest.is_some_and(|newest| newest > known)
@@ -242,7 +243,7 @@
         self.head_limits
             .set(table.limits.idle_timeout, table.limits.head_bytes);
         *lock(&self.routes) = Some(Arc::new(table));
-        *lock(&self.config_applied_at) = Some(Instant::now());
+        *lock(&self.config_applied_at) = Some(monotonic::now());
     }
 
     /// The upstreams. The lock must not be held across an await.
@@ -325,7 +326,7 @@
         let history = self.history();
         let mut changes = RegistryChanges {
             position: shareable.position,
-            read_ms_ago: shareable.read_at.elapsed().as_millis() as u32,
+            read_ms_ago: monotonic::elapsed(shareable.read_at).as_millis() as u32,
             store_ms: shareable.store_ms,
             view: fleet.view(),
             is_whole: false,
@@ -388,7 +389,7 @@
 
     /// Place of this process among all live processes.
     pub fn rank(&self) -> u32 {
-        self.peers().rank(self.location(), Instant::now())
+        self.peers().rank(self.location(), monotonic::now())
     }
 
     /// Place of this process in its zone, in the order in which processes read a long registry at
@@ -402,7 +403,7 @@
 
     /// Age of the view of the upstreams.
     pub fn registry_age(&self) -> Duration {
-        self.registry().read_at.elapsed()
+        monotonic::elapsed(self.registry().read_at)
     }
 
     /// The other processes of the system. The lock must not be held across an await, and is taken
@@ -428,7 +429,7 @@
     pub fn is_feed_reader(&self) -> bool {
         let own = self.host().ip;
         let peers = self.peers();
-        peers.is_feed_reader(own) || peers.is_isolated(Instant::now())
+        peers.is_feed_reader(own) || peers.is_isolated(monotonic::now())
     }
 
     /// Updates the number of peers that share the retry budget.
@@ -463,12 +464,12 @@
 
     /// Adds a request to the retry budget of a service.
     pub fn earn_retry(&self, service: ServiceKey) {
-        self.with_budget(service, |b| b.record_request(Instant::now()));
+        self.with_budget(service, |b| b.record_request(monotonic::now()));
     }
 
     /// Takes one retry from the budget of a service; returns false if none is left.
     pub fn spend_retry(&self, service: ServiceKey) -> bool {
-        self.with_budget(service, |b| b.try_retry(Instant::now()))
+        self.with_budget(service, |b| b.try_retry(monotonic::now()))
     }
 
     /// Time after which a caller may return that was refused because of upstreams' limits. The
@@ -484,7 +485,7 @@
             all.insert(at, (service, ReturnTimes::default()));
             at
         });
-        let now = Instant::now();
+        let now = monotonic::now();
         all[at].1.assign(requirements.rank, room_at, gap, now)
     }
 
@@ -510,7 +511,7 @@
 
     fn init_shutdown_schedule(&self) -> ShutdownSchedule {
         let compute = || {
-            let now = Instant::now();
+            let now = monotonic::now();
             let earliest_signal = lock(&self.stalls).earliest_signal(now);
             let grace = self.grace_for_signal(earliest_signal);
             ShutdownSchedule::new(now, earliest_signal, grace)
@@ -535,7 +536,7 @@
 
     /// Records that this process is running, to detect pauses.
     pub fn tick(&self) {
-        lock(&self.stalls).tick(Instant::now());
+        lock(&self.stalls).tick(monotonic::now());
     }
 
     /// Whether a datagram or request received now may have waited while this process was paused.
@@ -546,7 +547,7 @@
     /// After a pause of this process, gives the signal task time to notice a stop signal sent during
     /// the pause, as requests buffered by the kernel may be read before that task runs.
     pub async fn wait_for_pending_signal(&self) {
-        if self.may_have_waited(Instant::now()) {
+        if self.may_have_waited(monotonic::now()) {
             tokio::time::sleep(PENDING_SIGNAL_DELAY).await;
         }
     }
--- a/crates/gateway/src/statements.rs
+++ b/crates/gateway/src/statements.rs
@@ -1,6 +1,7 @@
 //! Records what upstreams state of themselves in their answers, and what peers know of it.
 
 use crate::choose::Plan;
+use crate::monotonic;
 use crate::peers::UpstreamStatement;
 use crate::state::Gateway;
 use hyper::StatusCode;
@@ -43,7 +44,7 @@
 
 fn record_pause(gateway: &Gateway, plan: &Plan, pause: Duration) {
     if let Some(upstream) = gateway.fleet().get_mut(plan.key) {
-        upstream.set_paused(pause, Instant::now());
+        upstream.set_paused(pause, monotonic::now());
     }
     gateway.metrics.count_statement("pause", FROM_ANSWER);
     emit(&Event::UpstreamPauses {
@@ -75,7 +76,7 @@
         };
         let limit = &mut upstream.stated.limit;
         let before = limit.rate();
-        if !limit.record_answer(rate, sent_at, Instant::now()) {
+        if !limit.record_answer(rate, sent_at, monotonic::now()) {
             return;
         }
         before
--- a/crates/gateway/src/store_clock.rs
+++ b/crates/gateway/src/store_clock.rs
@@ -1,5 +1,6 @@
 //! The store's monotonic clock, which is the same for all hosts.
 
+use crate::monotonic;
 use origins::MAX_STREAM_LIFETIME;
 use std::time::{Duration, Instant};
 
@@ -15,7 +16,7 @@
     pub(crate) fn new(now_ms: u64) -> Self {
         Self {
             now_ms,
-            read_at: Instant::now(),
+            read_at: monotonic::now(),
         }
     }
 
--- a/crates/gateway/src/versions.rs
+++ b/crates/gateway/src/versions.rs
@@ -7,6 +7,7 @@
 
 use crate::fleet::{Fleet, version_of};
 use crate::follow::{Dependency, StoreClient};
+use crate::monotonic;
 use crate::state::{CoveredSince, Gateway, RegistryState};
 use observe::{Event, emit};
 use origins::{
@@ -111,7 +112,7 @@
 /// Continues the record, and retries temporary failures until it would be too old.
 async fn read(gateway: &Arc<Gateway>, client: &mut StoreClient) {
     let mut dependency = Dependency::new("store/versions");
-    let since = Instant::now();
+    let since = monotonic::now();
     loop {
         let Some(own_since) = wait_for_coverage(gateway).await else {
             return;
@@ -129,7 +130,7 @@
         }
         // Requests wait for the first attempt only.
         gateway.versions.is_attempted.send_replace(true);
-        if since.elapsed() >= MAX_RECORD_AGE {
+        if monotonic::elapsed(since) >= MAX_RECORD_AGE {
             log_not_continued(&"not read in time");
             return;
         }
@@ -229,7 +230,7 @@
     {
         let mut fleet = gateway.fleet();
         let present = fleet.present_versions();
-        let left_at = Instant::now();
+        let left_at = monotonic::now();
         for of in &continued.seen {
             if present.binary_search(of).is_err() {
                 fleet.record_left(*of, left_at, left_at);
@@ -250,18 +251,18 @@
 async fn write(gateway: &Arc<Gateway>, client: &mut StoreClient) {
     let mut dependency = Dependency::new("store/versions");
     let mut stored = Stored::default();
-    let mut due_at = Instant::now();
+    let mut due_at = monotonic::now();
     loop {
         tokio::select! {
             () = tokio::time::sleep(CHECK_EVERY) => {}
             () = gateway.stop.stopped() => {}
         }
         let is_stopping = gateway.stop.is_stopped();
-        if is_writer(gateway) && (is_stopping || Instant::now() >= due_at) {
+        if is_writer(gateway) && (is_stopping || monotonic::now() >= due_at) {
             match write_once(gateway, client, &mut stored).await {
                 Ok(Some(delay)) => {
                     dependency.record_success();
-                    due_at = Instant::now() + delay;
+                    due_at = monotonic::now() + delay;
                 }
                 Ok(None) => {}
                 Err(e) => {
@@ -331,13 +332,13 @@
     // makes a reader reject the record because of an unseen upstream.
     let (registry, coverage) = gateway.covered_registry();
     let since = coverage.since()?;
-    let is_current = coverage.is_current(Instant::now());
+    let is_current = coverage.is_current(monotonic::now());
     if !is_current || !gateway.missing().is_empty() || !registry.position.is_known() {
         return None;
     }
     let fleet = gateway.fleet();
     let read = StoreTime::of_read(&registry);
-    let former = fleet.former_versions(Instant::now()).into_iter();
+    let former = fleet.former_versions(monotonic::now()).into_iter();
     Some(VersionRecord {
         position: to_store_position(registry.position),
         read_ms: registry.store_ms,
@@ -387,7 +388,7 @@
 
 impl StoreTime {
     fn now(ms: u64) -> Self {
-        let at = Instant::now();
+        let at = monotonic::now();
         Self { ms, at }
     }
 
