Test: count the time of stop estimates by progress

What callers saw: 502, 503 or 504 for the first requests or the late one, and incomplete answers, only beside load.

Cause: each limit of these tests ran by the wall clock while gateway, workers and clients, all in one thread, waited for a core: the first-byte timeout of 0.8 s (502 and 504 before the signal), the timeout of 5 s while the client reads 24 MB within 2 s, and observed durations that had grown by the wait, whose bound then exceeded the time left (503 instead of 200 or 500).

Change: the tests run on a clock that advances by 1 ms once the tasks that were ready have run, at most as fast as the wall clock (tests/common/paced.rs). All statuses, delays and numbers of requests stay.

Two tests couldn't fail on what they guard against, before or after this: - quick_errors: its answers had been observed for 4.3 s, less than the 5 s that count, so any estimate rejected the request. It waits 2 s more now. - resumed_streams: streams that come 6 s after the signal need their own deadline, whatever was observed. It stays, and resumed_streams_do_not_shorten_the_estimate_at_a_host_that_ends_soon sends one 2.4 s after the signal at a host with a grace period of 4 s.

--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -3,6 +3,7 @@
 
 pub mod continued;
 pub mod crashing;
+pub mod paced;
 pub mod versions;
 
 use net::Stop;
@@ -14,13 +15,17 @@
 use std::path::PathBuf;
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::task::Poll;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
+use tokio::time::Instant;
 
 /// Maximum time to wait for a condition, far above what any takes even on a busy machine.
 pub const WAIT_TIMEOUT: Duration = Duration::from_secs(30);
 
+/// Grace period of hosts.
+const STOP_GRACE: Duration = Duration::from_secs(8);
+
 static NEXT_ADDRESS: AtomicU32 = AtomicU32::new(1);
 
 /// Returns an address that no other test uses: one of this process's own in 127.64.0.0/10.
@@ -58,7 +63,7 @@
         readiness_addr: Some(at(7001)),
         peer_port: 7002,
         store_addr: store,
-        stop_grace: Duration::from_secs(8),
+        stop_grace: STOP_GRACE,
         retry_ratio: 0.2,
         retry_window: Duration::from_secs(10),
         retry_slack: 50.0,
@@ -76,9 +81,18 @@
 
 /// Starts a gateway without configuration and workers.
 pub fn start_without_config() -> TestGateway {
+    start_unconfigured(STOP_GRACE)
+}
+
+/// Starts a gateway without configuration and workers, with a grace period.
+fn start_unconfigured(stop_grace: Duration) -> TestGateway {
     let ip = address();
     let store = Store::start(SocketAddr::new(IpAddr::V4(ip), 7003)).unwrap();
-    start_on(host(ip, store.addr), store)
+    let settings = HostSettings {
+        stop_grace,
+        ..host(ip, store.addr)
+    };
+    start_on(settings, store)
 }
 
 /// Starts a gateway with a host's settings and a store.
@@ -104,9 +118,21 @@
     start_with_routes(count, &routes()).await
 }
 
+/// Starts a gateway with the default routes, a worker of the service `plain` and a grace period.
+pub async fn start_with_grace(stop_grace: Duration) -> (TestGateway, Vec<Worker>) {
+    configure(start_unconfigured(stop_grace), 1, &routes()).await
+}
+
 /// Starts a gateway with `count` workers of the service `plain`.
 pub async fn start_with_routes(count: usize, routes: &Value) -> (TestGateway, Vec<Worker>) {
-    let gateway = start_without_config();
+    configure(start_without_config(), count, routes).await
+}
+
+async fn configure(
+    gateway: TestGateway,
+    count: usize,
+    routes: &Value,
+) -> (TestGateway, Vec<Worker>) {
     let mut workers = Vec::new();
     for n in 0..count {
         let id = format!("i-{n}");
@@ -203,7 +229,7 @@
 
     /// Sends a short prompt whose answer starts and never ends, so that the host waits for it until
     /// its deadline, 4 s later.
-    async fn start_endless_answer(&self, engine: &Worker, id: &str) -> Client {
+    pub async fn start_endless_answer(&self, engine: &Worker, id: &str) -> Client {
         engine.script([Action::EventsThenHang(1..=2)]);
         let mut client = Client::connect(self.callers).await;
         client
@@ -226,7 +252,7 @@
     pub async fn stop_and_wait(&self, engine: &Worker, after: Duration) -> [Client; 2] {
         let first = self.start_endless_answer(engine, "held-1").await;
         self.stop.stop();
-        let since = tokio::time::Instant::now();
+        let since = Instant::now();
         tokio::time::sleep_until(since + Duration::from_millis(2600)).await;
         let second = self.start_endless_answer(engine, "held-2").await;
         tokio::time::sleep_until(since + after).await;
--- a/crates/gateway/tests/stop_estimates.rs
+++ b/crates/gateway/tests/stop_estimates.rs
@@ -4,7 +4,10 @@
 #[expect(dead_code, reason = "each test file uses a part of it")]
 mod common;
 
-use common::{Client, LATE_IN_SHUTDOWN, TestGateway, exchange, request, start, status};
+use common::paced::pace_time;
+use common::{
+    Client, LATE_IN_SHUTDOWN, TestGateway, exchange, request, start, start_with_grace, status,
+};
 use standin::{Action, Worker};
 use std::time::Duration;
 
@@ -29,9 +32,12 @@
 
 #[tokio::test]
 async fn quick_errors_do_not_shorten_the_estimate() {
+    pace_time();
     let (bed, workers) = start(1).await;
     let engine = bed.add_engine().await;
     serve_calls(&bed, &workers, "/unsafe/", 3 * SECOND).await;
+    // Otherwise the answers are observed for too short a time to count at all.
+    tokio::time::sleep(2 * SECOND).await;
     workers[0].set_default_action(Action::Answer(404, "no".into()));
     for n in 0..QUICK_ANSWERS {
         let req = request("POST", "/unsafe/", &format!("failed-{n}"), "", "x");
@@ -45,6 +51,7 @@
 
 #[tokio::test]
 async fn resumed_streams_do_not_shorten_the_estimate_for_whole_ones() {
+    pace_time();
     let (bed, workers) = start(1).await;
     let engine = bed.add_engine().await;
     let whole_stream = Action::Paced(1..=10, SECOND / 5);
@@ -65,8 +72,39 @@
     assert_eq!(status(&exchange(bed.callers, &req).await), 503);
 }
 
+/// Guards against the same for streams that are accepted by observed durations, as they come soon
+/// after the signal, at a host that ends soon.
+#[tokio::test]
+async fn resumed_streams_do_not_shorten_the_estimate_at_a_host_that_ends_soon() {
+    const GRACE: Duration = Duration::from_secs(4);
+    pace_time();
+    let (bed, workers) = start_with_grace(GRACE).await;
+    let engine = bed.add_engine().await;
+    let whole_stream = Action::Paced(1..=10, SECOND / 5);
+    workers[0].set_default_action(whole_stream.clone());
+    for res in bed.exchange_many("/resumable/", "whole", "", 24).await {
+        assert_eq!(status(&res), 200);
+    }
+    workers[0].set_default_action(Action::Events(10..=10));
+    for n in 0..QUICK_ANSWERS {
+        let id = format!("rest-{n}");
+        let headers = "resumes: whole-0\r\nlast-event-id: 9\r\n";
+        let req = request("POST", "/resumable/", &id, headers, "x");
+        assert_eq!(status(&exchange(bed.callers, &req).await), 200);
+    }
+    workers[0].set_default_action(whole_stream);
+    // Otherwise the answers are observed for too short a time to count at all.
+    tokio::time::sleep(3 * SECOND).await;
+    let _held = bed.start_endless_answer(&engine, "held").await;
+    bed.stop.stop();
+    tokio::time::sleep(SECOND * 24 / 10).await;
+    let req = request("POST", "/resumable/", "late", "", "x");
+    assert_eq!(status(&exchange(bed.callers, &req).await), 503);
+}
+
 #[tokio::test]
 async fn a_slow_client_does_not_lengthen_the_estimate() {
+    pace_time();
     let (bed, workers) = start(1).await;
     let engine = bed.add_engine().await;
     for _ in 0..2 {
@@ -89,6 +127,7 @@
 /// process's exit. It was once forwarded, and its connection closed without an answer.
 #[tokio::test]
 async fn a_burst_of_quick_answers_does_not_shorten_the_estimate() {
+    pace_time();
     let (bed, workers) = start(1).await;
     let engine = bed.add_engine().await;
     let _held = bed.stop_and_wait(&engine, 3 * SECOND).await;
@@ -101,6 +140,7 @@
 
 #[tokio::test]
 async fn an_attempt_is_not_abandoned_for_one_that_would_end_too_late() {
+    pace_time();
     let (bed, workers) = start(2).await;
     let engine = bed.add_engine().await;
     serve_calls(&bed, &workers, "/safe/", SECOND / 2).await;
@@ -117,6 +157,7 @@
 
 #[tokio::test]
 async fn an_upstreams_error_response_is_forwarded_if_there_is_no_time_for_a_retry() {
+    pace_time();
     let (bed, workers) = start(2).await;
     let engine = bed.add_engine().await;
     serve_calls(&bed, &workers, "/safe/", SECOND / 2).await;
