Test: count the time of restarts of hosts with quotas by progress

What callers saw: 0.90 to 0.949 of the requests within the quota were admitted instead of 0.95 after all hosts had restarted at once, only beside load.

Cause: the hosts' rounds of 0.1 s, the lease of five rounds, the wait of 1.5 rounds after a start and the grantor's answer within 50 ms ran by the wall clock while their threads waited for a core, so a host was longer without a usable share, and the requests of that time were refused.

Change: each host of a test that calls pace_time runs in a runtime with one thread and shares the clock of the test, which advances once all runtimes have run what was ready. Tests that don't call it run their hosts as before, in a runtime with several threads. Rates, bounds and numbers of hosts stay.

--- a/crates/gateway/tests/common/versions.rs
+++ b/crates/gateway/tests/common/versions.rs
@@ -1,6 +1,7 @@
 //! Runs several hosts, each in a runtime of its own so that it can be killed, and workers of
 //! several software versions.
 
+use super::paced::Pace;
 use super::{Client, WAIT_TIMEOUT, address, config, exchange, host, request, routes, wait_for};
 use net::Stop;
 use serde_json::json;
@@ -9,8 +10,8 @@
 use std::path::PathBuf;
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::runtime::Runtime;
-use tokio::task::JoinHandle;
+use tokio::runtime::{Builder, Runtime};
+use tokio::sync::oneshot;
 
 /// Path of a route whose streams may be resumed by clients, but not inside one answer.
 pub const ONCE: &str = "/resumable/once/";
@@ -24,48 +25,71 @@
 
 /// A gateway in a runtime of its own.
 pub struct Host {
-    runtime: Option<Runtime>,
     pub callers: SocketAddr,
     ready: SocketAddr,
     settings: platform::HostSettings,
     stop: Stop,
-    running: Option<JoinHandle<()>>,
-    /// Thread that shuts down the runtime of a killed host, and ends when all its tasks have ended.
-    shutdown: Option<std::thread::JoinHandle<()>>,
+    /// Ends the runtime; `None` once it was used.
+    kill: Option<oneshot::Sender<()>>,
+    /// Completes once the gateway has ended; fails if it was killed.
+    running: Option<oneshot::Receiver<()>>,
+    /// Thread of the runtime, which ends when all its tasks have ended.
+    thread: Option<std::thread::JoinHandle<()>>,
 }
 
 impl Host {
     /// Starts a host.
     pub fn start(settings: platform::HostSettings) -> Self {
         let mut host = Self {
-            runtime: None,
             callers: settings.client_addr.unwrap(),
             ready: settings.readiness_addr.unwrap(),
             settings,
             stop: Stop::default(),
+            kill: None,
             running: None,
-            shutdown: None,
+            thread: None,
         };
         host.run();
         host
     }
 
     fn run(&mut self) {
-        let runtime = Runtime::new().unwrap();
+        let pace = Pace::current();
+        let runtime = match pace {
+            Some(_) => Builder::new_current_thread().enable_all().build(),
+            None => Runtime::new(),
+        };
+        let runtime = runtime.unwrap();
+        let is_paced = pace.is_some();
         self.stop = Stop::default();
         let path = PathBuf::from("/nonexistent/settings");
         let (settings, stop) = (self.settings.clone(), self.stop.clone());
-        let run = async { gateway::run(path, settings, stop).await.unwrap() };
-        self.running = Some(runtime.spawn(run));
-        self.runtime = Some(runtime);
+        let (kill, killed) = oneshot::channel();
+        let (ended, running) = oneshot::channel();
+        self.thread = Some(std::thread::spawn(move || {
+            runtime.block_on(async move {
+                if let Some(pace) = pace {
+                    pace.join();
+                }
+                let run = tokio::spawn(async {
+                    gateway::run(path, settings, stop).await.unwrap();
+                    let _ = ended.send(());
+                });
+                let _ = killed.await;
+                run.abort();
+            });
+            match is_paced {
+                // Its blocking task ends with the others.
+                true => drop(runtime),
+                false => runtime.shutdown_timeout(WAIT_TIMEOUT),
+            }
+        }));
+        (self.kill, self.running) = (Some(kill), Some(running));
     }
 
     /// Ends the host without notice, with all its connections.
     pub fn kill(&mut self) {
-        if let Some(runtime) = self.runtime.take() {
-            let shutdown = move || runtime.shutdown_timeout(WAIT_TIMEOUT);
-            self.shutdown = Some(std::thread::spawn(shutdown));
-        }
+        self.kill = None;
     }
 
     /// Sends the host the stop signal.
@@ -84,7 +108,7 @@
     /// Waits until a process that was told to stop or killed has ended.
     pub async fn wait_for_end(&mut self) {
         if let Some(running) = self.running.take()
-            && self.runtime.is_some()
+            && self.kill.is_some()
         {
             running.await.unwrap();
         }
@@ -94,9 +118,9 @@
 
     /// Waits until the sockets of a killed process are closed.
     pub async fn wait_for_shutdown(&mut self) {
-        if let Some(shutdown) = self.shutdown.take() {
-            let shutdown = tokio::task::spawn_blocking(|| shutdown.join().unwrap());
-            shutdown.await.unwrap();
+        if let Some(thread) = self.thread.take() {
+            let thread = tokio::task::spawn_blocking(|| thread.join().unwrap());
+            thread.await.unwrap();
         }
     }
 
--- a/crates/gateway/tests/quota_restarts.rs
+++ b/crates/gateway/tests/quota_restarts.rs
@@ -5,14 +5,16 @@
 mod common;
 
 use common::crashing::System;
+use common::paced::pace_time;
 use common::versions::Host;
 use common::{address, host, join_all, request, routes, wait_for};
 use platform::QuotaBounds;
 use serde_json::json;
 use std::cell::RefCell;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
+use tokio::time::Instant;
 
 /// Number of hosts.
 const HOSTS: usize = 4;
@@ -152,12 +154,14 @@
 /// the other, each before the former one had exited.
 #[tokio::test]
 async fn quotas_are_admitted_during_an_overlapping_series_of_restarts() {
+    pace_time();
     run_series(STOP_GAP).await;
 }
 
 /// Guards against the same where all hosts are told to stop at once.
 #[tokio::test]
 async fn quotas_are_admitted_while_all_hosts_restart_at_once() {
+    pace_time();
     run_series(Duration::ZERO).await;
 }
 
@@ -165,6 +169,7 @@
 /// use shares which others still count as theirs.
 #[tokio::test]
 async fn no_more_than_the_quota_is_admitted_during_an_overlapping_series_of_restarts() {
+    pace_time();
     let mut fleet = Fleet::start(BOUNDS).await;
     let callers: Vec<_> = fleet.hosts.iter().map(|host| host.callers).collect();
     let flood = async {
@@ -191,11 +196,11 @@
     let quota = RATE * BOUNDS.window.as_secs_f64() + BURST;
     let allowed = quota * (1.0 + BOUNDS.overage) + BOUNDS.slack;
     let workers = fleet.system.workers().iter();
-    let times: Vec<Instant> = workers
+    let times: Vec<_> = workers
         .flat_map(|worker| worker.requests())
         .map(|r| r.at)
         .collect();
-    let in_window = |from: &Instant| {
+    let in_window = |from: &std::time::Instant| {
         let until = *from + BOUNDS.window;
         times
             .iter()
