--- a/crates/gateway/src/origins/checkpoint.rs
+++ b/crates/gateway/src/origins/checkpoint.rs
@@ -3,6 +3,7 @@
 use super::exchange::{can_accept_record, host_start, own_status, send, update_members};
 use super::message::{Message, RawCopy, RawStatus, RawStream};
 use super::{exchange, rows, unsaved_origins};
+use crate::monotonic;
 use crate::state::Gateway;
 use observe::{Event, emit};
 use origins::{Checkpoint, Lookup, OriginRecord, ReplicatedBy, Report, StreamId};
@@ -16,7 +17,7 @@
 /// Records that this host serves a stream, so that it is reported to the writers.
 pub fn open(gateway: &Gateway, stream: StreamId, record: OriginRecord) {
     let mut open_streams = gateway.origins.open_streams();
-    open_streams.open(stream, record, Instant::now());
+    open_streams.open(stream, record, monotonic::now());
     drop(open_streams);
     gateway.origins.changed.notify_one();
 }
@@ -34,7 +35,7 @@
         return;
     }
     update_members(gateway);
-    let now = Instant::now();
+    let now = monotonic::now();
     let services = gateway.fleet().services_with_several_versions(now);
     let is_stopping = gateway.stop.is_stopped();
     let writers = origins.replicas().checkpoint_writers(is_stopping);
@@ -139,7 +140,7 @@
     gateway: &Gateway,
     streams: Vec<(StreamId, OriginRecord)>,
 ) -> Vec<(StreamId, OriginRecord)> {
-    let now = Instant::now();
+    let now = monotonic::now();
     let replicas = gateway.origins.replicas();
     let is_certain = |stream: StreamId| matches!(replicas.find(stream, now), Lookup::Known(_));
     let streams = streams.into_iter();
@@ -171,7 +172,7 @@
 
 /// Writes the checkpoint. A failed write is repeated.
 async fn write_once(gateway: &Arc<Gateway>) {
-    let began_at = Instant::now();
+    let began_at = monotonic::now();
     let streams = gateway.origins.checkpoint().begin_write(began_at);
     let streams = match gateway.stop.is_stopped() {
         false => certain_streams(gateway, streams),
@@ -180,12 +181,15 @@
     };
     let written = rows::write(gateway, &streams, WRITE_TIMEOUT).await;
     if written.is_err() {
-        gateway.origins.checkpoint().record_failure(Instant::now());
+        gateway
+            .origins
+            .checkpoint()
+            .record_failure(monotonic::now());
     }
     emit(&Event::StreamsCheckpointed {
         streams: *written.as_ref().unwrap_or(&0),
         total: streams.len(),
-        took_ms: began_at.elapsed().as_millis() as u64,
+        took_ms: monotonic::elapsed(began_at).as_millis() as u64,
         why: written.err().map(|e| e.to_string()),
     });
 }
