Test: wait for the end of the first read of the stream rows

lookups_share_reads failed once at a load of 14: the stand-in counts a read as it arrives, so the lookups of the test could begin before the host had its answer, and share the first read. The test now waits until the host has ended its first read, and still checks that it was one read.

--- a/crates/gateway/tests/stream_rows.rs
+++ b/crates/gateway/tests/stream_rows.rs
@@ -420,7 +420,8 @@
     let process = process(&store, "a");
     process.set_registry(Position { era: 1, version: 1 });
     let follow = tokio::spawn(rows::follow(process.clone()));
-    wait_for("first read", || async { store.reads(TABLE) == 1 }).await;
+    rows::wait_for_first_read(&process).await;
+    assert_eq!(store.reads(TABLE), 1);
     let request = || async { rows::request_read(&process).await.is_some() };
     let succeeded = tokio::join!(request(), request(), request(), request());
     assert_eq!(succeeded, (true, true, true, true));
