--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -14,10 +14,12 @@
 pub mod division;
 pub mod duty;
 pub mod events;
+pub mod first_start;
 pub mod fleet;
 pub mod follow;
 pub mod history;
 pub mod missing;
+mod monotonic;
 pub mod origins;
 pub mod peers;
 pub mod quota;
@@ -76,7 +78,18 @@
         listen: callers.to_string(),
         admin: ready.to_string(),
     });
-    if gateway.host().is_first_start {
+    let (drain, serving) = (Stop::default(), Stop::default());
+    let server = Server {
+        head: gateway.head_limits.clone(),
+        protocol: Protocol::Http1,
+        drain: drain.clone(),
+        stop: serving.clone(),
+    };
+    let served = gateway.clone();
+    let server = tokio::spawn(server.run(listener, move |req| serve::serve(served.clone(), req)));
+    // Decided before the configuration is followed; the server rejects requests until then.
+    first_start::decide(&gateway).await;
+    if gateway.is_first_start() {
         gateway.fleet().assume_empty_caches();
     }
     tokio::spawn(follow::era::log_changes(gateway.clone()));
@@ -96,15 +109,6 @@
     tokio::spawn(duty::usage::run(gateway.clone()));
     tokio::spawn(duty::scaling::run(gateway.clone()));
     tokio::spawn(reload::follow_settings(gateway.clone(), path, hangup));
-    let (drain, serving) = (Stop::default(), Stop::default());
-    let server = Server {
-        head: gateway.head_limits.clone(),
-        protocol: Protocol::Http1,
-        drain: drain.clone(),
-        stop: serving.clone(),
-    };
-    let served = gateway.clone();
-    let server = tokio::spawn(server.run(listener, move |req| serve::serve(served.clone(), req)));
     let schedule = gateway.wait_for_stop().await;
     emit(&Event::Stopping { why: "signal" });
     quota::release_shares(&gateway);
@@ -114,7 +118,7 @@
     serving.stop();
     let save_until = schedule
         .hand_over_at
-        .min(Instant::now() + FIRST_SAVE_TIMEOUT);
+        .min(monotonic::now() + FIRST_SAVE_TIMEOUT);
     let handed_over = duty::usage::hand_over_first(&gateway);
     let handed_over = tokio::time::timeout_at(schedule.hand_over_at.into(), handed_over);
     // Both are repeated before the process exits.
@@ -154,7 +158,7 @@
 /// the balancer sends them to a stopping host only while no other host is ready, for example when
 /// all hosts are stopped in turn.
 async fn wait_until_idle(gateway: &Gateway, until: Instant) {
-    while gateway.running() > 0 && Instant::now() < until {
+    while gateway.running() > 0 && monotonic::now() < until {
         tokio::time::sleep(IDLE_CHECK_EVERY).await;
     }
 }
--- a/crates/gateway/src/origins.rs
+++ b/crates/gateway/src/origins.rs
@@ -13,6 +13,7 @@
 pub use exchange::start;
 
 use crate::fleet::ServiceKey;
+use crate::monotonic;
 use crate::peers::Location;
 use crate::state::Gateway;
 use observe::{Event, StreamSearchAnswer, emit};
@@ -125,7 +126,7 @@
             expected: Mutex::default(),
             socket: OnceLock::new(),
             start: fastrand::u32(..),
-            started_at: Instant::now(),
+            started_at: monotonic::now(),
         }
     }
 
@@ -164,7 +165,9 @@
 
     /// Whether the origin that was recorded for an attempt is still certain.
     pub fn is_certain(&self, attempt: &str) -> bool {
-        let found = self.replicas().find(StreamId::of(attempt), Instant::now());
+        let found = self
+            .replicas()
+            .find(StreamId::of(attempt), monotonic::now());
         found != Lookup::Uncertain
     }
 }
@@ -172,7 +175,7 @@
 /// Records that a stream begins now, and sends copies to other hosts. `deadline` is the time for
 /// which its client waits, if known.
 pub fn record(gateway: &Arc<Gateway>, attempt: &str, origin: Origin, deadline: Option<Duration>) {
-    let now = Instant::now();
+    let now = monotonic::now();
     let lifetime = deadline.map_or(MAX_STREAM_LIFETIME, |d| d + DEADLINE_MARGIN);
     let record = OriginRecord {
         origin,
@@ -190,7 +193,7 @@
 /// Records that this host serves the rest of the stream that an attempt began.
 pub fn record_continued(gateway: &Gateway, attempt: &str) {
     let stream = StreamId::of(attempt);
-    let found = gateway.origins.replicas().find(stream, Instant::now());
+    let found = gateway.origins.replicas().find(stream, monotonic::now());
     if let Lookup::Known(record) = found {
         checkpoint::open(gateway, stream, record);
     }
@@ -202,7 +205,7 @@
         streams,
         under_replicated,
         receivers,
-    } = gateway.origins.replicas().hand_over(Instant::now());
+    } = gateway.origins.replicas().hand_over(monotonic::now());
     emit(&Event::StreamsHandedOver {
         streams,
         under_replicated,
@@ -213,7 +216,7 @@
 /// Records origins that were read from the store. This process replicates only those from its own
 /// host's row.
 fn record_stored(gateway: &Gateway, stored: Vec<rows::StoredOrigin>) {
-    let now = Instant::now();
+    let now = monotonic::now();
     let own = gateway.host().name.clone();
     let mut replicas = gateway.origins.replicas();
     let mut checkpoint = gateway.origins.checkpoint();
@@ -240,19 +243,25 @@
     gateway.origins.changed.notify_one();
 }
 
-/// Writes the under-replicated origins and the checkpoint to the store, as this process stops.
+/// Writes the under-replicated origins and those of the checkpoint to the store, as this process
+/// stops.
 pub async fn save(gateway: &Arc<Gateway>, until: Instant) {
-    let now = Instant::now();
+    rows::save(gateway, &unsaved_origins(gateway), until).await;
+}
+
+/// Origins of the checkpoint, and those that too few running hosts hold, sorted by stream.
+fn unsaved_origins(gateway: &Gateway) -> Vec<(StreamId, OriginRecord)> {
+    let now = monotonic::now();
     let checkpointed = gateway.origins.checkpoint().streams(now);
-    let mut saved = checkpoint::certain_streams(gateway, checkpointed);
+    let mut unsaved = checkpoint::certain_streams(gateway, checkpointed);
     let under_replicated = gateway
         .origins
         .replicas()
         .under_replicated(MAX_STREAM_RECORDS, now);
-    saved.extend(under_replicated);
-    saved.sort_unstable_by_key(|(stream, _)| *stream);
-    saved.dedup_by_key(|(stream, _)| *stream);
-    rows::save(gateway, &saved, until).await;
+    unsaved.extend(under_replicated);
+    unsaved.sort_unstable_by_key(|(stream, _)| *stream);
+    unsaved.dedup_by_key(|(stream, _)| *stream);
+    unsaved
 }
 
 /// Finds the origin of the stream that an attempt began: here, at other hosts, or as the service
@@ -265,7 +274,7 @@
 ) -> Result<KnownOrigin, Vec<AskedHost>> {
     let mut asked = Vec::new();
     if let Some(stream) = attempt.map(StreamId::of) {
-        let found = gateway.origins.replicas().find(stream, Instant::now());
+        let found = gateway.origins.replicas().find(stream, monotonic::now());
         match found {
             Lookup::Known(record) => return Ok(KnownOrigin::from_record(gateway, stream, &record)),
             Lookup::Uncertain => return Err(asked),
@@ -277,7 +286,7 @@
         }
         // A host that has exited may have written it to the store.
         if rows::request_read(gateway).await.is_some() {
-            let found = gateway.origins.replicas().find(stream, Instant::now());
+            let found = gateway.origins.replicas().find(stream, monotonic::now());
             match found {
                 Lookup::Known(record) => {
                     return Ok(KnownOrigin::from_record(gateway, stream, &record));
@@ -307,7 +316,7 @@
     if !exchange::can_accept_record(gateway, &record, is_verified) {
         return None;
     }
-    let now = Instant::now();
+    let now = monotonic::now();
     let mut replicas = gateway.origins.replicas();
     let holder = replicas.status(from).map(|(status, _)| HostStart {
         ip: from,
@@ -338,7 +347,7 @@
 
 /// Reads the registry; `None` if that takes too long.
 async fn wait_for_fresh_read(gateway: &Gateway) -> Option<()> {
-    let now = Instant::now();
+    let now = monotonic::now();
     gateway.registry_wanted.notify_one();
     let is_read = async {
         while gateway.registry_coverage().own_read_at() < Some(now) {
@@ -377,7 +386,7 @@
     service: ServiceKey,
     route: origins::NameHash,
 ) -> Option<KnownOrigin> {
-    let now = Instant::now();
+    let now = monotonic::now();
     if !gateway.registry_coverage().covers(VERSION_LIFETIME, now) {
         return None;
     }
--- a/crates/gateway/src/origins/checkpoint.rs
+++ b/crates/gateway/src/origins/checkpoint.rs
@@ -2,10 +2,11 @@
 
 use super::exchange::{can_accept_record, host_start, own_status, send, update_members};
 use super::message::{Message, RawCopy, RawStatus, RawStream};
-use super::{exchange, rows};
+use super::{exchange, rows, unsaved_origins};
+use crate::monotonic;
 use crate::state::Gateway;
 use observe::{Event, emit};
-use origins::{Checkpoint, Lookup, OriginRecord, ReplicatedBy, Report, StreamId, WriteSlots};
+use origins::{Checkpoint, Lookup, OriginRecord, ReplicatedBy, Report, StreamId};
 use std::net::IpAddr;
 use std::sync::{Arc, MutexGuard};
 use std::time::{Duration, Instant};
@@ -16,7 +17,7 @@
 /// Records that this host serves a stream, so that it is reported to the writers.
 pub fn open(gateway: &Gateway, stream: StreamId, record: OriginRecord) {
     let mut open_streams = gateway.origins.open_streams();
-    open_streams.open(stream, record, Instant::now());
+    open_streams.open(stream, record, monotonic::now());
     drop(open_streams);
     gateway.origins.changed.notify_one();
 }
@@ -34,7 +35,7 @@
         return;
     }
     update_members(gateway);
-    let now = Instant::now();
+    let now = monotonic::now();
     let services = gateway.fleet().services_with_several_versions(now);
     let is_stopping = gateway.stop.is_stopped();
     let writers = origins.replicas().checkpoint_writers(is_stopping);
@@ -139,20 +140,23 @@
     gateway: &Gateway,
     streams: Vec<(StreamId, OriginRecord)>,
 ) -> Vec<(StreamId, OriginRecord)> {
-    let now = Instant::now();
+    let now = monotonic::now();
     let replicas = gateway.origins.replicas();
     let is_certain = |stream: StreamId| matches!(replicas.find(stream, now), Lookup::Known(_));
     let streams = streams.into_iter();
     streams.filter(|(stream, _)| is_certain(*stream)).collect()
 }
 
-/// Writes the checkpoint to the row of this host whenever a write is due, until the process stops.
+/// Writes the checkpoint to the row of this host whenever a write is due, until the process ends.
 pub async fn write(gateway: Arc<Gateway>) {
-    // A write replaces this host's row, so the streams that the row holds are read first.
+    // The row of a former process is read with the others, and its streams are written again.
     rows::wait_for_first_read(&gateway).await;
     loop {
-        let slots = write_slots(&gateway);
-        let write_at = gateway.origins.checkpoint().write_at(slots);
+        let place = {
+            let is_stopping = gateway.stop.is_stopped();
+            gateway.origins.replicas().checkpoint_place(is_stopping)
+        };
+        let write_at = gateway.origins.checkpoint().write_at(place);
         let due = async {
             match write_at {
                 Some(at) => tokio::time::sleep_until(at.into()).await,
@@ -162,40 +166,34 @@
         tokio::select! {
             () = due => write_once(&gateway).await,
             () = gateway.origins.checkpoint_changed.notified() => {}
-            () = gateway.stop.stopped() => return,
         }
     }
 }
 
 /// Writes the checkpoint. A failed write is repeated.
 async fn write_once(gateway: &Arc<Gateway>) {
-    let began_at = Instant::now();
+    let began_at = monotonic::now();
     let streams = gateway.origins.checkpoint().begin_write(began_at);
-    let streams = certain_streams(gateway, streams);
+    let streams = match gateway.stop.is_stopped() {
+        false => certain_streams(gateway, streams),
+        // The row may already hold what was saved for the end of this process.
+        true => unsaved_origins(gateway),
+    };
     let written = rows::write(gateway, &streams, WRITE_TIMEOUT).await;
     if written.is_err() {
-        gateway.origins.checkpoint().record_failure(Instant::now());
+        gateway
+            .origins
+            .checkpoint()
+            .record_failure(monotonic::now());
     }
     emit(&Event::StreamsCheckpointed {
         streams: *written.as_ref().unwrap_or(&0),
         total: streams.len(),
-        took_ms: began_at.elapsed().as_millis() as u64,
+        took_ms: monotonic::elapsed(began_at).as_millis() as u64,
         why: written.err().map(|e| e.to_string()),
     });
 }
 
-/// Write slots of this host; `None` if its own view of the members doesn't make it a checkpoint
-/// writer.
-fn write_slots(gateway: &Gateway) -> Option<WriteSlots> {
-    let is_stopping = gateway.stop.is_stopped();
-    let writers = gateway.origins.replicas().checkpoint_writers(is_stopping);
-    let own = gateway.host().ip;
-    let rank = writers.iter().position(|writer| writer.ip == own)?;
-    let registry = gateway.registry();
-    let (store_ms, read_at) = (registry.store_ms, registry.read_at);
-    Some(WriteSlots::new(rank, writers.len(), store_ms, read_at))
-}
-
 impl super::Origins {
     /// Streams that this host stores as a checkpoint writer.
     pub(super) fn checkpoint(&self) -> MutexGuard<'_, Checkpoint> {
--- a/crates/origins/src/checkpoint.rs
+++ b/crates/origins/src/checkpoint.rs
@@ -17,15 +17,13 @@
 pub const CHECKPOINT_WRITERS: usize = 2;
 /// Delay of a write after an addition, so that streams that begin together are written together.
 const WRITE_DELAY: Duration = Duration::from_millis(30);
-/// Interval between consecutive write slots, which are assigned to the writers in rotation.
-const SLOT_INTERVAL: Duration = Duration::from_millis(375);
-/// Minimum interval between two writes of a writer. Shorter than a slot interval, as the estimate of
-/// the shared clock varies.
-const MIN_SLOTTED_WRITE_INTERVAL: Duration =
-    SLOT_INTERVAL.checked_div(2).expect("divisor is not zero");
-/// Minimum interval between two writes of a host that receives reports but has no slots, as its own
-/// view of the members doesn't make it a writer.
-const MIN_WRITE_INTERVAL: Duration = Duration::from_millis(750);
+/// Minimum interval between two writes of a host.
+const MIN_WRITE_INTERVAL: Duration = Duration::from_secs(1);
+/// Additional delay of the second writer, so that the writes of both alternate.
+const SECOND_WRITER_DELAY: Duration = Duration::from_millis(500);
+/// Additional delay of the second writer's first write, and of its write after a failure. These
+/// read the row first, and the first writer may do so at the same time.
+const SECOND_WRITER_FIRST_DELAY: Duration = Duration::from_millis(1500);
 /// Time without a confirmation after which a report is sent again.
 const REPORT_TIMEOUT: Duration = Duration::from_millis(100);
 /// Number of times that the end of a stream is reported. Ends aren't confirmed, as a stream whose
@@ -83,17 +81,18 @@
     pub fn open(&mut self, stream: StreamId, record: OriginRecord, now: Instant) {
         self.open.retain(|open| open.record.expires_at > now);
         self.ended.retain(|ended| ended.stream != stream);
-        let found = self.open.binary_search_by_key(&stream, |open| open.stream);
-        if let Err(at) = found
-            && self.open.len() < MAX_STREAMS
-        {
-            let open = OpenStream {
-                stream,
-                record,
-                confirmed: Vec::new(),
-                sent_at: None,
-            };
-            self.open.insert(at, open);
+        let new = OpenStream {
+            stream,
+            record,
+            confirmed: Vec::new(),
+            sent_at: None,
+        };
+        match self.open.binary_search_by_key(&stream, |open| open.stream) {
+            // A second origin makes the stream uncertain, so the writers have to know it.
+            Ok(at) if self.open[at].record.origin != record.origin => self.open[at] = new,
+            Ok(_) => {}
+            Err(at) if self.open.len() < MAX_STREAMS => self.open.insert(at, new),
+            Err(_) => {}
         }
     }
 
@@ -181,14 +180,6 @@
     }
 }
 
-/// Periodic times at which a writer may write. The slots of all writers are interleaved on a shared
-/// clock, which keeps their total rate below 4 writes per second.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct WriteSlots {
-    first: Instant,
-    period: Duration,
-}
-
 /// Streams that this host stores as a checkpoint writer.
 #[derive(Debug, Default)]
 pub struct Checkpoint {
@@ -198,29 +189,8 @@
     changed_at: Option<Instant>,
     /// Time at which the last write began.
     written_at: Option<Instant>,
-}
-
-impl WriteSlots {
-    /// Slots of the writer with this zero-based rank. `shared_ms` is the time of the shared clock at
-    /// `now`, in milliseconds.
-    pub fn new(rank: usize, writer_count: usize, shared_ms: u64, now: Instant) -> Self {
-        let period = SLOT_INTERVAL * writer_count as u32;
-        let offset = SLOT_INTERVAL * rank as u32;
-        let elapsed = Duration::from_millis(shared_ms % period.as_millis() as u64);
-        // The period may have started before the earliest time that an `Instant` can represent.
-        let period_start = now.checked_sub(elapsed).unwrap_or(now);
-        Self {
-            first: period_start + offset,
-            period,
-        }
-    }
-
-    /// First slot at or after `at`.
-    fn next(self, at: Instant) -> Instant {
-        let elapsed = at.saturating_duration_since(self.first);
-        let periods = elapsed.as_nanos().div_ceil(self.period.as_nanos());
-        self.first + self.period * periods as u32
-    }
+    /// Whether the last write failed.
+    has_failed: bool,
 }
 
 impl Checkpoint {
@@ -243,29 +213,33 @@
         }
     }
 
-    /// Time of the next write; `None` if nothing was added since the last one. `slots` are the
-    /// write slots of this host, if it is a writer.
-    pub fn write_at(&self, slots: Option<WriteSlots>) -> Option<Instant> {
-        let at = self.changed_at? + WRITE_DELAY;
-        let min_interval = match slots {
-            Some(_) => MIN_SLOTTED_WRITE_INTERVAL,
-            None => MIN_WRITE_INTERVAL,
+    /// Time of the next write; `None` if nothing was added since the last one. `place` is this
+    /// host's position among the writers; `None` if it isn't a writer by its own view. Hosts that
+    /// start at different times report to different writers until they know the same members.
+    pub fn write_at(&self, place: Option<usize>) -> Option<Instant> {
+        let is_first = self.written_at.is_none() || self.has_failed;
+        let delay = match (place?, is_first) {
+            (0, _) => Duration::ZERO,
+            (_, false) => SECOND_WRITER_DELAY,
+            (_, true) => SECOND_WRITER_FIRST_DELAY,
         };
-        let earliest = self.written_at.map(|written| written + min_interval);
-        let at = earliest.map_or(at, |earliest| earliest.max(at));
-        Some(slots.map_or(at, |slots| slots.next(at)))
+        let at = self.changed_at? + WRITE_DELAY + delay;
+        let earliest = self.written_at.map(|written| written + MIN_WRITE_INTERVAL);
+        Some(earliest.map_or(at, |earliest| earliest.max(at)))
     }
 
     /// Begins a write, and returns the streams to write.
     pub fn begin_write(&mut self, now: Instant) -> Vec<(StreamId, OriginRecord)> {
         self.changed_at = None;
         self.written_at = Some(now);
+        self.has_failed = false;
         self.streams(now)
     }
 
     /// Records that a write failed, and schedules another one.
     pub fn record_failure(&mut self, now: Instant) {
         self.changed_at = self.changed_at.or(Some(now));
+        self.has_failed = true;
     }
 
     /// Removes expired streams, and returns the others.
@@ -274,9 +248,13 @@
         self.streams.clone()
     }
 
+    /// Adds a stream. Returns whether the row has to be written, also if the stream has another
+    /// origin already, as it is uncertain then.
     fn insert(&mut self, stream: StreamId, record: OriginRecord, now: Instant) -> bool {
-        let found = self.streams.binary_search_by_key(&stream, |(s, _)| *s);
-        let Err(at) = found else { return false };
+        let at = match self.streams.binary_search_by_key(&stream, |(s, _)| *s) {
+            Ok(at) => return self.streams[at].1.origin != record.origin,
+            Err(at) => at,
+        };
         let is_valid = record.expires_at > now && self.streams.len() < MAX_STREAMS;
         if is_valid {
             self.streams.insert(at, (stream, record));
