--- a/crates/gateway/tests/stream_kills.rs
+++ b/crates/gateway/tests/stream_kills.rs
@@ -121,3 +121,15 @@
         assert!(!rest.is_whole(), "{rest:?}");
     }
 }
+
+/// Guards against most streams being unknown after a kill of all hosts where they began shortly
+/// before it: at least half of them go on.
+#[tokio::test]
+async fn streams_that_began_just_before_all_hosts_were_killed_go_on() {
+    let mut bed = Bed::start_system(3, &TWO_VERSIONS).await;
+    tokio::time::sleep(STREAM_AGE).await;
+    begin(&mut bed).await;
+    bed.kill_all_and_restart().await;
+    let resumed = count_resumed(&bed, true).await;
+    assert!(resumed >= STREAMS / 2, "{resumed} of {STREAMS}");
+}
