--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -29,6 +29,7 @@
 pub mod scrape;
 pub mod site;
 pub mod slopes;
+pub mod takeups;
 pub mod testbed;
 pub mod up;
 pub mod usage;
--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -3,6 +3,7 @@
 use argh::FromArgs;
 use bench::load::LoadOptions;
 use std::io;
+use std::path::PathBuf;
 use std::process::ExitCode;
 
 /// Demo, load tool and measurements of arbutusquay, on loopback addresses only.
@@ -27,6 +28,7 @@
     Recover(RecoverArgs),
     Restore(RestoreArgs),
     Keys(KeysArgs),
+    Takeups(TakeupsArgs),
 }
 
 /// run both deployments under a mixed load, kill and drain agents, and check the answers
@@ -58,6 +60,27 @@
     starts: bool,
 }
 
+/// count streams that clients took up again after all hosts were killed, in a log of all hosts
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "takeups")]
+struct TakeupsArgs {
+    /// log of a run, as `fleetbench run --log all` prints it
+    #[argh(positional)]
+    log: PathBuf,
+    /// times of the kills in seconds, separated by commas
+    #[argh(option, from_str_fn(parse_times))]
+    kills: Times,
+}
+
+/// Times in seconds.
+#[derive(Debug)]
+struct Times(Vec<f64>);
+
+fn parse_times(text: &str) -> Result<Times, String> {
+    let times: Result<Vec<f64>, _> = text.split(',').map(str::parse).collect();
+    times.map(Times).map_err(|e| e.to_string())
+}
+
 /// measure the cost of API keys of tenants in a gateway
 #[derive(Debug, FromArgs)]
 #[argh(subcommand, name = "keys")]
@@ -230,6 +253,14 @@
             println!("{}", serde_json::to_string(&measured)?);
             Ok(true)
         }
+        Command::Takeups(a) => {
+            let log = std::fs::read(&a.log)?;
+            let events = bench::takeups::read(&String::from_utf8_lossy(&log));
+            for counts in bench::takeups::count(&events, &a.kills.0) {
+                println!("{}", serde_json::to_string(&counts)?);
+            }
+            Ok(true)
+        }
         Command::Capacity(_) => bench::capacity::update_page().map(|()| true),
         Command::Inforce(a) => {
             let measured = bench::inforce::run(a.changes).await?;
