--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -64,7 +64,7 @@
 #[derive(Debug, FromArgs)]
 #[argh(subcommand, name = "takeups")]
 struct TakeupsArgs {
-    /// log of a run, as `fleetbench run --log all` prints it
+    /// log of all hosts, a line an event: time in seconds, host, event in JSON
     #[argh(positional)]
     log: PathBuf,
     /// times of the kills in seconds, separated by commas
--- a/crates/bench/src/takeups.rs
+++ b/crates/bench/src/takeups.rs
@@ -1,6 +1,6 @@
 //! Counts streams that clients took up again after all hosts were killed, from their logs.
 //!
-//! A log is what `fleetbench run --log all` prints: lines with a time in seconds, a host and an
+//! A line of a log has a time in seconds, a host and an
 //! event in JSON. Other lines are passed over.
 
 use serde::{Deserialize, Serialize};
