Test: requests refused for good and callers never served

Three hosts and upstreams whose processes never end: a request whose connections break for 6 s gets 400 from then on, and 60 callers of a service for 40 requests a second are served 68 times in 12 s, where 12 callers are served 480 times.

--- a/crates/gateway/tests/common/crashing.rs
+++ b/crates/gateway/tests/common/crashing.rs
@@ -33,7 +33,13 @@
 impl System {
     /// Starts hosts and plain workers that answer after 30 ms.
     pub async fn start(hosts: usize, workers: usize) -> Self {
+        Self::start_with_downtime(hosts, workers, RESTART_TIME).await
+    }
+
+    /// Same as [`System::start`], with workers that are down for `downtime` after a crash.
+    pub async fn start_with_downtime(hosts: usize, workers: usize, downtime: Duration) -> Self {
         let mut system = Self::empty();
+        system.downtime = downtime;
         for n in 0..workers {
             let row = fixture::worker_row("plain", system.store.addr, "ready", None);
             let default = Action::Delayed(Duration::from_millis(30), Box::new(Action::Echo));
@@ -45,6 +51,29 @@
         system
     }
 
+    /// Starts hosts with these routes, and plain workers that are registered with `slots` and answer
+    /// after `service_time`.
+    pub async fn start_limited(
+        hosts: usize,
+        workers: usize,
+        slots: usize,
+        service_time: Duration,
+        routes: &serde_json::Value,
+    ) -> Self {
+        let mut system = Self::empty();
+        system.store.put("op", "config", &super::config(1, routes));
+        for n in 0..workers {
+            let mut row = fixture::worker_row("plain", system.store.addr, "ready", None);
+            row["Slots"] = slots.into();
+            let default = Action::Delayed(service_time, Box::new(Action::Echo));
+            system.add_worker(&format!("i-{n}"), row, default).await;
+        }
+        for _ in 0..hosts {
+            system.add_host(PEER_PORT).await;
+        }
+        system
+    }
+
     /// Starts hosts, prefill-only engines and engines that generate.
     pub async fn start_engines(hosts: usize, prefill_engines: usize, generators: usize) -> Self {
         Self::start_slow_engines(
