Count a crash only if the upstream's process has ended

Callers of a sound request got 400 crashes_upstreams for an hour although no process had ended. A broken connection counted as a crash if, 0.1 s later, the pool had no idle connection and nothing had been answered, which is true of any upstream at a low load; two trials that broke too confirmed it.

A crash now needs a fact: the upstream's address refuses a new connection, the registry has another start under the id, or its entry is gone and the address accepts no connection. The last also holds for requests without an answer, where an expired entry alone counted. What a restart within 0.1 s leaves open is watched in the registry for 15 s. Entry and agent count a refused connection only, no longer one without a response.

--- a/crates/agent/src/run.rs
+++ b/crates/agent/src/run.rs
@@ -6,7 +6,7 @@
 use crate::frames::FrameSender;
 use crate::plain::call_plain;
 use crate::state::Agent;
-use net::BodySender;
+use net::{BodySender, Listener};
 use observe::log_line::now_ms;
 use observe::{Labels, Latency};
 use records::{Record, Side};
@@ -83,7 +83,7 @@
         return result;
     }
     tokio::time::sleep(EXIT_CHECK_DELAY).await;
-    if agent.plain.is_reachable().await {
+    if agent.plain.probe().await != Listener::Absent {
         return result;
     }
     AttemptResult::UpstreamEnded(agent.exits.record_exit(&agent.node.id, sent_at))
--- a/crates/entry/src/session.rs
+++ b/crates/entry/src/session.rs
@@ -8,7 +8,7 @@
 use crate::state::Entry;
 use conf::Class;
 use hyper::Method;
-use net::{CallError, Pool};
+use net::{CallError, Listener};
 use node::RunningGuard;
 use resilience::Fingerprint;
 use resilience::crashes::Confidence;
@@ -380,9 +380,9 @@
             return Step::Lost(Reason::PeerLost);
         };
         let timeout = self.entry.node.settings.limits.probe_timeout;
-        match Pool::new(agent, timeout).is_reachable().await {
-            true => Step::Lost(Reason::PeerLost),
-            false => Step::Crashed(Reason::PeerLost, crashes::agent_crash_id(name)),
+        match net::probe(agent, timeout).await {
+            Listener::Present | Listener::Unknown => Step::Lost(Reason::PeerLost),
+            Listener::Absent => Step::Crashed(Reason::PeerLost, crashes::agent_crash_id(name)),
         }
     }
 
--- a/crates/gateway/src/account.rs
+++ b/crates/gateway/src/account.rs
@@ -15,6 +15,7 @@
 };
 use resilience::Fingerprint;
 use resilience::crashes::{BlockedPart, Subject};
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -51,6 +52,8 @@
     pub key: UpstreamKey,
     /// Tag of the start, which identifies it between processes even after its removal.
     pub tag: u32,
+    /// Address.
+    pub addr: SocketAddr,
 }
 
 /// A trial of a request, or of a part of prompts, that is blocked for crashing upstreams.
--- a/crates/gateway/src/choose.rs
+++ b/crates/gateway/src/choose.rs
@@ -135,6 +135,7 @@
         SentTo {
             key: self.key,
             tag: self.tag,
+            addr: self.addr,
         }
     }
 }
--- a/crates/gateway/src/crashes/broken.rs
+++ b/crates/gateway/src/crashes/broken.rs
@@ -1,87 +1,43 @@
 //! Checks whether an upstream crashed when a connection to it breaks during a request.
+//!
+//! A broken connection alone shows nothing: a running upstream may break each of them. The process
+//! has ended if its address refuses connections, or if the registry has a later start of it.
 
-use super::part_names;
-use crate::account::{Account, SentTo};
-use crate::fleet::UpstreamKey;
-use crate::monotonic;
+use super::unanswered::{ProcessState, Symptom, WatchedRequest};
+use crate::account::Account;
 use crate::serve::Call;
-use crate::state::Gateway;
 use observe::{Event, emit};
-use resilience::crashes::{Observation, Run, Source};
-use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
-/// Time for which an upstream is observed after a connection broke. A process that ends closes all
-/// its connections at once, which a busy host notices within about ten milliseconds. A running
-/// upstream answers other requests in this time.
-const LIVENESS_WINDOW: Duration = Duration::from_millis(100);
-
-/// A request whose connection to an upstream broke.
-struct BrokenConnection {
-    gateway: Arc<Gateway>,
-    request: String,
-    run: Run,
-    parts: Option<String>,
-    key: UpstreamKey,
-    tag: u32,
-    instance: String,
-    in_trial: bool,
-    at: Instant,
-}
+/// Time from the break to the first check, in which the process that broke the connection can end.
+const FIRST_CHECK_DELAY: Duration = Duration::from_millis(100);
 
 /// Starts a check of the upstream whose connection broke during a request.
 pub fn connection_broke(call: &Call, account: &mut Account) {
-    let (Some(sent), Some(instance)) = (account.last_sent_to, account.upstream.clone()) else {
+    let request = WatchedRequest::new(call, account, Symptom::BrokenConnection);
+    let Some(request) = request else {
         return;
     };
-    let SentTo { key, tag } = sent;
-    account.fingerprint = Some(call.fingerprint());
-    let broken = BrokenConnection {
-        gateway: call.gateway.clone(),
-        request: account.id.clone(),
-        run: call.run_record(),
-        parts: part_names(call),
-        key,
-        tag,
-        instance,
-        in_trial: account.trial.is_some(),
-        at: monotonic::now(),
-    };
-    tokio::spawn(broken.report());
-}
-
-impl BrokenConnection {
-    async fn report(self) {
-        tokio::time::sleep(LIVENESS_WINDOW).await;
-        let has_ended = self.has_ended();
+    account.fingerprint = Some(request.run.request);
+    let permit = call.gateway.crashes.watch_permits.try_acquire();
+    tokio::spawn(async move {
+        tokio::time::sleep(FIRST_CHECK_DELAY).await;
+        let has_ended = request.state_after_break().await == ProcessState::Ended;
         if has_ended {
-            let observation = Observation::Crash {
-                run: self.run.clone(),
-                upstream: self.tag,
-                at: self.at,
-                in_trial: self.in_trial,
-            };
-            super::apply(&self.gateway, observation, Source::Local, true);
+            request.count_crash();
         }
         emit(&Event::ConnectionBroke {
-            request: &self.request,
-            work: self.run.request.to_string(),
-            parts: self.parts.as_deref(),
-            upstream: &self.instance,
+            request: &request.id,
+            work: request.run.request.to_string(),
+            parts: request.parts.as_deref(),
+            upstream: &request.upstream,
             upstream_ended: has_ended,
-            in_trial: self.in_trial,
-            ends: self.gateway.crashes.lock().crash_count(self.run.request),
+            in_trial: request.trial_of.is_some(),
+            ends: request.crash_count(),
         });
-    }
-
-    /// Whether the upstream's process seems to have ended: it is gone, or it has neither answered
-    /// since nor has an open connection.
-    fn has_ended(&self) -> bool {
-        let fleet = self.gateway.fleet();
-        let Some(upstream) = fleet.get(self.key) else {
-            return true;
-        };
-        let has_answered_since = upstream.alive_at.is_some_and(|at| at > self.at);
-        !has_answered_since && !upstream.pool.has_open()
-    }
+        // An upstream may be back under its address already, which only the registry shows.
+        if !has_ended && permit.is_some() {
+            request.watch().await;
+        }
+    });
 }
--- a/crates/gateway/src/crashes/unanswered.rs
+++ b/crates/gateway/src/crashes/unanswered.rs
@@ -1,19 +1,22 @@
-//! Checks whether an upstream crashed when it doesn't answer a request.
+//! Checks whether an upstream crashed when it doesn't answer a request, or broke its connection.
 //!
 //! If an upstream ends without closing its connections, the request neither fails nor is answered.
 //! If this weren't counted as a crash, retries of the request would crash further upstreams.
-//! Whether the upstream has ended is determined from the registry.
+//! Whether the upstream has ended is determined from the registry and by a new connection: an
+//! entry can expire while the upstream runs.
 
 use super::part_names;
 use crate::account::{Account, SentTo};
+use crate::fleet::CONNECT_TIMEOUT;
 use crate::monotonic;
 use crate::serve::Call;
 use crate::state::Gateway;
+use net::{Listener, probe};
 use observe::{Event, emit};
 use resilience::crashes::{Change, Observation, Run, Source, Subject};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
-use tokio::sync::Semaphore;
+use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 use tokio::task::AbortHandle;
 
 /// Interval between checks.
@@ -24,7 +27,7 @@
 
 /// Maximum number of requests whose upstreams are watched at the same time, except trials. When
 /// many upstreams are cut off, a sample is enough.
-const MAX_WATCHED: usize = 64;
+const MAX_WATCHED: usize = 256;
 
 /// Permits for watching the upstreams of requests.
 #[derive(Debug, Clone)]
@@ -36,27 +39,43 @@
     }
 }
 
+impl WatchPermits {
+    pub(super) fn try_acquire(&self) -> Option<OwnedSemaphorePermit> {
+        self.0.clone().try_acquire_owned().ok()
+    }
+}
+
 /// A request whose upstream is watched.
-struct WatchedRequest {
+pub(super) struct WatchedRequest {
     gateway: Arc<Gateway>,
-    request: String,
-    run: Run,
+    pub(super) id: String,
+    pub(super) run: Run,
     /// What the request is a trial of, if it is one.
-    trial_of: Option<Subject>,
-    parts: Option<String>,
+    pub(super) trial_of: Option<Subject>,
+    pub(super) parts: Option<String>,
     to: SentTo,
-    upstream: String,
+    pub(super) upstream: String,
+    symptom: Symptom,
     at: Instant,
 }
 
-/// State of the upstream of a watched request.
+/// Why an upstream is watched.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Symptom {
+    /// The connection broke, so the process may have been replaced since.
+    BrokenConnection,
+    /// The request wasn't answered.
+    NoAnswer,
+}
+
+/// State of the process to which a watched request was sent.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum UpstreamFate {
-    /// Not known yet. A broken connection is handled in [`super::broken`].
+pub(super) enum ProcessState {
+    /// Not known yet.
     Unknown,
     /// It has answered a request since, or is leaving as planned.
     Alive,
-    /// It is gone, or has restarted.
+    /// It has ended, whether or not another one has started in its place.
     Ended,
 }
 
@@ -78,7 +97,7 @@
     if account.trial.is_none() {
         return TrialWatch::default();
     }
-    let Some(request) = WatchedRequest::new(call, account) else {
+    let Some(request) = WatchedRequest::new(call, account, Symptom::NoAnswer) else {
         return TrialWatch::default();
     };
     TrialWatch(Some(tokio::spawn(request.watch()).abort_handle()))
@@ -90,11 +109,9 @@
     if account.trial.is_some() || !account.may_have_run {
         return;
     }
-    let permits = call.gateway.crashes.watch_permits.0.clone();
-    let (Some(request), Ok(permit)) = (
-        WatchedRequest::new(call, account),
-        permits.try_acquire_owned(),
-    ) else {
+    let permits = &call.gateway.crashes.watch_permits;
+    let request = WatchedRequest::new(call, account, Symptom::NoAnswer);
+    let (Some(request), Some(permit)) = (request, permits.try_acquire()) else {
         return;
     };
     account.fingerprint = Some(request.run.request);
@@ -105,21 +122,24 @@
 }
 
 impl WatchedRequest {
-    /// Watch of a request that was just sent, or just timed out.
-    fn new(call: &Call, account: &Account) -> Option<Self> {
+    /// Watch of a request that was just sent, whose connection just broke, or that just timed out.
+    pub(super) fn new(call: &Call, account: &Account, symptom: Symptom) -> Option<Self> {
+        let to = account.last_sent_to?;
         Some(Self {
             gateway: call.gateway.clone(),
-            request: account.id.clone(),
+            id: account.id.clone(),
             run: call.run_record(),
             trial_of: account.trial.map(|trial| trial.subject),
             parts: part_names(call),
-            to: account.last_sent_to?,
+            to,
             upstream: account.upstream.clone()?,
+            symptom,
             at: monotonic::now(),
         })
     }
 
-    async fn watch(self) {
+    /// Watches the upstream until its state is known or the watch time is over.
+    pub(super) async fn watch(self) {
         while monotonic::elapsed(self.at) < WATCH_TIME {
             tokio::time::sleep(CHECK_EVERY).await;
             // The request was answered and thereby cleared.
@@ -128,44 +148,87 @@
             {
                 return;
             }
-            match self.fate() {
-                UpstreamFate::Unknown => {}
-                UpstreamFate::Alive => return,
-                UpstreamFate::Ended => return self.report_crash(),
+            match self.state().await {
+                ProcessState::Unknown => {}
+                ProcessState::Alive => return,
+                ProcessState::Ended => return self.report_crash(),
             }
         }
     }
 
     /// Counts the crash, unless it is already known from a broken connection.
     fn report_crash(&self) {
-        let observation = Observation::Crash {
-            run: self.run.clone(),
-            upstream: self.to.tag,
-            at: self.at,
-            in_trial: self.trial_of.is_some(),
-        };
-        if super::apply(&self.gateway, observation, Source::Local, true) == Change::Unchanged {
+        if self.count_crash() == Change::Unchanged {
             return;
         }
         emit(&Event::UpstreamWentDark {
-            request: &self.request,
+            request: &self.id,
             work: self.run.request.to_string(),
             parts: self.parts.as_deref(),
             upstream: &self.upstream,
             in_trial: self.trial_of.is_some(),
-            ends: self.gateway.crashes.lock().crash_count(self.run.request),
+            ends: self.crash_count(),
         });
     }
 
-    fn fate(&self) -> UpstreamFate {
+    /// Counts a crash of the upstream; returns the effect on the request.
+    pub(super) fn count_crash(&self) -> Change {
+        let observation = Observation::Crash {
+            run: self.run.clone(),
+            upstream: self.to.tag,
+            at: self.at,
+            in_trial: self.trial_of.is_some(),
+        };
+        super::apply(&self.gateway, observation, Source::Local, true)
+    }
+
+    /// Number of crashes during the request that count.
+    pub(super) fn crash_count(&self) -> usize {
+        self.gateway.crashes.lock().crash_count(self.run.request)
+    }
+
+    /// State just after the connection broke.
+    pub(super) async fn state_after_break(&self) -> ProcessState {
+        match self.registered_state() {
+            ProcessState::Unknown => {}
+            state => return state,
+        }
+        match probe(self.to.addr, CONNECT_TIMEOUT).await {
+            Listener::Absent => ProcessState::Ended,
+            Listener::Present | Listener::Unknown => ProcessState::Unknown,
+        }
+    }
+
+    /// State according to the registry. An upstream whose entry is absent has ended unless it
+    /// still accepts connections.
+    async fn state(&self) -> ProcessState {
+        let is_registered = self.gateway.fleet().get(self.to.key).is_some();
+        match self.registered_state() {
+            ProcessState::Unknown if !is_registered => {
+                match probe(self.to.addr, CONNECT_TIMEOUT).await {
+                    Listener::Absent | Listener::Unknown => ProcessState::Ended,
+                    Listener::Present => ProcessState::Unknown,
+                }
+            }
+            state => state,
+        }
+    }
+
+    /// State as far as the registry and answers to other requests show it.
+    fn registered_state(&self) -> ProcessState {
         let fleet = self.gateway.fleet();
+        if fleet.has_restarted(self.to.key, &self.upstream) {
+            return ProcessState::Ended;
+        }
         let Some(upstream) = fleet.get(self.to.key) else {
-            return UpstreamFate::Ended;
+            return ProcessState::Unknown;
         };
         let has_answered_since = upstream.alive_at.is_some_and(|at| at > self.at);
-        match has_answered_since || !upstream.is_open() {
-            true => UpstreamFate::Alive,
-            false => UpstreamFate::Unknown,
+        // NB: an answer shows that this start runs only if each start has an id of its own.
+        let is_same_start = self.symptom == Symptom::NoAnswer || upstream.instance.start.is_none();
+        match (has_answered_since && is_same_start) || !upstream.is_open() {
+            true => ProcessState::Alive,
+            false => ProcessState::Unknown,
         }
     }
 }
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -32,7 +32,7 @@
 
 /// Timeout for connecting to an upstream. A connection within a region takes a few milliseconds.
 /// An unreachable host never answers, and there must be time left to try another.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
+pub(crate) const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 
 /// Fixed part of the time to transfer a KV cache between engines.
 const TRANSFER_SETUP_MS: f64 = 5.0;
--- a/crates/net/src/client.rs
+++ b/crates/net/src/client.rs
@@ -4,6 +4,7 @@
 use crate::meter::{Meter, Metered};
 use hyper_util::rt::TokioIo;
 use socket2::SockRef;
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::net::TcpStream;
@@ -35,3 +36,28 @@
         .map_err(|e| CallError::NotSent(e.to_string()))?;
     Ok(TokioIo::new(Metered::new(tcp, meter.clone())))
 }
+
+/// Whether a process listens at an address.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Listener {
+    /// It accepted or reset a connection.
+    Present,
+    /// The connection was refused.
+    Absent,
+    /// The address doesn't respond.
+    Unknown,
+}
+
+/// Finds out by a new connection whether a process listens at an address.
+pub async fn probe(addr: SocketAddr, timeout: Duration) -> Listener {
+    match tokio::time::timeout(timeout, TcpStream::connect(addr)).await {
+        Ok(Ok(_)) => Listener::Present,
+        Ok(Err(e)) => match e.kind() {
+            // A process at its limit on connections resets further ones.
+            ErrorKind::ConnectionReset => Listener::Present,
+            ErrorKind::ConnectionRefused => Listener::Absent,
+            _ => Listener::Unknown,
+        },
+        Err(_) => Listener::Unknown,
+    }
+}
--- a/crates/net/src/h1.rs
+++ b/crates/net/src/h1.rs
@@ -4,7 +4,7 @@
 //! non-idempotent call twice.
 
 use crate::body::Body;
-use crate::client::{Connection, connect};
+use crate::client::{Connection, Listener, connect, probe};
 use crate::error::CallError;
 use crate::informational::{InformationalLimit, MAX_INFORMATIONAL_BYTES};
 use crate::meter::Meter;
@@ -146,12 +146,6 @@
         self.idle.lock().expect("no panic while locked").clear();
     }
 
-    /// Whether the pool has an idle connection that seems to be open.
-    pub fn has_open(&self) -> bool {
-        let idle_conns = self.idle.lock().expect("no panic while locked");
-        idle_conns.iter().any(|idle| idle.conn.tx.is_ready())
-    }
-
     fn put(&self, idle: Idle) {
         let mut idle_conns = self.idle.lock().expect("no panic while locked");
         if idle_conns.len() < MAX_IDLE && !idle.conn.tx.is_closed() {
@@ -173,9 +167,9 @@
         None
     }
 
-    /// Whether a new connection can be opened.
-    pub async fn is_reachable(&self) -> bool {
-        self.open().await.is_ok()
+    /// Finds out by a new connection whether a process listens at the address.
+    pub async fn probe(&self) -> Listener {
+        probe(self.addr, self.timeout).await
     }
 
     async fn open(&self) -> Result<Conn, CallError> {
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -15,6 +15,7 @@
 
 pub use body::{Body, BodySender, empty, full, stream};
 pub use budget::BufferBudget;
+pub use client::{Listener, probe};
 pub use error::CallError;
 pub use h1::Pool;
 pub use meter::Meter;
--- a/crates/observe/src/event.rs
+++ b/crates/observe/src/event.rs
@@ -652,7 +652,7 @@
         parts: Option<&'a str>,
         /// The upstream.
         upstream: &'a str,
-        /// Whether the upstream appears to have crashed.
+        /// Whether the upstream's process is known to have ended.
         upstream_ended: bool,
         /// Whether the request was a trial of held-back work.
         in_trial: bool,
@@ -660,8 +660,8 @@
         /// response.
         ends: usize,
     },
-    /// An upstream that didn't answer a request is gone or has restarted, but no connection to it
-    /// was closed.
+    /// An upstream that didn't answer a request or broke its connection has ended or restarted, which
+    /// became known only later, from the registry.
     UpstreamWentDark {
         /// The request's id.
         request: &'a str,
