--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -43,11 +43,54 @@
 /// Priorities of requests with long and short answers within an engine.
 const LONG_PRIORITY: u8 = 2;
 const SHORT_PRIORITY: u8 = 4;
-/// Weights of a connection failure and of a server error in the upstream's health. Some services
-/// answer one in seven requests with an error, and must not be suspended for it.
-pub const CONNECTION_FAILURE_WEIGHT: f64 = 0.25;
+/// Weights of a lost request and of a server error in the upstream's health. Some services answer
+/// one in seven requests with an error, and must not be suspended for it.
+const LOST_REQUEST_WEIGHT: f64 = 0.25;
 const ERROR_ANSWER_WEIGHT: f64 = 0.06;
 
+/// How a request failed at an upstream.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Failure {
+    /// No connection could be opened, or it was closed before the request was sent.
+    NotConnected,
+    /// The connection broke before the end of the answer.
+    BrokenOff,
+    /// The upstream reported that it didn't run the request.
+    Rejected,
+    /// The answer is invalid, or belongs to another request.
+    InvalidAnswer,
+    /// No first byte came in time.
+    NoAnswer,
+    /// The upstream answered with a server error.
+    ErrorAnswer,
+}
+
+impl Failure {
+    /// Weight in the upstream's health, from 0 to 1.
+    fn weight(self) -> f64 {
+        match self {
+            Self::ErrorAnswer => ERROR_ANSWER_WEIGHT,
+            Self::NotConnected
+            | Self::BrokenOff
+            | Self::Rejected
+            | Self::InvalidAnswer
+            | Self::NoAnswer => LOST_REQUEST_WEIGHT,
+        }
+    }
+
+    /// Name in logs.
+    fn name(self) -> &'static str {
+        match self {
+            Self::NotConnected => "not connected",
+            Self::BrokenOff => "broken off",
+            Self::Rejected => "rejected",
+            Self::InvalidAnswer => "invalid answer",
+            Self::NoAnswer => "no answer",
+            Self::ErrorAnswer => "server error",
+        }
+    }
+}
+
 /// An answer whose first bytes have arrived.
 #[derive(Debug)]
 pub struct StartedAnswer {
@@ -232,13 +275,13 @@
             account.may_have_run = could_have_run;
             account.undo_usage(usage);
             grant.into_iter().for_each(Grant::refund);
-            record_failure(gateway, plan, CONNECTION_FAILURE_WEIGHT);
+            record_failure(gateway, plan, Failure::NotConnected);
             return AttemptResult::NotRun(NotRun::NotSent);
         }
         Err(CallError::MaybeSent(why)) => {
             account.attempts += 1;
             connection_broke(call, account);
-            record_failure(gateway, plan, CONNECTION_FAILURE_WEIGHT);
+            record_failure(gateway, plan, Failure::BrokenOff);
             return AttemptResult::Unknown(why);
         }
     };
@@ -247,7 +290,7 @@
     let (head, body) = res.into_parts();
     let upstream_response = header::parse_upstream_response(&head.headers, &call.parsed_headers.id);
     if !upstream_response.id_matches {
-        record_failure(gateway, plan, CONNECTION_FAILURE_WEIGHT);
+        record_failure(gateway, plan, Failure::InvalidAnswer);
         return AttemptResult::Unknown(format!("{} without this request's id", head.status));
     }
     let idle = idle_time(&head.headers);
@@ -265,12 +308,12 @@
         watch.cancel();
         account.may_have_run = could_have_run;
         account.undo_usage(usage);
-        record_failure(gateway, plan, CONNECTION_FAILURE_WEIGHT);
+        record_failure(gateway, plan, Failure::Rejected);
         return AttemptResult::NotRun(NotRun::Rejected);
     }
     let is_bad = !upstream_response.is_signed || head.headers.contains_key(CONTENT_ENCODING);
     if head.status.is_success() && is_bad {
-        record_failure(gateway, plan, CONNECTION_FAILURE_WEIGHT);
+        record_failure(gateway, plan, Failure::InvalidAnswer);
         return AttemptResult::Unknown("success status without a response signature".into());
     }
     let framing = Framing::of(&head.headers, &body);
@@ -291,12 +334,12 @@
         Ok(read) => read,
         Err(why) => {
             connection_broke(call, account);
-            record_failure(gateway, plan, CONNECTION_FAILURE_WEIGHT);
+            record_failure(gateway, plan, Failure::BrokenOff);
             return AttemptResult::Unknown(why);
         }
     };
     if head.status.is_server_error() {
-        record_failure(gateway, plan, ERROR_ANSWER_WEIGHT);
+        record_failure(gateway, plan, Failure::ErrorAnswer);
     } else {
         record_first_byte(gateway, call, plan, monotonic::elapsed(since));
     }
@@ -425,21 +468,30 @@
     }
 }
 
-/// Records a failure of a plan's upstream, and logs if it is suspended.
-pub fn record_failure(gateway: &Arc<Gateway>, plan: &Plan, weight: f64) {
-    record_failure_at(gateway, plan.key, &plan.instance, weight);
+/// Records a failure of a plan's upstream; see [`record_failure_at`].
+pub fn record_failure(gateway: &Arc<Gateway>, plan: &Plan, failure: Failure) {
+    record_failure_at(gateway, plan.key, &plan.instance, failure);
 }
 
 /// Records a failure of an upstream, and logs if it is suspended.
-pub fn record_failure_at(gateway: &Arc<Gateway>, key: UpstreamKey, instance: &str, weight: f64) {
+pub fn record_failure_at(
+    gateway: &Arc<Gateway>,
+    key: UpstreamKey,
+    instance: &str,
+    failure: Failure,
+) {
     let mut fleet = gateway.fleet();
     let Some(upstream) = fleet.get_mut(key) else {
         return;
     };
-    if let Some(suspended) = upstream.health.record_failure(weight, monotonic::now()) {
+    if let Some(suspended) = upstream
+        .health
+        .record_failure(failure.weight(), monotonic::now())
+    {
         upstream.pool.close_idle();
         emit(&Event::UpstreamSuspended {
             upstream: instance,
+            why: failure.name(),
             failures: suspended.failure_rate,
             for_ms: suspended.duration.as_millis() as u64,
         });
--- a/crates/gateway/src/attempt/split.rs
+++ b/crates/gateway/src/attempt/split.rs
@@ -1,8 +1,8 @@
 //! Prefills a prompt on one engine and generates the answer on another.
 
 use super::{
-    AttemptResult, CONNECTION_FAILURE_WEIGHT, NotRun, build_request, idle_time, log_bad_answer,
-    log_failed_attempt, record_alive, record_failure, record_first_byte, record_parts, send_to,
+    AttemptResult, Failure, NotRun, build_request, idle_time, log_bad_answer, log_failed_attempt,
+    record_alive, record_failure, record_first_byte, record_parts, send_to,
 };
 use crate::account::Account;
 use crate::choose::{Choice, Plan, Requirements, choose_generator, choose_with_room};
@@ -133,11 +133,17 @@
     let response = match plan.pool.send_once(req).await {
         Ok(response) => response,
         Err(e) => {
-            match e {
-                CallError::MaybeSent(_) => connection_broke(call, account),
-                CallError::NotSent(_) => grant.into_iter().for_each(Grant::refund),
-            }
-            record_failure(gateway, plan, CONNECTION_FAILURE_WEIGHT);
+            let failure = match e {
+                CallError::MaybeSent(_) => {
+                    connection_broke(call, account);
+                    Failure::BrokenOff
+                }
+                CallError::NotSent(_) => {
+                    grant.into_iter().for_each(Grant::refund);
+                    Failure::NotConnected
+                }
+            };
+            record_failure(gateway, plan, failure);
             log_bad_answer(call, plan, e.to_string());
             return None;
         }
@@ -150,7 +156,7 @@
         statements::record(gateway, plan, head.status, &upstream_response, since);
     }
     if head.status != StatusCode::OK || !upstream_response.id_matches {
-        record_failure(gateway, plan, CONNECTION_FAILURE_WEIGHT);
+        record_failure(gateway, plan, Failure::InvalidAnswer);
         log_bad_answer(call, plan, format!("prefill answered with {}", head.status));
         return None;
     }
@@ -171,7 +177,7 @@
             Some(prefilled)
         }
         Err(why) => {
-            record_failure(gateway, plan, CONNECTION_FAILURE_WEIGHT);
+            record_failure(gateway, plan, Failure::InvalidAnswer);
             log_bad_answer(call, plan, why);
             None
         }
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -3,8 +3,7 @@
 use crate::account::Account;
 use crate::answer::{Outcome, Reason};
 use crate::attempt::{
-    AttemptResult, BodyRest, CONNECTION_FAILURE_WEIGHT, StartedAnswer, log_failed_attempt,
-    record_failure_at,
+    AttemptResult, BodyRest, Failure, StartedAnswer, log_failed_attempt, record_failure_at,
 };
 use crate::completeness::{BodyMonitor, Completeness};
 use crate::crashes;
@@ -277,12 +276,7 @@
         else {
             return;
         };
-        record_failure_at(
-            &self.call.gateway,
-            sent.key,
-            instance,
-            CONNECTION_FAILURE_WEIGHT,
-        );
+        record_failure_at(&self.call.gateway, sent.key, instance, Failure::BrokenOff);
     }
 
     /// Resumes the stream at another upstream after the last event that was relayed; `None` if
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -10,7 +10,7 @@
 
 use crate::account::Account;
 use crate::answer::Reason;
-use crate::attempt::{self, AttemptResult, NotRun, attempt};
+use crate::attempt::{self, AttemptResult, Failure, NotRun, attempt};
 use crate::choose::{Choice, Plan, Requirements, Unavailable, choose, choose_with_room};
 use crate::crashes::{self, Admission, fingerprint, unanswered};
 use crate::fleet::{ServiceKey, UpstreamKey};
@@ -413,7 +413,7 @@
         *is_retry_spent = true;
         unanswered::watch_timed_out(self, account);
         account.attempts += 1;
-        attempt::record_failure(&self.gateway, plan, attempt::CONNECTION_FAILURE_WEIGHT);
+        attempt::record_failure(&self.gateway, plan, Failure::NoAnswer);
         let why = "no first byte in time";
         attempt::log_failed_attempt(account, "unknown", why, first_byte_timeout);
         AttemptResult::Unknown(why.to_owned())
--- a/crates/observe/src/event.rs
+++ b/crates/observe/src/event.rs
@@ -586,6 +586,8 @@
     UpstreamSuspended {
         /// Id of the upstream.
         upstream: &'a str,
+        /// How the last of them failed.
+        why: &'a str,
         /// Fraction of the recent requests that failed.
         failures: f64,
         /// Duration of the suspension, in milliseconds.
