Let requests for full plain upstreams wait at the host

Of 60 callers of a service for 40 requests a second, 30 were never served and 68 requests of 480 possible ones were: each rejection by a full upstream counted as a failure, so each host suspended all upstreams at once, and nothing ordered the callers.

A rejection now shows that the upstream is full, not broken. Until it hasn't been full for 2 s, hosts send it as many requests as it has slots and a few more, and the others wait at their hosts, which share the slots by demand. They go by priority, of which lower ones keep a quarter, and by turn, which all hosts compute alike from the request and the store's clock, so that another attempt or another host changes nothing. What can't be answered in time is rejected at once, with the time of its turn. No message, call to the store or setting is new.

--- a/crates/gateway/src/account.rs
+++ b/crates/gateway/src/account.rs
@@ -7,6 +7,7 @@
 use crate::fleet::latency::{Backlog, Task};
 use crate::monotonic;
 use crate::origins::KnownOrigin;
+use crate::queue::SendPermit;
 use crate::quota::Grant;
 use crate::serve::FinishEstimate;
 use crate::state::{Gateway, RunningGuard};
@@ -128,6 +129,8 @@
     pub parts: Option<String>,
     /// Units taken from the tenant's quota.
     pub grant: Option<Grant>,
+    /// Permission to send the request to a full upstream, until it is counted as running.
+    pub send_permit: Option<SendPermit>,
     /// Request taken from the limit of the upstream that is tried next.
     pub request_grant: Option<Grant>,
     /// The trial of what is blocked for crashing upstreams, if the request is one.
@@ -176,6 +179,7 @@
             fingerprint: None,
             parts: None,
             grant: None,
+            send_permit: None,
             request_grant: None,
             trial: None,
             blocked_part: None,
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -252,6 +252,7 @@
 ) -> AttemptResult {
     let gateway = &call.gateway;
     let load = gateway.add_load(plan.key, plan.inputs.uncached, plan.is_long);
+    account.send_permit = None;
     if call.is_engine && plan.task == Task::Generate {
         record_parts(call, plan);
     }
@@ -308,7 +309,11 @@
         watch.cancel();
         account.may_have_run = could_have_run;
         account.undo_usage(usage);
-        record_failure(gateway, plan, Failure::Rejected);
+        if call.is_engine || head.status == StatusCode::MISDIRECTED_REQUEST {
+            record_failure(gateway, plan, Failure::Rejected);
+        } else {
+            record_full(gateway, plan);
+        }
         return AttemptResult::NotRun(NotRun::Rejected);
     }
     let is_bad = !upstream_response.is_signed || head.headers.contains_key(CONTENT_ENCODING);
@@ -449,6 +454,7 @@
     };
     upstream.health.record_success();
     if !call.is_engine {
+        upstream.saturation.record_answer();
         return;
     }
     let service = upstream.service;
@@ -468,6 +474,24 @@
     }
 }
 
+/// Records that a plan's upstream rejected a request as it is full.
+fn record_full(gateway: &Arc<Gateway>, plan: &Plan) {
+    let now = monotonic::now();
+    let mut fleet = gateway.fleet();
+    let Some(upstream) = fleet.get_mut(plan.key) else {
+        return;
+    };
+    let was_limited = upstream.is_limited(now);
+    upstream.saturation.record_rejection(now);
+    if !was_limited {
+        emit(&Event::UpstreamFull {
+            upstream: &plan.instance,
+            running: upstream.all_running(),
+            slots: upstream.instance.slots,
+        });
+    }
+}
+
 /// Records a failure of a plan's upstream; see [`record_failure_at`].
 pub fn record_failure(gateway: &Arc<Gateway>, plan: &Plan, failure: Failure) {
     record_failure_at(gateway, plan.key, &plan.instance, failure);
--- a/crates/gateway/src/choose.rs
+++ b/crates/gateway/src/choose.rs
@@ -75,6 +75,8 @@
     pub version: Option<NameHash>,
     /// Upstreams that are excluded because they were tried before.
     pub tried: &'a [UpstreamKey],
+    /// Whether the request may be sent although upstreams are full.
+    pub has_permit: bool,
 }
 
 impl Requirements<'_> {
@@ -145,6 +147,8 @@
 pub enum Choice {
     /// Send the request according to the plan.
     Send(Box<Plan>),
+    /// Upstreams are full, so the request must wait until it may be sent.
+    Full,
     /// All upstreams are too busy; the client may retry after the given time.
     Busy(ChoiceInputs, Duration),
     /// No upstream is available, but some will be at a known time. Contains the earliest one.
@@ -299,10 +303,16 @@
     let cost = |u: &Upstream| {
         let load = f64::from(u.all_running()) / f64::from(u.instance.slots);
         let is_far = u.instance.zone != zone;
-        load + f64::from(u8::from(is_far)) * PLAIN_CROSS_ZONE_LOAD + fastrand::f64() * PLAIN_JITTER
+        let jitter = fastrand::f64() * PLAIN_JITTER;
+        let cost = load + f64::from(u8::from(is_far)) * PLAIN_CROSS_ZONE_LOAD + jitter;
+        (u.is_full(now), cost)
     };
     let all = candidates(fleet, requirements, now).map(|(key, u)| (key, u, cost(u)));
-    match all.min_by(|a, b| a.2.total_cmp(&b.2)) {
+    let best = all.min_by(|(.., a), (.., b)| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)));
+    match best {
+        Some((_, upstream, _)) if upstream.is_limited(now) && !requirements.has_permit => {
+            Choice::Full
+        }
         Some((key, upstream, _)) => {
             let plan = plan(fleet, key, upstream, requirements, Task::Generate, 0);
             Choice::Send(Box::new(plan))
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -11,11 +11,13 @@
 mod merge;
 pub mod named_limit;
 mod placements;
+pub mod saturation;
 mod starts;
 pub mod stated;
 mod upstream;
 
 pub use merge::MergeOutcome;
+pub use saturation::PlainCapacity;
 pub use upstream::{AtLimit, PeerLoad, Upstream};
 
 use crate::monotonic;
@@ -354,6 +356,53 @@
         at.ok().map(|at| self.by_tag[at].1)
     }
 
+    /// Capacity of a plain service's upstreams. Without any that is available nothing is limited, so
+    /// that no request waits for one.
+    pub fn plain_capacity(&mut self, service: ServiceKey, now: Instant) -> PlainCapacity {
+        let mut capacity = PlainCapacity::default();
+        let mut limit = None;
+        let mut is_unlimited = false;
+        let slots = self
+            .arena
+            .iter_mut()
+            .filter_map(|slot| slot.upstream.as_mut());
+        for upstream in slots.filter(|u| u.service == service) {
+            capacity.running += upstream.running;
+            capacity.peer_demand += upstream.peer_load.demand();
+            if !upstream.is_open() || upstream.is_suspended(now) || upstream.is_paused(now) {
+                continue;
+            }
+            let running = upstream.all_running();
+            let Some(max) = upstream.saturation.limit(upstream.instance.slots, now) else {
+                is_unlimited = true;
+                continue;
+            };
+            *limit.get_or_insert(0) += max;
+            if running >= max {
+                upstream.saturation.record_full(now);
+            } else if !upstream.saturation.is_rejecting(now) {
+                capacity.free += max - running;
+            }
+        }
+        capacity.limit = limit.filter(|_| !is_unlimited);
+        capacity
+    }
+
+    /// Sets the number of this process's requests that wait for an upstream of a plain service, for
+    /// the reports to peers.
+    pub fn set_queued(&mut self, service: ServiceKey, count: usize) {
+        let all = self
+            .arena
+            .iter_mut()
+            .filter_map(|slot| slot.upstream.as_mut());
+        let mut all: Vec<_> = all.filter(|u| u.service == service).collect();
+        let upstreams = all.len().max(1);
+        for (at, upstream) in all.iter_mut().enumerate() {
+            let part = (count + upstreams - 1 - at) / upstreams;
+            upstream.queued = u32::try_from(part).unwrap_or(u32::MAX);
+        }
+    }
+
     /// Number of upstreams.
     pub fn len(&self) -> usize {
         self.by_hash.len()
--- a/crates/gateway/src/fleet/upstream.rs
+++ b/crates/gateway/src/fleet/upstream.rs
@@ -2,6 +2,7 @@
 
 use super::cache::CacheEstimate;
 use super::latency::{Backlog, Slowdown};
+use super::saturation::Saturation;
 use super::stated::Statements;
 use super::{ServiceKey, id_hash, tag_of, version_of};
 use crate::monotonic;
@@ -54,6 +55,10 @@
     pub alive_at: Option<Instant>,
     /// Health, based on recent requests.
     pub health: Health,
+    /// Its recent rejections, if it belongs to a plain service.
+    pub saturation: Saturation,
+    /// Requests of this process that wait for an upstream of its service, divided among these.
+    pub queued: u32,
     /// Slowdown relative to the service's model.
     pub slowdown: Slowdown,
     /// What it states of itself in its answers.
@@ -105,6 +110,12 @@
 }
 
 impl PeerLoad {
+    /// Requests that run or wait, if the upstream belongs to a plain service: those that wait at
+    /// their hosts are reported as waiting.
+    pub fn demand(&self) -> u32 {
+        self.running.max(self.waiting)
+    }
+
     /// Adds the load that a process reported.
     pub fn add(&mut self, load: &Load) {
         // Saturates, as a peer may send any value.
@@ -145,6 +156,8 @@
             streams: 0,
             alive_at: None,
             health: Health::default(),
+            saturation: Saturation::default(),
+            queued: 0,
             slowdown: Slowdown::default(),
             stated: Statements::default(),
             at_limit: None,
@@ -323,10 +336,10 @@
 
     /// This process's load on the upstream for its peers; `None` if there is none.
     pub fn load(&self) -> Option<Load> {
-        (self.running > 0).then(|| Load {
+        (self.running > 0 || self.queued > 0).then(|| Load {
             upstream: self.tag(),
             tokens: self.tokens,
-            waiting: saturate_u16(self.waiting),
+            waiting: saturate_u16(self.waiting.saturating_add(self.queued)),
             running: saturate_u16(self.running),
             streams: saturate_u16(self.streams),
         })
@@ -337,6 +350,17 @@
         self.instance.stage.map(Stage::name)
     }
 
+    /// Whether it has as many requests as it may get, or has just rejected one.
+    pub fn is_full(&self, now: Instant) -> bool {
+        let limit = self.saturation.limit(self.instance.slots, now);
+        self.saturation.is_rejecting(now) || limit.is_some_and(|limit| self.all_running() >= limit)
+    }
+
+    /// Whether the number of its requests is limited, as it has rejected some.
+    pub fn is_limited(&self, now: Instant) -> bool {
+        self.saturation.limit(self.instance.slots, now).is_some()
+    }
+
     /// Whether it gets no requests for a while because recent ones failed.
     pub fn is_suspended(&self, now: Instant) -> bool {
         self.health.is_suspended(now)
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -22,6 +22,7 @@
 mod monotonic;
 pub mod origins;
 pub mod peers;
+pub mod queue;
 pub mod quota;
 pub mod ready;
 pub mod relay;
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -15,6 +15,7 @@
 use crate::crashes::{self, Admission, fingerprint, unanswered};
 use crate::fleet::{ServiceKey, UpstreamKey};
 use crate::monotonic;
+use crate::queue::{self, Applicant};
 use crate::relay;
 use crate::routes::{Caller, ResolvedRoute, RouteTable};
 use crate::state::Gateway;
@@ -244,6 +245,7 @@
             is_isolated: false,
             version: self.origin.map(|origin| origin.version),
             tried: &self.tried,
+            has_permit: is_retry || account.send_permit.is_some(),
         }
     }
 
@@ -301,6 +303,14 @@
             let plan = match self.choose(account, &requirements).await {
                 Choice::Send(plan) => plan,
                 Choice::NoUpstream => return Err(last),
+                Choice::Full => {
+                    let permit = queue::wait_for_room(&self.gateway, &self.applicant()).await;
+                    account.send_permit = Some(
+                        permit
+                            .map_err(|wait| Refusal::with_retry_after(Reason::Overloaded, wait))?,
+                    );
+                    continue;
+                }
                 Choice::Later(..) if account.attempts > 0 => return Err(last),
                 Choice::Later(at, why) => return Err(self.refuse_until(&requirements, at, why)),
                 Choice::Busy(inputs, retry_after) => {
@@ -337,7 +347,12 @@
                 }
                 AttemptResult::NotRun(NotRun::NoTime) => return Err(Reason::Stopping.into()),
                 AttemptResult::NotRun(NotRun::Blocked(why)) => return Err(why.into()),
-                AttemptResult::NotRun(NotRun::Rejected) => last = Reason::Rejected.into(),
+                AttemptResult::NotRun(NotRun::Rejected) => {
+                    last = match self.is_engine {
+                        true => Reason::Rejected.into(),
+                        false => self.refuse_after_rejection(),
+                    };
+                }
                 AttemptResult::Unknown(_) => {
                     last = Reason::UpstreamLost.into();
                     if !self.target().route.kind.is_repeatable() {
@@ -348,6 +363,23 @@
         }
     }
 
+    fn applicant(&self) -> Applicant {
+        let Fingerprint(hash) = self.fingerprint();
+        Applicant {
+            service: self.service,
+            rank: self.priority(),
+            hash: hash as u64,
+            time_left: self.time_left(),
+        }
+    }
+
+    /// Refuses the request as a full upstream has rejected it.
+    fn refuse_after_rejection(&self) -> Refusal {
+        let queues = &self.gateway.queues;
+        let wait = queues.return_after_rejection(&self.gateway, &self.applicant());
+        Refusal::with_retry_after(Reason::Rejected, wait)
+    }
+
     /// Refuses the request until upstreams are available, with a return time that is spread.
     fn refuse_until(
         &self,
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -19,6 +19,7 @@
 use crate::peers::catch_up::RegistryChanges;
 use crate::peers::startup_load::StartupLoad;
 use crate::peers::{Location, Peers, zone_hash};
+use crate::queue::ServiceQueues;
 use crate::quota::Quotas;
 use crate::routes::RouteTable;
 use crate::stop::{MAX_UNDETECTED_DELAY, ShutdownSchedule, StallDetector};
@@ -82,6 +83,8 @@
     /// supplied it.
     pub registry_fallback: Notify,
     running: AtomicU64,
+    /// Requests that wait for upstreams of plain services.
+    pub queues: ServiceQueues,
     /// Requests during which upstreams crashed.
     pub crashes: SharedCrashes,
     /// Requests of tenants that started to run, for usage reports.
@@ -177,6 +180,7 @@
             startup_load: StartupLoad::default(),
             registry_fallback: Notify::new(),
             running: AtomicU64::new(0),
+            queues: ServiceQueues::default(),
             crashes: SharedCrashes::default(),
             usage: Usage::default(),
             origins: Origins::new(location),
--- a/crates/gateway/src/state/guards.rs
+++ b/crates/gateway/src/state/guards.rs
@@ -2,7 +2,10 @@
 
 use super::Gateway;
 use crate::fleet::UpstreamKey;
+use crate::monotonic;
+use crate::queue;
 use std::sync::Arc;
+use std::time::Instant;
 
 /// Counts a request as running until it is dropped.
 #[derive(Debug)]
@@ -28,6 +31,7 @@
     tokens: u32,
     is_waiting: bool,
     is_long: bool,
+    since: Instant,
 }
 
 impl LoadGuard {
@@ -38,6 +42,7 @@
             tokens,
             is_waiting: true,
             is_long,
+            since: monotonic::now(),
         }
     }
 
@@ -55,10 +60,25 @@
 
 impl Drop for LoadGuard {
     fn drop(&mut self) {
+        let was_answered = !self.is_waiting;
         self.first_byte_received();
-        if let Some(upstream) = self.gateway.fleet().get_mut(self.key) {
+        let plain_service = {
+            let mut fleet = self.gateway.fleet();
+            let Some(upstream) = fleet.get_mut(self.key) else {
+                return;
+            };
             upstream.running = upstream.running.saturating_sub(1);
             upstream.streams = upstream.streams.saturating_sub(u32::from(self.is_long));
+            let service = upstream.service;
+            Some(service).filter(|service| fleet.info(*service).engine.is_none())
+        };
+        let Some(service) = plain_service else {
+            return;
+        };
+        if was_answered {
+            let took = monotonic::elapsed(self.since);
+            self.gateway.queues.record_service_time(service, took);
         }
+        queue::check(&self.gateway, service);
     }
 }
--- a/crates/gateway/tests/cache.rs
+++ b/crates/gateway/tests/cache.rs
@@ -76,10 +76,11 @@
         is_isolated: false,
         version: None,
         tried: &[],
+        has_permit: false,
     };
     match choose(gateway, &requirements) {
         Choice::Send(plan) => Some(plan),
-        Choice::Busy(..) | Choice::Later(..) | Choice::NoUpstream => None,
+        Choice::Full | Choice::Busy(..) | Choice::Later(..) | Choice::NoUpstream => None,
     }
 }
 
--- a/crates/gateway/tests/choose.rs
+++ b/crates/gateway/tests/choose.rs
@@ -133,10 +133,11 @@
         is_isolated: false,
         version: None,
         tried: &[],
+        has_permit: false,
     };
     match choose(gateway, &requirements) {
         Choice::Send(plan) => Some(plan.instance),
-        Choice::Busy(..) | Choice::Later(..) | Choice::NoUpstream => None,
+        Choice::Full | Choice::Busy(..) | Choice::Later(..) | Choice::NoUpstream => None,
     }
 }
 
--- a/crates/gateway/tests/fairness.rs
+++ b/crates/gateway/tests/fairness.rs
@@ -36,10 +36,11 @@
         is_isolated: false,
         version: None,
         tried: &[],
+        has_permit: false,
     };
     match choose(gateway, &requirements) {
         Choice::Send(plan) => Some(gateway.add_load(plan.key, plan.inputs.uncached, plan.is_long)),
-        Choice::Busy(..) | Choice::Later(..) | Choice::NoUpstream => None,
+        Choice::Full | Choice::Busy(..) | Choice::Later(..) | Choice::NoUpstream => None,
     }
 }
 
--- a/crates/gateway/tests/starts.rs
+++ b/crates/gateway/tests/starts.rs
@@ -175,10 +175,11 @@
         is_isolated: false,
         version: None,
         tried: &[],
+        has_permit: false,
     };
     match choose(gateway, &requirements) {
         Choice::Send(plan) => Some(plan.inputs.uncached),
-        Choice::Busy(..) | Choice::Later(..) | Choice::NoUpstream => None,
+        Choice::Full | Choice::Busy(..) | Choice::Later(..) | Choice::NoUpstream => None,
     }
 }
 
--- a/crates/gateway/tests/statements.rs
+++ b/crates/gateway/tests/statements.rs
@@ -47,6 +47,7 @@
         is_isolated: false,
         version: None,
         tried: &[],
+        has_permit: false,
     };
     choose(gateway, &requirements)
 }
--- a/crates/observe/src/event.rs
+++ b/crates/observe/src/event.rs
@@ -593,6 +593,25 @@
         /// Duration of the suspension, in milliseconds.
         for_ms: u64,
     },
+    /// An upstream has rejected a request because it is full. The number of its requests is limited
+    /// from now on.
+    UpstreamFull {
+        /// Id of the upstream.
+        upstream: &'a str,
+        /// Its requests from all hosts, as far as this one knows.
+        running: u32,
+        /// Number of requests that it processes at once.
+        slots: u32,
+    },
+    /// Requests for a service are rejected because they would be answered too late, or no longer.
+    ServiceOverloaded {
+        /// Name of the service.
+        service: String,
+        /// Whether requests are rejected.
+        is_overloaded: bool,
+        /// Number of requests that wait at this host.
+        waiting: usize,
+    },
     /// An upstream has named a limit on its requests from all hosts, changed it or ended it.
     UpstreamLimit {
         /// Id of the upstream.
