End an overload some seconds after the last rejection

Turns that an overload had shortened stayed short while nothing waited, so the first requests of the next one were rejected for being out of their turn, and the number of waiting requests that hosts report stayed above zero when the last one left the queue. Found by reading. Turns are as at the start after 4 s without a rejection, also when the next request comes, and the report ends with the queue. The log line of an overload is written also when upstreams reject the first requests. The new test of admission fails without the reset.

--- a/crates/admission/src/returns.rs
+++ b/crates/admission/src/returns.rs
@@ -1,4 +1,4 @@
-//! Clients that were told to return later.
+//! Clients that were asked to return later.
 
 use std::time::Instant;
 
@@ -13,7 +13,7 @@
 }
 
 impl Returns {
-    /// Records that a client was told to return at a time.
+    /// Records that a client was asked to return at a time.
     pub fn record(&mut self, hash: u64, at: Instant, now: Instant) {
         match self.all.binary_search_by_key(&hash, |(h, _)| *h) {
             Ok(index) => self.all[index].1 = at,
@@ -22,7 +22,7 @@
         }
     }
 
-    /// Time at which a client may return that comes before it; `None` for others.
+    /// Time at which a client was asked to return, unless it has passed.
     pub fn return_time(&self, hash: u64, now: Instant) -> Option<Instant> {
         let at = self.all.binary_search_by_key(&hash, |(h, _)| *h).ok()?;
         Some(self.all[at].1).filter(|at| now < *at)
--- a/crates/admission/src/turns.rs
+++ b/crates/admission/src/turns.rs
@@ -18,8 +18,9 @@
 const LONG_WAIT: f64 = 0.8;
 /// Minimum interval between two changes.
 const CHANGE_EVERY: Duration = Duration::from_millis(50);
-/// Time without rejections after which turns are extended.
+/// Time without rejections after which turns are extended, and after which an overload is over.
 const CALM_AFTER: Duration = Duration::from_millis(CYCLE_MS);
+const OVER_AFTER: Duration = Duration::from_millis(2 * CYCLE_MS);
 
 /// When a request is due.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -38,7 +39,7 @@
         self.at <= now
     }
 
-    /// The turn of a client that comes although it was told to return at a time.
+    /// The turn of a client that was asked to return at a later time.
     pub fn early(self, return_at: Instant) -> Self {
         Self {
             at: return_at,
@@ -108,21 +109,25 @@
     pub fn record_sent(&mut self, was_in_turn: bool, waited_part: f64, now: Instant) {
         if !was_in_turn {
             self.scale(EXTEND, now);
-        } else if waited_part > LONG_WAIT && self.is_rejecting(now) {
+        } else if waited_part > LONG_WAIT && self.has_rejected_within(CALM_AFTER, now) {
             self.scale(SHORTEN, now);
         }
     }
 
     /// Extends the turns if no request has been rejected for a while.
     pub fn relax(&mut self, now: Instant) {
-        if self.is_in_use() && !self.is_rejecting(now) {
-            self.scale(EXTEND, now);
+        if !self.is_in_use() || self.has_rejected_within(CALM_AFTER, now) {
+            return;
+        }
+        match self.has_rejected_within(OVER_AFTER, now) {
+            true => self.scale(EXTEND, now),
+            false => *self = Self::default(),
         }
     }
 
-    fn is_rejecting(&self, now: Instant) -> bool {
+    fn has_rejected_within(&self, time: Duration, now: Instant) -> bool {
         self.rejected_at
-            .is_some_and(|at| now.saturating_duration_since(at) < CALM_AFTER)
+            .is_some_and(|at| now.saturating_duration_since(at) < time)
     }
 
     /// The part of all requests that are in their turn at any time.
--- a/crates/admission/tests/overload.rs
+++ b/crates/admission/tests/overload.rs
@@ -207,3 +207,21 @@
     let order: Vec<Ticket> = std::iter::from_fn(|| queue.pop().map(|e| e.ticket)).collect();
     assert_eq!(order, tickets);
 }
+
+/// Guards against turns that outlast their overload: the next requests would be rejected although
+/// nothing else waits.
+#[test]
+fn an_overload_ends_some_seconds_after_the_last_rejection() {
+    let begin = Instant::now();
+    let mut turns = Turns::default();
+    for n in 0..200 {
+        let now = begin + Duration::from_millis(50) * n;
+        turns.record_rejection(now);
+        turns.record_sent(true, 1.0, now);
+    }
+    let end = begin + Duration::from_secs(10);
+    assert!(turns.is_in_use());
+    assert!(turns.part_in_turn() < 0.1);
+    turns.relax(end + Duration::from_secs(5));
+    assert!(!turns.is_in_use());
+}
--- a/crates/gateway/src/queue.rs
+++ b/crates/gateway/src/queue.rs
@@ -16,7 +16,7 @@
 /// Interval between checks of the waiting requests. Requests of this host that end are noticed at
 /// once, those of other hosts by their reports.
 const CHECK_EVERY: Duration = Duration::from_millis(10);
-/// Longest wait of a client that returns earlier than told: it is sent if there is room.
+/// Longest wait of a client that returns earlier than it was asked to: it is sent if there is room.
 const MAX_EARLY_WAIT: Duration = Duration::from_millis(20);
 /// Shortest time after which a rejected request may return.
 const MIN_RETURN_TIME: Duration = Duration::from_millis(50);
@@ -43,7 +43,10 @@
     senders: Vec<(Ticket, oneshot::Sender<Verdict>)>,
     /// Requests that may be sent, and aren't counted as running yet.
     permits: u32,
+    /// Whether a task checks the queue.
     is_checked: bool,
+    /// Whether requests are rejected, as last logged.
+    was_overloaded: bool,
 }
 
 /// A request that wants to be sent to an upstream of a plain service.
@@ -81,13 +84,13 @@
 }
 
 /// Removes a request from the queue when it no longer waits.
-struct Place {
+struct WaitGuard {
     gateway: Arc<Gateway>,
     service: ServiceKey,
     ticket: Ticket,
 }
 
-impl Drop for Place {
+impl Drop for WaitGuard {
     fn drop(&mut self) {
         let queues = &self.gateway.queues;
         queues.with(self.service, |service| {
@@ -149,6 +152,26 @@
         self.turns.iter().any(|(_, turns)| turns.is_in_use())
     }
 
+    fn relax(&mut self, now: Instant) {
+        for (_, turns) in &mut self.turns {
+            turns.relax(now);
+        }
+        if !self.is_overloaded() {
+            self.returns.clear();
+        }
+    }
+
+    /// The log line for the begin or end of an overload, if it isn't logged yet.
+    fn overload_event(&mut self, name: &str) -> Option<Event<'static>> {
+        let is_overloaded = self.is_overloaded();
+        let is_new = is_overloaded != std::mem::replace(&mut self.was_overloaded, is_overloaded);
+        is_new.then(|| Event::ServiceOverloaded {
+            service: name.to_owned(),
+            is_overloaded,
+            waiting: self.queue.len(),
+        })
+    }
+
     fn turn(&mut self, gateway: &Gateway, applicant: &Applicant, now: Instant) -> Turn {
         let registry = gateway.registry();
         let since_read = now.saturating_duration_since(registry.read_at);
@@ -179,12 +202,13 @@
         applicant: &Applicant,
         now: Instant,
     ) -> (Ticket, oneshot::Receiver<Verdict>) {
+        self.relax(now);
         let turn = self.turn(gateway, applicant, now);
         let needed = self.service_time.upper_bound();
         let needed = needed.min(applicant.time_left.mul_f64(MAX_ESTIMATED_PART));
         let max_wait = applicant.time_left - needed;
         let (turn, max_wait) = match self.returns.return_time(applicant.hash, now) {
-            // It gains nothing from trying again before the time that it was told.
+            // It gains nothing from returning earlier.
             Some(at) => (turn.early(at), max_wait.min(MAX_EARLY_WAIT)),
             None if turn.has_begun(now) => (turn, max_wait),
             // Those in their turn go first, so it is sent soon or not at all.
@@ -236,12 +260,7 @@
         capacity: &PlainCapacity,
         now: Instant,
     ) -> Vec<(oneshot::Sender<Verdict>, Verdict)> {
-        for (_, turns) in &mut self.turns {
-            turns.relax(now);
-        }
-        if !self.is_overloaded() {
-            self.returns.clear();
-        }
+        self.relax(now);
         let share = capacity.share(self.demand(capacity));
         let mut verdicts = Vec::new();
         for Late { entry, excess } in self.queue.take_late(self.service_time.rate(share), now) {
@@ -286,7 +305,7 @@
         let starts_checks = !std::mem::replace(&mut queue.is_checked, true);
         (ticket, verdict, starts_checks)
     });
-    let _place = Place {
+    let _guard = WaitGuard {
         gateway: gateway.clone(),
         service,
         ticket,
@@ -310,6 +329,9 @@
         check(&gateway, service);
         let is_empty = gateway.queues.with(service, |queue| {
             queue.is_checked = !queue.queue.is_empty();
+            if !queue.is_checked {
+                gateway.fleet().set_queued(service, 0);
+            }
             !queue.is_checked
         });
         if is_empty {
@@ -325,26 +347,19 @@
         return;
     }
     let now = monotonic::now();
-    let (verdicts, change) = queues.with(service, |queue| {
-        let before = (queue.queue.len(), queue.is_overloaded());
+    let name = gateway.fleet().info(service).name.clone();
+    let (verdicts, event) = queues.with(service, |queue| {
+        let before = queue.queue.len();
         let capacity = gateway.fleet().plain_capacity(service, now);
         let verdicts = queue.decide(gateway, service, &capacity, now);
-        let len = queue.queue.len();
-        queues.waiting.fetch_sub(before.0 - len, Ordering::Relaxed);
-        let demand = queue.demand(&capacity);
-        let unsent = demand.saturating_sub(capacity.running);
+        queues
+            .waiting
+            .fetch_sub(before - queue.queue.len(), Ordering::Relaxed);
+        let unsent = queue.demand(&capacity).saturating_sub(capacity.running);
         gateway.fleet().set_queued(service, unsent as usize);
-        let is_overloaded = queue.is_overloaded();
-        let change = (is_overloaded != before.1).then_some((is_overloaded, len));
-        (verdicts, change)
+        (verdicts, queue.overload_event(&name))
     });
-    if let Some((is_overloaded, waiting)) = change {
-        emit(&Event::ServiceOverloaded {
-            service: gateway.fleet().info(service).name.clone(),
-            is_overloaded,
-            waiting,
-        });
-    }
+    event.iter().for_each(emit);
     for (tx, verdict) in verdicts {
         // A permit that nobody waits for any more is returned when it is dropped.
         let _ = tx.send(verdict);
