--- a/crates/admission/src/turns.rs
+++ b/crates/admission/src/turns.rs
@@ -114,6 +114,11 @@
         }
     }
 
+    /// Records that a request of a lower priority is sent as none of this one waits.
+    pub fn record_unused(&mut self, now: Instant) {
+        self.scale(EXTEND, now);
+    }
+
     /// Extends the turns if no request has been rejected for a while.
     pub fn relax(&mut self, now: Instant) {
         if !self.is_in_use() || self.has_rejected_within(CALM_AFTER, now) {
--- a/crates/gateway/src/queue.rs
+++ b/crates/gateway/src/queue.rs
@@ -195,6 +195,20 @@
         return_at.saturating_duration_since(now)
     }
 
+    fn record_sent(&mut self, request: &Waiting, now: Instant) {
+        let was_in_turn = request.turn.has_begun(now);
+        self.turns(request.rank)
+            .record_sent(was_in_turn, request.waited_part(now), now);
+        if self.queue.ranks().any(|rank| rank < request.rank) {
+            return;
+        }
+        let more_urgent = self
+            .turns
+            .iter_mut()
+            .filter(|(rank, _)| *rank < request.rank);
+        more_urgent.for_each(|(_, turns)| turns.record_unused(now));
+    }
+
     /// Adds a request, which gets a verdict later.
     fn push(
         &mut self,
@@ -276,11 +290,7 @@
             let Some(tx) = self.take_sender(ticket) else {
                 continue;
             };
-            self.turns(request.rank).record_sent(
-                request.turn.has_begun(now),
-                request.waited_part(now),
-                now,
-            );
+            self.record_sent(&request, now);
             self.permits += 1;
             let permit = SendPermit {
                 gateway: gateway.clone(),
