Test: prompts refused for good as their engine was slow once

The estimate for an engine is multiplied by its slowdown, which only its answers correct. An engine that was slow for a while gets none of the prompts whose home it is, so nothing corrects it, and each session with that home is refused as overloaded until the engine restarts.

--- a/crates/gateway/tests/choose.rs
+++ b/crates/gateway/tests/choose.rs
@@ -58,6 +58,25 @@
     );
 }
 
+/// Guards against this failure: an engine was slow for a while, and each prompt whose home it is was
+/// refused from then on, as only an answer could have corrected the estimate.
+#[tokio::test(start_paused = true)]
+async fn an_engine_that_was_slow_gets_prompts_again() {
+    let gateway = gateway_with(&[Stage::Decode; 3]);
+    let home = choose_instance(&gateway, 7).expect("an idle engine");
+    {
+        let mut fleet = gateway.fleet();
+        let key = fleet.find(&home).unwrap();
+        let upstream = fleet.get_mut(key).unwrap();
+        for _ in 0..100 {
+            upstream.slowdown.add_sample(2000.0, 20.0);
+        }
+    }
+    assert_eq!(choose_instance(&gateway, 7), None);
+    tokio::time::advance(Duration::from_secs(10)).await;
+    assert_eq!(choose_instance(&gateway, 7), Some(home));
+}
+
 #[test]
 fn the_fleet_index_finds_the_same_upstreams_as_a_linear_scan() {
     let steps = proptest::collection::vec((0u8..20, any::<bool>()), 1..80);
