Let an engine's slowdown decay while it isn't measured

Sessions whose home was an engine that had been slow for a while were refused as overloaded until the engine restarted, also when it was idle: its estimates were multiplied by a slowdown of up to 12, which only its answers correct, and it got no prompts. Class: a guess excludes an upstream, which isn't asked again.

A slowdown above 1.5 now halves (in its logarithm) every 2 s without a sample, so the engine gets a prompt within seconds, and its answer corrects the estimate. An engine that stays slow keeps its factor as long as it answers. an_engine_that_was_slow_gets_prompts_again failed before (still refused 10 s later in virtual time) and passes; choose, fairness, starts and cache pass.

--- a/crates/gateway/src/fleet/latency.rs
+++ b/crates/gateway/src/fleet/latency.rs
@@ -5,6 +5,9 @@
 //! turnover of the engine's slots if all are taken. Old samples decay, and prior coefficients are
 //! used until there are samples.
 
+use crate::monotonic;
+use std::time::Instant;
+
 /// Weight of the old samples after each new one. About 300 samples count, a few seconds' worth at
 /// a busy process.
 const DECAY: f64 = 0.997;
@@ -22,6 +25,9 @@
 /// Range of the slowdown. A single sample must not exclude an upstream, and a fast upstream must
 /// not get more requests than its queue allows.
 const SLOWDOWN_RANGE: (f64, f64) = (0.7, 12.0);
+/// Logarithm of the slowdown above which it decays without samples, and the half-life.
+const SLOW_LOG_MEAN: f64 = 0.4;
+const SLOWDOWN_HALF_LIFE_S: f64 = 2.0;
 
 /// Task that an engine has to perform for a request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -190,17 +196,32 @@
 #[derive(Debug, Clone, Copy, Default)]
 pub struct Slowdown {
     log_mean: f64,
+    sampled_at: Option<Instant>,
 }
 
 impl Slowdown {
     /// Adds a measured time and the estimate for it.
     pub fn add_sample(&mut self, ms: f64, estimate: f64) {
         let ratio = (ms / estimate.max(1.0)).clamp(SLOWDOWN_RANGE.0, SLOWDOWN_RANGE.1);
-        self.log_mean += (ratio.ln() - self.log_mean) * SLOWDOWN_SMOOTHING;
+        let log_mean = self.current_log_mean();
+        self.log_mean = log_mean + (ratio.ln() - log_mean) * SLOWDOWN_SMOOTHING;
+        self.sampled_at = Some(monotonic::now());
     }
 
     /// Factor by which the upstream's estimates are multiplied.
     pub fn factor(&self) -> f64 {
-        self.log_mean.exp()
+        self.current_log_mean().exp()
+    }
+
+    /// Logarithm of the mean. That of a slow upstream decays while it isn't measured, as its
+    /// estimates may keep all requests away from it.
+    fn current_log_mean(&self) -> f64 {
+        match self.sampled_at {
+            Some(at) if self.log_mean > SLOW_LOG_MEAN => {
+                let half_lives = monotonic::elapsed(at).as_secs_f64() / SLOWDOWN_HALF_LIFE_S;
+                self.log_mean * (-half_lives).exp2()
+            }
+            _ => self.log_mean,
+        }
     }
 }
