Leave requests at leaving upstreams out of a host's share

Requests would have waited in vain, and been rejected, while many long answers of their host ran at upstreams that leave: these counted against the host's share of the others. Found by reading. Only available upstreams count, for what runs and for what is reported to wait. requests_at_leaving_upstreams_take_no_share_of_the_others failed before (share of 10 slots, 100 running elsewhere) and passes. Comments of the queue say more plainly what is asked of clients.

--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -367,11 +367,11 @@
             .iter_mut()
             .filter_map(|slot| slot.upstream.as_mut());
         for upstream in slots.filter(|u| u.service == service) {
-            capacity.running += upstream.running;
-            capacity.peer_demand += upstream.peer_load.demand();
             if !upstream.is_open() || upstream.is_suspended(now) || upstream.is_paused(now) {
                 continue;
             }
+            capacity.running += upstream.running;
+            capacity.peer_demand += upstream.peer_load.demand();
             let running = upstream.all_running();
             let Some(max) = upstream.saturation.limit(upstream.instance.slots, now) else {
                 is_unlimited = true;
@@ -395,12 +395,14 @@
             .arena
             .iter_mut()
             .filter_map(|slot| slot.upstream.as_mut());
-        let mut all: Vec<_> = all.filter(|u| u.service == service).collect();
-        let upstreams = all.len().max(1);
-        for (at, upstream) in all.iter_mut().enumerate() {
+        let of_service = all.filter(|u| u.service == service);
+        let (mut open, leaving): (Vec<_>, Vec<_>) = of_service.partition(|u| u.is_open());
+        let upstreams = open.len().max(1);
+        for (at, upstream) in open.iter_mut().enumerate() {
             let part = (count + upstreams - 1 - at) / upstreams;
             upstream.queued = u32::try_from(part).unwrap_or(u32::MAX);
         }
+        leaving.into_iter().for_each(|upstream| upstream.queued = 0);
     }
 
     /// Number of upstreams.
--- a/crates/gateway/src/fleet/saturation.rs
+++ b/crates/gateway/src/fleet/saturation.rs
@@ -51,7 +51,7 @@
     }
 }
 
-/// Capacity of a plain service's upstreams, and how much of it is in use.
+/// Capacity of a plain service's available upstreams, and how much of it is in use.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct PlainCapacity {
     /// Requests that the upstreams may have; `None` if one of them isn't limited.
--- a/crates/gateway/src/queue.rs
+++ b/crates/gateway/src/queue.rs
@@ -20,8 +20,8 @@
 const MAX_EARLY_WAIT: Duration = Duration::from_millis(20);
 /// Shortest time after which a rejected request may return.
 const MIN_RETURN_TIME: Duration = Duration::from_millis(50);
-/// Part of the time that a request has left after which it may be rejected by an estimate of its
-/// duration. A wrong estimate is thereby corrected by answers.
+/// Largest part of the time that a request has left which is reserved for its estimated duration. As
+/// each request may wait for the rest, a wrong estimate is corrected by answers.
 const MAX_ESTIMATED_PART: f64 = 0.5;
 
 /// Queues of all plain services.
@@ -40,6 +40,7 @@
     turns: Vec<(u32, Turns)>,
     returns: Returns,
     service_time: ServiceTime,
+    /// Channels to the waiting requests.
     senders: Vec<(Ticket, oneshot::Sender<Verdict>)>,
     /// Requests that may be sent, and aren't counted as running yet.
     permits: u32,
@@ -68,7 +69,7 @@
     Reject(Duration),
 }
 
-/// Permission to send a request, which is dropped once the request is counted as running.
+/// Permission to send a request. It is dropped once the request is counted as running.
 #[derive(Debug)]
 pub struct SendPermit {
     gateway: Arc<Gateway>,
@@ -249,8 +250,8 @@
         Some(self.senders.swap_remove(at).1)
     }
 
-    /// Number of requests that would run or wait if none were told to return later, from the part that
-    /// is in its turn.
+    /// Number of requests that would run or wait if none were asked to return later, estimated from
+    /// the part that is in its turn.
     fn demand(&self, capacity: &PlainCapacity) -> u32 {
         let sent = f64::from(capacity.running + self.permits);
         let part_of = |rank| {
--- a/crates/gateway/tests/choose.rs
+++ b/crates/gateway/tests/choose.rs
@@ -77,6 +77,26 @@
     assert_eq!(choose_instance(&gateway, 7), Some(home));
 }
 
+/// Guards against requests that wait in vain while long answers run at upstreams that leave.
+#[test]
+fn requests_at_leaving_upstreams_take_no_share_of_the_others() {
+    let (mut fleet, meter) = (Fleet::default(), Meter::default());
+    let now = std::time::Instant::now();
+    for n in 0..2 {
+        fleet.merge(instance(n, Stage::Decode), &meter);
+    }
+    let leaving = fleet.find("i-0").unwrap();
+    fleet.get_mut(leaving).unwrap().running = 100;
+    let mut row = instance(0, Stage::Decode);
+    row.is_draining = true;
+    fleet.merge(row, &meter);
+    let other = fleet.find("i-1").unwrap();
+    fleet.get_mut(other).unwrap().saturation.record_full(now);
+    let service = fleet.get(other).unwrap().service;
+    let capacity = fleet.plain_capacity(service, now);
+    assert!(capacity.has_room(capacity.share(1), 0), "{capacity:?}");
+}
+
 #[test]
 fn the_fleet_index_finds_the_same_upstreams_as_a_linear_scan() {
     let steps = proptest::collection::vec((0u8..20, any::<bool>()), 1..80);
