--- a/crates/admission/tests/overload.rs
+++ b/crates/admission/tests/overload.rs
@@ -9,7 +9,7 @@
 const STEP: Duration = Duration::from_millis(5);
 const SERVICE_TIME: Duration = Duration::from_millis(100);
 const TIME_LEFT: Duration = Duration::from_millis(800);
-const PLAYED: Duration = Duration::from_secs(60);
+const PLAYED: Duration = Duration::from_secs(30);
 /// Time at the beginning that isn't counted.
 const WARM_UP: Duration = Duration::from_secs(5);
 
--- a/crates/gateway/tests/overload.rs
+++ b/crates/gateway/tests/overload.rs
@@ -22,7 +22,7 @@
 const SERVICE_TIME: Duration = Duration::from_millis(100);
 const DEADLINE: Duration = Duration::from_millis(800);
 /// Time for which callers send requests.
-const RUN_TIME: Duration = Duration::from_secs(25);
+const RUN_TIME: Duration = Duration::from_secs(12);
 
 /// How a caller chooses hosts and handles rejections.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
