Log how many engines were idle when a prompt was refused

Refusals as overloaded named the load of the one engine that was considered, so logs couldn't tell whether another one could have run the prompt. The line of a refused prompt now has the number of idle engines that could have run it, and the time that its client had left. The engine's measured first byte is recorded in the fleet, where tests without a network can call it; no change of behavior.

--- a/crates/gateway/src/account.rs
+++ b/crates/gateway/src/account.rs
@@ -12,7 +12,8 @@
 use crate::serve::FinishEstimate;
 use crate::state::{Gateway, RunningGuard};
 use observe::{
-    BoundContext, ConfigContext, Event, Labels, Latency, StreamContext, SuspectContext, emit,
+    BoundContext, ConfigContext, Event, Labels, Latency, OverloadContext, StreamContext,
+    SuspectContext, emit,
 };
 use resilience::Fingerprint;
 use resilience::crashes::{BlockedPart, Subject};
@@ -112,6 +113,8 @@
     pub usage: UsageState,
     /// Figures of the last choice.
     pub inputs: Option<ChoiceInputs>,
+    /// State in which the request was refused as overloaded.
+    pub overload: OverloadContext,
     /// Time from the stop signal to the arrival of the request; `None` if the signal did not come
     /// first.
     pub stopping_for: Option<Duration>,
@@ -172,6 +175,7 @@
             may_have_run: false,
             usage: UsageState::NotSent,
             inputs: None,
+            overload: OverloadContext::default(),
             stopping_for: stopping_for(gateway, since),
             expected_tokens: None,
             outlook: None,
@@ -315,6 +319,7 @@
             long_ahead: self.inputs.map(|i| i.long_answers),
             tokens_ahead: self.inputs.map(|i| i.backlog.tokens as u32 - i.uncached),
             slowdown: self.inputs.map(|i| i.slowdown),
+            overload: &self.overload,
             max_tokens: self.max_output_tokens,
             expected_tokens: self.expected_tokens,
             ends_in_ms: self.outlook.map(|o| millis(o.takes)),
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -453,17 +453,9 @@
         return;
     };
     upstream.health.record_success();
-    if !call.is_engine {
-        upstream.saturation.record_answer();
-        return;
-    }
-    let service = upstream.service;
-    let slowdown = upstream.slowdown.factor();
-    let latency_model = fleet.latency_model_mut(service, plan.task);
-    let estimate = latency_model.estimate(plan.inputs.backlog);
-    latency_model.add_sample(plan.inputs.backlog, ms / slowdown);
-    if let Some(upstream) = fleet.get_mut(plan.key) {
-        upstream.slowdown.add_sample(ms, estimate);
+    match call.is_engine {
+        true => fleet.record_first_byte(plan.key, plan.task, plan.inputs.backlog, ms),
+        false => upstream.saturation.record_answer(),
     }
 }
 
--- a/crates/gateway/src/choose.rs
+++ b/crates/gateway/src/choose.rs
@@ -142,6 +142,17 @@
     }
 }
 
+/// Why a prompt isn't sent to an engine now.
+#[derive(Debug, Clone, Copy)]
+pub struct Busy {
+    /// Figures of the best engine.
+    pub inputs: ChoiceInputs,
+    /// Engines that could run it, and have a free slot and no prompt ahead of it.
+    pub idle_engines: usize,
+    /// Time after which the client may retry.
+    pub retry_after: Duration,
+}
+
 /// Result of the selection.
 #[derive(Debug, Clone)]
 pub enum Choice {
@@ -149,8 +160,8 @@
     Send(Box<Plan>),
     /// Upstreams are full, so the request must wait until it may be sent.
     Full,
-    /// All upstreams are too busy; the client may retry after the given time.
-    Busy(ChoiceInputs, Duration),
+    /// All upstreams are too busy.
+    Busy(Busy),
     /// No upstream is available, but some will be at a known time. Contains the earliest one.
     Later(Instant, Unavailable),
     /// No upstream is available.
--- a/crates/gateway/src/choose/home.rs
+++ b/crates/gateway/src/choose/home.rs
@@ -6,7 +6,7 @@
 //! shared parts from the first.
 
 use super::{
-    Choice, Plan, Requirements, best_generator, can_generate, candidates, plan, retry_after,
+    Busy, Choice, Plan, Requirements, best_generator, can_generate, candidates, plan, retry_after,
 };
 use crate::fleet::latency::Task;
 use crate::fleet::{Fleet, ServiceKey, Upstream, UpstreamKey};
@@ -56,7 +56,11 @@
     if plan.inputs.estimate_ms <= plan.inputs.admit_ms {
         return Choice::Send(Box::new(plan));
     }
-    Choice::Busy(plan.inputs, retry_after(plan.inputs.estimate_ms))
+    Choice::Busy(Busy {
+        inputs: plan.inputs,
+        idle_engines: usable.iter().filter(|(_, u)| u.is_idle()).count(),
+        retry_after: retry_after(plan.inputs.estimate_ms),
+    })
 }
 
 /// A home engine considered for a prompt.
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -218,6 +218,21 @@
         model.estimate(upstream.backlog(uncached)) * upstream.slowdown.factor()
     }
 
+    /// Records the measured time to the first byte of a request, in milliseconds, and the backlog
+    /// when it was sent.
+    pub fn record_first_byte(&mut self, key: UpstreamKey, task: Task, backlog: Backlog, ms: f64) {
+        let Some(upstream) = self.get(key) else {
+            return;
+        };
+        let (service, slowdown) = (upstream.service, upstream.slowdown.factor());
+        let model = self.latency_model_mut(service, task);
+        let estimate = model.estimate(backlog);
+        model.add_sample(backlog, ms / slowdown);
+        if let Some(upstream) = self.get_mut(key) {
+            upstream.slowdown.add_sample(ms, estimate);
+        }
+    }
+
     /// Treats engines that are added from now on as newly started, with empty caches. This holds
     /// once the registry has been read, and from the beginning if the whole system starts.
     pub fn assume_empty_caches(&mut self) {
--- a/crates/gateway/src/fleet/upstream.rs
+++ b/crates/gateway/src/fleet/upstream.rs
@@ -324,6 +324,11 @@
         self.waiting > 0 && self.alive_at.is_none_or(is_long_ago)
     }
 
+    /// Whether it has a free slot, and no request waits there for its first byte.
+    pub fn is_idle(&self) -> bool {
+        self.all_waiting() == 0 && self.all_running() < self.instance.slots
+    }
+
     /// Running requests of all processes.
     pub fn all_running(&self) -> u32 {
         self.running.saturating_add(self.peer_load.running)
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -26,6 +26,7 @@
 use hyper::{Method, Request, Response, Uri};
 use net::server::{BodyError, read_body_within};
 use net::{Body, BufferBudget};
+use observe::OverloadContext;
 use origins::Origin;
 use platform::{RequestHeaders, RouteKind, header};
 use resilience::Fingerprint;
@@ -313,9 +314,16 @@
                 }
                 Choice::Later(..) if account.attempts > 0 => return Err(last),
                 Choice::Later(at, why) => return Err(self.refuse_until(&requirements, at, why)),
-                Choice::Busy(inputs, retry_after) => {
-                    account.inputs = Some(inputs);
-                    return Err(Refusal::with_retry_after(Reason::Overloaded, retry_after));
+                Choice::Busy(busy) => {
+                    account.inputs = Some(busy.inputs);
+                    account.overload = OverloadContext {
+                        idle_engines: Some(busy.idle_engines),
+                        left_ms: Some(self.time_left().as_millis() as u64),
+                    };
+                    return Err(Refusal::with_retry_after(
+                        Reason::Overloaded,
+                        busy.retry_after,
+                    ));
                 }
             };
             if !self.finishes_in_time(account, plan.inputs.estimate_ms) {
--- a/crates/observe/src/event.rs
+++ b/crates/observe/src/event.rs
@@ -870,6 +870,9 @@
         long_ahead: Option<u32>,
         /// Slowdown of the upstream relative to others of its kind.
         slowdown: Option<f64>,
+        /// State in which the request was refused as overloaded.
+        #[serde(flatten)]
+        overload: &'a OverloadContext,
         /// Maximum number of tokens in the response; `None` for a plain service.
         max_tokens: Option<u32>,
         /// Expected number of tokens in the response; `None` for a plain service.
@@ -897,6 +900,17 @@
     },
 }
 
+/// State in which a prompt was refused as overloaded; all fields are `None` if it wasn't.
+#[derive(Debug, Clone, Copy, Default, Serialize)]
+pub struct OverloadContext {
+    /// Number of engines that could have run it, and were idle.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub idle_engines: Option<usize>,
+    /// Time that its client would have waited, in milliseconds.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub left_ms: Option<u64>,
+}
+
 /// Upper bounds of an answer's duration. All fields are `None` if the process wasn't stopping, and
 /// all but the first if only the request's own deadline or timeout limited the answer.
 #[derive(Debug, Clone, Copy, Serialize)]
--- a/crates/observe/src/lib.rs
+++ b/crates/observe/src/lib.rs
@@ -6,7 +6,8 @@
 pub mod sink;
 
 pub use event::{
-    BoundContext, ConfigContext, Event, StreamContext, StreamSearchAnswer, SuspectContext,
+    BoundContext, ConfigContext, Event, OverloadContext, StreamContext, StreamSearchAnswer,
+    SuspectContext,
 };
 pub use log_line::{emit, flush, init};
 pub use metrics::{Labels, Latency, Metrics};
