--- a/crates/arbutusquay/tests/common/mod.rs
+++ b/crates/arbutusquay/tests/common/mod.rs
@@ -1,5 +1,7 @@
 //! A gateway process with a store, for tests of its resources.
 
+pub mod prompts;
+
 use bench::deploy::reserve_subnet;
 use bench::probe::wait_serving;
 use bench::procs::{Proc, Signal};
@@ -20,7 +22,9 @@
 const CPU_PERIOD: Duration = Duration::from_millis(20);
 /// Interval between checks whether a process has used its share.
 const CPU_CHECK_INTERVAL: Duration = Duration::from_millis(1);
-/// Ports of the store and of the first worker.
+/// Ports for clients, readiness checks, the store, and the first worker.
+const CLIENTS_PORT: u16 = 7000;
+const READY_PORT: u16 = 7001;
 const STORE_PORT: u16 = 7003;
 const FIRST_WORKER_PORT: u16 = 7100;
 
@@ -83,7 +87,7 @@
 
     /// Address for clients.
     pub fn clients_addr(&self) -> SocketAddr {
-        self.at(7000)
+        self.at(CLIENTS_PORT)
     }
 
     /// The store.
@@ -114,11 +118,24 @@
 
     /// Starts the gateway without waiting for it.
     pub fn spawn_gateway(&self) -> GatewayProcess {
-        let file = self.settings_file();
-        let text = settings("edge", self.ip, self.store_addr());
+        self.spawn("edge", self.ip, &self.settings_file())
+    }
+
+    /// Starts one of several gateways, each with an address of its own; returns its address for
+    /// clients.
+    pub fn spawn_host(&self, number: u8) -> (SocketAddr, GatewayProcess) {
+        let [_, subnet, ..] = self.ip.octets();
+        let ip = Ipv4Addr::new(127, subnet, 2, 1 + number);
+        let name = format!("edge-{number}");
+        let process = self.spawn(&name, ip, &self.dir.join(format!("{name}.toml")));
+        (SocketAddr::new(IpAddr::V4(ip), CLIENTS_PORT), process)
+    }
+
+    fn spawn(&self, name: &str, ip: Ipv4Addr, file: &Path) -> GatewayProcess {
+        let text = settings(name, ip, self.store_addr());
         assert!(text.contains(&format!("\nMemoryMb = {MEMORY_MB}\n")));
-        std::fs::write(&file, text).unwrap();
-        let proc = Proc::start_gateway(Path::new(BINARY), "edge", &file).unwrap();
+        std::fs::write(file, text).unwrap();
+        let proc = Proc::start_gateway(Path::new(BINARY), name, file).unwrap();
         GatewayProcess {
             proc,
             log: file.with_extension("log"),
