--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,11 +1,12 @@
-"""CONFIG: machines keep to an old configuration for most of half a minute after their open
-connections to the store have gone silent.
+"""ONE: the platform gets two usage reports for one window with different counts, after the store has
+come back from a copy and the process that reported was lost.
 
-Four gateways. Two of them are taken away as planned, one after the other (SIGTERM, they leave). With
-TROUBLE, the open connections between the gateways and the store have gone silent just before: nothing
-comes through them any more and none is reset, while new ones work.
+Two gateways, two workers, a configuration with tenants, and the platform's `POST /usage`. As the report
+of a window has been accepted, the process that sent it is killed, and the store is away for a moment
+and comes back from a copy that is some seconds old.
 """
 
+import math
 import os
 import sys
 
@@ -14,166 +15,193 @@
 
 HERE = os.path.dirname(os.path.abspath(__file__))
 HOST = "a.example"
-CONFIG_APPLY_S = BOUNDS["ConfigApplyMs"] / 1000
-STABLE_S = BOUNDS["StableWindowMs"] / 1000
-WATCHED_S = 34
-# Requests are judged that were sent this long after the acknowledgement and the bound.
-MARGIN_S = 0.25
-
-
-def config(version, services, extra):
-    """Routes /moved/ to a service, and besides one route for each name in `extra`."""
-    route = {"RouteType": "idempotent", "TimeoutMs": 1000, "TargetLatencyMs": 100, "Priority": 2,
-             "MaxAttempts": 2, "Host": HOST}
-    routes = [dict(route, Name="r-moved", PathPrefix="/moved/", Service=services)]
-    routes += [dict(route, Name=f"r-{name}", PathPrefix=f"/{name}/", Service="portal")
-               for name in extra]
+WINDOW_S, LATE_S = 5, 10
+TENANTS = [(f"tenant-{i}", f"key-{i}-77cd") for i in range(4)]
+CLIENTS, SENT_PER_S = 24, 120
+# Clients with a job on each full second, as timers have it, spread over some milliseconds.
+TIMED_CLIENTS, SPREAD_S = 40, 0.01
+COPY_AGE_S, AWAY_S = 3.0, 0.5
+# Windows that are reported before anything happens, and time watched after it.
+CALM_REPORTS, WATCHED_S = 3, 22
+
+
+def config(version):
     return {
-        "Version": version, "Routes": routes,
-        "Services": [{"Name": name, "HealthPath": "/healthz", "MaxConnections": 100,
-                      "Protocol": "h1", "Tls": False} for name in ("portal", "portal-new")],
+        "Version": version,
+        "Routes": [{
+            "Name": "r-notice", "Host": HOST, "PathPrefix": "/notice/", "RouteType": "idempotent",
+            "TimeoutMs": 1500, "TargetLatencyMs": 150, "Priority": 2, "Service": "portal",
+            "MaxAttempts": 2, "Anonymous": False}],
+        "Services": [{
+            "Name": "portal", "HealthPath": "/healthz", "MaxConnections": 180, "Protocol": "h1",
+            "Tls": False}],
+        "Tenants": [{"Name": name, "ApiKeys": [key]} for name, key in TENANTS],
         "Limits": {"MaxHeaderBytes": 16384, "MaxBodyBytes": 4194304, "HeaderTimeoutMs": 3000,
                    "IdleTimeoutMs": 15000}}
 
 
-class Link:
-    """The way to the store: passes bytes on; open connections can go silent for good."""
-
-    def __init__(self, ip, port, store):
-        self.ip, self.port, self.store = ip, port, store
-        self.open = []
-
-    async def start(self):
-        await asyncio.start_server(self.serve, self.ip, self.port)
-
-    def silence(self):
-        for flag in self.open:
-            flag.append("silent")
-        return len(self.open)
+class DrillStore(Store):
+    """A store whose answers name its era, and that can come back from a copy."""
+
+    def __init__(self, ip, port):
+        super().__init__(ip, port)
+        self.era, self.away, self.copies = 1, False, []
+
+    async def copy(self):
+        while True:
+            self.copies.append((time.monotonic(), dict(self.rows), self.ver, list(self.changes)))
+            self.copies = [c for c in self.copies if time.monotonic() - c[0] < 2 * COPY_AGE_S]
+            await asyncio.sleep(0.1)
+
+    async def restore(self, workers, version, record):
+        at, rows, ver, changes = max(
+            (c for c in self.copies if time.monotonic() - c[0] >= COPY_AGE_S), key=lambda c: c[0])
+        self.away = True
+        for writer in list(self.writers):
+            writer.transport.abort()
+        await asyncio.sleep(AWAY_S)
+        self.rows, self.ver, self.changes = dict(rows), ver, list(changes)
+        self.copies = []
+        self.era += 1
+        self.away = False
+        record.line(f"the store is back from a copy of {time.monotonic() - at:.1f} s ago, "
+                    f"era {self.era}")
+        # What the operator and the workers wrote is written again.
+        self.put("op", "config", config(version))
+        for worker in workers:
+            worker.register()
 
     async def serve(self, reader, writer):
-        flag = []
-        self.open.append(flag)
+        self.writers.add(writer)
         try:
-            to_reader, to_writer = await asyncio.open_connection(self.store.ip, self.store.port)
-        except OSError:
-            writer.close()
-            return
-
-        async def copy(source, sink):
-            while True:
-                data = await source.read(65536)
-                if flag:
-                    # Neither bytes nor the end of the connection come through.
-                    await asyncio.sleep(3600)
-                if not data:
+            while not self.away:
+                head = await read_head(reader)
+                if head is None or self.away:
                     return
-                sink.write(data)
-                await sink.drain()
-        tasks = [asyncio.ensure_future(copy(reader, to_writer)),
-                 asyncio.ensure_future(copy(to_reader, writer))]
-        try:
-            await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
+                method, target, headers = head
+                body = await read_body(reader, headers)
+                status, value = await self.call(method, target, body)
+                await asyncio.sleep(0.004)
+                if self.away:
+                    return
+                text = json.dumps(value).encode()
+                writer.write(answer_bytes(status, [
+                    ("Content-Type", "application/json"), ("Store-Era", str(self.era))], text))
+                await writer.drain()
+        except (ConnectionError, asyncio.IncompleteReadError):
+            pass
         finally:
-            for task in tasks:
-                task.cancel()
-            self.open = [other for other in self.open if other is not flag]
-            writer.close()
-            to_writer.close()
+            self.writers.discard(writer)
+            writer.transport.abort() if self.away else writer.close()
+
+    async def feed(self, query):
+        if int(query["after"]) > self.ver:
+            return 410, {}
+        return await super().feed(query)
 
 
 async def case(scratch, record, trouble, gateways):
-    ips = [f"127.52.5.{i}" for i in (1, 2, 3, 4, 9)]
+    ips = [f"127.52.8.{i}" for i in (1, 2, 9)]
     port = free_ports(ips, 16)
-    store = Store(ips[4], port)
+    store = DrillStore(ips[2], port)
     await store.start()
-    store.put("op", "config", config(7, "portal", ["dropped"]))
-    link = Link(ips[4], port + 1, store)
-    await link.start()
-
-    class Way:
-        """Where the settings say that the store is."""
-        ip, port = link.ip, link.port
-
-    ran = {}
-
-    def make_work(worker):
-        async def work(request, writer):
-            await asyncio.sleep(0.01)
-            ran[request[2]["attempt-id"]] = worker.service
-            writer.write(worker.answer(request))
-        return work
+    store.put("op", "config", config(7))
+    asyncio.ensure_future(store.copy())
+    reports = {}  # window -> the counts of each report that was accepted, in order
+    lost = []
+    restored = []
+
+    async def cloud(reader, writer):
+        """The platform: accepts usage reports, and checks no fence."""
+        try:
+            while True:
+                head = await read_head(reader)
+                if head is None:
+                    return
+                _, path, headers = head
+                body = json.loads(await read_body(reader, headers))
+                holder, token = headers["lease-holder"], headers["fencing-token"]
+                before = reports.setdefault(body["WindowId"], [])
+                is_new = body["Counts"] not in before
+                if is_new:
+                    before.append(body["Counts"])
+                record.line(f"{path} of {holder} under token {token}: window {body['WindowId']}, "
+                            f"counts {body['Counts']}"
+                            + ("" if is_new else ", an exact repeat"))
+                if trouble and not lost and len(reports) > CALM_REPORTS:
+                    sender = next(g for g in gateways if g.name == holder)
+                    lost.append(sender)
+                    sender.signal(signal.SIGKILL)
+                    record.line(f"{holder} is killed, and the store goes away")
+                    restored.append(asyncio.ensure_future(store.restore(workers, 7, record)))
+                writer.write(answer_bytes(200, [], b""))
+                await writer.drain()
+        except (ConnectionError, asyncio.IncompleteReadError):
+            pass
+        finally:
+            writer.close()
 
+    await asyncio.start_server(cloud, ips[2], port + 5)
     workers = []
-    for i, service in enumerate(("portal", "portal", "portal-new", "portal-new")):
-        worker = Worker(store, service, ips[4], port + 2 + i, slots=6)
-        worker.work = make_work(worker)
+    for i in range(2):
+        worker = Worker(store, "portal", ips[2], port + 1 + i, slots=12)
         await worker.start()
         workers.append(worker)
-    for i in range(4):
-        gateway = Gateway(scratch, f"edge-{i + 1}", ips[i], port, Way, zone="zone-a")
+    more = (f'[Cloud]\nAddress = "{ips[2]}:{port + 5}"\nDutiesPerS = 20\n'
+            'Duties = ["usage_report"]\n')
+    bounds = {"ReportWindowS": WINDOW_S, "UsageLateS": LATE_S, "UsageTolerance": 0.05,
+              "StrictRevoke": "false", "RevokeMs": 5000}
+    for i in range(2):
+        gateway = Gateway(scratch, f"edge-{i + 1}", ips[i], port, store, bounds=bounds, more=more)
         gateways.append(gateway)
         await gateway.start()
     for gateway in gateways:
         await gateway.wait_ready()
-    await asyncio.sleep(6)
-    # A usual change of the configuration, in force everywhere at once.
-    store.put("op", "config", config(12, "portal", ["dropped", "older"]))
     await asyncio.sleep(1)
-
-    if trouble:
-        count = link.silence()
-        record.line(f"{count} open connections to the store go silent")
-    silent_at = time.monotonic()
-    for gateway in gateways[:2]:
-        record.line(f"{gateway.name} gets SIGTERM and leaves for good")
-        gateway.signal(signal.SIGTERM)
-        await asyncio.wait_for(gateway.process.wait(), BOUNDS["GraceS"])
-        record.line(f"{gateway.name} has ended by itself, "
-                    f"{time.monotonic() - silent_at:.1f} s later")
-    left = gateways[2:]
-
-    # Both machines that are left are in touch again StableWindowMs after the silence began.
-    await asyncio.sleep(max(0, silent_at + STABLE_S + 1 - time.monotonic()))
-    acknowledged = time.monotonic()
-    store.put("op", "config", config(15, "portal-new", ["older", "added"]))
-    record.line("the store acknowledges version 15: /moved/ goes to portal-new, /dropped/ is "
-                "dropped, /added/ is added")
-
-    broken, asked = [], 0
-    while time.monotonic() < silent_at + WATCHED_S:
-        for gateway in left:
-            for path in ("/moved/1", "/dropped/1", "/added/1"):
-                name = attempt_id()
-                conn = Conn(gateway.ip, gateway.front)
-                sent_at = time.monotonic()
-                try:
+    end = [None]
+    statuses = {}
+
+    async def client(number):
+        tenant, key = TENANTS[number % len(TENANTS)]
+        conn, turn = None, number
+        while end[0] is None:
+            if number < CLIENTS:
+                await asyncio.sleep(random.expovariate(SENT_PER_S / CLIENTS))
+            else:
+                at = math.floor(time.time() + SPREAD_S) + 1 + random.uniform(-SPREAD_S, SPREAD_S)
+                await asyncio.sleep(max(0, at - time.time()))
+            live = [g for g in gateways if g not in lost]
+            try:
+                if conn is None:
+                    gateway = live[turn % len(live)]
+                    conn = Conn(gateway.ip, gateway.front)
                     await conn.open()
-                    status, _, _ = await conn.ask("GET", path, [
-                        ("Host", HOST), ("Attempt-Id", name), ("Deadline-Ms", "1000")], timeout=2)
-                except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError) as e:
-                    record.line(f"{gateway.name} {path}: no answer, {e!r}")
-                    continue
-                finally:
-                    conn.close()
-                asked += 1
-                after = sent_at - acknowledged
-                seen = (status, ran.get(name))
-                record.line(f"{gateway.name} {path} {name}: sent {after:.2f} s after the "
-                            f"acknowledgement, answered {status}, run by {ran.get(name)}")
-                is_old = seen in ((200, "portal"), (404, None)) and (path, seen) not in (
-                    ("/dropped/1", (404, None)), ("/added/1", (200, "portal")))
-                if is_old and after > CONFIG_APPLY_S + MARGIN_S:
-                    broken.append(after)
-        await asyncio.sleep(0.2)
+                status, _, _ = await conn.ask("GET", f"/notice/{number}", [
+                    ("Host", HOST), ("Attempt-Id", attempt_id()), ("Deadline-Ms", "1500"),
+                    ("Key", key)], timeout=2)
+            except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError):
+                status = 0
+            if status != 200:
+                conn.close()
+                conn = None
+                turn += 1
+            statuses[status] = statuses.get(status, 0) + 1
+
+    clients = [asyncio.ensure_future(client(i)) for i in range(CLIENTS + TIMED_CLIENTS)]
+    until = time.monotonic() + 50
+    while time.monotonic() < until and len(reports) <= CALM_REPORTS:
+        await asyncio.sleep(0.1)
+    if len(reports) <= CALM_REPORTS:
+        raise Setup("no usage reports")
+    await asyncio.sleep(WATCHED_S)
+    end[0] = time.monotonic()
+    await asyncio.gather(*clients)
     for worker in workers:
         worker.stop()
-    if asked < 100:
-        raise Setup("too few requests were answered")
-    record.line(f"{len(broken)} of {asked} requests were handled as only an older version allows, "
-                f"sent up to {max(broken, default=0):.1f} s after the acknowledgement (bound: "
-                f"{CONFIG_APPLY_S} s)")
-    return bool(broken)
+    different = {w: counts for w, counts in reports.items() if len(counts) > 1}
+    record.line(f"requests answered: {statuses}; runs: {sum(len(w.arrivals) for w in workers)}")
+    record.line(f"windows reported: {len(reports)}; with different counts: {different}")
+    return bool(different)
 
 
 run_case(case, HERE)
