--- a/review/5/case.py
+++ b/review/5/case.py
@@ -19,7 +19,7 @@
 TENANTS = [(f"tenant-{i}", f"key-{i}-77cd") for i in range(4)]
 CLIENTS, SENT_PER_S = 24, 120
 # Clients with a job on each full second, as timers have it, spread over some milliseconds.
-TIMED_CLIENTS, SPREAD_S = 40, 0.01
+TIMED_CLIENTS, SPREAD_S = 160, 0.01
 COPY_AGE_S, AWAY_S = 3.0, 0.5
 # Windows that are reported before anything happens, and time watched after it.
 CALM_REPORTS, WATCHED_S = 3, 22
