Announce usage reports to other hosts before they are sent

The platform got two reports with different counts for one window: the holder of the duty was lost after its report was accepted, and the store came back from a copy without the row, so the next holder decided the window again.

Cause: a decision was known to the holder and to one row of the store only. A second way, found by the property test: a write from before the restore that takes effect after it replaces the report's row.

A report is now announced to two live hosts after it is written and before it is sent. Rows name the era in which their report was decided. In a new era the holder asks all hosts for the last report they know; if one is silent or has restarted, windows that it may have reported unheard are skipped: a missing report is better than two that differ.

Cost in calm: two calls between hosts per window, none to the store.

--- a/crates/bench/src/keys.rs
+++ b/crates/bench/src/keys.rs
@@ -111,7 +111,7 @@
             requests: 1,
         })
         .collect();
-    UsageReport::new(0, &counts).body.len() as f64 / tenants as f64
+    UsageReport::new(0, 0, &counts).body.len() as f64 / tenants as f64
 }
 
 fn tenant_name(n: usize) -> String {
--- a/crates/gateway/src/duty/usage.rs
+++ b/crates/gateway/src/duty/usage.rs
@@ -7,6 +7,7 @@
 
 pub mod clock;
 pub mod collection;
+pub mod decisions;
 pub mod exchange;
 mod hand_over;
 pub mod holder;
@@ -23,6 +24,7 @@
 use ledger::Ledger;
 use message::QueryAnswer;
 use observe::{Event, emit};
+use platform::usage::UsageReport;
 use request_log::{OpenKey, RequestLog};
 use std::net::IpAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -50,8 +52,11 @@
     collection: Mutex<Collection>,
     clock: Mutex<FleetClock>,
     polls: Mutex<Polls>,
+    started_at: Instant,
     /// Last window whose report is done, as found by this process or learned from a collector.
     done_window: AtomicU64,
+    /// Last report that is known to be decided, by this process or another one.
+    decided: Mutex<Option<UsageReport>>,
     /// Whether the final hand-over of this process has begun. It is set while the ledger is locked.
     is_closed: AtomicBool,
 }
@@ -88,7 +93,9 @@
                 last_at: now,
                 collectors: Vec::new(),
             }),
+            started_at: now,
             done_window: AtomicU64::new(0),
+            decided: Mutex::default(),
             is_closed: AtomicBool::new(false),
         }
     }
@@ -154,6 +161,28 @@
         self.done_window.load(Ordering::Relaxed)
     }
 
+    /// The last report that is known to be decided.
+    fn decided(&self) -> Option<UsageReport> {
+        lock(&self.decided).clone()
+    }
+
+    /// Window of the last report that is known to be decided, and the era of the decision.
+    fn last_decided(&self) -> Option<(u64, u64)> {
+        let decided = lock(&self.decided);
+        decided.as_ref().map(|report| (report.window, report.era))
+    }
+
+    /// Records a decided report. Returns whether it is the last one that is known.
+    fn record_decided(&self, report: &UsageReport) -> bool {
+        let mut decided = lock(&self.decided);
+        let is_later =
+            |known: &UsageReport| (report.window, report.era) > (known.window, known.era);
+        if decided.as_ref().is_none_or(is_later) {
+            *decided = Some(report.clone());
+        }
+        decided.as_ref() == Some(report)
+    }
+
     /// Address and start of this process, by which its requests are known.
     fn own_log(&self, gateway: &Gateway) -> (IpAddr, u32) {
         (gateway.host().ip, self.request_log().start())
--- a/crates/gateway/src/duty/usage/hand_over.rs
+++ b/crates/gateway/src/duty/usage/hand_over.rs
@@ -2,7 +2,7 @@
 
 use super::exchange::{add_own_requests, send};
 use super::message::{Message, StoredLogs};
-use super::{Collector, read_log, time_of_day_ms, transfer};
+use super::{Collector, decisions, read_log, time_of_day_ms, transfer};
 use crate::duty::STORE_TIMEOUT;
 use crate::follow::StoreClient;
 use crate::monotonic;
@@ -42,7 +42,8 @@
             .filter(|c| now.saturating_duration_since(c.polled_at) < COLLECTOR_TIMEOUT);
         recent.copied().collect()
     };
-    let mut sent = send_last(gateway, &collectors).await;
+    let announced = decisions::hand_over(gateway);
+    let (mut sent, ()) = tokio::join!(send_last(gateway, &collectors), announced);
     add_own_requests(gateway, monotonic::now());
     // Datagrams aren't acknowledged, and the process that polled from an address may have exited
     // or been replaced by one that holds no requests.
--- a/crates/gateway/src/duty/usage/message.rs
+++ b/crates/gateway/src/duty/usage/message.rs
@@ -112,3 +112,12 @@
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub complete_ms_ago: Option<u32>,
 }
+
+/// The last report that a process knows to be decided.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LastDecision {
+    /// Time since the process started, in milliseconds. It knows no reports of an earlier start.
+    pub running_ms: u64,
+    /// The report's window and the era of the store in which it was decided.
+    pub report: Option<(u64, u64)>,
+}
--- a/crates/gateway/src/duty/usage/reports.rs
+++ b/crates/gateway/src/duty/usage/reports.rs
@@ -1,7 +1,8 @@
 //! Decides each window's report and sends it, while this process holds the duty.
 
 use super::collection::{MaxWaits, Missing, Readiness, Span};
-use super::holder::{Action, Holder};
+use super::decisions::{self, Announced};
+use super::holder::{Action, Holder, Windows};
 use super::ledger::WindowCount;
 use super::message::StoredLogs;
 use super::request_log::RETENTION;
@@ -36,6 +37,12 @@
 /// none.
 const MAX_LATENESS: Duration = Duration::from_secs(20);
 
+/// Maximum time for which a report waits until another process knows it. The rest of the time until
+/// it is due is left to deliver it.
+const ANNOUNCE_TIMEOUT: Duration = Duration::from_millis(1500);
+/// Pause between two attempts to announce a report.
+const ANNOUNCE_PAUSE: Duration = Duration::from_millis(100);
+
 /// Maximum number of processes that a report waits for and that are logged.
 const MAX_WAITS_LOGGED: usize = 12;
 /// Maximum number of skipped windows that are logged individually, newest first.
@@ -68,6 +75,8 @@
     /// Last wait that was logged: the window, and the reason.
     logged_wait: Option<(u64, &'static str)>,
     retry_pause: Duration,
+    /// The window whose report is being announced, and since when.
+    announcing: Option<(u64, Instant)>,
     /// Last window that this process decided, and its end. The next window starts there, so that
     /// no request is counted twice when the agreed time is corrected.
     counted_until: Option<(u64, Instant)>,
@@ -86,6 +95,7 @@
             waited_at: None,
             logged_wait: None,
             retry_pause: RETRY_BACKOFF.0,
+            announcing: None,
             counted_until: None,
             cloud_lost_at: None,
             members_at_read: None,
@@ -116,7 +126,16 @@
         let Some(first) = self.first_window(now) else {
             return Duration::ZERO;
         };
-        match self.holder.next_action(first, last_ready, now) {
+        // Another process may have decided a report before it was lost, and the store with it.
+        if let Some(report) = self.gateway.usage.decided() {
+            self.holder.record_report(&report);
+        }
+        let windows = Windows {
+            first,
+            first_of_era: self.first_window_of_era(first),
+            ready: last_ready,
+        };
+        match self.holder.next_action(windows, now) {
             Action::Idle => Duration::ZERO,
             Action::Wait(pause) => {
                 self.holder.invalidate();
@@ -135,10 +154,54 @@
                 Some(window) if self.is_withheld(window).await => Duration::ZERO,
                 _ => self.write(client, lease, expected, window, lost).await,
             },
+            Action::Announce(report) => self.announce(&report).await,
+            Action::Survey { era, from } => self.survey(era, from).await,
             Action::Send { token, report } => self.send(token, &report).await,
         }
     }
 
+    /// Announces a report to other processes. It is sent all the same if none confirms it in time,
+    /// as it has a due time.
+    async fn announce(&mut self, report: &UsageReport) -> Duration {
+        let window = report.window;
+        let since = match self.announcing {
+            Some((announcing, since)) if announcing == window => since,
+            _ => monotonic::now(),
+        };
+        self.announcing = Some((window, since));
+        // It may have been decided by another host.
+        self.gateway.usage.record_decided(report);
+        let outcome = match decisions::announce(&self.gateway, report).await {
+            Announced::Confirmed => "confirmed",
+            Announced::Alone => "no other process",
+            Announced::Unconfirmed if monotonic::elapsed(since) < ANNOUNCE_TIMEOUT => {
+                return ANNOUNCE_PAUSE;
+            }
+            Announced::Unconfirmed => "not confirmed in time",
+        };
+        emit(&Event::UsageAnnounced {
+            window,
+            outcome,
+            took_ms: monotonic::elapsed(since).as_millis() as u64,
+        });
+        self.holder.on_announced(window);
+        Duration::ZERO
+    }
+
+    /// Asks all processes for reports that the store may have lost, of windows from `from` on.
+    async fn survey(&mut self, era: u64, from: u64) -> Duration {
+        let Some(span) = self.window(from) else {
+            return Duration::ZERO;
+        };
+        let survey = decisions::survey(&self.gateway, span.until).await;
+        if let Some(report) = &survey.report {
+            self.gateway.usage.record_decided(report);
+            self.holder.record_report(report);
+        }
+        self.holder.on_surveyed(era, survey.is_complete);
+        Duration::ZERO
+    }
+
     /// Fetches the requests that some processes hold of others.
     async fn fetch(&self, from: Vec<IpAddr>) {
         let calls = from.into_iter().map(|ip| {
@@ -252,6 +315,12 @@
         self.window_at(first)
     }
 
+    /// First window that ended after the era of the store became known, or `first` if none is known.
+    fn first_window_of_era(&self, first: u64) -> u64 {
+        let known_at = self.gateway.store_era.state().known_at;
+        known_at.and_then(|at| self.window_at(at)).unwrap_or(first)
+    }
+
     /// Number of the window that contains an instant.
     fn window_at(&self, at: Instant) -> Option<u64> {
         let length_ms = self.length_ms()?;
@@ -413,7 +482,7 @@
         let counted = decided.map(|(_, w)| self.gateway.usage.ledger().count(w.from, w.until));
         let report = decided
             .zip(counted.as_ref())
-            .map(|((number, _), counted)| UsageReport::new(number, &counted.counts))
+            .map(|((number, _), counted)| UsageReport::new(number, expected.era, &counted.counts))
             .or(lost);
         let before = self.holder.decided_window();
         let asked_at = monotonic::now();
@@ -428,6 +497,9 @@
                     log_skipped(before, number);
                     self.log_decided(number, bounds, &counted, lease.token);
                 }
+                if let Some(report) = &report {
+                    self.gateway.usage.record_decided(report);
+                }
                 self.holder.on_written(lease, report, written, asked_at);
                 Duration::ZERO
             }
@@ -539,7 +611,9 @@
     for window in (first..number).rev().take(MAX_SKIPPED_LOGGED) {
         emit(&Event::UsageMissed {
             window,
-            why: "its requests are no longer available".into(),
+            why:
+                "its requests are no longer available, or a host that is lost may have reported it"
+                    .into(),
         });
     }
 }
--- a/crates/gateway/src/duty/usage/transfer.rs
+++ b/crates/gateway/src/duty/usage/transfer.rs
@@ -35,7 +35,14 @@
 pub async fn fetch_held(gateway: &Gateway, from: IpAddr) -> bool {
     let known = gateway.usage.ledger().known_logs();
     let asked_at = monotonic::now();
-    let call = call::<Vec<HeldLog>>(gateway, from, Method::POST, &known, FETCH_TIMEOUT);
+    let call = call::<Vec<HeldLog>>(
+        gateway,
+        from,
+        Method::POST,
+        PATH_WITH_COMPLETE,
+        &known,
+        FETCH_TIMEOUT,
+    );
     let fetched = call.await;
     let now = monotonic::now();
     let added = fetched.and_then(|held| match gateway.may_have_waited(now) {
@@ -60,13 +67,31 @@
     let own = gateway.usage.own_log(gateway);
     let holds_others = gateway.usage.ledger().other_logs(own) > 0;
     let known: Vec<KnownLog> = match holds_others {
-        true => call(gateway, to, Method::GET, &(), SEND_TIMEOUT).await?,
+        true => {
+            call(
+                gateway,
+                to,
+                Method::GET,
+                PATH_WITH_COMPLETE,
+                &(),
+                SEND_TIMEOUT,
+            )
+            .await?
+        }
         // This process's own requests are few, and the receiver ignores those that it knows.
         false => Vec::new(),
     };
     let mut held = gateway.usage.ledger().held_beyond(&known, monotonic::now());
     held.iter_mut().for_each(|log| log.complete_ms_ago = None);
-    call(gateway, to, Method::PUT, &held, SEND_TIMEOUT).await
+    call(
+        gateway,
+        to,
+        Method::PUT,
+        PATH_WITH_COMPLETE,
+        &held,
+        SEND_TIMEOUT,
+    )
+    .await
 }
 
 /// Handles a request of another process.
@@ -111,16 +136,18 @@
     Some(others.map(|log| ledger.add_held(log, at)).sum())
 }
 
-async fn call<T: serde::de::DeserializeOwned>(
+/// Sends a process a request, and decodes its answer.
+pub(super) async fn call<T: serde::de::DeserializeOwned>(
     gateway: &Gateway,
     ip: IpAddr,
     method: Method,
+    path: &str,
     body: &impl Serialize,
     timeout: Duration,
 ) -> Result<T, String> {
     let addr = SocketAddr::new(ip, gateway.host().peer_port);
     let body = wire::encode_compact(body);
-    match catch_up::call(gateway, addr, method, PATH_WITH_COMPLETE, body, timeout).await {
+    match catch_up::call(gateway, addr, method, path, body, timeout).await {
         Ok((StatusCode::OK, body)) => {
             wire::decode(&body).ok_or_else(|| "malformed answer".to_owned())
         }
--- a/crates/gateway/src/peers/catch_up.rs
+++ b/crates/gateway/src/peers/catch_up.rs
@@ -5,7 +5,7 @@
 //! registry shows whether applying the changes gave the same result; if not, the whole registry is
 //! fetched, and until it has been applied the position doesn't advance.
 
-use crate::duty::usage::transfer;
+use crate::duty::usage::{decisions, transfer};
 use crate::fleet::durations::DurationSnapshot;
 use crate::follow;
 use crate::monotonic;
@@ -329,6 +329,9 @@
     if req.uri().path() == transfer::PATH {
         return transfer::handle_request(gateway, req).await;
     }
+    if req.uri().path() == decisions::PATH {
+        return decisions::handle_request(gateway, req).await;
+    }
     let path = req.uri().path();
     let body = match path.strip_prefix(REGISTRY_PATH) {
         Some(since) => encode_changes_since(gateway, since),
--- a/crates/gateway/tests/collectors/mod.rs
+++ b/crates/gateway/tests/collectors/mod.rs
@@ -1,7 +1,7 @@
 //! Four processes that collect usage, in virtual time, with a store and datagrams that get lost.
 
 use gateway::duty::usage::collection::{Collection, MaxWaits, Readiness, Span};
-use gateway::duty::usage::holder::{Action, Holder};
+use gateway::duty::usage::holder::{Action, Holder, Windows};
 use gateway::duty::usage::ledger::Ledger;
 use gateway::duty::usage::request_log::RequestLog;
 use gateway::follow::outage::OutageTracker;
@@ -285,8 +285,15 @@
         let ready = (self.now_ms.saturating_sub(settle) / WINDOW_MS).checked_sub(1);
         let (is_store_up, now_ms, base) = (self.is_store_up, self.now_ms, self.base);
         let process = self.processes[n].as_mut().unwrap();
-        match process.holder.next_action(0, ready, now) {
+        let windows = Windows {
+            first: 0,
+            first_of_era: 0,
+            ready,
+        };
+        match process.holder.next_action(windows, now) {
             Action::Idle => {}
+            Action::Announce(report) => process.holder.on_announced(report.window),
+            Action::Survey { .. } => unreachable!("the store isn't restored"),
             Action::Wait(_) => process.holder.invalidate(),
             // The platform accepts each report at once.
             Action::Send { report, .. } => process.holder.set_done_window(report.window),
@@ -407,7 +414,7 @@
         }
         process.ledger.set_decided(span.from, span.until);
         self.decided += 1;
-        UsageReport::new(window, &counted)
+        UsageReport::new(window, 0, &counted)
     }
 
     /// Ends a process that was told to stop. It sends what others may not have.
--- a/crates/gateway/tests/usage_decisions.rs
+++ b/crates/gateway/tests/usage_decisions.rs
@@ -2,7 +2,7 @@
 //! writes, lost and duplicated datagrams, and clocks that jump.
 
 use gateway::duty::usage::clock::{FleetClock, ROUND_EVERY};
-use gateway::duty::usage::holder::{Action, Holder};
+use gateway::duty::usage::holder::{Action, Holder, Windows};
 use gateway::duty::usage::ledger::Ledger;
 use gateway::duty::usage::request_log::RequestLog;
 use platform::usage::{TenantCount, UsageRead, UsageReport};
@@ -23,6 +23,8 @@
 const HOLDER_GAP: Duration = Duration::from_secs(3);
 const WINDOW_MS: u64 = 5000;
 const HOLDERS: usize = 3;
+/// Time after which a report is sent although no other host has confirmed that it knows it.
+const ANNOUNCE_MS: u64 = 1500;
 
 /// The rows of the store.
 #[derive(Debug, Clone, Default)]
@@ -96,6 +98,25 @@
     Late,
 }
 
+/// What the process of a holder knows; lost when it restarts.
+#[derive(Debug, Clone, Default)]
+struct Memory {
+    started_ms: u64,
+    /// The last report that it knows to be decided.
+    decided: Option<UsageReport>,
+    /// The window whose report it announces, and since when.
+    announcing: Option<(u64, u64)>,
+}
+
+impl Memory {
+    fn record(&mut self, report: &UsageReport) {
+        let is_later = |known: &UsageReport| report.window > known.window;
+        if self.decided.as_ref().is_none_or(is_later) {
+            self.decided = Some(report.clone());
+        }
+    }
+}
+
 /// Holders that each have different counts, as if each couldn't reach some hosts.
 struct Simulation {
     started: Instant,
@@ -107,13 +128,14 @@
     /// Writes that haven't reached the store yet.
     late_writes: Vec<Write>,
     holders: Vec<Holder>,
+    memories: Vec<Memory>,
     /// Latest era that each holder knows, and since when.
     known_eras: Vec<(u64, Instant)>,
     sent: Vec<Sent>,
 }
 
 impl Simulation {
-    fn new() -> Self {
+    fn new(holders: usize) -> Self {
         Self {
             started: Instant::now(),
             now_ms: 0,
@@ -121,8 +143,9 @@
             era: 1,
             copies: Vec::new(),
             late_writes: Vec::new(),
-            holders: (0..HOLDERS).map(holder).collect(),
-            known_eras: vec![(0, Instant::now()); HOLDERS],
+            holders: (0..holders).map(holder).collect(),
+            memories: vec![Memory::default(); holders],
+            known_eras: vec![(0, Instant::now()); holders],
             sent: Vec::new(),
         }
     }
@@ -131,6 +154,10 @@
         self.now_ms += step.pause_ms;
         if step.restarts {
             self.holders[step.holder] = holder(step.holder);
+            self.memories[step.holder] = Memory {
+                started_ms: self.now_ms,
+                ..Memory::default()
+            };
             self.known_eras[step.holder].0 = 0;
         }
         if let Some(age_ms) = step.restored_from_ms {
@@ -170,8 +197,20 @@
     fn act(&mut self, step: Step) {
         let now = self.started + Duration::from_millis(self.now_ms);
         let ready = (self.now_ms / WINDOW_MS).checked_sub(1);
-        match self.holders[step.holder].next_action(0, ready, now) {
+        let (era, known_at) = self.known_eras[step.holder];
+        let known_ms = known_at.saturating_duration_since(self.started).as_millis() as u64;
+        let windows = Windows {
+            first: 0,
+            first_of_era: if era > 0 { known_ms / WINDOW_MS } else { 0 },
+            ready,
+        };
+        if let Some(report) = &self.memories[step.holder].decided {
+            self.holders[step.holder].record_report(report);
+        }
+        match self.holders[step.holder].next_action(windows, now) {
             Action::Idle => {}
+            Action::Announce(report) => self.announce(step, &report),
+            Action::Survey { era, from } => self.survey(step, era, from),
             Action::Wait(_) => self.holders[step.holder].invalidate(),
             Action::Read => self.read(step, now),
             Action::Write {
@@ -180,7 +219,7 @@
                 window,
                 lost,
             } => {
-                let report = window.map(|w| counted_by(step.holder, self.now_ms, w));
+                let report = window.map(|w| counted_by(step.holder, self.now_ms, w, expected.era));
                 let report = report.or(lost);
                 let write = Write {
                     lease,
@@ -193,6 +232,45 @@
         }
     }
 
+    /// Announces a report to one other host.
+    fn announce(&mut self, step: Step, report: &UsageReport) {
+        self.memories[step.holder].record(report);
+        let receiver = (step.holder + 1) % self.holders.len();
+        let is_alone = receiver == step.holder;
+        if matches!(
+            step.outcome,
+            CallOutcome::Answered | CallOutcome::AnswerLost
+        ) {
+            self.memories[receiver].record(report);
+        }
+        let (window, now_ms) = (report.window, self.now_ms);
+        let announcing = &mut self.memories[step.holder].announcing;
+        let (_, since_ms) = *match announcing {
+            Some(known) if known.0 == window => known,
+            _ => announcing.insert((window, now_ms)),
+        };
+        let is_confirmed = matches!(step.outcome, CallOutcome::Answered);
+        if is_confirmed || is_alone || now_ms >= since_ms + ANNOUNCE_MS {
+            self.holders[step.holder].on_announced(window);
+        }
+    }
+
+    /// Asks all hosts for the last report that they know. One that restarted has forgotten some.
+    fn survey(&mut self, step: Step, era: u64, from: u64) {
+        let until_ms = (from + 1) * WINDOW_MS;
+        let were_running = self.memories.iter().all(|m| m.started_ms <= until_ms);
+        let is_alone = self.holders.len() == 1;
+        let is_answered = is_alone || matches!(step.outcome, CallOutcome::Answered);
+        if is_answered {
+            for memory in &self.memories {
+                if let Some(report) = &memory.decided {
+                    self.holders[step.holder].record_report(report);
+                }
+            }
+        }
+        self.holders[step.holder].on_surveyed(era, is_answered && were_running);
+    }
+
     fn read(&mut self, step: Step, now: Instant) {
         if !matches!(step.outcome, CallOutcome::Answered) {
             return;
@@ -222,7 +300,12 @@
                 };
                 let holder = &mut self.holders[step.holder];
                 match is_written && written.position.era == write.expected.era {
-                    true => holder.on_written(write.lease, write.report, written, now),
+                    true => {
+                        if let Some(report) = &write.report {
+                            self.memories[step.holder].record(report);
+                        }
+                        holder.on_written(write.lease, write.report, written, now);
+                    }
                     false => holder.invalidate(),
                 }
                 return;
@@ -255,12 +338,12 @@
 }
 
 /// A report that differs by holder and time.
-fn counted_by(holder: usize, at_ms: u64, window: u64) -> UsageReport {
+fn counted_by(holder: usize, at_ms: u64, window: u64, era: u64) -> UsageReport {
     let count = TenantCount {
         tenant: "one".into(),
         requests: at_ms * 10 + holder as u64,
     };
-    UsageReport::new(window, &[count])
+    UsageReport::new(window, era, &[count])
 }
 
 /// Steps of holders, with a share of `restored` before which the store is restored from a copy.
@@ -305,7 +388,7 @@
     let alternations = std::cell::Cell::new(0);
     runner(600)
         .run(&steps(0.03), |steps| {
-            let mut simulation = Simulation::new();
+            let mut simulation = Simulation::new(HOLDERS);
             steps.into_iter().for_each(|step| simulation.step(step));
             check_holders(&simulation.sent)?;
             let pairs = simulation.sent.windows(2);
@@ -323,7 +406,7 @@
     let reported = std::cell::Cell::new(0);
     runner(400)
         .run(&steps(0.0), |steps| {
-            let mut simulation = Simulation::new();
+            let mut simulation = Simulation::new(HOLDERS);
             steps.into_iter().for_each(|step| simulation.step(step));
             let mut bodies: BTreeMap<u64, String> = BTreeMap::new();
             for sent in &simulation.sent {
@@ -345,20 +428,31 @@
 /// by a host that doesn't know of it.
 #[test]
 fn a_lost_report_is_decided_again_by_no_other_host() {
-    runner(400)
-        .run(&steps(0.03), |steps| {
-            let mut simulation = Simulation::new();
-            steps.into_iter().for_each(|step| simulation.step(step));
-            let mut bodies: BTreeMap<u64, String> = BTreeMap::new();
-            for sent in &simulation.sent {
-                let body = bodies
-                    .entry(sent.report.window)
-                    .or_insert_with(|| sent.report.body.clone());
-                prop_assert_eq!(&*body, &sent.report.body, "window {}", sent.report.window);
-            }
-            Ok(())
-        })
-        .unwrap();
+    for hosts in 1..=HOLDERS {
+        let reported = std::cell::Cell::new(0);
+        runner(400)
+            .run(&steps(0.03), |steps| {
+                let mut simulation = Simulation::new(hosts);
+                for step in steps {
+                    let holder = step.holder % hosts;
+                    simulation.step(Step { holder, ..step });
+                }
+                let mut bodies: BTreeMap<u64, String> = BTreeMap::new();
+                for sent in &simulation.sent {
+                    let body = bodies
+                        .entry(sent.report.window)
+                        .or_insert_with(|| sent.report.body.clone());
+                    prop_assert_eq!(&*body, &sent.report.body, "window {}", sent.report.window);
+                }
+                check_holders(&simulation.sent)?;
+                reported.set(reported.get() + bodies.len());
+                Ok(())
+            })
+            .unwrap();
+        // Otherwise the cases above prove nothing.
+        let reported = reported.get();
+        assert!(reported > 1000, "{reported} windows of {hosts} hosts");
+    }
 }
 
 /// A report that a restored store had lost was decided again with other counts, or was never sent.
@@ -367,7 +461,7 @@
     let reported = std::cell::Cell::new(0);
     runner(400)
         .run(&steps(0.03), |steps| {
-            let mut simulation = Simulation::new();
+            let mut simulation = Simulation::new(1);
             for step in steps {
                 simulation.step(Step {
                     holder: 0,
@@ -596,7 +690,7 @@
         tenant: tenant.into(),
         requests: 412,
     });
-    let report = UsageReport::new(353_445_120, &counts);
+    let report = UsageReport::new(353_445_120, 0, &counts);
     let text = r#"{"WindowId":353445120,"Counts":{"a":412,"b":412}}"#;
     assert_eq!(report.body, text);
 }
--- a/crates/observe/src/event.rs
+++ b/crates/observe/src/event.rs
@@ -431,6 +431,28 @@
         /// Fencing token of the lease.
         token: u64,
     },
+    /// A decided report was announced to other processes before it is sent.
+    UsageAnnounced {
+        /// Number of the window.
+        window: u64,
+        /// Whether another process has confirmed it, none runs, or none confirmed it in time.
+        outcome: &'a str,
+        /// Time that it took, in milliseconds.
+        took_ms: u64,
+    },
+    /// All processes were asked for decided reports that a restored store may have lost.
+    UsageSurveyed {
+        /// Number of processes that were asked.
+        asked: usize,
+        /// Number of processes, with this one, that may have forgotten reports in a restart.
+        restarted: usize,
+        /// Addresses of those that didn't answer, or of the first ones if there are many.
+        silent: Vec<String>,
+        /// Window of the last report that is known.
+        window: Option<u64>,
+        /// Whether no report can be unknown. Otherwise windows that may have one are skipped.
+        is_complete: bool,
+    },
     /// The report of a window waits for requests. Logged once per window and reason.
     UsageWaits {
         /// Number of the window.
@@ -1019,6 +1041,9 @@
             | Self::WorkHeldBack { .. }
             | Self::PartHeldBack { .. }
             | Self::UsageMissed { .. }
+            | Self::UsageSurveyed {
+                is_complete: false, ..
+            }
             | Self::UsageLost { .. }
             | Self::UsageOvercounted { .. }
             | Self::UsageNotSent { .. }
