Promise clients nothing about requests that may have run

A client of a route that may not repeat requests got the 503 of an upstream that had run its request, took it for the promise that it hadn't, and sent it again; it was carried out twice.

Cause: a response was either a stated rejection or an answer to relay. An answer whose status is a promise to the client (408, 429, 503) was relayed without a statement that the request hadn't run. The entry did the same with answers of plain services.

Such an answer is now a 502 of the gateway's own, and in the entry a refusal with an unknown outcome. Requests that may be repeated go on as before.

--- a/crates/arbutusquay/tests/path.rs
+++ b/crates/arbutusquay/tests/path.rs
@@ -305,6 +305,26 @@
     assert_eq!(bed.run_count("lost"), 1);
 }
 
+/// A status of an upstream that had run the call promised its caller that it hadn't.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_non_idempotent_call_that_ran_and_failed_stays_unknown() {
+    let bed = testbed(BINARY, 1).await;
+    let plain = bed.plain_services().remove(0);
+    for run_status in [408, 429, 503] {
+        plain.injector().set(Faults {
+            run_status,
+            ..Faults::default()
+        });
+        let key = format!("failed-{run_status}");
+        // The second answer is the stored one.
+        for client in 0..2 {
+            let sent = bed.client(client).send(notice(&key, "x")).await;
+            assert_eq!(refused(&sent).0, Outcome::Unknown, "{run_status}");
+        }
+        assert_eq!(bed.run_count(&key), 1);
+    }
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn with_the_table_service_down_only_idempotent_requests_are_served() {
     let bed = testbed(BINARY, 1).await;
--- a/crates/entry/src/refusal.rs
+++ b/crates/entry/src/refusal.rs
@@ -75,6 +75,11 @@
     }
 }
 
+/// Whether a status promises callers that their request hasn't run, so that they repeat it.
+pub fn promises_not_run(status: u16) -> bool {
+    matches!(status, 408 | 421 | 429 | 503)
+}
+
 fn message(reason: Reason) -> &'static str {
     match reason {
         Reason::BadRequest => "the request is malformed",
--- a/crates/entry/src/session.rs
+++ b/crates/entry/src/session.rs
@@ -4,7 +4,7 @@
 use crate::attempt::Attempt;
 use crate::choose::{ChosenUpstream, choose};
 use crate::crashes::{self, SendDecision};
-use crate::refusal::may_retry_elsewhere;
+use crate::refusal::{may_retry_elsewhere, promises_not_run};
 use crate::state::Entry;
 use conf::Class;
 use hyper::Method;
@@ -162,6 +162,12 @@
             }
             match self.read_step().await {
                 Step::Part(Part::Started { queue_ms }) => self.queue_ms += queue_ms,
+                // The upstream has run the call, and its caller would repeat it.
+                Step::Part(Part::Head { status, .. })
+                    if !self.req.class.idempotent && promises_not_run(status) =>
+                {
+                    self.handle_loss(Reason::UpstreamBroken)?;
+                }
                 Step::Part(part) => {
                     self.first_byte.get_or_insert(self.received_at.elapsed());
                     if matches!(part, Part::Token(_)) {
--- a/crates/fakes/src/fault.rs
+++ b/crates/fakes/src/fault.rs
@@ -33,6 +33,8 @@
     pub double_last: u32,
     /// Number of orders during which the engine crashes.
     pub crash_in_order: u32,
+    /// Status of a plain service's answers to calls that it has run; 0 means 200.
+    pub run_status: u16,
     /// A call whose body contains this text crashes the server: the call gets no answer, and
     /// connections are refused for [`CRASH_DOWNTIME`]. Empty means no call.
     pub crash_about: String,
--- a/crates/fakes/src/plain.rs
+++ b/crates/fakes/src/plain.rs
@@ -4,7 +4,7 @@
 use crate::clock::now_ms;
 use crate::fault::FaultInjector;
 use crate::serve::{Call, FakeServer, json};
-use hyper::Response;
+use hyper::{Response, StatusCode};
 use net::Body;
 use serde::{Deserialize, Serialize};
 use std::sync::{Arc, Mutex};
@@ -88,6 +88,10 @@
             }
         }
         tokio::time::sleep(self.work_time).await;
-        json(&PlainAnswer { digest })
+        let mut res = json(&PlainAnswer { digest });
+        if let Ok(status) = StatusCode::from_u16(self.injector.get().run_status) {
+            *res.status_mut() = status;
+        }
+        res
     }
 }
--- a/crates/gateway/src/answer.rs
+++ b/crates/gateway/src/answer.rs
@@ -67,6 +67,9 @@
     PartCrashSuspected,
     /// The connection to an upstream was lost while it may have run the request.
     UpstreamLost,
+    /// The upstream that may have run the request answered with a status that would promise its client
+    /// the opposite.
+    UpstreamFailed,
     /// The deadline or the timeout passed without an answer.
     TimedOut,
     /// The process ends before the answer.
@@ -131,6 +134,7 @@
             Self::PartCrashesUpstreams => "part_crashes_upstreams",
             Self::PartCrashSuspected => "part_crash_suspected",
             Self::UpstreamLost => "upstream_lost",
+            Self::UpstreamFailed => "upstream_failed",
             Self::TimedOut => "timed_out",
             Self::ProcessEnds => "process_ends",
             Self::ClientGone => "client_gone",
@@ -192,6 +196,7 @@
                 "upstreams have crashed while they ran prompts with one of the parts".into()
             }
             Self::UpstreamLost => "the connection to the upstream was lost".into(),
+            Self::UpstreamFailed => "the upstream failed and may have run the request".into(),
             Self::TimedOut => "no answer came in time".into(),
             Self::ProcessEnds => "the process ends before the answer came".into(),
             Self::ClientGone => "the client went away".into(),
@@ -199,6 +204,17 @@
     }
 }
 
+/// Whether a status promises clients that their request hasn't run and won't, so that they repeat it.
+pub fn promises_not_run(status: StatusCode) -> bool {
+    matches!(
+        status,
+        StatusCode::REQUEST_TIMEOUT
+            | StatusCode::MISDIRECTED_REQUEST
+            | StatusCode::TOO_MANY_REQUESTS
+            | StatusCode::SERVICE_UNAVAILABLE
+    )
+}
+
 #[derive(Serialize)]
 struct ErrorBody<'a> {
     error: &'a str,
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -9,9 +9,10 @@
 pub use time::{AnswerProgress, FinishEstimate, PendingAnswer, StreamGuard};
 
 use crate::account::Account;
-use crate::answer::Reason;
-use crate::attempt::{self, AttemptResult, Failure, NotRun, attempt};
+use crate::answer::{Outcome, Reason, promises_not_run};
+use crate::attempt::{self, AttemptResult, Failure, NotRun, StartedAnswer, attempt};
 use crate::choose::{Choice, Plan, Requirements, Unavailable, choose, choose_with_room};
+use crate::completeness::Completeness;
 use crate::crashes::{self, Admission, fingerprint, unanswered};
 use crate::fleet::{ServiceKey, UpstreamKey};
 use crate::monotonic;
@@ -77,7 +78,7 @@
     service: ServiceKey,
     tried: Vec<UpstreamKey>,
     /// Failure response of an upstream, kept while another upstream is tried.
-    failure: Option<Box<attempt::StartedAnswer>>,
+    failure: Option<Box<StartedAnswer>>,
     fingerprint: OnceLock<Fingerprint>,
 }
 
@@ -252,7 +253,7 @@
 
     /// Tries upstreams until one starts to answer, or returns the reason for a refusal. An
     /// upstream's own failure response is returned if no other upstream does better.
-    async fn run(&mut self, account: &mut Account) -> Result<attempt::StartedAnswer, Refusal> {
+    async fn run(&mut self, account: &mut Account) -> Result<StartedAnswer, Refusal> {
         let timeout = self.wait_for_timeout(AnswerProgress::Pending);
         let outcome = tokio::select! {
             biased;
@@ -268,10 +269,7 @@
         }
     }
 
-    async fn run_attempts(
-        &mut self,
-        account: &mut Account,
-    ) -> Result<attempt::StartedAnswer, Refusal> {
+    async fn run_attempts(&mut self, account: &mut Account) -> Result<StartedAnswer, Refusal> {
         // Rejects the request before a wait for an upstream, which would only delay the rejection.
         if !self.finishes_in_time(account, 0.0) {
             return Err(Reason::Stopping.into());
@@ -337,6 +335,9 @@
             match result {
                 AttemptResult::Started(started) => {
                     let may_repeat = self.target().route.kind.is_repeatable();
+                    if !may_repeat && promises_not_run(started.status) {
+                        return Err(self.refuse_promise(account, &started));
+                    }
                     if !started.status.is_server_error() || !may_repeat {
                         return Ok(*started);
                     }
@@ -381,6 +382,18 @@
         }
     }
 
+    /// Refuses a request that an upstream may have run and answered with a status which would promise
+    /// that it hasn't. Its client would repeat it.
+    fn refuse_promise(&self, account: &mut Account, started: &StartedAnswer) -> Refusal {
+        if started.rest.is_none() && started.monitor.completeness() == Completeness::Whole {
+            crashes::mark_answered(self, account);
+        }
+        let why = format!("{} from an upstream that may have run it", started.status);
+        let took = monotonic::elapsed(account.received_at);
+        attempt::log_failed_attempt(account, Outcome::Unknown.name(), &why, took);
+        Reason::UpstreamFailed.into()
+    }
+
     /// Refuses the request as a full upstream has rejected it.
     fn refuse_after_rejection(&self) -> Refusal {
         let queues = &self.gateway.queues;
