End held reads when their process becomes a reader of the store

After open connections to the store had gone silent without a reset and the two hosts that read it frequently had left, the others served by the old configuration until 25 s after a new one was acknowledged.

Cause: how long a read of the configuration is held was decided when it began, from the rank of its process. A host that became a reader kept waiting, for up to 30 s, on a connection whose end it couldn't see.

The read ends when its process becomes a reader. A process that reads the registry in place of readers which no longer reach the store counts as one for 3 s. The read of recorded crashes, whose length depends on live peers, ends when the last of them is gone.

--- a/crates/gateway/src/crashes/rows.rs
+++ b/crates/gateway/src/crashes/rows.rs
@@ -7,7 +7,7 @@
 
 use super::{SharedCrashes, apply, log_change, update_parts};
 use crate::follow::cursor::{RESTORE_READ_SPREAD, TableCursor};
-use crate::follow::{Dependency, StoreClient, hold_time, wait_until_feed_reader};
+use crate::follow::{Dependency, StoreClient, hold_time, wait_until, wait_until_feed_reader};
 use crate::monotonic;
 use crate::state::Gateway;
 use crate::store_clock::StoreClock;
@@ -71,7 +71,8 @@
         let is_full_read = cursor.is_whole_read();
         let is_initial = is_full_read && !gateway.startup_load.has_loaded();
         wait_until_feed_reader(&gateway, is_initial).await;
-        let max_hold_time = match has_no_live_peer(&gateway) {
+        let is_isolated = has_no_live_peer(&gateway);
+        let max_hold_time = match is_isolated {
             true => HOLD_TIME_ISOLATED,
             false => HOLD_TIME,
         };
@@ -79,7 +80,15 @@
         let timeout = wait + ANSWER_TIMEOUT;
         cursor.begin_read(&gateway).await;
         let read = client.store().crashes(cursor.from(), wait, timeout);
-        match cursor.run(&gateway, read).await {
+        let read = tokio::select! {
+            read = cursor.run(&gateway, read) => read,
+            // Its crashes come from the store alone then, and the connection may be broken.
+            () = wait_until(&gateway, has_no_live_peer), if !is_isolated && !is_full_read => {
+                cursor.record_role_change();
+                continue;
+            }
+        };
+        match read {
             Ok(change) => {
                 dependency.record_success();
                 for why in change.malformed {
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -18,8 +18,9 @@
 use observe::{Event, emit};
 use platform::{Config, Cursor, Store, StoreError};
 use std::net::SocketAddr;
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
+use tokio::sync::Notify;
 
 /// Processes that read the store frequently. The others receive updates from them, and read the
 /// store themselves only if these stop sending: each call to the store is charged, and with 31
@@ -30,8 +31,12 @@
 /// no time limits apply.
 const CONFIG_WAIT: Duration = Duration::from_millis(2000);
 /// Hold time for all other processes, which the readers notify of a new version. It is the
-/// maximum that the store allows, as each call is charged.
+/// maximum that the store allows, as each call is charged. The read ends early if its process becomes
+/// a reader, as nobody else may notice that its connection is broken.
 const LONG_CONFIG_WAIT: Duration = Duration::from_millis(30_000);
+/// Time after a read of the registry in place of the readers for which a process also reads the
+/// configuration like one of them.
+const FALLBACK_TIME: Duration = Duration::from_secs(3);
 /// Timeout for an answer of the store, in addition to the time that it may hold a read. Answers
 /// take about 5 ms, and about 300 ms while the store is slow.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(800);
@@ -42,7 +47,7 @@
 /// 1 s. The readers notify it when the store is back. With 103 processes that all retried
 /// every 0.4 s, retries were 6,000 of 9,500 calls in an outage of 8 s.
 const RETRY_DOUBLINGS: u32 = 2;
-/// Interval at which a process checks whether it has become a feed reader.
+/// Interval at which a process checks whether it has become a feed reader or a frequent one.
 const READER_CHECK_EVERY: Duration = Duration::from_millis(500);
 /// Time without a successful read after which a failed read counts as loss of the store.
 const LOST_AFTER: Duration = Duration::from_millis(1000);
@@ -158,11 +163,19 @@
         .await;
     loop {
         wait_until_feed_reader(&gateway, gateway.config_version() == 0).await;
-        let wait = hold_time(cursor.from(), config_wait(&gateway));
+        let is_frequent = is_frequent_reader(&gateway);
+        let wait = hold_time(cursor.from(), config_wait(is_frequent));
         let timeout = wait + ANSWER_TIMEOUT;
         cursor.begin_read(&gateway).await;
         let read = client.store().config(cursor.from(), wait, timeout);
-        match cursor.run(&gateway, read).await {
+        let read = tokio::select! {
+            read = cursor.run(&gateway, read) => read,
+            () = wait_until_frequent_reader(&gateway), if !is_frequent => {
+                cursor.record_role_change();
+                continue;
+            }
+        };
+        match read {
             Ok(change) => {
                 dependency.record_success();
                 log_malformed("configuration", change.malformed);
@@ -203,11 +216,60 @@
     }
 }
 
-fn config_wait(gateway: &Gateway) -> Duration {
-    if gateway.rank() < FREQUENT_READERS {
-        CONFIG_WAIT
-    } else {
-        LONG_CONFIG_WAIT
+fn config_wait(is_frequent: bool) -> Duration {
+    match is_frequent {
+        true => CONFIG_WAIT,
+        false => LONG_CONFIG_WAIT,
+    }
+}
+
+/// Whether this process reads the store frequently: it is one of the readers, or had to read the
+/// registry in their place.
+fn is_frequent_reader(gateway: &Gateway) -> bool {
+    gateway.rank() < FREQUENT_READERS || gateway.registry_fallback.is_within(FALLBACK_TIME)
+}
+
+async fn wait_until_frequent_reader(gateway: &Gateway) {
+    while !is_frequent_reader(gateway) {
+        tokio::select! {
+            () = gateway.registry_fallback.notified() => {}
+            () = tokio::time::sleep(READER_CHECK_EVERY) => {}
+        }
+    }
+}
+
+/// Waits until a condition holds, which is checked at intervals.
+pub(crate) async fn wait_until(gateway: &Gateway, condition: impl Fn(&Gateway) -> bool) {
+    while !condition(gateway) {
+        tokio::time::sleep(READER_CHECK_EVERY).await;
+    }
+}
+
+/// Reads of the registry that this process made in place of the readers.
+#[derive(Debug, Default)]
+pub struct RegistryFallback {
+    last_at: Mutex<Option<Instant>>,
+    notify: Notify,
+}
+
+impl RegistryFallback {
+    /// Records such a read, and wakes tasks that wait for one. A read of the whole registry, as at the
+    /// start, doesn't show that the readers have stopped.
+    pub(crate) fn record(&self, is_whole: bool) {
+        if !is_whole {
+            *self.last_at.lock().expect("no panic while locked") = Some(monotonic::now());
+        }
+        self.notify.notify_waiters();
+    }
+
+    /// Waits for the next one.
+    pub(crate) async fn notified(&self) {
+        self.notify.notified().await;
+    }
+
+    fn is_within(&self, time: Duration) -> bool {
+        let last_at = *self.last_at.lock().expect("no panic while locked");
+        last_at.is_some_and(|at| monotonic::elapsed(at) < time)
     }
 }
 
--- a/crates/gateway/src/follow/cursor.rs
+++ b/crates/gateway/src/follow/cursor.rs
@@ -29,6 +29,9 @@
     Restored,
     /// The last read failed.
     Retry,
+    /// The last read was ended early, as the part of this process had changed for which it was held
+    /// that long.
+    RoleChanged,
 }
 
 /// Position of a reader in a table.
@@ -55,6 +58,7 @@
             Self::HistoryGone => "history_gone",
             Self::Restored => "restored",
             Self::Retry => "retry",
+            Self::RoleChanged => "role_changed",
         }
     }
 }
@@ -158,4 +162,9 @@
     pub(crate) fn record_failure(&mut self) {
         self.reason = ReadReason::Retry;
     }
+
+    /// Records that the last read was ended early, as this process's part has changed.
+    pub(crate) fn record_role_change(&mut self) {
+        self.reason = ReadReason::RoleChanged;
+    }
 }
--- a/crates/gateway/src/follow/registry.rs
+++ b/crates/gateway/src/follow/registry.rs
@@ -94,7 +94,7 @@
                 gateway.record_read(change.position, asked_at, store_ms);
                 first_page = None;
                 if gateway.rank() >= FREQUENT_READERS {
-                    gateway.registry_fallback.notify_waiters();
+                    gateway.registry_fallback.record(is_whole);
                 }
             }
             Err(StoreError::HistoryGone) => {
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -10,7 +10,7 @@
 use crate::crashes::SharedCrashes;
 use crate::duty::usage::Usage;
 use crate::fleet::{Fleet, ServiceKey, UpstreamKey};
-use crate::follow;
+use crate::follow::{self, RegistryFallback};
 use crate::history::ChangeHistory;
 use crate::missing::MissingUpstreams;
 use crate::monotonic;
@@ -79,9 +79,8 @@
     members_position: Mutex<Position>,
     /// Loading of the initial state from peers.
     pub startup_load: StartupLoad,
-    /// Notified when this process has read the registry from the store because no peer
-    /// supplied it.
-    pub registry_fallback: Notify,
+    /// Reads of the registry from the store because no peer supplied it.
+    pub registry_fallback: RegistryFallback,
     running: AtomicU64,
     /// Requests that wait for upstreams of plain services.
     pub queues: ServiceQueues,
@@ -178,7 +177,7 @@
             live_peers: AtomicU32::new(0),
             members_position: Mutex::default(),
             startup_load: StartupLoad::default(),
-            registry_fallback: Notify::new(),
+            registry_fallback: RegistryFallback::default(),
             running: AtomicU64::new(0),
             queues: ServiceQueues::default(),
             crashes: SharedCrashes::default(),
