--- a/crates/net/src/h1.rs
+++ b/crates/net/src/h1.rs
@@ -4,19 +4,21 @@
 //! non-idempotent call twice.
 
 use crate::body::Body;
-use crate::client::{Connection, Listener, connect, probe};
+use crate::client::{Listener, connect, probe};
 use crate::error::CallError;
 use crate::informational::{InformationalLimit, MAX_INFORMATIONAL_BYTES};
-use crate::meter::Meter;
+use crate::meter::{Meter, Metered};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use hyper::client::conn::TrySendError;
 use hyper::client::conn::http1::{Builder, SendRequest};
 use hyper::{Request, Response, StatusCode};
+use hyper_util::rt::TokioIo;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
+use tokio::io::{AsyncRead, AsyncWrite};
 
 /// Maximum number of idle connections in the pool.
 const MAX_IDLE: usize = 32;
@@ -64,7 +66,10 @@
 }
 
 impl Conn {
-    async fn handshake(io: Connection) -> Result<Self, CallError> {
+    async fn handshake<T>(io: TokioIo<Metered<T>>) -> Result<Self, CallError>
+    where
+        T: AsyncRead + AsyncWrite + Unpin + Send + 'static,
+    {
         let informational = io.inner().informational_limit();
         let (tx, driver) = Builder::new()
             .max_buf_size(MAX_READ_BUFFER)
@@ -85,6 +90,16 @@
         self.tx.try_send_request(req).await
     }
 
+    /// Result of a request that failed.
+    fn send_error(&self, mut e: TrySendError<Request<Body>>) -> CallError {
+        let is_unsent = e.take_message().is_some();
+        let why = self.describe(&e.into_error());
+        match is_unsent {
+            true => CallError::NotSent(why),
+            false => CallError::MaybeSent(why),
+        }
+    }
+
     /// Describes why a request failed.
     fn describe(&self, e: &hyper::Error) -> String {
         match self.informational.is_exceeded() {
@@ -119,6 +134,16 @@
     }
 }
 
+/// Sends a request over a connected stream, which isn't used again.
+pub async fn send_over<T>(stream: T, req: Request<Body>) -> Result<Response<Incoming>, CallError>
+where
+    T: AsyncRead + AsyncWrite + Unpin + Send + 'static,
+{
+    let io = TokioIo::new(Metered::new(stream, Meter::default()));
+    let mut conn = Conn::handshake(io).await?;
+    conn.send(req).await.map_err(|e| conn.send_error(e))
+}
+
 impl Pool {
     /// Creates a pool for an address. `timeout` applies to connecting.
     pub fn new(addr: SocketAddr, timeout: Duration) -> Self {
@@ -214,14 +239,7 @@
     ) -> Result<PooledResponse, CallError> {
         match conn.send(req).await {
             Ok(response) => Ok(self.pooled(conn, response)),
-            Err(mut e) => {
-                let is_unsent = e.take_message().is_some();
-                let why = conn.describe(&e.into_error());
-                Err(match is_unsent {
-                    true => CallError::NotSent(why),
-                    false => CallError::MaybeSent(why),
-                })
-            }
+            Err(e) => Err(conn.send_error(e)),
         }
     }
 
