Compare usage reports by a typed key

The order of decided reports (window, then era) was written as tuples in three places and sent as one. ReportKey names it; no behaviour changes. usage_decisions, usage_restores and usage_collection pass.

--- a/crates/gateway/src/duty/usage.rs
+++ b/crates/gateway/src/duty/usage.rs
@@ -24,7 +24,7 @@
 use ledger::Ledger;
 use message::QueryAnswer;
 use observe::{Event, emit};
-use platform::usage::UsageReport;
+use platform::usage::{ReportKey, UsageReport};
 use request_log::{OpenKey, RequestLog};
 use std::net::IpAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -166,18 +166,15 @@
         lock(&self.decided).clone()
     }
 
-    /// Window of the last report that is known to be decided, and the era of the decision.
-    fn last_decided(&self) -> Option<(u64, u64)> {
-        let decided = lock(&self.decided);
-        decided.as_ref().map(|report| (report.window, report.era))
+    /// Key of the last report that is known to be decided.
+    fn last_decided(&self) -> Option<ReportKey> {
+        lock(&self.decided).as_ref().map(UsageReport::key)
     }
 
     /// Records a decided report. Returns whether it is the last one that is known.
     fn record_decided(&self, report: &UsageReport) -> bool {
         let mut decided = lock(&self.decided);
-        let is_later =
-            |known: &UsageReport| (report.window, report.era) > (known.window, known.era);
-        if decided.as_ref().is_none_or(is_later) {
+        if decided.as_ref().map(UsageReport::key) < Some(report.key()) {
             *decided = Some(report.clone());
         }
         decided.as_ref() == Some(report)
--- a/crates/gateway/src/duty/usage/holder.rs
+++ b/crates/gateway/src/duty/usage/holder.rs
@@ -311,9 +311,7 @@
 
     /// Records a report that is known to be decided.
     pub fn record_report(&mut self, report: &UsageReport) {
-        let is_newer =
-            |known: &UsageReport| (report.window, report.era) > (known.window, known.era);
-        if self.latest.as_ref().is_none_or(is_newer) {
+        if self.latest.as_ref().map(UsageReport::key) < Some(report.key()) {
             self.latest = Some(report.clone());
         }
     }
--- a/crates/gateway/src/duty/usage/message.rs
+++ b/crates/gateway/src/duty/usage/message.rs
@@ -1,6 +1,7 @@
 //! Messages for usage reports, exchanged between processes: datagrams, and bodies of HTTP requests
 //! for the requests that a process holds of others.
 
+use platform::usage::ReportKey;
 use serde::{Deserialize, Serialize};
 use std::net::IpAddr;
 
@@ -118,6 +119,6 @@
 pub struct LastDecision {
     /// Time since the process started, in milliseconds. It knows no reports of an earlier start.
     pub running_ms: u64,
-    /// The report's window and the era of the store in which it was decided.
-    pub report: Option<(u64, u64)>,
+    /// The report; `None` if it knows none.
+    pub report: Option<ReportKey>,
 }
--- a/crates/gateway/src/follow/cursor.rs
+++ b/crates/gateway/src/follow/cursor.rs
@@ -29,8 +29,8 @@
     Restored,
     /// The last read failed.
     Retry,
-    /// The last read was ended early, as the part of this process had changed for which it was held
-    /// that long.
+    /// The last read was ended early, as the process's role had changed that decided how long it was
+    /// held.
     RoleChanged,
 }
 
@@ -163,7 +163,7 @@
         self.reason = ReadReason::Retry;
     }
 
-    /// Records that the last read was ended early, as this process's part has changed.
+    /// Records that the last read was ended early, as this process's role has changed.
     pub(crate) fn record_role_change(&mut self) {
         self.reason = ReadReason::RoleChanged;
     }
