Test an engine's responses without an end

Reported of other systems: a caller keeps bytes without an end until its memory is used up; late requests are cut in a planned stop. Neither was reproduced. The agent's client of engines had no test of it: six forms of endless heads and streams now end as errors at a limit.

--- a/crates/engine/tests/client.rs
+++ b/crates/engine/tests/client.rs
@@ -11,7 +11,10 @@
 use fakes::{Faults, RunningServer, start};
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpListener;
 use wire::{Model, Role};
 
 async fn start_engine(fencing: bool) -> (Arc<FakeEngine>, Client, RunningServer) {
@@ -177,3 +180,49 @@
     r.push(b"HTTP nonsense\n");
     assert!(r.pop().is_err());
 }
+
+/// Serves each connection with a start and then a piece that is repeated until the connection is closed.
+/// Counts the bytes that were sent.
+async fn serve_endless(start: &'static str, piece: &'static str) -> (SocketAddr, Arc<AtomicUsize>) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let addr = listener.local_addr().unwrap();
+    let sent = Arc::new(AtomicUsize::new(0));
+    let count = sent.clone();
+    tokio::spawn(async move {
+        while let Ok((mut tcp, _)) = listener.accept().await {
+            if tcp.write_all(start.as_bytes()).await.is_err() {
+                continue;
+            }
+            let pieces = piece.repeat(1024);
+            while tcp.write_all(pieces.as_bytes()).await.is_ok() {
+                count.fetch_add(pieces.len(), Ordering::Relaxed);
+            }
+        }
+    });
+    (addr, sent)
+}
+
+/// Guards against buffering a response without an end, in its head or in its body.
+#[tokio::test]
+async fn responses_without_an_end_are_errors() {
+    const STREAM: &str = "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n\r\n";
+    let cases = [
+        ("", "x"),
+        ("HTTP/1.1 200 OK\r\n", "x: y\r\n"),
+        ("HTTP/1.1 200 ", "x"),
+        ("", "HTTP/1.1 100 Continue\r\n\r\n"),
+        (STREAM, "x"),
+        (STREAM, "data: x\n"),
+    ];
+    for (start, piece) in cases {
+        let (addr, sent) = serve_endless(start, piece).await;
+        let client = Client::new(addr, Duration::from_secs(5));
+        let completion = body("a", 9, 0);
+        let read = tokio::time::timeout(Duration::from_secs(30), read(&client, &completion));
+        let read = read.await.expect("the client gives up by itself");
+        assert!(read.is_err(), "{start:?} {piece:?}: {read:?}");
+        // What is read, and what the buffers of the connection hold.
+        let sent = sent.load(Ordering::Relaxed);
+        assert!(sent < 32 << 20, "{start:?} {piece:?}: {sent} bytes");
+    }
+}
