--- a/crates/gateway/tests/usage_decisions.rs
+++ b/crates/gateway/tests/usage_decisions.rs
@@ -368,6 +368,16 @@
     vec(step, 1..400)
 }
 
+/// All reports of a window are identical. Returns the number of windows.
+fn check_bodies(sent: &[Sent]) -> Result<usize, TestCaseError> {
+    let mut bodies: BTreeMap<u64, &str> = BTreeMap::new();
+    for Sent { report, .. } in sent {
+        let body = *bodies.entry(report.window).or_insert(&report.body);
+        prop_assert_eq!(body, &report.body, "window {}", report.window);
+    }
+    Ok(bodies.len())
+}
+
 /// Tokens never decrease, and two holders have different tokens and are a gap apart.
 fn check_holders(sent: &[Sent]) -> Result<(), TestCaseError> {
     for pair in sent.windows(2) {
@@ -408,15 +418,9 @@
         .run(&steps(0.0), |steps| {
             let mut simulation = Simulation::new(HOLDERS);
             steps.into_iter().for_each(|step| simulation.step(step));
-            let mut bodies: BTreeMap<u64, String> = BTreeMap::new();
-            for sent in &simulation.sent {
-                let body = bodies
-                    .entry(sent.report.window)
-                    .or_insert_with(|| sent.report.body.clone());
-                prop_assert_eq!(&*body, &sent.report.body, "window {}", sent.report.window);
-            }
+            let windows = check_bodies(&simulation.sent)?;
             check_holders(&simulation.sent)?;
-            reported.set(reported.get() + bodies.len());
+            reported.set(reported.get() + windows);
             Ok(())
         })
         .unwrap();
@@ -437,15 +441,9 @@
                     let holder = step.holder % hosts;
                     simulation.step(Step { holder, ..step });
                 }
-                let mut bodies: BTreeMap<u64, String> = BTreeMap::new();
-                for sent in &simulation.sent {
-                    let body = bodies
-                        .entry(sent.report.window)
-                        .or_insert_with(|| sent.report.body.clone());
-                    prop_assert_eq!(&*body, &sent.report.body, "window {}", sent.report.window);
-                }
+                let windows = check_bodies(&simulation.sent)?;
                 check_holders(&simulation.sent)?;
-                reported.set(reported.get() + bodies.len());
+                reported.set(reported.get() + windows);
                 Ok(())
             })
             .unwrap();
